--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,31 @@
+//! The words every other package speaks: ids, sizes, rates, instants, text names and the verdict
+//! error, with the macros that derive their common traits.
+//!
+//! Terms:
+//! - an *id* is a small integer newtype that prints as a short name (`node3`) and parses back;
+//! - a *name* is an `Arc<str>` newtype taken from settings or configuration;
+//! - a *verdict* says whether a request may have run upstream.
+//!
+//! Invariants: every type here prints with `Display` and parses with `FromStr` to an equal value,
+//! and no type here does I/O or reads a clock.
+
+pub mod ids;
+mod macros;
+pub mod text;
+pub mod units;
+pub mod verdict;
+
+/// The types nearly every package imports.
+pub mod prelude {
+    pub use crate::ids::*;
+    pub use crate::text::*;
+    pub use crate::units::*;
+    pub use crate::verdict::{Error, ErrorKind, Verdict};
+    pub use std::sync::Arc;
+}
+
+/// Used by the exported macros; not part of the interface.
+#[doc(hidden)]
+pub mod __private {
+    pub use serde;
+}
--- /dev/null
+++ b/crates/bridge/src/jobs.rs
@@ -0,0 +1,254 @@
+//! Blocking jobs on I/O threads, with answers and events delivered on the actor thread.
+//!
+//! Terms: *pending* holds the `Ret` or `Fwd` of each running job, which must not leave the actor
+//! thread; a job knows only its key.
+//!
+//! Invariants: a key is used once; an event for a key no longer pending is dropped.
+
+use crate::inbox::{Inbox, Link};
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use stakker::{Fwd, Ret};
+use std::any::Any;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::marker::PhantomData;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+type Job = Box<dyn FnOnce() + Send>;
+type Value = Box<dyn Any + Send>;
+type Answers = Rc<RefCell<HashMap<u64, Waiter>>>;
+
+enum Waiter {
+    Answer(Box<dyn FnOnce(Value)>),
+    Events(Rc<dyn Fn(Value)>),
+}
+
+/// Jobs that may wait for an I/O thread.
+const QUEUED_JOBS: usize = 4096;
+
+/// Runs blocking jobs on threads and brings their results back; cheap to clone on its thread.
+#[derive(Clone)]
+pub struct Bridge {
+    link: Link,
+    pending: Answers,
+    next_key: Rc<RefCell<u64>>,
+    queue: Sender<Job>,
+    workers: Arc<Workers>,
+}
+
+/// The threads that run queued jobs; started as they are needed, up to a limit.
+#[derive(Debug)]
+struct Workers {
+    queue: Receiver<Job>,
+    idle: AtomicUsize,
+    started: AtomicUsize,
+    limit: usize,
+}
+
+impl std::fmt::Debug for Bridge {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Bridge")
+            .field("pending", &self.pending.borrow().len())
+            .field("threads", &self.workers.started.load(Ordering::Relaxed))
+            .finish()
+    }
+}
+
+thread_local! {
+    static PENDING: RefCell<HashMap<u64, Answers>> = RefCell::new(HashMap::new());
+}
+
+impl Bridge {
+    /// Opens a bridge into `inbox` that uses at most `threads` I/O threads.
+    pub fn open(inbox: &Inbox, threads: usize) -> Self {
+        let (queue, receiver) = bounded(QUEUED_JOBS);
+        let pending: Answers = Rc::default();
+        let workers = Workers {
+            queue: receiver,
+            idle: AtomicUsize::new(0),
+            started: AtomicUsize::new(0),
+            limit: threads.max(1),
+        };
+        let bridge = Self {
+            link: inbox.link(),
+            pending: pending.clone(),
+            next_key: Rc::default(),
+            queue,
+            workers: Arc::new(workers),
+        };
+        PENDING.with_borrow_mut(|map| map.insert(bridge.id(), pending));
+        bridge
+    }
+
+    /// A link into the node's inbox.
+    pub fn link(&self) -> Link {
+        self.link.clone()
+    }
+
+    /// The number of jobs whose answer or events are still awaited.
+    pub fn pending(&self) -> usize {
+        self.pending.borrow().len()
+    }
+
+    /// Runs `job` on an I/O thread and gives its result to `ret`.
+    ///
+    /// `ret` is called with `refused` at once where too many jobs are queued already.
+    pub fn call<T: Send + 'static>(
+        &self,
+        job: impl FnOnce() -> T + Send + 'static,
+        refused: impl FnOnce() -> T,
+        ret: Ret<T>,
+    ) {
+        let key = self.add(Waiter::Answer(Box::new(move |value| {
+            if let Ok(value) = value.downcast::<T>() {
+                ret.ret(*value);
+            }
+        })));
+        let (id, link) = (self.id(), self.link.clone());
+        let queued = self.submit(Box::new(move || {
+            let value: Value = Box::new(job());
+            link.send(move |_| deliver_answer(id, key, value));
+        }));
+        if !queued {
+            deliver_answer(id, key, Box::new(refused()));
+        }
+    }
+
+    /// Runs `job` on an I/O thread; each event it sends goes to `fwd`, in order.
+    ///
+    /// Returns `false`, and drops `job` unrun, where too many jobs are queued already.
+    pub fn stream<E: Send + 'static>(
+        &self,
+        job: impl FnOnce(EventSender<E>) + Send + 'static,
+        fwd: Fwd<E>,
+    ) -> bool {
+        let key = self.add(Waiter::Events(Rc::new(move |value: Value| {
+            if let Ok(value) = value.downcast::<E>() {
+                fwd.fwd(*value);
+            }
+        })));
+        let sender = EventSender {
+            id: self.id(),
+            key,
+            link: self.link.clone(),
+            event: PhantomData,
+        };
+        let queued = self.submit(Box::new(move || job(sender)));
+        if !queued {
+            self.pending.borrow_mut().remove(&key);
+        }
+        queued
+    }
+
+    fn id(&self) -> u64 {
+        Rc::as_ptr(&self.pending) as u64
+    }
+
+    fn add(&self, waiter: Waiter) -> u64 {
+        let mut next = self.next_key.borrow_mut();
+        *next += 1;
+        self.pending.borrow_mut().insert(*next, waiter);
+        *next
+    }
+
+    fn submit(&self, job: Job) -> bool {
+        match self.queue.try_send(job) {
+            Ok(()) => (),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => return false,
+        }
+        self.start_worker();
+        true
+    }
+
+    fn start_worker(&self) {
+        let workers = &self.workers;
+        let enough = workers.idle.load(Ordering::Acquire) > workers.queue.len();
+        let started = workers.started.load(Ordering::Acquire);
+        if enough || started >= workers.limit {
+            return;
+        }
+        let own = Arc::clone(workers);
+        let spawned = thread::Builder::new()
+            .name(format!("io-{started}"))
+            .spawn(move || own.run());
+        match spawned {
+            Ok(_) => {
+                workers.started.fetch_add(1, Ordering::AcqRel);
+            }
+            Err(error) => log::warn!("no thread for an I/O job, it waits: {error}"),
+        }
+    }
+}
+
+impl Workers {
+    fn run(&self) {
+        loop {
+            self.idle.fetch_add(1, Ordering::AcqRel);
+            let job = self.queue.recv();
+            self.idle.fetch_sub(1, Ordering::AcqRel);
+            match job {
+                Ok(job) => job(),
+                Err(_) => return,
+            }
+        }
+    }
+}
+
+/// Sends the events of one streaming job; dropping it ends the stream.
+#[derive(Debug)]
+pub struct EventSender<E> {
+    id: u64,
+    key: u64,
+    link: Link,
+    event: PhantomData<fn(E)>,
+}
+
+impl<E: Send + 'static> EventSender<E> {
+    /// Sends one event; `false` once the node is gone and the job should end.
+    pub fn send(&self, event: E) -> bool {
+        let (id, key) = (self.id, self.key);
+        let value: Value = Box::new(event);
+        self.link.send(move |_| deliver_event(id, key, value))
+    }
+}
+
+impl<E> Drop for EventSender<E> {
+    fn drop(&mut self) {
+        let (id, key) = (self.id, self.key);
+        self.link.send(move |_| forget(id, key));
+    }
+}
+
+fn pending_of(id: u64) -> Option<Answers> {
+    PENDING.with_borrow(|map| map.get(&id).cloned())
+}
+
+fn deliver_answer(id: u64, key: u64, value: Value) {
+    let Some(pending) = pending_of(id) else {
+        return;
+    };
+    let waiter = pending.borrow_mut().remove(&key);
+    if let Some(Waiter::Answer(call)) = waiter {
+        call(value);
+    }
+}
+
+fn deliver_event(id: u64, key: u64, value: Value) {
+    let Some(pending) = pending_of(id) else {
+        return;
+    };
+    let call = match pending.borrow().get(&key) {
+        Some(Waiter::Events(call)) => Rc::clone(call),
+        _ => return,
+    };
+    call(value);
+}
+
+fn forget(id: u64, key: u64) {
+    if let Some(pending) = pending_of(id) {
+        pending.borrow_mut().remove(&key);
+    }
+}
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,34 @@
+//! At most one run per idempotency key: claims go to the owner of the key's shard, which writes
+//! them in batches to the shard's log stream before the upstream is called.
+//!
+//! Terms: a *shard* is a part of the key space with one *owner* at a time; an owner's *epoch*
+//! begins with its epoch record in the shard's stream.
+//!
+//! Invariants: a claim is granted only when its record is read back with no newer epoch record
+//! before it, so two owners never grant the same key, whatever their clocks say.
+
+use bluebell_base::prelude::*;
+use bluebell_peers::{ClaimAnswer, ClaimCall, SettleCall};
+use stakker::{Core, Ret};
+
+/// Who owns a shard, as the leases on the control stream say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShardOwner {
+    /// The shard.
+    pub shard: ShardId,
+    /// The owner's process.
+    pub incarnation: Incarnation,
+    /// Where its peer interface listens.
+    pub address: Address,
+}
+
+/// Claims, as the requests use them.
+pub trait ClaimsPort {
+    /// Claims a key.
+    ///
+    /// An error is `NotRun` as far as this request goes: without a grant it must not run.
+    fn claim(&self, core: &mut Core, call: ClaimCall, ret: Ret<Result<ClaimAnswer, Error>>);
+
+    /// Settles a claim; goes on in the background until it is in the log or the key expires.
+    fn settle(&self, core: &mut Core, call: SettleCall);
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,17 @@
+//! What the platform offers, as trait objects: the append-only log, the rate-limited weight store
+//! and the lagging list of VMs, with their HTTP clients.
+//!
+//! Terms: a *stream* is one named sequence of log records with offsets; *retained* records are
+//! those the log still keeps; a *port* is the trait object through which actors reach one of the
+//! platform's services without blocking.
+//!
+//! Invariants: an append whose answer is lost is reported as `MayHaveRun`, never as `NotRun`;
+//! offsets of a stream only grow.
+
+pub mod log_port;
+pub mod vms;
+pub mod weights;
+
+pub use log_port::{LogPort, LogRecord, ReadBatch};
+pub use vms::{VmEntry, VmListPort, VmRole, VmState};
+pub use weights::{WeightInfo, WeightPort};
--- /dev/null
+++ b/crates/policy/src/job/mod.rs
@@ -0,0 +1,133 @@
+//! The data that go into and come out of decisions.
+
+use bluebell_base::prelude::*;
+use bluebell_upstreams::Priority;
+use serde::{Deserialize, Serialize};
+
+/// What the policy knows of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// The request.
+    pub request: RequestId,
+    /// Who asks.
+    pub account: AccountId,
+    /// Its class.
+    pub class: ClassId,
+    /// The model.
+    pub model: ModelId,
+    /// The prompt's estimated length.
+    pub prompt_tokens: Tokens,
+    /// The most tokens the answer may have.
+    pub max_tokens: Tokens,
+    /// Hashes of the prompt's beginnings, for the prefix cache; ascending lengths.
+    pub prefixes: Vec<Prefix>,
+    /// When it arrived.
+    pub arrived_ms: MonoMs,
+    /// When its first token is due by the class's target.
+    pub first_token_due_ms: MonoMs,
+    /// When it must have ended.
+    pub deadline_ms: MonoMs,
+    /// Whether it may be run again after it may have run.
+    pub idempotent: bool,
+    /// Engines that already failed it.
+    pub avoid: Vec<UpstreamId>,
+}
+
+/// A prompt's beginning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Prefix {
+    /// Its hash, computed as engines do for cache events.
+    pub hash: u64,
+    /// Its length.
+    pub tokens: Tokens,
+}
+
+/// What is known of an engine apart from its load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineFacts {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// The models it serves.
+    pub models: Vec<ModelId>,
+    /// Its KV memory in tokens.
+    pub kv_capacity_tokens: Tokens,
+}
+
+/// One engine's part of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupPart {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The memory reserved there.
+    pub kv_tokens: Tokens,
+}
+
+/// What shall be done with a job now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Send it to one engine.
+    Send {
+        /// The job.
+        request: RequestId,
+        /// The engine.
+        upstream: UpstreamId,
+        /// Its priority there.
+        priority: Priority,
+    },
+    /// Reserve memory on the members and send it to the leader.
+    Group {
+        /// The job.
+        request: RequestId,
+        /// The engine that runs it.
+        leader: UpstreamId,
+        /// The engines that lend memory, without the leader.
+        members: Vec<GroupPart>,
+        /// Its priority.
+        priority: Priority,
+    },
+    /// Give it up now.
+    Refuse {
+        /// The job.
+        request: RequestId,
+        /// Why.
+        refusal: Refusal,
+    },
+}
+
+/// Why a job was refused, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When it may fare better.
+    pub retry_after_ms: SpanMs,
+}
+
+/// Why a job was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// No engine serves the model now.
+    NoEngine,
+    /// The deadline cannot be met.
+    TooLate,
+    /// The fleet is over capacity and the account over its share.
+    OverShare,
+    /// The fleet is over capacity.
+    Overloaded,
+    /// Longer than all engines together can hold.
+    TooLong,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// With a whole answer of this many tokens.
+    Finished(Tokens),
+    /// Refused by the engine before any work.
+    NotRun,
+    /// Broken off or cancelled.
+    Failed,
+}
