--- a/crates/bridge/src/jobs.rs
+++ b/crates/bridge/src/jobs.rs
@@ -12,6 +12,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::marker::PhantomData;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -107,10 +108,13 @@
                 ret.ret(*value);
             }
         })));
-        let (id, link) = (self.id(), self.link.clone());
+        let id = self.id();
+        // Made inside the job, not here: a job refused by the queue is answered below instead.
+        let link = self.link.clone();
         let queued = self.submit(Box::new(move || {
+            let lost = Lost { id, key, link };
             let value: Value = Box::new(job());
-            link.send(move |_| deliver_answer(id, key, value));
+            lost.link.send(move |_| deliver_answer(id, key, value));
         }));
         if !queued {
             deliver_answer(id, key, Box::new(refused()));
@@ -190,13 +194,20 @@
             let job = self.queue.recv();
             self.idle.fetch_sub(1, Ordering::AcqRel);
             match job {
-                Ok(job) => job(),
+                Ok(job) => run_guarded(job),
                 Err(_) => return,
             }
         }
     }
 }
 
+/// Runs a job so that its panic ends the job, not the thread that other jobs wait for.
+fn run_guarded(job: Job) {
+    if catch_unwind(AssertUnwindSafe(job)).is_err() {
+        log::error!("an I/O job panicked; its caller is told that no answer came");
+    }
+}
+
 /// Sends the events of one streaming job; dropping it ends the stream.
 #[derive(Debug)]
 pub struct EventSender<E> {
@@ -222,6 +233,25 @@
     }
 }
 
+/// Drops the waiter of a job that ends without an answer.
+///
+/// Guards against a job that panics: its `Ret` would wait for ever and the request with it. The
+/// drop runs on unwinding too and arrives behind any answer, so an answered job isn't touched.
+struct Lost {
+    id: u64,
+    key: u64,
+    link: Link,
+}
+
+impl Drop for Lost {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            let (id, key) = (self.id, self.key);
+            self.link.send(move |_| forget(id, key));
+        }
+    }
+}
+
 fn pending_of(id: u64) -> Option<Answers> {
     PENDING.with_borrow(|map| map.get(&id).cloned())
 }
