Callers' interface and administration API over tiny_http

Callers::bind and Admin::bind hand typed calls to the actor thread and write the answers. Streams go through a library encoder over a writer that flushes each write; the first event reaches the caller before the second is produced (tests/streams.rs).

Found while testing: ureq refuses a 100 Continue that carries headers (HeadersWith100), as tiny_http writes it; so the interim response that finds callers who hung up is written without any. Repeated interim responses are then read over (interim_responses_do_not_disturb_a_client).

--- /dev/null
+++ b/crates/entry/src/admin/exchange.rs
@@ -0,0 +1,234 @@
+//! One operator's call from its head to its answer.
+
+use crate::admin::Shared;
+use crate::admin::route::{self, Route};
+use crate::http::answer::{self, Refusal, Whole};
+use crate::http::body::{self, BodyLimits};
+use crate::http::credentials::KeyHash;
+use crate::http::{head, oversize};
+use crate::{AdminCall, ConfigText, Reply};
+use bluebell_base::prelude::*;
+use bluebell_config::{Fault, FleetConfig};
+use bluebell_control::Published;
+use crossbeam_channel::bounded;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::sync::atomic::Ordering;
+use tiny_http::Request;
+
+/// The media type of the Prometheus text format.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// What refused operators are told as the time to come back.
+const RETRY_AFTER_MS: SpanMs = SpanMs(1000);
+
+/// A publication as an operator sends it.
+#[derive(Deserialize)]
+struct PublishBody<'a> {
+    base: ConfigVersion,
+    #[serde(borrow)]
+    config: &'a RawValue,
+}
+
+/// A configuration with its version.
+#[derive(Serialize)]
+struct ConfigBody {
+    version: ConfigVersion,
+    config: Box<RawValue>,
+}
+
+/// The faults of a refused configuration.
+#[derive(Serialize)]
+struct FaultsBody<'a> {
+    error: FaultsFields<'a>,
+    faults: &'a [Fault],
+}
+
+#[derive(Serialize)]
+struct FaultsFields<'a> {
+    kind: ErrorKind,
+    message: &'static str,
+    verdict: Verdict,
+    request: &'a str,
+}
+
+/// A client account without its key's hash.
+#[derive(Serialize)]
+struct AccountBody<'a> {
+    name: &'a AccountName,
+}
+
+/// An answer that only says that it was done.
+#[derive(Serialize)]
+struct DoneBody {
+    done: bool,
+}
+
+/// One call in progress.
+struct Call<'a> {
+    shared: &'a Shared,
+    name: Arc<str>,
+}
+
+/// Handles one request of the API, to its end.
+pub(crate) fn handle(shared: &Shared, request: Request) {
+    let number = shared.last_call.fetch_add(1, Ordering::Relaxed) + 1;
+    let call = Call {
+        shared,
+        name: format!("admin{number}").into(),
+    };
+    let Some(mut request) = oversize::refuse(request, &call.name) else {
+        return;
+    };
+    let response = call.answer(&mut request).unwrap_or_else(|refusal| {
+        log::info!("{}: refused: {}", call.name, refusal.error);
+        answer::refusal(&refusal, &call.name)
+    });
+    if let Err(error) = request.respond(response) {
+        log::debug!("{}: the answer could not be sent: {error}", call.name);
+    }
+}
+
+impl Call<'_> {
+    fn answer(&self, request: &mut Request) -> Result<Whole, Refusal> {
+        head::check(request).map_err(|(status, error)| Refusal { status, error })?;
+        self.authenticate(request)?;
+        match route::find(request.method(), request.url())? {
+            Route::Config => self.config(),
+            Route::Publish => self.publish(request),
+            Route::History => self.history(),
+            Route::Classes => self.in_force(|config| answer::json_text(&config.classes)),
+            Route::Accounts => self.in_force(accounts_text),
+            Route::Upstreams => self.upstreams(),
+            Route::Fleet => Ok(self.json(&self.ask(AdminCall::Fleet)?)),
+            Route::State => Ok(self.json(&self.ask(AdminCall::Dump)?)),
+            Route::Drain => self.done(AdminCall::Drain),
+            Route::Ready => self.done(AdminCall::Ready),
+            Route::Metrics => {
+                let text = self.ask(AdminCall::Metrics)?;
+                let body = text.as_bytes().to_vec();
+                Ok(answer::whole(200, Some(METRICS_TYPE), body, &self.name))
+            }
+        }
+    }
+
+    fn authenticate(&self, request: &Request) -> Result<(), Error> {
+        let credential = KeyHash::of(head::bearer(request)?);
+        if self.shared.credential.same(&credential).into() {
+            return Ok(());
+        }
+        let message = "the credential is wrong";
+        Err(Error::not_run(ErrorKind::Unauthenticated, message))
+    }
+
+    fn config(&self) -> Result<Whole, Refusal> {
+        let text = self.ask(AdminCall::Config)?;
+        Ok(answer::json(200, &config_body(&text)?, &self.name))
+    }
+
+    fn history(&self) -> Result<Whole, Refusal> {
+        let texts = self.ask(AdminCall::History)?;
+        let bodies: Result<Vec<_>, _> = texts.iter().map(config_body).collect();
+        Ok(answer::json(200, &bodies?, &self.name))
+    }
+
+    fn publish(&self, request: &mut Request) -> Result<Whole, Refusal> {
+        let limits = BodyLimits {
+            body_bytes: self.shared.settings.body_bytes,
+            budget: &self.shared.body_budget,
+            retry_after_ms: RETRY_AFTER_MS,
+        };
+        let body = body::read(request, limits)?;
+        let text = std::str::from_utf8(&body.bytes)
+            .map_err(|error| head::invalid(format!("the body is not UTF-8: {error}")))?;
+        let call: PublishBody = serde_json::from_str(text)
+            .map_err(|error| head::invalid(format!("the body is not a publication: {error}")))?;
+        if let Err(faults) = bluebell_config::parse(call.config.get()) {
+            return Ok(self.faults(&faults));
+        }
+        let (base, config) = (call.base, call.config.get().into());
+        let published = self.ask(|reply| AdminCall::Publish {
+            base,
+            body: config,
+            reply,
+        })?;
+        let status = match published {
+            Published::Accepted { .. } => 200,
+            Published::Conflict { .. } => 409,
+        };
+        Ok(answer::json(status, &published, &self.name))
+    }
+
+    fn faults(&self, faults: &[Fault]) -> Whole {
+        let body = FaultsBody {
+            error: FaultsFields {
+                kind: ErrorKind::Invalid,
+                message: "the configuration has faults",
+                verdict: Verdict::NotRun,
+                request: &self.name,
+            },
+            faults,
+        };
+        answer::json(400, &body, &self.name)
+    }
+
+    /// A part of the configuration in force.
+    fn in_force(&self, part: impl FnOnce(&FleetConfig) -> String) -> Result<Whole, Refusal> {
+        let text = self.ask(AdminCall::Config)?;
+        let config: FleetConfig = serde_json::from_str(&text.body).map_err(unreadable)?;
+        Ok(self.json(&part(&config)))
+    }
+
+    fn upstreams(&self) -> Result<Whole, Refusal> {
+        let fleet = self.ask(AdminCall::Fleet)?;
+        let fleet: serde_json::Value = serde_json::from_str(&fleet).map_err(unreadable)?;
+        let upstreams = fleet.get("upstreams").cloned().unwrap_or_default();
+        Ok(answer::json(200, &upstreams, &self.name))
+    }
+
+    fn done(&self, call: impl FnOnce(Reply<()>) -> AdminCall) -> Result<Whole, Refusal> {
+        self.ask(call)?;
+        Ok(answer::json(200, &DoneBody { done: true }, &self.name))
+    }
+
+    fn json(&self, text: &str) -> Whole {
+        let body = text.as_bytes().to_vec();
+        answer::whole(200, Some(answer::JSON), body, &self.name)
+    }
+
+    /// Hands a call to the node and waits for its answer.
+    fn ask<T: Send + 'static>(&self, call: impl FnOnce(Reply<T>) -> AdminCall) -> Result<T, Error> {
+        let (out, answered) = bounded(1);
+        let reply = Box::new(move |result| {
+            // An operator that waited too long has been answered already.
+            let _ = out.try_send(result);
+        });
+        if !self.shared.calls.send(call(reply)) {
+            let message = "the node is stopping";
+            return Err(Error::not_run(ErrorKind::Unavailable, message));
+        }
+        let timeout = self.shared.settings.reply_timeout_ms.into();
+        answered.recv_timeout(timeout).unwrap_or_else(|_| {
+            let message = "the node did not answer in time; whether it did as asked is unknown";
+            Err(Error::may_have_run(ErrorKind::DeadlineExceeded, message))
+        })
+    }
+}
+
+fn config_body(text: &ConfigText) -> Result<ConfigBody, Error> {
+    Ok(ConfigBody {
+        version: text.version,
+        config: RawValue::from_string(text.body.to_string()).map_err(unreadable)?,
+    })
+}
+
+fn accounts_text(config: &FleetConfig) -> String {
+    let accounts = config.accounts.iter();
+    let bodies: Vec<_> = accounts.map(|a| AccountBody { name: &a.name }).collect();
+    answer::json_text(&bodies)
+}
+
+fn unreadable(error: serde_json::Error) -> Error {
+    log::error!("the node's own answer can't be read: {error}");
+    Error::not_run(ErrorKind::Internal, "the node's own answer can't be read")
+}
--- /dev/null
+++ b/crates/entry/src/callers/deliver.rs
@@ -0,0 +1,249 @@
+//! Delivering a request's events to its caller: as a stream, as one whole answer, or as a plain
+//! service's answer.
+//!
+//! Invariants: the head of a stream waits for the first piece of the answer, at most one keep-alive
+//! interval, so that an early refusal has its own status code; a whole answer is sent only after
+//! `Finished`; a stream that fails has no `[DONE]`, so it can't be taken for a whole answer.
+
+use crate::callers::encode::{AnswerBody, End, Subject};
+use crate::callers::sink::Events;
+use crate::http::answer::{self, ErrorBody, Refusal};
+use crate::http::outlet::{EventStream, Outlet};
+use bluebell_base::prelude::*;
+use bluebell_requests::call::CallerEvent;
+use crossbeam_channel::RecvTimeoutError;
+use std::io;
+use std::time::Duration;
+
+/// How an exchange ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Delivered {
+    /// The caller has been sent the last event.
+    Whole,
+    /// The caller hung up, or does not read.
+    CallerGone,
+}
+
+impl From<io::Result<()>> for Delivered {
+    fn from(result: io::Result<()>) -> Self {
+        match result {
+            Ok(()) => Delivered::Whole,
+            Err(_) => Delivered::CallerGone,
+        }
+    }
+}
+
+/// What is written to a caller, and the identity it is written under.
+pub(crate) struct Delivery {
+    /// The queue of events.
+    pub(crate) events: Events,
+    /// The request's id once it is admitted, the call's number before.
+    pub(crate) request: Arc<str>,
+    /// The longest silence in a stream.
+    pub(crate) keep_alive: Duration,
+    /// The longest silence of a caller that waits for a whole answer.
+    pub(crate) interim: Option<Duration>,
+}
+
+/// What comes next in the queue.
+enum Next {
+    Event(CallerEvent),
+    Silence,
+}
+
+impl Delivery {
+    /// Delivers the events as server-sent events.
+    pub(crate) fn stream(mut self, outlet: Outlet, subject: &Subject) -> Delivered {
+        loop {
+            match self.next(Some(self.keep_alive)) {
+                Next::Event(CallerEvent::Admitted { request }) => self.admitted(request),
+                Next::Event(CallerEvent::Failed { request, error }) => {
+                    return self.refuse(outlet, request, error);
+                }
+                Next::Event(event) => return self.begin(outlet, subject, Some(event)).into(),
+                Next::Silence => return self.begin(outlet, subject, None).into(),
+            }
+        }
+    }
+
+    fn begin(
+        mut self,
+        outlet: Outlet,
+        subject: &Subject,
+        first: Option<CallerEvent>,
+    ) -> io::Result<()> {
+        let mut stream = outlet.begin_events(&self.request)?;
+        let mut next = match first {
+            Some(event) => Next::Event(event),
+            None => Next::Silence,
+        };
+        loop {
+            match next {
+                Next::Silence => stream.keep_alive()?,
+                Next::Event(event) => {
+                    let last = event.is_last();
+                    self.write_event(&mut stream, subject, event)?;
+                    if last {
+                        return Ok(());
+                    }
+                }
+            }
+            next = self.next(Some(self.keep_alive));
+        }
+    }
+
+    fn write_event(
+        &mut self,
+        stream: &mut EventStream,
+        subject: &Subject,
+        event: CallerEvent,
+    ) -> io::Result<()> {
+        match event {
+            CallerEvent::Admitted { request } => {
+                self.admitted(request);
+                Ok(())
+            }
+            CallerEvent::Token { text, cursor, .. } => {
+                let body = AnswerBody::piece(subject, &self.request, &text);
+                stream.event(Some(&cursor), &answer::json_text(&body))
+            }
+            CallerEvent::Finished {
+                reason,
+                prompt_tokens,
+                answer_tokens,
+            } => {
+                let end = End {
+                    reason,
+                    prompt_tokens,
+                    answer_tokens,
+                };
+                let body = AnswerBody::last(subject, &self.request, &end);
+                stream.event(None, &answer::json_text(&body))?;
+                stream.event(None, "[DONE]")
+            }
+            CallerEvent::Service { .. } => self.write_failure(stream, &crossed()),
+            CallerEvent::Failed { error, .. } => self.write_failure(stream, &error),
+        }
+    }
+
+    fn write_failure(&self, stream: &mut EventStream, error: &Error) -> io::Result<()> {
+        let body = ErrorBody::new(error, &self.request);
+        stream.event(None, &answer::json_text(&body))
+    }
+
+    /// Delivers the answer as one JSON body.
+    pub(crate) fn whole(mut self, mut outlet: Outlet, subject: &Subject) -> Delivered {
+        let mut answer_text = String::new();
+        loop {
+            match self.next(self.interim_of(&outlet)) {
+                Next::Silence => {
+                    if outlet.interim().is_err() {
+                        return Delivered::CallerGone;
+                    }
+                }
+                Next::Event(CallerEvent::Admitted { request }) => self.admitted(request),
+                Next::Event(CallerEvent::Token { text, .. }) => answer_text.push_str(&text),
+                Next::Event(CallerEvent::Finished {
+                    reason,
+                    prompt_tokens,
+                    answer_tokens,
+                }) => {
+                    let end = End {
+                        reason,
+                        prompt_tokens,
+                        answer_tokens,
+                    };
+                    let body = AnswerBody::whole(subject, &self.request, &answer_text, &end);
+                    let response = answer::json(200, &body, &self.request);
+                    return outlet.respond(response).into();
+                }
+                Next::Event(CallerEvent::Service { .. }) => {
+                    return self.refuse(outlet, None, crossed());
+                }
+                Next::Event(CallerEvent::Failed { request, error }) => {
+                    return self.refuse(outlet, request, error);
+                }
+            }
+        }
+    }
+
+    /// Delivers a plain service's answer.
+    pub(crate) fn service(mut self, mut outlet: Outlet) -> Delivered {
+        loop {
+            match self.next(self.interim_of(&outlet)) {
+                Next::Silence => {
+                    if outlet.interim().is_err() {
+                        return Delivered::CallerGone;
+                    }
+                }
+                Next::Event(CallerEvent::Admitted { request }) => self.admitted(request),
+                Next::Event(CallerEvent::Service {
+                    status,
+                    content_type,
+                    body,
+                }) => {
+                    let media_type = content_type.as_deref();
+                    let response = answer::whole(status, media_type, body, &self.request);
+                    return outlet.respond(response).into();
+                }
+                Next::Event(CallerEvent::Failed { request, error }) => {
+                    return self.refuse(outlet, request, error);
+                }
+                Next::Event(CallerEvent::Token { .. } | CallerEvent::Finished { .. }) => {
+                    return self.refuse(outlet, None, crossed());
+                }
+            }
+        }
+    }
+
+    fn interim_of(&self, outlet: &Outlet) -> Option<Duration> {
+        self.interim.filter(|_| outlet.takes_chunks())
+    }
+
+    fn admitted(&mut self, request: RequestId) {
+        self.request = request.to_string().into();
+    }
+
+    /// Answers with a refusal or failure, before anything else was sent.
+    pub(crate) fn refuse(
+        mut self,
+        outlet: Outlet,
+        request: Option<RequestId>,
+        error: Error,
+    ) -> Delivered {
+        if let Some(request) = request {
+            self.admitted(request);
+        }
+        let response = answer::refusal(&Refusal::from(error), &self.request);
+        outlet.respond(response).into()
+    }
+
+    /// Waits for the next event, at most as long as a silence may last.
+    fn next(&self, silence: Option<Duration>) -> Next {
+        let receiver = &self.events.receiver;
+        let received = match silence {
+            Some(silence) => receiver.recv_timeout(silence),
+            None => receiver.recv().map_err(|_| RecvTimeoutError::Disconnected),
+        };
+        match received {
+            Ok(event) => Next::Event(event),
+            Err(RecvTimeoutError::Timeout) => Next::Silence,
+            Err(RecvTimeoutError::Disconnected) => Next::Event(dropped()),
+        }
+    }
+}
+
+/// The last event of a request whose actor went away without one, as at the node's end.
+fn dropped() -> CallerEvent {
+    let message = "the node gave the request up without an answer";
+    CallerEvent::Failed {
+        request: None,
+        error: Error::may_have_run(ErrorKind::Internal, message),
+    }
+}
+
+/// An answer of another kind than was asked for.
+fn crossed() -> Error {
+    let message = "an answer of another kind than asked for arrived";
+    Error::may_have_run(ErrorKind::Internal, message)
+}
--- /dev/null
+++ b/crates/entry/src/callers/exchange.rs
@@ -0,0 +1,377 @@
+//! One call from its head to its answer.
+
+use crate::callers::decode::{self, CallHeaders};
+use crate::callers::deliver::{Delivered, Delivery};
+use crate::callers::encode::{ModelsBody, ReportBody, Subject};
+use crate::callers::route::{self, Form, Route};
+use crate::callers::{InForce, Shared, sink};
+use crate::http::answer::{self, Refusal, Whole};
+use crate::http::body::{self, Body, BodyLimits};
+use crate::http::head;
+use crate::http::limits::Permit;
+use crate::http::outlet::Outlet;
+use crate::http::oversize;
+use bluebell_base::prelude::*;
+use bluebell_config::FleetConfig;
+use bluebell_peers::RequestReport;
+use bluebell_requests::call::{CallerCall, CallerId, ReadOn, ServiceRequest};
+use crossbeam_channel::bounded;
+use std::sync::atomic::Ordering;
+use tiny_http::Request;
+
+/// The longest cursor taken from a caller, in bytes.
+const CURSOR_BYTES: usize = 1024;
+
+/// One call in progress.
+struct Call<'a> {
+    shared: &'a Shared,
+    caller: CallerId,
+    /// The call's number as text: the request id of answers to calls that were not admitted.
+    name: Arc<str>,
+}
+
+/// Work that was taken in and is to be started.
+enum Taken {
+    /// A completion.
+    Complete {
+        decoded: decode::Decoded,
+        form: Form,
+        permits: Permits,
+    },
+    /// A plain service's call.
+    Service {
+        call: ServiceRequest,
+        permits: Permits,
+    },
+    /// Reading on.
+    ReadOn {
+        call: ReadOn,
+        form: Form,
+        permit: Permit,
+    },
+    /// Nothing: the answer is known.
+    Nothing(Whole),
+}
+
+/// What a call holds of the limits until its end.
+struct Permits {
+    _call: Permit,
+    _body: Permit,
+}
+
+/// Handles one request of the interface, to its end.
+pub(crate) fn handle(shared: &Shared, request: Request) {
+    let caller = CallerId(shared.last_caller.fetch_add(1, Ordering::Relaxed) + 1);
+    let call = Call {
+        shared,
+        caller,
+        name: caller.to_string().into(),
+    };
+    let Some(mut request) = oversize::refuse(request, &call.name) else {
+        return;
+    };
+    match call.take(&mut request) {
+        Ok(Taken::Nothing(response)) => call.respond(request, response),
+        Ok(taken) => call.run(request, taken),
+        Err(refusal) => {
+            log::debug!("{}: refused: {}", call.name, refusal.error);
+            call.respond(request, answer::refusal(&refusal, &call.name));
+        }
+    }
+}
+
+impl Call<'_> {
+    /// Authenticates, routes, reads and decodes a request.
+    fn take(&self, request: &mut Request) -> Result<Taken, Refusal> {
+        head::check(request).map_err(|(status, error)| Refusal { status, error })?;
+        let in_force = self.in_force();
+        let config = in_force
+            .as_ref()
+            .map(|in_force| Arc::clone(&in_force.config));
+        let config = config.unwrap_or_default();
+        let route = route::find(request.method(), request.url(), &config)?;
+        match route {
+            Route::Health => return Ok(self.nothing(answer::json(200, &"ok", &self.name))),
+            Route::Ready => return self.ready().map(|whole| self.nothing(whole)),
+            _ => (),
+        }
+        let in_force = in_force.ok_or_else(|| self.unavailable("no configuration is known yet"))?;
+        let account = authenticate(&in_force, request)?;
+        self.take_route(route, account, &config, request)
+    }
+
+    fn take_route(
+        &self,
+        route: Route,
+        account: &AccountName,
+        config: &FleetConfig,
+        request: &mut Request,
+    ) -> Result<Taken, Refusal> {
+        match route {
+            Route::Health | Route::Ready => Err(self.unavailable("unreachable route").into()),
+            Route::Models => {
+                let body = ModelsBody::from(config);
+                Ok(self.nothing(answer::json(200, &body, &self.name)))
+            }
+            Route::Complete(form) => self.take_completion(form, account, config, request),
+            Route::Service { service, path } => {
+                self.take_service(service, path, account, config, request)
+            }
+            Route::ReadOn(id) => self.take_read_on(id, account, request),
+            Route::Report(id) => self.ask(id, |reply| CallerCall::Report {
+                account: account.clone(),
+                request: id,
+                reply,
+            }),
+            Route::Cancel(id) => self.ask(id, |reply| CallerCall::Cancel {
+                account: account.clone(),
+                request: id,
+                reply,
+            }),
+        }
+    }
+
+    fn take_completion(
+        &self,
+        form: Form,
+        account: &AccountName,
+        config: &FleetConfig,
+        request: &mut Request,
+    ) -> Result<Taken, Refusal> {
+        let headers = CallHeaders {
+            class: head::header(request, "X-Work-Class")?.map(str::to_owned),
+            idempotency_key: idempotency_key(request)?,
+        };
+        let call = self.call_permit()?;
+        let body = self.body(config, request)?;
+        let decoded = decode::completion(form, &body.bytes, headers, account, config)?;
+        let wants_chunks = decoded.stream && *request.http_version() < tiny_http::HTTPVersion(1, 1);
+        if wants_chunks {
+            return Err(head::invalid("stream: needs HTTP/1.1").into());
+        }
+        Ok(Taken::Complete {
+            decoded,
+            form,
+            permits: Permits {
+                _call: call,
+                _body: body.permit,
+            },
+        })
+    }
+
+    fn take_service(
+        &self,
+        service: ServiceName,
+        path: Arc<str>,
+        account: &AccountName,
+        config: &FleetConfig,
+        request: &mut Request,
+    ) -> Result<Taken, Refusal> {
+        let idempotency_key = idempotency_key(request)?;
+        let content_type = head::header(request, "Content-Type")?.map(Arc::from);
+        let method = request.method().as_str().into();
+        let call_permit = self.call_permit()?;
+        let body = self.body(config, request)?;
+        let call = ServiceRequest {
+            account: account.clone(),
+            service,
+            method,
+            path,
+            content_type,
+            body: body.bytes,
+            idempotency_key,
+        };
+        Ok(Taken::Service {
+            call,
+            permits: Permits {
+                _call: call_permit,
+                _body: body.permit,
+            },
+        })
+    }
+
+    fn take_read_on(
+        &self,
+        id: RequestId,
+        account: &AccountName,
+        request: &Request,
+    ) -> Result<Taken, Refusal> {
+        if *request.http_version() < tiny_http::HTTPVersion(1, 1) {
+            return Err(head::invalid("a stream needs HTTP/1.1").into());
+        }
+        let (_, query) = head::split_url(request.url());
+        let form = match head::query_value(query, "form") {
+            None | Some("text") => Form::Text,
+            Some("chat") => Form::Chat,
+            Some(_) => return Err(head::invalid("form: is text or chat").into()),
+        };
+        let cursor = head::header(request, "Last-Event-ID")?.filter(|id| !id.is_empty());
+        if cursor.is_some_and(|cursor| cursor.len() > CURSOR_BYTES) {
+            let message = format!("Last-Event-ID is over {CURSOR_BYTES} bytes");
+            return Err(head::invalid(message).into());
+        }
+        let call = ReadOn {
+            account: account.clone(),
+            request: id,
+            cursor: cursor.map(Arc::from),
+        };
+        let permit = self.call_permit()?;
+        Ok(Taken::ReadOn { call, form, permit })
+    }
+
+    /// Asks the node for a report and waits for it.
+    fn ask(
+        &self,
+        id: RequestId,
+        call: impl FnOnce(ReportReply) -> CallerCall,
+    ) -> Result<Taken, Refusal> {
+        let (out, answered) = bounded(1);
+        let reply = Box::new(move |result| {
+            // A caller that waited too long has been answered already.
+            let _ = out.try_send(result);
+        });
+        self.send(call(reply))?;
+        let timeout = self.shared.settings.reply_timeout_ms.into();
+        let result = answered.recv_timeout(timeout).map_err(|_| {
+            let message = "the node did not answer in time; whether it did as asked is unknown";
+            Error::may_have_run(ErrorKind::DeadlineExceeded, message)
+        })?;
+        let report = result?;
+        let body = ReportBody::from(&report);
+        Ok(self.nothing(answer::json(200, &body, &id.to_string())))
+    }
+
+    /// Starts the work and delivers its events.
+    fn run(&self, request: Request, taken: Taken) {
+        let (sink, events) = sink::open();
+        let sink = Box::new(sink);
+        let caller = self.caller;
+        let mut delivery = Delivery {
+            events,
+            request: Arc::clone(&self.name),
+            keep_alive: self.shared.settings.keep_alive_ms.into(),
+            interim: self.shared.settings.interim_ms.map(Into::into),
+        };
+        let outlet = Outlet::open(request);
+        let (delivered, _permits) = match taken {
+            Taken::Nothing(response) => (outlet.respond(response).into(), None),
+            Taken::Complete {
+                decoded,
+                form,
+                permits,
+            } => {
+                let subject = Subject::begun_now(form, Some(decoded.completion.model.clone()));
+                let completion = decoded.completion;
+                let call = CallerCall::Complete {
+                    caller,
+                    completion,
+                    sink,
+                };
+                let delivered = match self.send(call) {
+                    Err(error) => delivery.refuse(outlet, None, error),
+                    Ok(()) if decoded.stream => delivery.stream(outlet, &subject),
+                    Ok(()) => delivery.whole(outlet, &subject),
+                };
+                (delivered, Some(permits))
+            }
+            Taken::Service { call, permits } => {
+                let call = CallerCall::Service { caller, call, sink };
+                let delivered = match self.send(call) {
+                    Err(error) => delivery.refuse(outlet, None, error),
+                    Ok(()) => delivery.service(outlet),
+                };
+                (delivered, Some(permits))
+            }
+            Taken::ReadOn { call, form, permit } => {
+                let subject = Subject::begun_now(form, None);
+                delivery.request = call.request.to_string().into();
+                let call = CallerCall::ReadOn { caller, call, sink };
+                let delivered = match self.send(call) {
+                    Err(error) => delivery.refuse(outlet, None, error),
+                    Ok(()) => delivery.stream(outlet, &subject),
+                };
+                drop(permit);
+                (delivered, None)
+            }
+        };
+        self.after(delivered);
+    }
+
+    /// Guards against work for nobody: `tiny_http` gives no notice of a hang-up, so the first
+    /// sign is a write that fails; the node then cancels the work, or an engine would go on
+    /// holding memory for an answer that nobody reads.
+    fn after(&self, delivered: Delivered) {
+        if delivered == Delivered::Whole {
+            return;
+        }
+        log::info!("{}: the caller hung up or does not read", self.name);
+        let caller = self.caller;
+        if !self.shared.calls.send(CallerCall::Gone { caller }) {
+            log::debug!("{}: the node is gone too", self.name);
+        }
+    }
+
+    fn nothing(&self, response: Whole) -> Taken {
+        Taken::Nothing(response)
+    }
+
+    fn respond(&self, request: Request, response: Whole) {
+        if let Err(error) = request.respond(response) {
+            log::debug!("{}: the answer could not be sent: {error}", self.name);
+        }
+    }
+
+    fn ready(&self) -> Result<Whole, Refusal> {
+        if !self.shared.ready.load(Ordering::Acquire) {
+            return Err(self.unavailable("the node takes no new work").into());
+        }
+        Ok(answer::json(200, &"ready", &self.name))
+    }
+
+    fn in_force(&self) -> Option<Arc<InForce>> {
+        let current = self.shared.in_force.read();
+        current.unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
+    fn unavailable(&self, message: &str) -> Error {
+        let error = Error::not_run(ErrorKind::Unavailable, message);
+        error.retry_after(self.shared.settings.retry_after_ms)
+    }
+
+    fn call_permit(&self) -> Result<Permit, Error> {
+        let permit = self.shared.call_budget.take(1);
+        permit.ok_or_else(|| self.unavailable("too many calls are in progress at this node"))
+    }
+
+    fn body(&self, config: &FleetConfig, request: &mut Request) -> Result<Body, Error> {
+        let limits = BodyLimits {
+            body_bytes: config.limits.body_bytes,
+            budget: &self.shared.body_budget,
+            retry_after_ms: self.shared.settings.retry_after_ms,
+        };
+        body::read(request, limits)
+    }
+
+    fn send(&self, call: CallerCall) -> Result<(), Error> {
+        if self.shared.calls.send(call) {
+            return Ok(());
+        }
+        Err(self.unavailable("the node is stopping"))
+    }
+}
+
+type ReportReply = Box<dyn FnOnce(Result<RequestReport, Error>) + Send>;
+
+fn authenticate<'a>(in_force: &'a InForce, request: &Request) -> Result<&'a AccountName, Error> {
+    let credential = head::bearer(request)?;
+    let account = in_force.account(credential);
+    account.ok_or_else(|| {
+        let message = "the key belongs to no account";
+        Error::not_run(ErrorKind::Unauthenticated, message)
+    })
+}
+
+fn idempotency_key(request: &Request) -> Result<Option<IdempotencyKey>, Error> {
+    let value = head::header(request, "Idempotency-Key")?;
+    value.map(decode::idempotency_key).transpose()
+}
--- /dev/null
+++ b/crates/entry/src/http/answer.rs
@@ -0,0 +1,137 @@
+//! Answers: status codes, error bodies and the headers all answers share.
+
+use bluebell_base::prelude::*;
+use serde::Serialize;
+use std::io::Cursor;
+use tiny_http::{Header, Response, StatusCode};
+
+/// A whole answer with its body.
+pub(crate) type Whole = Response<Cursor<Vec<u8>>>;
+
+/// The media type of JSON.
+pub(crate) const JSON: &str = "application/json";
+
+/// A refusal with its status code.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// The HTTP status code.
+    pub(crate) status: u16,
+    /// Why, with the verdict.
+    pub(crate) error: Error,
+}
+
+impl From<Error> for Refusal {
+    fn from(error: Error) -> Self {
+        let status = status_of(error.kind);
+        Self { status, error }
+    }
+}
+
+/// The HTTP status code of a kind of failure.
+pub(crate) fn status_of(kind: ErrorKind) -> u16 {
+    match kind {
+        ErrorKind::Invalid => 400,
+        ErrorKind::Unauthenticated => 401,
+        ErrorKind::Forbidden => 403,
+        ErrorKind::NotFound => 404,
+        ErrorKind::Conflict => 409,
+        ErrorKind::TooLarge => 413,
+        ErrorKind::Overloaded => 429,
+        ErrorKind::Cancelled => 499,
+        ErrorKind::Internal => 500,
+        ErrorKind::Upstream => 502,
+        ErrorKind::Unavailable => 503,
+        ErrorKind::DeadlineExceeded => 504,
+    }
+}
+
+/// An error as callers read it.
+#[derive(Debug, Serialize)]
+pub(crate) struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorFields<'a> {
+    kind: ErrorKind,
+    message: &'a str,
+    verdict: Verdict,
+    request: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<SpanMs>,
+}
+
+impl<'a> ErrorBody<'a> {
+    /// The body for a failure of a request.
+    pub(crate) fn new(error: &'a Error, request: &'a str) -> Self {
+        Self {
+            error: ErrorFields {
+                kind: error.kind,
+                message: &error.message,
+                verdict: error.verdict,
+                request,
+                retry_after_ms: error.retry_after_ms,
+            },
+        }
+    }
+}
+
+/// A header; a value with characters that no header may have is left out.
+pub(crate) fn header(name: &'static str, value: &str) -> Option<Header> {
+    // A line break in a value would let it add headers of its own.
+    let plain = value.bytes().all(|b| (b' '..=b'~').contains(&b));
+    if !plain {
+        return None;
+    }
+    Header::from_bytes(name, value).ok()
+}
+
+/// Adds a header to an answer.
+pub(crate) fn with_header<R: std::io::Read>(
+    response: Response<R>,
+    name: &'static str,
+    value: &str,
+) -> Response<R> {
+    match header(name, value) {
+        Some(header) => response.with_header(header),
+        None => response,
+    }
+}
+
+/// The text of a value as JSON.
+pub(crate) fn json_text<T: Serialize>(value: &T) -> String {
+    // Only maps with keys that aren't texts and failing hand-written impls can fail, and there
+    // are none; should one come, the caller gets an empty object and the log the reason.
+    serde_json::to_string(value).unwrap_or_else(|error| {
+        log::error!("an answer can't be written as JSON: {error}");
+        "{}".into()
+    })
+}
+
+/// An answer with a body of the given type; `request` identifies it in body, header and log.
+pub(crate) fn whole(status: u16, media_type: Option<&str>, body: Vec<u8>, request: &str) -> Whole {
+    let response = Response::from_data(body).with_status_code(StatusCode(status));
+    let response = with_header(response, "X-Request-Id", request);
+    match media_type {
+        Some(media_type) => with_header(response, "Content-Type", media_type),
+        None => response,
+    }
+}
+
+/// A JSON answer.
+pub(crate) fn json<T: Serialize>(status: u16, value: &T, request: &str) -> Whole {
+    whole(status, Some(JSON), json_text(value).into_bytes(), request)
+}
+
+/// The answer to a refused or failed request.
+pub(crate) fn refusal(refusal: &Refusal, request: &str) -> Whole {
+    let body = ErrorBody::new(&refusal.error, request);
+    let response = json(refusal.status, &body, request);
+    match refusal.error.retry_after_ms {
+        Some(span_ms) => {
+            let secs = span_ms.0.div_ceil(1000).to_string();
+            with_header(response, "Retry-After", &secs)
+        }
+        None => response,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http/head.rs
@@ -0,0 +1,118 @@
+//! Reading a request's head: headers, query and credential, with precise refusals.
+
+use bluebell_base::prelude::*;
+use tiny_http::Request;
+
+/// The most bytes that all headers of a request may have together.
+const HEADER_BYTES: usize = 32 * 1024;
+
+/// The most bytes that path and query may have.
+const URL_BYTES: usize = 8 * 1024;
+
+/// The value of a header; an error where it is given twice with different values.
+///
+/// A header given twice is read by different programs in different ways, and the one in front of
+/// the node may have read the other value.
+pub(crate) fn header<'a>(
+    request: &'a Request,
+    name: &'static str,
+) -> Result<Option<&'a str>, Error> {
+    let mut values = request
+        .headers()
+        .iter()
+        .filter(|header| header.field.equiv(name))
+        .map(|header| header.value.as_str());
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
+    if values.any(|other| other != first) {
+        return Err(invalid(format!("header {name} is given twice")));
+    }
+    Ok(Some(first))
+}
+
+/// A malformed request.
+pub(crate) fn invalid(message: impl Into<Arc<str>>) -> Error {
+    Error::not_run(ErrorKind::Invalid, message)
+}
+
+/// The credential of `Authorization: Bearer`.
+pub(crate) fn bearer(request: &Request) -> Result<&str, Error> {
+    let wanted = || {
+        let message = "a credential is needed: Authorization: Bearer <key>";
+        Error::not_run(ErrorKind::Unauthenticated, message)
+    };
+    let value = header(request, "Authorization")?.ok_or_else(wanted)?;
+    let (scheme, credential) = value.split_once(' ').ok_or_else(wanted)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(wanted());
+    }
+    Ok(credential.trim())
+}
+
+/// Path and query of a request.
+pub(crate) fn split_url(url: &str) -> (&str, Option<&str>) {
+    match url.split_once('?') {
+        Some((path, query)) => (path, Some(query)),
+        None => (url, None),
+    }
+}
+
+/// The value of a query parameter, as written.
+pub(crate) fn query_value<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .filter(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+        .next()
+}
+
+/// Refuses heads whose body can't be told apart from the next request, and oversized ones.
+///
+/// # Errors
+/// With the status code to answer.
+pub(crate) fn check(request: &Request) -> Result<(), (u16, Error)> {
+    let headers = request.headers().iter();
+    let header_bytes: usize = headers
+        .map(|header| header.field.as_str().len() + header.value.len())
+        .sum();
+    if header_bytes > HEADER_BYTES {
+        let message = format!("the headers are over {HEADER_BYTES} bytes");
+        return Err((431, invalid(message)));
+    }
+    if request.url().len() > URL_BYTES {
+        return Err((414, invalid(format!("the path is over {URL_BYTES} bytes"))));
+    }
+    if !request.url().starts_with('/') {
+        return Err((400, invalid("the request target must begin with /")));
+    }
+    check_framing(request).map_err(|error| (400, error))
+}
+
+/// Guards against request smuggling: where two programs on the way disagree about a body's end,
+/// the rest of one caller's body is read as the next request. `tiny_http` takes the first of
+/// several lengths, ignores one that isn't a number, and prefers the transfer coding; so every
+/// head that leaves a choice is refused.
+fn check_framing(request: &Request) -> Result<(), Error> {
+    let length = header(request, "Content-Length")?;
+    let coding = header(request, "Transfer-Encoding")?;
+    if let Some(length) = length {
+        let digits = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
+        if !digits || length.parse::<usize>().is_err() {
+            return Err(invalid("Content-Length is not a number of bytes"));
+        }
+    }
+    if length.is_some() && coding.is_some() {
+        return Err(invalid(
+            "Content-Length and Transfer-Encoding exclude each other",
+        ));
+    }
+    if coding.is_some_and(|coding| !coding.eq_ignore_ascii_case("chunked")) {
+        return Err(invalid("the only transfer coding understood is chunked"));
+    }
+    let connection = header(request, "Connection")?.unwrap_or_default();
+    if connection.to_ascii_lowercase().contains("upgrade") {
+        return Err(invalid("no other protocol can be upgraded to"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/http/limits.rs
@@ -0,0 +1,67 @@
+//! Limits over all connections: calls in progress and bytes of bodies in memory.
+//!
+//! Invariants: what a permit took is given back exactly once, when it is dropped.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A quantity of which only so much may be taken at once; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct Budget {
+    taken: Arc<AtomicU64>,
+    limit: u64,
+}
+
+impl Budget {
+    /// A budget of `limit` units.
+    pub(crate) fn open(limit: u64) -> Self {
+        Self {
+            taken: Arc::default(),
+            limit,
+        }
+    }
+
+    /// Takes `amount`, or nothing where that would go over the limit.
+    pub(crate) fn take(&self, amount: u64) -> Option<Permit> {
+        let add = |taken: u64| {
+            let sum = taken.checked_add(amount)?;
+            (sum <= self.limit).then_some(sum)
+        };
+        let taken = self
+            .taken
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, add);
+        taken.ok().map(|_| Permit {
+            budget: self.clone(),
+            amount,
+        })
+    }
+
+    /// What is taken now.
+    pub(crate) fn taken(&self) -> u64 {
+        self.taken.load(Ordering::Acquire)
+    }
+}
+
+/// A part of a budget, given back on drop.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    budget: Budget,
+    amount: u64,
+}
+
+impl Permit {
+    /// Takes `amount` more into this permit; `false` where that would go over the limit.
+    pub(crate) fn grow(&mut self, amount: u64) -> bool {
+        let Some(mut more) = self.budget.take(amount) else {
+            return false;
+        };
+        self.amount += std::mem::take(&mut more.amount);
+        true
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.budget.taken.fetch_sub(self.amount, Ordering::AcqRel);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,18 @@
 //! Terms: the *callers' interface* takes completions and service calls; the *administration API*
 //! takes the operators' calls on an address of its own.
 
+mod admin;
+mod callers;
+mod calls;
+mod http;
+mod settings;
+
+pub use admin::Admin;
+pub use callers::Callers;
+#[doc(hidden)]
+pub use callers::decoding;
+pub use settings::{AdminSettings, BindError, CallersSettings};
+
 use bluebell_base::prelude::*;
 use bluebell_control::Published;
 
