--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -1,18 +1,60 @@
 //! The check of a configuration: every fault, with its path and reason.
+//!
+//! Invariants: a configuration without faults can be put into force by every part of a node; the
+//! faults come in the order of the file's fields and are the same on every run.
 
-use crate::fleet::FleetConfig;
+mod classes;
+mod names;
+mod routes;
+
+use crate::fleet::{Account, Deployment, FleetConfig, Limits, Model};
+use bluebell_base::prelude::*;
+use std::collections::HashMap;
 use std::fmt;
-use std::sync::Arc;
+use std::ops::RangeInclusive;
+
+/// The longest configuration text, in bytes.
+pub const CONFIG_BYTES: usize = 4 * 1024 * 1024;
+
+/// How many classes of work there may be.
+pub const MAX_CLASSES: usize = 64;
+
+/// How many client accounts there may be.
+pub const MAX_ACCOUNTS: usize = 10_000;
+
+/// How many models, services and deployments there may be of each.
+pub const MAX_OTHERS: usize = 1000;
+
+/// The range of `limits.body_bytes`.
+///
+/// The upper end is what the callers' interface can read over after a refusal.
+pub const BODY_BYTES: RangeInclusive<u64> = 1024..=64 * 1024 * 1024;
+
+/// The range of `limits.answer_tokens`.
+pub const ANSWER_TOKENS: RangeInclusive<u64> = 1..=1_000_000;
+
+/// The SHA-256 of the empty key.
+const EMPTY_KEY_SHA256: &str = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
 
 /// One fault of a configuration.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Fault {
-    /// Where, such as `classes[2].end_ms`.
+    /// Where, such as `classes[2].end_ms`; `.` is the whole file.
     pub path: Arc<str>,
     /// What is wrong and what is wanted.
     pub reason: Arc<str>,
 }
 
+impl Fault {
+    /// Makes a fault.
+    pub fn new(path: impl Into<Arc<str>>, reason: impl Into<Arc<str>>) -> Self {
+        Self {
+            path: path.into(),
+            reason: reason.into(),
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}: {}", self.path, self.reason)
@@ -22,14 +64,13 @@
 /// Parses and checks a configuration file.
 ///
 /// # Errors
-/// All faults found; a text that is not JSON of the right shape gives the one at its position.
+/// All faults found; a text that is not JSON of the right shape gives only the first one.
 pub fn parse(text: &str) -> Result<FleetConfig, Vec<Fault>> {
-    let config: FleetConfig = serde_json::from_str(text).map_err(|error| {
-        vec![Fault {
-            path: format!("line {} column {}", error.line(), error.column()).into(),
-            reason: error.to_string().into(),
-        }]
-    })?;
+    if text.len() > CONFIG_BYTES {
+        let reason = format!("has {} bytes; at most {CONFIG_BYTES} are taken", text.len());
+        return Err(vec![Fault::new(".", reason)]);
+    }
+    let config = read(text).map_err(|fault| vec![fault])?;
     let faults = check(&config);
     if faults.is_empty() {
         return Ok(config);
@@ -37,54 +78,134 @@
     Err(faults)
 }
 
+fn read(text: &str) -> Result<FleetConfig, Fault> {
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    let config = serde_path_to_error::deserialize(&mut deserializer)
+        .map_err(|error| Fault::new(error.path().to_string(), error.inner().to_string()))?;
+    let rest = deserializer.end();
+    rest.map_err(|error| Fault::new(".", error.to_string()))?;
+    Ok(config)
+}
+
 /// Checks a configuration; empty where it may come into force.
 pub fn check(config: &FleetConfig) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    let mut fault = |path: String, reason: &str| {
-        faults.push(Fault {
-            path: path.into(),
-            reason: reason.into(),
-        })
-    };
-    if config.classes.is_empty() {
-        fault("classes".into(), "at least one class of work is needed");
-    }
-    for (i, class) in config.classes.iter().enumerate() {
-        if config.classes[..i].iter().any(|c| c.name == class.name) {
-            fault(format!("classes[{i}].name"), "the name is used twice");
-        }
-        if class.end_ms.0 == 0 {
-            fault(format!("classes[{i}].end_ms"), "must be more than 0 ms");
-        }
-        if class.first_token.is_empty() {
-            fault(format!("classes[{i}].first_token"), "needs one target");
-        }
+    let mut faults = Faults::default();
+    classes::check(&config.classes, &mut faults);
+    check_accounts(&config.accounts, &mut faults);
+    check_models(&config.models, &mut faults);
+    routes::check(&config.services, &mut faults);
+    check_deployments(&config.deployments, &mut faults);
+    check_limits(&config.limits, &mut faults);
+    faults.list
+}
+
+/// The faults found so far.
+#[derive(Debug, Default)]
+struct Faults {
+    list: Vec<Fault>,
+}
+
+impl Faults {
+    fn add(&mut self, path: impl Into<Arc<str>>, reason: impl Into<Arc<str>>) {
+        self.list.push(Fault::new(path, reason));
     }
-    for (i, account) in config.accounts.iter().enumerate() {
-        if config.accounts[..i].iter().any(|a| a.name == account.name) {
-            fault(format!("accounts[{i}].name"), "the name is used twice");
-        }
-        let hex = account.key_sha256.len() == 64
-            && account.key_sha256.bytes().all(|b| b.is_ascii_hexdigit());
-        if !hex {
-            fault(
-                format!("accounts[{i}].key_sha256"),
-                "must be 64 hexadecimal digits",
+
+    /// Faults a list that is too long.
+    fn count(&mut self, path: &str, count: usize, most: usize) {
+        if count > most {
+            self.add(
+                path,
+                format!("has {count} entries; at most {most} are taken"),
             );
         }
     }
-    for (i, model) in config.models.iter().enumerate() {
-        if config.models[..i].iter().any(|m| m.name == model.name) {
-            fault(format!("models[{i}].name"), "the name is used twice");
+
+    /// Faults a number out of its range.
+    fn range(&mut self, path: impl Into<Arc<str>>, value: u64, range: RangeInclusive<u64>) {
+        if !range.contains(&value) {
+            let (first, last) = range.into_inner();
+            self.add(path, format!("is {value}; must be from {first} to {last}"));
         }
     }
-    for (i, service) in config.services.iter().enumerate() {
-        if !service.prefix.starts_with('/') || service.prefix.starts_with("/v1/") {
-            fault(
-                format!("services[{i}].prefix"),
-                "must begin with / and not with /v1/",
-            );
+}
+
+/// Finds values that an earlier entry has too; in one pass, for lists of thousands.
+#[derive(Debug, Default)]
+struct Unique<'a> {
+    seen: HashMap<&'a str, usize>,
+}
+
+impl<'a> Unique<'a> {
+    /// The index of the earlier entry with that value.
+    fn earlier(&mut self, value: &'a str, index: usize) -> Option<usize> {
+        let first = *self.seen.entry(value).or_insert(index);
+        (first != index).then_some(first)
+    }
+}
+
+fn check_accounts(accounts: &[Account], faults: &mut Faults) {
+    faults.count("accounts", accounts.len(), MAX_ACCOUNTS);
+    let mut names = Unique::default();
+    let mut keys = Unique::default();
+    for (i, account) in accounts.iter().enumerate() {
+        let path = format!("accounts[{i}]");
+        names::check(
+            &path,
+            "accounts",
+            account.name.as_str(),
+            i,
+            &mut names,
+            faults,
+        );
+        check_key(&path, &account.key_sha256, faults);
+        if let Some(first) = keys.earlier(&account.key_sha256, i) {
+            let reason = format!("is the key of accounts[{first}] too; a key names one account");
+            faults.add(format!("{path}.key_sha256"), reason);
         }
     }
-    faults
+}
+
+fn check_key(path: &str, key_sha256: &str, faults: &mut Faults) {
+    let digit = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    let path = format!("{path}.key_sha256");
+    if key_sha256.len() != 64 || !key_sha256.bytes().all(digit) {
+        faults.add(path, "must be 64 lower-case hexadecimal digits");
+    } else if key_sha256 == EMPTY_KEY_SHA256 {
+        faults.add(path, "is the hash of the empty key");
+    }
+}
+
+fn check_models(models: &[Model], faults: &mut Faults) {
+    faults.count("models", models.len(), MAX_OTHERS);
+    let mut seen = Unique::default();
+    for (i, model) in models.iter().enumerate() {
+        let path = format!("models[{i}]");
+        names::check_model(&path, model.name.as_str(), i, &mut seen, faults);
+        faults.range(format!("{path}.version"), model.version, 1..=u64::MAX);
+    }
+}
+
+fn check_deployments(deployments: &[Deployment], faults: &mut Faults) {
+    faults.count("deployments", deployments.len(), MAX_OTHERS);
+    let mut seen = Unique::default();
+    for (i, deployment) in deployments.iter().enumerate() {
+        let path = format!("deployments[{i}]");
+        names::check(
+            &path,
+            "deployments",
+            deployment.name.as_str(),
+            i,
+            &mut seen,
+            faults,
+        );
+    }
+}
+
+fn check_limits(limits: &Limits, faults: &mut Faults) {
+    faults.range("limits.body_bytes", limits.body_bytes.0, BODY_BYTES);
+    faults.range(
+        "limits.answer_tokens",
+        limits.answer_tokens.0,
+        ANSWER_TOKENS,
+    );
 }
