Entry: no connection waits for another caller's to close

Cause: in a burst tiny_http's pool takes threads that it has woken but that have not run yet for idle ones and queues more connections than they can take; a queued one gets no answer until some other connection closes. Ruled out: the HTTP/2.0 heads of the test that showed it first (200 ordinary connections do the same), our own worker threads (the request never reaches them). Conclusion: a connection of the node's own after each request, and each 50 ms, makes the pool look into its queue (http/pool_guard.rs).

--- a/crates/entry/src/http/listener.rs
+++ b/crates/entry/src/http/listener.rs
@@ -1,10 +1,12 @@
 //! Listening with `tiny_http`: the socket's options, the thread that takes requests, and stopping.
 
+use crate::http::pool_guard::PoolGuard;
 use crate::http::workers::Workers;
 use crate::settings::BindError;
 use bluebell_base::prelude::*;
 use socket2::SockRef;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -29,7 +31,8 @@
     stopping: AtomicBool,
     handler: Handler,
     workers: Workers,
-    servers: std::sync::Mutex<Vec<Arc<Server>>>,
+    pool_guard: PoolGuard,
+    servers: Mutex<Vec<Arc<Server>>>,
 }
 
 impl Listener {
@@ -53,6 +56,7 @@
             stopping: AtomicBool::new(false),
             handler,
             workers: Workers::open(name),
+            pool_guard: PoolGuard::spawn(bound).map_err(|e| failed(e.to_string()))?,
             servers: Default::default(),
         });
         let taker = Shared::serve(&shared).map_err(|e| failed(e.to_string()))?;
@@ -124,6 +128,7 @@
     }
 
     fn hand_over(&self, request: Request) {
+        self.pool_guard.request_seen();
         let handler = Arc::clone(&self.handler);
         self.workers.run(Box::new(move || handler(request)));
     }
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -8,4 +8,5 @@
 pub(crate) mod listener;
 pub(crate) mod outlet;
 pub(crate) mod oversize;
+pub(crate) mod pool_guard;
 pub(crate) mod workers;
