--- a/crates/entry/src/callers/deliver.rs
+++ b/crates/entry/src/callers/deliver.rs
@@ -13,8 +13,12 @@
 use bluebell_requests::call::CallerEvent;
 use crossbeam_channel::RecvTimeoutError;
 use std::io;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+/// The status codes that end an exchange. After any other a caller would wait for the rest.
+const FINAL_STATUS: RangeInclusive<u16> = 200..=599;
+
 /// How an exchange ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Delivered {
@@ -182,6 +186,9 @@
                     content_type,
                     body,
                 }) => {
+                    if !FINAL_STATUS.contains(&status) {
+                        return self.refuse(outlet, None, not_final(status));
+                    }
                     let media_type = content_type.as_deref();
                     let response = answer::whole(status, media_type, body, &self.request);
                     return outlet.respond(response).into();
@@ -201,6 +208,7 @@
     }
 
     fn admitted(&mut self, request: RequestId) {
+        log::debug!("{}: is {request}", self.request);
         self.request = request.to_string().into();
     }
 
@@ -247,3 +255,9 @@
     let message = "an answer of another kind than asked for arrived";
     Error::may_have_run(ErrorKind::Internal, message)
 }
+
+/// A plain service's answer that is none.
+fn not_final(status: u16) -> Error {
+    let message = format!("the service answered with status {status}, which is no final one");
+    Error::ran(ErrorKind::Upstream, message)
+}
--- a/crates/entry/tests/calls.rs
+++ b/crates/entry/tests/calls.rs
@@ -76,7 +76,7 @@
             let request = request_id();
             sink.send(CallerEvent::Admitted { request });
             sink.send(CallerEvent::Service {
-                status: 418,
+                status: if &*call.path == "/odd" { 101 } else { 418 },
                 content_type: Some("text/plain".into()),
                 body: shown.into_bytes(),
             });
@@ -211,24 +211,24 @@
         chat
             200 [X-Request-Id: req-0000000000000abc-7] {"id":"req-0000000000000abc-7","object":"chat.completion","created":0,"model":"notice-7b","choices":[{"index":0,"message":{"role":"assistant","content":"murphy notice-7b draft 5tok None None \"system: be brief\\n\\nuser: ab\\n\\nassistant: \\n\\n\"!"},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":2,"total_tokens":5}}
         chat stream
-            200 [X-Request-Id: req-0000000000000abc-7] f5
+            200 [X-Request-Id: req-0000000000000abc-7] f5
         id: c0
         data: {"id":"req-0000000000000abc-7","object":"chat.completion.chunk","created":0,"model":"notice-7b","choices":[{"index":0,"delta":{"content":"murphy notice-7b draft 64tok None None \"user: hi\\n\\n\""},"finish_reason":null}]}
 
-
-        bd
+
+        bd
         id: c1
         data: {"id":"req-0000000000000abc-7","object":"chat.completion.chunk","created":0,"model":"notice-7b","choices":[{"index":0,"delta":{"content":"!"},"finish_reason":null}]}
 
-
-        ee
+
+        ee
         data: {"id":"req-0000000000000abc-7","object":"chat.completion.chunk","created":0,"model":"notice-7b","choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":2,"total_tokens":5}}
 
-
-        e
+
+        e
         data: [DONE]
 
-
+
         0
         stream refused before it began
             429 [X-Request-Id: req-0000000000000abc-7] [Retry-After: 2] {"error":{"kind":"overloaded","message":"come back","verdict":"not_run","request":"req-0000000000000abc-7","retry_after_ms":1200}}
@@ -405,6 +405,7 @@
         ("nowhere", get("/v2")),
         ("no prefix's end", get("/services/boards")),
         ("service", request("POST", "/services/board/notices?x=1", "Content-Type: a/b\r\nIdempotency-Key: k\r\n", "paper")),
+        ("service without a final status", request("GET", "/services/board/odd", "", "")),
         ("service's root", request("PATCH", "/services/board", "", "")),
         ("service's query", request("GET", "/services/board?x=1", "", "")),
         ("wrong key", keyed_request("murphy-keyx", "GET", "/v1/models", "", "")),
@@ -446,28 +447,30 @@
             404 [X-Request-Id: caller13] {"error":{"kind":"not_found","message":"there is nothing at this path","verdict":"not_run","request":"caller13"}}
         service
             418 [X-Request-Id: req-0000000000000abc-7] board POST /notices?x=1 Some("a/b") Some(IdempotencyKey("k")) paper
+        service without a final status
+            502 [X-Request-Id: req-0000000000000abc-7] {"error":{"kind":"upstream","message":"the service answered with status 101, which is no final one","verdict":"ran","request":"req-0000000000000abc-7"}}
         service's root
             418 [X-Request-Id: req-0000000000000abc-7] board PATCH / None None
         service's query
             418 [X-Request-Id: req-0000000000000abc-7] board GET /?x=1 None None
         wrong key
-            401 [X-Request-Id: caller17] {"error":{"kind":"unauthenticated","message":"the key belongs to no account","verdict":"not_run","request":"caller17"}}
+            401 [X-Request-Id: caller18] {"error":{"kind":"unauthenticated","message":"the key belongs to no account","verdict":"not_run","request":"caller18"}}
         empty key
-            401 [X-Request-Id: caller18] {"error":{"kind":"unauthenticated","message":"a credential is needed: Authorization: Bearer <key>","verdict":"not_run","request":"caller18"}}
-        no key
             401 [X-Request-Id: caller19] {"error":{"kind":"unauthenticated","message":"a credential is needed: Authorization: Bearer <key>","verdict":"not_run","request":"caller19"}}
-        basic
+        no key
             401 [X-Request-Id: caller20] {"error":{"kind":"unauthenticated","message":"a credential is needed: Authorization: Bearer <key>","verdict":"not_run","request":"caller20"}}
+        basic
+            401 [X-Request-Id: caller21] {"error":{"kind":"unauthenticated","message":"a credential is needed: Authorization: Bearer <key>","verdict":"not_run","request":"caller21"}}
         no slash
-            400 [X-Request-Id: caller21] {"error":{"kind":"invalid","message":"the request target must begin with /","verdict":"not_run","request":"caller21"}}
+            400 [X-Request-Id: caller22] {"error":{"kind":"invalid","message":"the request target must begin with /","verdict":"not_run","request":"caller22"}}
         no http
             400 
         header not ASCII
             none 
         health
-            200 [X-Request-Id: caller22] "ok"
+            200 [X-Request-Id: caller23] "ok"
         ready
-            200 [X-Request-Id: caller23] "ready"
+            200 [X-Request-Id: caller24] "ready"
     "#]]);
 }
 
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -25,7 +25,8 @@
 /// each event the library holds them all back, and the desk stays silent until the end.
 #[test]
 fn the_first_event_arrives_before_the_second_is_produced() {
-    let node = Node::callers(|_| ());
+    // No keep-alive comments: enough of them would push a held-back event out.
+    let node = Node::callers(|settings| settings.keep_alive_ms = SpanMs::from_secs(600));
     let raw = request("POST", "/v1/completions", "", STREAMED);
     let mut client = Client::send(node.address, &raw);
     let sink = sink_of(node.next());
