--- /dev/null
+++ b/crates/platform/src/http/mod.rs
@@ -0,0 +1,172 @@
+//! The HTTP client shared by the ports: one pool of kept-alive connections, blocking calls on the
+//! bridge's I/O threads, answers on the actor thread.
+//!
+//! Invariants: a call ends within its timeout; no call is sent a second time by this module.
+
+mod failure;
+
+pub use failure::{Effect, RETRY_AFTER_MS};
+
+use bluebell_base::prelude::*;
+use bluebell_bridge::Bridge;
+use failure::{of_body, of_status, of_transport};
+use serde::de::DeserializeOwned;
+use stakker::Ret;
+use ureq::Agent;
+
+/// The largest answer that is read.
+const ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+/// Idle connections kept to the platform.
+const IDLE_CONNECTIONS: usize = 8;
+/// The header in which the platform says when to come back, in whole seconds.
+const RETRY_AFTER: &str = "retry-after";
+
+/// How long calls may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallTimeouts {
+    /// For opening a connection; shorter than `call_ms`.
+    pub connect_ms: SpanMs,
+    /// For the whole call, from its start on an I/O thread to the last byte of the answer.
+    pub call_ms: SpanMs,
+}
+
+impl Default for CallTimeouts {
+    fn default() -> Self {
+        Self {
+            connect_ms: SpanMs(1_000),
+            call_ms: SpanMs(5_000),
+        }
+    }
+}
+
+/// A client of the platform at one address; cheap to clone, all clones share their connections.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    bridge: Bridge,
+    agent: Agent,
+    base: Arc<str>,
+    authorization: Option<Arc<str>>,
+}
+
+/// One call, made on the actor thread and run on an I/O thread.
+#[derive(Debug)]
+pub(crate) struct HttpCall {
+    /// The path with its leading slash, made of characters that need no escaping.
+    pub path: String,
+    /// Parameters behind the path.
+    pub query: Vec<(&'static str, String)>,
+    /// The JSON body of a POST; a GET has none.
+    pub body: Option<Vec<u8>>,
+    /// Whether the call changes anything.
+    pub effect: Effect,
+}
+
+impl PlatformClient {
+    /// Opens a client; connections are made when first needed.
+    pub fn open(
+        bridge: Bridge,
+        address: &Address,
+        credential: Option<Arc<str>>,
+        timeouts: CallTimeouts,
+    ) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .max_idle_connections_per_host(IDLE_CONNECTIONS)
+            .timeout_connect(Some(timeouts.connect_ms.into()))
+            .timeout_global(Some(timeouts.call_ms.into()))
+            .build();
+        Self {
+            bridge,
+            agent: config.new_agent(),
+            base: format!("http://{address}").into(),
+            authorization: credential.map(|secret| format!("Bearer {secret}").into()),
+        }
+    }
+
+    /// Makes a call and gives its decoded answer to `ret`.
+    pub(crate) fn call<T>(&self, call: HttpCall, ret: Ret<Result<T, Error>>)
+    where
+        T: DeserializeOwned + Send + 'static,
+    {
+        let (agent, base) = (self.agent.clone(), Arc::clone(&self.base));
+        let authorization = self.authorization.clone();
+        self.bridge.call(
+            move || run(&agent, &base, authorization.as_deref(), &call),
+            || Err(queue_full()),
+            ret,
+        );
+    }
+}
+
+fn queue_full() -> Error {
+    Error::not_run(
+        ErrorKind::Overloaded,
+        "too many calls wait for an I/O thread",
+    )
+    .retry_after(RETRY_AFTER_MS)
+}
+
+/// Whether `text` can stand in a path as it is.
+pub(crate) fn is_path_text(text: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"._-/:@".contains(&b);
+    !text.is_empty() && text.bytes().all(plain)
+}
+
+fn run<T: DeserializeOwned>(
+    agent: &Agent,
+    base: &str,
+    authorization: Option<&str>,
+    call: &HttpCall,
+) -> Result<T, Error> {
+    let sent = send(agent, base, authorization, call);
+    let mut response = sent.map_err(|error| of_transport(call.effect, &error))?;
+    let status = response.status().as_u16();
+    let retry_after_ms = retry_after(&response);
+    let reader = response.body_mut().with_config().limit(ANSWER_BYTES);
+    let body = reader.read_to_vec();
+    if status != 200 {
+        return Err(of_status(
+            call.effect,
+            status,
+            retry_after_ms,
+            &body.unwrap_or_default(),
+        ));
+    }
+    let body = body.map_err(|error| of_transport(call.effect, &error))?;
+    serde_json::from_slice(&body).map_err(|error| of_body(call.effect, &error))
+}
+
+fn send(
+    agent: &Agent,
+    base: &str,
+    authorization: Option<&str>,
+    call: &HttpCall,
+) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
+    let url = format!("{base}{}", call.path);
+    let query = call.query.iter().map(|(k, v)| (*k, v.as_str()));
+    match &call.body {
+        Some(body) => {
+            let mut request = agent.post(&url).query_pairs(query);
+            request = request.header("content-type", "application/json");
+            if let Some(value) = authorization {
+                request = request.header("authorization", value);
+            }
+            request.send(&body[..])
+        }
+        None => {
+            let mut request = agent.get(&url).query_pairs(query);
+            if let Some(value) = authorization {
+                request = request.header("authorization", value);
+            }
+            request.call()
+        }
+    }
+}
+
+fn retry_after(response: &ureq::http::Response<ureq::Body>) -> Option<SpanMs> {
+    let value = response.headers().get(RETRY_AFTER)?;
+    let secs: u64 = value.to_str().ok()?.parse().ok()?;
+    Some(SpanMs(secs.saturating_mul(1000)))
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,10 +8,20 @@
 //! Invariants: an append whose answer is lost is reported as `MayHaveRun`, never as `NotRun`;
 //! offsets of a stream only grow.
 
+pub mod appender;
+pub mod backoff;
+pub mod http;
 pub mod log_port;
+pub mod pace;
+pub mod tail;
 pub mod vms;
 pub mod weights;
 
-pub use log_port::{LogPort, LogRecord, ReadBatch};
-pub use vms::{VmEntry, VmListPort, VmRole, VmState};
-pub use weights::{WeightInfo, WeightPort};
+pub use appender::{Appender, AppenderSettings, AppenderStats};
+pub use backoff::{Backoff, BackoffSettings};
+pub use http::{CallTimeouts, PlatformClient};
+pub use log_port::{HttpLog, LogPort, LogRecord, ReadBatch};
+pub use pace::TokenBucket;
+pub use tail::{StreamPosition, Tail, TailEvent, TailSettings};
+pub use vms::{HttpVmList, VmEntry, VmListPort, VmRole, VmState};
+pub use weights::{HttpWeights, WeightInfo, WeightPort};
--- a/crates/platform/src/log_port/mod.rs
+++ b/crates/platform/src/log_port/mod.rs
@@ -6,6 +6,10 @@
 //! Invariants: the records of one append get consecutive offsets; a read returns records in
 //! offset order without gaps from its first one on.
 
+mod http;
+
+pub use http::{AppendAnswer, AppendBody, HttpLog};
+
 use bluebell_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use stakker::{Core, Ret};
--- /dev/null
+++ b/crates/platform/src/tail/mod.rs
@@ -0,0 +1,254 @@
+//! Following one stream of the log from an offset on.
+//!
+//! Terms: a batch is *cut* when the read's size limit left retained records behind it; a *gap*
+//! are records that retention took before they were read.
+//!
+//! Invariants: records are forwarded in offset order, each once, without a hole that no
+//! [`TailEvent::Gap`] named; at most one read is under way; health edges alternate, beginning
+//! with up.
+
+use crate::backoff::{Backoff, BackoffSettings};
+use crate::log_port::{LogPort, LogRecord, ReadBatch};
+use bluebell_base::prelude::*;
+use bluebell_timers::{Subscription, Timers};
+use stakker::{ActorOwn, CX, Core, Fwd, Ret, actor, fwd_to, ret_nop, ret_to};
+use std::rc::Rc;
+
+/// The share of the polling interval by which it varies either way, so that nodes started
+/// together don't go on reading together.
+const INTERVAL_JITTER: f64 = 0.25;
+
+/// How a stream is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TailSettings {
+    /// The time between reads of a stream that is read up to its end.
+    pub interval_ms: SpanMs,
+    /// The most bytes of records asked for in one read.
+    pub limit_bytes: Bytes,
+    /// The delays between reads while they fail.
+    pub backoff: BackoffSettings,
+}
+
+impl Default for TailSettings {
+    fn default() -> Self {
+        Self {
+            interval_ms: SpanMs(1_000),
+            limit_bytes: Bytes(256 * 1024),
+            backoff: BackoffSettings::default(),
+        }
+    }
+}
+
+/// Where following begins.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamPosition {
+    /// The stream.
+    pub stream: StreamName,
+    /// The first offset to be forwarded.
+    pub offset: Offset,
+}
+
+/// What following a stream brings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TailEvent {
+    /// A read succeeded; also sent where it brought nothing new, so that its user knows that at
+    /// `asked_ms` the stream held no records beyond those forwarded, if `end` is reached.
+    Records {
+        /// The next records, in order; may be empty.
+        records: Vec<LogRecord>,
+        /// The oldest offset still kept.
+        first_retained: Offset,
+        /// The offset the next appended record will get.
+        end: Offset,
+        /// When the read was sent.
+        asked_ms: MonoMs,
+    },
+    /// Records from `from` up to, not including, `to` expired unread.
+    Gap {
+        /// The first lost offset.
+        from: Offset,
+        /// The offset behind the last lost one.
+        to: Offset,
+    },
+    /// Reads began to fail; they go on being tried.
+    Down(Error),
+    /// Reads succeed again.
+    Up,
+}
+
+/// An actor that follows one stream.
+pub struct Tail {
+    log: Rc<dyn LogPort>,
+    timers: Timers,
+    stream: StreamName,
+    next: Offset,
+    settings: TailSettings,
+    events: Fwd<TailEvent>,
+    backoff: Backoff,
+    state: State,
+    down: bool,
+}
+
+enum State {
+    Waiting(Option<Subscription>),
+    Reading { asked_ms: MonoMs, again: bool },
+}
+
+impl Tail {
+    /// Spawns an actor that follows the stream from the position on and reads at once.
+    pub fn spawn(
+        core: &mut Core,
+        log: Rc<dyn LogPort>,
+        timers: Timers,
+        at: StreamPosition,
+        settings: TailSettings,
+        seed: u64,
+        events: Fwd<TailEvent>,
+    ) -> ActorOwn<Tail> {
+        let backoff = Backoff::new(settings.backoff, seed);
+        let tail = Tail {
+            log,
+            timers,
+            stream: at.stream,
+            next: at.offset,
+            settings,
+            events,
+            backoff,
+            state: State::Waiting(None),
+            down: false,
+        };
+        actor!(core, Tail::init(tail), ret_nop!())
+    }
+
+    fn init(cx: CX![], mut tail: Tail) -> Option<Self> {
+        tail.read(cx);
+        Some(tail)
+    }
+
+    /// Reads at once, such as after an append of one's own.
+    ///
+    /// A read that is under way may have been answered before that append, so one more follows
+    /// it. During an outage the backoff stands: otherwise every append that fails on every node
+    /// would add a read to a platform that is trying to come back.
+    pub fn poll_soon(&mut self, cx: CX![]) {
+        match &mut self.state {
+            State::Reading { again, .. } => *again = true,
+            State::Waiting(_) if self.down => (),
+            State::Waiting(_) => self.read(cx),
+        }
+    }
+
+    /// The offset of the next record to be forwarded.
+    pub fn next_offset(&mut self, _cx: CX![], ret: Ret<Offset>) {
+        ret.ret(self.next);
+    }
+
+    fn wake(&mut self, cx: CX![], _now_ms: MonoMs) {
+        if let State::Waiting(_) = self.state {
+            self.state = State::Waiting(None);
+            self.read(cx);
+        }
+    }
+
+    fn read(&mut self, cx: CX![]) {
+        if let State::Waiting(Some(subscription)) = self.state {
+            self.timers.cancel(cx, subscription);
+        }
+        self.state = State::Reading {
+            asked_ms: self.timers.now_ms(cx),
+            again: false,
+        };
+        let ret = ret_to!([cx], on_read() as (Result<ReadBatch, Error>));
+        let limit_bytes = self.settings.limit_bytes;
+        self.log.read(cx, &self.stream, self.next, limit_bytes, ret);
+    }
+
+    fn on_read(&mut self, cx: CX![], answer: Option<Result<ReadBatch, Error>>) {
+        let State::Reading { asked_ms, again } = self.state else {
+            return;
+        };
+        self.state = State::Waiting(None);
+        let answer = answer.unwrap_or_else(|| Err(dropped()));
+        match answer.and_then(|batch| self.check(batch)) {
+            Ok(batch) => self.take(cx, batch, asked_ms, again),
+            Err(error) => self.fail(cx, error),
+        }
+    }
+
+    /// Refuses an answer whose end lies before what was read already.
+    ///
+    /// Such an answer comes from a replica that lost records or from another log at the same
+    /// address. Following it would hand out offsets twice for different records; it shows as an
+    /// outage instead, until the log's end is back where it was.
+    fn check(&self, batch: ReadBatch) -> Result<ReadBatch, Error> {
+        if batch.end >= self.next {
+            return Ok(batch);
+        }
+        let message = format!(
+            "stream {} ends at {}, before {} which was read already",
+            self.stream, batch.end, self.next
+        );
+        Err(Error::not_run(ErrorKind::Upstream, message))
+    }
+
+    fn take(&mut self, cx: CX![], batch: ReadBatch, asked_ms: MonoMs, again: bool) {
+        self.backoff.reset();
+        if std::mem::take(&mut self.down) {
+            self.events.fwd(TailEvent::Up);
+        }
+        let before = self.next;
+        if batch.first_retained > self.next {
+            self.events.fwd(TailEvent::Gap {
+                from: self.next,
+                to: batch.first_retained,
+            });
+            self.next = batch.first_retained;
+        }
+        let records = self.in_order(batch.records);
+        self.events.fwd(TailEvent::Records {
+            records,
+            first_retained: batch.first_retained,
+            end: batch.end,
+            asked_ms,
+        });
+        // Without progress an immediate read would spin, so the interval applies then.
+        let cut = self.next < batch.end && self.next > before;
+        if cut || again {
+            return self.read(cx);
+        }
+        let interval_ms = self.settings.interval_ms;
+        let wait_ms = self.backoff.jitter(interval_ms, INTERVAL_JITTER);
+        self.wait(cx, wait_ms);
+    }
+
+    /// The records that continue where the last ones ended; the rest of the answer is dropped.
+    fn in_order(&mut self, mut records: Vec<LogRecord>) -> Vec<LogRecord> {
+        records.retain(|record| {
+            let fits = record.offset == self.next;
+            if fits {
+                self.next.0 += 1;
+            }
+            fits
+        });
+        records
+    }
+
+    fn fail(&mut self, cx: CX![], error: Error) {
+        if !std::mem::replace(&mut self.down, true) {
+            log::warn!("reading stream {} fails: {error}", self.stream);
+            self.events.fwd(TailEvent::Down(error));
+        }
+        let wait_ms = self.backoff.next_delay();
+        self.wait(cx, wait_ms);
+    }
+
+    fn wait(&mut self, cx: CX![], wait_ms: SpanMs) {
+        let wake = fwd_to!([cx], wake() as (MonoMs));
+        let subscription = self.timers.subscribe_in(cx, wait_ms, wake);
+        self.state = State::Waiting(Some(subscription));
+    }
+}
+
+fn dropped() -> Error {
+    Error::not_run(ErrorKind::Internal, "the log port dropped the read")
+}
--- a/crates/platform/src/vms/mod.rs
+++ b/crates/platform/src/vms/mod.rs
@@ -3,6 +3,10 @@
 //! Invariants: an entry is evidence, not proof; whoever acts on it says in a comment why a late
 //! or wrong entry does no harm.
 
+mod http;
+
+pub use http::HttpVmList;
+
 use bluebell_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use stakker::{Core, Ret};
--- a/crates/platform/src/weights/mod.rs
+++ b/crates/platform/src/weights/mod.rs
@@ -3,6 +3,10 @@
 //! Engines fetch weights themselves when ordered to load; the store's rate limit is shared by the
 //! fleet, so orders to load are paced by whoever holds the duty for them.
 
+mod http;
+
+pub use http::HttpWeights;
+
 use bluebell_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use stakker::{Core, Ret};
