--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 //! Invariants: every type here prints with `Display` and parses with `FromStr` to an equal value,
 //! and no type here does I/O or reads a clock.
 
+pub mod bands;
 pub mod ids;
 mod macros;
 pub mod text;
@@ -17,6 +18,7 @@
 
 /// The types nearly every package imports.
 pub mod prelude {
+    pub use crate::bands::LengthBand;
     pub use crate::ids::*;
     pub use crate::text::*;
     pub use crate::units::*;
