--- /dev/null
+++ b/crates/settings/src/value.rs
@@ -0,0 +1,172 @@
+//! The types a setting may have: how each is read from text, checked and shown.
+
+use bluebell_base::prelude::*;
+use bluebell_telemetry::{LogFormat, LogLevels};
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+/// A type that a setting may have.
+pub trait SettingValue: Sized {
+    /// Reads and checks a text.
+    ///
+    /// # Errors
+    /// What is wrong and what is wanted; never holds the text of a secret.
+    fn read(text: &str) -> Result<Self, String>;
+
+    /// The value where nothing is given; none where it must be given.
+    fn unset() -> Option<Self> {
+        None
+    }
+
+    /// The value as printed; secrets hide themselves here.
+    fn show(&self) -> String;
+}
+
+impl<T: SettingValue> SettingValue for Option<T> {
+    fn read(text: &str) -> Result<Self, String> {
+        T::read(text).map(Some)
+    }
+
+    fn unset() -> Option<Self> {
+        Some(None)
+    }
+
+    fn show(&self) -> String {
+        self.as_ref().map_or_else(|| "(unset)".into(), T::show)
+    }
+}
+
+/// Reads types by `FromStr` and shows them by `Display`.
+macro_rules! plain_values {
+    ($($type:ty),+) => {$(
+        impl SettingValue for $type {
+            fn read(text: &str) -> Result<Self, String> {
+                text.parse().map_err(|error: <$type as FromStr>::Err| error.to_string())
+            }
+
+            fn show(&self) -> String {
+                self.to_string()
+            }
+        }
+    )+};
+}
+
+plain_values!(VmName, DomainName, RegionName, LogFormat, LogLevels);
+
+/// Reads sizes and counts, of which none may be zero.
+macro_rules! positive_values {
+    ($($type:ty),+) => {$(
+        impl SettingValue for $type {
+            fn read(text: &str) -> Result<Self, String> {
+                let value: Self = text
+                    .parse()
+                    .map_err(|_| format!("{text:?} is not a whole number"))?;
+                if value == Self::from_zero() {
+                    return Err("must be more than 0".into());
+                }
+                Ok(value)
+            }
+
+            fn show(&self) -> String {
+                self.to_string()
+            }
+        }
+    )+};
+}
+
+/// Zero of a type; lets one macro serve sizes and plain counts.
+trait FromZero {
+    /// Zero.
+    fn from_zero() -> Self;
+}
+
+impl FromZero for SpanMs {
+    fn from_zero() -> Self {
+        Self::ZERO
+    }
+}
+
+impl FromZero for Bytes {
+    fn from_zero() -> Self {
+        Self::ZERO
+    }
+}
+
+impl FromZero for u32 {
+    fn from_zero() -> Self {
+        0
+    }
+}
+
+positive_values!(SpanMs, Bytes, u32);
+
+impl SettingValue for Address {
+    fn read(text: &str) -> Result<Self, String> {
+        let parsed: Result<SocketAddr, _> = text.parse();
+        match parsed {
+            Ok(address) => Ok(Address(address.to_string().into())),
+            Err(_) => Err(format!("{text:?} is not an address of the form ip:port")),
+        }
+    }
+
+    fn show(&self) -> String {
+        self.to_string()
+    }
+}
+
+impl SettingValue for PathBuf {
+    fn read(text: &str) -> Result<Self, String> {
+        if text.is_empty() {
+            return Err("a path is needed".into());
+        }
+        Ok(text.into())
+    }
+
+    fn show(&self) -> String {
+        self.display().to_string()
+    }
+}
+
+/// A secret: neither printed nor logged.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Arc<str>);
+
+impl Secret {
+    /// The shortest secret taken, in bytes.
+    pub const MIN_BYTES: usize = 16;
+
+    /// Wraps a text without checking it.
+    pub fn new(text: impl Into<Arc<str>>) -> Self {
+        Self(text.into())
+    }
+
+    /// The secret itself, for the one place that sends or compares it.
+    pub fn expose(&self) -> &Arc<str> {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("(set)")
+    }
+}
+
+impl SettingValue for Secret {
+    fn read(text: &str) -> Result<Self, String> {
+        if text.len() < Self::MIN_BYTES {
+            return Err(format!("needs at least {} bytes", Self::MIN_BYTES));
+        }
+        // Secrets travel in HTTP headers, which take visible ASCII only.
+        if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err("must be visible ASCII without spaces".into());
+        }
+        Ok(Self(text.into()))
+    }
+
+    fn show(&self) -> String {
+        "(set)".into()
+    }
+}
