Engine model: continuous batching under any clock

A pure model of one engine: chunked prefill by priority, KV memory that is never taken back by force, prefix cache, cancels that overtake their call, group reservations, exports, orders, late load reports and cache events. Prompt lengths, hashes and the expected answer stand in upstreams::prompt.

A reserved group stream may pass one that waits for memory; without that the two wait for each other until the reservation expires.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Small stand-ins for what lies outside the system: engines, plain services and the platform,
+//! with faults that can be switched while they run.
+
+pub mod engine;
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -9,6 +9,7 @@
 //! late or crossed answer can be told apart; a call whose answer is lost is `MayHaveRun`.
 
 pub mod engine;
+pub mod prompt;
 pub mod service;
 
 pub use engine::{
