--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,3 +1,5 @@
-//! Small fakes of what lies outside the system, with faults that can be switched while they run.
+//! Small stand-ins for what lies outside the system: engines, plain services and the platform,
+//! with faults that can be switched while they run.
 
+pub mod engine;
 pub mod platform;
