Policy: the laxity policy and three baselines behind one trait

Short work goes at once to the engine with the earliest predicted first token; long work waits in the node's queue for an engine with slack and memory, from one end of an order of engines that all nodes share; prompts over one engine's memory get a group. Admission predicts the wait against the target and the deadline; accounts over their share of the work are refused first.

The border changes: EngineFacts carries a rank that every node agrees on, as UpstreamId is local to a process; Outcome tells a caller's cancel from a failure, so that callers cannot eject engines; Policy has set_config and verify.

--- /dev/null
+++ b/crates/policy/src/fleet/mod.rs
@@ -0,0 +1,148 @@
+//! The table of engines: facts, late reports, and what this node sent since.
+//!
+//! Terms: the *backlog* is prefill work not done; the *rank* orders engines the same way at every
+//! node; an engine is *open* where it takes new work.
+//!
+//! Invariants: a model's list holds exactly the open engines that serve it, by rank; an engine's
+//! in-flight list holds exactly the jobs that this node sent there and that have not ended.
+
+mod engine;
+mod health;
+
+pub use engine::{Engine, InFlight, State};
+pub use health::Health;
+
+use crate::cost::CostModel;
+use crate::job::EngineFacts;
+use bluebell_base::prelude::*;
+
+/// The table of engines.
+#[derive(Debug)]
+pub struct Fleet {
+    engines: Vec<Option<Engine>>,
+    by_model: Vec<Vec<UpstreamId>>,
+    prior: CostModel,
+    mean: CostModel,
+    mean_step_ms: f64,
+}
+
+impl Fleet {
+    /// An empty table whose engines begin with the cost model given.
+    pub fn open(prior: CostModel) -> Self {
+        Self {
+            engines: Vec::new(),
+            by_model: Vec::new(),
+            prior,
+            mean: prior,
+            mean_step_ms: 0.0,
+        }
+    }
+
+    /// The mean of what was learned of all engines.
+    pub fn mean_cost(&self) -> CostModel {
+        self.mean
+    }
+
+    /// The mean duration of the engines' steps, as reported.
+    pub fn mean_step_ms(&self) -> f64 {
+        self.mean_step_ms
+    }
+
+    /// Computes the means anew.
+    pub fn average(&mut self) {
+        self.mean = self.learned();
+        let reported = || self.iter().filter(|e| e.report.step_ms > 0.0);
+        let sum: f64 = reported().map(|e| e.report.step_ms).sum();
+        self.mean_step_ms = sum / reported().count().max(1) as f64;
+    }
+
+    /// The engine, where it is known.
+    pub fn get(&self, upstream: UpstreamId) -> Option<&Engine> {
+        self.engines.get(upstream.index())?.as_ref()
+    }
+
+    /// The engine, to change.
+    pub fn get_mut(&mut self, upstream: UpstreamId) -> Option<&mut Engine> {
+        self.engines.get_mut(upstream.index())?.as_mut()
+    }
+
+    /// All known engines.
+    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.iter().flatten()
+    }
+
+    /// The open engines that serve a model, by rank.
+    pub fn serving(&self, model: ModelId) -> &[UpstreamId] {
+        self.by_model.get(model.index()).map_or(&[], Vec::as_slice)
+    }
+
+    /// The models that have a list.
+    pub fn models(&self) -> impl Iterator<Item = ModelId> {
+        (0..self.by_model.len()).map(|i| ModelId(i as u32))
+    }
+
+    /// Takes an engine's facts in; a leaving engine that is seen again is open again.
+    pub fn seen(&mut self, facts: EngineFacts, now_ms: MonoMs) {
+        let index = facts.upstream.index();
+        if self.engines.len() <= index {
+            self.engines.resize_with(index + 1, || None);
+        }
+        let prior = self.learned();
+        match &mut self.engines[index] {
+            Some(engine) => engine.update(facts),
+            empty => *empty = Some(Engine::new(facts, prior, now_ms)),
+        }
+        self.relist();
+    }
+
+    /// Closes an engine for new work.
+    pub fn leaving(&mut self, upstream: UpstreamId) {
+        if let Some(engine) = self.get_mut(upstream) {
+            engine.state = State::Leaving;
+            self.relist();
+        }
+    }
+
+    /// Forgets an engine.
+    pub fn gone(&mut self, upstream: UpstreamId) {
+        if let Some(slot) = self.engines.get_mut(upstream.index()) {
+            *slot = None;
+            self.relist();
+        }
+    }
+
+    /// The mean of what was learned, for an engine of which nothing is known yet.
+    fn learned(&self) -> CostModel {
+        let known = || self.iter().filter(|e| e.cost.samples > 0);
+        let count = known().count() as f64;
+        if count == 0.0 {
+            return self.prior;
+        }
+        let mut mean = self.prior;
+        mean.prefill_per_s = known().map(|e| e.cost.prefill_per_s).sum::<f64>() / count;
+        mean.overhead_ms = known().map(|e| e.cost.overhead_ms).sum::<f64>() / count;
+        mean
+    }
+
+    fn relist(&mut self) {
+        for list in &mut self.by_model {
+            list.clear();
+        }
+        for engine in self.engines.iter().flatten() {
+            if engine.state != State::Open {
+                continue;
+            }
+            for model in &engine.facts.models {
+                if self.by_model.len() <= model.index() {
+                    self.by_model.resize_with(model.index() + 1, Vec::new);
+                }
+                self.by_model[model.index()].push(engine.facts.upstream);
+            }
+        }
+        let engines = &self.engines;
+        let rank = |id: &UpstreamId| engines[id.index()].as_ref().map(|e| e.facts.rank);
+        for list in &mut self.by_model {
+            list.sort_by_key(|id| (rank(id), *id));
+        }
+    }
+}
--- a/crates/policy/src/job/mod.rs
+++ b/crates/policy/src/job/mod.rs
@@ -53,6 +53,19 @@
     pub models: Vec<ModelId>,
     /// Its KV memory in tokens.
     pub kv_capacity_tokens: Tokens,
+    /// Its place in an order that every node agrees on; see [`EngineFacts::rank_of`].
+    pub rank: u64,
+}
+
+impl EngineFacts {
+    /// The rank of an engine of that name: an FNV-1a hash, the same in every process, where
+    /// [`UpstreamId`] is local to one.
+    pub fn rank_of(name: &UpstreamName) -> u64 {
+        const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+        const PRIME: u64 = 0x0000_0100_0000_01b3;
+        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(PRIME);
+        name.as_str().bytes().fold(OFFSET_BASIS, step)
+    }
 }
 
 /// One engine's part of a group.
@@ -128,6 +141,8 @@
     Finished(Tokens),
     /// Refused by the engine before any work.
     NotRun,
-    /// Broken off or cancelled.
+    /// Broken off: the engine or the connection to it failed.
     Failed,
+    /// Cancelled by the caller or at its deadline; says nothing of the engine's health.
+    Cancelled,
 }
--- /dev/null
+++ b/crates/policy/src/laxity/admission.rs
@@ -0,0 +1,108 @@
+//! Admission: a job is taken where its predicted outcome is good, and refused at once otherwise.
+//!
+//! Invariants: a refusal's time to come back is when the wait that was too long is predicted to
+//! be worked off; it is never a way to hold the caller off for longer than that.
+
+use super::Laxity;
+use crate::groups;
+use crate::job::{Job, Refusal, RefusalReason};
+use bluebell_base::prelude::*;
+
+/// When to come back where no engine serves the model.
+const NO_ENGINE_RETRY_MS: SpanMs = SpanMs(1_000);
+/// The bounds of the time to come back.
+const RETRY_BOUNDS_MS: (u64, u64) = (200, 60_000);
+/// The share of its laxity that an account over its share may wait.
+const OVER_SHARE_WAIT: f64 = 0.25;
+/// The share of its laxity that any job may be predicted to wait.
+const MOST_WAIT: f64 = 0.8;
+
+/// The work of a job in tokens, for shares.
+pub(super) fn work_tokens(job: &Job) -> f64 {
+    (job.prompt_tokens + job.max_tokens).0 as f64
+}
+
+impl Laxity {
+    /// Says whether a job may be taken.
+    pub(super) fn check(&mut self, job: &Job, now_ms: MonoMs) -> Result<(), Refusal> {
+        self.check_engines(job)?;
+        let service_ms = self.service_ms(job).0 as f64;
+        let wait_ms = self.predicted_wait_ms(job, now_ms);
+        let to_deadline_ms = job.deadline_ms.since(now_ms).0 as f64;
+        let answer_ms = self.answer_ms(job);
+        if wait_ms + service_ms + answer_ms > to_deadline_ms {
+            let excess_ms = wait_ms + service_ms + answer_ms - to_deadline_ms;
+            return Err(refusal(RefusalReason::TooLate, excess_ms));
+        }
+        let to_target_ms = job.first_token_due_ms.since(now_ms).0 as f64;
+        let laxity_ms = (to_target_ms - service_ms).max(0.0);
+        let most_ms = laxity_ms * MOST_WAIT;
+        if wait_ms > most_ms && wait_ms > 1.0 {
+            return Err(refusal(RefusalReason::Overloaded, wait_ms - most_ms));
+        }
+        let own_ms = laxity_ms * OVER_SHARE_WAIT;
+        if wait_ms > own_ms && self.shares.over(job.account, now_ms) > 1.0 {
+            return Err(refusal(RefusalReason::OverShare, wait_ms - own_ms));
+        }
+        Ok(())
+    }
+
+    fn check_engines(&self, job: &Job) -> Result<(), Refusal> {
+        let fleet = &self.tables.fleet;
+        let serving = fleet.serving(job.model);
+        if serving.is_empty() {
+            return Err(Refusal {
+                reason: RefusalReason::NoEngine,
+                retry_after_ms: NO_ENGINE_RETRY_MS,
+            });
+        }
+        let largest = fleet.largest(job.model, self.settings.group_parts);
+        if job.kv_tokens() > largest {
+            return Err(Refusal {
+                reason: RefusalReason::TooLong,
+                retry_after_ms: SpanMs(RETRY_BOUNDS_MS.1),
+            });
+        }
+        Ok(())
+    }
+
+    /// How long the job is predicted to wait before its prefill begins.
+    fn predicted_wait_ms(&mut self, job: &Job, now_ms: MonoMs) -> f64 {
+        let best = self.best_ahead(job, now_ms);
+        let engine_ms = best.map_or(0.0, |scored| scored.wait_ms);
+        if !self.deferrable(job) {
+            return engine_ms;
+        }
+        let start_ms = self.latest_start_ms(job);
+        let queued = self.tables.queue.iter();
+        let entries = queued.filter_map(|slot| self.tables.jobs.get(*slot));
+        let before = entries.filter(|entry| self.latest_start_ms(&entry.job) <= start_ms);
+        let ahead_tokens: f64 = before.map(|entry| entry.prefill_tokens).sum();
+        if ahead_tokens == 0.0 {
+            return engine_ms;
+        }
+        let drain_per_s = self.demand.drain_per_s();
+        let queue_ms = drain_per_s.map_or(0.0, |rate| ahead_tokens * 1_000.0 / rate);
+        engine_ms + queue_ms
+    }
+
+    fn answer_ms(&self, job: &Job) -> f64 {
+        self.demand.answer_tokens(job.class) * self.tables.fleet.mean_step_ms()
+    }
+}
+
+fn refusal(reason: RefusalReason, excess_ms: f64) -> Refusal {
+    let wait_ms = excess_ms.ceil() as u64;
+    Refusal {
+        reason,
+        retry_after_ms: SpanMs(wait_ms.clamp(RETRY_BOUNDS_MS.0, RETRY_BOUNDS_MS.1)),
+    }
+}
+
+impl crate::fleet::Fleet {
+    /// The most that a group of engines serving a model can hold.
+    pub fn largest(&self, model: ModelId, parts: usize) -> Tokens {
+        let engines = self.serving(model).iter().filter_map(|id| self.get(*id));
+        groups::most_tokens(engines, parts)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/laxity/mod.rs
@@ -0,0 +1,178 @@
+//! The production policy: least laxity first, short work at once, long work in slack.
+//!
+//! Terms: a job's *service* is its prefill alone on an idle engine; its *laxity* is the time left
+//! to its target after its service; *deferrable* work has a service longer than a bound and may
+//! wait in this node's queue until an engine has slack for it; *urgent* work cannot wait longer.
+//!
+//! Invariants: work that is not deferrable leaves the queue in the same `decide`; what is queued
+//! is sent or refused at the latest when its deadline can no longer be met; a job once refused is
+//! told so at once.
+
+mod admission;
+mod demand;
+mod dump;
+mod order;
+mod placement;
+
+use crate::cache::CacheView;
+use crate::job::{Decision, EngineFacts, Job, Outcome, Refusal};
+use crate::jobs::Slot;
+use crate::settings::PolicySettings;
+use crate::shares::Shares;
+use crate::tables::Tables;
+use crate::{Policy, Violation, verify};
+use bluebell_base::prelude::*;
+use bluebell_config::FleetConfig;
+use bluebell_upstreams::{LoadReport, engine::CacheEvent};
+use demand::Demand;
+use placement::Scored;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// How often the fleet's means are computed anew.
+const AVERAGE_EVERY_MS: SpanMs = SpanMs(250);
+
+/// The production policy.
+pub struct Laxity {
+    settings: PolicySettings,
+    tables: Tables,
+    cache: CacheView,
+    shares: Shares,
+    demand: Demand,
+    averaged_ms: MonoMs,
+    rng: ChaCha8Rng,
+    scratch: Scratch,
+}
+
+/// Lists that are cleared and filled again, so that a decision allocates nothing.
+#[derive(Debug, Default)]
+struct Scratch {
+    due: Vec<Slot>,
+    scored: Vec<Scored>,
+    offers: Vec<crate::groups::Offer>,
+}
+
+impl Laxity {
+    /// Opens the policy; the seed decides between engines that look equal.
+    pub fn open(settings: PolicySettings, config: &FleetConfig, seed: u64) -> Self {
+        Self {
+            tables: Tables::open(&settings),
+            settings,
+            cache: CacheView::default(),
+            shares: Shares::open(config),
+            demand: Demand::default(),
+            averaged_ms: MonoMs(0),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            scratch: Scratch::default(),
+        }
+    }
+
+    /// Computes the fleet's means anew where they are old.
+    fn refresh(&mut self, now_ms: MonoMs) {
+        if now_ms.since(self.averaged_ms) >= AVERAGE_EVERY_MS {
+            self.averaged_ms = now_ms;
+            self.tables.fleet.average();
+        }
+    }
+}
+
+impl Policy for Laxity {
+    fn engine_seen(&mut self, facts: EngineFacts, now_ms: MonoMs) {
+        self.tables.fleet.seen(facts, now_ms);
+    }
+
+    fn engine_leaving(&mut self, upstream: UpstreamId, _now_ms: MonoMs) {
+        self.tables.fleet.leaving(upstream);
+    }
+
+    fn engine_gone(&mut self, upstream: UpstreamId, _now_ms: MonoMs) {
+        self.tables.gone(upstream);
+        self.cache.forget(upstream);
+    }
+
+    fn on_load(&mut self, upstream: UpstreamId, report: &LoadReport, now_ms: MonoMs) {
+        if let Some(engine) = self.tables.fleet.get_mut(upstream) {
+            engine.on_load(report, now_ms);
+        }
+    }
+
+    fn on_cache(&mut self, upstream: UpstreamId, events: &[CacheEvent], gap: bool) {
+        self.cache.on_events(upstream, events, gap);
+    }
+
+    fn admit(&mut self, job: Job, now_ms: MonoMs) -> Result<(), Refusal> {
+        if self.tables.jobs.slot(job.request).is_some() {
+            return Ok(());
+        }
+        let cost = admission::work_tokens(&job);
+        self.shares.offer(job.account, cost, now_ms);
+        self.check(&job, now_ms)?;
+        self.shares.admit(job.account, cost, now_ms);
+        self.tables.enqueue(job);
+        Ok(())
+    }
+
+    fn decide(&mut self, now_ms: MonoMs, out: &mut Vec<Decision>) {
+        self.refresh(now_ms);
+        let mut due = std::mem::take(&mut self.scratch.due);
+        std::mem::swap(&mut due, &mut self.tables.queue);
+        self.sort_by_urgency(&mut due);
+        let mut waits = false;
+        for slot in due.drain(..) {
+            match self.decide_one(slot, now_ms) {
+                Some(decision) => out.push(decision),
+                None => {
+                    waits = true;
+                    self.tables.queue.push(slot);
+                }
+            }
+        }
+        self.scratch.due = due;
+        self.demand.observe_queue(waits, now_ms);
+    }
+
+    fn next_wake_ms(&self) -> Option<MonoMs> {
+        let waits = !self.tables.queue.is_empty();
+        waits.then(|| self.demand.looked_ms() + self.settings.tick_ms)
+    }
+
+    fn withdraw(&mut self, request: RequestId, now_ms: MonoMs) {
+        if let Some(entry) = self.tables.take(request) {
+            let cost = admission::work_tokens(&entry.job);
+            self.shares.give_back(entry.job.account, cost, now_ms);
+        }
+    }
+
+    fn on_first_token(&mut self, request: RequestId, now_ms: MonoMs) {
+        self.tables.first_token(request, now_ms);
+    }
+
+    fn on_end(&mut self, request: RequestId, outcome: Outcome, now_ms: MonoMs) {
+        let Some(entry) = self.tables.end(request, outcome, now_ms) else {
+            return;
+        };
+        match outcome {
+            Outcome::Finished(tokens) => self.demand.answered(entry.job.class, tokens),
+            Outcome::NotRun => {
+                let cost = admission::work_tokens(&entry.job);
+                self.shares.give_back(entry.job.account, cost, now_ms);
+            }
+            Outcome::Failed | Outcome::Cancelled => {}
+        }
+    }
+
+    fn set_config(&mut self, config: &FleetConfig, _now_ms: MonoMs) {
+        self.shares.set_config(config);
+        self.demand.forget_classes();
+    }
+
+    fn verify(&self) -> Vec<Violation> {
+        let mut found = verify::check(&self.tables);
+        verify::check_cache(&self.cache, &mut found);
+        found
+    }
+
+    fn dump(&self) -> String {
+        self.print()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/laxity/placement.rs
@@ -0,0 +1,238 @@
+//! Placement: which engine gets a job now, if any.
+//!
+//! Terms: an engine's *wait* is the predicted time before a new job's prefill begins there; the
+//! *long end* of the rank order is where long work goes first, so that the other end stays free
+//! for short work without any node asking another.
+
+use super::Laxity;
+use crate::fleet::Engine;
+use crate::groups::{self, Offer};
+use crate::job::{Decision, Job, Refusal, RefusalReason};
+use crate::jobs::Slot;
+use crate::tables::Placement;
+use bluebell_base::prelude::*;
+use rand::Rng;
+
+/// How much worse than the best one another engine may look and still be drawn, in milliseconds.
+const NEAR_MS: f64 = 5.0;
+/// What a lack of memory counts for, in milliseconds.
+const NO_MEMORY_MS: f64 = 10_000.0;
+/// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
+const STEP_TOKENS: f64 = 8_192.0;
+
+/// An engine and what a job could expect there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Scored {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The predicted time before the job's prefill begins.
+    pub wait_ms: f64,
+    /// The predicted first token.
+    pub first_token_ms: f64,
+    /// The job's own prefill there.
+    pub prefill_tokens: f64,
+    /// The tokens ahead of it.
+    pub ahead_tokens: f64,
+    /// The whole backlog.
+    pub backlog_ms: f64,
+    /// The memory free there.
+    pub kv_free: u64,
+    /// The engine's memory.
+    pub kv_capacity: u64,
+}
+
+impl Laxity {
+    /// Whether the job may wait in the queue for slack.
+    pub(super) fn deferrable(&self, job: &Job) -> bool {
+        self.service_ms(job) > self.settings.deferrable_ms || self.needs_group(job)
+    }
+
+    /// The engine where the job could begin first.
+    pub(super) fn best_ahead(&mut self, job: &Job, now_ms: MonoMs) -> Option<Scored> {
+        self.score(job, now_ms);
+        let scored = self.scratch.scored.iter().copied();
+        scored.min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
+    }
+
+    /// Decides a queued job, or leaves it waiting.
+    pub(super) fn decide_one(&mut self, slot: Slot, now_ms: MonoMs) -> Option<Decision> {
+        let job = self.tables.jobs.get(slot)?.job.clone();
+        let service_ms = self.service_ms(&job);
+        if now_ms + service_ms > job.deadline_ms {
+            return self.refuse(&job, now_ms);
+        }
+        self.score(&job, now_ms);
+        let placement = if self.needs_group(&job) {
+            self.place_group(&job, now_ms)
+        } else if self.deferrable(&job) {
+            self.place_in_slack(&job, now_ms)
+        } else {
+            self.place_at_once(&job, now_ms)
+        };
+        let placement = placement?;
+        if self.deferrable(&job) {
+            self.demand.sent(placement.prefill_tokens);
+        }
+        self.tables.send(slot, placement, now_ms)
+    }
+
+    fn refuse(&mut self, job: &Job, now_ms: MonoMs) -> Option<Decision> {
+        self.tables.take(job.request);
+        let cost = super::admission::work_tokens(job);
+        self.shares.give_back(job.account, cost, now_ms);
+        Some(Decision::Refuse {
+            request: job.request,
+            refusal: Refusal {
+                reason: RefusalReason::TooLate,
+                retry_after_ms: self.service_ms(job),
+            },
+        })
+    }
+
+    fn needs_group(&self, job: &Job) -> bool {
+        job.kv_tokens() > self.tables.fleet.largest(job.model, 1)
+    }
+
+    /// Scores the engines that may get the job; those it should avoid only where no other is.
+    fn score(&mut self, job: &Job, now_ms: MonoMs) {
+        let mut scored = std::mem::take(&mut self.scratch.scored);
+        scored.clear();
+        let list = self.tables.fleet.serving(job.model);
+        let window = self.settings.window.min(list.len());
+        let begin = if window < list.len() {
+            self.rng.random_range(0..list.len())
+        } else {
+            0
+        };
+        let looked_at = (0..window).map(|i| list[(begin + i) % list.len()]);
+        let engines = looked_at.filter_map(|id| self.tables.fleet.get(id));
+        for engine in engines {
+            if engine.health.allows(engine.in_flight.len(), now_ms) {
+                scored.push(self.score_one(job, engine, now_ms));
+            }
+        }
+        let others = |s: &Scored| !job.avoid.contains(&s.upstream);
+        if scored.iter().any(others) {
+            scored.retain(others);
+        }
+        self.scratch.scored = scored;
+    }
+
+    fn score_one(&self, job: &Job, engine: &Engine, now_ms: MonoMs) -> Scored {
+        let upstream = engine.facts.upstream;
+        let covered = self.cache.covered(upstream, &job.prefixes);
+        let prefill_tokens = job.prompt_tokens.saturating_sub(covered).0.max(1) as f64;
+        let backlog_tokens = engine.backlog_tokens(now_ms);
+        // Work with more laxity does not go before this job; of the rest, one step is running.
+        let ahead_tokens = backlog_tokens.min(prefill_tokens + STEP_TOKENS);
+        let kv_free = engine.kv_free();
+        let lacks = kv_free < job.kv_tokens().0;
+        let memory_ms = if lacks { NO_MEMORY_MS } else { 0.0 };
+        let wait_ms = engine.cost.prefill_ms(ahead_tokens) + memory_ms;
+        let own_ms = engine.cost.overhead_ms + engine.cost.prefill_ms(prefill_tokens);
+        Scored {
+            upstream,
+            wait_ms,
+            first_token_ms: wait_ms + own_ms,
+            prefill_tokens,
+            ahead_tokens,
+            backlog_ms: engine.cost.prefill_ms(backlog_tokens),
+            kv_free,
+            kv_capacity: engine.facts.kv_capacity_tokens.0,
+        }
+    }
+
+    /// The engine with the earliest predicted first token, drawn among the best few.
+    fn place_at_once(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
+        // The list runs from the long end; of equals, the last ones are preferred.
+        let scored = &mut self.scratch.scored;
+        scored.reverse();
+        scored.sort_by(|a, b| a.first_token_ms.total_cmp(&b.first_token_ms));
+        let best_ms = scored.first()?.first_token_ms;
+        let near = scored.iter().take(self.settings.choices);
+        let near = near.filter(|s| s.first_token_ms <= best_ms + NEAR_MS);
+        let count = near.count();
+        let drawn = self.rng.random_range(0..count);
+        let chosen = self.scratch.scored[drawn];
+        Some(self.place(job, chosen, now_ms))
+    }
+
+    /// The first engine from the long end that has slack and room; any engine once urgent.
+    fn place_in_slack(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
+        let need = job.kv_tokens().0;
+        let slack_ms = self.settings.slack_ms.0 as f64;
+        let room_share = self.settings.room_share;
+        let fits = |s: &Scored| {
+            let room = (s.kv_capacity as f64 * room_share) as u64;
+            s.kv_free >= need.saturating_add(room.min(s.kv_capacity - need.min(s.kv_capacity)))
+        };
+        let scored = &self.scratch.scored;
+        let has_slack = |s: &&Scored| s.backlog_ms <= slack_ms && fits(s);
+        let count = scored
+            .iter()
+            .filter(has_slack)
+            .take(self.settings.choices)
+            .count();
+        if count > 0 {
+            let drawn = self.rng.random_range(0..count);
+            let chosen = *scored.iter().filter(has_slack).nth(drawn)?;
+            return Some(self.place(job, chosen, now_ms));
+        }
+        if now_ms < self.latest_start_ms(job) {
+            return None;
+        }
+        let fitting = scored.iter().filter(|s| fits(s));
+        let chosen = fitting.min_by(|a, b| a.first_token_ms.total_cmp(&b.first_token_ms));
+        let chosen = *chosen?;
+        Some(self.place(job, chosen, now_ms))
+    }
+
+    /// A group from the long end, where enough memory is believed free.
+    fn place_group(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
+        let room_share = self.settings.room_share;
+        let mut offers = std::mem::take(&mut self.scratch.offers);
+        offers.clear();
+        offers.extend(self.scratch.scored.iter().map(|s| {
+            Offer {
+                upstream: s.upstream,
+                kv_tokens: s
+                    .kv_free
+                    .saturating_sub((s.kv_capacity as f64 * room_share) as u64),
+            }
+        }));
+        let urgent = now_ms >= self.latest_start_ms(job);
+        let slack_ms = self.settings.slack_ms.0 as f64;
+        let most = offers.iter().map(|o| o.kv_tokens).max().unwrap_or(0);
+        let leader = self
+            .scratch
+            .scored
+            .iter()
+            .zip(&offers)
+            .find(|(scored, offer)| {
+                let has_slack = urgent || scored.backlog_ms <= slack_ms;
+                has_slack && offer.kv_tokens >= most / 2
+            });
+        let leader = leader.map(|(scored, offer)| (*scored, *offer));
+        let parts = self.settings.group_parts;
+        let built = leader.and_then(|(scored, offer)| {
+            let group = groups::build(offer, &offers, job.kv_tokens(), parts)?;
+            Some((scored, group))
+        });
+        self.scratch.offers = offers;
+        let (scored, group) = built?;
+        let mut placement = self.place(job, scored, now_ms);
+        placement.members = group.members;
+        Some(placement)
+    }
+
+    fn place(&self, job: &Job, scored: Scored, now_ms: MonoMs) -> Placement {
+        Placement {
+            upstream: scored.upstream,
+            members: Vec::new(),
+            priority: self.priority(job, now_ms),
+            prefill_tokens: scored.prefill_tokens,
+            ahead_tokens: scored.ahead_tokens,
+            predicted_ms: scored.first_token_ms,
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,11 +7,25 @@
 //! Invariants: the same calls with the same seed give the same decisions; every admitted job is
 //! decided (sent, grouped or refused) at the latest when its deadline can no longer be met.
 
+mod baseline;
+mod cache;
+mod cost;
+mod fleet;
+mod groups;
 pub mod job;
+mod jobs;
+mod laxity;
+pub mod settings;
+mod shares;
+mod tables;
+pub mod verify;
 
-pub use job::{Decision, EngineFacts, GroupPart, Job, Outcome, Refusal, RefusalReason};
+pub use job::{Decision, EngineFacts, GroupPart, Job, Outcome, Prefix, Refusal, RefusalReason};
+pub use settings::{Kind, PolicySettings};
+pub use verify::Violation;
 
 use bluebell_base::prelude::*;
+use bluebell_config::FleetConfig;
 use bluebell_upstreams::{LoadReport, engine::CacheEvent};
 
 /// A policy, from the first sight of a job to its end.
@@ -52,6 +66,22 @@
     /// A sent job's attempt ended; a job that shall be tried again is admitted anew.
     fn on_end(&mut self, request: RequestId, outcome: Outcome, now_ms: MonoMs);
 
+    /// A configuration came into force; what is known of an account is kept by its name.
+    fn set_config(&mut self, config: &FleetConfig, now_ms: MonoMs);
+
+    /// Re-checks every invariant of the policy's tables; empty where all hold. For tests.
+    fn verify(&self) -> Vec<Violation>;
+
     /// What it knows, for the state dump.
     fn dump(&self) -> String;
 }
+
+/// Opens the policy that the settings name; the same seed and calls give the same decisions.
+pub fn open(settings: PolicySettings, config: &FleetConfig, seed: u64) -> Box<dyn Policy> {
+    match settings.kind {
+        Kind::Laxity => Box::new(laxity::Laxity::open(settings, config, seed)),
+        Kind::RoundRobin | Kind::LeastRequests | Kind::LeastTokens => {
+            Box::new(baseline::Baseline::open(settings, seed))
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/tables/dump.rs
@@ -0,0 +1,28 @@
+//! The printer of the tables.
+
+use super::Tables;
+use std::fmt::Write;
+
+/// Adds a line for the whole and one for each engine.
+pub fn dump(tables: &Tables, text: &mut String) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "jobs {}", tables.jobs.len());
+    for engine in tables.fleet.iter() {
+        let _ = writeln!(
+            text,
+            "{} {:?} prefill {:.0} tok/s overhead {:.0} ms error {:.2} samples {} in-flight {} \
+             kv-free {} tok backlog {} tok at report {} failures {}",
+            engine.facts.upstream,
+            engine.state,
+            engine.cost.prefill_per_s,
+            engine.cost.overhead_ms,
+            engine.cost.error,
+            engine.cost.samples,
+            engine.in_flight.len(),
+            engine.kv_free(),
+            engine.report.prefill_backlog_tokens.0,
+            engine.reported_ms,
+            engine.health.failures,
+        );
+    }
+}
