bridge: completer and sender for answers that come from threads of other libraries

A tokio task has no job to return from; it needs a handle that completes a Ret, or feeds a Fwd, from any thread. forget() now drops the waiter outside the borrow.

--- a/crates/bridge/src/jobs.rs
+++ b/crates/bridge/src/jobs.rs
@@ -143,6 +143,37 @@
         queued
     }
 
+    /// Makes a completer: whoever holds it, on any thread, gives `ret` its value.
+    pub fn completer<T: Send + 'static>(&self, ret: Ret<T>) -> Completer<T> {
+        let key = self.add(Waiter::Answer(Box::new(move |value| {
+            if let Ok(value) = value.downcast::<T>() {
+                ret.ret(*value);
+            }
+        })));
+        Completer {
+            inner: self.sender(key),
+        }
+    }
+
+    /// Makes a sender: whoever holds it, on any thread, sends events to `fwd`, in order.
+    pub fn sender_to<E: Send + 'static>(&self, fwd: Fwd<E>) -> EventSender<E> {
+        let key = self.add(Waiter::Events(Rc::new(move |value: Value| {
+            if let Ok(value) = value.downcast::<E>() {
+                fwd.fwd(*value);
+            }
+        })));
+        self.sender(key)
+    }
+
+    fn sender<E>(&self, key: u64) -> EventSender<E> {
+        EventSender {
+            id: self.id(),
+            key,
+            link: self.link.clone(),
+            event: PhantomData,
+        }
+    }
+
     fn id(&self) -> u64 {
         Rc::as_ptr(&self.pending) as u64
     }
@@ -222,6 +253,23 @@
     }
 }
 
+/// Gives one `Ret` its value from any thread; dropping it unused drops the `Ret`.
+#[derive(Debug)]
+pub struct Completer<T> {
+    inner: EventSender<T>,
+}
+
+impl<T: Send + 'static> Completer<T> {
+    /// Gives the value; `false` once the node is gone.
+    pub fn complete(self, value: T) -> bool {
+        let (id, key) = (self.inner.id, self.inner.key);
+        let value: Value = Box::new(value);
+        self.inner
+            .link
+            .send(move |_| deliver_answer(id, key, value))
+    }
+}
+
 fn pending_of(id: u64) -> Option<Answers> {
     PENDING.with_borrow(|map| map.get(&id).cloned())
 }
@@ -248,7 +296,10 @@
 }
 
 fn forget(id: u64, key: u64) {
-    if let Some(pending) = pending_of(id) {
-        pending.borrow_mut().remove(&key);
-    }
+    let Some(pending) = pending_of(id) else {
+        return;
+    };
+    // Dropped outside the borrow: a dropped `Ret` runs code that may use the bridge again.
+    let waiter = pending.borrow_mut().remove(&key);
+    drop(waiter);
 }
--- a/crates/bridge/src/lib.rs
+++ b/crates/bridge/src/lib.rs
@@ -10,4 +10,4 @@
 mod jobs;
 
 pub use inbox::{Inbox, Link, Message};
-pub use jobs::{Bridge, EventSender};
+pub use jobs::{Bridge, Completer, EventSender};
