--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -12,10 +12,13 @@
 use failure::{of_body, of_status, of_transport};
 use serde::de::DeserializeOwned;
 use stakker::Ret;
+use std::fmt;
 use ureq::Agent;
 
 /// The largest answer that is read.
-const ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+const ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// The largest body read with an error; what is longer doesn't come from the platform itself.
+const ERROR_BYTES: u64 = 64 * 1024;
 /// Idle connections kept to the platform.
 const IDLE_CONNECTIONS: usize = 8;
 /// The header in which the platform says when to come back, in whole seconds.
@@ -40,7 +43,7 @@
 }
 
 /// A client of the platform at one address; cheap to clone, all clones share their connections.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct PlatformClient {
     bridge: Bridge,
     agent: Agent,
@@ -61,6 +64,15 @@
     pub effect: Effect,
 }
 
+impl fmt::Debug for PlatformClient {
+    /// Leaves the credential out, so that no log or state dump shows it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PlatformClient")
+            .field("base", &self.base)
+            .finish_non_exhaustive()
+    }
+}
+
 impl PlatformClient {
     /// Opens a client; connections are made when first needed.
     pub fn open(
@@ -124,20 +136,23 @@
     let mut response = sent.map_err(|error| of_transport(call.effect, &error))?;
     let status = response.status().as_u16();
     let retry_after_ms = retry_after(&response);
-    let reader = response.body_mut().with_config().limit(ANSWER_BYTES);
-    let body = reader.read_to_vec();
     if status != 200 {
-        return Err(of_status(
-            call.effect,
-            status,
-            retry_after_ms,
-            &body.unwrap_or_default(),
-        ));
+        let body = read_body(&mut response, ERROR_BYTES).unwrap_or_default();
+        return Err(of_status(call.effect, status, retry_after_ms, &body));
     }
+    let body = read_body(&mut response, ANSWER_BYTES);
     let body = body.map_err(|error| of_transport(call.effect, &error))?;
     serde_json::from_slice(&body).map_err(|error| of_body(call.effect, &error))
 }
 
+fn read_body(
+    response: &mut ureq::http::Response<ureq::Body>,
+    limit_bytes: u64,
+) -> Result<Vec<u8>, ureq::Error> {
+    let reader = response.body_mut().with_config().limit(limit_bytes);
+    reader.read_to_vec()
+}
+
 fn send(
     agent: &Agent,
     base: &str,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -22,6 +22,6 @@
 pub use http::{CallTimeouts, PlatformClient};
 pub use log_port::{HttpLog, LogPort, LogRecord, ReadBatch};
 pub use pace::TokenBucket;
-pub use tail::{StreamPosition, Tail, TailEvent, TailSettings};
+pub use tail::{StreamPosition, Tail, TailEvent, TailSettings, TailStats};
 pub use vms::{HttpVmList, VmEntry, VmListPort, VmRole, VmState};
 pub use weights::{HttpWeights, WeightInfo, WeightPort};
--- a/crates/platform/src/tail/mod.rs
+++ b/crates/platform/src/tail/mod.rs
@@ -7,6 +7,10 @@
 //! [`TailEvent::Gap`] named; at most one read is under way; health edges alternate, beginning
 //! with up.
 
+mod stats;
+
+pub use stats::TailStats;
+
 use crate::backoff::{Backoff, BackoffSettings};
 use crate::log_port::{LogPort, LogRecord, ReadBatch};
 use bluebell_base::prelude::*;
@@ -87,6 +91,7 @@
     backoff: Backoff,
     state: State,
     down: bool,
+    stats: TailStats,
 }
 
 enum State {
@@ -116,6 +121,7 @@
             backoff,
             state: State::Waiting(None),
             down: false,
+            stats: TailStats::at(at.offset),
         };
         actor!(core, Tail::init(tail), ret_nop!())
     }
@@ -138,9 +144,13 @@
         }
     }
 
-    /// The offset of the next record to be forwarded.
-    pub fn next_offset(&mut self, _cx: CX![], ret: Ret<Offset>) {
-        ret.ret(self.next);
+    /// The counters so far.
+    pub fn stats(&mut self, _cx: CX![], ret: Ret<TailStats>) {
+        ret.ret(TailStats {
+            next: self.next,
+            down: self.down,
+            ..self.stats
+        });
     }
 
     fn wake(&mut self, cx: CX![], _now_ms: MonoMs) {
@@ -154,6 +164,7 @@
         if let State::Waiting(Some(subscription)) = self.state {
             self.timers.cancel(cx, subscription);
         }
+        self.stats.reads += 1;
         self.state = State::Reading {
             asked_ms: self.timers.now_ms(cx),
             again: false,
@@ -198,6 +209,7 @@
         }
         let before = self.next;
         if batch.first_retained > self.next {
+            self.stats.lost += batch.first_retained.0 - self.next.0;
             self.events.fwd(TailEvent::Gap {
                 from: self.next,
                 to: batch.first_retained,
@@ -205,6 +217,7 @@
             self.next = batch.first_retained;
         }
         let records = self.in_order(batch.records);
+        self.stats.count(&records, batch.end);
         self.events.fwd(TailEvent::Records {
             records,
             first_retained: batch.first_retained,
@@ -234,6 +247,7 @@
     }
 
     fn fail(&mut self, cx: CX![], error: Error) {
+        self.stats.failures += 1;
         if !std::mem::replace(&mut self.down, true) {
             log::warn!("reading stream {} fails: {error}", self.stream);
             self.events.fwd(TailEvent::Down(error));
--- a/crates/platform/tests/actors/support.rs
+++ b/crates/platform/tests/actors/support.rs
@@ -1,12 +1,12 @@
 //! A platform in process under virtual time, for the tests of the actors that use it.
 
 use bluebell_base::prelude::*;
-use bluebell_platform::{LogPort, StreamPosition, Tail, TailEvent, TailSettings};
+use bluebell_platform::{LogPort, StreamPosition, Tail, TailEvent, TailSettings, TailStats};
 use bluebell_stand_ins::platform::{
     FakePlatform, FakeSettings, Fault, FaultRule, Operation, PlatformModel, PlatformSettings,
 };
 use bluebell_timers::Timers;
-use stakker::{ActorOwn, Fwd, Stakker};
+use stakker::{ActorOwn, Fwd, Ret, Stakker, call};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -113,6 +113,15 @@
         seen
     }
 
+    pub fn stats(&self, world: &mut World) -> TailStats {
+        let slot = Rc::new(RefCell::new(None));
+        let filled = Rc::clone(&slot);
+        let ret = Ret::new(move |stats| *filled.borrow_mut() = stats);
+        call!([self.actor], stats(ret));
+        world.pass(0);
+        slot.take().unwrap()
+    }
+
     pub fn events(&self) -> Vec<TailEvent> {
         self.events.borrow().clone()
     }
--- a/crates/platform/tests/actors/tail.rs
+++ b/crates/platform/tests/actors/tail.rs
@@ -146,6 +146,12 @@
     world.pass(2_000);
     assert_eq!(tail.seen(), ["a", "gap 1..3", "d", "e"]);
     tail.verify();
+    let stats = tail.stats(&mut world);
+    assert_eq!((stats.records, stats.lost, stats.bytes), (3, 2, Bytes(3)));
+    assert_eq!(
+        (stats.next, stats.end, stats.down),
+        (Offset(5), Offset(5), false)
+    );
 }
 
 #[test]
--- a/crates/stand-ins/src/platform/mod.rs
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -7,9 +7,11 @@
 mod fake;
 mod faults;
 mod model;
+mod operator;
 mod server;
 
 pub use fake::{FakePlatform, FakeSettings};
 pub use faults::{Fate, Fault, FaultRule, Faults, Operation};
 pub use model::{PlatformModel, PlatformSettings, PlatformStats, VmChange};
+pub use operator::Operator;
 pub use server::PlatformServer;
--- a/crates/stand-ins/tests/platform_contract/http_only.rs
+++ b/crates/stand-ins/tests/platform_contract/http_only.rs
@@ -2,8 +2,8 @@
 
 use bluebell_base::prelude::*;
 use bluebell_bridge::{Bridge, Inbox};
-use bluebell_platform::{CallTimeouts, HttpLog, PlatformClient};
-use bluebell_stand_ins::platform::{Faults, PlatformServer, PlatformSettings, PlatformStats};
+use bluebell_platform::{CallTimeouts, HttpLog, PlatformClient, WeightInfo};
+use bluebell_stand_ins::platform::{Faults, Operator, PlatformServer, PlatformSettings, VmChange};
 use stakker::{Ret, Stakker};
 use std::cell::RefCell;
 use std::net::TcpListener;
@@ -133,16 +133,17 @@
 #[test]
 fn faults_are_switched_over_http_and_do_not_strike_operator_calls() {
     let server = PlatformServer::bind("127.0.0.1:0", PlatformSettings::default()).unwrap();
-    let base = format!("http://{}", server.address());
-    let post = |path: &str, body: &str| {
-        let sent = ureq::post(format!("{base}{path}")).send(body);
-        sent.map(|response| response.status().as_u16())
+    let operator = Operator::open(&server.address());
+    let faults = Faults {
+        down: true,
+        ..Faults::default()
     };
-    assert_eq!(post("/faults", r#"{"down": true}"#).unwrap(), 200);
+    operator.set_faults(&faults).unwrap();
     let error = append_at(&server.address(), None, "s").unwrap_err();
     assert_eq!(error.verdict, Verdict::NotRun);
     let rules = r#"{"rules": [{"operation": "append", "calls": 1, "fault": "lose_answer"}]}"#;
-    assert_eq!(post("/faults", rules).unwrap(), 200);
+    let url = format!("http://{}/faults", server.address());
+    ureq::post(&url).send(rules).unwrap();
     let error = append_at(&server.address(), None, "s").unwrap_err();
     assert_eq!(error.verdict, Verdict::MayHaveRun);
     assert_eq!(append_at(&server.address(), None, "s"), Ok(Offset(1)));
@@ -150,12 +151,39 @@
         server.with_model(|m, _| m.faults.clone()),
         Faults::default()
     );
-    assert!(post("/faults", r#"{"dwon": true}"#).is_err());
+    assert!(ureq::post(&url).send(r#"{"dwon": true}"#).is_err());
+    let stats = operator.stats().unwrap();
+    assert_eq!((stats.appends, stats.appended_records), (2, 2));
+}
+
+#[test]
+fn vms_and_weights_are_changed_over_http() {
+    let server = PlatformServer::bind("127.0.0.1:0", PlatformSettings::default()).unwrap();
+    let operator = Operator::open(&server.address());
     let vm = r#"{"put": {"name": "e1", "role": "engine", "address": "127.0.0.1:1",
         "deployment": "d", "domain": "galway-a", "state": "live"}}"#;
-    assert_eq!(post("/vms", vm).unwrap(), 200);
-    assert!(post("/vms", r#"{"remove": "e2"}"#).is_err());
-    let mut stats = ureq::get(format!("{base}/stats")).call().unwrap();
-    let stats: PlatformStats = stats.body_mut().read_json().unwrap();
-    assert_eq!((stats.appends, stats.appended_records), (2, 2));
+    let put: VmChange = serde_json::from_str(vm).unwrap();
+    operator.change_vms(&put).unwrap();
+    operator.change_vms(&VmChange::Remove("e1".into())).unwrap();
+    let unknown = operator.change_vms(&VmChange::Remove("e1".into()));
+    assert!(unknown.is_err());
+    let info = WeightInfo {
+        model: "m".into(),
+        version: 1,
+        size_bytes: Bytes(1),
+        limit_bytes: PerSecond(1.0),
+    };
+    operator.put_weights(&info).unwrap();
+    let kept = server.with_model(|m, _| m.weight_info(&"m".into(), 1));
+    assert_eq!(kept, Ok(info));
+}
+
+#[test]
+fn client_does_not_show_its_credential() {
+    let inbox = Inbox::open();
+    let bridge = Bridge::open(&inbox, 1);
+    let address = Address("127.0.0.1:9".into());
+    let timeouts = CallTimeouts::default();
+    let client = PlatformClient::open(bridge, &address, Some("secret".into()), timeouts);
+    assert!(!format!("{client:?}").contains("secret"));
 }
