Stand-in platform: stop returns only once connections are refused

Cause: tiny_http closes its listener on its own thread after the server is dropped; a client that connected in between was reset, which it rightly reports as may_have_run, so stopped_server_refuses_connections failed under load (message seen: Connection reset by peer). Ruled out: a foreign server on the freed port (the message would name a status).

--- a/crates/stand-ins/src/platform/server/mod.rs
+++ b/crates/stand-ins/src/platform/server/mod.rs
@@ -10,6 +10,7 @@
 use bluebell_base::prelude::*;
 use routes::{Answer, Call};
 use std::io::{self, Write};
+use std::net::TcpStream;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -21,6 +22,10 @@
 const FROZEN_CALLS: usize = 256;
 /// The largest body that is read.
 const BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// The longest a stop waits for the listener to close.
+const CLOSING: Duration = Duration::from_secs(10);
+/// The time between two looks whether it is closed.
+const CLOSING_STEP: Duration = Duration::from_millis(1);
 /// An answer that breaks off: the client sees a malformed chunk and closes the connection.
 const BROKEN_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nbroken\r\n";
 
@@ -103,6 +108,20 @@
                 log::error!("a thread of the platform stand-in panicked");
             }
         }
+        drop(self.shared);
+        wait_until_refused(&self.address);
+    }
+}
+
+/// Waits until nothing listens at the address, at most [`CLOSING`].
+///
+/// The HTTP library closes its listener on a thread of its own some time after the server is
+/// dropped. A client that connects in between is taken into the listener's backlog and reset,
+/// which it must report as "may have run"; whoever stopped the platform expects a refusal.
+fn wait_until_refused(address: &Address) {
+    let begun = Instant::now();
+    while begun.elapsed() < CLOSING && TcpStream::connect(address.as_str()).is_ok() {
+        thread::sleep(CLOSING_STEP);
     }
 }
 
--- a/crates/stand-ins/tests/platform_contract/http_only.rs
+++ b/crates/stand-ins/tests/platform_contract/http_only.rs
@@ -53,7 +53,7 @@
     let address = server.address();
     server.stop();
     let error = append_at(&address, None, "s").unwrap_err();
-    assert_eq!(error.verdict, Verdict::NotRun);
+    assert_eq!(error.verdict, Verdict::NotRun, "{error}");
 }
 
 #[test]
