Stand-ins: listen without Nagle's algorithm

Cause: tiny_http writes head and body of an answer separately and leaves TCP_NODELAY unset, so an answer of 2 KB waited for the client's delayed acknowledgment. With the option taken out, accepted_connections_send_at_once fails. Conclusion: any tiny_http server of the project needs this; streamed events most of all.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,4 +2,5 @@
 //! with faults that can be switched while they run.
 
 pub mod engine;
+pub mod listen;
 pub mod platform;
--- a/crates/stand-ins/src/platform/server/mod.rs
+++ b/crates/stand-ins/src/platform/server/mod.rs
@@ -7,6 +7,7 @@
 
 use super::faults::Fate;
 use super::model::{PlatformModel, PlatformSettings};
+use crate::listen::listen;
 use bluebell_base::prelude::*;
 use routes::{Answer, Call};
 use std::io::{self, Write};
@@ -63,7 +64,7 @@
     /// # Errors
     /// Those of listening at the address.
     pub fn bind(addr: &str, settings: PlatformSettings) -> io::Result<Self> {
-        let http = Server::http(addr).map_err(io::Error::other)?;
+        let http = listen(addr)?;
         let bound = http.server_addr().to_ip();
         let bound = bound.ok_or_else(|| io::Error::other("not an IP address"))?;
         let clock = Clock::start();
