--- /dev/null
+++ b/crates/upstreams/src/http/stream/mod.rs
@@ -0,0 +1,99 @@
+//! Reading a stream of events off a connection, one by one as their lines come.
+//!
+//! Invariants: each stream gives exactly one last event of its own request and attempt; nothing
+//! follows it.
+
+use super::exchange::{Exchange, Outgoing, broken, read_body, refusal};
+use super::wire::DATA_PREFIX;
+use crate::engine::{Event, EventBody};
+use bluebell_base::prelude::*;
+use std::io::{BufRead, BufReader, Read};
+
+/// The longest line of a stream.
+const LINE_LIMIT_BYTES: u64 = 1 << 20;
+
+/// The request and attempt whose events are read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Subject {
+    pub request: RequestId,
+    pub attempt: AttemptNo,
+}
+
+impl Subject {
+    /// The event that ends the stream where the engine itself did not.
+    pub fn failed(self, error: Error) -> Event {
+        Event {
+            request: self.request,
+            attempt: self.attempt,
+            body: EventBody::Failed { error },
+        }
+    }
+
+    /// Whether an event ends this stream; one that was crossed from another stream does not.
+    fn is_ended_by(self, event: &Event) -> bool {
+        let own = event.request == self.request && event.attempt == self.attempt;
+        let last = matches!(
+            event.body,
+            EventBody::Finished { .. } | EventBody::Failed { .. }
+        );
+        own && last
+    }
+}
+
+/// Makes the call and hands on its events until the last; `emit` returns whether to go on.
+pub(super) fn run(
+    exchange: &Exchange,
+    call: &Outgoing<'_>,
+    subject: Subject,
+    mut emit: impl FnMut(Event) -> bool,
+) {
+    let ended = read_events(exchange, call, subject, &mut emit);
+    if let Err(error) = ended {
+        emit(subject.failed(error));
+    }
+}
+
+fn read_events(
+    exchange: &Exchange,
+    call: &Outgoing<'_>,
+    subject: Subject,
+    emit: &mut impl FnMut(Event) -> bool,
+) -> Result<(), Error> {
+    let mut answer = exchange.send(call)?;
+    if !answer.status().is_success() {
+        let body = read_body(&mut answer)?;
+        return Err(refusal(answer.status().as_u16(), &body));
+    }
+    let mut lines = BufReader::new(answer.into_body().into_reader());
+    let mut line = Vec::new();
+    while let Some(event) = next_event(&mut lines, &mut line)? {
+        let last = subject.is_ended_by(&event);
+        if !emit(event) || last {
+            return Ok(());
+        }
+    }
+    Err(broken("the stream ended before its last event".into()))
+}
+
+/// Reads on to the next event; none at the end of the stream.
+fn next_event(lines: &mut impl BufRead, line: &mut Vec<u8>) -> Result<Option<Event>, Error> {
+    loop {
+        line.clear();
+        let mut limited = lines.by_ref().take(LINE_LIMIT_BYTES);
+        let read = limited.read_until(b'\n', line);
+        let count = read.map_err(|error| broken(format!("the stream broke off: {error}")))?;
+        if count == 0 {
+            return Ok(None);
+        }
+        if line.last() != Some(&b'\n') {
+            return Err(broken("a line of the stream is cut off or too long".into()));
+        }
+        // Lines without data are comments, which show that the engine is there, and separators.
+        if let Some(data) = line.strip_prefix(DATA_PREFIX.as_bytes()) {
+            let event = serde_json::from_slice(data);
+            return event
+                .map(Some)
+                .map_err(|error| broken(format!("bad event: {error}")));
+        }
+    }
+}
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -9,6 +9,7 @@
 //! late or crossed answer can be told apart; a call whose answer is lost is `MayHaveRun`.
 
 pub mod engine;
+pub mod http;
 pub mod prompt;
 pub mod service;
 
@@ -16,4 +17,5 @@
     CacheEvents, CancelAnswer, EngineOrder, EnginePort, Event, EventBody, FinishReason, Generate,
     Hold, HoldKind, LoadReport, OrderAnswer, Priority, Reserve, Resume, Role, StreamState,
 };
+pub use http::{HttpEngine, HttpService};
 pub use service::{ServiceAnswer, ServiceCall, ServicePort};
