Peers: signed JSON-RPC calls between nodes, in-process net for tests

One method takes the whole call enum: the signature covers kind and arguments alike, and an unknown kind gets a signed refusal. Only a refused connection is NotRun.

Claim keys now travel as hex text: a 128-bit JSON number does not survive decoding into an internally tagged enum.

--- /dev/null
+++ b/crates/peers/src/envelope/mod.rs
@@ -0,0 +1,203 @@
+//! The signed envelope around each call and answer.
+//!
+//! Terms: the *MAC* is HMAC-SHA-256 under the fleet's secret over the purpose, the time, the nonce
+//! and the exact text of the body; a *nonce* is drawn at random for each call.
+//!
+//! Invariants: a body is decoded only after its MAC was found right, in constant time; an answer's
+//! MAC covers the nonce of its call, so an answer can't be passed off as that of another call; a
+//! call is taken at most once while its time is within the allowed clock skew.
+
+mod replay;
+
+pub use replay::ReplayGuard;
+
+use crate::message::{PeerAnswer, PeerCall};
+use crate::settings::FleetSecret;
+use bluebell_base::prelude::*;
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use sha2::Sha256;
+use std::fmt::Write;
+
+type HmacSha256 = Hmac<Sha256>;
+
+/// Tells the MAC of a call from that of an answer.
+const CALL_PURPOSE: &[u8] = b"bluebellpond peer call v1";
+const ANSWER_PURPOSE: &[u8] = b"bluebellpond peer answer v1";
+
+/// Why an envelope was not opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum EnvelopeError {
+    /// The MAC is wrong: another secret, or a changed body.
+    #[error("the signature is wrong")]
+    BadSignature,
+    /// The time is too far from this VM's.
+    #[error("the call's time differs too much from this VM's wall clock")]
+    BadTime,
+    /// The nonce was seen before.
+    #[error("the call was seen before")]
+    Replayed,
+}
+
+/// A call as it travels.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SealedCall {
+    /// The caller's wall clock.
+    #[serde(rename = "t")]
+    pub sent_ms: WallMs,
+    /// Drawn at random for this call.
+    #[serde(rename = "n")]
+    pub nonce: u64,
+    /// The MAC, in hex.
+    #[serde(rename = "m")]
+    pub mac: Arc<str>,
+    /// The call's exact text.
+    #[serde(rename = "c")]
+    pub body: Box<RawValue>,
+}
+
+/// An answer as it travels.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SealedAnswer {
+    /// The MAC, in hex.
+    #[serde(rename = "m")]
+    pub mac: Arc<str>,
+    /// The answer's exact text.
+    #[serde(rename = "a")]
+    pub body: Box<RawValue>,
+}
+
+/// The body of an answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reply {
+    /// The answer to the call.
+    Ok(PeerAnswer),
+    /// The called node's refusal or failure.
+    Err(Error),
+}
+
+impl From<Result<PeerAnswer, Error>> for Reply {
+    fn from(result: Result<PeerAnswer, Error>) -> Self {
+        match result {
+            Ok(answer) => Self::Ok(answer),
+            Err(error) => Self::Err(error),
+        }
+    }
+}
+
+impl From<Reply> for Result<PeerAnswer, Error> {
+    fn from(reply: Reply) -> Self {
+        match reply {
+            Reply::Ok(answer) => Ok(answer),
+            Reply::Err(error) => Err(error),
+        }
+    }
+}
+
+impl SealedCall {
+    /// Signs a call.
+    pub fn seal(
+        secret: &FleetSecret,
+        sent_ms: WallMs,
+        nonce: u64,
+        call: &PeerCall,
+    ) -> Result<Self, serde_json::Error> {
+        let body = serde_json::value::to_raw_value(call)?;
+        let mac = call_mac(secret, sent_ms, nonce, &body);
+        Ok(Self {
+            sent_ms,
+            nonce,
+            mac: hex(&mac.finalize().into_bytes()),
+            body,
+        })
+    }
+
+    /// Checks the MAC, then the time and the nonce.
+    pub fn verify(
+        &self,
+        secret: &FleetSecret,
+        now_ms: WallMs,
+        guard: &mut ReplayGuard,
+    ) -> Result<(), EnvelopeError> {
+        check(
+            call_mac(secret, self.sent_ms, self.nonce, &self.body),
+            &self.mac,
+        )?;
+        guard.take(now_ms, self.sent_ms, self.nonce)
+    }
+}
+
+impl SealedAnswer {
+    /// Signs an answer to the call with this nonce.
+    pub fn seal(
+        secret: &FleetSecret,
+        nonce: u64,
+        reply: &Reply,
+    ) -> Result<Self, serde_json::Error> {
+        let body = serde_json::value::to_raw_value(reply)?;
+        let mac = answer_mac(secret, nonce, &body);
+        Ok(Self {
+            mac: hex(&mac.finalize().into_bytes()),
+            body,
+        })
+    }
+
+    /// Checks that this answers the call with this nonce.
+    pub fn verify(&self, secret: &FleetSecret, nonce: u64) -> Result<(), EnvelopeError> {
+        check(answer_mac(secret, nonce, &self.body), &self.mac)
+    }
+}
+
+fn call_mac(secret: &FleetSecret, sent_ms: WallMs, nonce: u64, body: &RawValue) -> HmacSha256 {
+    let mut mac = new_mac(secret, CALL_PURPOSE);
+    mac.update(&sent_ms.0.to_be_bytes());
+    mac.update(&nonce.to_be_bytes());
+    mac.update(body.get().as_bytes());
+    mac
+}
+
+fn answer_mac(secret: &FleetSecret, nonce: u64, body: &RawValue) -> HmacSha256 {
+    let mut mac = new_mac(secret, ANSWER_PURPOSE);
+    mac.update(&nonce.to_be_bytes());
+    mac.update(body.get().as_bytes());
+    mac
+}
+
+fn new_mac(secret: &FleetSecret, purpose: &[u8]) -> HmacSha256 {
+    let mut mac = HmacSha256::new_from_slice(secret.bytes()).expect("HMAC takes any key length");
+    mac.update(purpose);
+    mac
+}
+
+/// Compares in constant time, so that the time taken tells nothing of the right MAC.
+fn check(mac: HmacSha256, given: &str) -> Result<(), EnvelopeError> {
+    let given = unhex(given).ok_or(EnvelopeError::BadSignature)?;
+    mac.verify_slice(&given)
+        .map_err(|_| EnvelopeError::BadSignature)
+}
+
+fn hex(bytes: &[u8]) -> Arc<str> {
+    let mut text = String::with_capacity(2 * bytes.len());
+    for byte in bytes {
+        // Writing into a String can't fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text.into()
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    if !digits.len().is_multiple_of(2) {
+        return None;
+    }
+    digits
+        .chunks_exact(2)
+        .map(|pair| {
+            let high = char::from(pair[0]).to_digit(16)?;
+            let low = char::from(pair[1]).to_digit(16)?;
+            Some((high * 16 + low) as u8)
+        })
+        .collect()
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -5,15 +5,29 @@
 //! Invariants: every exchange is authenticated by the fleet's shared secret; a call whose answer
 //! is lost is `MayHaveRun`.
 
+mod client;
+pub mod envelope;
+#[cfg(feature = "fakes")]
+pub mod fakes;
 pub mod message;
+mod runtime;
+mod server;
+mod settings;
+mod stats;
 
+pub use client::JsonRpcPeers;
 pub use message::{
     ClaimAnswer, ClaimCall, ClaimKey, ClaimState, NodeCard, PeerAnswer, PeerCall, RequestReport,
     SettleCall, Settlement,
 };
+pub use runtime::PeerRuntime;
+pub use server::PeerServer;
+pub use settings::{FleetSecret, PeerSettings, WeakSecret};
+pub use stats::{CallCount, CallKind, PeerStats};
 
 use bluebell_base::prelude::*;
 use stakker::{Core, Ret};
+use std::hash::{BuildHasher, RandomState};
 
 /// Calls to peers.
 pub trait PeerPort {
@@ -34,3 +48,8 @@
     /// Takes the answer; dropping it answers `Unavailable`.
     pub ret: Ret<Result<PeerAnswer, Error>>,
 }
+
+/// A nonce from the process's randomly seeded hasher, which draws its keys from the system.
+fn nonce() -> u64 {
+    RandomState::new().hash_one(runtime::wall_ms().0)
+}
--- a/crates/peers/src/message/mod.rs
+++ b/crates/peers/src/message/mod.rs
@@ -4,7 +4,9 @@
 //! unknown kind is answered with an error, never with a crash.
 
 use bluebell_base::prelude::*;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
+use std::str::FromStr;
 
 /// What a node says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,10 +26,44 @@
 }
 
 /// An idempotency key's identity: a hash of the client account and the key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+///
+/// It travels as 32 hex digits: JSON numbers of 128 bits do not survive decoding into a tagged
+/// enum.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClaimKey(pub u128);
 
+impl fmt::Display for ClaimKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for ClaimKey {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let key = u128::from_str_radix(text, 16).map(Self);
+        match key {
+            // Only the printed form is accepted, so that a text and its key are one to one.
+            Ok(key) if key.to_string() == text => Ok(key),
+            _ => Err(ParseError::new("ClaimKey", text)),
+        }
+    }
+}
+
+impl Serialize for ClaimKey {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for ClaimKey {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
 /// A call to claim a key for one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimCall {
