--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -7,6 +7,20 @@
 //! Invariants: a claim is granted only when its record is read back with no newer epoch record
 //! before it, so two owners never grant the same key, whatever their clocks say.
 
+mod owner;
+mod print;
+pub mod records;
+pub mod reduce;
+mod router;
+mod settings;
+pub mod table;
+pub mod verify;
+
+pub use owner::{OwnerPhase, ShardReport};
+pub use records::shard_of;
+pub use router::{Claims, ClaimsHandle, ClaimsParts, ClaimsReport};
+pub use settings::{ClaimSettings, SettingsError};
+
 use bluebell_base::prelude::*;
 use bluebell_peers::{ClaimAnswer, ClaimCall, SettleCall};
 use stakker::{Core, Ret};
--- /dev/null
+++ b/crates/claims/src/router/pending.rs
@@ -0,0 +1,193 @@
+//! The claims that wait for an answer, and their attempts.
+
+use super::{Claims, Route, claim_answer, dropped};
+use crate::owner::ClaimRet;
+use bluebell_base::prelude::*;
+use bluebell_peers::{ClaimAnswer, ClaimCall, PeerAnswer, PeerCall, SettleCall, Settlement};
+use bluebell_timers::Subscription;
+use stakker::{CX, call, fwd_to, ret_to};
+use std::collections::HashMap;
+
+/// Tries to get an answer to one claim.
+const ATTEMPTS: u32 = 2;
+
+/// The claims that wait, by number.
+#[derive(Default)]
+pub(super) struct PendingClaims {
+    by_number: HashMap<u64, PendingClaim>,
+    next_number: u64,
+    given_up: u64,
+}
+
+struct PendingClaim {
+    call: ClaimCall,
+    ret: ClaimRet,
+    deadline: Subscription,
+    /// The attempts made so far; an answer names its own.
+    attempts: u32,
+    /// The peer that the last attempt went to; none: the owner here.
+    asked: Option<Incarnation>,
+    /// Whether the claim may be in the log without our knowing.
+    unsure: bool,
+}
+
+impl PendingClaims {
+    pub(super) fn len(&self) -> usize {
+        self.by_number.len()
+    }
+
+    pub(super) fn given_up(&self) -> u64 {
+        self.given_up
+    }
+}
+
+impl Claims {
+    pub(crate) fn claim(&mut self, cx: CX![], call: ClaimCall, ret: ClaimRet) {
+        if matches!(self.route(call.key), Route::Nowhere) {
+            ret.ret(Err(self.nowhere()));
+            return;
+        }
+        self.pending.next_number += 1;
+        let number = self.pending.next_number;
+        let fwd = fwd_to!([cx], |this, cx, _now_ms: MonoMs| this
+            .claim_late(cx, number));
+        let span_ms = self.parts.settings.claim_timeout_ms;
+        let deadline = self.parts.timers.subscribe_in(cx, span_ms, fwd);
+        let claim = PendingClaim {
+            call,
+            ret,
+            deadline,
+            attempts: 0,
+            asked: None,
+            unsure: false,
+        };
+        self.pending.by_number.insert(number, claim);
+        self.attempt(cx, number);
+    }
+
+    fn attempt(&mut self, cx: CX![], number: u64) {
+        let Some(claim) = self.pending.by_number.get(&number) else {
+            return;
+        };
+        let call = claim.call.clone();
+        let attempt = claim.attempts + 1;
+        let route = self.route(call.key);
+        let asked = match &route {
+            Route::Peer(incarnation, _) => Some(*incarnation),
+            Route::Here(_) | Route::Nowhere => None,
+        };
+        if let Some(claim) = self.pending.by_number.get_mut(&number) {
+            claim.attempts = attempt;
+            claim.asked = asked;
+        }
+        match route {
+            Route::Nowhere => {
+                let nowhere = self.nowhere();
+                self.give_up(cx, number, nowhere);
+            }
+            Route::Here(owner) => {
+                let ret = ret_to!(
+                    [cx],
+                    |this, cx, answer: Option<Result<ClaimAnswer, Error>>| {
+                        let answer = answer.unwrap_or_else(|| Err(dropped()));
+                        this.attempt_done(cx, number, attempt, answer)
+                    }
+                );
+                call!([owner], claim(call, ret));
+            }
+            Route::Peer(_, to) => {
+                let ret = ret_to!(
+                    [cx],
+                    |this, cx, answer: Option<Result<PeerAnswer, Error>>| {
+                        let answer = answer.unwrap_or_else(|| Err(dropped()));
+                        this.attempt_done(cx, number, attempt, claim_answer(answer))
+                    }
+                );
+                self.call_peer(cx, &to, PeerCall::Claim(call), ret);
+            }
+        }
+    }
+
+    fn attempt_done(
+        &mut self,
+        cx: CX![],
+        number: u64,
+        attempt: u32,
+        answer: Result<ClaimAnswer, Error>,
+    ) {
+        // The late grant: the claim was given up, its settlement is on its way, nobody runs.
+        let Some(claim) = self.pending.by_number.get_mut(&number) else {
+            return;
+        };
+        let error = match answer {
+            Ok(answer) => {
+                if let Some(claim) = self.pending.by_number.remove(&number) {
+                    self.parts.timers.cancel(cx, claim.deadline);
+                    claim.ret.ret(Ok(answer));
+                }
+                return;
+            }
+            Err(error) => error,
+        };
+        claim.unsure |= error.verdict != Verdict::NotRun;
+        if claim.attempts != attempt {
+            return;
+        }
+        if self.is_worth_another(number, &error) {
+            self.attempt(cx, number);
+        } else {
+            self.give_up(cx, number, error);
+        }
+    }
+
+    /// Another attempt helps where another owner serves now, or where only the answer was lost:
+    /// the owner answers the same request again.
+    fn is_worth_another(&self, number: u64, error: &Error) -> bool {
+        let Some(claim) = self.pending.by_number.get(&number) else {
+            return false;
+        };
+        if claim.attempts >= ATTEMPTS {
+            return false;
+        }
+        let changed = match self.route(claim.call.key) {
+            Route::Nowhere => return false,
+            Route::Here(_) => claim.asked.is_some(),
+            Route::Peer(incarnation, _) => claim.asked != Some(incarnation),
+        };
+        changed || error.verdict != Verdict::NotRun
+    }
+
+    /// The claim's time is over; an attempt is still under way.
+    fn claim_late(&mut self, cx: CX![], number: u64) {
+        if let Some(claim) = self.pending.by_number.get_mut(&number) {
+            claim.unsure = true;
+        }
+        let late = Error::not_run(ErrorKind::Unavailable, "the key's owner does not answer");
+        self.give_up(cx, number, late);
+    }
+
+    /// Answers that the request must not run.
+    ///
+    /// The failure this guards against: the claim is recorded but its answer was lost, so the key
+    /// would stay held by a request that never runs. The settlement frees it. It is true, since
+    /// this request's answer is given here and is no grant.
+    fn give_up(&mut self, cx: CX![], number: u64, error: Error) {
+        let Some(claim) = self.pending.by_number.remove(&number) else {
+            return;
+        };
+        self.pending.given_up += 1;
+        self.parts.timers.cancel(cx, claim.deadline);
+        if claim.unsure {
+            let call = SettleCall {
+                key: claim.call.key,
+                request: claim.call.request,
+                settlement: Settlement::NotRun,
+            };
+            self.settle(cx, call);
+        }
+        let wait_ms = self.parts.settings.retry_after_ms;
+        let answer = Error::not_run(error.kind, error.message)
+            .retry_after(error.retry_after_ms.unwrap_or(wait_ms));
+        claim.ret.ret(Err(answer));
+    }
+}
