--- /dev/null
+++ b/crates/control/src/actor/lease_side/duties.rs
@@ -0,0 +1,228 @@
+//! What this node does about its duties on each tick: lapse, renew, take, balance, checkpoint.
+
+use crate::actor::Control;
+use crate::leases::{Spread, rank};
+use crate::records::{HeldRecord, LeaseRecord, Release, Renew, Take};
+use crate::{ControlEvent, Duty};
+use bluebell_base::prelude::*;
+use rand::Rng;
+use stakker::{CX, Ret};
+
+/// Renewals within one lease, so that one lost append still leaves another.
+const RENEWALS_PER_LEASE: u64 = 3;
+
+/// Records after which a checkpoint is written before its time, so that a fresh node finds one
+/// in the window that it reads.
+const CHECKPOINT_RECORDS: u64 = 512;
+
+/// The most by which a taker delays by chance, against takers that agree on the rank.
+const TAKE_JITTER_MS: u64 = 100;
+
+impl Control {
+    pub(in crate::actor) fn tick_leases(&mut self, cx: CX![], now_ms: MonoMs) {
+        for change in self.leases.holder.lapse(now_ms) {
+            self.announce(Some(change));
+        }
+        if self.leases.tail.is_none() {
+            return;
+        }
+        self.tick_reset(cx, now_ms);
+        self.finish_drain(now_ms);
+        if self.draining.is_some() || self.drained {
+            return;
+        }
+        self.renew(cx, now_ms);
+        self.take_free(cx, now_ms);
+        self.balance(cx, now_ms);
+        self.checkpoint(cx, now_ms);
+    }
+
+    fn renew(&mut self, cx: CX![], now_ms: MonoMs) {
+        let interval_ms = SpanMs(self.settings.ttl_ms.0 / RENEWALS_PER_LEASE);
+        let renewed_ms = self.leases.renewed_ms;
+        let due = renewed_ms.is_none_or(|at_ms| now_ms.since(at_ms) >= interval_ms);
+        let held = self.leases.holder.renewable();
+        if !due || held.is_empty() {
+            return;
+        }
+        self.leases.renewed_ms = Some(now_ms);
+        let op = self.operation();
+        self.leases.holder.sending(op, now_ms);
+        let holder = self.me.incarnation;
+        self.append_lease(cx, &LeaseRecord::Renew(Renew { op, holder, held }));
+    }
+
+    fn take_free(&mut self, cx: CX![], now_ms: MonoMs) {
+        let ttl_ms = self.settings.ttl_ms;
+        self.leases
+            .taking
+            .retain(|_, (_, at_ms)| now_ms.since(*at_ms) < ttl_ms);
+        if !self.may_take(now_ms) {
+            return;
+        }
+        let duties = self.settings.duties();
+        for duty in &duties {
+            if self.take_due(*duty, &duties, now_ms) {
+                self.take(cx, *duty, now_ms);
+            }
+        }
+    }
+
+    /// Whether this node's view is fresh enough to take anything.
+    ///
+    /// After an outage of the log all leases are over on all clocks and all nodes would take at
+    /// once; the old holders get the time of one renewal to keep what they had.
+    fn may_take(&self, now_ms: MonoMs) -> bool {
+        let leases = &self.leases;
+        let settled = now_ms.since(self.started_ms) >= self.settings.settle_ms;
+        let grace_ms = match leases.had_outage {
+            true => SpanMs(self.settings.ttl_ms.0 / 2),
+            false => SpanMs::ZERO,
+        };
+        let up = leases.up_since_ms;
+        let up = up.is_some_and(|since_ms| now_ms.since(since_ms) >= grace_ms);
+        // Read lately and to the end: what is older may hide a renewal. The log would refuse the
+        // take, so this saves appends and is no matter of safety.
+        let fresh_ms = SpanMs(self.settings.leases_tail_ms.0 * 4);
+        let fresh = leases
+            .read_ms
+            .is_some_and(|at_ms| now_ms.since(at_ms) <= fresh_ms);
+        settled && up && fresh && leases.at_end && leases.reducer.is_known()
+    }
+
+    fn take_due(&mut self, duty: Duty, duties: &[Duty], now_ms: MonoMs) -> bool {
+        let leases = &self.leases;
+        let busy = leases.taking.contains_key(&duty);
+        let cooling = leases.cooling.get(&duty);
+        let cooling = cooling.is_some_and(|until_ms| now_ms < *until_ms);
+        if busy || cooling || self.leases.holder_of(duty) == Some(self.me.incarnation) {
+            return false;
+        }
+        let wait_ms = self.settings.ttl_ms + self.settings.margin_ms;
+        let Some(free_ms) = leases.watch.free_at(duty, wait_ms) else {
+            return false;
+        };
+        let free_ms = free_ms.max(self.started_ms + self.settings.settle_ms);
+        if now_ms < free_ms {
+            return false;
+        }
+        let held = leases.holder.renewable().len() + leases.taking.len();
+        let delay_ms = self
+            .spread()
+            .delay_ms(duty, self.me.incarnation, held, duties.len());
+        let jitter_ms = SpanMs(self.random.random_range(0..=TAKE_JITTER_MS));
+        now_ms >= free_ms + delay_ms + jitter_ms
+    }
+
+    fn take(&mut self, cx: CX![], duty: Duty, now_ms: MonoMs) {
+        let op = self.operation();
+        self.leases.holder.sending(op, now_ms);
+        self.leases.taking.insert(duty, (op, now_ms));
+        let take = Take {
+            op,
+            duty,
+            holder: self.me.incarnation,
+            address: self.me.address.clone(),
+            seen: self.leases.reducer.touched(duty),
+        };
+        self.append_lease(cx, &LeaseRecord::Take(take));
+    }
+
+    fn spread(&self) -> Spread {
+        let live = self.nodes.iter().filter(|card| !card.leaving);
+        let mut nodes: Vec<Incarnation> = live.map(|card| card.incarnation).collect();
+        nodes.push(self.me.incarnation);
+        Spread { nodes }
+    }
+
+    /// Gives one duty back where this node has more than its share and another has none.
+    ///
+    /// One per lease time: a duty that moves costs its users a takeover.
+    fn balance(&mut self, cx: CX![], now_ms: MonoMs) {
+        let interval_ms = self.settings.ttl_ms;
+        let balanced_ms = *self.leases.balanced_ms.get_or_insert(now_ms);
+        if now_ms.since(balanced_ms) < interval_ms || !self.may_take(now_ms) {
+            return;
+        }
+        let jitter_ms = self.random.random_range(0..=interval_ms.0 / 2);
+        self.leases.balanced_ms = Some(now_ms + SpanMs(jitter_ms));
+        let spread = self.spread();
+        let held = self.leases.holder.renewable();
+        let share = spread.share(self.settings.duties().len());
+        let idle = |node: &Incarnation| {
+            let mut grants = self.leases.reducer.grants();
+            grants.all(|(_, grant)| grant.holder != Some(*node))
+        };
+        if held.len() <= share || !spread.nodes.iter().any(idle) {
+            return;
+        }
+        let me = self.me.incarnation;
+        let least_own = held
+            .into_iter()
+            .max_by_key(|held| rank(held.duty, me, &spread.nodes));
+        if let Some(record) = least_own {
+            let until_ms = now_ms + interval_ms + interval_ms;
+            self.leases.cooling.insert(record.duty, until_ms);
+            self.release(cx, vec![record]);
+        }
+    }
+
+    /// Stops acting on the duties first and tells the others afterwards.
+    fn release(&mut self, cx: CX![], held: Vec<HeldRecord>) {
+        for record in &held {
+            if self.leases.holder.drop_duty(record.duty).is_some() {
+                self.events.fwd(ControlEvent::Lost(record.duty));
+            }
+        }
+        let op = self.operation();
+        let holder = self.me.incarnation;
+        self.append_lease(cx, &LeaseRecord::Release(Release { op, holder, held }));
+    }
+
+    pub(in crate::actor) fn begin_drain(&mut self, cx: CX![], ret: Ret<()>) {
+        let held = self.leases.holder.renewable();
+        self.drained = true;
+        if held.is_empty() {
+            return ret.ret(());
+        }
+        self.drain_ends_ms = self.timers.now_ms(cx) + self.settings.ttl_ms;
+        self.draining = Some(ret);
+        self.release(cx, held);
+    }
+
+    /// Answers a drain once the release is read back, or once the leases are over anyway: with
+    /// the log down others take them after their end, and a stopping node must not wait for it.
+    pub(in crate::actor) fn finish_drain(&mut self, now_ms: MonoMs) {
+        if self.draining.is_none() {
+            return;
+        }
+        let me = self.me.incarnation;
+        let mut grants = self.leases.reducer.grants();
+        let released = grants.all(|(_, grant)| grant.holder != Some(me));
+        if (released || now_ms >= self.drain_ends_ms)
+            && let Some(ret) = self.draining.take()
+        {
+            ret.ret(());
+        }
+    }
+
+    fn checkpoint(&mut self, cx: CX![], now_ms: MonoMs) {
+        let leases = &self.leases;
+        if !leases.at_end
+            || !leases.reducer.is_known()
+            || !self.leases.valid(Duty::Snapshot, now_ms)
+        {
+            return;
+        }
+        let written_ms = *self.leases.checkpoint_ms.get_or_insert(now_ms);
+        let old = now_ms.since(written_ms) >= self.settings.checkpoint_ms;
+        let many = self.leases.next.0 >= self.leases.checkpoint_at.0 + CHECKPOINT_RECORDS;
+        let spaced = now_ms.since(written_ms) >= self.settings.leases_tail_ms;
+        if old || (many && spaced) {
+            self.leases.checkpoint_ms = Some(now_ms);
+            let op = self.operation();
+            let checkpoint = self.leases.reducer.checkpoint(op, self.leases.next);
+            self.append_lease(cx, &LeaseRecord::Checkpoint(checkpoint));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/actor/mod.rs
@@ -0,0 +1,185 @@
+//! The control actor of a node: follows both streams, publishes, holds leases, helps peers.
+//!
+//! Terms: the *config side* and the *lease side* are its two halves, each with a tail, an
+//! appender and a reducer of its own stream.
+//!
+//! Invariants: the configuration in force only goes forward; a duty is announced as held only
+//! while its lease is valid on this node's clock.
+
+mod config_side;
+mod lease_side;
+mod peer_side;
+mod publishing;
+
+use crate::print::{ControlDump, HeldDump, VersionSeen};
+use crate::settings::{ControlPorts, ControlSettings, NodeIdentity};
+use crate::{ControlEvent, Duty, Lease, Published};
+use bluebell_base::prelude::*;
+use bluebell_peers::{NodeCard, PeerAnswer};
+use bluebell_timers::Timers;
+use config_side::ConfigSide;
+use lease_side::LeaseSide;
+use peer_side::PeerSide;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stakker::{ActorOwn, CX, Core, Fwd, Ret, actor, fwd_to, ret_nop};
+
+/// The time between two looks at what is due: lapses, renewals, takes, snapshots, timeouts.
+const TICK_MS: SpanMs = SpanMs(100);
+
+/// The control actor; see [`Control::spawn`].
+pub struct Control {
+    me: NodeIdentity,
+    ports: ControlPorts,
+    settings: ControlSettings,
+    timers: Timers,
+    events: Fwd<ControlEvent>,
+    random: ChaCha8Rng,
+    nodes: Vec<NodeCard>,
+    config: ConfigSide,
+    leases: LeaseSide,
+    peers: PeerSide,
+    started_ms: MonoMs,
+    draining: Option<Ret<()>>,
+    drained: bool,
+    drain_ends_ms: MonoMs,
+}
+
+impl Control {
+    /// Spawns the actor; it begins to read at once and tells what is agreed through `events`.
+    pub fn spawn(
+        core: &mut Core,
+        me: NodeIdentity,
+        ports: ControlPorts,
+        timers: Timers,
+        settings: ControlSettings,
+        seed: u64,
+        events: Fwd<ControlEvent>,
+    ) -> ActorOwn<Control> {
+        let start = (me, ports, timers, settings, seed, events);
+        actor!(core, Control::init(start), ret_nop!())
+    }
+
+    fn init(
+        cx: CX![],
+        start: (
+            NodeIdentity,
+            ControlPorts,
+            Timers,
+            ControlSettings,
+            u64,
+            Fwd<ControlEvent>,
+        ),
+    ) -> Option<Self> {
+        let (me, ports, timers, settings, seed, events) = start;
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let config = ConfigSide::open(cx, &ports, &timers, &settings, &mut random);
+        let leases = LeaseSide::open(cx, &me, &ports, &timers, &settings, &mut random);
+        let started_ms = timers.now_ms(cx);
+        let mut control = Self {
+            me,
+            ports,
+            settings,
+            timers,
+            events,
+            random,
+            nodes: Vec::new(),
+            config,
+            leases,
+            peers: PeerSide::default(),
+            started_ms,
+            draining: None,
+            drained: false,
+            drain_ends_ms: MonoMs(0),
+        };
+        control.find_leases_end(cx);
+        control.tick(cx, started_ms);
+        Some(control)
+    }
+
+    /// Publishes `body` as the version behind `base`.
+    ///
+    /// Answered once the record is read back: a publication that lost its append's answer is
+    /// found again by its operation id. An error with [`Verdict::MayHaveRun`] names that id; the
+    /// publication may still come into force.
+    pub fn publish(
+        &mut self,
+        cx: CX![],
+        base: ConfigVersion,
+        body: Arc<str>,
+        ret: Ret<Result<Published, Error>>,
+    ) {
+        self.begin_publication(cx, base, body, ret);
+    }
+
+    /// Answers a peer that asks for the configuration.
+    pub fn peer_config(&mut self, _cx: CX![], have: ConfigVersion, ret: Ret<PeerAnswer>) {
+        let version = self.config.in_force_version();
+        let body = (version > have).then(|| self.config.in_force_body());
+        ret.ret(PeerAnswer::Config { version, body });
+    }
+
+    /// The live nodes, by their cards, as membership knows them.
+    pub fn nodes_changed(&mut self, cx: CX![], nodes: Vec<NodeCard>) {
+        self.nodes = nodes;
+        self.nodes
+            .retain(|card| card.incarnation != self.me.incarnation);
+        self.raise_floor(cx);
+    }
+
+    /// Gives all duties back and takes none any more; answered when others may take them.
+    pub fn drain(&mut self, cx: CX![], ret: Ret<()>) {
+        self.begin_drain(cx, ret);
+    }
+
+    /// The configuration in force, as its operators wrote it, with its version.
+    pub fn in_force(&mut self, _cx: CX![], ret: Ret<(ConfigVersion, Arc<str>)>) {
+        ret.ret((self.config.in_force_version(), self.config.in_force_body()));
+    }
+
+    /// The versions that came into force on this node, oldest first.
+    pub fn history(&mut self, _cx: CX![], ret: Ret<Vec<VersionSeen>>) {
+        ret.ret(self.config.history());
+    }
+
+    /// What this node knows of what is agreed.
+    pub fn dump(&mut self, _cx: CX![], ret: Ret<ControlDump>) {
+        let until = |(lease, until_ms): (&Lease, MonoMs)| HeldDump {
+            lease: lease.clone(),
+            until_ms,
+        };
+        ret.ret(ControlDump {
+            in_force: self.config.in_force_version(),
+            seen_at_peers: self.peers.floor(),
+            log_version: self.config.log_version(),
+            pending_updates: self.config.pending_updates(),
+            unresolved: self.config.unresolved(),
+            contradictions: self.config.contradictions(),
+            skipped: self.config.skipped().plus(self.leases.skipped()),
+            leases_known: self.leases.is_known(),
+            leases: self.leases.all(),
+            held: self.leases.until().map(until).collect(),
+            vacant: self.vacant(),
+            log_down: self.config.is_down() || self.leases.is_down(),
+        });
+    }
+
+    fn vacant(&self) -> Vec<Duty> {
+        let mut duties = self.settings.duties();
+        duties.retain(|duty| self.leases.holder_of(*duty).is_none());
+        duties
+    }
+
+    fn tick(&mut self, cx: CX![], now_ms: MonoMs) {
+        self.tick_publications(now_ms);
+        self.tick_leases(cx, now_ms);
+        self.tick_snapshot(cx, now_ms);
+        self.tick_peers(cx, now_ms);
+        let again = fwd_to!([cx], tick() as (MonoMs));
+        self.timers.subscribe_in(cx, TICK_MS, again);
+    }
+
+    fn operation(&mut self) -> OperationId {
+        OperationId(self.random.random())
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,13 +1,24 @@
 //! What is agreed through the log: the configuration in force, leases of duties with fencing
 //! numbers, orders to upstreams, and the reclaiming of memory that dead owners hold.
 //!
-//! Terms: the *control stream* carries configuration, snapshot and lease records; a *duty* is a
-//! job that one node at a time does for the fleet; its *fencing number* is the offset of the
+//! Terms: the *config stream* carries configuration and snapshot records, the *leases stream*
+//! lease records; a *duty* is a job that one node at a time does for the fleet; its *fencing number* is the offset of the
 //! record that granted it.
 //!
-//! Invariants: the reduction of the control stream is deterministic in log order; a lease is
+//! Invariants: the reduction of either stream is deterministic in log order; a lease is
 //! judged on its holder's monotonic clock from before the append was sent.
 
+pub mod actor;
+pub mod leases;
+pub mod print;
+pub mod records;
+pub mod reduce;
+pub mod settings;
+
+pub use actor::Control;
+pub use print::{ControlDump, VersionSeen, VersionSource};
+pub use settings::{ControlPorts, ControlSettings, NodeIdentity};
+
 use bluebell_base::prelude::*;
 use bluebell_config::FleetConfig;
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/control/src/records/mod.rs
@@ -0,0 +1,17 @@
+//! The records of the two control streams, as typed JSON.
+//!
+//! Terms: the *config stream* carries [`ConfigRecord`]s, the *leases stream* [`LeaseRecord`]s; a
+//! text too large for one record is cut into *parts*, which stand at consecutive offsets.
+//!
+//! Invariants: unknown fields are ignored and unknown kinds skipped, so that a node can read what
+//! a newer version wrote; whether a record counts depends on its text alone, never on the reader.
+
+mod codec;
+mod config;
+mod leases;
+mod parts;
+
+pub use codec::{DecodeError, Record, decode, encode};
+pub use config::{ConfigRecord, Snapshot, Update};
+pub use leases::{Checkpoint, GrantRecord, HeldRecord, LeaseRecord, Release, Renew, Reset, Take};
+pub use parts::{MAX_PARTS, Part, cut};
--- /dev/null
+++ b/crates/members/src/actor/mod.rs
@@ -0,0 +1,199 @@
+//! The membership actor of a node.
+//!
+//! Terms: an upstream's *effective state* joins the list's word with the upstream's own refusals;
+//! *news* is a refusal that this node did not know of.
+//!
+//! Invariants: an upstream that leaves by either source is announced as leaving; events are sent
+//! only for changes of the effective state.
+
+mod listing_side;
+mod probe_side;
+
+use crate::evidence::Evidence;
+use crate::listing::Listing;
+use crate::nodes::Nodes;
+use crate::settings::{MembersPorts, MembersSettings};
+use crate::{MemberEvent, MembersDump};
+use bluebell_base::prelude::*;
+use bluebell_peers::{NodeCard, PeerAnswer};
+use bluebell_platform::{VmEntry, VmRole, VmState};
+use bluebell_timers::Timers;
+use listing_side::ListingSide;
+use probe_side::ProbeSide;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stakker::{ActorOwn, CX, Core, Fwd, Ret, actor, fwd_to, ret_nop};
+use std::collections::BTreeMap;
+
+/// The time between two looks at what is due.
+const TICK_MS: SpanMs = SpanMs(200);
+
+/// The membership actor; see [`Members::spawn`].
+pub struct Members {
+    card: NodeCard,
+    ports: MembersPorts,
+    settings: MembersSettings,
+    timers: Timers,
+    events: Fwd<MemberEvent>,
+    random: ChaCha8Rng,
+    listing: Listing,
+    evidence: Evidence,
+    nodes: Nodes,
+    announced: BTreeMap<UpstreamName, VmEntry>,
+    list_side: ListingSide,
+    probes: ProbeSide,
+    ticked_ms: MonoMs,
+}
+
+impl Members {
+    /// Spawns the actor; it fetches the list at once and tells changes through `events`.
+    pub fn spawn(
+        core: &mut Core,
+        card: NodeCard,
+        ports: MembersPorts,
+        timers: Timers,
+        settings: MembersSettings,
+        seed: u64,
+        events: Fwd<MemberEvent>,
+    ) -> ActorOwn<Members> {
+        let start = (card, ports, timers, settings, seed, events);
+        actor!(core, Members::init(start), ret_nop!())
+    }
+
+    fn init(
+        cx: CX![],
+        start: (
+            NodeCard,
+            MembersPorts,
+            Timers,
+            MembersSettings,
+            u64,
+            Fwd<MemberEvent>,
+        ),
+    ) -> Option<Self> {
+        let (card, ports, timers, settings, seed, events) = start;
+        let mut nodes = Nodes::new(card.address.clone());
+        settings
+            .seeds
+            .iter()
+            .for_each(|seed| nodes.on_candidate(seed));
+        let now_ms = timers.now_ms(cx);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let list_side = ListingSide::open(cx, &ports, &timers, &settings, random.random());
+        let mut members = Self {
+            evidence: Evidence::new(settings.refusal_ms),
+            card,
+            ports,
+            settings,
+            timers,
+            events,
+            random,
+            listing: Listing::default(),
+            nodes,
+            announced: BTreeMap::new(),
+            list_side,
+            probes: ProbeSide::new(now_ms),
+            ticked_ms: now_ms,
+        };
+        members.tick(cx, now_ms);
+        Some(members)
+    }
+
+    /// An upstream refused this node's work because it leaves.
+    pub fn upstream_refused(&mut self, cx: CX![], name: UpstreamName) {
+        let now_ms = self.timers.now_ms(cx);
+        if self.evidence.on_refusal(&name, now_ms) {
+            self.announce(&name, now_ms);
+            self.spread_news(cx, now_ms);
+        }
+    }
+
+    /// A peer probes this node.
+    pub fn probed(
+        &mut self,
+        cx: CX![],
+        card: NodeCard,
+        leaving: Vec<UpstreamName>,
+        ret: Ret<PeerAnswer>,
+    ) {
+        let now_ms = self.timers.now_ms(cx);
+        ret.ret(PeerAnswer::Probe {
+            card: self.card.clone(),
+            leaving: self.evidence.to_tell(now_ms),
+        });
+        self.hear(cx, &card, &leaving);
+    }
+
+    /// The configuration in force here changed; told to peers in this node's card.
+    pub fn config_changed(&mut self, _cx: CX![], version: ConfigVersion) {
+        self.card.config = version;
+    }
+
+    /// This node begins to stop; peers are told at once.
+    pub fn leave(&mut self, cx: CX![]) {
+        self.card.leaving = true;
+        let now_ms = self.timers.now_ms(cx);
+        self.spread_news(cx, now_ms);
+    }
+
+    /// This node writes the directory stream from now on, under `fencing`, until `until_ms`.
+    pub fn duty_held(&mut self, cx: CX![], fencing: Fencing, until_ms: MonoMs) {
+        self.hold_duty(cx, fencing, until_ms);
+    }
+
+    /// This node no longer writes the directory stream.
+    pub fn duty_lost(&mut self, _cx: CX![]) {
+        self.drop_duty();
+    }
+
+    /// What this node knows of the fleet.
+    pub fn dump(&mut self, cx: CX![], ret: Ret<MembersDump>) {
+        let now_ms = self.timers.now_ms(cx);
+        ret.ret(MembersDump {
+            card: self.card.clone(),
+            nodes: self.nodes.live(),
+            listed: self.listing.entries().cloned().collect(),
+            refused: self.evidence.to_tell(now_ms),
+            writes_directory: self.writes_directory(now_ms),
+            directory_stale: self.is_stale(now_ms),
+        });
+    }
+
+    fn tick(&mut self, cx: CX![], now_ms: MonoMs) {
+        for name in self.evidence.expire(self.ticked_ms, now_ms) {
+            self.announce(&name, now_ms);
+        }
+        self.ticked_ms = now_ms;
+        self.tick_listing(cx, now_ms);
+        self.tick_probes(cx, now_ms);
+        let again = fwd_to!([cx], tick() as (MonoMs));
+        self.timers.subscribe_in(cx, TICK_MS, again);
+    }
+
+    /// Tells the effective state of an upstream, if it changed.
+    fn announce(&mut self, name: &UpstreamName, now_ms: MonoMs) {
+        let entry = self.listing.entry(&VmName(name.0.clone()));
+        let entry = entry.filter(|entry| entry.role != VmRole::Node);
+        let Some(mut entry) = entry.cloned() else {
+            if self.announced.remove(name).is_some() {
+                self.events.fwd(MemberEvent::UpstreamGone(name.clone()));
+            }
+            return;
+        };
+        if self.evidence.counts(name, now_ms) {
+            entry.state = VmState::Leaving;
+        }
+        let before = self.announced.insert(name.clone(), entry.clone());
+        if before.as_ref() == Some(&entry) {
+            return;
+        }
+        self.events.fwd(match entry.state {
+            VmState::Live => MemberEvent::UpstreamLive(entry),
+            VmState::Leaving => MemberEvent::UpstreamLeaving(name.clone()),
+        });
+    }
+
+    fn announce_nodes(&mut self) {
+        self.events.fwd(MemberEvent::Nodes(self.nodes.live()));
+    }
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -3,8 +3,19 @@
 //!
 //! Terms: the *directory* is the reduced state of the list; *evidence* is one source's word.
 
+pub mod actor;
+pub mod evidence;
+pub mod listing;
+pub mod nodes;
+pub mod settings;
+
+pub use actor::Members;
+pub use settings::{MembersPorts, MembersSettings};
+
 use bluebell_base::prelude::*;
+use bluebell_peers::NodeCard;
 use bluebell_platform::VmEntry;
+use serde::{Deserialize, Serialize};
 
 /// A change of what is known of the fleet.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,5 +27,22 @@
     /// An upstream is gone.
     UpstreamGone(UpstreamName),
     /// The live nodes changed, by their cards.
-    Nodes(Vec<bluebell_peers::NodeCard>),
+    Nodes(Vec<NodeCard>),
+}
+
+/// What membership knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembersDump {
+    /// This node's own card.
+    pub card: NodeCard,
+    /// The live peers.
+    pub nodes: Vec<NodeCard>,
+    /// The list as believed.
+    pub listed: Vec<VmEntry>,
+    /// Upstreams that lately said themselves that they leave.
+    pub refused: Vec<UpstreamName>,
+    /// Whether this node writes the directory stream.
+    pub writes_directory: bool,
+    /// Whether the directory stream is stale and this node fetches the list itself.
+    pub directory_stale: bool,
 }
