--- /dev/null
+++ b/crates/requests/src/actor/arrivals.rs
@@ -0,0 +1,327 @@
+//! Calls as they arrive: checked against the configuration and made into lives.
+
+use super::Requests;
+use crate::call::{CallerCall, CallerEvent, CallerId, CallerSink, Completion, ServiceRequest};
+use crate::life::{Answer, Exchange, Life, LinkNo, Phase, Reader, Work};
+use crate::observe::RefusedBy;
+use bluebell_base::prelude::*;
+use bluebell_config::{FleetConfig, NoRepeat, Service};
+use bluebell_peers::{ClaimCall, ClaimKey};
+use bluebell_policy::Job;
+use bluebell_upstreams::ServiceCall;
+use sha2::{Digest, Sha256};
+use stakker::CX;
+
+/// A call that was refused before it became a request, and why.
+struct Refused {
+    by: RefusedBy,
+    error: Error,
+}
+
+impl Requests {
+    /// A caller calls.
+    pub(super) fn call(&mut self, cx: CX![], call: CallerCall) {
+        match call {
+            CallerCall::Complete {
+                caller,
+                completion,
+                sink,
+            } => self.complete(cx, caller, completion, sink),
+            CallerCall::Service { caller, call, sink } => self.service(cx, caller, call, sink),
+            CallerCall::ReadOn { caller, call, sink } => self.read_on(cx, caller, call, sink),
+            CallerCall::Report {
+                account,
+                request,
+                reply,
+            } => self.report(cx, account, request, reply),
+            CallerCall::Cancel {
+                account,
+                request,
+                reply,
+            } => self.cancel(cx, account, request, reply),
+            CallerCall::Gone { caller } => self.gone(cx, caller),
+        }
+    }
+
+    fn complete(
+        &mut self,
+        cx: CX![],
+        caller: CallerId,
+        completion: Completion,
+        sink: Box<dyn CallerSink>,
+    ) {
+        let now_ms = self.timers.now_ms(cx);
+        match self.completion_life(completion, now_ms) {
+            Ok(mut life) => {
+                life.reader = attached(caller, sink);
+                self.take_in(cx, life);
+            }
+            Err(refused) => self.turn_away(sink.as_ref(), refused),
+        }
+    }
+
+    fn service(
+        &mut self,
+        cx: CX![],
+        caller: CallerId,
+        call: ServiceRequest,
+        sink: Box<dyn CallerSink>,
+    ) {
+        let now_ms = self.timers.now_ms(cx);
+        match self.service_life(call, now_ms) {
+            Ok(mut life) => {
+                life.reader = attached(caller, sink);
+                self.take_in(cx, life);
+            }
+            Err(refused) => self.turn_away(sink.as_ref(), refused),
+        }
+    }
+
+    fn take_in(&mut self, cx: CX![], life: Life) {
+        let request = life.request;
+        let id = self.table.insert(life);
+        self.step(cx, id, request, |life, context| life.begin(context));
+        self.settle_down(cx);
+    }
+
+    fn turn_away(&mut self, sink: &dyn CallerSink, refused: Refused) {
+        self.observer.refused(refused.by);
+        sink.send(CallerEvent::Failed {
+            request: None,
+            error: refused.error,
+        });
+    }
+
+    fn open_config(&self) -> Result<Arc<FleetConfig>, Refused> {
+        if self.draining.is_some() {
+            return Err(self.unavailable(RefusedBy::Draining, "the node is stopping"));
+        }
+        let config = self.config.clone();
+        config.ok_or_else(|| self.unavailable(RefusedBy::NoConfig, "no configuration yet"))
+    }
+
+    fn unavailable(&self, by: RefusedBy, message: &str) -> Refused {
+        let error = Error::not_run(ErrorKind::Unavailable, message);
+        let error = error.retry_after(self.settings.retry_after_ms);
+        Refused { by, error }
+    }
+
+    fn completion_life(&mut self, call: Completion, now_ms: MonoMs) -> Result<Life, Refused> {
+        let config = self.open_config()?;
+        let (_, class) = config
+            .class(&call.class)
+            .ok_or_else(|| unknown(format!("no class of work is named {}", call.class)))?;
+        if !config.models.iter().any(|model| model.name == call.model) {
+            return Err(unknown(format!("no model is named {}", call.model)));
+        }
+        self.known_account(&config, &call.account)?;
+        let request = self.next_request();
+        let prompt_bytes = Bytes(call.prompt.len() as u64);
+        let prompt_tokens = self.lengths.estimate(&call.model, prompt_bytes);
+        let end_ms = call.deadline_ms.unwrap_or(class.end_ms).min(class.end_ms);
+        let max_tokens = call.max_tokens.min(config.limits.answer_tokens);
+        let account_id = AccountId(self.accounts.intern(&call.account));
+        let claim = match class.idempotent {
+            true => None,
+            false => completion_claim(request, &call, max_tokens),
+        };
+        let job = Job {
+            request,
+            account: account_id,
+            class: ClassId(self.classes.intern(&call.class)),
+            model: ModelId(self.models.intern(&call.model)),
+            prompt_tokens,
+            max_tokens,
+            prefixes: Vec::new(),
+            arrived_ms: now_ms,
+            first_token_due_ms: now_ms + class.first_token_ms(prompt_tokens),
+            deadline_ms: now_ms + end_ms,
+            idempotent: class.idempotent,
+            avoid: Vec::new(),
+        };
+        let answer = Answer {
+            class: call.class,
+            model: call.model,
+            prompt: Some(call.prompt),
+            prompt_bytes,
+            prompt_tokens: None,
+            max_tokens,
+            job: Some(job),
+            base: 0,
+            tokens: Vec::new(),
+            last_token_ms: None,
+        };
+        let work = Work::Answer(Box::new(answer));
+        let mut life = new_life(request, call.account, account_id, work, now_ms);
+        life.deadline_ms = now_ms + end_ms;
+        life.repeatable = class.idempotent;
+        life.claim = claim;
+        Ok(life)
+    }
+
+    fn service_life(&mut self, call: ServiceRequest, now_ms: MonoMs) -> Result<Life, Refused> {
+        let config = self.open_config()?;
+        let service = config.services.iter().find(|s| s.name == call.service);
+        let service =
+            service.ok_or_else(|| unknown(format!("no service is named {}", call.service)))?;
+        self.known_account(&config, &call.account)?;
+        let request = self.next_request();
+        let account_id = AccountId(self.accounts.intern(&call.account));
+        let repeatable = may_repeat(service, &call.method, &call.path);
+        let claim = match repeatable {
+            true => None,
+            false => service_claim(request, &call),
+        };
+        let exchange = Exchange {
+            service: call.service,
+            call: ServiceCall {
+                request,
+                method: call.method,
+                path: call.path,
+                content_type: call.content_type,
+                body: call.body,
+                idempotency_key: call.idempotency_key,
+                timeout_ms: service.timeout_ms,
+            },
+            avoid: Vec::new(),
+        };
+        let work = Work::Exchange(Box::new(exchange));
+        let mut life = new_life(request, call.account, account_id, work, now_ms);
+        life.deadline_ms = now_ms + service.timeout_ms;
+        life.repeatable = repeatable;
+        life.claim = claim;
+        Ok(life)
+    }
+
+    fn known_account(&self, config: &FleetConfig, account: &AccountName) -> Result<(), Refused> {
+        if config.account(account).is_some() {
+            return Ok(());
+        }
+        let message = "the client account is not in the configuration";
+        let error = Error::not_run(ErrorKind::Unauthenticated, message);
+        let by = RefusedBy::Unknown;
+        Err(Refused { by, error })
+    }
+
+    fn next_request(&mut self) -> RequestId {
+        self.next_sequence += 1;
+        RequestId {
+            incarnation: self.incarnation,
+            sequence: self.next_sequence,
+        }
+    }
+}
+
+fn attached(caller: CallerId, sink: Box<dyn CallerSink>) -> Reader {
+    let from = 0;
+    Reader::Attached { caller, sink, from }
+}
+
+fn unknown(message: String) -> Refused {
+    Refused {
+        by: RefusedBy::Unknown,
+        error: Error::not_run(ErrorKind::Invalid, message),
+    }
+}
+
+/// A life that has not begun; its reader, deadline and claim are set by the caller.
+pub(super) fn new_life(
+    request: RequestId,
+    account: AccountName,
+    account_id: AccountId,
+    work: Work,
+    now_ms: MonoMs,
+) -> Life {
+    Life {
+        request,
+        account,
+        account_id,
+        arrived_ms: now_ms,
+        deadline_ms: now_ms,
+        repeatable: false,
+        claim: None,
+        admitted: false,
+        phase: Phase::Backoff { until_ms: now_ms },
+        reader: Reader::Detached { until_ms: now_ms },
+        attempt: AttemptNo(0),
+        earlier: Verdict::NotRun,
+        present: Verdict::NotRun,
+        link: LinkNo(0),
+        work,
+        cancels: Vec::new(),
+        requeues: 0,
+        ended: None,
+        alarm: None,
+    }
+}
+
+/// Whether a call may be repeated by the service's configuration.
+///
+/// A path that is not in its plain form (`//`, `/./`, `/../`, percent-encoding) might reach a call
+/// that may not be repeated without looking like it: it counts as one where the method fits any.
+fn may_repeat(service: &Service, method: &str, path: &str) -> bool {
+    let plain = path.split(['?', '#']).next().unwrap_or_default();
+    let odd = ["//", "/./", "/../", "%", "\\"];
+    let odd = odd.iter().any(|part| plain.contains(part)) || plain.ends_with("/..");
+    let matches = |pattern: &NoRepeat| {
+        let same_method = pattern.method.eq_ignore_ascii_case(method);
+        same_method && (odd || plain.starts_with(&*pattern.path))
+    };
+    !service.no_repeat.iter().any(matches)
+}
+
+/// Hashes parts so that no two different lists of parts give the same bytes.
+fn digest(parts: &[&[u8]]) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    hash.finalize().into()
+}
+
+fn claim_key(account: &AccountName, key: &IdempotencyKey) -> ClaimKey {
+    let hash = digest(&[account.as_str().as_bytes(), key.as_str().as_bytes()]);
+    let mut first = [0; 16];
+    first.copy_from_slice(&hash[..16]);
+    ClaimKey(u128::from_be_bytes(first))
+}
+
+fn fingerprint(parts: &[&[u8]]) -> u64 {
+    let hash = digest(parts);
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash[..8]);
+    u64::from_be_bytes(first)
+}
+
+fn completion_claim(request: RequestId, call: &Completion, max: Tokens) -> Option<ClaimCall> {
+    let key = call.idempotency_key.as_ref()?;
+    let fingerprint = fingerprint(&[
+        b"completion",
+        call.model.as_str().as_bytes(),
+        call.class.as_str().as_bytes(),
+        &max.0.to_be_bytes(),
+        call.prompt.as_bytes(),
+    ]);
+    Some(ClaimCall {
+        key: claim_key(&call.account, key),
+        fingerprint,
+        request,
+    })
+}
+
+fn service_claim(request: RequestId, call: &ServiceRequest) -> Option<ClaimCall> {
+    let key = call.idempotency_key.as_ref()?;
+    let fingerprint = fingerprint(&[
+        b"service",
+        call.service.as_str().as_bytes(),
+        call.method.as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ]);
+    Some(ClaimCall {
+        key: claim_key(&call.account, key),
+        fingerprint,
+        request,
+    })
+}
--- /dev/null
+++ b/crates/requests/src/actor/foreign.rs
@@ -0,0 +1,239 @@
+//! Requests that another node admitted: read on from the engine itself, reported and cancelled by
+//! asking that node.
+//!
+//! Terms: to *adopt* a stream is to resume it with this incarnation as its owner.
+//!
+//! Invariants: an adopted request is never generated; it ends by the longest end target of the
+//! configuration, whatever becomes of its engine.
+
+use super::Requests;
+use super::arrivals::new_life;
+use super::readers::{not_found, refuse};
+use crate::cursor::Cursor;
+use crate::life::{Answer, LinkNo, Phase, Reader, Run, Work};
+use crate::waits::{Wait, WaitId, Wish};
+use bluebell_base::prelude::*;
+use bluebell_peers::RequestReport;
+use stakker::{CX, ret_to};
+
+/// The stream that shall be adopted.
+struct Stream {
+    account: AccountName,
+    request: RequestId,
+    attempt: AttemptNo,
+    upstream: UpstreamName,
+    verdict: Verdict,
+}
+
+impl Requests {
+    /// Reads on by what a cursor says, without asking the node that gave it, which may be dead.
+    pub(super) fn adopt_by_cursor(&mut self, cx: CX![], cursor: &Cursor, wish: Wish) {
+        let stream = Stream {
+            account: cursor.account.clone(),
+            request: cursor.request,
+            attempt: cursor.attempt,
+            upstream: cursor.upstream.clone(),
+            // A cursor stands behind a delivered event, so it ran.
+            verdict: Verdict::Ran,
+        };
+        self.adopt(cx, stream, wish);
+    }
+
+    /// Asks the node that admitted `request`.
+    pub(super) fn ask_peer(
+        &mut self,
+        cx: CX![],
+        account: AccountName,
+        request: RequestId,
+        wish: Wish,
+    ) {
+        let wait = Wait {
+            account,
+            request,
+            wish,
+        };
+        let id = self.waits.insert(wait);
+        let ret = ret_to!(
+            [cx],
+            on_peer_answer(id) as (Result<Option<RequestReport>, Error>)
+        );
+        self.lookup.lookup(cx, request, ret);
+        // A silent peer must not hold the caller.
+        let fwd = stakker::fwd_to!([cx], on_peer_silent(id) as (MonoMs));
+        let wait_ms = self.settings.answer_wait_ms;
+        self.timers.subscribe_in(cx, wait_ms, fwd);
+    }
+
+    fn on_peer_silent(&mut self, cx: CX![], id: WaitId, _: MonoMs) {
+        self.on_peer_answer(cx, id, None);
+    }
+
+    fn on_peer_answer(
+        &mut self,
+        cx: CX![],
+        id: WaitId,
+        answer: Option<Result<Option<RequestReport>, Error>>,
+    ) {
+        let Some(wait) = self.waits.remove(id) else {
+            return;
+        };
+        match answer {
+            Some(Ok(Some(report))) if report.account == wait.account => {
+                self.grant(cx, report, wait.wish);
+            }
+            Some(Ok(_)) => deny(wait, not_found()),
+            Some(Err(_)) | None => {
+                let message = "the node that admitted the request can't be reached";
+                let error = Error::may_have_run(ErrorKind::Unavailable, message);
+                deny(wait, error.retry_after(self.settings.retry_after_ms));
+            }
+        }
+        self.settle_down(cx);
+    }
+
+    fn grant(&mut self, cx: CX![], report: RequestReport, wish: Wish) {
+        if let Wish::Report(reply) = wish {
+            return reply(Ok(report));
+        }
+        let ended = matches!(&*report.state, "failed" | "finished");
+        if matches!(wish, Wish::Cancel(_)) && ended {
+            if let Wish::Cancel(reply) = wish {
+                reply(Ok(report));
+            }
+            return;
+        }
+        let Some(upstream) = report.upstream.clone() else {
+            let message = "the request hasn't reached an engine; its own node has it";
+            let error = Error::may_have_run(ErrorKind::Unavailable, message);
+            let error = error.retry_after(self.settings.retry_after_ms);
+            let (account, request) = (report.account, report.request);
+            return deny(
+                Wait {
+                    account,
+                    request,
+                    wish,
+                },
+                error,
+            );
+        };
+        let stream = Stream {
+            account: report.account,
+            request: report.request,
+            attempt: report.attempt,
+            upstream,
+            verdict: report.verdict,
+        };
+        self.adopt(cx, stream, wish);
+    }
+
+    /// Becomes the owner of a stream and reads or cancels it.
+    ///
+    /// The old owner may be alive, and its grace after the hang-up may end now: the engine obeys
+    /// only the present owner's cancel, so the old node's one is refused with `NotOwner` and can't
+    /// cut the caller that reads on here.
+    fn adopt(&mut self, cx: CX![], stream: Stream, wish: Wish) {
+        let unavailable = |message: &str, after_ms: SpanMs| {
+            let error = Error::may_have_run(ErrorKind::Unavailable, message);
+            error.retry_after(after_ms)
+        };
+        let after_ms = self.settings.retry_after_ms;
+        let wait = Wait {
+            account: stream.account.clone(),
+            request: stream.request,
+            wish,
+        };
+        if self.draining.is_some() {
+            return deny(wait, unavailable("the node is stopping", after_ms));
+        }
+        let upstream = self.fleet.id(&stream.upstream);
+        let upstream = upstream.filter(|id| self.fleet.engine(*id).is_some());
+        let Some(upstream) = upstream else {
+            return deny(wait, unavailable("the engine isn't known here", after_ms));
+        };
+        let request = stream.request;
+        if let Some(id) = self.table.find(request) {
+            // Adopted meanwhile by another wish.
+            self.step(cx, id, request, |life, context| match wait.wish {
+                Wish::ReadOn { caller, sink, from } => life.attach(caller, sink, from, context),
+                Wish::Cancel(reply) => life.cancel(reply, context),
+                Wish::Report(_) => (),
+            });
+            return;
+        }
+        let life = self.adopted_life(cx, stream, upstream, &wait.wish);
+        let id = self.table.insert(life);
+        self.step(cx, id, request, |life, context| {
+            life.resume(context);
+            match wait.wish {
+                Wish::ReadOn { caller, sink, from } => life.attach(caller, sink, from, context),
+                Wish::Cancel(reply) => life.cancel(reply, context),
+                Wish::Report(_) => (),
+            }
+        });
+    }
+
+    fn adopted_life(
+        &mut self,
+        cx: CX![],
+        stream: Stream,
+        upstream: UpstreamId,
+        wish: &Wish,
+    ) -> crate::life::Life {
+        let now_ms = self.timers.now_ms(cx);
+        let base = match wish {
+            Wish::ReadOn { from, .. } => *from,
+            Wish::Report(_) | Wish::Cancel(_) => 0,
+        };
+        let account_id = AccountId(self.accounts.intern(&stream.account));
+        let answer = Answer {
+            class: ClassName::from("adopted"),
+            model: ModelName::from("adopted"),
+            prompt: None,
+            prompt_bytes: Bytes::ZERO,
+            prompt_tokens: None,
+            max_tokens: Tokens::ZERO,
+            job: None,
+            base,
+            tokens: Vec::new(),
+            last_token_ms: None,
+        };
+        let work = Work::Answer(Box::new(answer));
+        let mut life = new_life(stream.request, stream.account, account_id, work, now_ms);
+        life.deadline_ms = now_ms + self.longest_end_ms();
+        life.admitted = true;
+        life.attempt = stream.attempt;
+        life.present = stream.verdict.max(Verdict::MayHaveRun);
+        life.reader = Reader::Detached {
+            until_ms: life.deadline_ms,
+        };
+        life.phase = Phase::Running(Run {
+            upstream,
+            group: None,
+            generated: None,
+            first_seq: base,
+            stream: LinkNo(0),
+            open: false,
+            accepted: true,
+            mode: crate::life::Mode::Reading,
+            heard_ms: now_ms,
+            quiet_ms: self.settings.stall_ms,
+            tries: 0,
+        });
+        life
+    }
+
+    /// The longest time that any class gives its requests.
+    fn longest_end_ms(&self) -> SpanMs {
+        let classes = self.config.iter().flat_map(|config| &config.classes);
+        let longest = classes.map(|class| class.end_ms).max();
+        longest.unwrap_or(self.settings.finished_keep_ms)
+    }
+}
+
+/// Tells a waiting caller that it does not get what it wished for.
+fn deny(wait: Wait, error: Error) {
+    match wait.wish {
+        Wish::ReadOn { sink, .. } => refuse(sink.as_ref(), wait.request, error),
+        Wish::Report(reply) | Wish::Cancel(reply) => reply(Err(error)),
+    }
+}
--- /dev/null
+++ b/crates/requests/src/actor/mod.rs
@@ -0,0 +1,356 @@
+//! The actor that owns a node's requests: a thin shell that finds the life a message is for, runs
+//! one pass over it and sends what the pass left as effects.
+//!
+//! Invariants: after each message every live request has a timer set for its next due instant, and
+//! the policy's due decisions are carried out.
+
+mod arrivals;
+mod effects;
+mod foreign;
+mod handle;
+mod inspect;
+mod readers;
+mod upstreams;
+
+pub use handle::RequestsHandle;
+pub use upstreams::EngineCard;
+
+use crate::budget::Budgets;
+use crate::call::CallerId;
+use crate::chores::Chores;
+use crate::cursor::Signer;
+use crate::finished::{Finished, Ring};
+use crate::fleet::Fleet;
+use crate::lengths::Lengths;
+use crate::life::{Alarm, Context, Effect, Life, Work};
+use crate::lookup::RequestLookup;
+use crate::names::Names;
+use crate::observe::RequestObserver;
+use crate::settings::RequestsSettings;
+use crate::table::{EntryId, Table};
+use crate::waits::Waits;
+use bluebell_base::prelude::*;
+use bluebell_claims::ClaimsPort;
+use bluebell_config::FleetConfig;
+use bluebell_policy::{Decision, Policy};
+use bluebell_timers::{Subscription, Timers};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use stakker::{CX, Core, Ret, actor, call, fwd_to, ret_nop};
+use std::rc::Rc;
+
+/// Rounds of decisions after one message; a policy that still has decisions due is asked again at
+/// once, but other messages come first.
+const DECISION_ROUNDS: usize = 8;
+
+/// What the requests need from the rest of the node.
+pub struct RequestsPorts {
+    /// The time.
+    pub timers: Timers,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// The fleet's shared secret, which signs cursors.
+    pub fleet_secret: Vec<u8>,
+    /// Claims of idempotency keys.
+    pub claims: Rc<dyn ClaimsPort>,
+    /// The policy.
+    pub policy: Box<dyn Policy>,
+    /// The metrics.
+    pub observer: Box<dyn RequestObserver>,
+    /// The way to other nodes' requests.
+    pub lookup: Rc<dyn RequestLookup>,
+    /// Seeds jitter and reservation ids.
+    pub seed: u64,
+}
+
+/// The requests of one node.
+pub struct Requests {
+    settings: RequestsSettings,
+    timers: Timers,
+    incarnation: Incarnation,
+    signer: Signer,
+    claims: Rc<dyn ClaimsPort>,
+    policy: Box<dyn Policy>,
+    observer: Box<dyn RequestObserver>,
+    lookup: Rc<dyn RequestLookup>,
+    rng: ChaCha8Rng,
+    config: Option<Arc<FleetConfig>>,
+    config_version: ConfigVersion,
+    accounts: Names<AccountName>,
+    classes: Names<ClassName>,
+    models: Names<ModelName>,
+    domains: Names<DomainName>,
+    fleet: Fleet,
+    table: Table,
+    chores: Chores,
+    ring: Ring,
+    waits: Waits,
+    budgets: Budgets,
+    lengths: Lengths,
+    next_sequence: u64,
+    draining: Option<Vec<Ret<()>>>,
+    policy_wake: Option<(MonoMs, Subscription)>,
+    effects: Vec<Effect>,
+    decisions: Vec<Decision>,
+    verify_steps: bool,
+}
+
+impl Requests {
+    /// Starts the requests of a node and returns their handle.
+    pub fn spawn(
+        core: &mut Core,
+        settings: RequestsSettings,
+        ports: RequestsPorts,
+    ) -> RequestsHandle {
+        let own = actor!(core, Requests::init(settings, ports), ret_nop!());
+        RequestsHandle::new(own)
+    }
+
+    fn init(_: CX![], settings: RequestsSettings, ports: RequestsPorts) -> Option<Self> {
+        Some(Self {
+            budgets: Budgets::new(&settings),
+            settings,
+            timers: ports.timers,
+            incarnation: ports.incarnation,
+            signer: Signer::new(&ports.fleet_secret),
+            claims: ports.claims,
+            policy: ports.policy,
+            observer: ports.observer,
+            lookup: ports.lookup,
+            rng: ChaCha8Rng::seed_from_u64(ports.seed),
+            config: None,
+            config_version: ConfigVersion(0),
+            accounts: Names::default(),
+            classes: Names::default(),
+            models: Names::default(),
+            domains: Names::default(),
+            fleet: Fleet::default(),
+            table: Table::default(),
+            chores: Chores::default(),
+            ring: Ring::default(),
+            waits: Waits::default(),
+            lengths: Lengths::default(),
+            next_sequence: 0,
+            draining: None,
+            policy_wake: None,
+            effects: Vec::new(),
+            decisions: Vec::new(),
+            verify_steps: false,
+        })
+    }
+
+    /// A configuration came into force.
+    fn set_config(&mut self, cx: CX![], version: ConfigVersion, config: Arc<FleetConfig>) {
+        if version < self.config_version {
+            return;
+        }
+        self.config_version = version;
+        self.config = Some(config);
+        self.settle_down(cx);
+    }
+
+    /// Runs `pass` on a live request and carries out what it left; `false` where the slot holds
+    /// another request (or none) by now.
+    fn step(
+        &mut self,
+        cx: CX![],
+        id: EntryId,
+        request: RequestId,
+        pass: impl FnOnce(&mut Life, &mut Context<'_>),
+    ) -> bool {
+        let now_ms = self.timers.now_ms(cx);
+        let mut effects = std::mem::take(&mut self.effects);
+        let Some(life) = self.table.get_mut(id, request) else {
+            self.effects = effects;
+            return false;
+        };
+        let reader = life.reader_id();
+        let mut context = Context {
+            now_ms,
+            owner: self.incarnation,
+            settings: &self.settings,
+            policy: self.policy.as_mut(),
+            observer: self.observer.as_mut(),
+            budgets: &mut self.budgets,
+            signer: &self.signer,
+            fleet: &self.fleet,
+            lengths: &mut self.lengths,
+            rng: &mut self.rng,
+            out: &mut effects,
+        };
+        pass(life, &mut context);
+        self.table.reindex(id, reader);
+        for effect in effects.drain(..) {
+            self.carry_out(cx, id, request, effect);
+        }
+        self.effects = effects;
+        self.after_step(cx, id, request);
+        true
+    }
+
+    /// Sets the request's timer anew, or takes it out where it has ended.
+    fn after_step(&mut self, cx: CX![], id: EntryId, request: RequestId) {
+        let Some(life) = self.table.get_mut(id, request) else {
+            return;
+        };
+        if life.is_done() {
+            self.retire(cx, id);
+            return;
+        }
+        let due_ms = life.next_due_ms();
+        // A timer that fires too early finds nothing due and is set again, so that each token
+        // needn't move it.
+        if life.alarm.is_some_and(|alarm| alarm.at_ms <= due_ms) {
+            return;
+        }
+        if let Some(alarm) = life.alarm.take() {
+            self.timers.cancel(cx, alarm.subscription);
+        }
+        let fwd = fwd_to!([cx], on_alarm(id, request) as (MonoMs));
+        let subscription = self.timers.subscribe_at(cx, due_ms, fwd);
+        life.alarm = Some(Alarm {
+            at_ms: due_ms,
+            subscription,
+        });
+    }
+
+    fn on_alarm(&mut self, cx: CX![], id: EntryId, request: RequestId, _: MonoMs) {
+        self.step(cx, id, request, |life, context| {
+            life.alarm = None;
+            life.on_due(context);
+        });
+        self.settle_down(cx);
+    }
+
+    /// Takes an ended request out of the table and keeps what its caller may still ask for.
+    fn retire(&mut self, cx: CX![], id: EntryId) {
+        let Some(mut life) = self.table.remove(id) else {
+            return;
+        };
+        if let Some(alarm) = life.alarm.take() {
+            self.timers.cancel(cx, alarm.subscription);
+        }
+        let report = life.report(&self.fleet);
+        for reply in life.cancels.drain(..) {
+            reply(Ok(report.clone()));
+        }
+        let Some(ended) = life.ended.take() else {
+            return;
+        };
+        let (base, tokens) = match life.work {
+            Work::Answer(answer) => (answer.base, answer.tokens),
+            Work::Exchange(_) => (0, Vec::new()),
+        };
+        let finished = Finished {
+            report,
+            at_ms: ended.at_ms,
+            base,
+            tokens,
+            last: ended.last,
+        };
+        self.ring.push(finished, &self.settings);
+    }
+
+    /// Ends each message: carries out due decisions, sets the policy's timer, ends a drain.
+    fn settle_down(&mut self, cx: CX![]) {
+        self.decide(cx);
+        self.set_policy_wake(cx);
+        self.end_drain();
+        if self.verify_steps {
+            let now_ms = self.timers.now_ms(cx);
+            self.verify(now_ms)
+                .expect("the invariants hold after each step");
+        }
+    }
+
+    fn decide(&mut self, cx: CX![]) {
+        for _ in 0..DECISION_ROUNDS {
+            let now_ms = self.timers.now_ms(cx);
+            let mut decisions = std::mem::take(&mut self.decisions);
+            decisions.clear();
+            self.policy.decide(now_ms, &mut decisions);
+            let idle = decisions.is_empty();
+            for decision in decisions.drain(..) {
+                self.on_decision(cx, decision);
+            }
+            self.decisions = decisions;
+            if idle {
+                return;
+            }
+        }
+        call!([cx], settle_down());
+    }
+
+    fn on_decision(&mut self, cx: CX![], decision: Decision) {
+        let request = match &decision {
+            Decision::Send { request, .. }
+            | Decision::Group { request, .. }
+            | Decision::Refuse { request, .. } => *request,
+        };
+        let Some(id) = self.table.find(request) else {
+            // It ended without the policy having heard: tell it, so that it frees what it counts.
+            let now_ms = self.timers.now_ms(cx);
+            let outcome = bluebell_policy::Outcome::NotRun;
+            self.policy.on_end(request, outcome, now_ms);
+            return;
+        };
+        self.step(cx, id, request, |life, context| match decision {
+            Decision::Send {
+                upstream, priority, ..
+            } => life.on_send(upstream, priority, context),
+            Decision::Group {
+                leader,
+                members,
+                priority,
+                ..
+            } => life.on_group(leader, &members, priority, context),
+            Decision::Refuse { refusal, .. } => life.on_refuse(refusal, context),
+        });
+    }
+
+    fn set_policy_wake(&mut self, cx: CX![]) {
+        let wanted = self.policy.next_wake_ms();
+        if wanted == self.policy_wake.map(|(at_ms, _)| at_ms) {
+            return;
+        }
+        if let Some((_, subscription)) = self.policy_wake.take() {
+            self.timers.cancel(cx, subscription);
+        }
+        let Some(at_ms) = wanted else { return };
+        let fwd = fwd_to!([cx], on_policy_wake() as (MonoMs));
+        let subscription = self.timers.subscribe_at(cx, at_ms, fwd);
+        self.policy_wake = Some((at_ms, subscription));
+    }
+
+    fn on_policy_wake(&mut self, cx: CX![], _: MonoMs) {
+        self.policy_wake = None;
+        self.settle_down(cx);
+    }
+
+    /// Takes no new calls; `ret` is called once the last request and chore have ended.
+    fn drain(&mut self, cx: CX![], ret: Ret<()>) {
+        self.draining.get_or_insert_default().push(ret);
+        self.settle_down(cx);
+    }
+
+    fn end_drain(&mut self) {
+        if !self.table.is_empty() || !self.chores.is_empty() || !self.waits.is_empty() {
+            return;
+        }
+        if let Some(waiting) = &mut self.draining {
+            for ret in waiting.drain(..) {
+                ret.ret(());
+            }
+        }
+    }
+
+    fn gone(&mut self, cx: CX![], caller: CallerId) {
+        if let Some(id) = self.table.find_caller(caller)
+            && let Some(request) = self.table.get(id).map(|life| life.request)
+        {
+            self.step(cx, id, request, |life, context| life.detach(context));
+        }
+        self.waits.forget(caller);
+        self.settle_down(cx);
+    }
+}
--- /dev/null
+++ b/crates/requests/src/life/begin.rs
@@ -0,0 +1,246 @@
+//! From arrival to the first upstream: the claim, the policy's admission and its decision.
+//!
+//! Invariants: work that may not be repeated and has a key isn't handed to anything that could run
+//! it before its claim is granted; work that may be repeated makes no claim.
+
+use super::{Context, Effect, Group, Life, Phase, Run, Work};
+use crate::call::CallerEvent;
+use crate::observe::RefusedBy;
+use bluebell_base::prelude::*;
+use bluebell_peers::{ClaimAnswer, ClaimState};
+use bluebell_policy::{Outcome, Refusal, RefusalReason};
+use bluebell_upstreams::{Generate, Priority};
+use rand::Rng;
+
+impl Life {
+    /// The request has arrived.
+    pub fn begin(&mut self, cx: &mut Context<'_>) {
+        match self.claim.clone() {
+            Some(claim) => {
+                let until_ms = cx.now_ms + cx.settings.claim_wait_ms;
+                self.phase = Phase::Claiming { until_ms };
+                cx.out.push(Effect::Claim(claim));
+            }
+            None => self.start(cx),
+        }
+    }
+
+    /// The answer to its claim came; `None` where the claims went away without one.
+    pub fn on_claim(&mut self, answer: Option<Result<ClaimAnswer, Error>>, cx: &mut Context<'_>) {
+        if !matches!(self.phase, Phase::Claiming { .. }) {
+            cx.observer.dropped_event();
+            return;
+        }
+        match answer {
+            Some(Ok(ClaimAnswer::Granted)) => self.start(cx),
+            Some(Ok(ClaimAnswer::Held { by, state, same })) => {
+                self.on_held(by, state, same, cx);
+            }
+            Some(Err(error)) => self.claim_failed(&error.message, error.retry_after_ms, cx),
+            None => self.claim_failed("the claims are stopping", None, cx),
+        }
+    }
+
+    /// The key could not be claimed: it must not run, and its caller hears so at once.
+    pub fn claim_failed(&mut self, why: &str, after_ms: Option<SpanMs>, cx: &mut Context<'_>) {
+        cx.observer.refused(RefusedBy::ClaimFailed);
+        let message = format!("the idempotency key could not be claimed: {why}");
+        let after_ms = after_ms.unwrap_or(cx.settings.retry_after_ms);
+        let error = Error::not_run(ErrorKind::Unavailable, message);
+        self.fail(error.retry_after(after_ms), cx);
+    }
+
+    fn on_held(&mut self, by: RequestId, state: ClaimState, same: bool, cx: &mut Context<'_>) {
+        // The claim was granted, its answer was lost and the claims asked again: it is ours.
+        if by == self.request && state == ClaimState::Pending {
+            self.start(cx);
+            return;
+        }
+        cx.observer.refused(RefusedBy::KeyHeld);
+        // Somebody else's claim isn't ours to settle.
+        self.claim = None;
+        let error = match (same, state) {
+            (false, _) => Error::not_run(
+                ErrorKind::Conflict,
+                format!("the idempotency key was used for other content, by {by}"),
+            ),
+            (true, ClaimState::Pending) => Error::may_have_run(
+                ErrorKind::Conflict,
+                format!("{by} holds the idempotency key and may have run"),
+            ),
+            (true, ClaimState::Ran) => Error::ran(
+                ErrorKind::Conflict,
+                format!("{by} used the idempotency key and ran"),
+            ),
+        };
+        self.fail_as(error, cx);
+    }
+
+    /// Nothing stands in the way of running it.
+    pub(crate) fn start(&mut self, cx: &mut Context<'_>) {
+        match self.work {
+            Work::Answer(_) => self.admit(cx),
+            Work::Exchange(_) => self.dispatch(cx),
+        }
+    }
+
+    /// Hands it to the policy, for the first time or again.
+    pub(crate) fn admit(&mut self, cx: &mut Context<'_>) {
+        let Some(job) = self.answer().and_then(|answer| answer.job.clone()) else {
+            return;
+        };
+        match cx.policy.admit(job, cx.now_ms) {
+            Ok(()) => {
+                self.phase = Phase::Queued;
+                self.tell_admitted(cx);
+            }
+            Err(refusal) => {
+                // The policy does not keep what it refuses, so there is nothing to withdraw.
+                self.phase = Phase::Backoff {
+                    until_ms: cx.now_ms,
+                };
+                self.refuse(refusal, cx);
+            }
+        }
+    }
+
+    /// The policy gives up what it had taken.
+    pub fn on_refuse(&mut self, refusal: Refusal, cx: &mut Context<'_>) {
+        if !matches!(self.phase, Phase::Queued) {
+            return;
+        }
+        // The policy no longer has it, so there is nothing to withdraw.
+        self.phase = Phase::Backoff {
+            until_ms: cx.now_ms,
+        };
+        self.refuse(refusal, cx);
+    }
+
+    /// Fails by the policy's refusal.
+    fn refuse(&mut self, refusal: Refusal, cx: &mut Context<'_>) {
+        cx.observer.refused(RefusedBy::Policy(refusal.reason));
+        let (kind, message) = match refusal.reason {
+            RefusalReason::NoEngine => (ErrorKind::Unavailable, "no engine serves the model now"),
+            RefusalReason::TooLate => (ErrorKind::Overloaded, "the deadline cannot be met"),
+            RefusalReason::OverShare => (ErrorKind::Overloaded, "the account is over its share"),
+            RefusalReason::Overloaded => (ErrorKind::Overloaded, "the fleet is over capacity"),
+            RefusalReason::TooLong => (ErrorKind::TooLarge, "longer than the fleet can hold"),
+        };
+        let error = Error::not_run(kind, message);
+        self.fail(error.retry_after(refusal.retry_after_ms), cx);
+    }
+
+    pub(crate) fn tell_admitted(&mut self, cx: &mut Context<'_>) {
+        if self.admitted {
+            return;
+        }
+        self.admitted = true;
+        cx.budgets.earn(self.account_id);
+        if let Some((class, band)) = self.labels() {
+            cx.observer.admitted(class, band);
+        }
+        let request = self.request;
+        self.tell(CallerEvent::Admitted { request }, cx);
+    }
+
+    /// The policy sends it to an engine.
+    pub fn on_send(&mut self, upstream: UpstreamId, priority: Priority, cx: &mut Context<'_>) {
+        if !matches!(self.phase, Phase::Queued) {
+            // Withdrawn or ended while the policy decided; the policy hears that nothing ran.
+            cx.policy.on_end(self.request, Outcome::NotRun, cx.now_ms);
+            return;
+        }
+        if !cx.fleet.takes_work(upstream) {
+            self.end_attempt(Outcome::NotRun, cx);
+            self.avoid(upstream);
+            self.back_off(cx);
+            return;
+        }
+        self.generate(upstream, priority, None, cx);
+    }
+
+    /// Sends it to an engine, alone or with a group whose memory is reserved.
+    pub(crate) fn generate(
+        &mut self,
+        upstream: UpstreamId,
+        priority: Priority,
+        group: Option<Group>,
+        cx: &mut Context<'_>,
+    ) {
+        debug_assert!(self.repeatable || self.verdict() == Verdict::NotRun);
+        self.attempt = AttemptNo(self.attempt.0 + 1);
+        let link = self.next_link();
+        let call = self.generate_call(priority, group.as_ref(), cx);
+        let first_seq = self.answer().map_or(0, |answer| answer.next_seq());
+        let mut run = Run::new(upstream, link, first_seq, cx);
+        run.generated = Some(link);
+        run.group = group;
+        self.phase = Phase::Running(run);
+        let Some(call) = call else {
+            let error = Error::not_run(ErrorKind::Internal, "the prompt is gone");
+            self.fail(error, cx);
+            return;
+        };
+        // From here on nobody can say that it didn't run until the engine says so.
+        self.present = Verdict::MayHaveRun;
+        cx.observer.attempt();
+        if self.attempt.0 > 1 {
+            cx.observer.retry();
+        }
+        let call = Box::new(call);
+        cx.out.push(Effect::Generate {
+            upstream,
+            link,
+            call,
+        });
+    }
+
+    fn generate_call(
+        &self,
+        priority: Priority,
+        group: Option<&Group>,
+        cx: &Context<'_>,
+    ) -> Option<Generate> {
+        let answer = self.answer()?;
+        Some(Generate {
+            request: self.request,
+            attempt: self.attempt,
+            owner: cx.owner,
+            model: answer.model.clone(),
+            prompt: answer.prompt.clone()?,
+            max_tokens: answer.max_tokens,
+            priority,
+            hold_ms: cx.settings.hold_ms,
+            deadline_ms: self.deadline_ms.since(cx.now_ms),
+            continue_from: answer.tokens.clone(),
+            group: group.map(|group| group.reservation),
+        })
+    }
+
+    /// Waits a jittered moment, then goes to the policy again.
+    pub(crate) fn back_off(&mut self, cx: &mut Context<'_>) {
+        let pause_ms = cx.settings.backoff(self.requeues);
+        self.requeues += 1;
+        let jitter = cx.rng.random_range(0.5..1.5);
+        let until_ms = cx.now_ms + pause_ms.mul_f64(jitter);
+        self.phase = Phase::Backoff { until_ms };
+    }
+
+    pub(crate) fn avoid(&mut self, upstream: UpstreamId) {
+        let Some(answer) = self.answer_mut() else {
+            return;
+        };
+        if let Some(job) = &mut answer.job
+            && !job.avoid.contains(&upstream)
+        {
+            job.avoid.push(upstream);
+        }
+    }
+
+    /// Tells the policy how the attempt ended; the policy knows nothing of an adopted request.
+    pub(crate) fn end_attempt(&self, outcome: Outcome, cx: &mut Context<'_>) {
+        if !self.is_adopted() {
+            cx.policy.on_end(self.request, outcome, cx.now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/requests/src/life/group.rs
@@ -0,0 +1,173 @@
+//! Groups: memory of several engines for one long prompt, all of it or none.
+//!
+//! Invariants: nothing is generated before every member granted its part; a group that lacks a
+//! part lets go of all others before it tries again, so no two groups wait for each other's
+//! memory; every part carries this node's incarnation and an expiry, so a dead node strands none.
+
+use super::{Context, Effect, Group, Life, Member, Phase};
+use bluebell_base::prelude::*;
+use bluebell_policy::{GroupPart, Outcome};
+use bluebell_upstreams::{Priority, Reserve};
+use rand::Rng;
+
+/// Renewals within one holding time, so that two may be lost without losing the memory.
+const RENEWALS_PER_HOLD: u64 = 3;
+
+impl Life {
+    /// The policy wants a group.
+    pub fn on_group(
+        &mut self,
+        leader: UpstreamId,
+        members: &[GroupPart],
+        priority: Priority,
+        cx: &mut Context<'_>,
+    ) {
+        if !matches!(self.phase, Phase::Queued) {
+            cx.policy.on_end(self.request, Outcome::NotRun, cx.now_ms);
+            return;
+        }
+        let members: Vec<Member> = members.iter().map(Member::wanted).collect();
+        let group = Group {
+            reservation: ReservationId(cx.rng.random()),
+            leader,
+            priority,
+            members,
+            due_ms: cx.now_ms + cx.settings.answer_wait_ms,
+        };
+        let ready = group.is_ready(cx);
+        self.push_reserves(&group, cx);
+        self.phase = Phase::Reserving(group);
+        if !ready {
+            self.group_failed(cx);
+        }
+    }
+
+    fn push_reserves(&self, group: &Group, cx: &mut Context<'_>) {
+        for member in &group.members {
+            cx.out.push(Effect::Reserve {
+                upstream: member.part.upstream,
+                call: Reserve {
+                    reservation: group.reservation,
+                    request: self.request,
+                    owner: cx.owner,
+                    kv_tokens: member.part.kv_tokens,
+                    hold_ms: cx.settings.hold_ms,
+                },
+            });
+        }
+    }
+
+    /// A member's answer to a reservation or renewal.
+    pub fn on_reserved(
+        &mut self,
+        reservation: ReservationId,
+        upstream: UpstreamId,
+        granted: bool,
+        cx: &mut Context<'_>,
+    ) {
+        let held = match &mut self.phase {
+            Phase::Reserving(group) => Some(group),
+            Phase::Running(run) => run.group.as_mut(),
+            _ => None,
+        };
+        let Some(group) = held.filter(|group| group.reservation == reservation) else {
+            // The group was given up while this member's answer was on its way, and its release
+            // may have overtaken the grant: without another one the memory would be held by
+            // nobody until it expires.
+            if granted {
+                cx.out.push(Effect::Release {
+                    upstream,
+                    reservation,
+                });
+            }
+            cx.observer.dropped_event();
+            return;
+        };
+        let mut members = group.members.iter_mut();
+        let member = members.find(|member| member.part.upstream == upstream);
+        let Some(member) = member else { return };
+        member.granted |= granted;
+        if matches!(self.phase, Phase::Reserving(_)) {
+            match granted {
+                true => self.lead_if_granted(cx),
+                false => self.group_failed(cx),
+            }
+        }
+    }
+
+    /// Runs it on the leader, once every member granted its part.
+    fn lead_if_granted(&mut self, cx: &mut Context<'_>) {
+        let Phase::Reserving(group) = &self.phase else {
+            return;
+        };
+        if !group.members.iter().all(|member| member.granted) {
+            return;
+        }
+        if !cx.fleet.takes_work(group.leader) {
+            self.group_failed(cx);
+            return;
+        }
+        let mut group = group.clone();
+        group.due_ms = cx.now_ms + renewal_ms(cx);
+        let (leader, priority) = (group.leader, group.priority);
+        self.generate(leader, priority, Some(group), cx);
+    }
+
+    /// A part was refused or not granted in time: lets go of all and tries again later.
+    pub(crate) fn group_failed(&mut self, cx: &mut Context<'_>) {
+        self.release_group(cx);
+        self.end_attempt(Outcome::NotRun, cx);
+        self.back_off(cx);
+    }
+
+    /// Renews the members' parts while the leader runs.
+    pub(crate) fn renew_group(&mut self, cx: &mut Context<'_>) {
+        let due_ms = cx.now_ms + renewal_ms(cx);
+        let Phase::Running(run) = &mut self.phase else {
+            return;
+        };
+        let Some(group) = &mut run.group else {
+            return;
+        };
+        group.due_ms = due_ms;
+        let group = group.clone();
+        self.push_reserves(&group, cx);
+    }
+
+    /// Lets go of the group's memory, where it has a group.
+    pub(crate) fn release_group(&mut self, cx: &mut Context<'_>) {
+        let group = match &mut self.phase {
+            Phase::Reserving(group) => Some(group.clone()),
+            Phase::Running(run) => run.group.take(),
+            _ => None,
+        };
+        let Some(group) = group else { return };
+        for member in &group.members {
+            cx.out.push(Effect::Release {
+                upstream: member.part.upstream,
+                reservation: group.reservation,
+            });
+        }
+    }
+}
+
+impl Member {
+    fn wanted(part: &GroupPart) -> Self {
+        Self {
+            part: *part,
+            granted: false,
+        }
+    }
+}
+
+impl Group {
+    fn is_ready(&self, cx: &Context<'_>) -> bool {
+        let mut members = self.members.iter();
+        let there = members.all(|member| cx.fleet.takes_work(member.part.upstream));
+        there && cx.fleet.takes_work(self.leader) && !self.members.is_empty()
+    }
+}
+
+fn renewal_ms(cx: &Context<'_>) -> SpanMs {
+    SpanMs(cx.settings.hold_ms.0 / RENEWALS_PER_HOLD)
+}
--- /dev/null
+++ b/crates/requests/src/life/mod.rs
@@ -0,0 +1,516 @@
+//! One request from admission to its last event: the data. The passes over it stand in the
+//! modules below, one for each part of its life; they are pure but for the ports in [`Context`]
+//! and leave what must be sent as [`Effect`]s.
+//!
+//! Terms: the *phase* is where the request is; the *reader* is its caller's connection, or the
+//! grace after it broke; a *link* numbers one call to an upstream, so that an answer to an earlier
+//! call can be told from one to the call awaited now; an *adopted* request was admitted by another
+//! node and is only read on here.
+//!
+//! Invariants:
+//! - only events of this request and its present attempt reach the reader, in order, once each;
+//! - a request that may not be repeated is generated again only while [`Life::verdict`] is
+//!   `NotRun`;
+//! - the reader gets one last event, by the deadline.
+
+pub mod begin;
+pub mod due;
+pub mod end;
+pub mod exchange;
+pub mod group;
+pub mod read;
+pub mod recover;
+pub mod stream;
+
+use crate::budget::Budgets;
+use crate::call::{CallerEvent, CallerId, CallerSink};
+use crate::cursor::Signer;
+use crate::fleet::Fleet;
+use crate::lengths::Lengths;
+use crate::observe::{LengthBand, RequestObserver};
+use crate::settings::RequestsSettings;
+use bluebell_base::prelude::*;
+use bluebell_peers::{ClaimCall, ClaimKey, RequestReport, SettleCall};
+use bluebell_policy::{GroupPart, Job, Policy};
+use bluebell_timers::Subscription;
+use bluebell_upstreams::{Generate, Priority, Reserve, Resume, ServiceCall};
+use rand_chacha::ChaCha8Rng;
+
+bluebell_base::define_id! {
+    /// A call of one request to an upstream, counted from 1.
+    LinkNo(u32) = "link";
+}
+
+/// Takes the answer to a caller's wish to cancel.
+pub type CancelReply = Box<dyn FnOnce(Result<RequestReport, Error>) + Send>;
+
+/// One request.
+pub struct Life {
+    /// Its identity.
+    pub request: RequestId,
+    /// Whose it is.
+    pub account: AccountName,
+    /// The same as an index, for the policy and the retry budget.
+    pub account_id: AccountId,
+    /// When it arrived.
+    pub arrived_ms: MonoMs,
+    /// When it must have ended.
+    pub deadline_ms: MonoMs,
+    /// Whether it may be run again after it may have run.
+    pub repeatable: bool,
+    /// Its claim, where it may not be repeated and has an idempotency key.
+    pub claim: Option<ClaimCall>,
+    /// Whether its caller was told that it is admitted.
+    pub admitted: bool,
+    /// Where it is.
+    pub phase: Phase,
+    /// Who reads its answer.
+    pub reader: Reader,
+    /// The present or last attempt; 0 before the first.
+    pub attempt: AttemptNo,
+    /// What is known of the attempts before the present one.
+    pub earlier: Verdict,
+    /// What is known of the present attempt.
+    pub present: Verdict,
+    /// The last link used.
+    pub link: LinkNo,
+    /// What is to be done.
+    pub work: Work,
+    /// Callers that wait for its cancellation.
+    pub cancels: Vec<CancelReply>,
+    /// How often it went back to the policy with nothing run.
+    pub requeues: u32,
+    /// How it ended, once it has.
+    pub ended: Option<Ended>,
+    /// The timer set for it; only the actor touches it.
+    pub alarm: Option<Alarm>,
+}
+
+/// A timer set for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Alarm {
+    /// When it fires.
+    pub at_ms: MonoMs,
+    /// To cancel it.
+    pub subscription: Subscription,
+}
+
+/// Where a request is.
+#[derive(Debug)]
+pub enum Phase {
+    /// Its idempotency key is being claimed.
+    Claiming {
+        /// When the claim is given up.
+        until_ms: MonoMs,
+    },
+    /// The policy has it and will decide.
+    Queued,
+    /// It waits before it is handed to the policy again.
+    Backoff {
+        /// Until when.
+        until_ms: MonoMs,
+    },
+    /// Memory for its group is being reserved.
+    Reserving(Group),
+    /// An engine has it.
+    Running(Run),
+    /// A plain service has it.
+    Exchanging {
+        /// The replica.
+        upstream: UpstreamId,
+    },
+    /// Its caller cancelled it; the engine's word is awaited.
+    Cancelling {
+        /// Until when.
+        until_ms: MonoMs,
+        /// The engine.
+        upstream: UpstreamId,
+    },
+    /// It has ended.
+    Done,
+}
+
+/// One attempt on one engine.
+#[derive(Debug)]
+pub struct Run {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The group, where the prompt needs several engines.
+    pub group: Option<Group>,
+    /// The link of the `generate` call; only its refusal proves that nothing ran.
+    pub generated: Option<LinkNo>,
+    /// The position of the first event that this attempt produces.
+    pub first_seq: u64,
+    /// The link that events come on now: the generate call's, or the last resume's.
+    pub stream: LinkNo,
+    /// Whether that link isn't known to be broken.
+    pub open: bool,
+    /// Whether the engine accepted the work.
+    pub accepted: bool,
+    /// What is awaited.
+    pub mode: Mode,
+    /// When the engine was last heard.
+    pub heard_ms: MonoMs,
+    /// Silence after which it is asked.
+    pub quiet_ms: SpanMs,
+    /// Fruitless tries in a row to resume or look up.
+    pub tries: u32,
+}
+
+/// What an attempt waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Events of the stream.
+    Reading,
+    /// The answer to a lookup; events of the stream are welcome meanwhile.
+    Asking {
+        /// The link of the lookup.
+        link: LinkNo,
+        /// When the answer is given up.
+        until_ms: MonoMs,
+    },
+    /// The time to resume the stream.
+    Pausing {
+        /// When.
+        until_ms: MonoMs,
+    },
+    /// The time to look the request up.
+    PausingToAsk {
+        /// When.
+        until_ms: MonoMs,
+    },
+}
+
+/// A group of engines that holds one long prompt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Group {
+    /// The reservation, the same on all members.
+    pub reservation: ReservationId,
+    /// The engine that runs it.
+    pub leader: UpstreamId,
+    /// Its priority there.
+    pub priority: Priority,
+    /// The members, with how far each is.
+    pub members: Vec<Member>,
+    /// When the reservations are renewed next, or those outstanding are given up.
+    pub due_ms: MonoMs,
+}
+
+/// One member of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its part.
+    pub part: GroupPart,
+    /// Whether it granted the reservation.
+    pub granted: bool,
+}
+
+/// What a request asks for.
+pub enum Work {
+    /// A model's answer.
+    Answer(Box<Answer>),
+    /// A plain service's.
+    Exchange(Box<Exchange>),
+}
+
+/// A model's answer, as far as it has come.
+pub struct Answer {
+    /// The class of work.
+    pub class: ClassName,
+    /// The model.
+    pub model: ModelName,
+    /// The prompt, while an attempt may still need it.
+    pub prompt: Option<Arc<str>>,
+    /// The prompt's size.
+    pub prompt_bytes: Bytes,
+    /// The prompt's length by the engine, once it said so.
+    pub prompt_tokens: Option<Tokens>,
+    /// The most tokens to generate.
+    pub max_tokens: Tokens,
+    /// What the policy knows; none for an adopted request.
+    pub job: Option<Job>,
+    /// The position of the first of `tokens`; above 0 only for an adopted request.
+    pub base: u64,
+    /// The token texts, in order, as they were given to the reader.
+    pub tokens: Vec<Arc<str>>,
+    /// When the last of them came.
+    pub last_token_ms: Option<MonoMs>,
+}
+
+/// A call to a plain service.
+pub struct Exchange {
+    /// The service.
+    pub service: ServiceName,
+    /// The call; its body is given away with the last attempt.
+    pub call: ServiceCall,
+    /// Replicas that already failed it.
+    pub avoid: Vec<UpstreamId>,
+}
+
+/// Who reads an answer.
+pub enum Reader {
+    /// A caller's connection.
+    Attached {
+        /// The connection.
+        caller: CallerId,
+        /// Where events go.
+        sink: Box<dyn CallerSink>,
+        /// The first token wanted.
+        from: u64,
+    },
+    /// Nobody; the request is cancelled unless somebody reads on.
+    Detached {
+        /// Until when.
+        until_ms: MonoMs,
+    },
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    /// When.
+    pub at_ms: MonoMs,
+    /// The last event; the body of a plain service's answer is not kept.
+    pub last: Last,
+}
+
+/// A request's last event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Last {
+    /// A whole answer.
+    Finished {
+        /// Why it ended.
+        reason: Arc<str>,
+        /// The prompt's length.
+        prompt_tokens: Tokens,
+        /// The answer's length.
+        answer_tokens: Tokens,
+    },
+    /// A plain service's answer.
+    Service,
+    /// A failure.
+    Failed(Error),
+}
+
+/// What must be sent for a request, in order.
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// Claim its key.
+    Claim(ClaimCall),
+    /// Settle its claim.
+    Settle(SettleCall),
+    /// Begin its answer.
+    Generate {
+        /// On this engine.
+        upstream: UpstreamId,
+        /// The link its events come on.
+        link: LinkNo,
+        /// The call.
+        call: Box<Generate>,
+    },
+    /// Read its answer on.
+    Resume {
+        /// On this engine.
+        upstream: UpstreamId,
+        /// The link its events come on.
+        link: LinkNo,
+        /// The call.
+        call: Resume,
+    },
+    /// Look it up.
+    Lookup {
+        /// On this engine.
+        upstream: UpstreamId,
+        /// The link its answer comes on.
+        link: LinkNo,
+    },
+    /// Cancel an attempt, until the engine answers or its hold has expired.
+    Cancel {
+        /// On this engine.
+        upstream: UpstreamId,
+        /// The attempt.
+        attempt: AttemptNo,
+        /// Whether the request waits for the answer.
+        tell: bool,
+        /// The claim to settle by the answer.
+        settle: Option<ClaimKey>,
+    },
+    /// Reserve (or renew) memory for its group.
+    Reserve {
+        /// On this engine.
+        upstream: UpstreamId,
+        /// The call.
+        call: Reserve,
+    },
+    /// Release its group's memory, until the engine answers or the hold has expired.
+    Release {
+        /// On this engine.
+        upstream: UpstreamId,
+        /// The reservation.
+        reservation: ReservationId,
+    },
+    /// Call a plain service.
+    Exchange {
+        /// This replica.
+        upstream: UpstreamId,
+        /// The link its answer comes on.
+        link: LinkNo,
+        /// The call.
+        call: ServiceCall,
+    },
+}
+
+/// What a pass may read, decide by and tell.
+pub struct Context<'a> {
+    /// The instant of the step.
+    pub now_ms: MonoMs,
+    /// This node's incarnation.
+    pub owner: Incarnation,
+    /// The bounds.
+    pub settings: &'a RequestsSettings,
+    /// The policy.
+    pub policy: &'a mut dyn Policy,
+    /// The metrics.
+    pub observer: &'a mut dyn RequestObserver,
+    /// The retry budgets.
+    pub budgets: &'a mut Budgets,
+    /// Signs cursors.
+    pub signer: &'a Signer,
+    /// The upstreams.
+    pub fleet: &'a Fleet,
+    /// Bytes per token, by model.
+    pub lengths: &'a mut Lengths,
+    /// For jitter and reservation ids.
+    pub rng: &'a mut ChaCha8Rng,
+    /// What must be sent.
+    pub out: &'a mut Vec<Effect>,
+}
+
+impl Life {
+    /// Whether the request may have run, as far as it is known now.
+    pub fn verdict(&self) -> Verdict {
+        self.earlier.max(self.present)
+    }
+
+    /// The caller that reads it.
+    pub fn reader_id(&self) -> Option<CallerId> {
+        match &self.reader {
+            Reader::Attached { caller, .. } => Some(*caller),
+            Reader::Detached { .. } => None,
+        }
+    }
+
+    /// Whether it has ended.
+    pub fn is_done(&self) -> bool {
+        matches!(self.phase, Phase::Done)
+    }
+
+    /// The model's answer, where it asks for one.
+    pub fn answer(&self) -> Option<&Answer> {
+        match &self.work {
+            Work::Answer(answer) => Some(answer),
+            Work::Exchange(_) => None,
+        }
+    }
+
+    /// The model's answer, to change it.
+    pub fn answer_mut(&mut self) -> Option<&mut Answer> {
+        match &mut self.work {
+            Work::Answer(answer) => Some(answer),
+            Work::Exchange(_) => None,
+        }
+    }
+
+    /// Whether another node admitted it.
+    pub fn is_adopted(&self) -> bool {
+        self.answer().is_some_and(|answer| answer.job.is_none())
+    }
+
+    /// The engine or replica that has it.
+    pub fn upstream(&self) -> Option<UpstreamId> {
+        match &self.phase {
+            Phase::Running(run) => Some(run.upstream),
+            Phase::Exchanging { upstream } | Phase::Cancelling { upstream, .. } => Some(*upstream),
+            _ => None,
+        }
+    }
+
+    /// The metrics' labels of a model's answer.
+    pub fn labels(&self) -> Option<(&ClassName, LengthBand)> {
+        let answer = self.answer()?;
+        Some((&answer.class, LengthBand::of(answer.estimated_tokens())))
+    }
+
+    /// The next link.
+    pub(crate) fn next_link(&mut self) -> LinkNo {
+        self.link = LinkNo(self.link.0 + 1);
+        self.link
+    }
+
+    /// Gives the reader an event; a reader known to be gone is let go.
+    pub(crate) fn tell(&mut self, event: CallerEvent, cx: &Context<'_>) {
+        let Reader::Attached { sink, from, .. } = &self.reader else {
+            return;
+        };
+        if matches!(&event, CallerEvent::Token { seq, .. } if seq.0 < *from) {
+            return;
+        }
+        if !sink.send(event) {
+            self.detach(cx);
+        }
+    }
+
+    /// What is known of it, for reports.
+    pub fn report(&self, fleet: &Fleet) -> RequestReport {
+        let state = match (&self.ended, &self.phase) {
+            (Some(ended), _) if matches!(ended.last, Last::Failed(_)) => "failed",
+            (Some(_), _) => "finished",
+            (_, Phase::Running(_) | Phase::Exchanging { .. } | Phase::Cancelling { .. }) => {
+                "running"
+            }
+            _ => "queued",
+        };
+        let upstream = self.upstream().and_then(|id| fleet.name(id)).cloned();
+        RequestReport {
+            request: self.request,
+            account: self.account.clone(),
+            state: state.into(),
+            verdict: self.verdict(),
+            events: self.answer().map_or(0, Answer::next_seq),
+            upstream,
+            attempt: self.attempt,
+        }
+    }
+}
+
+impl Answer {
+    /// The position of the next event wanted.
+    pub fn next_seq(&self) -> u64 {
+        self.base + self.tokens.len() as u64
+    }
+
+    /// The prompt's length, by the engine or estimated.
+    pub fn estimated_tokens(&self) -> Tokens {
+        let estimated = self.job.as_ref().map(|job| job.prompt_tokens);
+        self.prompt_tokens.or(estimated).unwrap_or_default()
+    }
+}
+
+impl Run {
+    /// A run whose stream begins now on `link`, with the event at `first_seq`.
+    pub fn new(upstream: UpstreamId, link: LinkNo, first_seq: u64, cx: &Context<'_>) -> Self {
+        Self {
+            upstream,
+            group: None,
+            generated: None,
+            first_seq,
+            stream: link,
+            open: true,
+            accepted: false,
+            mode: Mode::Reading,
+            heard_ms: cx.now_ms,
+            quiet_ms: cx.settings.stall_ms,
+            tries: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/requests/src/life/recover.rs
@@ -0,0 +1,249 @@
+//! Broken, silent and truncated streams: resume, look up, go elsewhere, give up.
+//!
+//! Invariants: what may not be repeated is sent elsewhere only after the engine itself said that
+//! nothing ran; everything else ends in a bounded number of tries.
+
+use super::{Context, Effect, Life, LinkNo, Mode, Phase};
+use bluebell_base::prelude::*;
+use bluebell_policy::Outcome;
+use bluebell_upstreams::{Resume, StreamState};
+
+impl Life {
+    /// The present link broke or the engine ended the stream without an answer.
+    pub(crate) fn on_break(&mut self, link: LinkNo, error: Error, cx: &mut Context<'_>) {
+        let Phase::Running(run) = &mut self.phase else {
+            return;
+        };
+        run.open = false;
+        // Only the refusal of the `generate` call itself, before any sign of work, proves that
+        // nothing ran. A refused connection on a later `resume` says `NotRun` of the resume only,
+        // and a `NotRun` after `Accepted` contradicts the engine's own word.
+        let refused = run.generated == Some(link) && !run.accepted;
+        if refused && error.verdict == Verdict::NotRun {
+            self.on_refused(error, cx);
+            return;
+        }
+        // The engine answered that it has no such stream: asking for it again won't help.
+        let unknown = run.generated != Some(link) && error.kind == ErrorKind::NotFound;
+        self.on_fruitless(unknown, cx);
+    }
+
+    /// The engine refused the work before any of it was done.
+    fn on_refused(&mut self, error: Error, cx: &mut Context<'_>) {
+        let Some(upstream) = self.upstream() else {
+            return;
+        };
+        self.present = Verdict::NotRun;
+        if let Some(name) = cx.fleet.name(upstream) {
+            cx.observer.upstream_refused(name, &error);
+        }
+        self.release_group(cx);
+        self.end_attempt(Outcome::NotRun, cx);
+        self.avoid(upstream);
+        let hopeless = matches!(error.kind, ErrorKind::Invalid | ErrorKind::TooLarge);
+        if hopeless {
+            self.phase = Phase::Backoff {
+                until_ms: cx.now_ms,
+            };
+            self.fail(error, cx);
+            return;
+        }
+        self.retry_elsewhere(error, cx);
+    }
+
+    /// Goes back to the policy where the budget allows it; ends with `error` where it does not.
+    fn retry_elsewhere(&mut self, error: Error, cx: &mut Context<'_>) {
+        self.phase = Phase::Backoff {
+            until_ms: cx.now_ms,
+        };
+        let spent = self.attempt.0 >= cx.settings.attempts;
+        if spent || !cx.budgets.take(self.account_id) {
+            cx.observer.retry_denied();
+            let after_ms = error.retry_after_ms.unwrap_or(cx.settings.retry_after_ms);
+            self.fail(error.retry_after(after_ms), cx);
+            return;
+        }
+        self.admit(cx);
+    }
+
+    /// A try brought nothing: tries again after a pause, or takes the next way.
+    pub(crate) fn on_fruitless(&mut self, unknown: bool, cx: &mut Context<'_>) {
+        let repeatable = self.repeatable;
+        let Phase::Running(run) = &mut self.phase else {
+            return;
+        };
+        run.tries += 1;
+        let gone = !cx.fleet.is_there(run.upstream);
+        let limit = match repeatable {
+            true => cx.settings.resume_tries,
+            false => cx.settings.lookup_tries,
+        };
+        let until_ms = cx.now_ms + cx.settings.backoff(run.tries - 1);
+        if repeatable && (unknown || gone || run.tries > limit) {
+            self.abandon(cx);
+        } else if run.tries > limit {
+            let error = Error::may_have_run(ErrorKind::Upstream, "the engine's answer is lost");
+            self.fail(error, cx);
+        } else if unknown {
+            run.mode = Mode::PausingToAsk { until_ms };
+        } else {
+            run.mode = Mode::Pausing { until_ms };
+        }
+    }
+
+    /// Gives the attempt up and starts the work elsewhere, behind the tokens already delivered.
+    fn abandon(&mut self, cx: &mut Context<'_>) {
+        let Some(upstream) = self.upstream() else {
+            return;
+        };
+        self.earlier = self.verdict();
+        self.present = Verdict::NotRun;
+        // The engine may only be unreachable from here and still hold the stream's memory.
+        cx.out.push(Effect::Cancel {
+            upstream,
+            attempt: self.attempt,
+            tell: false,
+            settle: None,
+        });
+        self.release_group(cx);
+        self.end_attempt(Outcome::Failed, cx);
+        self.avoid(upstream);
+        let error = Error::may_have_run(ErrorKind::Upstream, "the engine's answer is lost");
+        self.retry_elsewhere(error, cx);
+    }
+
+    /// Events are missing before the one that came on `link`.
+    pub(crate) fn on_gap(&mut self, link: LinkNo, cx: &mut Context<'_>) {
+        let Phase::Running(run) = &mut self.phase else {
+            return;
+        };
+        // A gap on an older link is being filled by the present one already.
+        if link != run.stream || run.mode != Mode::Reading {
+            return;
+        }
+        self.on_fruitless(false, cx);
+    }
+
+    /// Reads the stream on from the first event not yet delivered.
+    pub(crate) fn resume(&mut self, cx: &mut Context<'_>) {
+        let link = self.next_link();
+        let from = EventSeq(self.answer().map_or(0, |answer| answer.next_seq()));
+        let (request, attempt) = (self.request, self.attempt);
+        let Phase::Running(run) = &mut self.phase else {
+            return;
+        };
+        run.mode = Mode::Reading;
+        run.heard_ms = cx.now_ms;
+        run.stream = link;
+        run.open = true;
+        let call = Resume {
+            request,
+            attempt,
+            owner: cx.owner,
+            from,
+        };
+        cx.out.push(Effect::Resume {
+            upstream: run.upstream,
+            link,
+            call,
+        });
+    }
+
+    /// Asks the engine what it knows.
+    ///
+    /// The stream's own link goes on: a token that comes on it meanwhile is delivered as ever.
+    pub(crate) fn ask(&mut self, cx: &mut Context<'_>) {
+        let link = self.next_link();
+        let Phase::Running(run) = &mut self.phase else {
+            return;
+        };
+        let until_ms = cx.now_ms + cx.settings.answer_wait_ms;
+        run.mode = Mode::Asking { link, until_ms };
+        let upstream = run.upstream;
+        cx.out.push(Effect::Lookup { upstream, link });
+    }
+
+    /// The engine's answer to a lookup; `None` where the port dropped it.
+    pub fn on_lookup(
+        &mut self,
+        link: LinkNo,
+        answer: Option<Result<StreamState, Error>>,
+        cx: &mut Context<'_>,
+    ) {
+        let asked = match &self.phase {
+            Phase::Running(run) => run.mode,
+            _ => Mode::Reading,
+        };
+        if !matches!(asked, Mode::Asking { link: present, .. } if present == link) {
+            cx.observer.dropped_event();
+            return;
+        }
+        match answer {
+            Some(Ok(state)) => self.on_state(state, cx),
+            Some(Err(_)) | None => self.on_no_state(cx),
+        }
+    }
+
+    /// A lookup brought no answer.
+    pub(crate) fn on_no_state(&mut self, cx: &mut Context<'_>) {
+        self.on_fruitless(false, cx);
+    }
+
+    fn on_state(&mut self, state: StreamState, cx: &mut Context<'_>) {
+        let known = match state {
+            StreamState::Running { attempt, events } => Some((attempt, events, false)),
+            StreamState::Finished { attempt, events } => Some((attempt, events, true)),
+            StreamState::NotRun | StreamState::Unknown | StreamState::Ended => None,
+        };
+        match known {
+            Some((attempt, events, whole)) if attempt == self.attempt => {
+                self.on_known(events, whole, cx);
+            }
+            _ if state == StreamState::NotRun && self.sole_attempt_there() => {
+                let error = Error::not_run(ErrorKind::Upstream, "the engine dropped the request");
+                self.on_refused(error, cx);
+            }
+            _ => self.on_lost(cx),
+        }
+    }
+
+    /// The engine has the stream: whatever is new there is read.
+    fn on_known(&mut self, events: u64, whole: bool, cx: &mut Context<'_>) {
+        let next = self.answer().map_or(0, |answer| answer.next_seq());
+        let max_ms = cx.settings.stall_max_ms;
+        let Phase::Running(run) = &mut self.phase else {
+            return;
+        };
+        run.accepted = true;
+        if !whole && events <= next && run.open {
+            // It is at work and has nothing new, as in a long prefill: the next question comes
+            // later, and the open link stays the one that is read.
+            run.quiet_ms = SpanMs(run.quiet_ms.0.saturating_mul(2).min(max_ms.0));
+            run.heard_ms = cx.now_ms;
+            run.mode = Mode::Reading;
+            return;
+        }
+        self.resume(cx);
+    }
+
+    /// The engine has no such stream (any more).
+    fn on_lost(&mut self, cx: &mut Context<'_>) {
+        if self.repeatable {
+            self.abandon(cx);
+            return;
+        }
+        // Unknown to the engine proves nothing: it may have run it, restarted and forgotten.
+        let error = Error::may_have_run(ErrorKind::Upstream, "the engine's answer is lost");
+        self.fail(error, cx);
+    }
+
+    /// Whether the present attempt is the only one that this engine was sent, so that what it says
+    /// of the request it says of this attempt.
+    fn sole_attempt_there(&self) -> bool {
+        let Some(upstream) = self.upstream() else {
+            return false;
+        };
+        let job = self.answer().and_then(|answer| answer.job.as_ref());
+        job.is_some_and(|job| !job.avoid.contains(&upstream))
+    }
+}
--- /dev/null
+++ b/crates/requests/src/observe/mod.rs
@@ -0,0 +1,132 @@
+//! What the requests tell the metrics.
+
+use bluebell_base::prelude::*;
+use bluebell_policy::RefusalReason;
+
+/// Prompt lengths grouped for metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LengthBand {
+    /// Below 4 000 tokens.
+    Under4k,
+    /// Below 16 000 tokens.
+    Under16k,
+    /// Below 100 000 tokens.
+    Under100k,
+    /// 100 000 tokens and more.
+    Long,
+}
+
+impl LengthBand {
+    /// The band of a prompt.
+    pub fn of(prompt_tokens: Tokens) -> Self {
+        match prompt_tokens.0 {
+            0..4_000 => Self::Under4k,
+            4_000..16_000 => Self::Under16k,
+            16_000..100_000 => Self::Under100k,
+            _ => Self::Long,
+        }
+    }
+
+    /// The label used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Under4k => "under_4k",
+            Self::Under16k => "under_16k",
+            Self::Under100k => "under_100k",
+            Self::Long => "long",
+        }
+    }
+}
+
+/// Why a request was refused before it was sent anywhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RefusedBy {
+    /// By the policy.
+    Policy(RefusalReason),
+    /// The node is stopping.
+    Draining,
+    /// No configuration is in force yet.
+    NoConfig,
+    /// It names a class, model, account or service that the configuration does not.
+    Unknown,
+    /// Another request holds its idempotency key.
+    KeyHeld,
+    /// Its idempotency key could not be claimed.
+    ClaimFailed,
+}
+
+impl RefusedBy {
+    /// The label used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Policy(RefusalReason::NoEngine) => "no_engine",
+            Self::Policy(RefusalReason::TooLate) => "too_late",
+            Self::Policy(RefusalReason::OverShare) => "over_share",
+            Self::Policy(RefusalReason::Overloaded) => "overloaded",
+            Self::Policy(RefusalReason::TooLong) => "too_long",
+            Self::Draining => "draining",
+            Self::NoConfig => "no_config",
+            Self::Unknown => "unknown_name",
+            Self::KeyHeld => "key_held",
+            Self::ClaimFailed => "claim_failed",
+        }
+    }
+}
+
+/// Takes what happens to requests, for metrics; must not block.
+pub trait RequestObserver {
+    /// A request was admitted.
+    fn admitted(&mut self, class: &ClassName, band: LengthBand);
+
+    /// A request was refused before it was sent anywhere.
+    fn refused(&mut self, by: RefusedBy);
+
+    /// A request's first token came, that long after its arrival.
+    fn first_token(&mut self, class: &ClassName, band: LengthBand, after_ms: SpanMs);
+
+    /// A further token came, that long after the one before it.
+    fn between_tokens(&mut self, class: &ClassName, band: LengthBand, gap_ms: SpanMs);
+
+    /// An attempt was sent to an upstream.
+    fn attempt(&mut self);
+
+    /// An attempt was one more after a failed one.
+    fn retry(&mut self);
+
+    /// A retry was due but the budget was used up.
+    fn retry_denied(&mut self);
+
+    /// A request finished, that long after its arrival.
+    fn finished(&mut self, class: &ClassName, band: LengthBand, after_ms: SpanMs);
+
+    /// An admitted request failed.
+    fn failed(&mut self, error: &Error);
+
+    /// A request was cancelled, by its caller or because the caller hung up.
+    fn cancelled(&mut self);
+
+    /// An event or answer came late, crossed or twice and was dropped.
+    fn dropped_event(&mut self);
+
+    /// An upstream refused new work before it began.
+    fn upstream_refused(&mut self, upstream: &UpstreamName, error: &Error);
+}
+
+/// Takes nothing down; for tests and embedded use.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoObserver;
+
+impl RequestObserver for NoObserver {
+    fn admitted(&mut self, _: &ClassName, _: LengthBand) {}
+    fn refused(&mut self, _: RefusedBy) {}
+    fn first_token(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {}
+    fn between_tokens(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {}
+    fn attempt(&mut self) {}
+    fn retry(&mut self) {}
+    fn retry_denied(&mut self) {}
+    fn finished(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {}
+    fn failed(&mut self, _: &Error) {}
+    fn cancelled(&mut self) {}
+    fn dropped_event(&mut self) {}
+    fn upstream_refused(&mut self, _: &UpstreamName, _: &Error) {}
+}
