--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -108,7 +108,11 @@
             shared,
             planned,
             scheduled,
-            check: AnswerCheck::new(plan.oracle.as_deref(), &prompt),
+            check: AnswerCheck::new(
+                plan.oracle.as_deref(),
+                &prompt,
+                plan.classes[planned.class].answer_tokens,
+            ),
             prompt,
             cursor: None,
             last_token: None,
@@ -388,6 +392,7 @@
             self.cursor = event.id;
         }
         if event.data == DONE {
+            self.check.finished();
             return Some(Outcome::Whole);
         }
         let Ok(chunk) = serde_json::from_str::<Chunk>(&event.data) else {
@@ -407,7 +412,7 @@
             }
         }
         if let Some(usage) = chunk.usage {
-            self.check.finished(Some(usage.completion_tokens));
+            self.check.declared(usage.completion_tokens);
         }
         None
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -24,7 +24,7 @@
 mod truth;
 mod wire;
 
-pub use answer::{AnswerCheck, AnswerFault, Oracle};
+pub use answer::{AnswerCheck, AnswerFault, Expected, Oracle, StandInOracle};
 pub use mix::Mix;
 pub use plan::{AccountKey, ClassPlan, DirectEngine, LoadPlan, PlanError, ServicePlan};
 pub use prompt::PromptMaker;
--- a/crates/load/src/prompt.rs
+++ b/crates/load/src/prompt.rs
@@ -1,12 +1,13 @@
 //! Prompts of a wanted length, built cheaply.
 //!
-//! Invariants: two requests of a run never have the same prompt; a prompt is within four bytes of
-//! [`BYTES_PER_TOKEN`] times its length.
+//! Invariants: two requests of a run never have the same prompt; a prompt has its
+//! length in tokens as engines count them.
 
 use bluebell_base::prelude::*;
+use bluebell_upstreams::prompt;
 
 /// Bytes that count as one token.
-pub const BYTES_PER_TOKEN: usize = 4;
+const BYTES_PER_TOKEN: usize = prompt::BYTES_PER_TOKEN as usize;
 
 /// The words of the filler; four bytes each with the space.
 const WORDS: [&str; 8] = ["the", "gas", "war", "kin", "old", "day", "fee", "log"];
