--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -55,7 +55,7 @@
     /// The most memory for callers' bodies; calls beyond it are refused.
     body_memory_bytes: Bytes, "body-memory-bytes", "BLUEBELL_BODY_MEMORY_BYTES", "bytes", Default("134217728");
     /// The form of log lines: text or json.
-    log_format: LogFormat, "log-format", "BLUEBELL_LOG_FORMAT", "text|json", Default("text");
+    log_format: LogFormat, "log-format", "BLUEBELL_LOG_FORMAT", "text or json", Default("text");
     /// What is logged: a level, and levels by module, such as info,requests=debug.
     log_levels: LogLevels, "log-levels", "BLUEBELL_LOG_LEVELS", "level,module=level...", Default("info");
     /// How long a caller may be gone before its work is cancelled.
