--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,3 +2,4 @@
 //! with faults that can be switched while they run.
 
 pub mod engine;
+pub mod platform;
