--- a/crates/load/src/balancer.rs
+++ b/crates/load/src/balancer.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Where a node says whether it takes new work.
-const READY_PATH: &str = "/ready";
+const READY_PATH: &str = "/readyz";
 
 /// How long a probe may take.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use crate::answer::AnswerCheck;
 use crate::balancer::Balancer;
-use crate::plan::LoadPlan;
+use crate::plan::{ClassPlan, LoadPlan};
 use crate::prompt::PromptMaker;
 use crate::schedule::{Kind, Planned};
 use crate::sse::{EventReader, ServerEvent};
@@ -22,9 +22,13 @@
 /// How long a connection to a node may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The wait before a broken stream is read on, so that a node that just died is seen as such.
+/// The wait before a broken stream is first read on, so that a node that just died is seen as
+/// such; doubled at each further try.
 const RESUME_PAUSE: Duration = Duration::from_millis(100);
 
+/// The longest such wait.
+const MAX_RESUME_PAUSE: Duration = Duration::from_secs(2);
+
 /// How often one answer is read on.
 const MAX_RESUMES: u64 = 20;
 
@@ -111,7 +115,7 @@
             check: AnswerCheck::new(
                 plan.oracle.as_deref(),
                 &prompt,
-                plan.classes[planned.class].answer_tokens,
+                class_of(plan, &planned).answer_tokens,
             ),
             prompt,
             cursor: None,
@@ -147,7 +151,7 @@
             return Outcome::Lost;
         };
         let prompt = self.prompt.clone();
-        let max_tokens = self.class_answer_tokens();
+        let max_tokens = class_of(&self.shared.plan, &self.planned).answer_tokens;
         match engine.run(&prompt, max_tokens, &mut || self.time_token()) {
             Ok(()) => Outcome::Whole,
             Err(error) => {
@@ -219,20 +223,17 @@
         self.shared.balancer.len() * 2
     }
 
-    fn class_answer_tokens(&self) -> Tokens {
-        self.shared.plan.classes[self.planned.class].answer_tokens
-    }
-
     /// The body to post, the same at every try.
     fn body(&mut self) -> Vec<u8> {
         // The prompt may be megabytes; from here on only the body is kept.
         let prompt = std::mem::take(&mut self.prompt);
         let plan = &self.shared.plan;
+        let class = class_of(plan, &self.planned);
         let body = CompletionBody {
             model: plan.model.as_str(),
-            class: plan.classes[self.planned.class].name.as_str(),
+            class: class.name.as_str(),
             prompt: &prompt,
-            max_tokens: self.class_answer_tokens().0,
+            max_tokens: class.answer_tokens.0,
             stream: true,
         };
         serde_json::to_vec(&body).expect("strings and numbers can be written as JSON")
@@ -306,10 +307,11 @@
                 return Outcome::Lost;
             };
             if self.record.resumes >= MAX_RESUMES {
-                return Outcome::Lost;
+                // The request was admitted, and nobody says what became of it.
+                return Outcome::Failed(Verdict::MayHaveRun);
             }
             self.record.resumes += 1;
-            std::thread::sleep(RESUME_PAUSE);
+            std::thread::sleep(resume_pause(self.record.resumes));
             node = self.shared.balancer.next(Some(&node));
             read = self.read_on(&node, request);
         }
@@ -325,7 +327,13 @@
             }
             Called::Broken(text) => Read::Broken(text),
             Called::Answer(answer) if answer.status().is_success() => self.read_events(*answer),
-            Called::Answer(answer) => Read::Ended(self.read_error(*answer)),
+            Called::Answer(answer) => match self.read_error(*answer) {
+                // Said of the call to read on, not of the request, which was admitted before.
+                Outcome::Failed(Verdict::NotRun) => {
+                    Read::Broken(self.record.error_text.clone().unwrap_or_default())
+                }
+                outcome => Read::Ended(outcome),
+            },
         }
     }
 
@@ -361,7 +369,7 @@
 
     /// Notes an error; `prefix` says where it came.
     fn failed(&mut self, prefix: &str, error: ErrorBody) -> Outcome {
-        if let Some(request) = error.request.as_deref() {
+        if let Some(Ok(request)) = error.request.as_deref().map(str::parse) {
             self.note_request(request);
         }
         self.error_kind = error.kind;
@@ -399,8 +407,10 @@
             self.check.malformed();
             return None;
         };
-        if let Some(request) = chunk.id.as_deref() {
-            self.note_request(request);
+        match chunk.id.as_deref().map(str::parse) {
+            Some(Ok(request)) => self.note_request(request),
+            Some(Err(_)) => self.check.malformed(),
+            None => {}
         }
         if let Some(error) = chunk.error {
             return Some(self.failed("", error));
@@ -431,24 +441,39 @@
     }
 
     fn note_request_header(&mut self, answer: &Response<Body>) {
+        // A call that was not admitted yet bears its connection's name, which is no identity.
         let header = answer.headers().get("x-request-id");
-        if let Some(request) = header.and_then(|value| value.to_str().ok()) {
-            let request = request.to_owned();
-            self.note_request(&request);
+        let text = header.and_then(|value| value.to_str().ok());
+        if let Some(Ok(request)) = text.map(str::parse) {
+            self.note_request(request);
         }
     }
 
-    fn note_request(&mut self, request: &str) {
-        let Ok(request) = request.parse::<RequestId>() else {
-            self.check.malformed();
-            return;
-        };
+    fn note_request(&mut self, request: RequestId) {
         if !self.record.requests.contains(&request) {
             self.record.requests.push(request);
         }
     }
 }
 
+/// The class that a request is sent as.
+fn class_of(plan: &LoadPlan, planned: &Planned) -> ClassPlan {
+    match (&plan.keyed, planned.kind) {
+        (Some(keyed), Kind::KeyedCompletion) => ClassPlan {
+            name: keyed.class.clone(),
+            up_to_tokens: None,
+            answer_tokens: keyed.answer_tokens,
+        },
+        _ => plan.classes[planned.class].clone(),
+    }
+}
+
+/// The wait before a stream is read on for the `resumes`th time.
+fn resume_pause(resumes: u64) -> Duration {
+    let doublings = resumes.saturating_sub(1).min(8) as u32;
+    (RESUME_PAUSE * 2u32.pow(doublings)).min(MAX_RESUME_PAUSE)
+}
+
 /// Sorts what a call came to.
 fn called(result: Result<Response<Body>, ureq::Error>) -> Called {
     match result {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -26,9 +26,9 @@
 
 pub use answer::{AnswerCheck, AnswerFault, Expected, Oracle, StandInOracle};
 pub use mix::Mix;
-pub use plan::{AccountKey, ClassPlan, DirectEngine, LoadPlan, PlanError, ServicePlan};
+pub use plan::{AccountKey, ClassPlan, DirectEngine, KeyedPlan, LoadPlan, PlanError, ServicePlan};
 pub use prompt::PromptMaker;
 pub use report::{BandReport, LatencyReport, Report};
 pub use run::{LoadRun, spawn};
 pub use schedule::{Kind, Planned, Schedule};
-pub use truth::{RunCount, RunCounts, RunSource};
+pub use truth::{RunCount, RunSource};
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -39,6 +39,17 @@
     pub answer_tokens: Tokens,
 }
 
+/// Completions that must run at most once, each under an idempotency key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyedPlan {
+    /// A class that the configuration declares not idempotent; it takes prompts of any length.
+    pub class: ClassName,
+    /// The most tokens asked for in an answer.
+    pub answer_tokens: Tokens,
+    /// Their share of all requests, 0 to 1.
+    pub share: f64,
+}
+
 /// Calls to a plain service among the load.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServicePlan {
@@ -83,8 +94,8 @@
     pub accounts: Vec<AccountKey>,
     /// The model asked for.
     pub model: ModelName,
-    /// The share of requests that are sent with an idempotency key and must run at most once.
-    pub keyed_share: f64,
+    /// Completions that must run at most once.
+    pub keyed: Option<KeyedPlan>,
     /// Calls to a plain service.
     pub service: Option<ServicePlan>,
     /// How often a request is tried in all, the first time included.
@@ -93,7 +104,7 @@
     pub threads: usize,
     /// How long one answer is waited for.
     pub patience_ms: SpanMs,
-    /// Bytes that all prompts of one account begin with behind the nonce's place; shared prefix.
+    /// The length of the beginning that all prompts of one account share.
     pub shared_prefix_tokens: Tokens,
     /// Knows the right answers; none: identity isn't checked.
     pub oracle: Option<Arc<dyn Oracle>>,
@@ -143,7 +154,7 @@
             }],
             accounts: vec![account],
             model: ModelName::from("pond-1"),
-            keyed_share: 0.0,
+            keyed: None,
             service: None,
             tries: 3,
             threads: 128,
@@ -170,13 +181,14 @@
         ];
         errors.extend(lists.iter().filter(|l| l.1).map(|l| PlanError::Empty(l.0)));
         let rate_fits = self.rate.0.is_finite() && self.rate.0 > 0.0;
+        let keyed_share = self.keyed.as_ref().map_or(0.0, |keyed| keyed.share);
         let service_share = self.service.as_ref().map_or(0.0, |service| service.share);
         let ranges = [
             ("rate", "more than 0/s", rate_fits),
             ("requests", "more than 0", self.requests > 0),
             ("tries", "more than 0", self.tries > 0),
             ("threads", "more than 0", self.threads > 0),
-            ("keyed share", "from 0 to 1", is_share(self.keyed_share)),
+            ("keyed share", "from 0 to 1", is_share(keyed_share)),
             ("direct share", "from 0 to 1", is_share(self.direct_share)),
             ("service share", "from 0 to 1", is_share(service_share)),
         ];
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -32,7 +32,7 @@
     pub kind: Kind,
     /// The prompt's length.
     pub prompt_tokens: Tokens,
-    /// The class, as a position in the plan's classes.
+    /// The class by the prompt's length, as a position in the plan's classes; not for keyed ones.
     pub class: usize,
     /// The account, as a position in the plan's accounts.
     pub account: usize,
@@ -69,7 +69,7 @@
     let account = rng.random_range(0..plan.accounts.len());
     // Each number is drawn whether or not it is used, so that a share can change without changing
     // the rest of the schedule.
-    let keyed = rng.random_bool(plan.keyed_share);
+    let keyed = rng.random_bool(plan.keyed.as_ref().map_or(0.0, |k| k.share));
     let service = rng.random_bool(plan.service.as_ref().map_or(0.0, |s| s.share));
     let direct = rng.random_bool(plan.direct_share);
     let kind = match (service, direct, keyed) {
--- a/crates/load/src/truth.rs
+++ b/crates/load/src/truth.rs
@@ -16,20 +16,13 @@
     pub runs: u64,
 }
 
-/// All counts of a fleet's upstreams; a request on several upstreams appears several times.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunCounts {
-    /// The counts.
-    pub runs: Vec<RunCount>,
-}
-
 /// Knows what upstreams really ran.
 pub trait RunSource: Send + Sync {
-    /// Asks all upstreams.
+    /// Asks all upstreams for these requests; one that ran on several may appear several times.
     ///
     /// # Errors
     /// An upstream that can't be asked; nothing is concluded then.
-    fn counts(&self) -> Result<RunCounts, Error>;
+    fn counts(&self, requests: &[RequestId]) -> Result<Vec<RunCount>, Error>;
 }
 
 /// What is kept of a request for the check.
@@ -52,10 +45,18 @@
     pub(crate) ran_twice: u64,
 }
 
+/// Every identity that the check asks upstreams for.
+pub(crate) fn requests_of(claims: &[Claim]) -> Vec<RequestId> {
+    claims
+        .iter()
+        .flat_map(|claim| claim.requests.iter().copied())
+        .collect()
+}
+
 /// Compares what callers were told with what upstreams ran.
-pub(crate) fn compare(claims: &[Claim], counts: &RunCounts) -> Untruths {
+pub(crate) fn compare(claims: &[Claim], counts: &[RunCount]) -> Untruths {
     let mut runs_of: HashMap<RequestId, u64> = HashMap::new();
-    for count in &counts.runs {
+    for count in counts {
         *runs_of.entry(count.request).or_default() += count.runs;
     }
     let mut untruths = Untruths::default();
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -11,7 +11,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-/// Bucket bounds of the time to first token, in milliseconds.
+/// Bucket bounds of the times to first token and to the end, in milliseconds.
 const FIRST_TOKEN_BOUNDS_MS: [f64; 16] = [
     10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 600.0, 800.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0,
     16_000.0, 32_000.0, 64_000.0, 128_000.0,
@@ -63,10 +63,15 @@
     _provider: SdkMeterProvider,
     first_token: Histogram<f64>,
     between_tokens: Histogram<f64>,
+    end: Histogram<f64>,
     admitted: Counter<u64>,
     refused: Counter<u64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
+    retries_denied: Counter<u64>,
+    upstream_refusals: Counter<u64>,
+    dropped_events: Counter<u64>,
+    cancelled: Counter<u64>,
     finished: Counter<u64>,
     failed: Counter<u64>,
     claims: Counter<u64>,
@@ -104,6 +109,12 @@
                 "Time between two tokens of an answer, in milliseconds.",
                 &BETWEEN_TOKENS_BOUNDS_MS,
             ),
+            end: histogram(
+                &meter,
+                "bluebell_end_ms",
+                "Time from arrival to the end of a whole answer, in milliseconds.",
+                &FIRST_TOKEN_BOUNDS_MS,
+            ),
             admitted: counter(&meter, "bluebell_admitted", "Requests admitted."),
             refused: counter(
                 &meter,
@@ -112,6 +123,22 @@
             ),
             attempts: counter(&meter, "bluebell_attempts", "Attempts sent to upstreams."),
             retries: counter(&meter, "bluebell_retries", "Attempts after a first one."),
+            retries_denied: counter(
+                &meter,
+                "bluebell_retries_denied",
+                "Retries that were due while the budget was used up.",
+            ),
+            upstream_refusals: counter(
+                &meter,
+                "bluebell_upstream_refusals",
+                "Attempts that an upstream refused before it began.",
+            ),
+            dropped_events: counter(
+                &meter,
+                "bluebell_dropped_events",
+                "Events and answers dropped because they came late, crossed or twice.",
+            ),
+            cancelled: counter(&meter, "bluebell_cancelled", "Requests cancelled."),
             finished: counter(
                 &meter,
                 "bluebell_finished",
@@ -153,8 +180,8 @@
     }
 
     /// A request was admitted.
-    pub fn admitted(&self, class: &ClassName, prompt_tokens: Tokens) {
-        self.admitted.add(1, &class_and_band(class, prompt_tokens));
+    pub fn admitted(&self, class: &ClassName, band: LengthBand) {
+        self.admitted.add(1, &class_and_band(class, band));
     }
 
     /// A request was refused before any work; `reason` is from a closed set.
@@ -163,36 +190,57 @@
     }
 
     /// The first token came, `span_ms` after the request's arrival.
-    pub fn first_token(&self, class: &ClassName, prompt_tokens: Tokens, span_ms: SpanMs) {
-        let labels = class_and_band(class, prompt_tokens);
+    pub fn first_token(&self, class: &ClassName, band: LengthBand, span_ms: SpanMs) {
+        let labels = class_and_band(class, band);
         self.first_token.record(span_ms.0 as f64, &labels);
     }
 
     /// A further token came, `span_ms` after the one before.
-    pub fn between_tokens(&self, class: &ClassName, prompt_tokens: Tokens, span_ms: SpanMs) {
-        let labels = class_and_band(class, prompt_tokens);
+    pub fn between_tokens(&self, class: &ClassName, band: LengthBand, span_ms: SpanMs) {
+        let labels = class_and_band(class, band);
         self.between_tokens.record(span_ms.0 as f64, &labels);
     }
 
-    /// An attempt was sent to an upstream; all but the first of a request are retries.
-    pub fn attempt(&self, attempt: AttemptNo) {
+    /// An attempt was sent to an upstream.
+    pub fn attempt(&self) {
         self.attempts.add(1, &[]);
-        if attempt.0 > 1 {
-            self.retries.add(1, &[]);
-        }
     }
 
-    /// A request got its whole answer.
-    pub fn finished(&self, class: &ClassName, prompt_tokens: Tokens) {
-        self.finished.add(1, &class_and_band(class, prompt_tokens));
+    /// An attempt was one more after a failed one.
+    pub fn retry(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// A retry was due, but the budget was used up.
+    pub fn retry_denied(&self) {
+        self.retries_denied.add(1, &[]);
+    }
+
+    /// An upstream refused new work before it began.
+    pub fn upstream_refused(&self) {
+        self.upstream_refusals.add(1, &[]);
+    }
+
+    /// An event or answer came late, crossed or twice and was dropped.
+    pub fn dropped_event(&self) {
+        self.dropped_events.add(1, &[]);
+    }
+
+    /// A request was cancelled.
+    pub fn cancelled(&self) {
+        self.cancelled.add(1, &[]);
+    }
+
+    /// A request got its whole answer, `span_ms` after its arrival.
+    pub fn finished(&self, class: &ClassName, band: LengthBand, span_ms: SpanMs) {
+        let labels = class_and_band(class, band);
+        self.finished.add(1, &labels);
+        self.end.record(span_ms.0 as f64, &labels);
     }
 
     /// An admitted request failed.
-    pub fn failed(&self, class: &ClassName, verdict: Verdict) {
-        let labels = [
-            KeyValue::new("class", class.0.clone()),
-            KeyValue::new("verdict", verdict.as_str()),
-        ];
+    pub fn failed(&self, verdict: Verdict) {
+        let labels = [KeyValue::new("verdict", verdict.as_str())];
         self.failed.add(1, &labels);
     }
 
@@ -233,10 +281,10 @@
 }
 
 /// The labels of a class and a prompt's band.
-fn class_and_band(class: &ClassName, prompt_tokens: Tokens) -> [KeyValue; 2] {
+fn class_and_band(class: &ClassName, band: LengthBand) -> [KeyValue; 2] {
     [
         KeyValue::new("class", class.0.clone()),
-        KeyValue::new("band", LengthBand::of(prompt_tokens).as_str()),
+        KeyValue::new("band", band.as_str()),
     ]
 }
 
