--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod answer;
 mod balancer;
+mod direct;
 mod exchange;
 mod live;
 pub mod mix;
@@ -25,6 +26,7 @@
 mod wire;
 
 pub use answer::{AnswerCheck, AnswerFault, Expected, Oracle, StandInOracle};
+pub use direct::HttpDirectEngine;
 pub use mix::Mix;
 pub use plan::{AccountKey, ClassPlan, DirectEngine, KeyedPlan, LoadPlan, PlanError, ServicePlan};
 pub use prompt::PromptMaker;
