--- a/crates/entry/src/admin/exchange.rs
+++ b/crates/entry/src/admin/exchange.rs
@@ -127,9 +127,8 @@
     }
 
     fn history(&self) -> Result<Whole, Refusal> {
-        let texts = self.ask(AdminCall::History)?;
-        let bodies: Result<Vec<_>, _> = texts.iter().map(config_body).collect();
-        Ok(answer::json(200, &bodies?, &self.name))
+        let versions = self.ask(AdminCall::History)?;
+        Ok(answer::json(200, &versions, &self.name))
     }
 
     fn publish(&self, request: &mut Request) -> Result<Whole, Refusal> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,7 +16,7 @@
 pub use settings::{AdminSettings, BindError, CallersSettings};
 
 use bluebell_base::prelude::*;
-use bluebell_control::Published;
+use bluebell_control::{Published, VersionSeen};
 
 /// Takes the answer to an operator's call.
 pub type Reply<T> = Box<dyn FnOnce(Result<T, Error>) + Send>;
@@ -25,8 +25,8 @@
 pub enum AdminCall {
     /// The configuration in force: version and text.
     Config(Reply<ConfigText>),
-    /// Earlier versions still known, oldest first.
-    History(Reply<Vec<ConfigText>>),
+    /// The versions that came into force at this node, oldest first.
+    History(Reply<Vec<VersionSeen>>),
     /// Publish a configuration based on a version.
     Publish {
         /// The version it was based on.
--- /dev/null
+++ b/crates/node/src/hub/admin.rs
@@ -0,0 +1,154 @@
+//! The operators' calls.
+
+use super::Hub;
+use bluebell_base::prelude::*;
+use bluebell_claims::ClaimsReport;
+use bluebell_control::{ControlDump, Published, VersionSeen};
+use bluebell_entry::{AdminCall, ConfigText, Reply};
+use bluebell_members::MembersDump;
+use bluebell_peers::NodeCard;
+use bluebell_telemetry::StateDump;
+use serde::Serialize;
+use stakker::{CX, Ret, call, ret_some_to};
+
+/// Who is there, as the administration API tells it.
+#[derive(Debug, Serialize)]
+struct FleetView {
+    /// The node asked.
+    this: NodeCard,
+    /// The live nodes it knows.
+    nodes: Vec<NodeCard>,
+}
+
+impl Hub {
+    /// An operator calls.
+    pub fn on_admin(&mut self, cx: CX![], call: AdminCall) {
+        match call {
+            AdminCall::Config(reply) => {
+                let ret = Ret::new(move |seen| reply(config_text(seen)));
+                call!([self.parts.control], in_force(ret));
+            }
+            AdminCall::History(reply) => {
+                let ret = Ret::new(move |seen| reply(history(seen)));
+                call!([self.parts.control], history(ret));
+            }
+            AdminCall::Publish { base, body, reply } => {
+                let ret = Ret::new(move |answer: Option<Result<Published, Error>>| {
+                    reply(answer.unwrap_or_else(|| Err(unanswered())));
+                });
+                call!([self.parts.control], publish(base, body, ret));
+            }
+            AdminCall::Drain(reply) => {
+                self.drain(cx);
+                reply(Ok(()));
+            }
+            AdminCall::Dump(reply) => self.dump(cx, reply),
+            AdminCall::Fleet(reply) => reply(self.fleet_text()),
+            AdminCall::Ready(reply) => reply(self.ready()),
+            AdminCall::Metrics(reply) => reply(self.metrics_text()),
+        }
+    }
+
+    fn ready(&self) -> Result<(), Error> {
+        let not_ready = |why: &str| Err(Error::not_run(ErrorKind::Unavailable, why));
+        if self.stopping {
+            return not_ready("the node is draining");
+        }
+        if self.parts.card.config == ConfigVersion(0) {
+            return not_ready("no configuration is in force yet");
+        }
+        Ok(())
+    }
+
+    fn metrics_text(&self) -> Result<Arc<str>, Error> {
+        let text = self.parts.metrics.render();
+        let text = text.map_err(|e| Error::not_run(ErrorKind::Internal, e.to_string()))?;
+        Ok(text.into())
+    }
+
+    fn fleet_text(&self) -> Result<Arc<str>, Error> {
+        let view = FleetView {
+            this: self.card(),
+            nodes: self.parts.roll.borrow().clone(),
+        };
+        let text = serde_json::to_string_pretty(&view);
+        let text = text.map_err(|e| Error::not_run(ErrorKind::Internal, e.to_string()))?;
+        Ok(text.into())
+    }
+
+    /// Collects the parts' dumps one after the other; each part answers at once.
+    fn dump(&mut self, cx: CX![], reply: Reply<Arc<str>>) {
+        let mut dump = StateDump::new();
+        dump.section("node", &self.card());
+        dump.section("nodes", &*self.parts.roll.borrow());
+        dump.section("engines", &self.engine_dump());
+        let ret = ret_some_to!([cx], dump_requests(dump, reply) as (ControlDump));
+        call!([self.parts.control], dump(ret));
+    }
+
+    fn dump_requests(
+        &mut self,
+        cx: CX![],
+        mut dump: StateDump,
+        reply: Reply<Arc<str>>,
+        control: ControlDump,
+    ) {
+        dump.section("control", &control);
+        let ret = ret_some_to!([cx], dump_claims(dump, reply) as (Arc<str>));
+        self.parts.requests.dump(ret);
+    }
+
+    fn dump_claims(
+        &mut self,
+        cx: CX![],
+        mut dump: StateDump,
+        reply: Reply<Arc<str>>,
+        requests: Arc<str>,
+    ) {
+        dump.text("requests", &requests);
+        let ret = ret_some_to!([cx], dump_members(dump, reply) as (ClaimsReport));
+        self.parts.claims.report(cx, ret);
+    }
+
+    fn dump_members(
+        &mut self,
+        cx: CX![],
+        mut dump: StateDump,
+        reply: Reply<Arc<str>>,
+        claims: ClaimsReport,
+    ) {
+        dump.section("claims", &claims);
+        let ret = ret_some_to!([cx], dump_done(dump, reply) as (MembersDump));
+        call!([self.parts.members], dump(ret));
+    }
+
+    fn dump_done(
+        &mut self,
+        _cx: CX![],
+        mut dump: StateDump,
+        reply: Reply<Arc<str>>,
+        members: MembersDump,
+    ) {
+        dump.section("members", &members);
+        reply(Ok(dump.render()));
+    }
+}
+
+fn unanswered() -> Error {
+    Error::may_have_run(ErrorKind::Unavailable, "the node stopped before an answer")
+}
+
+fn config_text(seen: Option<(ConfigVersion, Arc<str>)>) -> Result<ConfigText, Error> {
+    let (version, body) = seen.ok_or_else(unanswered)?;
+    if version == ConfigVersion(0) {
+        return Err(Error::not_run(
+            ErrorKind::NotFound,
+            "no configuration is in force yet",
+        ));
+    }
+    Ok(ConfigText { version, body })
+}
+
+fn history(seen: Option<Vec<VersionSeen>>) -> Result<Vec<VersionSeen>, Error> {
+    seen.ok_or_else(unanswered)
+}
--- /dev/null
+++ b/crates/node/src/hub/drain.rs
@@ -0,0 +1,67 @@
+//! The planned stop: not ready at once, in-flight work finished, duties handed over, then the end.
+//!
+//! Invariants: nothing is cut; the process ends by itself once nothing is left, and at the drain
+//! limit at the latest, which is then logged.
+
+use super::Hub;
+use bluebell_base::prelude::*;
+use stakker::{CX, StopCause, call, fwd_to, ret_to};
+
+/// How long duties may take to be handed over; with the log down nobody could take them.
+const HAND_OVER_LIMIT_MS: SpanMs = SpanMs::from_secs(5);
+/// How long answers already handed to I/O threads may take to reach their sockets.
+const FLUSH_MS: SpanMs = SpanMs(500);
+
+impl Hub {
+    /// Begins the planned stop; further calls change nothing.
+    pub fn drain(&mut self, cx: CX![]) {
+        if self.stopping {
+            return;
+        }
+        log::info!("draining: no new work from now on");
+        self.stopping = true;
+        self.parts.card.leaving = true;
+        self.parts.callers.set_ready(false);
+        call!([self.parts.members], leave());
+        let ret = ret_to!([cx], on_requests_done() as (()));
+        self.parts.requests.drain(ret);
+        let limit = fwd_to!([cx], on_drain_limit() as (MonoMs));
+        let limit_ms = self.parts.settings.drain_limit_ms;
+        self.parts.timers.subscribe_in(cx, limit_ms, limit);
+    }
+
+    fn on_requests_done(&mut self, cx: CX![], _done: Option<()>) {
+        log::info!("draining: nothing in flight any more, duties are handed over");
+        let ret = ret_to!([cx], on_duties_done() as (()));
+        call!([self.parts.control], drain(ret));
+        let limit = fwd_to!([cx], on_hand_over_limit() as (MonoMs));
+        self.parts
+            .timers
+            .subscribe_in(cx, HAND_OVER_LIMIT_MS, limit);
+    }
+
+    fn on_duties_done(&mut self, cx: CX![], _done: Option<()>) {
+        self.flush(cx);
+    }
+
+    fn on_hand_over_limit(&mut self, cx: CX![], _now_ms: MonoMs) {
+        // Guards against a log that is down: its leases can't be released and lapse by themselves,
+        // so waiting for it would only hold the stop up.
+        self.flush(cx);
+    }
+
+    fn flush(&mut self, cx: CX![]) {
+        let end = fwd_to!([cx], on_flushed() as (MonoMs));
+        self.parts.timers.subscribe_in(cx, FLUSH_MS, end);
+    }
+
+    fn on_flushed(&mut self, cx: CX![], _now_ms: MonoMs) {
+        log::info!("drained");
+        cx.shutdown(StopCause::Stopped);
+    }
+
+    fn on_drain_limit(&mut self, cx: CX![], _now_ms: MonoMs) {
+        log::warn!("the drain limit is reached; what is still in flight is cut");
+        cx.shutdown(StopCause::Stopped);
+    }
+}
--- /dev/null
+++ b/crates/node/src/hub/fleet.rs
@@ -0,0 +1,279 @@
+//! Upstreams as membership tells of them: opening their ports, asking engines what they serve,
+//! and polling load and cache events.
+//!
+//! Terms: an engine is *known* once it has told its models and memory; the *turn* is the engine
+//! polled next.
+//!
+//! Invariants: a node sends a fixed number of polls a second however many engines there are, so
+//! its control traffic doesn't grow with the fleet; what the polls miss rides on answers.
+
+use super::Hub;
+use bluebell_base::prelude::*;
+use bluebell_members::MemberEvent;
+use bluebell_platform::{VmEntry, VmRole};
+use bluebell_requests::EngineCard;
+use bluebell_upstreams::{CacheEvents, EnginePort, LoadReport, OrderAnswer};
+use bluebell_upstreams::{HttpEngine, HttpService};
+use serde::Serialize;
+use stakker::{CX, call, fwd_to, ret_some_to};
+use std::rc::Rc;
+
+/// The pause between two polls of engines.
+const POLL_PAUSE_MS: SpanMs = SpanMs(150);
+/// Of so many turns of an engine one asks for its state, one for its cache events, the rest for
+/// its load.
+const TURNS: u64 = 8;
+/// Which turn asks for the models served.
+const STATE_TURN: u64 = 7;
+/// Every how many turns cache events are asked for.
+const CACHE_TURNS: u64 = 2;
+
+/// The engines this node knows, in the order of polling.
+#[derive(Default)]
+pub struct EngineTable {
+    engines: Vec<Engine>,
+    next: usize,
+}
+
+struct Engine {
+    entry: VmEntry,
+    name: UpstreamName,
+    port: Rc<dyn EnginePort>,
+    models: Vec<ModelName>,
+    kv_capacity_tokens: Tokens,
+    announced: bool,
+    leaving: bool,
+    turn: u64,
+    cache_next: u64,
+}
+
+impl EngineTable {
+    fn find(&mut self, name: &UpstreamName) -> Option<&mut Engine> {
+        self.engines.iter_mut().find(|engine| engine.name == *name)
+    }
+
+    fn remove(&mut self, name: &UpstreamName) {
+        self.engines.retain(|engine| engine.name != *name);
+    }
+}
+
+impl Engine {
+    fn is_known(&self) -> bool {
+        !self.models.is_empty() && self.kv_capacity_tokens > Tokens::ZERO
+    }
+
+    fn card(&self) -> EngineCard {
+        EngineCard {
+            name: self.name.clone(),
+            domain: self.entry.domain.clone(),
+            models: self.models.clone(),
+            kv_capacity_tokens: self.kv_capacity_tokens,
+        }
+    }
+}
+
+/// An engine as the state dump shows it.
+#[derive(Debug, Serialize)]
+pub(super) struct EngineDump {
+    name: UpstreamName,
+    address: Address,
+    models: Vec<ModelName>,
+    kv_capacity_tokens: Tokens,
+    leaving: bool,
+}
+
+impl Hub {
+    pub(super) fn engine_dump(&self) -> Vec<EngineDump> {
+        let dump = |engine: &Engine| EngineDump {
+            name: engine.name.clone(),
+            address: engine.entry.address.clone(),
+            models: engine.models.clone(),
+            kv_capacity_tokens: engine.kv_capacity_tokens,
+            leaving: engine.leaving,
+        };
+        self.engines.engines.iter().map(dump).collect()
+    }
+
+    /// Membership tells of a change.
+    pub fn on_member(&mut self, cx: CX![], event: MemberEvent) {
+        match event {
+            MemberEvent::UpstreamLive(entry) => self.on_upstream_live(cx, entry),
+            MemberEvent::UpstreamLeaving(name) => self.on_upstream_leaving(cx, name),
+            MemberEvent::UpstreamGone(name) => self.on_upstream_gone(cx, name),
+            MemberEvent::Nodes(nodes) => {
+                *self.parts.roll.borrow_mut() = nodes.clone();
+                call!([self.parts.control], nodes_changed(nodes));
+            }
+        }
+    }
+
+    fn on_upstream_live(&mut self, cx: CX![], entry: VmEntry) {
+        let name = UpstreamName(entry.name.0.clone());
+        log::info!("upstream {name} at {} is live", entry.address);
+        match entry.role {
+            VmRole::Engine => self.open_engine(cx, name, entry),
+            VmRole::Service => self.open_service(name, entry),
+            VmRole::Node => (),
+        }
+    }
+
+    fn open_service(&mut self, name: UpstreamName, entry: VmEntry) {
+        let service = ServiceName(entry.deployment.0.clone());
+        let port = HttpService::open(self.parts.calls.clone(), entry.address);
+        self.parts.requests.service_live(service, name, port);
+    }
+
+    fn open_engine(&mut self, cx: CX![], name: UpstreamName, entry: VmEntry) {
+        if let Some(engine) = self.engines.find(&name)
+            && engine.entry.address == entry.address
+        {
+            engine.leaving = false;
+            engine.announced = false;
+            self.announce(&name);
+            return;
+        }
+        // A replaced VM keeps its name: its port, models and memory are asked anew.
+        self.engines.remove(&name);
+        let port = HttpEngine::open(
+            self.parts.streams.clone(),
+            self.parts.calls.clone(),
+            entry.address.clone(),
+            None,
+        );
+        self.engines.engines.push(Engine {
+            entry,
+            name: name.clone(),
+            port,
+            models: Vec::new(),
+            kv_capacity_tokens: Tokens::ZERO,
+            announced: false,
+            leaving: false,
+            turn: 0,
+            cache_next: 0,
+        });
+        self.ask_state(cx, &name);
+        self.ask_load(cx, &name);
+    }
+
+    fn on_upstream_leaving(&mut self, _cx: CX![], name: UpstreamName) {
+        log::info!("upstream {name} is leaving");
+        if let Some(engine) = self.engines.find(&name) {
+            engine.leaving = true;
+            self.parts.requests.engine_leaving(name.clone());
+        }
+        self.parts.requests.service_leaving(name);
+    }
+
+    fn on_upstream_gone(&mut self, _cx: CX![], name: UpstreamName) {
+        log::info!("upstream {name} is gone");
+        self.engines.remove(&name);
+        self.parts.requests.engine_gone(name.clone());
+        self.parts.requests.service_gone(name);
+    }
+
+    /// Tells the requests of an engine once all of it is known.
+    fn announce(&mut self, name: &UpstreamName) {
+        let Some(engine) = self.engines.find(name) else {
+            return;
+        };
+        if engine.announced || engine.leaving || !engine.is_known() {
+            return;
+        }
+        engine.announced = true;
+        let (card, port) = (engine.card(), Rc::clone(&engine.port));
+        self.parts.requests.engine_live(card, port);
+    }
+
+    pub(super) fn poll_next(&mut self, cx: CX![]) {
+        let again = fwd_to!([cx], on_poll_due() as (MonoMs));
+        self.parts.timers.subscribe_in(cx, POLL_PAUSE_MS, again);
+        let count = self.engines.engines.len();
+        if count == 0 {
+            return;
+        }
+        let index = self.engines.next % count;
+        self.engines.next = index + 1;
+        let engine = &mut self.engines.engines[index];
+        engine.turn += 1;
+        let (turn, name) = (engine.turn, engine.name.clone());
+        if turn % TURNS == STATE_TURN || !engine.is_known() {
+            self.ask_state(cx, &name);
+        }
+        if turn.is_multiple_of(CACHE_TURNS) {
+            self.ask_cache(cx, &name);
+        } else {
+            self.ask_load(cx, &name);
+        }
+    }
+
+    fn on_poll_due(&mut self, cx: CX![], _now_ms: MonoMs) {
+        self.poll_next(cx);
+    }
+
+    fn ask_state(&mut self, cx: CX![], name: &UpstreamName) {
+        let Some(engine) = self.engines.find(name) else {
+            return;
+        };
+        let name = name.clone();
+        let ret = ret_some_to!([cx], on_state(name) as (Result<OrderAnswer, Error>));
+        engine.port.state(cx, ret);
+    }
+
+    fn on_state(&mut self, _cx: CX![], name: UpstreamName, answer: Result<OrderAnswer, Error>) {
+        let (Ok(state), Some(engine)) = (answer, self.engines.find(&name)) else {
+            return;
+        };
+        let models: Vec<_> = state.models.into_iter().map(|m| m.model).collect();
+        if models != engine.models {
+            engine.models = models;
+            engine.announced = false;
+        }
+        self.announce(&name);
+    }
+
+    fn ask_load(&mut self, cx: CX![], name: &UpstreamName) {
+        let Some(engine) = self.engines.find(name) else {
+            return;
+        };
+        let name = name.clone();
+        let ret = ret_some_to!([cx], on_load(name) as (Result<LoadReport, Error>));
+        engine.port.load(cx, ret);
+    }
+
+    fn on_load(&mut self, _cx: CX![], name: UpstreamName, answer: Result<LoadReport, Error>) {
+        let (Ok(report), Some(engine)) = (answer, self.engines.find(&name)) else {
+            return;
+        };
+        if report.kv_capacity_tokens != engine.kv_capacity_tokens {
+            engine.kv_capacity_tokens = report.kv_capacity_tokens;
+            engine.announced = false;
+        }
+        if report.leaving {
+            call!([self.parts.members], upstream_refused(name.clone()));
+        }
+        self.parts.requests.engine_load(name.clone(), report);
+        self.announce(&name);
+    }
+
+    fn ask_cache(&mut self, cx: CX![], name: &UpstreamName) {
+        let Some(engine) = self.engines.find(name) else {
+            return;
+        };
+        let (name, from) = (name.clone(), engine.cache_next);
+        let ret = ret_some_to!([cx], on_cache(name) as (Result<CacheEvents, Error>));
+        engine.port.cache_events(cx, from, ret);
+    }
+
+    fn on_cache(&mut self, _cx: CX![], name: UpstreamName, answer: Result<CacheEvents, Error>) {
+        let (Ok(events), Some(engine)) = (answer, self.engines.find(&name)) else {
+            return;
+        };
+        engine.cache_next = events.next;
+        self.parts.requests.engine_cache(name, events);
+    }
+
+    /// An engine refused work because it leaves.
+    pub fn on_upstream_refused(&mut self, _cx: CX![], name: UpstreamName) {
+        call!([self.parts.members], upstream_refused(name));
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,2 +1,67 @@
-//! x
-fn main() {}
+//! The node program: reads its settings, opens the logs, runs the node until it is told to stop.
+
+use bluebell_node::Node;
+use bluebell_settings::{EnvVar, NodeSettings, Parsed, effective_text};
+use bluebell_telemetry::open_logs;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// The exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let env = EnvVar::of_process();
+    match NodeSettings::from_args_and_env(&args, &env) {
+        Ok(Parsed::Run {
+            settings,
+            unknown_env,
+            ..
+        }) => run(settings, &unknown_env),
+        Ok(Parsed::Check(effective)) => {
+            print!("{}", effective_text(&effective));
+            ExitCode::SUCCESS
+        }
+        Ok(Parsed::Help(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(errors) => {
+            for error in errors {
+                eprintln!("bluebellpond: {error}");
+            }
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn run(settings: NodeSettings, unknown_env: &[Arc<str>]) -> ExitCode {
+    if let Err(error) = open_logs(settings.log_format, &settings.log_levels) {
+        eprintln!("bluebellpond: {error}");
+        return ExitCode::FAILURE;
+    }
+    for name in unknown_env {
+        log::warn!("{name} is set in the environment but is not a setting");
+    }
+    let node = match Node::spawn(settings) {
+        Ok(node) => node,
+        Err(error) => {
+            log::error!("can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let addresses = node.addresses();
+    log::info!(
+        "serving callers at {}, operators at {}, peers at {}",
+        addresses.callers,
+        addresses.admin,
+        addresses.peers
+    );
+    let stopper = node.stopper();
+    if let Err(error) = ctrlc::set_handler(move || stopper.drain()) {
+        log::warn!("signals won't stop this node gracefully: {error}");
+    }
+    node.join();
+    ExitCode::SUCCESS
+}
--- a/crates/requests/src/observe/mod.rs
+++ b/crates/requests/src/observe/mod.rs
@@ -1,43 +1,9 @@
 //! What the requests tell the metrics.
 
+pub use bluebell_base::bands::LengthBand;
 use bluebell_base::prelude::*;
 use bluebell_policy::RefusalReason;
 
-/// Prompt lengths grouped for metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum LengthBand {
-    /// Below 4 000 tokens.
-    Under4k,
-    /// Below 16 000 tokens.
-    Under16k,
-    /// Below 100 000 tokens.
-    Under100k,
-    /// 100 000 tokens and more.
-    Long,
-}
-
-impl LengthBand {
-    /// The band of a prompt.
-    pub fn of(prompt_tokens: Tokens) -> Self {
-        match prompt_tokens.0 {
-            0..4_000 => Self::Under4k,
-            4_000..16_000 => Self::Under16k,
-            16_000..100_000 => Self::Under100k,
-            _ => Self::Long,
-        }
-    }
-
-    /// The label used in metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Under4k => "under_4k",
-            Self::Under16k => "under_16k",
-            Self::Under100k => "under_100k",
-            Self::Long => "long",
-        }
-    }
-}
-
 /// Why a request was refused before it was sent anywhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RefusedBy {
