--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod answer;
 mod balancer;
+mod direct;
 mod exchange;
 mod live;
 pub mod mix;
@@ -24,11 +25,12 @@
 mod truth;
 mod wire;
 
-pub use answer::{AnswerCheck, AnswerFault, Oracle};
+pub use answer::{AnswerCheck, AnswerFault, Expected, Oracle, StandInOracle};
+pub use direct::HttpDirectEngine;
 pub use mix::Mix;
-pub use plan::{AccountKey, ClassPlan, DirectEngine, LoadPlan, PlanError, ServicePlan};
+pub use plan::{AccountKey, ClassPlan, DirectEngine, KeyedPlan, LoadPlan, PlanError, ServicePlan};
 pub use prompt::PromptMaker;
 pub use report::{BandReport, LatencyReport, Report};
 pub use run::{LoadRun, spawn};
 pub use schedule::{Kind, Planned, Schedule};
-pub use truth::{RunCount, RunCounts, RunSource};
+pub use truth::{RunCount, RunSource};
