--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! Terms: a *stream* is one named sequence of log records with offsets; *retained* records are
 //! those the log still keeps; a *port* is the trait object through which actors reach one of the
-//! platform's services without blocking.
+//! platform's services without blocking. A [`Tail`] follows a stream, an [`Appender`] appends to
+//! one in batches; both are actors on top of a [`LogPort`].
 //!
 //! Invariants: an append whose answer is lost is reported as `MayHaveRun`, never as `NotRun`;
 //! offsets of a stream only grow.
--- a/crates/platform/src/pace/mod.rs
+++ b/crates/platform/src/pace/mod.rs
@@ -17,6 +17,9 @@
 /// The wait told where the rate is zero and no token will ever come.
 const NEVER_MS: u64 = 60_000;
 
+/// By how much a token may be short of whole from the rounding of many small fills.
+const ROUNDING: f64 = 1e-6;
+
 impl TokenBucket {
     /// A full bucket at the instant `now_ms`, in milliseconds of any clock.
     pub fn new(rate: PerSecond, burst: f64, now_ms: u64) -> Self {
@@ -34,8 +37,8 @@
     /// The time until a token will be there, at least 1 ms.
     pub fn take(&mut self, now_ms: u64) -> Result<(), SpanMs> {
         self.fill(now_ms);
-        if self.held >= 1.0 {
-            self.held -= 1.0;
+        if self.held >= 1.0 - ROUNDING {
+            self.held = (self.held - 1.0).max(0.0);
             return Ok(());
         }
         if self.rate.0 <= 0.0 {
@@ -49,8 +52,6 @@
         let passed_ms = now_ms.saturating_sub(self.filled_ms);
         self.filled_ms = self.filled_ms.max(now_ms);
         let more = self.rate.0 * passed_ms as f64 / 1000.0;
-        // The rounding of many small fills must not leave a token a hair short of whole.
-        const ROUNDING: f64 = 1e-9;
-        self.held = (self.held + more + ROUNDING).min(self.burst);
+        self.held = (self.held + more).min(self.burst);
     }
 }
