--- a/crates/claims/src/owner/mod.rs
+++ b/crates/claims/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod item;
 mod queue;
 mod report;
+mod seek;
 mod serve;
 
 pub(crate) use item::{ClaimRet, SettleRet};
@@ -24,6 +25,7 @@
 use bluebell_timers::{Subscription, Timers};
 use flight::{Flight, Stage};
 use queue::Queue;
+use seek::{Next, Seek};
 use stakker::{CX, Fwd, fwd_to, ret_to};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -34,6 +36,9 @@
     cap_ms: SpanMs(2000),
 };
 
+/// The bytes asked for where one record is wanted; the log gives at least one.
+const SEEK_BYTES: Bytes = Bytes(1);
+
 /// What an owner works with.
 #[derive(Clone)]
 pub(crate) struct OwnerParts {
@@ -54,6 +59,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
+    Seek(Offset),
     CatchUp,
     Announce,
     Confirm(Offset),
@@ -69,6 +75,7 @@
     state: ShardState,
     reduced_ms: MonoMs,
     phase: Phase,
+    seek: Seek,
     log_busy: bool,
     log_down: bool,
     resume_ms: MonoMs,
@@ -97,7 +104,8 @@
             state: ShardState::new(parts.settings.validity_ms),
             stream: stream_of(tenure.shard),
             reduced_ms: MonoMs::default(),
-            phase: Phase::CatchUp,
+            phase: Phase::Seek(Offset(0)),
+            seek: Seek::new(parts.settings.validity_ms),
             log_busy: false,
             log_down: false,
             resume_ms: MonoMs::default(),
@@ -142,7 +150,8 @@
             return;
         }
         match self.phase {
-            Phase::CatchUp | Phase::Confirm(_) => self.read(cx),
+            Phase::Seek(offset) => self.read(cx, offset, SEEK_BYTES),
+            Phase::CatchUp | Phase::Confirm(_) => self.read_next(cx),
             Phase::Announce => self.announce(cx),
             Phase::Serving => self.serve(cx),
             Phase::Ended => (),
@@ -168,12 +177,15 @@
         log.append(cx, &self.stream, vec![body], ret);
     }
 
-    fn read(&mut self, cx: CX![]) {
+    fn read_next(&mut self, cx: CX![]) {
+        self.read(cx, self.state.next(), self.parts.settings.read_bytes);
+    }
+
+    fn read(&mut self, cx: CX![], from: Offset, limit_bytes: Bytes) {
         self.log_busy = true;
         let ret = ret_to!([cx], was_read() as (Result<ReadBatch, Error>));
         let log = Rc::clone(&self.parts.log);
-        let limit_bytes = self.parts.settings.read_bytes;
-        log.read(cx, &self.stream, self.state.next(), limit_bytes, ret);
+        log.read(cx, &self.stream, from, limit_bytes, ret);
     }
 
     fn appended(&mut self, cx: CX![], answer: Option<Result<Offset, Error>>) {
@@ -243,6 +255,16 @@
 
     fn take(&mut self, cx: CX![], batch: &ReadBatch) {
         self.log_works();
+        if let Phase::Seek(_) = self.phase {
+            self.phase = match self.seek.take(batch) {
+                Next::Probe(offset) => Phase::Seek(offset),
+                Next::Begin(offset) => {
+                    self.state.skip_to(offset);
+                    Phase::CatchUp
+                }
+            };
+            return;
+        }
         if batch.first_retained > self.state.next() {
             if self.phase != Phase::CatchUp {
                 // Paused for longer than the log's retention: an epoch record may be among the
@@ -354,7 +376,7 @@
         report.shard = self.tenure.shard.0;
         report.fencing = self.tenure.fencing.0;
         report.phase = match self.phase {
-            Phase::CatchUp => OwnerPhase::CatchUp,
+            Phase::Seek(_) | Phase::CatchUp => OwnerPhase::CatchUp,
             Phase::Announce => OwnerPhase::Announce,
             Phase::Confirm(_) => OwnerPhase::Confirm,
             Phase::Serving => OwnerPhase::Serving,
--- a/crates/claims/src/owner/serve.rs
+++ b/crates/claims/src/owner/serve.rs
@@ -144,7 +144,7 @@
                 let body = Arc::clone(&flight.body);
                 self.append(cx, body);
             }
-            Some(_) => self.read(cx),
+            Some(_) => self.read_next(cx),
             None => self.start_flight(cx),
         }
     }
--- a/crates/claims/tests/at_most_once/owners.rs
+++ b/crates/claims/tests/at_most_once/owners.rs
@@ -213,3 +213,34 @@
     assert_eq!(again.text(), "granted");
     assert_eq!(other.text(), "held pending");
 }
+
+/// A shard with a day of records is taken over: the new owner reads the last hour only, and still
+/// holds every key of it.
+#[test]
+fn a_takeover_reads_only_what_is_valid() {
+    let change = |settings: &mut bluebell_claims::ClaimSettings| {
+        settings.validity_ms = SpanMs(60_000);
+    };
+    let mut rig = Rig::with(2, 1, change, |_| ());
+    rig.give(0, 0);
+    rig.run_ms(200);
+    for key in 0..2000 {
+        rig.ask(0, key);
+        rig.run_ms(500);
+    }
+    rig.give(0, 1);
+    rig.run_ms(1000);
+    let read_bytes = rig.report(1).owned[0].read_bytes;
+    let written_bytes = rig.model.borrow().stats().appended_bytes;
+    assert!(
+        read_bytes.0 * 4 < written_bytes.0,
+        "{read_bytes} of {written_bytes}"
+    );
+    // The last 110 keys were claimed within 55 s.
+    for key in 1890..2000 {
+        let asked = rig.ask(1, key);
+        rig.run_ms(10);
+        assert_eq!(asked.text(), "held pending", "key {key}");
+    }
+    assert_eq!(rig.ask_and_wait(1, 0).text(), "granted");
+}
--- a/crates/claims/tests/at_most_once/random.rs
+++ b/crates/claims/tests/at_most_once/random.rs
@@ -152,6 +152,29 @@
         self.rig.net.set_faults(NetFaults::default());
     }
 
+    /// A reader that begins anywhere must not take a key for free whose holder it can read, also
+    /// where it can't see the epoch record that fences out an earlier claim.
+    fn check_suffixes(&mut self, shard: u32) -> Result<(), String> {
+        let (first, end) = self.rig.retained(shard);
+        let whole = self.rig.reduced(shard);
+        for _ in 0..20 {
+            let from = self.rng.random_range(first..=end);
+            let suffix = self.rig.reduced_from(shard, Offset(from));
+            let readable = self.rig.grants_after(shard, Offset(from));
+            for (key, entry) in whole.table().iter() {
+                let held = entry.held().is_some() && readable.contains(&(key, entry.request));
+                let known = suffix
+                    .table()
+                    .get(key, suffix.log_ms(), SpanMs(u64::MAX))
+                    .is_some_and(|entry| entry.held().is_some());
+                if held && !known {
+                    return Err(format!("from {from}: {key} {entry} looks free"));
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Once all faults are over, every claim has its answer and every shard serves again.
     fn finish(&mut self) {
         self.mend();
@@ -186,6 +209,7 @@
         if contested > 0 {
             return Err(format!("shard {shard}: {contested} contested claims"));
         }
+        run.check_suffixes(shard)?;
         let node = run.node();
         let fresh = run.rig.ask_and_wait(node, 1000 + u128::from(shard));
         if fresh.text() != "granted" {
--- a/crates/claims/tests/at_most_once/rig.rs
+++ b/crates/claims/tests/at_most_once/rig.rs
@@ -1,11 +1,11 @@
 //! Several nodes with production actors in one `Stakker`, on a fake log and a fake net.
 
 use bluebell_base::prelude::*;
-use bluebell_claims::reduce::ShardState;
+use bluebell_claims::records::{Record, decode};
+use bluebell_claims::reduce::{Applied, ClaimOutcome, ShardState};
 use bluebell_claims::verify::verify;
 use bluebell_claims::{
     ClaimSettings, Claims, ClaimsHandle, ClaimsParts, ClaimsPort, ClaimsReport, ShardOwner,
-    shard_of,
 };
 use bluebell_peers::fakes::FakeNet;
 use bluebell_peers::{
@@ -28,11 +28,13 @@
 #[derive(Clone, Default)]
 pub struct Gate(Rc<RefCell<GateState>>);
 
+type Message = Box<dyn FnOnce(&mut Core)>;
+
 #[derive(Default)]
 struct GateState {
     paused: bool,
     dead: bool,
-    held: VecDeque<Box<dyn FnOnce(&mut Core)>>,
+    held: VecDeque<Message>,
 }
 
 impl Gate {
@@ -443,8 +445,14 @@
 
     /// What a fresh reader of a shard's stream makes of it, checked.
     pub fn reduced(&self, shard: u32) -> ShardState {
+        self.reduced_from(shard, Offset(0))
+    }
+
+    /// The same for a reader that begins at an offset.
+    pub fn reduced_from(&self, shard: u32, from: Offset) -> ShardState {
         let stream = StreamName::from(format!("claims-{shard}").as_str());
         let mut state = ShardState::new(self.settings.validity_ms);
+        state.skip_to(from);
         let now_ms = WallMs(self.now_ms().0);
         loop {
             let mut model = self.model.borrow_mut();
@@ -476,6 +484,39 @@
         Ok(())
     }
 
+    /// Where a shard's records begin and end.
+    pub fn retained(&self, shard: u32) -> (u64, u64) {
+        let stream = StreamName::from(format!("claims-{shard}").as_str());
+        let now_ms = WallMs(self.now_ms().0);
+        let mut model = self.model.borrow_mut();
+        let batch = model.read(now_ms, &stream, Offset(0), Bytes(1));
+        (batch.first_retained.0, batch.end.0)
+    }
+
+    /// The claims that took effect in a record from `from` on, in the eyes of a whole reader.
+    pub fn grants_after(&self, shard: u32, from: Offset) -> Vec<(ClaimKey, RequestId)> {
+        let mut state = ShardState::new(self.settings.validity_ms);
+        let stream = StreamName::from(format!("claims-{shard}").as_str());
+        let now_ms = WallMs(self.now_ms().0);
+        let mut model = self.model.borrow_mut();
+        let batch = model.read(now_ms, &stream, Offset(0), Bytes(u64::MAX));
+        let mut grants = Vec::new();
+        for record in &batch.records {
+            let Applied::Batch { claims, .. } = state.apply(record) else {
+                continue;
+            };
+            let Some(Record::Batch(written)) = decode(&record.body) else {
+                continue;
+            };
+            let calls = written.claims.iter().map(ClaimCall::from).zip(claims);
+            let granted = calls.filter(|(_, outcome)| *outcome == ClaimOutcome::Granted);
+            if record.offset >= from {
+                grants.extend(granted.map(|(call, _)| (call.key, call.request)));
+            }
+        }
+        grants
+    }
+
     fn excludes(&self, first: &Grant, second: &Grant) -> bool {
         let valid = second.at_ms.since(first.at_ms) <= self.settings.validity_ms;
         let mut freed = self.freed.iter();
@@ -489,10 +530,6 @@
         let since = self.now.saturating_duration_since(self.origin);
         MonoMs(since.as_millis() as u64)
     }
-
-    pub fn shard(&self, key: u128) -> u32 {
-        shard_of(ClaimKey(key), self.settings.shards).0
-    }
 }
 
 fn incoming(core: &mut Core, claims: &ClaimsHandle, gate: &Gate) -> Fwd<Incoming> {
