--- a/crates/members/src/actor/mod.rs
+++ b/crates/members/src/actor/mod.rs
@@ -6,6 +6,7 @@
 //! Invariants: an upstream that leaves by either source is announced as leaving; events are sent
 //! only for changes of the effective state.
 
+mod directory_side;
 mod listing_side;
 mod probe_side;
 
@@ -20,7 +21,7 @@
 use bluebell_timers::Timers;
 use listing_side::ListingSide;
 use probe_side::ProbeSide;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use stakker::{ActorOwn, CX, Core, Fwd, Ret, actor, fwd_to, ret_nop};
 use std::collections::BTreeMap;
@@ -79,7 +80,7 @@
             .for_each(|seed| nodes.on_candidate(seed));
         let now_ms = timers.now_ms(cx);
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let list_side = ListingSide::open(cx, &ports, &timers, &settings, random.random());
+        let list_side = ListingSide::open(cx, &ports, &timers, &settings, &mut random);
         let mut members = Self {
             evidence: Evidence::new(settings.refusal_ms),
             card,
@@ -95,6 +96,7 @@
             probes: ProbeSide::new(now_ms),
             ticked_ms: now_ms,
         };
+        members.find_directory_end(cx);
         members.tick(cx, now_ms);
         Some(members)
     }
@@ -156,6 +158,8 @@
             refused: self.evidence.to_tell(now_ms),
             writes_directory: self.writes_directory(now_ms),
             directory_stale: self.is_stale(now_ms),
+            skipped_records: self.list_side.skipped(),
+            ignored_records: self.list_side.ignored(),
         });
     }
 
@@ -172,6 +176,9 @@
 
     /// Tells the effective state of an upstream, if it changed.
     fn announce(&mut self, name: &UpstreamName, now_ms: MonoMs) {
+        if self.list_side.is_replaying() {
+            return;
+        }
         let entry = self.listing.entry(&VmName(name.0.clone()));
         let entry = entry.filter(|entry| entry.role != VmRole::Node);
         let Some(mut entry) = entry.cloned() else {
--- a/crates/members/src/actor/probe_side.rs
+++ b/crates/members/src/actor/probe_side.rs
@@ -34,6 +34,10 @@
             retry: Vec::new(),
         }
     }
+
+    pub(super) fn started_ms(&self) -> MonoMs {
+        self.started_ms
+    }
 }
 
 impl Members {
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -4,6 +4,7 @@
 //! Terms: the *directory* is the reduced state of the list; *evidence* is one source's word.
 
 pub mod actor;
+pub mod directory;
 pub mod evidence;
 pub mod listing;
 pub mod nodes;
@@ -45,4 +46,8 @@
     pub writes_directory: bool,
     /// Whether the directory stream is stale and this node fetches the list itself.
     pub directory_stale: bool,
+    /// Directory records that were skipped: too large, malformed or of an unknown kind.
+    pub skipped_records: u64,
+    /// Directory records of superseded writers.
+    pub ignored_records: u64,
 }
--- a/crates/members/src/listing/mod.rs
+++ b/crates/members/src/listing/mod.rs
@@ -98,6 +98,17 @@
         changes
     }
 
+    /// What makes this list equal to `entries`, with no absence to be confirmed.
+    pub fn replace(&self, entries: Vec<VmEntry>) -> Vec<ListChange> {
+        let kept: std::collections::BTreeSet<&VmName> = entries.iter().map(|e| &e.name).collect();
+        let gone = self.entries.keys().filter(|name| !kept.contains(name));
+        let gone = gone.map(|name| ListChange::Gone { name: name.clone() });
+        let mut changes: Vec<ListChange> = gone.collect();
+        let set = entries.into_iter().map(|entry| ListChange::Set { entry });
+        changes.extend(set);
+        changes
+    }
+
     /// Takes a change over; `false` where it says nothing new.
     pub fn apply(&mut self, change: &ListChange) -> bool {
         match change {
