Control: steward of engines: read back, roll versions, fence, reclaim

New border pieces: ControlPorts.weights, Control::engine_seen/engine_leaving/engine_gone/ node_replaced, MemberEvent::NodeReplaced.

--- a/crates/control/src/actor/config_side.rs
+++ b/crates/control/src/actor/config_side.rs
@@ -310,7 +310,7 @@
             self.config.history.pop_front();
         }
         self.config.in_force = Some((version, body, config.clone()));
-        self.events.fwd(ControlEvent::Config { version, config });
+        self.emit(ControlEvent::Config { version, config });
     }
 
     pub(super) fn tick_snapshot(&mut self, cx: CX![], now_ms: MonoMs) {
--- a/crates/control/src/actor/lease_side/duties.rs
+++ b/crates/control/src/actor/lease_side/duties.rs
@@ -176,7 +176,7 @@
     fn release(&mut self, cx: CX![], held: Vec<HeldRecord>) {
         for record in &held {
             if self.leases.holder.drop_duty(record.duty).is_some() {
-                self.events.fwd(ControlEvent::Lost(record.duty));
+                self.emit(ControlEvent::Lost(record.duty));
             }
         }
         let op = self.operation();
--- a/crates/control/src/actor/lease_side/mod.rs
+++ b/crates/control/src/actor/lease_side/mod.rs
@@ -316,9 +316,9 @@
     fn announce(&mut self, change: Option<Change>) {
         match change {
             Some(Change::Held { lease, until_ms }) => {
-                self.events.fwd(ControlEvent::Held { lease, until_ms });
+                self.emit(ControlEvent::Held { lease, until_ms });
             }
-            Some(Change::Lost(duty)) => self.events.fwd(ControlEvent::Lost(duty)),
+            Some(Change::Lost(duty)) => self.emit(ControlEvent::Lost(duty)),
             None => (),
         }
     }
@@ -328,7 +328,7 @@
             return;
         };
         if let Some(holder) = grant.holder {
-            self.events.fwd(ControlEvent::Holder(Lease {
+            self.emit(ControlEvent::Holder(Lease {
                 duty,
                 holder,
                 address: grant.address.clone(),
--- a/crates/control/src/actor/mod.rs
+++ b/crates/control/src/actor/mod.rs
@@ -13,16 +13,20 @@
 
 use crate::print::{ControlDump, HeldDump, VersionSeen};
 use crate::settings::{ControlPorts, ControlSettings, NodeIdentity};
+use crate::steward::{Steward, StewardDump};
 use crate::{ControlEvent, Duty, Lease, Published};
 use bluebell_base::prelude::*;
 use bluebell_peers::{NodeCard, PeerAnswer};
+use bluebell_platform::VmEntry;
 use bluebell_timers::Timers;
+use bluebell_upstreams::EnginePort;
 use config_side::ConfigSide;
 use lease_side::LeaseSide;
 use peer_side::PeerSide;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use stakker::{ActorOwn, CX, Core, Fwd, Ret, actor, fwd_to, ret_nop};
+use stakker::{ActorOwn, CX, Core, Fwd, Ret, actor, call, fwd_to, ret_nop};
+use std::rc::Rc;
 
 /// The time between two looks at what is due: lapses, renewals, takes, snapshots, timeouts.
 const TICK_MS: SpanMs = SpanMs(100);
@@ -39,6 +43,7 @@
     config: ConfigSide,
     leases: LeaseSide,
     peers: PeerSide,
+    steward: ActorOwn<Steward>,
     started_ms: MonoMs,
     draining: Option<Ret<()>>,
     drained: bool,
@@ -75,6 +80,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let config = ConfigSide::open(cx, &ports, &timers, &settings, &mut random);
         let leases = LeaseSide::open(cx, &me, &ports, &timers, &settings, &mut random);
+        let steward = Steward::spawn(cx, ports.weights.clone(), timers.clone(), settings.clone());
         let started_ms = timers.now_ms(cx);
         let mut control = Self {
             me,
@@ -87,6 +93,7 @@
             config,
             leases,
             peers: PeerSide::default(),
+            steward,
             started_ms,
             draining: None,
             drained: false,
@@ -127,6 +134,31 @@
         self.raise_floor(cx);
     }
 
+    /// An engine is there, or what the list says of it changed.
+    pub fn engine_seen(&mut self, _cx: CX![], entry: VmEntry, port: Rc<dyn EnginePort>) {
+        call!([self.steward], engine_seen(entry, port));
+    }
+
+    /// An engine leaves.
+    pub fn engine_leaving(&mut self, _cx: CX![], name: UpstreamName) {
+        call!([self.steward], engine_leaving(name));
+    }
+
+    /// An engine is gone.
+    pub fn engine_gone(&mut self, _cx: CX![], name: UpstreamName) {
+        call!([self.steward], engine_gone(name));
+    }
+
+    /// An incarnation is certainly dead: another answers at its address.
+    pub fn node_replaced(&mut self, _cx: CX![], dead: Incarnation) {
+        call!([self.steward], node_replaced(dead));
+    }
+
+    /// What the steward of this node knows and did.
+    pub fn steward_dump(&mut self, _cx: CX![], ret: Ret<StewardDump>) {
+        call!([self.steward], dump(ret));
+    }
+
     /// Gives all duties back and takes none any more; answered when others may take them.
     pub fn drain(&mut self, cx: CX![], ret: Ret<()>) {
         self.begin_drain(cx, ret);
@@ -179,6 +211,25 @@
         self.timers.subscribe_in(cx, TICK_MS, again);
     }
 
+    /// Tells an event to the node, and to the steward what concerns it.
+    fn emit(&mut self, event: ControlEvent) {
+        match &event {
+            ControlEvent::Config { config, .. } => {
+                call!([self.steward], config_changed(config.clone()));
+            }
+            ControlEvent::Held { lease, until_ms } => {
+                if let Duty::Steward(group) = lease.duty {
+                    call!([self.steward], duty_held(group, lease.clone(), *until_ms));
+                }
+            }
+            ControlEvent::Lost(Duty::Steward(group)) => {
+                call!([self.steward], duty_lost(*group));
+            }
+            ControlEvent::Holder(_) | ControlEvent::Lost(_) => (),
+        }
+        self.events.fwd(event);
+    }
+
     fn operation(&mut self) -> OperationId {
         OperationId(self.random.random())
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,10 +14,12 @@
 pub mod records;
 pub mod reduce;
 pub mod settings;
+pub mod steward;
 
 pub use actor::Control;
 pub use print::{ControlDump, VersionSeen, VersionSource};
 pub use settings::{ControlPorts, ControlSettings, NodeIdentity};
+pub use steward::{StewardCounts, StewardDump};
 
 use bluebell_base::prelude::*;
 use bluebell_config::FleetConfig;
--- a/crates/control/src/settings/mod.rs
+++ b/crates/control/src/settings/mod.rs
@@ -2,7 +2,8 @@
 
 use crate::Duty;
 use bluebell_base::prelude::*;
-use bluebell_platform::LogPort;
+use bluebell_peers::PeerPort;
+use bluebell_platform::{LogPort, WeightPort};
 use std::rc::Rc;
 
 /// Who this node is, as its leases and its peers know it.
@@ -20,7 +21,9 @@
     /// The platform's log.
     pub log: Rc<dyn LogPort>,
     /// The other nodes.
-    pub peers: Rc<dyn bluebell_peers::PeerPort>,
+    pub peers: Rc<dyn PeerPort>,
+    /// The weight store, for the pace of loading.
+    pub weights: Rc<dyn WeightPort>,
 }
 
 /// The limits and intervals of control; the same on all nodes of a fleet.
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -156,6 +156,7 @@
             ControlPorts {
                 log: platform.clone(),
                 peers: peers.clone(),
+                weights: platform.clone(),
             },
             timers.clone(),
             self.settings.clone(),
@@ -170,8 +171,12 @@
             let (seen, clock, to_control) = (seen.clone(), clock.clone(), to_control.clone());
             deferrer.defer(move |s| {
                 seen.borrow_mut().push((clock.now_ms(s), event.clone()));
-                if let MemberEvent::Nodes(cards) = event {
-                    call!([to_control], nodes_changed(cards));
+                match event {
+                    MemberEvent::Nodes(cards) => call!([to_control], nodes_changed(cards)),
+                    MemberEvent::NodeReplaced { dead } => {
+                        call!([to_control], node_replaced(dead));
+                    }
+                    _ => (),
                 }
             });
         });
--- a/crates/members/src/actor/probe_side.rs
+++ b/crates/members/src/actor/probe_side.rs
@@ -6,6 +6,7 @@
 //! steady probes bring it to those that the spreading missed.
 
 use super::Members;
+use crate::MemberEvent;
 use bluebell_base::prelude::*;
 use bluebell_peers::{NodeCard, PeerAnswer, PeerCall};
 use rand::Rng;
@@ -92,7 +93,7 @@
         };
         let ret = ret_to!(
             [cx],
-            on_probe_answer(to.clone()) as (Result<PeerAnswer, Error>)
+            on_probe_answer(to.clone(), now_ms) as (Result<PeerAnswer, Error>)
         );
         self.ports.peers.call(cx, to, call, ret);
     }
@@ -101,10 +102,19 @@
         &mut self,
         cx: CX![],
         to: Address,
+        asked_ms: MonoMs,
         answer: Option<Result<PeerAnswer, Error>>,
     ) {
         match answer {
-            Some(Ok(PeerAnswer::Probe { card, leaving })) => self.hear(cx, &card, &leaving),
+            Some(Ok(PeerAnswer::Probe { card, leaving })) => {
+                self.hear(cx, &card, &leaving);
+                let now_ms = self.timers.now_ms(cx);
+                if card.address == to
+                    && let Some(dead) = self.nodes.on_answer(&card, asked_ms, now_ms)
+                {
+                    self.events.fwd(MemberEvent::NodeReplaced { dead });
+                }
+            }
             Some(_) | None => self.on_probe_failed(&to),
         }
     }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -29,6 +29,11 @@
     UpstreamGone(UpstreamName),
     /// The live nodes changed, by their cards.
     Nodes(Vec<NodeCard>),
+    /// An incarnation is certainly dead: its address answered as another one.
+    NodeReplaced {
+        /// The dead one.
+        dead: Incarnation,
+    },
 }
 
 /// What membership knows.
--- a/crates/members/src/nodes/mod.rs
+++ b/crates/members/src/nodes/mod.rs
@@ -19,6 +19,14 @@
     card: Option<NodeCard>,
     failures: u32,
     listed: bool,
+    answered: Option<Answered>,
+}
+
+/// Who answered this node's own probe, and when.
+#[derive(Clone, Copy, Debug)]
+struct Answered {
+    incarnation: Incarnation,
+    at_ms: MonoMs,
 }
 
 /// The peers by address.
@@ -67,6 +75,37 @@
         !was_live || before.as_ref() != Some(card)
     }
 
+    /// A probe sent at `asked_ms` was answered; gives the incarnation that is thereby known to be
+    /// dead, if any.
+    ///
+    /// Only answers to own probes count, and only if the probe was sent after the other one had
+    /// answered: then it lived first and another does now, at one address that two processes
+    /// can't share. A card from a peer's probe may have waited in a queue while its sender was
+    /// replaced, and would make the newer one look like the older.
+    pub fn on_answer(
+        &mut self,
+        card: &NodeCard,
+        asked_ms: MonoMs,
+        now_ms: MonoMs,
+    ) -> Option<Incarnation> {
+        let known = self.known.get_mut(&card.address)?;
+        let answered = Answered {
+            incarnation: card.incarnation,
+            at_ms: now_ms,
+        };
+        let before = known
+            .answered
+            .filter(|before| before.incarnation != card.incarnation);
+        if known
+            .answered
+            .is_some_and(|before| asked_ms <= before.at_ms)
+        {
+            return None;
+        }
+        known.answered = Some(answered);
+        before.map(|before| before.incarnation)
+    }
+
     /// A probe failed; `true` where that changes the live nodes.
     pub fn on_failure(&mut self, address: &Address) -> bool {
         let Some(known) = self.known.get_mut(address) else {
