--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -4,6 +4,7 @@
 //! Terms: the *directory* is the reduced state of the list; *evidence* is one source's word.
 
 pub mod actor;
+pub mod directory;
 pub mod evidence;
 pub mod listing;
 pub mod nodes;
@@ -28,6 +29,11 @@
     UpstreamGone(UpstreamName),
     /// The live nodes changed, by their cards.
     Nodes(Vec<NodeCard>),
+    /// An incarnation is certainly dead: its address answered as another one.
+    NodeReplaced {
+        /// The dead one.
+        dead: Incarnation,
+    },
 }
 
 /// What membership knows.
@@ -45,4 +51,8 @@
     pub writes_directory: bool,
     /// Whether the directory stream is stale and this node fetches the list itself.
     pub directory_stale: bool,
+    /// Directory records that were skipped: too large, malformed or of an unknown kind.
+    pub skipped_records: u64,
+    /// Directory records of superseded writers.
+    pub ignored_records: u64,
 }
