--- a/crates/requests/src/actor/arrivals.rs
+++ b/crates/requests/src/actor/arrivals.rs
@@ -1,14 +1,16 @@
 //! Calls as they arrive: checked against the configuration and made into lives.
 
 use super::Requests;
+use crate::budget::PayerId;
 use crate::call::{CallerCall, CallerEvent, CallerId, CallerSink, Completion, ServiceRequest};
 use crate::life::{Answer, Exchange, Life, LinkNo, Phase, Reader, Work};
 use crate::observe::RefusedBy;
 use bluebell_base::prelude::*;
 use bluebell_config::{FleetConfig, NoRepeat, Service};
 use bluebell_peers::{ClaimCall, ClaimKey};
-use bluebell_policy::Job;
+use bluebell_policy::{Job, Prefix};
 use bluebell_upstreams::ServiceCall;
+use bluebell_upstreams::prompt::{self, PrefixHash};
 use sha2::{Digest, Sha256};
 use stakker::CX;
 
@@ -108,19 +110,18 @@
 
     fn completion_life(&mut self, call: Completion, now_ms: MonoMs) -> Result<Life, Refused> {
         let config = self.open_config()?;
-        let (_, class) = config
+        let (class_id, class) = config
             .class(&call.class)
             .ok_or_else(|| unknown(format!("no class of work is named {}", call.class)))?;
         if !config.models.iter().any(|model| model.name == call.model) {
             return Err(unknown(format!("no model is named {}", call.model)));
         }
-        self.known_account(&config, &call.account)?;
+        let account_id = known_account(&config, &call.account)?;
         let request = self.next_request();
         let prompt_bytes = Bytes(call.prompt.len() as u64);
         let prompt_tokens = self.lengths.estimate(&call.model, prompt_bytes);
         let end_ms = call.deadline_ms.unwrap_or(class.end_ms).min(class.end_ms);
         let max_tokens = call.max_tokens.min(config.limits.answer_tokens);
-        let account_id = AccountId(self.accounts.intern(&call.account));
         let claim = match class.idempotent {
             true => None,
             false => completion_claim(request, &call, max_tokens),
@@ -128,11 +129,11 @@
         let job = Job {
             request,
             account: account_id,
-            class: ClassId(self.classes.intern(&call.class)),
+            class: class_id,
             model: ModelId(self.models.intern(&call.model)),
             prompt_tokens,
             max_tokens,
-            prefixes: Vec::new(),
+            prefixes: prefixes(&call.prompt),
             arrived_ms: now_ms,
             first_token_due_ms: now_ms + class.first_token_ms(prompt_tokens),
             deadline_ms: now_ms + end_ms,
@@ -152,7 +153,8 @@
             last_token_ms: None,
         };
         let work = Work::Answer(Box::new(answer));
-        let mut life = new_life(request, call.account, account_id, work, now_ms);
+        let payer = PayerId(self.payers.intern(&call.account));
+        let mut life = new_life(request, call.account, payer, work, now_ms);
         life.deadline_ms = now_ms + end_ms;
         life.repeatable = class.idempotent;
         life.claim = claim;
@@ -164,9 +166,9 @@
         let service = config.services.iter().find(|s| s.name == call.service);
         let service =
             service.ok_or_else(|| unknown(format!("no service is named {}", call.service)))?;
-        self.known_account(&config, &call.account)?;
+        known_account(&config, &call.account)?;
         let request = self.next_request();
-        let account_id = AccountId(self.accounts.intern(&call.account));
+        let payer = PayerId(self.payers.intern(&call.account));
         let repeatable = may_repeat(service, &call.method, &call.path);
         let claim = match repeatable {
             true => None,
@@ -186,23 +188,13 @@
             avoid: Vec::new(),
         };
         let work = Work::Exchange(Box::new(exchange));
-        let mut life = new_life(request, call.account, account_id, work, now_ms);
+        let mut life = new_life(request, call.account, payer, work, now_ms);
         life.deadline_ms = now_ms + service.timeout_ms;
         life.repeatable = repeatable;
         life.claim = claim;
         Ok(life)
     }
 
-    fn known_account(&self, config: &FleetConfig, account: &AccountName) -> Result<(), Refused> {
-        if config.account(account).is_some() {
-            return Ok(());
-        }
-        let message = "the client account is not in the configuration";
-        let error = Error::not_run(ErrorKind::Unauthenticated, message);
-        let by = RefusedBy::Unknown;
-        Err(Refused { by, error })
-    }
-
     fn next_request(&mut self) -> RequestId {
         self.next_sequence += 1;
         RequestId {
@@ -212,11 +204,28 @@
     }
 }
 
+/// The prompt's beginnings, hashed as the engines do for their prefix caches.
+fn prefixes(prompt: &str) -> Vec<Prefix> {
+    let hashes = prompt::prefix_hashes(prompt, prompt::DEFAULT_BLOCK_TOKENS).into_iter();
+    let prefixes = hashes.map(|PrefixHash { hash, tokens }| Prefix { hash, tokens });
+    prefixes.collect()
+}
+
 fn attached(caller: CallerId, sink: Box<dyn CallerSink>) -> Reader {
     let from = 0;
     Reader::Attached { caller, sink, from }
 }
 
+fn known_account(config: &FleetConfig, account: &AccountName) -> Result<AccountId, Refused> {
+    if let Some((id, _)) = config.account(account) {
+        return Ok(id);
+    }
+    let message = "the client account is not in the configuration";
+    let error = Error::not_run(ErrorKind::Unauthenticated, message);
+    let by = RefusedBy::Unknown;
+    Err(Refused { by, error })
+}
+
 fn unknown(message: String) -> Refused {
     Refused {
         by: RefusedBy::Unknown,
@@ -228,14 +237,14 @@
 pub(super) fn new_life(
     request: RequestId,
     account: AccountName,
-    account_id: AccountId,
+    payer: PayerId,
     work: Work,
     now_ms: MonoMs,
 ) -> Life {
     Life {
         request,
         account,
-        account_id,
+        payer,
         arrived_ms: now_ms,
         deadline_ms: now_ms,
         repeatable: false,
--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -9,6 +9,7 @@
 use super::Requests;
 use super::arrivals::new_life;
 use super::readers::{not_found, refuse};
+use crate::budget::PayerId;
 use crate::cursor::Cursor;
 use crate::life::{Answer, LinkNo, Phase, Reader, Run, Work};
 use crate::waits::{Wait, WaitId, Wish};
@@ -184,7 +185,7 @@
             Wish::ReadOn { from, .. } => *from,
             Wish::Report(_) | Wish::Cancel(_) => 0,
         };
-        let account_id = AccountId(self.accounts.intern(&stream.account));
+        let payer = PayerId(self.payers.intern(&stream.account));
         let answer = Answer {
             class: ClassName::from("adopted"),
             model: ModelName::from("adopted"),
@@ -198,7 +199,7 @@
             last_token_ms: None,
         };
         let work = Work::Answer(Box::new(answer));
-        let mut life = new_life(stream.request, stream.account, account_id, work, now_ms);
+        let mut life = new_life(stream.request, stream.account, payer, work, now_ms);
         life.deadline_ms = now_ms + self.longest_end_ms();
         life.admitted = true;
         life.attempt = stream.attempt;
--- a/crates/requests/src/actor/inspect.rs
+++ b/crates/requests/src/actor/inspect.rs
@@ -51,6 +51,9 @@
         if !self.ring.is_consistent() {
             return Err("the ring of ended requests counts wrongly".into());
         }
+        if let Some(violation) = self.policy.verify().first() {
+            return Err(format!("the policy: {violation:?}").into());
+        }
         Ok(())
     }
 
--- a/crates/requests/src/actor/mod.rs
+++ b/crates/requests/src/actor/mod.rs
@@ -76,8 +76,7 @@
     rng: ChaCha8Rng,
     config: Option<Arc<FleetConfig>>,
     config_version: ConfigVersion,
-    accounts: Names<AccountName>,
-    classes: Names<ClassName>,
+    payers: Names<AccountName>,
     models: Names<ModelName>,
     domains: Names<DomainName>,
     fleet: Fleet,
@@ -120,8 +119,7 @@
             rng: ChaCha8Rng::seed_from_u64(ports.seed),
             config: None,
             config_version: ConfigVersion(0),
-            accounts: Names::default(),
-            classes: Names::default(),
+            payers: Names::default(),
             models: Names::default(),
             domains: Names::default(),
             fleet: Fleet::default(),
@@ -144,6 +142,11 @@
         if version < self.config_version {
             return;
         }
+        let now_ms = self.timers.now_ms(cx);
+        self.policy.set_config(&config, now_ms);
+        self.table
+            .iter_mut()
+            .for_each(|life| life.renumber(&config));
         self.config_version = version;
         self.config = Some(config);
         self.settle_down(cx);
--- a/crates/requests/src/actor/upstreams.rs
+++ b/crates/requests/src/actor/upstreams.rs
@@ -32,6 +32,7 @@
             models: models.collect(),
             domain: DomainId(self.domains.intern(&card.domain)),
             kv_capacity_tokens: card.kv_capacity_tokens,
+            rank: EngineFacts::rank_of(&card.name),
         };
         self.policy.engine_seen(facts, now_ms);
         self.settle_down(cx);
--- a/crates/requests/src/budget/mod.rs
+++ b/crates/requests/src/budget/mod.rs
@@ -2,9 +2,14 @@
 //! so that a failing fleet isn't brought down by its own retries.
 
 use crate::settings::RequestsSettings;
-use bluebell_base::prelude::*;
 use std::collections::HashMap;
 
+bluebell_base::define_id! {
+    /// A client account as the budget counts it; the same for the life of the process, where the
+    /// configuration's own ids change with its version.
+    PayerId(u32) = "payer";
+}
+
 /// A token bucket that requests fill and retries empty.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Bucket {
@@ -18,7 +23,7 @@
     account_burst: f64,
     node_burst: f64,
     node: Bucket,
-    accounts: HashMap<AccountId, Bucket>,
+    accounts: HashMap<PayerId, Bucket>,
 }
 
 impl Budgets {
@@ -36,7 +41,7 @@
     }
 
     /// A request was admitted: its account and the node earn a share of a retry.
-    pub fn earn(&mut self, account: AccountId) {
+    pub fn earn(&mut self, account: PayerId) {
         let (share, burst) = (self.share, self.account_burst);
         let bucket = self.account(account);
         bucket.saved = (bucket.saved + share).min(burst);
@@ -44,7 +49,7 @@
     }
 
     /// Takes one retry; `false` where the account or the node has none left.
-    pub fn take(&mut self, account: AccountId) -> bool {
+    pub fn take(&mut self, account: PayerId) -> bool {
         let node_has = self.node.saved >= 1.0;
         let bucket = self.account(account);
         if !node_has || bucket.saved < 1.0 {
@@ -60,7 +65,7 @@
         self.node.saved
     }
 
-    fn account(&mut self, account: AccountId) -> &mut Bucket {
+    fn account(&mut self, account: PayerId) -> &mut Bucket {
         let burst = self.account_burst;
         self.accounts
             .entry(account)
--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -7,6 +7,7 @@
 use crate::call::CallerEvent;
 use crate::observe::RefusedBy;
 use bluebell_base::prelude::*;
+use bluebell_config::FleetConfig;
 use bluebell_peers::{ClaimAnswer, ClaimState};
 use bluebell_policy::{Outcome, Refusal, RefusalReason};
 use bluebell_upstreams::{Generate, Priority};
@@ -135,7 +136,7 @@
             return;
         }
         self.admitted = true;
-        cx.budgets.earn(self.account_id);
+        cx.budgets.earn(self.payer);
         if let Some((class, band)) = self.labels() {
             cx.observer.admitted(class, band);
         }
@@ -217,6 +218,19 @@
         })
     }
 
+    /// A new configuration numbers accounts and classes anew; one that it no longer has keeps its
+    /// old number until the request ends.
+    pub fn renumber(&mut self, config: &FleetConfig) {
+        let account = config.account(&self.account).map(|(id, _)| id);
+        let Some(answer) = self.answer_mut() else {
+            return;
+        };
+        let class = config.class(&answer.class).map(|(id, _)| id);
+        let Some(job) = &mut answer.job else { return };
+        job.account = account.unwrap_or(job.account);
+        job.class = class.unwrap_or(job.class);
+    }
+
     /// Waits a jittered moment, then goes to the policy again.
     pub(crate) fn back_off(&mut self, cx: &mut Context<'_>) {
         let pause_ms = cx.settings.backoff(self.requeues);
--- a/crates/requests/src/life/end.rs
+++ b/crates/requests/src/life/end.rs
@@ -4,7 +4,7 @@
 //! Invariants: the reader gets its last event here and only here; a claim is settled `NotRun` only
 //! where it is certain, which after a dispatch means by the engine's own word.
 
-use super::{CancelReply, Context, Effect, Ended, Last, Life, Phase};
+use super::{CancelReply, Context, Effect, Ended, Last, Life, Mode, Phase};
 use crate::call::CallerEvent;
 use bluebell_base::prelude::*;
 use bluebell_peers::{SettleCall, Settlement};
@@ -43,7 +43,7 @@
 
     /// Fails with `error` as it is.
     pub(crate) fn fail_as(&mut self, error: Error, cx: &mut Context<'_>) {
-        self.let_go(cx);
+        self.let_go(&error, cx);
         match self.verdict() {
             Verdict::NotRun => self.settle(Settlement::NotRun, cx),
             Verdict::Ran => self.settle(Settlement::Ran, cx),
@@ -60,7 +60,7 @@
     }
 
     /// Lets go of whatever the present phase holds at the policy and upstream.
-    fn let_go(&mut self, cx: &mut Context<'_>) {
+    fn let_go(&mut self, error: &Error, cx: &mut Context<'_>) {
         match &self.phase {
             Phase::Queued => cx.policy.withdraw(self.request, cx.now_ms),
             Phase::Reserving(_) => {
@@ -69,9 +69,17 @@
             }
             Phase::Running(run) => {
                 let upstream = run.upstream;
+                // The policy learns of silent engines by this, and must not blame one for a
+                // caller that went away or a deadline that was too near.
+                let silent = run.tries > 0 || matches!(run.mode, Mode::Asking { .. });
+                let blamed = error.kind == ErrorKind::Upstream || silent;
+                let outcome = match blamed && error.kind != ErrorKind::Cancelled {
+                    true => Outcome::Failed,
+                    false => Outcome::Cancelled,
+                };
                 self.cancel_upstream(upstream, false, cx);
                 self.release_group(cx);
-                self.end_attempt(Outcome::Failed, cx);
+                self.end_attempt(outcome, cx);
             }
             Phase::Claiming { .. }
             | Phase::Backoff { .. }
@@ -159,7 +167,7 @@
                 let upstream = run.upstream;
                 self.cancel_upstream(upstream, true, cx);
                 self.release_group(cx);
-                self.end_attempt(Outcome::Failed, cx);
+                self.end_attempt(Outcome::Cancelled, cx);
                 let until_ms = cx.now_ms + cx.settings.answer_wait_ms;
                 self.phase = Phase::Cancelling { until_ms, upstream };
             }
--- a/crates/requests/src/life/exchange.rs
+++ b/crates/requests/src/life/exchange.rs
@@ -103,7 +103,7 @@
             self.fail(error, cx);
             return;
         }
-        if !cx.budgets.take(self.account_id) {
+        if !cx.budgets.take(self.payer) {
             cx.observer.retry_denied();
             self.fail(error.retry_after(cx.settings.retry_after_ms), cx);
             return;
--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -22,7 +22,7 @@
 pub mod recover;
 pub mod stream;
 
-use crate::budget::Budgets;
+use crate::budget::{Budgets, PayerId};
 use crate::call::{CallerEvent, CallerId, CallerSink};
 use crate::cursor::Signer;
 use crate::fleet::Fleet;
@@ -50,8 +50,8 @@
     pub request: RequestId,
     /// Whose it is.
     pub account: AccountName,
-    /// The same as an index, for the policy and the retry budget.
-    pub account_id: AccountId,
+    /// The same as the retry budget counts it.
+    pub payer: PayerId,
     /// When it arrived.
     pub arrived_ms: MonoMs,
     /// When it must have ended.
--- a/crates/requests/src/life/recover.rs
+++ b/crates/requests/src/life/recover.rs
@@ -57,15 +57,31 @@
             until_ms: cx.now_ms,
         };
         let spent = self.attempt.0 >= cx.settings.attempts;
-        if spent || !cx.budgets.take(self.account_id) {
+        if spent || !cx.budgets.take(self.payer) {
             cx.observer.retry_denied();
             let after_ms = error.retry_after_ms.unwrap_or(cx.settings.retry_after_ms);
             self.fail(error.retry_after(after_ms), cx);
             return;
         }
+        self.renew_target(cx);
         self.admit(cx);
     }
 
+    /// The class's target counts from arrival; a new attempt has as long for its first token, or
+    /// the policy would take it for hopeless.
+    fn renew_target(&mut self, cx: &Context<'_>) {
+        let deadline_ms = self.deadline_ms;
+        let Some(answer) = self.answer_mut() else {
+            return;
+        };
+        if let Some(job) = &mut answer.job {
+            let target_ms = job.first_token_due_ms.since(job.arrived_ms);
+            let due_ms = (cx.now_ms + target_ms).min(deadline_ms);
+            job.arrived_ms = cx.now_ms;
+            job.first_token_due_ms = due_ms;
+        }
+    }
+
     /// A try brought nothing: tries again after a pause, or takes the next way.
     pub(crate) fn on_fruitless(&mut self, unknown: bool, cx: &mut Context<'_>) {
         let repeatable = self.repeatable;
--- a/crates/requests/src/table/mod.rs
+++ b/crates/requests/src/table/mod.rs
@@ -90,6 +90,11 @@
         indexed.filter_map(|(i, life)| Some((EntryId(i as u32), life.as_ref()?)))
     }
 
+    /// The live requests, to change them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Life> {
+        self.slots.iter_mut().flatten()
+    }
+
     /// How many live requests there are.
     pub fn len(&self) -> usize {
         self.by_request.len()
--- /dev/null
+++ b/crates/requests/tests/common/engine.rs
@@ -0,0 +1,614 @@
+//! A small engine behind the engine port, under virtual time, with faults on each call and event.
+//!
+//! It answers a prompt with the texts of `prompt::expected_token`, one each [`STEP_MS`], counts how
+//! often each request was begun, and holds one unit of memory for each open stream.
+
+use bluebell_base::prelude::*;
+use bluebell_upstreams::engine::CacheEvents;
+use bluebell_upstreams::prompt::{expected_count, expected_token, prompt_hash};
+use bluebell_upstreams::{
+    CancelAnswer, EngineOrder, EnginePort, Event, EventBody, FinishReason, Generate, Hold,
+    LoadReport, OrderAnswer, Reserve, Resume, StreamState,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use stakker::{Core, Fwd, Ret};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// One token each.
+pub const STEP_MS: u64 = 20;
+/// One way to the engine or back.
+const WIRE_MS: u64 = 1;
+
+/// How likely each fault is, and which switches are on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// A call never arrives and is never answered.
+    pub lose_call: f64,
+    /// A call takes effect and its answer is lost, without a word.
+    pub lose_answer: f64,
+    /// A call takes effect and the connection breaks.
+    pub break_call: f64,
+    /// A call arrives later, by up to this much.
+    pub delay_call_ms: u64,
+    /// A call is refused before it is sent.
+    pub refuse: f64,
+    /// An event is lost.
+    pub lose_event: f64,
+    /// An event comes twice.
+    pub double_event: f64,
+    /// An event comes later, by up to this much, and so out of order.
+    pub delay_event_ms: u64,
+    /// An event of another request or attempt comes before it.
+    pub cross_event: f64,
+    /// The stream's connection breaks at an event.
+    pub break_stream: f64,
+}
+
+/// A call that came while the engine was frozen.
+type HeldBack = Box<dyn FnOnce(&Engine, &mut Core)>;
+
+struct Stream {
+    call: Generate,
+    owner: Incarnation,
+    total: u64,
+    produced: u64,
+    reader: Option<(u64, Fwd<Event>)>,
+    unread_since_ms: u64,
+    ended: Option<Result<(), Error>>,
+}
+
+/// What an engine holds and did.
+pub struct EngineState {
+    pub faults: Faults,
+    pub dead: bool,
+    pub frozen: bool,
+    /// How often each request was begun, over all restarts.
+    pub runs: HashMap<RequestId, u32>,
+    /// Calls to generate that arrived here.
+    pub generated: Vec<Generate>,
+    pub reserved: HashMap<ReservationId, u64>,
+    pub refuse_reservations: bool,
+    streams: HashMap<RequestId, Stream>,
+    tombstones: HashMap<RequestId, AttemptNo>,
+    life: u64,
+    held_back: Vec<HeldBack>,
+    readers: u64,
+    rng: ChaCha8Rng,
+}
+
+/// One engine; cheap to clone.
+#[derive(Clone)]
+pub struct Engine {
+    pub state: Rc<RefCell<EngineState>>,
+    origin: Instant,
+}
+
+impl Engine {
+    pub fn new(origin: Instant, seed: u64) -> Self {
+        let state = EngineState {
+            faults: Faults::default(),
+            dead: false,
+            frozen: false,
+            runs: HashMap::new(),
+            generated: Vec::new(),
+            reserved: HashMap::new(),
+            refuse_reservations: false,
+            streams: HashMap::new(),
+            tombstones: HashMap::new(),
+            life: 0,
+            held_back: Vec::new(),
+            readers: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        let state = Rc::new(RefCell::new(state));
+        Self { state, origin }
+    }
+
+    /// The process dies: everything in it is gone and its connections break.
+    pub fn kill(&self, core: &mut Core) {
+        let streams = {
+            let mut state = self.state.borrow_mut();
+            state.dead = true;
+            state.life += 1;
+            state.held_back.clear();
+            state.tombstones.clear();
+            state.reserved.clear();
+            std::mem::take(&mut state.streams)
+        };
+        for stream in streams.into_values() {
+            if let Some((_, fwd)) = stream.reader {
+                let error = Error::may_have_run(ErrorKind::Upstream, "the connection broke");
+                self.deliver(core, &fwd, &stream.call, EventBody::Failed { error });
+            }
+        }
+    }
+
+    /// The process starts anew, empty.
+    pub fn restart(&self) {
+        self.state.borrow_mut().dead = false;
+    }
+
+    /// The process stops answering, until it is thawed.
+    pub fn freeze(&self, frozen: bool, core: &mut Core) {
+        self.state.borrow_mut().frozen = frozen;
+        if !frozen {
+            let held = std::mem::take(&mut self.state.borrow_mut().held_back);
+            held.into_iter().for_each(|call| call(self, core));
+        }
+    }
+
+    /// Memory held: open streams and reservations.
+    pub fn held(&self) -> usize {
+        let state = self.state.borrow();
+        let open = state.streams.values().filter(|s| s.ended.is_none());
+        open.count() + state.reserved.len()
+    }
+
+    fn chance(&self, pick: impl Fn(&Faults) -> f64) -> bool {
+        let mut state = self.state.borrow_mut();
+        let likely = pick(&state.faults);
+        likely > 0.0 && state.rng.random_bool(likely)
+    }
+
+    fn delay_ms(&self, pick: impl Fn(&Faults) -> u64) -> u64 {
+        let mut state = self.state.borrow_mut();
+        let most = pick(&state.faults);
+        WIRE_MS
+            + if most > 0 {
+                state.rng.random_range(0..=most)
+            } else {
+                0
+            }
+    }
+
+    fn after(&self, core: &mut Core, ms: u64, f: impl FnOnce(&Engine, &mut Core) + 'static) {
+        let engine = self.clone();
+        let at = core.now() + Duration::from_millis(ms);
+        core.timer_add(at, move |stakker| f(&engine, stakker));
+    }
+
+    fn now_ms(&self, core: &Core) -> u64 {
+        core.now().duration_since(self.origin).as_millis() as u64
+    }
+
+    /// Brings a call to the engine; `refused` is called where it can't be connected to.
+    fn arrive(
+        &self,
+        core: &mut Core,
+        refused: impl FnOnce(&Engine, &mut Core) + 'static,
+        call: impl FnOnce(&Engine, &mut Core) + 'static,
+    ) {
+        if self.state.borrow().dead || self.chance(|f| f.refuse) {
+            self.after(core, WIRE_MS, refused);
+            return;
+        }
+        if self.chance(|f| f.lose_call) {
+            return;
+        }
+        let delay_ms = self.delay_ms(|f| f.delay_call_ms);
+        self.after(core, delay_ms, move |engine, core| {
+            if engine.state.borrow().dead {
+                return;
+            }
+            if engine.state.borrow().frozen {
+                engine.state.borrow_mut().held_back.push(Box::new(call));
+                return;
+            }
+            call(engine, core);
+        });
+    }
+
+    /// Brings an answer back, where it isn't lost.
+    fn answer<T: 'static>(&self, core: &mut Core, ret: Ret<Result<T, Error>>, value: T) {
+        if self.chance(|f| f.lose_answer) {
+            // Neither answered nor dropped, as by a connection that hangs.
+            self.after(core, 3_600_000, move |_, _| drop(ret));
+            return;
+        }
+        let broken = self.chance(|f| f.break_call);
+        self.after(core, WIRE_MS, move |_, _| {
+            let lost = Error::may_have_run(ErrorKind::Upstream, "the connection broke");
+            ret.ret(if broken { Err(lost) } else { Ok(value) });
+        });
+    }
+
+    fn deliver(&self, core: &mut Core, fwd: &Fwd<Event>, call: &Generate, body: EventBody) {
+        let event = Event {
+            request: call.request,
+            attempt: call.attempt,
+            body,
+        };
+        if self.chance(|f| f.cross_event) {
+            let mut crossed = event.clone();
+            match self.state.borrow_mut().rng.random_bool(0.5) {
+                true => crossed.request.sequence += 1,
+                false => crossed.attempt.0 += 1,
+            }
+            self.send_later(core, fwd, crossed);
+        }
+        if self.chance(|f| f.double_event) {
+            self.send_later(core, fwd, event.clone());
+        }
+        if !self.chance(|f| f.lose_event) {
+            self.send_later(core, fwd, event);
+        }
+    }
+
+    fn send_later(&self, core: &mut Core, fwd: &Fwd<Event>, event: Event) {
+        let delay_ms = self.delay_ms(|f| f.delay_event_ms);
+        let fwd = fwd.clone();
+        self.after(core, delay_ms, move |_, _| fwd.fwd(event));
+    }
+
+    fn fail(core: &mut Core, events: &Fwd<Event>, id: (RequestId, AttemptNo), error: Error) {
+        let (request, attempt) = id;
+        let body = EventBody::Failed { error };
+        events.fwd(Event {
+            request,
+            attempt,
+            body,
+        });
+        let _ = core;
+    }
+
+    fn begin(&self, core: &mut Core, call: Generate, events: Fwd<Event>) {
+        let id = (call.request, call.attempt);
+        let refusal = {
+            let state = self.state.borrow();
+            let known = state.streams.get(&call.request);
+            let buried = state.tombstones.get(&call.request);
+            if known.is_some_and(|s| s.call.attempt == call.attempt) {
+                None
+            } else if known.is_some_and(|s| s.ended.is_none() || matches!(s.ended, Some(Ok(())))) {
+                let text = "another attempt is here";
+                Some(Error::may_have_run(ErrorKind::Conflict, text))
+            } else if buried.is_some_and(|a| *a >= call.attempt) {
+                Some(Error::not_run(
+                    ErrorKind::Cancelled,
+                    "cancelled before it came",
+                ))
+            } else {
+                None
+            }
+        };
+        if let Some(error) = refusal {
+            return Self::fail(core, &events, id, error);
+        }
+        let fresh = {
+            let mut state = self.state.borrow_mut();
+            let known = state.streams.get(&call.request);
+            let fresh = known.is_none_or(|s| s.call.attempt != call.attempt);
+            if fresh {
+                *state.runs.entry(call.request).or_default() += 1;
+                state.generated.push(call.clone());
+                if let Some(group) = call.group {
+                    state.reserved.remove(&group);
+                }
+                let stream = Stream {
+                    owner: call.owner,
+                    total: expected_count(prompt_hash(&call.prompt), call.max_tokens),
+                    produced: call.continue_from.len() as u64,
+                    reader: None,
+                    unread_since_ms: 0,
+                    ended: None,
+                    call,
+                };
+                state.streams.insert(id.0, stream);
+            }
+            fresh
+        };
+        self.read(core, id.0, 0, events);
+        if fresh {
+            let life = self.state.borrow().life;
+            self.after(core, STEP_MS, move |e, core| e.step(core, id.0, id.1, life));
+        }
+    }
+
+    /// Attaches a reader and sends it what there is from event `from` on.
+    fn read(&self, core: &mut Core, request: RequestId, from: u64, events: Fwd<Event>) {
+        let (call, texts, whole) = {
+            let mut state = self.state.borrow_mut();
+            state.readers += 1;
+            let reader = state.readers;
+            let Some(stream) = state.streams.get_mut(&request) else {
+                return;
+            };
+            stream.reader = Some((reader, events.clone()));
+            let hash = prompt_hash(&stream.call.prompt);
+            let skip = stream.call.continue_from.len() as u64;
+            let texts: Vec<_> = (from.max(skip)..stream.produced)
+                .map(|seq| (seq, expected_token(hash, seq)))
+                .collect();
+            let whole = matches!(stream.ended, Some(Ok(()))).then_some(stream.total);
+            (stream.call.clone(), texts, whole)
+        };
+        let accepted = EventBody::Accepted {
+            prompt_tokens: Tokens(call.prompt.len() as u64 / 4),
+            cached_tokens: Tokens(0),
+            load: load(),
+        };
+        self.deliver(core, &events, &call, accepted);
+        for (seq, text) in texts {
+            let (seq, text) = (EventSeq(seq), text.into());
+            self.deliver(core, &events, &call, EventBody::Token { seq, text });
+        }
+        if let Some(count) = whole {
+            let finished = finished(count);
+            self.deliver(core, &events, &call, finished);
+        }
+    }
+
+    /// Produces one token of a stream, or ends it.
+    fn step(&self, core: &mut Core, request: RequestId, attempt: AttemptNo, life: u64) {
+        let now_ms = self.now_ms(core);
+        if self.state.borrow().frozen {
+            self.after(core, STEP_MS, move |e, core| {
+                e.step(core, request, attempt, life)
+            });
+            return;
+        }
+        if self.chance(|f| f.break_stream) {
+            self.break_stream(core, request);
+        }
+        let sent = {
+            let mut state = self.state.borrow_mut();
+            if state.life != life {
+                return;
+            }
+            let Some(stream) = state.streams.get_mut(&request) else {
+                return;
+            };
+            if stream.ended.is_some() || stream.call.attempt != attempt {
+                return;
+            }
+            let hold_ms = stream.call.hold_ms.0;
+            if stream.reader.is_none() && now_ms > stream.unread_since_ms + hold_ms {
+                stream.ended = Some(Err(Error::ran(ErrorKind::Cancelled, "nobody reads")));
+                return;
+            }
+            let hash = prompt_hash(&stream.call.prompt);
+            let body = if stream.produced < stream.total {
+                let seq = EventSeq(stream.produced);
+                let text = expected_token(hash, stream.produced).into();
+                stream.produced += 1;
+                EventBody::Token { seq, text }
+            } else {
+                stream.ended = Some(Ok(()));
+                finished(stream.total)
+            };
+            (stream.reader.clone(), stream.call.clone(), body)
+        };
+        if let (Some((_, fwd)), call, body) = sent {
+            self.deliver(core, &fwd, &call, body);
+        }
+        self.after(core, STEP_MS, move |e, core| {
+            e.step(core, request, attempt, life)
+        });
+    }
+
+    fn break_stream(&self, core: &mut Core, request: RequestId) {
+        let now_ms = self.now_ms(core);
+        let broken = {
+            let mut state = self.state.borrow_mut();
+            let Some(stream) = state.streams.get_mut(&request) else {
+                return;
+            };
+            stream.unread_since_ms = now_ms;
+            stream
+                .reader
+                .take()
+                .map(|(_, fwd)| (fwd, stream.call.clone()))
+        };
+        if let Some((fwd, call)) = broken {
+            let error = Error::may_have_run(ErrorKind::Upstream, "the connection broke");
+            self.after(core, WIRE_MS, move |_, core| {
+                Self::fail(core, &fwd, (call.request, call.attempt), error);
+            });
+        }
+    }
+
+    fn stop(&self, request: RequestId, attempt: AttemptNo, owner: Incarnation) -> CancelAnswer {
+        let mut state = self.state.borrow_mut();
+        let Some(stream) = state.streams.get_mut(&request) else {
+            state.tombstones.insert(request, attempt);
+            return CancelAnswer::Unknown;
+        };
+        if stream.call.attempt < attempt {
+            state.tombstones.insert(request, attempt);
+            return CancelAnswer::Unknown;
+        }
+        if stream.call.attempt > attempt {
+            return CancelAnswer::Ran;
+        }
+        if stream.owner != owner {
+            return CancelAnswer::NotOwner;
+        }
+        let error = Error::ran(ErrorKind::Cancelled, "cancelled");
+        stream.ended.get_or_insert(Err(error));
+        stream.reader = None;
+        CancelAnswer::Ran
+    }
+}
+
+fn load() -> LoadReport {
+    LoadReport {
+        kv_capacity_tokens: Tokens(480_000),
+        step_ms: STEP_MS as f64,
+        ..LoadReport::default()
+    }
+}
+
+fn finished(count: u64) -> EventBody {
+    EventBody::Finished {
+        count,
+        reason: FinishReason::Stop,
+        load: load(),
+    }
+}
+
+fn refused() -> Error {
+    Error::not_run(ErrorKind::Unavailable, "connection refused")
+}
+
+impl EnginePort for Engine {
+    fn generate(&self, core: &mut Core, call: Generate, events: Fwd<Event>) {
+        let id = (call.request, call.attempt);
+        let refusal = events.clone();
+        self.arrive(
+            core,
+            move |_, core| Self::fail(core, &refusal, id, refused()),
+            move |engine, core| {
+                engine.begin(core, call, events);
+                if engine.chance(|f| f.break_call) {
+                    engine.break_stream(core, id.0);
+                }
+            },
+        );
+    }
+
+    fn resume(&self, core: &mut Core, call: Resume, events: Fwd<Event>) {
+        let id = (call.request, call.attempt);
+        let refusal = events.clone();
+        self.arrive(
+            core,
+            move |_, core| Self::fail(core, &refusal, id, refused()),
+            move |engine, core| {
+                let known = {
+                    let mut state = engine.state.borrow_mut();
+                    let stream = state.streams.get_mut(&call.request);
+                    let stream = stream.filter(|s| s.call.attempt == call.attempt);
+                    let lost = stream.as_ref().and_then(|s| s.ended.clone());
+                    if let Some(stream) = stream {
+                        stream.owner = call.owner;
+                        match lost {
+                            Some(Err(error)) => Err(error),
+                            _ => Ok(()),
+                        }
+                    } else {
+                        Err(Error::may_have_run(ErrorKind::NotFound, "unknown"))
+                    }
+                };
+                match known {
+                    Ok(()) => engine.read(core, call.request, call.from.0, events),
+                    Err(error) => Self::fail(core, &events, id, error),
+                }
+            },
+        );
+    }
+
+    fn cancel(
+        &self,
+        core: &mut Core,
+        request: RequestId,
+        attempt: AttemptNo,
+        owner: Incarnation,
+        ret: Ret<Result<CancelAnswer, Error>>,
+    ) {
+        let ret = Rc::new(RefCell::new(Some(ret)));
+        let second = ret.clone();
+        let not_sent = move |_: &Engine, _: &mut Core| {
+            if let Some(ret) = second.take() {
+                ret.ret(Err(refused()));
+            }
+        };
+        self.arrive(core, not_sent, move |engine, core| {
+            let answer = engine.stop(request, attempt, owner);
+            if let Some(ret) = ret.take() {
+                engine.answer(core, ret, answer);
+            }
+        });
+    }
+
+    fn lookup(&self, core: &mut Core, request: RequestId, ret: Ret<Result<StreamState, Error>>) {
+        let ret = Rc::new(RefCell::new(Some(ret)));
+        let second = ret.clone();
+        let not_sent = move |_: &Engine, _: &mut Core| {
+            if let Some(ret) = second.take() {
+                ret.ret(Err(refused()));
+            }
+        };
+        self.arrive(core, not_sent, move |engine, core| {
+            let state = match engine.state.borrow().streams.get(&request) {
+                None => StreamState::Unknown,
+                Some(stream) => {
+                    let (attempt, events) = (stream.call.attempt, stream.produced);
+                    match &stream.ended {
+                        None => StreamState::Running { attempt, events },
+                        Some(Ok(())) => StreamState::Finished { attempt, events },
+                        Some(Err(_)) => StreamState::Ended,
+                    }
+                }
+            };
+            if let Some(ret) = ret.take() {
+                engine.answer(core, ret, state);
+            }
+        });
+    }
+
+    fn reserve(&self, core: &mut Core, call: Reserve, ret: Ret<Result<(), Error>>) {
+        let not_sent = |_: &Engine, _: &mut Core| ();
+        self.arrive(core, not_sent, move |engine, core| {
+            if engine.state.borrow().refuse_reservations {
+                ret.ret(Err(Error::not_run(ErrorKind::Overloaded, "no room")));
+                return;
+            }
+            let until_ms = engine.now_ms(core) + call.hold_ms.0;
+            let id = call.reservation;
+            engine.state.borrow_mut().reserved.insert(id, until_ms);
+            engine.after(core, call.hold_ms.0, move |engine, core| {
+                let now_ms = engine.now_ms(core);
+                let mut state = engine.state.borrow_mut();
+                state.reserved.retain(|_, until_ms| *until_ms > now_ms);
+            });
+            engine.answer(core, ret, ());
+        });
+    }
+
+    fn release(
+        &self,
+        core: &mut Core,
+        reservation: ReservationId,
+        _: Incarnation,
+        ret: Ret<Result<(), Error>>,
+    ) {
+        let not_sent = |_: &Engine, _: &mut Core| ();
+        self.arrive(core, not_sent, move |engine, core| {
+            engine.state.borrow_mut().reserved.remove(&reservation);
+            engine.answer(core, ret, ());
+        });
+    }
+
+    fn load(&self, _: &mut Core, ret: Ret<Result<LoadReport, Error>>) {
+        ret.ret(Ok(load()));
+    }
+
+    fn cache_events(&self, _: &mut Core, _: u64, ret: Ret<Result<CacheEvents, Error>>) {
+        ret.ret(Err(refused()));
+    }
+
+    fn holds(&self, _: &mut Core, ret: Ret<Result<Vec<Hold>, Error>>) {
+        ret.ret(Err(refused()));
+    }
+
+    fn order(
+        &self,
+        _: &mut Core,
+        _: EngineOrder,
+        _: Fencing,
+        ret: Ret<Result<OrderAnswer, Error>>,
+    ) {
+        ret.ret(Err(refused()));
+    }
+
+    fn state(&self, _: &mut Core, ret: Ret<Result<OrderAnswer, Error>>) {
+        ret.ret(Err(refused()));
+    }
+
+    fn transfer(&self, _: &mut Core, _: RequestId, _: &Address, ret: Ret<Result<Tokens, Error>>) {
+        ret.ret(Err(refused()));
+    }
+}
