--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -55,6 +55,19 @@
 }
 
 impl Told {
+    /// What was told, without cursors, for a person.
+    pub fn brief(&self) -> String {
+        let events = self.events.lock().expect("no panic");
+        let mut brief = String::new();
+        for (at_ms, event) in events.iter() {
+            match event {
+                CallerEvent::Token { seq, .. } => brief += &format!("{at_ms}:{} ", seq.0),
+                other => brief += &format!("{at_ms}:{other:?} "),
+            }
+        }
+        brief
+    }
+
     pub fn all(&self) -> Vec<CallerEvent> {
         let events = self.events.lock().expect("no panic");
         events.iter().map(|(_, event)| event.clone()).collect()
@@ -108,16 +121,22 @@
     pub fn check(&self, prompt: &str, max_tokens: u64, first: u64) {
         let all = self.all();
         let lasts = all.iter().filter(|event| event.is_last()).count();
-        assert!(lasts <= 1, "more than one last event: {all:?}");
+        assert!(lasts <= 1, "more than one last event: {}", self.brief());
         if lasts == 1 {
             assert!(
                 all.last().is_some_and(CallerEvent::is_last),
-                "events after the last"
+                "after the last: {}",
+                self.brief()
             );
         }
         let hash = prompt_hash(prompt);
         for (index, (seq, text)) in self.texts().iter().enumerate() {
-            assert_eq!(*seq, first + index as u64, "a gap or a token twice");
+            assert_eq!(
+                *seq,
+                first + index as u64,
+                "a gap or a token twice: {}",
+                self.brief()
+            );
             assert_eq!(
                 **text,
                 expected_token(hash, *seq),
@@ -126,7 +145,12 @@
         }
         if self.is_finished() {
             let count = first + self.texts().len() as u64;
-            assert_eq!(count, expected_count(hash, Tokens(max_tokens)), "not whole");
+            assert_eq!(
+                count,
+                expected_count(hash, Tokens(max_tokens)),
+                "not whole: {}",
+                self.brief()
+            );
         }
     }
 }
