--- a/crates/node/src/hub/admin.rs
+++ b/crates/node/src/hub/admin.rs
@@ -3,7 +3,7 @@
 use super::Hub;
 use bluebell_base::prelude::*;
 use bluebell_claims::ClaimsReport;
-use bluebell_control::{ControlDump, Published, VersionSeen};
+use bluebell_control::{ControlDump, Published, StewardDump, VersionSeen};
 use bluebell_entry::{AdminCall, ConfigText, Reply};
 use bluebell_members::MembersDump;
 use bluebell_peers::NodeCard;
@@ -118,18 +118,30 @@
         claims: ClaimsReport,
     ) {
         dump.section("claims", &claims);
-        let ret = ret_some_to!([cx], dump_done(dump, reply) as (MembersDump));
+        let ret = ret_some_to!([cx], dump_steward(dump, reply) as (MembersDump));
         call!([self.parts.members], dump(ret));
     }
 
-    fn dump_done(
+    fn dump_steward(
         &mut self,
-        _cx: CX![],
+        cx: CX![],
         mut dump: StateDump,
         reply: Reply<Arc<str>>,
         members: MembersDump,
     ) {
         dump.section("members", &members);
+        let ret = ret_some_to!([cx], dump_done(dump, reply) as (StewardDump));
+        call!([self.parts.control], steward_dump(ret));
+    }
+
+    fn dump_done(
+        &mut self,
+        _cx: CX![],
+        mut dump: StateDump,
+        reply: Reply<Arc<str>>,
+        steward: StewardDump,
+    ) {
+        dump.section("steward", &steward);
         reply(Ok(dump.render()));
     }
 }
--- a/crates/node/src/hub/fleet.rs
+++ b/crates/node/src/hub/fleet.rs
@@ -104,6 +104,9 @@
                 *self.parts.roll.borrow_mut() = nodes.clone();
                 call!([self.parts.control], nodes_changed(nodes));
             }
+            MemberEvent::NodeReplaced { dead } => {
+                call!([self.parts.control], node_replaced(dead));
+            }
         }
     }
 
@@ -140,6 +143,8 @@
             entry.address.clone(),
             None,
         );
+        let seen = (entry.clone(), Rc::clone(&port));
+        call!([self.parts.control], engine_seen(seen.0, seen.1));
         self.engines.engines.push(Engine {
             entry,
             name: name.clone(),
@@ -159,6 +164,7 @@
         log::info!("upstream {name} is leaving");
         if let Some(engine) = self.engines.find(&name) {
             engine.leaving = true;
+            call!([self.parts.control], engine_leaving(name.clone()));
             self.parts.requests.engine_leaving(name.clone());
         }
         self.parts.requests.service_leaving(name);
@@ -167,6 +173,7 @@
     fn on_upstream_gone(&mut self, _cx: CX![], name: UpstreamName) {
         log::info!("upstream {name} is gone");
         self.engines.remove(&name);
+        call!([self.parts.control], engine_gone(name.clone()));
         self.parts.requests.engine_gone(name.clone());
         self.parts.requests.service_gone(name);
     }
--- a/crates/node/src/launch/wiring.rs
+++ b/crates/node/src/launch/wiring.rs
@@ -14,7 +14,7 @@
 use bluebell_peers::{
     FleetSecret, JsonRpcPeers, NodeCard, PeerPort, PeerRuntime, PeerServer, PeerSettings,
 };
-use bluebell_platform::{CallTimeouts, HttpLog, HttpVmList, LogPort, PlatformClient};
+use bluebell_platform::{CallTimeouts, HttpLog, HttpVmList, HttpWeights, LogPort, PlatformClient};
 use bluebell_policy::PolicySettings;
 use bluebell_requests::{Requests, RequestsHandle, RequestsPorts, RequestsSettings};
 use bluebell_settings::NodeSettings;
@@ -76,7 +76,7 @@
 
         let client = base.open_platform();
         let log = HttpLog::open(&client);
-        let control = base.spawn_control(stakker, &card, &log, &peers, &late);
+        let control = base.spawn_control(stakker, &card, &client, &log, &peers, &late);
         let claims = base.spawn_claims(stakker, &card, &log, &peers);
         let members = base.spawn_members(stakker, &card, &client, &log, &peers, &late);
         let requests = base.spawn_requests(stakker, &claims, &peers, &late);
@@ -214,6 +214,7 @@
         &self,
         core: &mut Core,
         card: &NodeCard,
+        client: &PlatformClient,
         log: &Rc<dyn LogPort>,
         peers: &Rc<dyn PeerPort>,
         late: &LateHub,
@@ -225,6 +226,7 @@
         let ports = ControlPorts {
             log: Rc::clone(log),
             peers: Rc::clone(peers),
+            weights: HttpWeights::open(client),
         };
         let settings = ControlSettings {
             shards: self.settings.shards,
--- a/crates/requests/src/actor/upstreams.rs
+++ b/crates/requests/src/actor/upstreams.rs
@@ -30,7 +30,6 @@
         let facts = EngineFacts {
             upstream,
             models: models.collect(),
-            rank: EngineFacts::rank_of(&card.name),
             domain: DomainId(self.domains.intern(&card.domain)),
             kv_capacity_tokens: card.kv_capacity_tokens,
             rank: EngineFacts::rank_of(&card.name),
