Bench: policies side by side before fake engines under virtual time

A driver with N nodes, each with its own policy, clock, upstream numbering and late reports, over the pure engine model; workloads, faults and measures of the issue; text, JSON and SVG output; every target judged from the rows.

--- /dev/null
+++ b/crates/bench/examples/policy.rs
@@ -0,0 +1,28 @@
+//! Runs parts of the policy bench: `cargo run --release -p bluebell-bench --example policy -- PART...`
+
+use bluebell_bench::{BenchOptions, Part};
+
+fn main() {
+    let mut options = BenchOptions::default();
+    let parts: Vec<Part> = std::env::args()
+        .skip(1)
+        .filter_map(|a| a.parse().ok())
+        .collect();
+    if !parts.is_empty() {
+        options.parts = parts;
+    }
+    for arg in std::env::args().skip(1) {
+        match arg.split_once('=') {
+            Some(("json", path)) => options.json = Some(path.into()),
+            Some(("svg", path)) => options.svg = Some(path.into()),
+            Some(("repeats", count)) => options.repeats = count.parse().unwrap_or(1),
+            Some(("policy", kind)) => options.policies = kind.parse().into_iter().collect(),
+            Some(("seed", seed)) => options.seed = seed.parse().unwrap_or(1),
+            _ => {}
+        }
+    }
+    if let Err(error) = bluebell_bench::run(&options, &mut std::io::stdout()) {
+        eprintln!("{error}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/options/mod.rs
@@ -0,0 +1,96 @@
+//! What a bench run does.
+
+use bluebell_base::prelude::*;
+use bluebell_policy::Kind;
+use std::path::PathBuf;
+
+/// What a bench run does; the default finishes within about two minutes in a release build.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BenchOptions {
+    /// The seed of all randomness; same seed, same figures.
+    pub seed: u64,
+    /// How long each run's arrivals go on, in virtual time.
+    pub duration_ms: SpanMs,
+    /// How many runs with seeds of their own are put together for each row.
+    pub repeats: u32,
+    /// The most threads that work on runs at once.
+    pub threads: usize,
+    /// Which parts are run.
+    pub parts: Vec<Part>,
+    /// Which policies are run; the targets that compare need them all.
+    pub policies: Vec<Kind>,
+    /// Where the whole result is written as JSON, if anywhere.
+    pub json: Option<PathBuf>,
+    /// Where the plot of slowdown by length against load is written as SVG, if anywhere.
+    pub svg: Option<PathBuf>,
+}
+
+/// One part of the bench.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Part {
+    /// All policies on both fleets at six loads, with and without long work.
+    Loads,
+    /// 1, 3 and 9 nodes deciding.
+    Nodes,
+    /// Load reports as old as 0.2, 1 and 5 s.
+    Lags,
+    /// An engine dying, slowing and leaving; a failure domain lost; bursts.
+    Faults,
+    /// One account offering ten times its share.
+    Accounts,
+    /// The cost of a decision.
+    Cost,
+}
+
+impl Part {
+    /// All parts, in the order of the report.
+    pub const ALL: [Part; 6] = [
+        Part::Loads,
+        Part::Nodes,
+        Part::Lags,
+        Part::Faults,
+        Part::Accounts,
+        Part::Cost,
+    ];
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Part::Loads => "loads",
+            Part::Nodes => "nodes",
+            Part::Lags => "lags",
+            Part::Faults => "faults",
+            Part::Accounts => "accounts",
+            Part::Cost => "cost",
+        }
+    }
+}
+
+impl std::fmt::Display for Part {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl std::str::FromStr for Part {
+    type Err = bluebell_base::text::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Part::ALL.into_iter().find(|part| part.as_str() == text);
+        found.ok_or_else(|| bluebell_base::text::ParseError::new("Part", text))
+    }
+}
+
+impl Default for BenchOptions {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            duration_ms: SpanMs::from_secs(240),
+            repeats: 1,
+            threads: 4,
+            parts: Part::ALL.to_vec(),
+            policies: Kind::ALL.to_vec(),
+            json: None,
+            svg: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/plan/mod.rs
@@ -0,0 +1,93 @@
+//! Which rows each part of the bench has.
+
+use crate::options::{BenchOptions, Part};
+use crate::scenario::{Fault, Lag, Scenario};
+use crate::workload::FleetKind;
+use bluebell_base::prelude::*;
+use bluebell_policy::PolicySettings;
+
+/// The offered loads, as shares of capacity.
+pub const LOADS: [f64; 6] = [0.5, 0.7, 0.85, 0.95, 1.2, 2.0];
+/// The load at which nodes and lags are varied.
+const VARIED_LOAD: f64 = 0.85;
+/// The load under faults; what is left can carry it even without a failure domain.
+const FAULT_LOAD: f64 = 0.5;
+/// The load of the runs in which one account may offer ten times its share.
+const ACCOUNTS_LOAD: f64 = 0.85;
+/// How much more than its share that account offers.
+const HOG_FACTOR: f64 = 10.0;
+
+/// The rows of the parts that are wanted.
+pub fn scenarios(options: &BenchOptions) -> Vec<(Part, Scenario)> {
+    let mut all = Vec::new();
+    for part in &options.parts {
+        for fleet in FleetKind::ALL {
+            for policy in options.policies.iter().copied() {
+                let base = |load| Scenario {
+                    duration_ms: options.duration_ms,
+                    seed: options.seed,
+                    ..Scenario::new(fleet, PolicySettings::of(policy), load)
+                };
+                let rows = part_rows(*part, &base);
+                all.extend(rows.into_iter().map(|scenario| (*part, scenario)));
+            }
+        }
+    }
+    all
+}
+
+fn part_rows(part: Part, base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
+    match part {
+        Part::Loads => loads(base),
+        Part::Nodes => [1, 3, 9]
+            .map(|nodes| Scenario {
+                nodes,
+                ..base(VARIED_LOAD)
+            })
+            .to_vec(),
+        Part::Lags => [200, 1_000, 5_000]
+            .map(|lag_ms| Scenario {
+                lag: Lag::Fixed(SpanMs(lag_ms)),
+                ..base(VARIED_LOAD)
+            })
+            .to_vec(),
+        Part::Faults => faults(base),
+        Part::Accounts => [1.0, HOG_FACTOR]
+            .map(|hog_factor| Scenario {
+                hog_factor,
+                ..base(ACCOUNTS_LOAD)
+            })
+            .to_vec(),
+        Part::Cost => Vec::new(),
+    }
+}
+
+fn loads(base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
+    let with = LOADS.map(base);
+    let without = LOADS.map(|load| Scenario {
+        long_work: false,
+        ..base(load)
+    });
+    with.into_iter().chain(without).collect()
+}
+
+fn faults(base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
+    let faults = [
+        Fault::None,
+        Fault::EngineDies,
+        Fault::EngineSlows,
+        Fault::EngineLeaves,
+        Fault::DomainLost,
+    ];
+    let mut rows = faults
+        .map(|fault| Scenario {
+            fault,
+            ..base(FAULT_LOAD)
+        })
+        .to_vec();
+    rows.push(Scenario {
+        bursts: true,
+        ..base(FAULT_LOAD)
+    });
+    rows
+}
--- /dev/null
+++ b/crates/bench/src/scenario/mod.rs
@@ -0,0 +1,90 @@
+//! One run of the bench: which fleet, policy, load, nodes, lags and fault.
+
+use crate::workload::FleetKind;
+use bluebell_base::prelude::*;
+use bluebell_policy::PolicySettings;
+use std::fmt;
+
+/// How old load reports are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lag {
+    /// Each engine has a lag of its own, drawn evenly in its logarithm from 0.2 to 5 s.
+    Mixed,
+    /// All engines have the same lag.
+    Fixed(SpanMs),
+}
+
+/// What goes wrong, from two fifths of the run on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// An engine dies with what it runs.
+    EngineDies,
+    /// An engine takes three times as long for each step.
+    EngineSlows,
+    /// An engine leaves: it takes no new work and is gone half a minute later.
+    EngineLeaves,
+    /// A third of the engines dies at once.
+    DomainLost,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Fault::None => "none",
+            Fault::EngineDies => "engine-dies",
+            Fault::EngineSlows => "engine-slows",
+            Fault::EngineLeaves => "engine-leaves",
+            Fault::DomainLost => "domain-lost",
+        })
+    }
+}
+
+/// One run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// The fleet.
+    pub fleet: FleetKind,
+    /// The policy of each node.
+    pub policy: PolicySettings,
+    /// Offered work as a share of the fleet's capacity, long work included even where it is
+    /// removed.
+    pub load: f64,
+    /// How many nodes decide.
+    pub nodes: u32,
+    /// How old reports are.
+    pub lag: Lag,
+    /// What goes wrong.
+    pub fault: Fault,
+    /// Whether long work is there.
+    pub long_work: bool,
+    /// How much more than its share the last account offers.
+    pub hog_factor: f64,
+    /// Whether arrivals come in bursts.
+    pub bursts: bool,
+    /// How long arrivals go on.
+    pub duration_ms: SpanMs,
+    /// The seed.
+    pub seed: u64,
+}
+
+impl Scenario {
+    /// The usual run: nine nodes, mixed lags, nothing wrong.
+    pub fn new(fleet: FleetKind, policy: PolicySettings, load: f64) -> Self {
+        Self {
+            fleet,
+            policy,
+            load,
+            nodes: 9,
+            lag: Lag::Mixed,
+            fault: Fault::None,
+            long_work: true,
+            hog_factor: 1.0,
+            bursts: false,
+            duration_ms: SpanMs::from_secs(240),
+            seed: 1,
+        }
+    }
+}
