Policy: recall work that lands behind other nodes' work

Cause: with nine nodes and reports 0.2 to 5 s late, nodes send to engines that another one has just filled; the long prompt waits a whole prefill there. Change: an engine's acceptance carries its load of that instant. Work that may be repeated and finds itself behind other work is cancelled before it begins and placed anew. Policy::on_accepted and Decision::Recall are new at the border; a node that ignores Recall loses the gain and nothing else.

--- a/crates/bench/src/cost/mod.rs
+++ b/crates/bench/src/cost/mod.rs
@@ -92,7 +92,7 @@
 fn sent_request(decision: &Decision) -> Option<RequestId> {
     match decision {
         Decision::Send { request, .. } | Decision::Group { request, .. } => Some(*request),
-        Decision::Refuse { .. } => None,
+        Decision::Recall { .. } | Decision::Refuse { .. } => None,
     }
 }
 
--- a/crates/bench/src/driver/engines.rs
+++ b/crates/bench/src/driver/engines.rs
@@ -7,8 +7,8 @@
 use bluebell_base::prelude::*;
 use bluebell_policy::Outcome;
 use bluebell_stand_ins::engine::{EngineModel, EngineSettings, ModelEvent, ModelEventKind};
-use bluebell_upstreams::Reserve;
 use bluebell_upstreams::prompt::mix;
+use bluebell_upstreams::{CancelAnswer, Reserve};
 
 /// How long ended streams are remembered; no caller of the driver comes back later.
 const REMEMBER_MS: SpanMs = SpanMs::from_secs(10);
@@ -44,6 +44,7 @@
     pub(super) fn call(&mut self, attempt: Attempt) {
         self.advance(attempt.engine);
         let reserved = self.reserve(&attempt);
+        let load = self.engines[attempt.engine.index()].model.load_now();
         let started = reserved.is_ok() && self.generate(&attempt);
         if !started {
             self.release(&attempt);
@@ -53,9 +54,7 @@
             }
             self.tell_end(&attempt, Outcome::NotRun);
         } else {
-            let node = self.node_of(attempt.request);
-            let report = self.engines[attempt.engine.index()].model.load_now();
-            let event = Event::Load(node, attempt.engine, report);
+            let event = Event::Accepted(attempt.request, attempt.number, load);
             self.queue.push(self.now_us + WAY_US, event);
             self.records[attempt.request.index()].attempts += 1;
             self.engines[attempt.engine.index()]
@@ -65,6 +64,26 @@
         self.arm(attempt.engine);
     }
 
+    /// A cancel reaches an engine; one that comes after the end changes nothing.
+    pub(super) fn cancel(&mut self, request: RequestNo, number: AttemptNo, engine: EngineNo) {
+        self.advance(engine);
+        let id = self.request_id(request);
+        let now_us = self.now_us;
+        let slot = &mut self.engines[engine.index()];
+        let here = |attempt: &Attempt| attempt.request == request && attempt.number == number;
+        if !slot.alive || !slot.open.iter().any(here) {
+            return;
+        }
+        let answer = slot.model.cancel(now_us, id, number, id.incarnation);
+        let outcome = match answer {
+            CancelAnswer::NotRun => Outcome::NotRun,
+            _ => Outcome::Cancelled,
+        };
+        self.totals.recalls_begun += u64::from(outcome == Outcome::Cancelled);
+        self.close(engine, request, outcome);
+        self.arm(engine);
+    }
+
     /// Reserves the group's memory on all its engines or none; gives the engine that refused.
     fn reserve(&mut self, attempt: &Attempt) -> Result<(), EngineNo> {
         if attempt.members.is_empty() {
--- a/crates/bench/src/driver/mod.rs
+++ b/crates/bench/src/driver/mod.rs
@@ -63,7 +63,7 @@
 struct Live {
     arrived_us: u64,
     number: u32,
-    sent: bool,
+    recalled: bool,
     avoid: Vec<EngineNo>,
     engine: Option<EngineNo>,
 }
@@ -160,6 +160,8 @@
         match event {
             Event::Arrive(request) => self.arrive(request),
             Event::Call(attempt) => self.call(attempt),
+            Event::Cancel(request, number, engine) => self.cancel(request, number, engine),
+            Event::Accepted(request, number, load) => self.accepted(request, number, &load),
             Event::Step(engine) => self.step(engine),
             Event::FirstToken(request, number) => self.first_token(request, number),
             Event::End(request, number, outcome) => self.attempt_ended(request, number, outcome),
@@ -189,6 +191,7 @@
             let share = stats.peak_held_tokens.0 as f64 / capacity;
             self.totals.peak_kv_share = self.totals.peak_kv_share.max(share);
         }
+        self.totals.requests = self.requests.len() as u64;
         RunResult {
             requests: self.requests,
             records: self.records,
--- a/crates/bench/src/driver/nodes.rs
+++ b/crates/bench/src/driver/nodes.rs
@@ -122,7 +122,6 @@
         let row = &mut self.nodes[node.index()];
         let now_ms = row.clock_ms(self.now_us);
         self.live[request.index()].number += 1;
-        self.live[request.index()].sent = false;
         match row.policy.admit(job, now_ms) {
             Ok(()) => self.decide(node),
             Err(refusal) => self.refused(request, refusal, false),
@@ -210,6 +209,7 @@
             } => {
                 self.send(node, request, leader, members, priority);
             }
+            Decision::Recall { request } => self.recall(request),
             Decision::Refuse { request, refusal } => {
                 self.refused(request_no(request), refusal, true);
             }
@@ -227,7 +227,6 @@
         let request = request_no(request);
         let engine = self.engine(node, upstream);
         let live = &mut self.live[request.index()];
-        live.sent = true;
         live.engine = Some(engine);
         let number = AttemptNo(live.number);
         let members = members.into_iter();
@@ -244,6 +243,30 @@
         self.queue.push(self.now_us + WAY_US, Event::Call(attempt));
     }
 
+    fn recall(&mut self, request: RequestId) {
+        let request = request_no(request);
+        let live = &mut self.live[request.index()];
+        live.recalled = true;
+        self.totals.recalls += 1;
+        if let Some(engine) = live.engine {
+            let event = Event::Cancel(request, AttemptNo(live.number), engine);
+            self.queue.push(self.now_us + WAY_US, event);
+        }
+    }
+
+    /// The load that rides on an engine's acceptance reaches the node.
+    pub(super) fn accepted(&mut self, request: RequestNo, number: AttemptNo, load: &LoadReport) {
+        if self.live[request.index()].number != number.0 {
+            return;
+        }
+        let node = self.node_of(request);
+        let id = self.request_id(request);
+        let row = &mut self.nodes[node.index()];
+        let now_ms = row.clock_ms(self.now_us);
+        row.policy.on_accepted(id, load, now_ms);
+        self.decide(node);
+    }
+
     /// A first token reaches the node.
     pub(super) fn first_token(&mut self, request: RequestNo, number: AttemptNo) {
         let live = &self.live[request.index()];
@@ -253,6 +276,7 @@
         self.records[request.index()]
             .first_us
             .get_or_insert(self.now_us);
+        self.live[request.index()].recalled = false;
         let node = self.node_of(request);
         let id = self.request_id(request);
         let row = &mut self.nodes[node.index()];
@@ -283,6 +307,12 @@
     fn after_end(&mut self, request: RequestNo, number: AttemptNo, outcome: Outcome) {
         let class = self.requests[request.index()].class;
         let idempotent = self.config.classes[class.index()].idempotent;
+        let recalled = std::mem::take(&mut self.live[request.index()].recalled);
+        if recalled && matches!(outcome, Outcome::NotRun | Outcome::Cancelled) {
+            // The policy has queued it again; the next attempt has the next number.
+            self.live[request.index()].number += 1;
+            return;
+        }
         let may_retry = match outcome {
             Outcome::Finished(_) => return self.over(request, Fate::Finished),
             Outcome::Cancelled => return self.over(request, Fate::Expired),
--- a/crates/bench/src/driver/queue.rs
+++ b/crates/bench/src/driver/queue.rs
@@ -38,6 +38,10 @@
     Arrive(RequestNo),
     /// A call reaches its engine.
     Call(Attempt),
+    /// A cancel reaches an engine.
+    Cancel(RequestNo, AttemptNo, EngineNo),
+    /// The load that rides on an engine's acceptance reaches the node.
+    Accepted(RequestNo, AttemptNo, LoadReport),
     /// An engine's next step or expiry is due.
     Step(EngineNo),
     /// A first token reaches the node.
--- a/crates/bench/src/driver/record.rs
+++ b/crates/bench/src/driver/record.rs
@@ -43,6 +43,8 @@
 /// What became of a whole run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Totals {
+    /// Requests that arrived.
+    pub requests: u64,
     /// Tokens that engines computed.
     pub computed_tokens: u64,
     /// Of them, those of work that gave no whole answer.
@@ -55,6 +57,10 @@
     pub groups_failed: u64,
     /// Memory still held by anyone when all requests were over, in tokens.
     pub stranded_tokens: u64,
+    /// Attempts recalled.
+    pub recalls: u64,
+    /// Of them, those whose work had begun.
+    pub recalls_begun: u64,
     /// The decisions made.
     pub decisions: u64,
 }
--- a/crates/bench/src/measure/mod.rs
+++ b/crates/bench/src/measure/mod.rs
@@ -100,6 +100,10 @@
     pub groups: u64,
     /// Group reservations that failed.
     pub groups_failed: u64,
+    /// Attempts recalled, as a share of requests.
+    pub recalls: f64,
+    /// Of them, those whose work had begun.
+    pub recalls_begun: u64,
     /// Memory held by nobody after the run, in tokens.
     pub stranded_tokens: u64,
 }
@@ -271,6 +275,9 @@
         self.totals.computed_tokens += totals.computed_tokens;
         self.totals.wasted_tokens += totals.wasted_tokens;
         self.totals.groups += totals.groups;
+        self.totals.requests += totals.requests;
+        self.totals.recalls += totals.recalls;
+        self.totals.recalls_begun += totals.recalls_begun;
         self.totals.groups_failed += totals.groups_failed;
         self.totals.stranded_tokens += totals.stranded_tokens;
         self.totals.peak_kv_share = self.totals.peak_kv_share.max(totals.peak_kv_share);
@@ -303,6 +310,8 @@
             peak_kv: self.totals.peak_kv_share,
             groups: self.totals.groups,
             groups_failed: self.totals.groups_failed,
+            recalls: self.totals.recalls as f64 / self.totals.requests.max(1) as f64,
+            recalls_begun: self.totals.recalls_begun,
             stranded_tokens: self.totals.stranded_tokens,
         }
     }
--- a/crates/bench/src/report/text.rs
+++ b/crates/bench/src/report/text.rs
@@ -54,8 +54,8 @@
     }
     writeln!(
         out,
-        " {:>6} {:>5} {:>5} {:>5} {:>5} {:>5} {:>5} {:>5} {:>9} {:>5}",
-        "within", "refus", "late", "back", "good", "fail", "jain", "waste", "groups", "kv"
+        " {:>6} {:>5} {:>5} {:>5} {:>5} {:>5} {:>5} {:>5} {:>9} {:>5} {:>5}",
+        "within", "refus", "late", "back", "good", "fail", "jain", "waste", "groups", "kv", "recal"
     )
 }
 
@@ -77,7 +77,7 @@
     let groups = format!("{}/{}", report.groups_failed, report.groups);
     writeln!(
         out,
-        " {:>6.2} {:>5.1} {:>5.2} {:>5.1} {:>5.1} {:>5.2} {:>5.3} {:>5.2} {:>9} {:>5.1}",
+        " {:>6.2} {:>5.1} {:>5.2} {:>5.1} {:>5.1} {:>5.2} {:>5.3} {:>5.2} {:>9} {:>5.1} {:>5.2}",
         report.within_admitted * 100.0,
         report.refused * 100.0,
         report.refused_late * 100.0,
@@ -87,7 +87,8 @@
         report.accounts.jain,
         report.wasted * 100.0,
         groups,
-        report.peak_kv * 100.0
+        report.peak_kv * 100.0,
+        report.recalls
     )
 }
 
--- a/crates/policy/src/baseline/mod.rs
+++ b/crates/policy/src/baseline/mod.rs
@@ -169,6 +169,17 @@
         self.tables.take(request);
     }
 
+    fn on_accepted(&mut self, request: RequestId, load: &LoadReport, now_ms: MonoMs) {
+        let entry = self
+            .tables
+            .jobs
+            .slot(request)
+            .and_then(|slot| self.tables.jobs.get(slot));
+        if let Some(upstream) = entry.and_then(|entry| entry.upstream) {
+            self.on_load(upstream, load, now_ms);
+        }
+    }
+
     fn on_first_token(&mut self, request: RequestId, now_ms: MonoMs) {
         self.tables.first_token(request, now_ms);
     }
--- a/crates/policy/src/fleet/engine.rs
+++ b/crates/policy/src/fleet/engine.rs
@@ -7,6 +7,9 @@
 use bluebell_base::prelude::*;
 use bluebell_upstreams::LoadReport;
 
+/// A job sent so shortly before the instant of a report is not in it: it was underway.
+const UNDERWAY_MS: SpanMs = SpanMs(10);
+
 /// Whether an engine takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -88,7 +91,7 @@
         self.backlog_ms = describes_ms;
         self.kv_used = report.kv_used_tokens.0;
         for job in &self.in_flight {
-            if job.sent_ms >= describes_ms {
+            if job.sent_ms + UNDERWAY_MS >= describes_ms {
                 self.backlog_tokens += job.prefill_tokens;
                 self.kv_used += job.kv_tokens.0;
             }
--- a/crates/policy/src/job/mod.rs
+++ b/crates/policy/src/job/mod.rs
@@ -100,6 +100,14 @@
         /// Its priority.
         priority: Priority,
     },
+    /// Cancel its attempt, which waits behind other work on its engine, unless its first token
+    /// came meanwhile; only for work that may be repeated. Its end is told by
+    /// [`crate::Policy::on_end`] as ever (`NotRun` or `Cancelled`); the policy has queued it again
+    /// by itself then and decides it anew, so that it is not admitted a second time.
+    Recall {
+        /// The job.
+        request: RequestId,
+    },
     /// Give it up now.
     Refuse {
         /// The job.
--- a/crates/policy/src/jobs/mod.rs
+++ b/crates/policy/src/jobs/mod.rs
@@ -21,6 +21,8 @@
     Queued,
     /// Sent, and its first token has not come.
     Sent,
+    /// Sent, and its attempt is being cancelled so that it can go elsewhere.
+    Recalled,
     /// Its first token has come.
     Decoding,
 }
@@ -36,6 +38,8 @@
     pub upstream: Option<UpstreamId>,
     /// The engines that lend it memory.
     pub members: Vec<GroupPart>,
+    /// How often it was recalled.
+    pub recalls: u32,
     /// Whether its engine went with it.
     pub lost: bool,
     /// When it was sent.
@@ -56,6 +60,7 @@
             stage: Stage::Queued,
             upstream: None,
             members: Vec::new(),
+            recalls: 0,
             lost: false,
             sent_ms: MonoMs(0),
             ahead_tokens: 0.0,
--- a/crates/policy/src/laxity/mod.rs
+++ b/crates/policy/src/laxity/mod.rs
@@ -13,6 +13,7 @@
 mod dump;
 mod order;
 mod placement;
+mod recall;
 
 use crate::cache::CacheView;
 use crate::job::{Decision, EngineFacts, Job, Outcome, Refusal};
@@ -49,6 +50,7 @@
 struct Scratch {
     due: Vec<Slot>,
     scored: Vec<Scored>,
+    recalls: Vec<RequestId>,
     offers: Vec<crate::groups::Offer>,
 }
 
@@ -114,6 +116,7 @@
 
     fn decide(&mut self, now_ms: MonoMs, out: &mut Vec<Decision>) {
         self.refresh(now_ms);
+        self.recall_due(out);
         let mut due = std::mem::take(&mut self.scratch.due);
         std::mem::swap(&mut due, &mut self.tables.queue);
         self.sort_by_urgency(&mut due);
@@ -143,11 +146,18 @@
         }
     }
 
+    fn on_accepted(&mut self, request: RequestId, load: &LoadReport, now_ms: MonoMs) {
+        self.accepted(request, load, now_ms);
+    }
+
     fn on_first_token(&mut self, request: RequestId, now_ms: MonoMs) {
         self.tables.first_token(request, now_ms);
     }
 
     fn on_end(&mut self, request: RequestId, outcome: Outcome, now_ms: MonoMs) {
+        if self.tables.requeue(request, outcome) {
+            return;
+        }
         let Some(entry) = self.tables.end(request, outcome, now_ms) else {
             return;
         };
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -41,6 +41,12 @@
     pub kv_capacity: u64,
 }
 
+/// The part of a backlog that goes before a job: work with more laxity does not, but for the step
+/// that is running.
+pub(super) fn ahead(backlog_tokens: f64, prefill_tokens: f64) -> f64 {
+    backlog_tokens.min(prefill_tokens + STEP_TOKENS)
+}
+
 impl Laxity {
     /// Whether the job may wait in the queue for slack.
     pub(super) fn deferrable(&self, job: &Job) -> bool {
@@ -94,7 +100,7 @@
     }
 
     /// Scores the engines that may get the job; those it should avoid only where no other is.
-    fn score(&mut self, job: &Job, now_ms: MonoMs) {
+    pub(super) fn score(&mut self, job: &Job, now_ms: MonoMs) {
         let mut scored = std::mem::take(&mut self.scratch.scored);
         scored.clear();
         let list = self.tables.fleet.serving(job.model);
@@ -123,8 +129,7 @@
         let covered = self.cache.covered(upstream, &job.prefixes);
         let prefill_tokens = job.prompt_tokens.saturating_sub(covered).0.max(1) as f64;
         let backlog_tokens = engine.backlog_tokens(now_ms);
-        // Work with more laxity does not go before this job; of the rest, one step is running.
-        let ahead_tokens = backlog_tokens.min(prefill_tokens + STEP_TOKENS);
+        let ahead_tokens = ahead(backlog_tokens, prefill_tokens);
         let kv_free = engine.kv_free();
         let lacks = kv_free < job.kv_tokens().0;
         let memory_ms = if lacks { NO_MEMORY_MS } else { 0.0 };
--- /dev/null
+++ b/crates/policy/src/laxity/recall.rs
@@ -0,0 +1,89 @@
+//! Recall: work that lands behind other nodes' work is taken back and placed anew.
+//!
+//! Reports are late, so that nodes send to an engine that another one has just filled. It shows as
+//! a load, riding on the engine's acceptance, that is higher than was believed. The engine has not
+//! begun the work then, and cancelling costs one more way there and back, much less than the wait
+//! behind a long prefill. The guard is for work that may be repeated only: the cancel can cross
+//! with the work's beginning, and then it has run.
+
+use super::Laxity;
+use crate::job::Decision;
+use crate::jobs::{Slot, Stage};
+use bluebell_base::prelude::*;
+use bluebell_upstreams::LoadReport;
+
+/// The most recalls of one job; afterwards it stays where it is.
+const MOST_RECALLS: u32 = 8;
+/// What a recall costs, in milliseconds: the ways there and back, and a margin.
+const RECALL_MS: f64 = 10.0;
+/// The part of a wait that another engine must save.
+const WORTH: f64 = 0.7;
+
+impl Laxity {
+    /// Takes the fresh load in and recalls the job where another place is clearly better.
+    pub(super) fn accepted(&mut self, request: RequestId, load: &LoadReport, now_ms: MonoMs) {
+        let Some(slot) = self.tables.jobs.slot(request) else {
+            return;
+        };
+        let entry = self.tables.jobs.get(slot);
+        let Some(upstream) = entry.and_then(|entry| entry.upstream) else {
+            return;
+        };
+        if let Some(engine) = self.tables.fleet.get_mut(upstream) {
+            engine.on_load(load, now_ms);
+        }
+        if let Some(entry) = self.tables.jobs.get_mut(slot) {
+            let backlog_tokens = load.prefill_backlog_tokens.0 as f64;
+            entry.ahead_tokens = super::placement::ahead(backlog_tokens, entry.prefill_tokens);
+        }
+        if self.better_elsewhere(slot, upstream, now_ms) {
+            self.scratch.recalls.push(request);
+        }
+    }
+
+    /// Gives the recalls that were decided since the last call.
+    pub(super) fn recall_due(&mut self, out: &mut Vec<Decision>) {
+        let mut recalls = std::mem::take(&mut self.scratch.recalls);
+        for request in recalls.drain(..) {
+            let slot = self.tables.jobs.slot(request);
+            let entry = slot.and_then(|slot| self.tables.jobs.get_mut(slot));
+            if let Some(entry) = entry.filter(|entry| entry.stage == Stage::Sent) {
+                entry.stage = Stage::Recalled;
+                entry.recalls += 1;
+                out.push(Decision::Recall { request });
+            }
+        }
+        self.scratch.recalls = recalls;
+    }
+
+    fn better_elsewhere(&mut self, slot: Slot, upstream: UpstreamId, now_ms: MonoMs) -> bool {
+        let Some(entry) = self.tables.jobs.get(slot) else {
+            return false;
+        };
+        let may = entry.job.idempotent
+            && entry.stage == Stage::Sent
+            && entry.members.is_empty()
+            && entry.recalls < MOST_RECALLS;
+        if !may {
+            return false;
+        }
+        let ahead_ms = self.tables.fleet.mean_cost().prefill_ms(entry.ahead_tokens);
+        if ahead_ms <= RECALL_MS {
+            return false;
+        }
+        let job = entry.job.clone();
+        let slack_ms = self.settings.slack_ms.0 as f64;
+        let may_wait = self.deferrable(&job) && now_ms < self.latest_start_ms(&job);
+        if may_wait && ahead_ms > slack_ms {
+            return true;
+        }
+        self.score(&job, now_ms);
+        let others = self
+            .scratch
+            .scored
+            .iter()
+            .filter(|s| s.upstream != upstream);
+        let best_ms = others.map(|s| s.wait_ms).fold(f64::INFINITY, f64::min);
+        best_ms + RECALL_MS < ahead_ms * WORTH
+    }
+}
--- a/crates/policy/src/tables/mod.rs
+++ b/crates/policy/src/tables/mod.rs
@@ -102,7 +102,7 @@
         let Some(entry) = self.jobs.get_mut(slot) else {
             return;
         };
-        if entry.stage != Stage::Sent {
+        if !matches!(entry.stage, Stage::Sent | Stage::Recalled) {
             return;
         }
         entry.stage = Stage::Decoding;
@@ -134,6 +134,29 @@
         Some(entry)
     }
 
+    /// A recalled job's attempt ended before its first token: it is queued again. Gives whether
+    /// that was so.
+    pub fn requeue(&mut self, request: RequestId, outcome: Outcome) -> bool {
+        let Some(slot) = self.jobs.slot(request) else {
+            return false;
+        };
+        let Some(entry) = self.jobs.get_mut(slot) else {
+            return false;
+        };
+        let cancelled = matches!(outcome, Outcome::NotRun | Outcome::Cancelled);
+        if entry.stage != Stage::Recalled || !cancelled {
+            return false;
+        }
+        entry.stage = Stage::Queued;
+        entry.lost = false;
+        let upstream = entry.upstream.take();
+        if let Some(engine) = upstream.and_then(|id| self.fleet.get_mut(id)) {
+            engine.ended(slot);
+        }
+        self.queue.push(slot);
+        true
+    }
+
     /// Takes a job out, wherever it is.
     pub fn take(&mut self, request: RequestId) -> Option<Entry> {
         let slot = self.jobs.slot(request)?;
--- a/crates/policy/tests/random.rs
+++ b/crates/policy/tests/random.rs
@@ -27,6 +27,7 @@
         stored: bool,
         gap: bool,
     },
+    Accepted(u64, u64),
     FirstToken(u64),
     End(u64, u8),
     Withdraw(u64),
@@ -45,6 +46,7 @@
             .prop_map(|(engine, backlog, kv_used)| Step::Load { engine, backlog, kv_used }),
         1 => (engine.clone(), 0..5_u64, any::<bool>(), any::<bool>())
             .prop_map(|(engine, hash, stored, gap)| Step::Cache { engine, hash, stored, gap }),
+        2 => (any::<u64>(), 0..300_000_u64).prop_map(|(n, backlog)| Step::Accepted(n, backlog)),
         2 => any::<u64>().prop_map(Step::FirstToken),
         2 => (any::<u64>(), 0..4_u8).prop_map(|(n, how)| Step::End(n, how)),
         1 => any::<u64>().prop_map(Step::Withdraw),
@@ -97,6 +99,10 @@
                 };
                 self.policy.on_cache(UpstreamId(*engine), &[event], *gap);
             }
+            Step::Accepted(n, backlog) => {
+                self.policy
+                    .on_accepted(known(n), &load(*backlog, 0), now_ms);
+            }
             Step::FirstToken(n) => self.policy.on_first_token(known(n), now_ms),
             Step::End(n, how) => {
                 let outcome = match how {
