--- a/crates/policy/src/fleet/engine.rs
+++ b/crates/policy/src/fleet/engine.rs
@@ -1,6 +1,6 @@
 //! One engine: what it reported, late, and what this node sent there since.
 
-use super::Health;
+use super::{Busy, Health};
 use crate::cost::CostModel;
 use crate::job::EngineFacts;
 use crate::jobs::Slot;
@@ -43,6 +43,8 @@
     pub cost: CostModel,
     /// Whether it may be trusted with work.
     pub health: Health,
+    /// How often it prefills.
+    pub busy: Busy,
     /// Its latest report.
     pub report: LoadReport,
     /// The instant that the report describes.
@@ -62,6 +64,7 @@
             state: State::Open,
             cost,
             health: Health::default(),
+            busy: Busy::default(),
             report: LoadReport::default(),
             reported_ms: now_ms,
             in_flight: Vec::new(),
@@ -85,6 +88,9 @@
             // Reports may overtake each other; an older one would undo a newer.
             return;
         }
+        let reported_tokens = report.prefill_backlog_tokens.0 as f64;
+        self.busy
+            .observe(reported_tokens, report.step_ms, describes_ms);
         self.report = *report;
         self.reported_ms = describes_ms;
         self.backlog_tokens = report.prefill_backlog_tokens.0 as f64;
@@ -120,6 +126,7 @@
         self.backlog_tokens = self.backlog_tokens(job.sent_ms) + job.prefill_tokens;
         self.backlog_ms = job.sent_ms;
         self.kv_used += job.kv_tokens.0;
+        self.busy.news(job.sent_ms);
         self.in_flight.push(job);
     }
 
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -6,9 +6,11 @@
 //! Invariants: a model's list holds exactly the open engines that serve it, by rank; an engine's
 //! in-flight list holds exactly the jobs that this node sent there and that have not ended.
 
+mod busy;
 mod engine;
 mod health;
 
+pub use busy::Busy;
 pub use engine::{Engine, InFlight, State};
 pub use health::Health;
 
@@ -16,6 +18,9 @@
 use crate::job::EngineFacts;
 use bluebell_base::prelude::*;
 
+/// An engine is an outlier where its rate is below this share of the mean.
+const OUTLIER: f64 = 0.6;
+
 /// The table of engines.
 #[derive(Debug)]
 pub struct Fleet {
@@ -43,6 +48,16 @@
         self.mean
     }
 
+    /// An engine's own cost model where it is clearly slower than the fleet's mean, and the mean
+    /// otherwise: engines are alike unless something is wrong, and the small differences that a
+    /// few samples show would send work to whichever engine was lucky last.
+    pub fn trusted_cost(&self, engine: &Engine) -> CostModel {
+        if engine.cost.prefill_per_s < self.mean.prefill_per_s * OUTLIER {
+            return engine.cost;
+        }
+        self.mean
+    }
+
     /// The mean duration of the engines' steps, as reported.
     pub fn mean_step_ms(&self) -> f64 {
         self.mean_step_ms
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -16,7 +16,12 @@
 /// How much worse than the best one another engine may look and still be drawn, in milliseconds.
 const NEAR_MS: f64 = 5.0;
 /// What a lack of memory counts for, in milliseconds.
-const NO_MEMORY_MS: f64 = 10_000.0;
+pub(super) const NO_MEMORY_MS: f64 = 10_000.0;
+/// The steps that short work waits for on a busy engine: half of the running one, and its own one
+/// filled up with other work.
+const BUSY_STEPS: f64 = 1.5;
+/// An engine with less wait than this counts as idle, in milliseconds.
+const IDLE_MS: f64 = 10.0;
 /// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
 const STEP_TOKENS: f64 = 8_192.0;
 
@@ -27,6 +32,8 @@
     pub upstream: UpstreamId,
     /// The predicted time before the job's prefill begins.
     pub wait_ms: f64,
+    /// The expected first token, where work of other nodes may have come meanwhile.
+    pub expected_ms: f64,
     /// The predicted first token.
     pub first_token_ms: f64,
     /// The job's own prefill there.
@@ -130,18 +137,21 @@
         let prefill_tokens = job.prompt_tokens.saturating_sub(covered).0.max(1) as f64;
         let backlog_tokens = engine.backlog_tokens(now_ms);
         let ahead_tokens = ahead(backlog_tokens, prefill_tokens);
+        let chance = engine.busy.chance(backlog_tokens, now_ms);
         let kv_free = engine.kv_free();
         let lacks = kv_free < job.kv_tokens().0;
         let memory_ms = if lacks { NO_MEMORY_MS } else { 0.0 };
-        let wait_ms = engine.cost.prefill_ms(ahead_tokens) + memory_ms;
-        let own_ms = engine.cost.overhead_ms + engine.cost.prefill_ms(prefill_tokens);
+        let cost = self.tables.fleet.trusted_cost(engine);
+        let wait_ms = cost.prefill_ms(ahead_tokens) + memory_ms;
+        let own_ms = cost.overhead_ms + cost.prefill_ms(prefill_tokens);
         Scored {
             upstream,
             wait_ms,
+            expected_ms: chance * engine.busy.step_ms() * BUSY_STEPS + memory_ms + own_ms,
             first_token_ms: wait_ms + own_ms,
             prefill_tokens,
             ahead_tokens,
-            backlog_ms: engine.cost.prefill_ms(backlog_tokens),
+            backlog_ms: cost.prefill_ms(backlog_tokens),
             kv_free,
             kv_capacity: engine.facts.kv_capacity_tokens.0,
         }
@@ -149,13 +159,27 @@
 
     /// The engine with the earliest predicted first token, drawn among the best few.
     fn place_at_once(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
+        if job.idempotent {
+            let scored = &self.scratch.scored;
+            let idle = |s: &&Scored| s.wait_ms <= IDLE_MS && s.kv_free >= job.kv_tokens().0;
+            let count = scored
+                .iter()
+                .filter(idle)
+                .take(self.settings.choices)
+                .count();
+            if count > 0 {
+                let drawn = self.rng.random_range(0..count);
+                let chosen = *scored.iter().filter(idle).nth(drawn)?;
+                return Some(self.place(job, chosen, now_ms));
+            }
+        }
         // The list runs from the long end; of equals, the last ones are preferred.
         let scored = &mut self.scratch.scored;
         scored.reverse();
-        scored.sort_by(|a, b| a.first_token_ms.total_cmp(&b.first_token_ms));
-        let best_ms = scored.first()?.first_token_ms;
+        scored.sort_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms));
+        let best_ms = scored.first()?.expected_ms;
         let near = scored.iter().take(self.settings.choices);
-        let near = near.filter(|s| s.first_token_ms <= best_ms + NEAR_MS);
+        let near = near.filter(|s| s.expected_ms <= best_ms + NEAR_MS);
         let count = near.count();
         let drawn = self.rng.random_range(0..count);
         let chosen = self.scratch.scored[drawn];
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -13,7 +13,7 @@
 use bluebell_upstreams::LoadReport;
 
 /// The most recalls of one job; afterwards it stays where it is.
-const MOST_RECALLS: u32 = 8;
+const MOST_RECALLS: u32 = 16;
 /// What a recall costs, in milliseconds: the ways there and back, and a margin.
 const RECALL_MS: f64 = 10.0;
 /// The part of a wait that another engine must save.
@@ -67,7 +67,16 @@
         if !may {
             return false;
         }
-        let ahead_ms = self.tables.fleet.mean_cost().prefill_ms(entry.ahead_tokens);
+        let lacks_memory = self.tables.fleet.get(upstream).is_some_and(|engine| {
+            // The engine's memory as believed now has the job's own in it.
+            engine.kv_used() > engine.facts.kv_capacity_tokens.0
+        });
+        let memory_ms = if lacks_memory {
+            super::placement::NO_MEMORY_MS
+        } else {
+            0.0
+        };
+        let ahead_ms = self.tables.fleet.mean_cost().prefill_ms(entry.ahead_tokens) + memory_ms;
         if ahead_ms <= RECALL_MS {
             return false;
         }
--- a/crates/policy/src/tables/dump.rs
+++ b/crates/policy/src/tables/dump.rs
@@ -11,7 +11,7 @@
         let _ = writeln!(
             text,
             "{} {:?} prefill {:.0} tok/s overhead {:.0} ms error {:.2} samples {} in-flight {} \
-             kv-free {} tok backlog {} tok at report {} failures {}",
+             busy {:.2} kv-free {} tok backlog {} tok at report {} failures {}",
             engine.facts.upstream,
             engine.state,
             engine.cost.prefill_per_s,
@@ -19,6 +19,7 @@
             engine.cost.error,
             engine.cost.samples,
             engine.in_flight.len(),
+            engine.busy.share(),
             engine.kv_free(),
             engine.report.prefill_backlog_tokens.0,
             engine.reported_ms,
