--- a/crates/policy/src/fleet/engine.rs
+++ b/crates/policy/src/fleet/engine.rs
@@ -1,12 +1,15 @@
 //! One engine: what it reported, late, and what this node sent there since.
 
-use super::Health;
+use super::{Busy, Health};
 use crate::cost::CostModel;
 use crate::job::EngineFacts;
 use crate::jobs::Slot;
 use bluebell_base::prelude::*;
 use bluebell_upstreams::LoadReport;
 
+/// A job sent so shortly before the instant of a report is not in it: it was underway.
+const UNDERWAY_MS: SpanMs = SpanMs(10);
+
 /// Whether an engine takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -40,6 +43,8 @@
     pub cost: CostModel,
     /// Whether it may be trusted with work.
     pub health: Health,
+    /// How often it prefills.
+    pub busy: Busy,
     /// Its latest report.
     pub report: LoadReport,
     /// The instant that the report describes.
@@ -59,6 +64,7 @@
             state: State::Open,
             cost,
             health: Health::default(),
+            busy: Busy::default(),
             report: LoadReport::default(),
             reported_ms: now_ms,
             in_flight: Vec::new(),
@@ -82,13 +88,16 @@
             // Reports may overtake each other; an older one would undo a newer.
             return;
         }
+        let reported_tokens = report.prefill_backlog_tokens.0 as f64;
+        self.busy
+            .observe(reported_tokens, report.step_ms, describes_ms);
         self.report = *report;
         self.reported_ms = describes_ms;
         self.backlog_tokens = report.prefill_backlog_tokens.0 as f64;
         self.backlog_ms = describes_ms;
         self.kv_used = report.kv_used_tokens.0;
         for job in &self.in_flight {
-            if job.sent_ms >= describes_ms {
+            if job.sent_ms + UNDERWAY_MS >= describes_ms {
                 self.backlog_tokens += job.prefill_tokens;
                 self.kv_used += job.kv_tokens.0;
             }
@@ -117,6 +126,7 @@
         self.backlog_tokens = self.backlog_tokens(job.sent_ms) + job.prefill_tokens;
         self.backlog_ms = job.sent_ms;
         self.kv_used += job.kv_tokens.0;
+        self.busy.news(job.sent_ms);
         self.in_flight.push(job);
     }
 
