--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,268 @@
+//! The command line, as `argh` reads it.
+
+use argh::FromArgs;
+
+/// Operates a fleet of bluebellpond nodes, loads it and stands in for what surrounds it.
+///
+/// Exit codes: 0 all went as asked, 1 it did not, 2 the command line was wrong.
+#[derive(FromArgs)]
+pub struct Ctl {
+    /// where a node serves operators, ip:port (BLUEBELL_ADMIN_ADDRESS; default 127.0.0.1:8081)
+    #[argh(option)]
+    pub admin_address: Option<String>,
+    /// the operators' credential (BLUEBELL_ADMIN_CREDENTIAL; no default)
+    #[argh(option)]
+    pub admin_credential: Option<String>,
+    /// print JSON instead of text
+    #[argh(switch)]
+    pub json: bool,
+    /// what is logged to standard error: a level and levels by module (default warn)
+    #[argh(option, default = "String::from(\"warn\")")]
+    pub log_levels: String,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// The operators' configuration.
+    Config(Config),
+    /// The state of one process.
+    State(State),
+    /// Who is there.
+    Fleet(Fleet),
+    /// A planned stop.
+    Drain(Drain),
+    /// Load.
+    Load(Box<Load>),
+    /// Stand-ins.
+    StandIn(StandIn),
+}
+
+/// Check, publish and show the operators' configuration.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "config")]
+pub struct Config {
+    /// what to do with it
+    #[argh(subcommand)]
+    pub action: ConfigAction,
+}
+
+/// What to do with the configuration.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum ConfigAction {
+    /// Check a file.
+    Check(ConfigCheck),
+    /// Publish a file.
+    Publish(ConfigPublish),
+    /// Show the one in force.
+    Show(ConfigShow),
+    /// Show earlier ones.
+    History(ConfigHistory),
+}
+
+/// Check a configuration file without a node; lists every fault with its path and reason.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct ConfigCheck {
+    /// the file
+    #[argh(positional)]
+    pub file: String,
+}
+
+/// Publish a configuration file; refused where another was published since the version it is
+/// based on.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "publish")]
+pub struct ConfigPublish {
+    /// the file
+    #[argh(positional)]
+    pub file: String,
+    /// the version that the file is based on; 0 where there is none yet
+    #[argh(option)]
+    pub base: u64,
+}
+
+/// Show the configuration in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ConfigShow {}
+
+/// Show the versions still known, oldest first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct ConfigHistory {}
+
+/// Dump the state of the node asked.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "state")]
+pub struct State {}
+
+/// Show who is there: nodes and upstreams, live or leaving, and their configuration versions.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+pub struct Fleet {}
+
+/// Stop the node asked gracefully: no new work, what runs is finished, duties are handed over.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub struct Drain {}
+
+/// Send open-loop load, check every answer and report latency by prompt length.
+///
+/// Fails where an answer was wrong or a request got no word.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct Load {
+    /// where a node serves callers, ip:port; repeat for more (default 127.0.0.1:8080)
+    #[argh(option)]
+    pub target: Vec<String>,
+    /// mean arrivals per second, a Poisson process (default 10)
+    #[argh(option, default = "10.0")]
+    pub rate: f64,
+    /// requests in all (default 200)
+    #[argh(option, default = "200")]
+    pub requests: u64,
+    /// the schedule's seed (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// prompt lengths: mixed (log-uniform 1k to 1M tokens, one in fifty over 100k), short, long or
+    /// a number of tokens (default mixed)
+    #[argh(option, default = "String::from(\"mixed\")")]
+    pub mix: String,
+    /// cut longer prompts to this many tokens
+    #[argh(option)]
+    pub max_prompt_tokens: Option<u64>,
+    /// the model asked for (default pond-1)
+    #[argh(option, default = "String::from(\"pond-1\")")]
+    pub model: String,
+    /// a class of work as name:longest prompt in tokens, ascending, repeated, the last as name
+    /// only (default short-draft:4000 condensed-text:64000 archive-read)
+    #[argh(option)]
+    pub class: Vec<String>,
+    /// tokens asked for in each answer (default 32)
+    #[argh(option, default = "32")]
+    pub answer_tokens: u64,
+    /// the class of requests that must run at most once (default notice)
+    #[argh(option, default = "String::from(\"notice\")")]
+    pub keyed_class: String,
+    /// the share of requests that must run at most once, 0 to 1 (default 0)
+    #[argh(option, default = "0.0")]
+    pub keyed_share: f64,
+    /// a routed service path to post to (default /services/board/notices)
+    #[argh(option, default = "String::from(\"/services/board/notices\")")]
+    pub service_path: String,
+    /// the share of requests that go to the service, 0 to 1 (default 0)
+    #[argh(option, default = "0.0")]
+    pub service_share: f64,
+    /// an account's key; repeat for more (BLUEBELL_ACCOUNT_KEYS, separated by commas; default the
+    /// keys of examples/demo-fleet.json)
+    #[argh(option)]
+    pub account_key: Vec<String>,
+    /// how often a request is tried in all (default 3)
+    #[argh(option, default = "3")]
+    pub tries: u32,
+    /// the most requests in flight (default 128)
+    #[argh(option, default = "128")]
+    pub threads: usize,
+    /// how long one answer is waited for, in ms (default 300000)
+    #[argh(option, default = "300_000")]
+    pub patience_ms: u64,
+    /// the length of the beginning that an account's prompts share, in tokens (default 0)
+    #[argh(option, default = "0")]
+    pub shared_prefix_tokens: u64,
+    /// a stand-in engine, ip:port, that is also called directly; repeat for more
+    #[argh(option)]
+    pub direct_engine: Vec<String>,
+    /// the share of requests sent to an engine directly, 0 to 1 (default 0)
+    #[argh(option, default = "0.0")]
+    pub direct_share: f64,
+    /// the engines are real ones, whose answers aren't known beforehand
+    #[argh(switch)]
+    pub real_engines: bool,
+}
+
+/// Run a stand-in for what surrounds the nodes, or set one up.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "stand-in")]
+pub struct StandIn {
+    /// which
+    #[argh(subcommand)]
+    pub kind: StandInKind,
+}
+
+/// Which stand-in.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum StandInKind {
+    /// The platform.
+    Platform(StandInPlatform),
+    /// Its list of VMs.
+    Vm(StandInVm),
+    /// Faults.
+    Faults(StandInFaults),
+}
+
+/// Run the platform's stand-in: log, weight store and list of VMs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct StandInPlatform {
+    /// where it listens, ip:port (default 127.0.0.1:7000)
+    #[argh(option, default = "String::from(\"127.0.0.1:7000\")")]
+    pub listen: String,
+    /// the credential that clients must show
+    #[argh(option)]
+    pub credential: Option<String>,
+    /// how long the log keeps records, in ms (default 86400000)
+    #[argh(option)]
+    pub retention_ms: Option<u64>,
+    /// appends per second that the log takes (default 300)
+    #[argh(option)]
+    pub appends_per_second: Option<f64>,
+    /// how late changes of the list of VMs are seen, in ms (default 2000)
+    #[argh(option)]
+    pub vm_lag_ms: Option<u64>,
+}
+
+/// Change the platform stand-in's list of VMs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "vm")]
+pub struct StandInVm {
+    /// where the platform's stand-in is, ip:port (default 127.0.0.1:7000)
+    #[argh(option, default = "String::from(\"127.0.0.1:7000\")")]
+    pub platform: String,
+    /// the VM's name
+    #[argh(option)]
+    pub name: String,
+    /// live, leaving or gone (default live)
+    #[argh(option, default = "String::from(\"live\")")]
+    pub state: String,
+    /// what runs on it: node, engine or service (needed for a new one)
+    #[argh(option)]
+    pub role: Option<String>,
+    /// where it is reached, ip:port; for a node its peers' address (needed for a new one)
+    #[argh(option)]
+    pub address: Option<String>,
+    /// its deployment; for a service its name (default nodes, engines, or needed for a service)
+    #[argh(option)]
+    pub deployment: Option<String>,
+    /// its failure domain (default domain-a)
+    #[argh(option, default = "String::from(\"domain-a\")")]
+    pub domain: String,
+}
+
+/// Switch the faults of a running stand-in.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "faults")]
+pub struct StandInFaults {
+    /// where the stand-in is, ip:port
+    #[argh(option)]
+    pub at: String,
+    /// all faults that shall be in force, as JSON, such as {{"down":true}}; {{}} for none
+    #[argh(positional)]
+    pub faults: String,
+}
--- /dev/null
+++ b/crates/ctl/src/commands/config.rs
@@ -0,0 +1,90 @@
+//! `config`: check, publish and show the operators' configuration.
+
+use crate::admin::{Admin, ConfigAnswer, Publication};
+use crate::args::{ConfigAction, ConfigPublish, Ctl};
+use crate::outcome::CommandError;
+use bluebell_base::prelude::*;
+use bluebell_control::Published;
+use serde_json::value::RawValue;
+
+/// Does what is asked with the configuration.
+pub fn run(ctl: &Ctl, action: &ConfigAction) -> Result<(), CommandError> {
+    match action {
+        ConfigAction::Check(check) => {
+            read_checked(ctl, &check.file)?;
+            if !ctl.json {
+                println!("{}: no faults", check.file);
+            }
+            Ok(())
+        }
+        ConfigAction::Publish(publication) => publish(ctl, publication),
+        ConfigAction::Show(_) => show(ctl),
+        ConfigAction::History(_) => history(ctl),
+    }
+}
+
+/// Reads a file and checks it; every fault is printed.
+fn read_checked(ctl: &Ctl, file: &str) -> Result<String, CommandError> {
+    let text = std::fs::read_to_string(file);
+    let text = text.map_err(|error| CommandError::failed(format!("{file}: {error}")))?;
+    let Err(faults) = bluebell_config::parse(&text) else {
+        return Ok(text);
+    };
+    if ctl.json {
+        let text = serde_json::to_string(&faults).map_err(CommandError::failed)?;
+        println!("{text}");
+    } else {
+        faults.iter().for_each(|fault| println!("{fault}"));
+    }
+    let count = faults.len();
+    Err(CommandError::failed(format!("{file}: faults: {count}")))
+}
+
+fn publish(ctl: &Ctl, publication: &ConfigPublish) -> Result<(), CommandError> {
+    let text = read_checked(ctl, &publication.file)?;
+    let body = Publication {
+        base: ConfigVersion(publication.base),
+        config: RawValue::from_string(text).map_err(CommandError::failed)?,
+    };
+    let body = serde_json::to_string(&body).map_err(CommandError::failed)?;
+    let answer = Admin::open(ctl)?.post("/admin/config", &body)?;
+    if ctl.json {
+        println!("{answer}");
+        return Ok(());
+    }
+    match serde_json::from_str(&answer).map_err(CommandError::failed)? {
+        Published::Accepted { version } => println!("version {} is in force", version.0),
+        Published::Conflict { current } => {
+            let why = format!("conflict: version {} came first", current.0);
+            return Err(CommandError::failed(why));
+        }
+    }
+    Ok(())
+}
+
+fn show(ctl: &Ctl) -> Result<(), CommandError> {
+    let text = Admin::open(ctl)?.get("/admin/config")?;
+    if ctl.json {
+        println!("{text}");
+        return Ok(());
+    }
+    let answer: ConfigAnswer = serde_json::from_str(&text).map_err(CommandError::failed)?;
+    // The version goes to standard error, so that the output is a file to edit and publish.
+    eprintln!("version {}", answer.version.0);
+    println!("{}", answer.config);
+    Ok(())
+}
+
+fn history(ctl: &Ctl) -> Result<(), CommandError> {
+    let text = Admin::open(ctl)?.get("/admin/config/history")?;
+    if ctl.json {
+        println!("{text}");
+        return Ok(());
+    }
+    let answers: Vec<ConfigAnswer> = serde_json::from_str(&text).map_err(CommandError::failed)?;
+    for answer in answers {
+        let bytes = answer.config.get().len();
+        println!("version {:>6}  {bytes:>9} bytes", answer.version.0);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/commands/mod.rs
@@ -0,0 +1,21 @@
+//! The commands, one module each.
+
+mod config;
+mod load;
+mod node;
+mod stand_in;
+
+use crate::args::{Command, Ctl};
+use crate::outcome::CommandError;
+
+/// Does what the command line asks.
+pub fn run(ctl: Ctl) -> Result<(), CommandError> {
+    match &ctl.command {
+        Command::Config(config) => config::run(&ctl, &config.action),
+        Command::State(_) => node::state(&ctl),
+        Command::Fleet(_) => node::fleet(&ctl),
+        Command::Drain(_) => node::drain(&ctl),
+        Command::Load(args) => load::run(args, ctl.json),
+        Command::StandIn(stand_in) => stand_in::run(&stand_in.kind),
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/cli.rs
@@ -0,0 +1,231 @@
+//! The command line: usage errors, exit codes, checks of files, and the administration API's
+//! client against a scripted node.
+
+use std::process::{Command, Output};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use tiny_http::{Response, Server};
+
+const CREDENTIAL: &str = "a-credential-of-operators";
+
+fn ctl(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bluebellctl"));
+    command.env_remove("BLUEBELL_ADMIN_ADDRESS");
+    command.env_remove("BLUEBELL_ADMIN_CREDENTIAL");
+    command.args(args).output().expect("the program runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).expect("text")
+}
+
+fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[test]
+fn a_wrong_command_line_ends_with_2_and_says_why() {
+    let cases: [(&[&str], &str); 11] = [
+        (&[], "subcommand"),
+        (&["weights"], "weights"),
+        (&["config"], "subcommand"),
+        (&["config", "publish", "x.json"], "--base"),
+        (
+            &["config", "show"][..],
+            "--admin-credential (or BLUEBELL_ADMIN_CREDENTIAL) is needed",
+        ),
+        (
+            &[
+                "--admin-address",
+                "here",
+                "--admin-credential",
+                "x",
+                "state",
+            ],
+            "\"here\" is not of the form ip:port",
+        ),
+        (&["load", "--mix", "medium"], "mix"),
+        (
+            &["load", "--rate", "0", "--tries", "0"],
+            "rate must be more than 0/s\ntries must be more than 0",
+        ),
+        (&["load", "--target", "localhost"], "--target"),
+        (&["load", "--direct-share", "0.5"], "--direct-engine"),
+        (
+            &["stand-in", "vm", "--name", "vm-1", "--state", "asleep"],
+            "asleep",
+        ),
+    ];
+    for (args, wanted) in cases {
+        let output = ctl(args);
+        let error = text(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{args:?}: {error}");
+        assert!(error.contains(wanted), "{args:?}: {error}");
+        assert!(output.stdout.is_empty(), "{args:?}");
+    }
+}
+
+#[test]
+fn help_goes_to_standard_output_with_0() {
+    for args in [
+        &["--help"][..],
+        &["load", "--help"],
+        &["config", "publish", "--help"],
+    ] {
+        let output = ctl(args);
+        assert_eq!(output.status.code(), Some(0), "{args:?}");
+        assert!(
+            text(&output.stdout).contains("Usage: bluebellctl"),
+            "{args:?}"
+        );
+    }
+}
+
+#[test]
+fn the_example_files_have_no_faults() {
+    for name in ["fleet.json", "demo-fleet.json"] {
+        let output = ctl(&["config", "check", &example(name)]);
+        assert_eq!(output.status.code(), Some(0), "{}", text(&output.stdout));
+    }
+}
+
+#[test]
+fn a_faulty_file_ends_with_1_and_names_each_fault() {
+    let good = std::fs::read_to_string(example("demo-fleet.json")).expect("the file");
+    let bad = good.replacen("\"end_ms\": 30000", "\"end_ms\": 0", 1);
+    let file = std::env::temp_dir().join(format!("bluebellctl-{}.json", std::process::id()));
+    std::fs::write(&file, bad).expect("a file to check");
+    let output = ctl(&["config", "check", file.to_str().expect("a path")]);
+    std::fs::remove_file(&file).expect("it was there");
+    assert_eq!(output.status.code(), Some(1));
+    let faults = text(&output.stdout);
+    assert!(faults.contains("classes[0].end_ms: "), "{faults}");
+}
+
+#[test]
+fn a_file_that_is_not_there_ends_with_1() {
+    let output = ctl(&["config", "check", "no-such-file.json"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stderr).contains("no-such-file.json"));
+}
+
+/// What a scripted node was asked.
+struct Asked {
+    call: String,
+    bearer: String,
+    body: String,
+}
+
+/// Answers one call.
+fn node(status: u16, answer: &'static str) -> (String, JoinHandle<Asked>) {
+    let server = Arc::new(Server::http("127.0.0.1:0").expect("a free port"));
+    let address = server.server_addr().to_string();
+    let thread = std::thread::spawn(move || {
+        let mut request = server.recv().expect("a call");
+        let mut body = String::new();
+        request.as_reader().read_to_string(&mut body).expect("text");
+        let is_bearer = |header: &&tiny_http::Header| header.field.equiv("authorization");
+        let bearer = request.headers().iter().find(is_bearer);
+        let asked = Asked {
+            call: format!("{} {}", request.method(), request.url()),
+            bearer: bearer.expect("a credential").value.to_string(),
+            body,
+        };
+        let response = Response::from_string(answer).with_status_code(status);
+        request.respond(response).expect("the caller waits");
+        asked
+    });
+    (address, thread)
+}
+
+#[test]
+fn the_administration_api_is_asked_as_it_wants() {
+    let demo = example("demo-fleet.json");
+    let publish: &[&str] = &["config", "publish", &demo, "--base", "3"];
+    let accepted = r#"{"result":"accepted","version":4}"#;
+    let conflict = r#"{"result":"conflict","current":9}"#;
+    let refused = r#"{"error":{"message":"not now","verdict":"not_run"}}"#;
+    let cases = [
+        (
+            publish,
+            200,
+            accepted,
+            "POST /admin/config",
+            0,
+            "version 4 is in force",
+        ),
+        (
+            publish,
+            409,
+            conflict,
+            "POST /admin/config",
+            1,
+            "version 9 came first",
+        ),
+        (
+            publish,
+            503,
+            refused,
+            "POST /admin/config",
+            1,
+            "503: not now (not_run)",
+        ),
+        (
+            &["config", "show"][..],
+            200,
+            r#"{"version":2,"config":{"a":1}}"#,
+            "GET /admin/config",
+            0,
+            r#"{"a":1}"#,
+        ),
+        (
+            &["config", "history"],
+            200,
+            r#"[{"version":2,"config":{}}]"#,
+            "GET /admin/config/history",
+            0,
+            "version      2",
+        ),
+        (
+            &["fleet"],
+            200,
+            r#"{"nodes":[]}"#,
+            "GET /admin/fleet",
+            0,
+            "\"nodes\": []",
+        ),
+        (
+            &["drain"],
+            200,
+            r#"{"done":true}"#,
+            "POST /admin/drain",
+            0,
+            "draining",
+        ),
+    ];
+    for (args, status, answer, call, code, wanted) in cases {
+        let (address, thread) = node(status, Box::leak(answer.to_owned().into_boxed_str()));
+        let mut all = vec![
+            "--admin-address",
+            &address,
+            "--admin-credential",
+            CREDENTIAL,
+        ];
+        all.extend(args);
+        let output = ctl(&all);
+        let asked = thread.join().expect("it was asked");
+        let printed = text(&output.stdout) + &text(&output.stderr);
+        assert_eq!(asked.call, call, "{args:?}");
+        assert_eq!(asked.bearer, format!("Bearer {CREDENTIAL}"));
+        assert_eq!(output.status.code(), Some(code), "{args:?}: {printed}");
+        assert!(printed.contains(wanted), "{args:?}: {printed}");
+        assert!(!printed.contains(CREDENTIAL));
+        if args.contains(&"publish") {
+            assert!(
+                asked.body.starts_with(r#"{"base":3,"config":{"#),
+                "{}",
+                asked.body
+            );
+        }
+    }
+}
--- a/crates/load/src/direct.rs
+++ b/crates/load/src/direct.rs
@@ -37,6 +37,7 @@
         patience_ms: SpanMs,
     ) -> Self {
         let agent = ureq::Agent::config_builder()
+            .proxy(None)
             .http_status_as_error(false)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .timeout_recv_response(Some(patience_ms.into()))
--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -53,6 +53,7 @@
 pub fn agent(plan: &LoadPlan) -> ureq::Agent {
     let patience = Duration::from(plan.patience_ms);
     ureq::Agent::config_builder()
+        .proxy(None)
         .http_status_as_error(false)
         .max_redirects(0)
         .timeout_connect(Some(CONNECT_TIMEOUT))
