--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -156,6 +156,7 @@
             ControlPorts {
                 log: platform.clone(),
                 peers: peers.clone(),
+                weights: platform.clone(),
             },
             timers.clone(),
             self.settings.clone(),
@@ -170,8 +171,12 @@
             let (seen, clock, to_control) = (seen.clone(), clock.clone(), to_control.clone());
             deferrer.defer(move |s| {
                 seen.borrow_mut().push((clock.now_ms(s), event.clone()));
-                if let MemberEvent::Nodes(cards) = event {
-                    call!([to_control], nodes_changed(cards));
+                match event {
+                    MemberEvent::Nodes(cards) => call!([to_control], nodes_changed(cards)),
+                    MemberEvent::NodeReplaced { dead } => {
+                        call!([to_control], node_replaced(dead));
+                    }
+                    _ => (),
                 }
             });
         });
@@ -192,15 +197,11 @@
         let (to_control, to_members) = (control.clone(), members.clone());
         let handler = move |call: PeerCall, ret: Ret<Result<PeerAnswer, Error>>| match call {
             PeerCall::Probe { card, leaving } => {
-                let ret = Ret::new(move |answer: Option<PeerAnswer>| {
-                    answer.map(|answer| ret.ret(Ok(answer)));
-                });
+                let ret = some(ret);
                 call!([to_members], probed(card, leaving, ret));
             }
             PeerCall::Config { have } => {
-                let ret = Ret::new(move |answer: Option<PeerAnswer>| {
-                    answer.map(|answer| ret.ret(Ok(answer)));
-                });
+                let ret = some(ret);
                 call!([to_control], peer_config(have, ret));
             }
             other => panic!("no such call in these tests: {other:?}"),
@@ -400,3 +401,12 @@
         });
     })
 }
+
+/// Takes a plain answer to a call whose answer may be an error; a dropped one stays unanswered.
+fn some(ret: Ret<Result<PeerAnswer, Error>>) -> Ret<PeerAnswer> {
+    Ret::new(move |answer: Option<PeerAnswer>| {
+        if let Some(answer) = answer {
+            ret.ret(Ok(answer));
+        }
+    })
+}
