--- a/crates/requests/src/actor/mod.rs
+++ b/crates/requests/src/actor/mod.rs
@@ -288,6 +288,7 @@
         let request = match &decision {
             Decision::Send { request, .. }
             | Decision::Group { request, .. }
+            | Decision::Recall { request }
             | Decision::Refuse { request, .. } => *request,
         };
         let Some(id) = self.table.find(request) else {
@@ -307,6 +308,8 @@
                 priority,
                 ..
             } => life.on_group(leader, &members, priority, context),
+            // Not carried out yet: the attempt stays where it is and its end is told as ever.
+            Decision::Recall { .. } => (),
             Decision::Refuse { refusal, .. } => life.on_refuse(refusal, context),
         });
     }
