--- a/crates/stand-ins/src/engine/mod.rs
+++ b/crates/stand-ins/src/engine/mod.rs
@@ -10,11 +10,16 @@
 //! events.
 
 pub mod call;
+pub mod fake;
+pub mod feed;
 pub mod model;
+pub mod server;
 pub mod settings;
 
 pub use call::{
     Admission, EngineStats, ModelCall, ModelEvent, ModelEventKind, ReaderId, StreamView,
 };
+pub use fake::FakeEngine;
 pub use model::EngineModel;
+pub use server::{EngineServer, ServerOptions};
 pub use settings::EngineSettings;
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,3 +2,6 @@
 //! with faults that can be switched while they run.
 
 pub mod engine;
+pub mod faults;
+pub mod serve;
+pub mod service;
--- /dev/null
+++ b/crates/stand-ins/src/serve/register/mod.rs
@@ -0,0 +1,57 @@
+//! Registers a stand-in with the platform's list of VMs, again and again.
+
+use bluebell_base::prelude::*;
+use bluebell_platform::VmEntry;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// How long one registration may take.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How often the handle's end is looked for.
+const TICK: Duration = Duration::from_millis(100);
+
+/// A running registration; dropping it ends it.
+#[derive(Debug)]
+pub struct Registration {
+    ended: Arc<AtomicBool>,
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::Release);
+    }
+}
+
+/// Posts `entry` to the platform at once and then every `interval`.
+pub fn register(platform: Address, entry: VmEntry, interval: Duration) -> Registration {
+    let ended = Arc::new(AtomicBool::new(false));
+    let watched = Arc::clone(&ended);
+    let spawned = thread::Builder::new()
+        .name("register".into())
+        .spawn(move || repeat(&platform, &entry, interval, &watched));
+    if let Err(error) = spawned {
+        log::warn!("no thread for the registration: {error}");
+    }
+    Registration { ended }
+}
+
+fn repeat(platform: &Address, entry: &VmEntry, interval: Duration, ended: &AtomicBool) {
+    let url = format!("http://{platform}/vms");
+    let config = ureq::Agent::config_builder()
+        .proxy(None)
+        .timeout_global(Some(TIMEOUT));
+    let agent = config.build().new_agent();
+    while !ended.load(Ordering::Acquire) {
+        if let Err(error) = agent.post(&url).send_json(entry) {
+            log::info!("the platform did not take the registration: {error}");
+        }
+        let mut left = interval;
+        while !left.is_zero() && !ended.load(Ordering::Acquire) {
+            let pause = left.min(TICK);
+            thread::sleep(pause);
+            left -= pause;
+        }
+    }
+}
--- a/crates/upstreams/src/http/mod.rs
+++ b/crates/upstreams/src/http/mod.rs
@@ -22,4 +22,4 @@
 
 pub use engine::HttpEngine;
 pub use exchange::{CALL_TIMEOUT, CONNECT_TIMEOUT, SILENCE};
-pub use service::HttpService;
+pub use service::{HttpService, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER};
