--- a/crates/stand-ins/src/engine/model/mod.rs
+++ b/crates/stand-ins/src/engine/model/mod.rs
@@ -157,6 +157,8 @@
     pub fn thaw(&mut self, now_us: u64) {
         if let Some(since_us) = self.frozen_since_us.take() {
             self.step.delay(now_us.saturating_sub(since_us));
+            self.start_waiting(now_us);
+            self.begin_step(now_us);
         }
     }
 
--- a/crates/stand-ins/src/engine/model/step/mod.rs
+++ b/crates/stand-ins/src/engine/model/step/mod.rs
@@ -49,7 +49,8 @@
 impl EngineModel {
     /// Begins the next step, where none is being computed and there is work.
     pub(super) fn begin_step(&mut self, now_us: u64) {
-        if self.step.ends_us.is_some() || self.running.is_empty() {
+        let frozen = self.frozen_since_us.is_some();
+        if frozen || self.step.ends_us.is_some() || self.running.is_empty() {
             return;
         }
         self.plan();
--- a/crates/stand-ins/src/engine/server/mod.rs
+++ b/crates/stand-ins/src/engine/server/mod.rs
@@ -14,13 +14,15 @@
 use super::call::EngineStats;
 use super::settings::EngineSettings;
 use crate::faults::FaultSwitches;
-use crate::serve::Listening;
+use crate::serve::{self, Listening, Registration};
 use bluebell_base::prelude::*;
+use bluebell_platform::{VmEntry, VmState};
 use routes::Routes;
 use shared::Shared;
 use std::io;
 use std::net::SocketAddr;
 use std::thread;
+use std::time::Duration;
 
 /// What a stand-in engine's process takes beside the settings of the engine itself.
 #[derive(Clone, Debug, Default)]
@@ -66,6 +68,18 @@
         self.listening.address()
     }
 
+    /// Registers it with the platform's list of VMs every `interval`, as leaving where its switch
+    /// says so; until the handle is dropped.
+    pub fn register(&self, platform: Address, entry: VmEntry, interval: Duration) -> Registration {
+        let shared = Arc::clone(&self.shared);
+        serve::register(platform, entry, interval, move || {
+            match shared.lock().faults.leaving {
+                true => VmState::Leaving,
+                false => VmState::Live,
+            }
+        })
+    }
+
     /// Sets the fault switches.
     pub fn set_faults(&self, faults: FaultSwitches) {
         self.shared.set_faults(faults);
--- a/crates/stand-ins/src/serve/register/mod.rs
+++ b/crates/stand-ins/src/serve/register/mod.rs
@@ -1,7 +1,7 @@
 //! Registers a stand-in with the platform's list of VMs, again and again.
 
 use bluebell_base::prelude::*;
-use bluebell_platform::VmEntry;
+use bluebell_platform::{VmEntry, VmState};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -24,27 +24,40 @@
     }
 }
 
-/// Posts `entry` to the platform at once and then every `interval`.
-pub fn register(platform: Address, entry: VmEntry, interval: Duration) -> Registration {
+/// Posts `entry` to the platform at once and then every `interval`, each time with the state that
+/// `state` gives.
+pub fn register(
+    platform: Address,
+    entry: VmEntry,
+    interval: Duration,
+    state: impl Fn() -> VmState + Send + 'static,
+) -> Registration {
     let ended = Arc::new(AtomicBool::new(false));
     let watched = Arc::clone(&ended);
     let spawned = thread::Builder::new()
         .name("register".into())
-        .spawn(move || repeat(&platform, &entry, interval, &watched));
+        .spawn(move || repeat(&platform, entry, interval, &state, &watched));
     if let Err(error) = spawned {
         log::warn!("no thread for the registration: {error}");
     }
     Registration { ended }
 }
 
-fn repeat(platform: &Address, entry: &VmEntry, interval: Duration, ended: &AtomicBool) {
+fn repeat(
+    platform: &Address,
+    mut entry: VmEntry,
+    interval: Duration,
+    state: &impl Fn() -> VmState,
+    ended: &AtomicBool,
+) {
     let url = format!("http://{platform}/vms");
     let config = ureq::Agent::config_builder()
         .proxy(None)
         .timeout_global(Some(TIMEOUT));
     let agent = config.build().new_agent();
     while !ended.load(Ordering::Acquire) {
-        if let Err(error) = agent.post(&url).send_json(entry) {
+        entry.state = state();
+        if let Err(error) = agent.post(&url).send_json(&entry) {
             log::info!("the platform did not take the registration: {error}");
         }
         let mut left = interval;
--- a/crates/stand-ins/src/service/server/mod.rs
+++ b/crates/stand-ins/src/service/server/mod.rs
@@ -5,8 +5,9 @@
 
 use super::model::{ServiceModel, ServiceSettings, ServiceStats};
 use crate::faults::FaultSwitches;
-use crate::serve::{self, Listening};
+use crate::serve::{self, Listening, Registration};
 use bluebell_base::prelude::*;
+use bluebell_platform::{VmEntry, VmState};
 use bluebell_upstreams::ServiceCall;
 use bluebell_upstreams::http::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER};
 use std::io;
@@ -65,6 +66,18 @@
         self.listening.address()
     }
 
+    /// Registers it with the platform's list of VMs every `interval`, as leaving where its switch
+    /// says so; until the handle is dropped.
+    pub fn register(&self, platform: Address, entry: VmEntry, interval: Duration) -> Registration {
+        let state = Arc::clone(&self.state);
+        serve::register(platform, entry, interval, move || {
+            match lock(&state).faults.leaving {
+                true => VmState::Leaving,
+                false => VmState::Live,
+            }
+        })
+    }
+
     /// Sets the fault switches.
     pub fn set_faults(&self, faults: FaultSwitches) {
         lock(&self.state).faults = faults;
--- a/crates/stand-ins/tests/engine_contract.rs
+++ b/crates/stand-ins/tests/engine_contract.rs
@@ -270,6 +270,29 @@
     }
 }
 
+/// A frozen process keeps its connections open. The reader must not wait for ever: after a time
+/// of silence the stream ends, and what became of the work is unknown.
+#[test]
+fn a_reader_of_a_frozen_engine_gives_up_after_the_silence() {
+    let mut rig = Rig::open(false, settings());
+    let seen = rig.generate(generate(1, PROMPT, 1000));
+    let watched = seen.clone();
+    rig.world
+        .until("first token", move || watched.borrow().len() > 1);
+    rig.set_faults(FaultSwitches {
+        freeze: true,
+        ..FaultSwitches::default()
+    });
+    may_have_run(&rig.finish(&seen));
+    rig.set_faults(FaultSwitches::default());
+    let seen = rig.resume(resume(1, 0));
+    let events = rig.finish(&seen);
+    assert!(matches!(
+        events.last().expect("events").body,
+        EventBody::Finished { .. }
+    ));
+}
+
 #[test]
 fn only_the_owner_cancels_and_an_early_cancel_keeps_the_call_from_running() {
     for (kind, real) in KINDS {
--- a/crates/upstreams/src/http/engine/mod.rs
+++ b/crates/upstreams/src/http/engine/mod.rs
@@ -1,7 +1,7 @@
 //! The engine port over HTTP.
 
-use super::exchange::{CALL_TIMEOUT, Exchange, Outgoing};
-use super::stream::{self, Subject};
+use super::exchange::{CALL_TIMEOUT, Exchange, JSON, Outgoing};
+use super::stream::{self, Prepared, Subject};
 use super::wire::{CancelCall, OrderCall, TransferCall};
 use crate::engine::{
     CacheEvents, CancelAnswer, EngineOrder, EnginePort, Event, Generate, Hold, LoadReport,
@@ -16,8 +16,6 @@
 use std::time::{Duration, Instant};
 use ureq::http::Method;
 
-const JSON: &str = "application/json";
-
 /// How much longer than its deadline a stream is read, for the engine's own last word.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(2);
 
@@ -62,23 +60,7 @@
     ) {
         let exchange = self.exchange.clone();
         let job = move |sender: bluebell_bridge::EventSender<Event>| {
-            let prepared = match prepare() {
-                Ok(prepared) => prepared,
-                Err(error) => {
-                    sender.send(subject.failed(error));
-                    return;
-                }
-            };
-            let call = Outgoing {
-                method: Method::POST,
-                path: &prepared.path,
-                content_type: Some(JSON),
-                headers: &[],
-                body: &prepared.body,
-                timeout: prepared.timeout,
-                fresh: true,
-            };
-            stream::run(&exchange, &call, subject, |event| sender.send(event));
+            stream::run(&exchange, prepare(), subject, |event| sender.send(event));
         };
         if !self.streams.stream(job, events.clone()) {
             let error = Error::not_run(ErrorKind::Overloaded, "too many streams are open");
@@ -112,14 +94,6 @@
     }
 }
 
-/// What a stream sends.
-#[derive(Debug)]
-struct Prepared {
-    path: String,
-    body: Vec<u8>,
-    timeout: Duration,
-}
-
 impl EnginePort for HttpEngine {
     fn generate(&self, _core: &mut Core, call: Generate, events: Fwd<Event>) {
         let subject = Subject {
--- a/crates/upstreams/src/http/exchange/mod.rs
+++ b/crates/upstreams/src/http/exchange/mod.rs
@@ -21,6 +21,9 @@
 /// Idle connections kept for short calls to one upstream.
 const IDLE_CONNECTIONS: usize = 2;
 
+/// The media type of JSON.
+pub(super) const JSON: &str = "application/json";
+
 /// One upstream's address and how it is reached; cheap to clone.
 #[derive(Clone, Debug)]
 pub(super) struct Exchange {
--- a/crates/upstreams/src/http/stream/mod.rs
+++ b/crates/upstreams/src/http/stream/mod.rs
@@ -3,15 +3,26 @@
 //! Invariants: each stream gives exactly one last event of its own request and attempt; nothing
 //! follows it.
 
-use super::exchange::{Exchange, Outgoing, broken, read_body, refusal};
+use super::exchange::{Exchange, JSON, Outgoing, broken, read_body, refusal};
 use super::wire::DATA_PREFIX;
 use crate::engine::{Event, EventBody};
 use bluebell_base::prelude::*;
 use std::io::{BufRead, BufReader, Read};
+use std::time::Duration;
+use ureq::Body;
+use ureq::http::{Method, Response};
 
 /// The longest line of a stream.
 const LINE_LIMIT_BYTES: u64 = 1 << 20;
 
+/// What a stream's call sends.
+#[derive(Debug)]
+pub(super) struct Prepared {
+    pub path: String,
+    pub body: Vec<u8>,
+    pub timeout: Duration,
+}
+
 /// The request and attempt whose events are read.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Subject {
@@ -43,23 +54,35 @@
 /// Makes the call and hands on its events until the last; `emit` returns whether to go on.
 pub(super) fn run(
     exchange: &Exchange,
-    call: &Outgoing<'_>,
+    prepared: Result<Prepared, Error>,
     subject: Subject,
     mut emit: impl FnMut(Event) -> bool,
 ) {
-    let ended = read_events(exchange, call, subject, &mut emit);
+    let answer = prepared.and_then(|prepared| send(exchange, prepared));
+    let ended = answer.and_then(|answer| read_events(answer, subject, &mut emit));
     if let Err(error) = ended {
         emit(subject.failed(error));
     }
 }
 
+/// Sends the call; its body, which can be megabytes, is free again before the events are read.
+fn send(exchange: &Exchange, prepared: Prepared) -> Result<Response<Body>, Error> {
+    exchange.send(&Outgoing {
+        method: Method::POST,
+        path: &prepared.path,
+        content_type: Some(JSON),
+        headers: &[],
+        body: &prepared.body,
+        timeout: prepared.timeout,
+        fresh: true,
+    })
+}
+
 fn read_events(
-    exchange: &Exchange,
-    call: &Outgoing<'_>,
+    mut answer: Response<Body>,
     subject: Subject,
     emit: &mut impl FnMut(Event) -> bool,
 ) -> Result<(), Error> {
-    let mut answer = exchange.send(call)?;
     if !answer.status().is_success() {
         let body = read_body(&mut answer)?;
         return Err(refusal(answer.status().as_u16(), &body));
