--- /dev/null
+++ b/crates/node/tests/path.rs
@@ -0,0 +1,64 @@
+//! The whole path over real sockets: caller, node, platform, engine, service.
+
+mod support;
+
+use serde_json::json;
+use support::Fleet;
+
+#[test]
+fn work_is_answered_through_every_node() {
+    let fleet = Fleet::start(3, 2);
+    for index in 0..3 {
+        let body = json!({
+            "model": "pond-1", "class": "short-draft", "prompt": "a short notice", "max_tokens": 8
+        });
+        let answer = fleet.post(index, "/v1/completions", None, &body);
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        assert!(
+            answer.json["choices"][0]["text"].is_string(),
+            "{}",
+            answer.text
+        );
+    }
+    let stream = json!({
+        "model": "pond-1", "class": "short-draft", "prompt": "another", "max_tokens": 8,
+        "stream": true
+    });
+    let answer = fleet.post(0, "/v1/completions", None, &stream);
+    assert_eq!(answer.status, 200);
+    assert!(
+        answer.text.trim_end().ends_with("data: [DONE]"),
+        "{}",
+        answer.text
+    );
+    fleet.stop();
+}
+
+/// A family's notice is sent once more through another node because the first answer was slow to
+/// come: the second call must be told that the first holds the key, and no engine runs it twice.
+#[test]
+fn a_key_runs_once_through_whichever_node_it_comes() {
+    let fleet = Fleet::start(3, 2);
+    let body = json!({
+        "model": "pond-1", "class": "notice", "prompt": "the one notice", "max_tokens": 8
+    });
+    let before = fleet.runs();
+    let first = fleet.post_until_claimed(0, "notice-1", &body);
+    assert_eq!(first.status, 200, "{}", first.text);
+    for index in [1, 2, 0] {
+        let answer = fleet.post_until_claimed(index, "notice-1", &body);
+        assert_eq!(answer.status, 409, "{}", answer.text);
+        assert_eq!(answer.json["error"]["verdict"], "ran", "{}", answer.text);
+    }
+    assert_eq!(fleet.runs() - before, 1);
+    fleet.stop();
+}
+
+#[test]
+fn a_plain_service_is_reached_under_its_prefix() {
+    let fleet = Fleet::start(1, 1);
+    let body = json!({ "name": "a notice" });
+    let answer = fleet.post(0, "/services/notice-board/notices", None, &body);
+    assert!(answer.status < 300, "{} {}", answer.status, answer.text);
+    fleet.stop();
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,243 @@
+//! A fleet on stand-ins in one process: real sockets on ports the system picks.
+
+use bluebell_base::prelude::*;
+use bluebell_node::Node;
+use bluebell_platform::{VmEntry, VmRole, VmState};
+use bluebell_settings::{EnvVar, NodeSettings, Parsed};
+use bluebell_stand_ins::engine::{EngineServer, EngineSettings, ServerOptions};
+use bluebell_stand_ins::faults::FaultSwitches;
+use bluebell_stand_ins::platform::{PlatformServer, PlatformSettings, VmChange};
+use bluebell_stand_ins::service::{ServiceServer, ServiceSettings};
+use bluebell_upstreams::engine::LoadedModel;
+use std::time::{Duration, Instant};
+
+/// Generous bound on any wait in these tests.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The caller's key of the example configuration's first account.
+pub const KEY: &str = "demo-key-1";
+
+/// A fleet and what surrounds it.
+pub struct Fleet {
+    pub nodes: Vec<Node>,
+    pub platform: PlatformServer,
+    pub engines: Vec<EngineServer>,
+    pub service: ServiceServer,
+    pub agent: ureq::Agent,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every node is ready.
+    pub fn start(nodes: usize, engines: usize) -> Self {
+        let settings = PlatformSettings {
+            vm_lag_ms: SpanMs(0),
+            ..PlatformSettings::default()
+        };
+        let platform = PlatformServer::bind("127.0.0.1:0", settings).expect("platform binds");
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            engines: (0..engines).map(|_| engine()).collect(),
+            service: ServiceServer::bind(
+                "127.0.0.1:0",
+                ServiceSettings::default(),
+                FaultSwitches::default(),
+            )
+            .expect("service binds"),
+            platform,
+            agent: agent(),
+        };
+        fleet.list_upstreams();
+        for index in 0..nodes {
+            fleet.start_node(index);
+        }
+        for index in 0..nodes {
+            fleet.wait_ready(index);
+        }
+        fleet
+    }
+
+    fn list_upstreams(&self) {
+        for (index, engine) in self.engines.iter().enumerate() {
+            let name = format!("engine-{index}");
+            self.list(&name, VmRole::Engine, "notice-writing", engine.address());
+        }
+        self.list(
+            "board-0",
+            VmRole::Service,
+            "notice-board",
+            self.service.address(),
+        );
+    }
+
+    fn list(&self, name: &str, role: VmRole, deployment: &str, at: std::net::SocketAddr) {
+        let entry = VmEntry {
+            name: name.into(),
+            role,
+            address: Address::from(at.to_string().as_str()),
+            deployment: deployment.into(),
+            domain: "galway-a".into(),
+            state: VmState::Live,
+        };
+        self.platform.with_model(|model, now_ms| {
+            model
+                .change_vms(now_ms, VmChange::Put(entry))
+                .expect("a new entry can be put");
+        });
+    }
+
+    fn start_node(&mut self, index: usize) {
+        let node = Node::spawn(settings(index, &self.platform)).expect("node starts");
+        let address = node.addresses().peers.as_str().parse();
+        let address = address.expect("a socket address");
+        self.list(&format!("node-{index}"), VmRole::Node, "entry", address);
+        self.nodes.push(node);
+    }
+
+    /// Waits until the node takes calls and knows an engine.
+    pub fn wait_ready(&self, index: usize) {
+        let url = self.url(index, "/readyz");
+        let admin = format!("http://{}/admin/state", self.nodes[index].addresses().admin);
+        wait_for("the node to be ready", || {
+            let ready = self.agent.get(&url).call();
+            let ready = ready.is_ok_and(|answer| answer.status() == 200);
+            ready && self.knows_engines(&admin)
+        });
+    }
+
+    fn knows_engines(&self, admin: &str) -> bool {
+        let call = self.agent.get(admin);
+        let answer = call
+            .header("authorization", "Bearer admin-credential")
+            .call();
+        let Ok(mut answer) = answer else {
+            return false;
+        };
+        let state: serde_json::Value = answer.body_mut().read_json().expect("a JSON dump");
+        let engines = state["engines"].as_array().expect("a list of engines");
+        let known = |engine: &serde_json::Value| engine["models"] != serde_json::json!([]);
+        engines.len() == self.engines.len() && engines.iter().all(known)
+    }
+
+    /// A URL of a node's callers' interface.
+    pub fn url(&self, index: usize, path: &str) -> String {
+        format!("http://{}{path}", self.nodes[index].addresses().callers)
+    }
+
+    /// Posts JSON as the first account's caller; status and JSON body.
+    pub fn post(
+        &self,
+        index: usize,
+        path: &str,
+        key: Option<&str>,
+        body: &serde_json::Value,
+    ) -> Answer {
+        let mut call = self
+            .agent
+            .post(self.url(index, path))
+            .header("authorization", format!("Bearer {KEY}"));
+        if let Some(key) = key {
+            call = call.header("idempotency-key", key);
+        }
+        let mut answer = call.send_json(body).expect("an HTTP answer");
+        let text = answer.body_mut().read_to_string().expect("a text body");
+        Answer {
+            status: answer.status().as_u16(),
+            json: serde_json::from_str(&text).unwrap_or(serde_json::Value::Null),
+            text,
+        }
+    }
+
+    /// Posts a keyed completion as a caller that comes back while the key can't be claimed yet.
+    pub fn post_until_claimed(&self, index: usize, key: &str, body: &serde_json::Value) -> Answer {
+        let mut last = None;
+        wait_for("the shard's owner to serve", || {
+            let answer = self.post(index, "/v1/completions", Some(key), body);
+            let unclaimed = answer.status == 503;
+            assert!(!unclaimed || answer.json["error"]["verdict"] == "not_run");
+            last = Some(answer);
+            !unclaimed
+        });
+        last.expect("an answer came")
+    }
+
+    /// How often work was begun on all engines.
+    pub fn runs(&self) -> u64 {
+        let begun = self
+            .engines
+            .iter()
+            .map(|engine| engine.stats().requests_run);
+        begun.sum()
+    }
+
+    /// Stops all nodes and waits for their end.
+    pub fn stop(self) {
+        for node in &self.nodes {
+            node.stopper().drain();
+        }
+        for node in self.nodes {
+            node.join();
+        }
+        self.platform.stop();
+    }
+}
+
+/// An HTTP answer.
+pub struct Answer {
+    pub status: u16,
+    pub json: serde_json::Value,
+    pub text: String,
+}
+
+/// Waits for a condition that real sockets bring about.
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "waited {PATIENCE:?} for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .proxy(None)
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE));
+    config.build().new_agent()
+}
+
+fn engine() -> EngineServer {
+    let model = |name: &str| LoadedModel {
+        model: name.into(),
+        version: 1,
+    };
+    let settings = EngineSettings {
+        models: vec![model("pond-1")],
+        time_scale: 20.0,
+        ..EngineSettings::default()
+    };
+    EngineServer::bind("127.0.0.1:0", settings, ServerOptions::default()).expect("engine binds")
+}
+
+fn settings(index: usize, platform: &PlatformServer) -> NodeSettings {
+    let name = format!("node-{index}");
+    let platform = platform.address();
+    let seed = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/support/fleet.json");
+    let flags = [
+        ["--name", name.as_str()],
+        ["--domain", "galway-a"],
+        ["--region", "eire-west"],
+        ["--callers-address", "127.0.0.1:0"],
+        ["--admin-address", "127.0.0.1:0"],
+        ["--peers-address", "127.0.0.1:0"],
+        ["--fleet-secret", "a-fleet-secret-for-tests"],
+        ["--admin-credential", "admin-credential"],
+        ["--platform-address", platform.as_str()],
+        ["--seed-config", seed],
+    ];
+    let args = flags.as_flattened();
+    match NodeSettings::from_args_and_env(args, &[] as &[EnvVar]) {
+        Ok(Parsed::Run { settings, .. }) => settings,
+        Ok(_) => panic!("the settings ask for no run"),
+        Err(errors) => panic!("{errors:?}"),
+    }
+}
