--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -38,6 +38,8 @@
     Drain(Drain),
     /// Load.
     Load(Box<Load>),
+    /// The policy bench.
+    Bench(Bench),
     /// Stand-ins.
     StandIn(StandIn),
 }
@@ -186,6 +188,38 @@
     pub real_engines: bool,
 }
 
+/// Measure the policy beside baselines, with fake engines under virtual time; the same seed gives
+/// the same figures.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub struct Bench {
+    /// the seed of all randomness (default 1)
+    #[argh(option)]
+    pub seed: Option<u64>,
+    /// how long each run's arrivals go on, in seconds of virtual time (default 240)
+    #[argh(option)]
+    pub seconds: Option<u64>,
+    /// how many runs with seeds of their own make one row (default 1)
+    #[argh(option)]
+    pub repeats: Option<u32>,
+    /// the most threads that work on runs at once (default 4)
+    #[argh(option)]
+    pub threads: Option<usize>,
+    /// a part to run: loads, nodes, lags, faults, accounts or cost; repeat for more (default all)
+    #[argh(option)]
+    pub part: Vec<String>,
+    /// a policy to run: laxity, round-robin, least-requests or least-tokens; repeat for more
+    /// (default all, which the targets that compare need)
+    #[argh(option)]
+    pub policy: Vec<String>,
+    /// a file for the whole result as JSON
+    #[argh(option)]
+    pub json_file: Option<String>,
+    /// a file for the plot of slowdown by length against load, as SVG
+    #[argh(option)]
+    pub svg_file: Option<String>,
+}
+
 /// Run a stand-in for what surrounds the nodes, or set one up.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "stand-in")]
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one module each.
 
+mod bench;
 mod config;
 mod load;
 mod node;
@@ -16,6 +17,7 @@
         Command::Fleet(_) => node::fleet(&ctl),
         Command::Drain(_) => node::drain(&ctl),
         Command::Load(args) => load::run(args, ctl.json),
+        Command::Bench(args) => bench::run(args, ctl.json),
         Command::StandIn(stand_in) => stand_in::run(&stand_in.kind),
     }
 }
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -25,7 +25,7 @@
 
 #[test]
 fn a_wrong_command_line_ends_with_2_and_says_why() {
-    let cases: [(&[&str], &str); 11] = [
+    let cases: [(&[&str], &str); 12] = [
         (&[], "subcommand"),
         (&["weights"], "weights"),
         (&["config"], "subcommand"),
@@ -50,6 +50,18 @@
             "rate must be more than 0/s\ntries must be more than 0",
         ),
         (&["load", "--target", "localhost"], "--target"),
+        (
+            &[
+                "bench",
+                "--part",
+                "all",
+                "--policy",
+                "none",
+                "--repeats",
+                "0",
+            ],
+            "--repeats",
+        ),
         (&["load", "--direct-share", "0.5"], "--direct-engine"),
         (
             &["stand-in", "vm", "--name", "vm-1", "--state", "asleep"],
