--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -68,15 +68,20 @@
         let Some(credential) = credential.filter(|_| faults.is_empty()) else {
             return Err(CommandError::usage(faults.join("\n")));
         };
+        Ok(Self::at(Address(address.into()), credential.into()))
+    }
+
+    /// The administration API at an address.
+    pub fn at(address: Address, credential: Arc<str>) -> Self {
         let config = ureq::Agent::config_builder()
             .proxy(None)
             .http_status_as_error(false)
             .timeout_global(Some(CALL_TIMEOUT));
-        Ok(Self {
+        Self {
             agent: config.build().new_agent(),
-            address: Address(address.into()),
-            credential: credential.into(),
-        })
+            address,
+            credential,
+        }
     }
 
     /// Gets a path's JSON.
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -40,6 +40,8 @@
     Load(Box<Load>),
     /// The policy bench.
     Bench(Bench),
+    /// The whole system in one process.
+    Demo(Demo),
     /// Stand-ins.
     StandIn(StandIn),
 }
@@ -177,6 +179,10 @@
     /// the length of the beginning that an account's prompts share, in tokens (default 0)
     #[argh(option, default = "0")]
     pub shared_prefix_tokens: u64,
+    /// a stand-in engine or service, ip:port, that is asked afterwards what it ran, so that
+    /// verdicts can be checked; repeat for all of them
+    #[argh(option)]
+    pub upstream: Vec<String>,
     /// a stand-in engine, ip:port, that is also called directly; repeat for more
     #[argh(option)]
     pub direct_engine: Vec<String>,
@@ -188,6 +194,34 @@
     pub real_engines: bool,
 }
 
+/// Run the whole system in one process: stand-ins of platform, engines and a service, three nodes,
+/// mixed load, and a report by prompt length.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {
+    /// nodes (default 3)
+    #[argh(option, default = "3")]
+    pub nodes: usize,
+    /// stand-in engines (default 6)
+    #[argh(option, default = "6")]
+    pub engines: usize,
+    /// how many times faster than the clock the engines compute (default 2)
+    #[argh(option, default = "2.0")]
+    pub speed: f64,
+    /// mean arrivals per second (default 6)
+    #[argh(option, default = "6.0")]
+    pub rate: f64,
+    /// requests in all (default 200)
+    #[argh(option, default = "200")]
+    pub requests: u64,
+    /// the schedule's seed (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// tokens asked for in each answer (default 32)
+    #[argh(option, default = "32")]
+    pub answer_tokens: u64,
+}
+
 /// Measure the policy beside baselines, with fake engines under virtual time; the same seed gives
 /// the same figures.
 #[derive(FromArgs)]
@@ -233,6 +267,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum StandInKind {
+    /// An engine.
+    Engine(StandInEngine),
+    /// A plain service.
+    Service(StandInService),
     /// The platform.
     Platform(StandInPlatform),
     /// Its list of VMs.
@@ -241,6 +279,72 @@
     Faults(StandInFaults),
 }
 
+/// Run a model engine's stand-in, with continuous batching, KV memory and a prefix cache.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "engine")]
+pub struct StandInEngine {
+    /// where it listens, ip:port (default 127.0.0.1:0, which takes a free port)
+    #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
+    pub listen: String,
+    /// its name on the platform's list of VMs
+    #[argh(option)]
+    pub name: String,
+    /// the platform's stand-in with which it registers itself, ip:port; none: not registered
+    #[argh(option)]
+    pub platform: Option<String>,
+    /// its deployment (default engines)
+    #[argh(option, default = "String::from(\"engines\")")]
+    pub deployment: String,
+    /// its failure domain (default domain-a)
+    #[argh(option, default = "String::from(\"domain-a\")")]
+    pub domain: String,
+    /// the model it serves (default pond-1)
+    #[argh(option, default = "String::from(\"pond-1\")")]
+    pub model: String,
+    /// the model's version (default 1)
+    #[argh(option, default = "1")]
+    pub model_version: u64,
+    /// the credential that nodes must show
+    #[argh(option)]
+    pub credential: Option<String>,
+    /// KV memory in tokens (default 480000)
+    #[argh(option)]
+    pub kv_tokens: Option<u64>,
+    /// how many times faster than the clock it computes (default 1)
+    #[argh(option)]
+    pub speed: Option<f64>,
+    /// it takes orders with an old fencing number, too
+    #[argh(switch)]
+    pub ignores_fencing: bool,
+    /// decides which cache events are lost (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
+
+/// Run a plain service's stand-in, which counts the effects of each call.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "service")]
+pub struct StandInService {
+    /// where it listens, ip:port (default 127.0.0.1:0, which takes a free port)
+    #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
+    pub listen: String,
+    /// its name on the platform's list of VMs
+    #[argh(option)]
+    pub name: String,
+    /// the service as the configuration names it (default board)
+    #[argh(option, default = "String::from(\"board\")")]
+    pub service: String,
+    /// the platform's stand-in with which it registers itself, ip:port; none: not registered
+    #[argh(option)]
+    pub platform: Option<String>,
+    /// its failure domain (default domain-a)
+    #[argh(option, default = "String::from(\"domain-a\")")]
+    pub domain: String,
+    /// how long each call takes, in ms (default 5)
+    #[argh(option, default = "5")]
+    pub work_ms: u64,
+}
+
 /// Run the platform's stand-in: log, weight store and list of VMs.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "platform")]
--- a/crates/ctl/src/commands/config.rs
+++ b/crates/ctl/src/commands/config.rs
@@ -3,8 +3,9 @@
 use crate::admin::{Admin, ConfigAnswer, Publication};
 use crate::args::{ConfigAction, ConfigPublish, Ctl};
 use crate::outcome::CommandError;
+use crate::output::print_line;
 use bluebell_base::prelude::*;
-use bluebell_control::Published;
+use bluebell_control::{Published, VersionSeen};
 use serde_json::value::RawValue;
 
 /// Does what is asked with the configuration.
@@ -13,7 +14,7 @@
         ConfigAction::Check(check) => {
             read_checked(ctl, &check.file)?;
             if !ctl.json {
-                println!("{}: no faults", check.file);
+                print_line(&format!("{}: no faults", check.file))?;
             }
             Ok(())
         }
@@ -32,9 +33,11 @@
     };
     if ctl.json {
         let text = serde_json::to_string(&faults).map_err(CommandError::failed)?;
-        println!("{text}");
+        print_line(&text)?;
     } else {
-        faults.iter().for_each(|fault| println!("{fault}"));
+        for fault in &faults {
+            print_line(&fault.to_string())?;
+        }
     }
     let count = faults.len();
     Err(CommandError::failed(format!("{file}: faults: {count}")))
@@ -49,42 +52,42 @@
     let body = serde_json::to_string(&body).map_err(CommandError::failed)?;
     let answer = Admin::open(ctl)?.post("/admin/config", &body)?;
     if ctl.json {
-        println!("{answer}");
-        return Ok(());
+        return print_line(&answer);
     }
     match serde_json::from_str(&answer).map_err(CommandError::failed)? {
-        Published::Accepted { version } => println!("version {} is in force", version.0),
+        Published::Accepted { version } => {
+            print_line(&format!("version {} is in force", version.0))
+        }
         Published::Conflict { current } => {
             let why = format!("conflict: version {} came first", current.0);
-            return Err(CommandError::failed(why));
+            Err(CommandError::failed(why))
         }
     }
-    Ok(())
 }
 
 fn show(ctl: &Ctl) -> Result<(), CommandError> {
     let text = Admin::open(ctl)?.get("/admin/config")?;
     if ctl.json {
-        println!("{text}");
-        return Ok(());
+        return print_line(&text);
     }
     let answer: ConfigAnswer = serde_json::from_str(&text).map_err(CommandError::failed)?;
     // The version goes to standard error, so that the output is a file to edit and publish.
     eprintln!("version {}", answer.version.0);
-    println!("{}", answer.config);
-    Ok(())
+    print_line(answer.config.get())
 }
 
 fn history(ctl: &Ctl) -> Result<(), CommandError> {
     let text = Admin::open(ctl)?.get("/admin/config/history")?;
     if ctl.json {
-        println!("{text}");
-        return Ok(());
+        return print_line(&text);
     }
-    let answers: Vec<ConfigAnswer> = serde_json::from_str(&text).map_err(CommandError::failed)?;
-    for answer in answers {
-        let bytes = answer.config.get().len();
-        println!("version {:>6}  {bytes:>9} bytes", answer.version.0);
+    let seen: Vec<VersionSeen> = serde_json::from_str(&text).map_err(CommandError::failed)?;
+    for version in seen {
+        let bytes = version.body_bytes.0;
+        print_line(&format!(
+            "version {:>6}  {bytes:>9} bytes",
+            version.version.0
+        ))?;
     }
     Ok(())
 }
--- a/crates/ctl/src/commands/load.rs
+++ b/crates/ctl/src/commands/load.rs
@@ -3,10 +3,11 @@
 use crate::args::Load;
 use crate::commands::stand_in::address;
 use crate::outcome::CommandError;
+use crate::output::print_line;
 use bluebell_base::prelude::*;
 use bluebell_load::{
-    AccountKey, ClassPlan, DirectEngine, HttpDirectEngine, KeyedPlan, LoadPlan, Mix, Oracle,
-    Report, ServicePlan, StandInOracle,
+    AccountKey, ClassPlan, DirectEngine, HttpDirectEngine, HttpRunSource, KeyedPlan, LoadPlan, Mix,
+    Oracle, Report, RunSource, ServicePlan, StandInOracle,
 };
 
 /// Keys of accounts, separated by commas.
@@ -33,12 +34,11 @@
 
 /// Prints a report and judges it.
 pub fn finish(report: &Report, json: bool) -> Result<(), CommandError> {
-    if json {
-        let text = serde_json::to_string(report).map_err(CommandError::failed)?;
-        println!("{text}");
-    } else {
-        print!("{report}");
-    }
+    let text = match json {
+        true => serde_json::to_string(report).map_err(CommandError::failed)?,
+        false => report.to_string().trim_end().to_owned(),
+    };
+    print_line(&text)?;
     if report.is_clean() && report.lost == 0 {
         return Ok(());
     }
@@ -84,13 +84,21 @@
         patience_ms,
         shared_prefix_tokens: Tokens(args.shared_prefix_tokens),
         oracle: (!args.real_engines).then_some(oracle),
-        run_source: None,
+        run_source: run_source(args)?,
         direct: (args.direct_share > 0.0).then_some(direct),
         direct_share: args.direct_share,
         live: true,
     })
 }
 
+fn run_source(args: &Load) -> Result<Option<Arc<dyn RunSource>>, CommandError> {
+    if args.upstream.is_empty() {
+        return Ok(None);
+    }
+    let upstreams = addresses("--upstream", &args.upstream)?;
+    Ok(Some(Arc::new(HttpRunSource::open(upstreams))))
+}
+
 fn keyed(args: &Load) -> Option<KeyedPlan> {
     (args.keyed_share > 0.0).then(|| KeyedPlan {
         class: ClassName::from(args.keyed_class.as_str()),
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod config;
+mod demo;
 mod load;
 mod node;
 mod stand_in;
@@ -18,6 +19,7 @@
         Command::Drain(_) => node::drain(&ctl),
         Command::Load(args) => load::run(args, ctl.json),
         Command::Bench(args) => bench::run(args, ctl.json),
+        Command::Demo(args) => demo::run(args, ctl.json),
         Command::StandIn(stand_in) => stand_in::run(&stand_in.kind),
     }
 }
--- a/crates/ctl/src/commands/node.rs
+++ b/crates/ctl/src/commands/node.rs
@@ -3,6 +3,7 @@
 use crate::admin::Admin;
 use crate::args::Ctl;
 use crate::outcome::CommandError;
+use crate::output::print_line;
 use serde_json::Value;
 
 /// Dumps the state of the node.
@@ -18,20 +19,17 @@
 /// Stops the node gracefully.
 pub fn drain(ctl: &Ctl) -> Result<(), CommandError> {
     Admin::open(ctl)?.post("/admin/drain", "")?;
-    match ctl.json {
-        true => println!("{{\"done\":true}}"),
-        false => println!("draining: no new work is taken; what runs is finished"),
-    }
-    Ok(())
+    print_line(match ctl.json {
+        true => r#"{"done":true}"#,
+        false => "draining: no new work is taken; what runs is finished",
+    })
 }
 
 /// Prints JSON as it is, or indented for a person.
 fn print(ctl: &Ctl, text: &str) -> Result<(), CommandError> {
     if ctl.json {
-        println!("{text}");
-        return Ok(());
+        return print_line(text);
     }
     let value: Value = serde_json::from_str(text).map_err(CommandError::failed)?;
-    println!("{value:#}");
-    Ok(())
+    print_line(&format!("{value:#}"))
 }
--- a/crates/ctl/src/commands/stand_in.rs
+++ b/crates/ctl/src/commands/stand_in.rs
@@ -1,15 +1,29 @@
 //! `stand-in`: fakes of what surrounds the nodes, as plain processes.
 
-use crate::args::{StandInFaults, StandInKind, StandInPlatform, StandInVm};
+use crate::args::{
+    StandInEngine, StandInFaults, StandInKind, StandInPlatform, StandInService, StandInVm,
+};
 use crate::outcome::CommandError;
+use crate::output::print_line;
 use bluebell_base::prelude::*;
 use bluebell_platform::{VmEntry, VmRole, VmState};
+use bluebell_stand_ins::engine::{EngineServer, EngineSettings, ServerOptions};
+use bluebell_stand_ins::faults::FaultSwitches;
 use bluebell_stand_ins::platform::{Operator, PlatformServer, PlatformSettings, VmChange};
+use bluebell_stand_ins::service::{ServiceServer, ServiceSettings};
+use bluebell_upstreams::engine::LoadedModel;
+use std::net::SocketAddr;
 use std::sync::mpsc::channel;
+use std::time::Duration;
+
+/// How often a stand-in tells the platform that it lives.
+pub const REGISTER_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs or sets up a stand-in.
 pub fn run(kind: &StandInKind) -> Result<(), CommandError> {
     match kind {
+        StandInKind::Engine(args) => engine(args),
+        StandInKind::Service(args) => service(args),
         StandInKind::Platform(args) => platform(args),
         StandInKind::Vm(args) => vm(args),
         StandInKind::Faults(args) => faults(args),
@@ -26,12 +40,93 @@
         ..defaults
     };
     let server = PlatformServer::bind(&args.listen, settings).map_err(CommandError::failed)?;
-    println!("platform stand-in at {}", server.address());
+    print_line(&format!("platform stand-in at {}", server.address()))?;
     wait_for_signal()?;
     server.stop();
     Ok(())
 }
 
+fn engine(args: &StandInEngine) -> Result<(), CommandError> {
+    let defaults = EngineSettings::default();
+    let model = LoadedModel {
+        model: args.model.parse().map_err(CommandError::usage)?,
+        version: args.model_version,
+    };
+    let time_scale = args.speed.unwrap_or(defaults.time_scale);
+    if !time_scale.is_finite() || time_scale <= 0.0 {
+        return Err(CommandError::usage("--speed must be more than 0"));
+    }
+    let settings = EngineSettings {
+        kv_capacity_tokens: args.kv_tokens.map_or(defaults.kv_capacity_tokens, Tokens),
+        checks_fencing: !args.ignores_fencing,
+        models: vec![model],
+        time_scale,
+        ..defaults
+    };
+    let options = ServerOptions {
+        credential: args.credential.as_deref().map(Arc::from),
+        seed: args.seed,
+        ..ServerOptions::default()
+    };
+    let server = EngineServer::bind(&args.listen, settings, options);
+    let server = server.map_err(CommandError::failed)?;
+    let entry = VmEntry {
+        name: args.name.parse().map_err(CommandError::usage)?,
+        role: VmRole::Engine,
+        address: socket_address(server.address()),
+        deployment: args.deployment.parse().map_err(CommandError::usage)?,
+        domain: args.domain.parse().map_err(CommandError::usage)?,
+        state: VmState::Live,
+    };
+    print_line(&format!(
+        "engine stand-in {} at {}",
+        entry.name, entry.address
+    ))?;
+    let _registration = match &args.platform {
+        Some(platform) => {
+            let platform = address("--platform", platform)?;
+            Some(server.register(platform, entry, REGISTER_INTERVAL))
+        }
+        None => None,
+    };
+    wait_for_signal()
+}
+
+fn service(args: &StandInService) -> Result<(), CommandError> {
+    let settings = ServiceSettings {
+        name: args.service.as_str().into(),
+        work_ms: SpanMs(args.work_ms),
+        dedupes: false,
+    };
+    let server = ServiceServer::bind(&args.listen, settings, FaultSwitches::default());
+    let server = server.map_err(CommandError::failed)?;
+    let entry = VmEntry {
+        name: args.name.parse().map_err(CommandError::usage)?,
+        role: VmRole::Service,
+        address: socket_address(server.address()),
+        deployment: args.service.parse().map_err(CommandError::usage)?,
+        domain: args.domain.parse().map_err(CommandError::usage)?,
+        state: VmState::Live,
+    };
+    print_line(&format!(
+        "service stand-in {} at {}",
+        entry.name, entry.address
+    ))?;
+    let _registration = match &args.platform {
+        Some(platform) => {
+            let platform = address("--platform", platform)?;
+            Some(server.register(platform, entry, REGISTER_INTERVAL))
+        }
+        None => None,
+    };
+    wait_for_signal()
+}
+
+/// A bound address as other processes are told it.
+pub fn socket_address(address: SocketAddr) -> Address {
+    Address::from(address.to_string().as_str())
+}
+
 /// Waits for SIGINT or SIGTERM.
 fn wait_for_signal() -> Result<(), CommandError> {
     let (sender, receiver) = channel();
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,11 +7,13 @@
 mod args;
 mod commands;
 mod outcome;
+mod output;
 
 use argh::FromArgs;
 use args::Ctl;
 use bluebell_telemetry::{LogFormat, open_logs};
 use outcome::{CommandError, EXIT_OK};
+use output::print_line;
 use std::process::ExitCode;
 
 /// The program's name.
@@ -22,10 +24,7 @@
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     match Ctl::from_args(&[PROGRAM], &args) {
         Ok(ctl) => report(run(ctl)),
-        Err(exit) if exit.status.is_ok() => {
-            println!("{}", exit.output.trim_end());
-            ExitCode::from(EXIT_OK)
-        }
+        Err(exit) if exit.status.is_ok() => report(print_line(exit.output.trim_end())),
         Err(exit) => report(Err(CommandError::usage(exit.output.trim_end()))),
     }
 }
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -193,7 +193,7 @@
         (
             &["config", "history"],
             200,
-            r#"[{"version":2,"config":{}}]"#,
+            r#"[{"version":2,"source":"log","at_ms":5,"body_bytes":12}]"#,
             "GET /admin/config/history",
             0,
             "version      2",
--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -134,6 +134,7 @@
                 resumes: 0,
                 connects_refused: 0,
                 requests: Vec::new(),
+                key: key_of(shared, &planned),
                 error_text: None,
             },
         };
@@ -213,10 +214,11 @@
     /// Whether another node may fare better at once; all other refusals say when to come back,
     /// and open-loop load counts them as they are.
     fn another_may_serve(&self) -> bool {
-        matches!(
+        let is_the_nodes_own = matches!(
             self.error_kind,
             Some(ErrorKind::Unavailable | ErrorKind::Upstream)
-        )
+        );
+        is_the_nodes_own && self.shared.balancer.len() > 1
     }
 
     /// Refused connections cost nothing, but a fleet that is wholly down must end the request.
@@ -252,16 +254,6 @@
         format!("Bearer {}", key.expose())
     }
 
-    /// The idempotency key: unique in the run, the same at every try.
-    fn key(&self) -> Option<String> {
-        match self.planned.kind {
-            Kind::KeyedCompletion | Kind::Service => {
-                Some(self.shared.prompts.key(self.planned.sequence))
-            }
-            Kind::Completion | Kind::Direct => None,
-        }
-    }
-
     fn post(&self, node: &Address, body: &[u8]) -> Called {
         let url = format!("http://{node}{}", self.path());
         let mut request = self
@@ -270,8 +262,8 @@
             .post(url)
             .header("authorization", self.bearer())
             .header("content-type", "application/json");
-        if let Some(key) = self.key() {
-            request = request.header("idempotency-key", key);
+        if let Some(key) = &self.record.key {
+            request = request.header("idempotency-key", &**key);
         }
         called(request.send(body))
     }
@@ -457,6 +449,14 @@
     }
 }
 
+/// The idempotency key: unique in the run, the same at every try.
+fn key_of(shared: &Shared, planned: &Planned) -> Option<Arc<str>> {
+    match planned.kind {
+        Kind::KeyedCompletion | Kind::Service => Some(shared.prompts.key(planned.sequence)),
+        Kind::Completion | Kind::Direct => None,
+    }
+}
+
 /// The class that a request is sent as.
 fn class_of(plan: &LoadPlan, planned: &Planned) -> ClassPlan {
     match (&plan.keyed, planned.kind) {
--- a/crates/load/src/prompt.rs
+++ b/crates/load/src/prompt.rs
@@ -59,8 +59,8 @@
     }
 
     /// The idempotency key of a request, unique in the run.
-    pub fn key(&self, sequence: u64) -> String {
-        format!("load-{:016x}-{sequence:x}", self.run)
+    pub fn key(&self, sequence: u64) -> Arc<str> {
+        format!("load-{:016x}-{sequence:x}", self.run).into()
     }
 
     /// Adds filler until the text has that many bytes.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -13,7 +13,7 @@
 use crate::report::Report;
 use crate::schedule::{Planned, Schedule};
 use crate::tally::Tally;
-use crate::truth::{Untruths, compare, requests_of};
+use crate::truth::{Untruths, compare};
 use bluebell_base::prelude::*;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -177,7 +177,7 @@
 /// Compares verdicts with what upstreams ran; none where that can't be known.
 fn untruths(plan: &LoadPlan, tally: &Tally) -> Option<Untruths> {
     let source = plan.run_source.as_ref()?;
-    match source.counts(&requests_of(&tally.claims)) {
+    match source.counts() {
         Ok(counts) => Some(compare(&tally.claims, &counts)),
         Err(error) => {
             log::warn!("verdicts can't be checked: {error}");
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -55,6 +55,8 @@
     pub connects_refused: u64,
     /// The identities it was given.
     pub requests: Vec<RequestId>,
+    /// Its idempotency key.
+    pub key: Option<Arc<str>>,
     /// The text of the error it ended with.
     pub error_text: Option<String>,
 }
@@ -250,16 +252,22 @@
 
     /// Keeps what the check of verdicts needs, and no more: memory grows only with these.
     fn keep_claim(&mut self, record: &RequestRecord) {
-        let once = matches!(record.planned.kind, Kind::KeyedCompletion | Kind::Service);
         let verdict = match record.outcome {
             Outcome::Failed(verdict) => Some(verdict),
             _ => None,
         };
-        if record.requests.is_empty() || !(once || verdict == Some(Verdict::NotRun)) {
+        let once = record.key.is_some();
+        if !once && verdict != Some(Verdict::NotRun) {
             return;
         }
+        let mut ids = record.requests.iter().map(|id| Arc::from(id.to_string()));
+        let keys: Vec<Arc<str>> = match record.planned.kind {
+            Kind::Service => record.key.iter().cloned().collect(),
+            Kind::KeyedCompletion => ids.collect(),
+            Kind::Completion | Kind::Direct => ids.next_back().into_iter().collect(),
+        };
         self.claims.push(Claim {
-            requests: record.requests.clone(),
+            keys,
             verdict,
             once,
         });
--- a/crates/load/src/truth.rs
+++ b/crates/load/src/truth.rs
@@ -1,35 +1,90 @@
 //! The check of verdicts against what upstreams really ran.
 //!
-//! Invariants: only what upstreams counted convicts the system; a request they don't know is no
-//! fault.
+//! Terms: a *run key* is what upstreams count runs by: the text of a request's id at engines, the
+//! idempotency key at plain services.
+//!
+//! Invariants: only what upstreams counted convicts the system; a key they don't know is no fault.
 
 use bluebell_base::prelude::*;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use std::collections::HashMap;
+use std::time::Duration;
+
+/// Where stand-in upstreams tell what they ran.
+const RUNS_PATH: &str = "/runs";
+
+/// How long an upstream may take to tell.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// How often upstreams began one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The longest answer taken, in bytes: some hundred thousand requests.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
+/// How often an upstream began the work of one run key.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct RunCount {
-    /// The request.
-    pub request: RequestId,
-    /// How often it was begun.
+    /// The run key.
+    #[serde(alias = "request")]
+    pub key: Arc<str>,
+    /// How often its work was begun.
+    #[serde(alias = "effects")]
     pub runs: u64,
 }
 
 /// Knows what upstreams really ran.
 pub trait RunSource: Send + Sync {
-    /// Asks all upstreams for these requests; one that ran on several may appear several times.
+    /// All counts of all upstreams; what ran on several appears several times.
     ///
     /// # Errors
     /// An upstream that can't be asked; nothing is concluded then.
-    fn counts(&self, requests: &[RequestId]) -> Result<Vec<RunCount>, Error>;
+    fn counts(&self) -> Result<Vec<RunCount>, Error>;
+}
+
+/// Asks stand-in upstreams over HTTP.
+#[derive(Debug)]
+pub struct HttpRunSource {
+    upstreams: Vec<Address>,
+    agent: ureq::Agent,
+}
+
+impl HttpRunSource {
+    /// Asks the stand-ins at these addresses: all that may have run anything.
+    pub fn open(upstreams: Vec<Address>) -> Self {
+        let agent = ureq::Agent::config_builder()
+            .proxy(None)
+            .timeout_global(Some(CALL_TIMEOUT))
+            .build()
+            .new_agent();
+        Self { upstreams, agent }
+    }
+
+    fn ask(&self, upstream: &Address) -> Result<Vec<RunCount>, ureq::Error> {
+        let url = format!("http://{upstream}{RUNS_PATH}");
+        let mut answer = self.agent.get(url).call()?;
+        let body = answer.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+        body.read_json()
+    }
+}
+
+impl RunSource for HttpRunSource {
+    fn counts(&self) -> Result<Vec<RunCount>, Error> {
+        let mut counts = Vec::new();
+        for upstream in &self.upstreams {
+            let asked = self.ask(upstream).map_err(|error| {
+                let message = format!("what {upstream} ran can't be known: {error}");
+                Error::not_run(ErrorKind::Unavailable, message)
+            })?;
+            counts.extend(asked);
+        }
+        Ok(counts)
+    }
 }
 
 /// What is kept of a request for the check.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Claim {
-    /// Every identity that the request was given, over all its tries.
-    pub(crate) requests: Vec<RequestId>,
+    /// Its run keys: of one that must run at most once those of all its tries, of another only
+    /// the last, for each of its tries is a request of its own.
+    pub(crate) keys: Vec<Arc<str>>,
     /// The last verdict that its caller was told; none where it got a whole answer or no word.
     pub(crate) verdict: Option<Verdict>,
     /// Whether it must run at most once.
@@ -45,23 +100,15 @@
     pub(crate) ran_twice: u64,
 }
 
-/// Every identity that the check asks upstreams for.
-pub(crate) fn requests_of(claims: &[Claim]) -> Vec<RequestId> {
-    claims
-        .iter()
-        .flat_map(|claim| claim.requests.iter().copied())
-        .collect()
-}
-
 /// Compares what callers were told with what upstreams ran.
 pub(crate) fn compare(claims: &[Claim], counts: &[RunCount]) -> Untruths {
-    let mut runs_of: HashMap<RequestId, u64> = HashMap::new();
+    let mut runs_of: HashMap<&str, u64> = HashMap::new();
     for count in counts {
-        *runs_of.entry(count.request).or_default() += count.runs;
+        *runs_of.entry(&count.key).or_default() += count.runs;
     }
     let mut untruths = Untruths::default();
     for claim in claims {
-        let known = claim.requests.iter().filter_map(|id| runs_of.get(id));
+        let known = claim.keys.iter().filter_map(|key| runs_of.get(&**key));
         let runs: u64 = known.sum();
         if claim.verdict == Some(Verdict::NotRun) && runs > 0 {
             untruths.untrue_not_run += 1;
--- a/crates/load/tests/answers.rs
+++ b/crates/load/tests/answers.rs
@@ -35,12 +35,11 @@
 struct Ran(u64);
 
 impl RunSource for Ran {
-    fn counts(&self, requests: &[RequestId]) -> Result<Vec<RunCount>, Error> {
-        let count = |request: &RequestId| RunCount {
-            request: *request,
+    fn counts(&self) -> Result<Vec<RunCount>, Error> {
+        Ok(vec![RunCount {
+            key: REQUEST.into(),
             runs: self.0,
-        };
-        Ok(requests.iter().map(count).collect())
+        }])
     }
 }
 
@@ -150,7 +149,7 @@
 fn load(replies: Vec<Reply>, keyed: bool, runs: u64) -> (Report, Vec<Seen>) {
     let server = Scripted::bind(replies);
     let mut plan = LoadPlan::new(
-        vec![server.address.clone()],
+        vec![server.address.clone(), server.address.clone()],
         AccountKey::new("key"),
         ClassName::from("draft"),
     );
@@ -305,6 +304,24 @@
             1,
             "whole 1, resumes 1",
         ),
+        (
+            "read on refused",
+            vec![
+                stream(&[0], CUT),
+                error(503, "unavailable", "not_run"),
+                stream(&[1, 2], DONE),
+            ],
+            true,
+            1,
+            "whole 1, resumes 2",
+        ),
+        (
+            "nothing to read on",
+            vec![stream(&[0], CUT), error(404, "not_found", "may_have_run")],
+            true,
+            1,
+            "may_have_run 1, resumes 1",
+        ),
         (
             "read on doubled",
             vec![stream(&[0], CUT), stream(&[0, 1, 2], DONE)],
--- a/crates/stand-ins/src/engine/call/mod.rs
+++ b/crates/stand-ins/src/engine/call/mod.rs
@@ -165,7 +165,7 @@
     pub finished: u64,
 }
 
-/// A request whose work was begun more than once.
+/// How often work of a request was begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RepeatedRun {
     /// The request.
--- a/crates/stand-ins/src/engine/model/report/mod.rs
+++ b/crates/stand-ins/src/engine/model/report/mod.rs
@@ -83,16 +83,10 @@
 
     /// What was computed, wasted and is held.
     pub fn stats(&self) -> EngineStats {
-        let runs = &self.counts.runs;
-        let more = runs.iter().filter(|(_, runs)| **runs > 1);
-        let repeated = more.map(|(request, runs)| RepeatedRun {
-            request: *request,
-            runs: *runs,
-        });
-        let mut repeated: Vec<RepeatedRun> = repeated.collect();
-        repeated.sort_by_key(|row| row.request);
+        let mut repeated = self.all_runs();
+        repeated.retain(|row| row.runs > 1);
         EngineStats {
-            requests_run: runs.len() as u64,
+            requests_run: self.counts.runs.len() as u64,
             repeated,
             computed_tokens: Tokens(self.counts.computed_tokens),
             wasted_tokens: Tokens(self.counts.wasted_tokens),
@@ -105,6 +99,18 @@
         }
     }
 
+    /// How often work of each request was begun, by ascending request.
+    pub fn all_runs(&self) -> Vec<RepeatedRun> {
+        let runs = self.counts.runs.iter();
+        let runs = runs.map(|(request, runs)| RepeatedRun {
+            request: *request,
+            runs: *runs,
+        });
+        let mut runs: Vec<RepeatedRun> = runs.collect();
+        runs.sort_by_key(|row| row.request);
+        runs
+    }
+
     /// How often work of a request was begun.
     pub fn runs(&self, request: RequestId) -> u32 {
         self.counts.runs.get(&request).copied().unwrap_or(0)
--- a/crates/stand-ins/src/engine/server/mod.rs
+++ b/crates/stand-ins/src/engine/server/mod.rs
@@ -5,7 +5,8 @@
 //! stream's events; *model time* runs [`EngineSettings::time_scale`] times as fast as the clock.
 //!
 //! Beside the engine's interface there are `GET|POST /faults` for the switches and `GET /stats`
-//! for what was computed and is held; both answer whatever the switches say.
+//! for what was computed and is held, and `GET /runs` for how often work of each request was
+//! begun; all answer whatever the switches say.
 
 mod routes;
 mod shared;
--- a/crates/stand-ins/src/engine/server/routes/mod.rs
+++ b/crates/stand-ins/src/engine/server/routes/mod.rs
@@ -65,6 +65,9 @@
             (Method::Get, ["stats"]) => {
                 Some(to_json(self.shared.with(|state, _| state.model.stats())))
             }
+            (Method::Get, ["runs"]) => {
+                Some(to_json(self.shared.with(|state, _| state.model.all_runs())))
+            }
             (Method::Get, ["faults"]) => Some(to_json(self.shared.lock().faults.clone())),
             (Method::Post, ["faults"]) => Some(self.set_faults(request)),
             _ => None,
--- a/crates/stand-ins/src/service/model/mod.rs
+++ b/crates/stand-ins/src/service/model/mod.rs
@@ -107,15 +107,21 @@
         self.effects.get(key).copied().unwrap_or(0)
     }
 
-    /// What was counted.
-    pub fn stats(&self) -> ServiceStats {
-        let more = self.effects.iter().filter(|(_, effects)| **effects > 1);
-        let repeated = more.map(|(key, effects)| KeyEffects {
+    /// The effects of every key, by ascending key.
+    pub fn all_effects(&self) -> Vec<KeyEffects> {
+        let effects = self.effects.iter().map(|(key, effects)| KeyEffects {
             key: key.clone(),
             effects: *effects,
         });
-        let mut repeated: Vec<KeyEffects> = repeated.collect();
-        repeated.sort_by(|a, b| a.key.cmp(&b.key));
+        let mut effects: Vec<KeyEffects> = effects.collect();
+        effects.sort_by(|a, b| a.key.cmp(&b.key));
+        effects
+    }
+
+    /// What was counted.
+    pub fn stats(&self) -> ServiceStats {
+        let mut repeated = self.all_effects();
+        repeated.retain(|row| row.effects > 1);
         ServiceStats {
             calls: self.calls,
             effects: self.effects.values().sum(),
--- a/crates/stand-ins/src/service/server/mod.rs
+++ b/crates/stand-ins/src/service/server/mod.rs
@@ -1,7 +1,8 @@
 //! The stand-in plain service as a process.
 //!
-//! Beside the service's own paths there are `GET /healthz`, `GET|POST /faults` for the switches
-//! and `GET /stats` for the effects; the last two answer whatever the switches say.
+//! Beside the service's own paths there are `GET /healthz`, `GET|POST /faults` for the switches,
+//! `GET /stats` for the effects and `GET /runs` for those of each key; the last three answer
+//! whatever the switches say.
 
 use super::model::{ServiceModel, ServiceSettings, ServiceStats};
 use crate::faults::FaultSwitches;
@@ -106,6 +107,10 @@
             let stats = lock(state).model.stats();
             serve::json(request, 200, &stats, &[]);
         }
+        (Method::Get, "/runs") => {
+            let effects = lock(state).model.all_effects();
+            serve::json(request, 200, &effects, &[]);
+        }
         (Method::Get, "/faults") => {
             let faults = lock(state).faults.clone();
             serve::json(request, 200, &faults, &[]);
