--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! The commands, one module each.
 
+mod bench;
 mod config;
+mod demo;
 mod load;
 mod node;
 mod stand_in;
@@ -16,6 +18,8 @@
         Command::Fleet(_) => node::fleet(&ctl),
         Command::Drain(_) => node::drain(&ctl),
         Command::Load(args) => load::run(args, ctl.json),
+        Command::Bench(args) => bench::run(args, ctl.json),
+        Command::Demo(args) => demo::run(args, ctl.json),
         Command::StandIn(stand_in) => stand_in::run(&stand_in.kind),
     }
 }
