--- a/crates/bridge/src/inbox.rs
+++ b/crates/bridge/src/inbox.rs
@@ -53,6 +53,11 @@
         self.link.clone()
     }
 
+    /// Whether I/O threads are held back now.
+    pub fn is_full(&self) -> bool {
+        self.receiver.is_full()
+    }
+
     /// Runs the actors until one of them shuts the system down.
     pub fn run(&self, stakker: &mut Stakker) {
         while stakker.not_shutdown() {
--- a/crates/bridge/tests/jobs.rs
+++ b/crates/bridge/tests/jobs.rs
@@ -74,3 +74,21 @@
     drive(&inbox, &mut stakker, || seen.borrow().len() == 2);
     assert_eq!(*seen.borrow(), [None, Some(8)]);
 }
+
+/// A user sees a node that answers nobody: under a burst the inbox is full while the actor thread
+/// drops the sender of a job it could not queue, and waits for room that only itself could make.
+#[test]
+fn dropping_a_sender_on_the_actor_thread_does_not_wait_for_a_full_inbox() {
+    let inbox = Inbox::open();
+    let bridge = Bridge::open(&inbox, 1);
+    let sender = bridge.sender_to(Fwd::new(|_: u32| ()));
+    let link = bridge.link();
+    let filler = std::thread::spawn(move || while link.send(|_| ()) {});
+    while !inbox.is_full() {
+        std::thread::yield_now();
+    }
+    drop(sender);
+    assert_eq!(bridge.pending(), 0);
+    drop((bridge, inbox));
+    filler.join().expect("the filler ends with the inbox");
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,15 +3,26 @@
 //!
 //! Terms: a *stream* is one named sequence of log records with offsets; *retained* records are
 //! those the log still keeps; a *port* is the trait object through which actors reach one of the
-//! platform's services without blocking.
+//! platform's services without blocking. A [`Tail`] follows a stream, an [`Appender`] appends to
+//! one in batches; both are actors on top of a [`LogPort`].
 //!
 //! Invariants: an append whose answer is lost is reported as `MayHaveRun`, never as `NotRun`;
 //! offsets of a stream only grow.
 
+pub mod appender;
+pub mod backoff;
+pub mod http;
 pub mod log_port;
+pub mod pace;
+pub mod tail;
 pub mod vms;
 pub mod weights;
 
-pub use log_port::{LogPort, LogRecord, ReadBatch};
-pub use vms::{VmEntry, VmListPort, VmRole, VmState};
-pub use weights::{WeightInfo, WeightPort};
+pub use appender::{Appender, AppenderSettings, AppenderStats};
+pub use backoff::{Backoff, BackoffSettings};
+pub use http::{CallTimeouts, PlatformClient};
+pub use log_port::{HttpLog, LogPort, LogRecord, ReadBatch};
+pub use pace::TokenBucket;
+pub use tail::{StreamPosition, Tail, TailEvent, TailSettings, TailStats};
+pub use vms::{HttpVmList, VmEntry, VmListPort, VmRole, VmState};
+pub use weights::{HttpWeights, WeightInfo, WeightPort};
