The guard of tiny_http's thread pool as a package of its own

The stand-ins listen with the same library and have the same fault; with the guard in a small package they, too, can use it. The check's tests also cover the demo's configuration.

--- a/crates/config/tests/check.rs
+++ b/crates/config/tests/check.rs
@@ -30,8 +30,10 @@
 }
 
 #[test]
-fn the_example_passes() {
+fn the_examples_pass() {
     assert_eq!(faults(EXAMPLE), "none\n");
+    let demo = include_str!("../../../examples/demo-fleet.json");
+    assert_eq!(faults(demo), "none\n");
 }
 
 #[test]
--- a/crates/entry/src/http/listener.rs
+++ b/crates/entry/src/http/listener.rs
@@ -1,9 +1,9 @@
 //! Listening with `tiny_http`: the socket's options, the thread that takes requests, and stopping.
 
-use crate::http::pool_guard::PoolGuard;
 use crate::http::workers::Workers;
 use crate::settings::BindError;
 use bluebell_base::prelude::*;
+use bluebell_pool_guard::PoolGuard;
 use socket2::SockRef;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Mutex;
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -8,5 +8,4 @@
 pub(crate) mod listener;
 pub(crate) mod outlet;
 pub(crate) mod oversize;
-pub(crate) mod pool_guard;
 pub(crate) mod workers;
--- a/crates/entry/src/http/pool_guard.rs
+++ b/crates/pool-guard/src/lib.rs
@@ -1,4 +1,4 @@
-//! Keeps accepted connections from waiting in the library's thread pool.
+//! Keeps connections to a `tiny_http` server from waiting in the library's thread pool.
 //!
 //! The failure: in a burst of connections, `tiny_http`'s pool takes threads that it has woken, but
 //! that have not run yet, for idle ones, and queues more connections for them than they can take.
@@ -25,15 +25,19 @@
 /// The longest time between two connections; bounds how long a connection waits.
 const LONGEST_GAP: Duration = Duration::from_millis(50);
 
-/// The guard of one listening interface; ends when dropped.
-pub(crate) struct PoolGuard {
+/// The guard of one server; ends when dropped.
+#[derive(Debug)]
+pub struct PoolGuard {
     seen: Option<Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
 
 impl PoolGuard {
-    /// Starts the guard of the interface at `address`.
-    pub(crate) fn spawn(address: SocketAddr) -> io::Result<Self> {
+    /// Starts the guard of the server that listens at `address`.
+    ///
+    /// # Errors
+    /// Where no thread can be started.
+    pub fn spawn(address: SocketAddr) -> io::Result<Self> {
         let (sender, seen) = bounded(1);
         let thread = thread::Builder::new()
             .name("pool-guard".into())
@@ -44,8 +48,8 @@
         })
     }
 
-    /// Tells the guard of a request.
-    pub(crate) fn request_seen(&self) {
+    /// Tells the guard that the server handed a request out; never blocks.
+    pub fn request_seen(&self) {
         if let Some(seen) = &self.seen {
             // One that is already told of a request needs no second word.
             let _ = seen.try_send(());
