--- a/crates/entry/src/http/listener.rs
+++ b/crates/entry/src/http/listener.rs
@@ -15,6 +15,9 @@
 /// How long the taking thread waits after the system refused a connection.
 const AFTER_ACCEPT_ERROR: Duration = Duration::from_millis(200);
 
+/// How many connections may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
 /// Handles a request on a worker thread.
 pub(crate) type Handler = Arc<dyn Fn(Request) + Send + Sync>;
 
@@ -97,8 +100,11 @@
 /// - No delay: without it a small event waits for the acknowledgement of the one before.
 /// - Write timeout: `tiny_http` sets none and hands no socket out, so a caller that stops reading
 ///   would hold its thread for good; a write that times out counts as a hang-up.
+/// - Backlog: the standard library's is 128; callers beyond it in a burst would wait a second and
+///   more for their next try to connect.
 fn set_options(socket: &TcpListener, write_timeout_ms: SpanMs) -> std::io::Result<()> {
     let options = SockRef::from(socket);
+    options.listen(BACKLOG)?;
     options.set_tcp_nodelay(true)?;
     options.set_write_timeout(Some(write_timeout_ms.into()))
 }
