--- a/crates/entry/src/http/listener.rs
+++ b/crates/entry/src/http/listener.rs
@@ -4,7 +4,7 @@
 use crate::settings::BindError;
 use bluebell_base::prelude::*;
 use bluebell_pool_guard::PoolGuard;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -100,15 +100,26 @@
 /// - No delay: without it a small event waits for the acknowledgement of the one before.
 /// - Write timeout: `tiny_http` sets none and hands no socket out, so a caller that stops reading
 ///   would hold its thread for good; a write that times out counts as a hang-up.
+/// - Keepalive: there is no read timeout either, so a caller whose VM vanishes in the middle of its
+///   upload would hold its part of the limits for good; the system's probes end the connection.
 /// - Backlog: the standard library's is 128; callers beyond it in a burst would wait a second and
 ///   more for their next try to connect.
 fn set_options(socket: &TcpListener, write_timeout_ms: SpanMs) -> std::io::Result<()> {
     let options = SockRef::from(socket);
     options.listen(BACKLOG)?;
     options.set_tcp_nodelay(true)?;
+    options.set_tcp_keepalive(&keepalive())?;
     options.set_write_timeout(Some(write_timeout_ms.into()))
 }
 
+/// Probes after half a minute of silence; a peer that answers none is given up after another.
+fn keepalive() -> TcpKeepalive {
+    TcpKeepalive::new()
+        .with_time(Duration::from_secs(30))
+        .with_interval(Duration::from_secs(10))
+        .with_retries(3)
+}
+
 impl Shared {
     /// Starts a server on the socket, and the thread that takes its requests.
     fn serve(shared: &Arc<Shared>) -> std::io::Result<JoinHandle<()>> {
