--- a/crates/entry/src/callers/exchange.rs
+++ b/crates/entry/src/callers/exchange.rs
@@ -3,7 +3,7 @@
 use crate::callers::decode::{self, CallHeaders};
 use crate::callers::deliver::{Delivered, Delivery};
 use crate::callers::encode::{ModelsBody, ReportBody, Subject};
-use crate::callers::route::{self, Form, Route};
+use crate::callers::route::{self, Form, Route, Wanted};
 use crate::callers::{InForce, Shared, sink};
 use crate::http::answer::{self, Refusal, Whole};
 use crate::http::body::{self, Body, BodyLimits};
@@ -14,7 +14,7 @@
 use bluebell_base::prelude::*;
 use bluebell_config::FleetConfig;
 use bluebell_peers::RequestReport;
-use bluebell_requests::call::{CallerCall, CallerId, ReadOn, ServiceRequest};
+use bluebell_requests::call::{CallerCall, CallerId, CallerSink, ReadOn, ServiceRequest};
 use crossbeam_channel::bounded;
 use std::sync::atomic::Ordering;
 use tiny_http::Request;
@@ -86,41 +86,39 @@
             .as_ref()
             .map(|in_force| Arc::clone(&in_force.config));
         let config = config.unwrap_or_default();
-        let route = route::find(request.method(), request.url(), &config)?;
-        match route {
-            Route::Health => return Ok(self.nothing(answer::json(200, &"ok", &self.name))),
-            Route::Ready => return self.ready().map(|whole| self.nothing(whole)),
-            _ => (),
-        }
+        let wanted = match route::find(request.method(), request.url(), &config)? {
+            Route::Health => return Ok(Taken::Nothing(answer::json(200, &"ok", &self.name))),
+            Route::Ready => return self.ready().map(Taken::Nothing),
+            Route::ForAccount(wanted) => wanted,
+        };
         let in_force = in_force.ok_or_else(|| self.unavailable("no configuration is known yet"))?;
         let account = authenticate(&in_force, request)?;
-        self.take_route(route, account, &config, request)
+        self.take_wanted(wanted, account, &config, request)
     }
 
-    fn take_route(
+    fn take_wanted(
         &self,
-        route: Route,
+        wanted: Wanted,
         account: &AccountName,
         config: &FleetConfig,
         request: &mut Request,
     ) -> Result<Taken, Refusal> {
-        match route {
-            Route::Health | Route::Ready => Err(self.unavailable("unreachable route").into()),
-            Route::Models => {
+        match wanted {
+            Wanted::Models => {
                 let body = ModelsBody::from(config);
-                Ok(self.nothing(answer::json(200, &body, &self.name)))
+                Ok(Taken::Nothing(answer::json(200, &body, &self.name)))
             }
-            Route::Complete(form) => self.take_completion(form, account, config, request),
-            Route::Service { service, path } => {
+            Wanted::Complete(form) => self.take_completion(form, account, config, request),
+            Wanted::Service { service, path } => {
                 self.take_service(service, path, account, config, request)
             }
-            Route::ReadOn(id) => self.take_read_on(id, account, request),
-            Route::Report(id) => self.ask(id, |reply| CallerCall::Report {
+            Wanted::ReadOn(id) => self.take_read_on(id, account, request),
+            Wanted::Report(id) => self.ask(id, |reply| CallerCall::Report {
                 account: account.clone(),
                 request: id,
                 reply,
             }),
-            Route::Cancel(id) => self.ask(id, |reply| CallerCall::Cancel {
+            Wanted::Cancel(id) => self.ask(id, |reply| CallerCall::Cancel {
                 account: account.clone(),
                 request: id,
                 reply,
@@ -235,65 +233,81 @@
         })?;
         let report = result?;
         let body = ReportBody::from(&report);
-        Ok(self.nothing(answer::json(200, &body, &id.to_string())))
+        Ok(Taken::Nothing(answer::json(200, &body, &id.to_string())))
     }
 
     /// Starts the work and delivers its events.
     fn run(&self, request: Request, taken: Taken) {
-        let (sink, events) = sink::open();
-        let sink = Box::new(sink);
-        let caller = self.caller;
-        let mut delivery = Delivery {
-            events,
-            request: Arc::clone(&self.name),
-            keep_alive: self.shared.settings.keep_alive_ms.into(),
-            interim: self.shared.settings.interim_ms.map(Into::into),
-        };
         let outlet = Outlet::open(request);
-        let (delivered, _permits) = match taken {
-            Taken::Nothing(response) => (outlet.respond(response).into(), None),
+        let delivered = match taken {
+            Taken::Nothing(response) => outlet.respond(response).into(),
             Taken::Complete {
                 decoded,
                 form,
                 permits,
-            } => {
-                let subject = Subject::begun_now(form, Some(decoded.completion.model.clone()));
-                let completion = decoded.completion;
-                let call = CallerCall::Complete {
-                    caller,
-                    completion,
-                    sink,
-                };
-                let delivered = match self.send(call) {
-                    Err(error) => delivery.refuse(outlet, None, error),
-                    Ok(()) if decoded.stream => delivery.stream(outlet, &subject),
-                    Ok(()) => delivery.whole(outlet, &subject),
-                };
-                (delivered, Some(permits))
-            }
-            Taken::Service { call, permits } => {
-                let call = CallerCall::Service { caller, call, sink };
-                let delivered = match self.send(call) {
-                    Err(error) => delivery.refuse(outlet, None, error),
-                    Ok(()) => delivery.service(outlet),
-                };
-                (delivered, Some(permits))
-            }
-            Taken::ReadOn { call, form, permit } => {
-                let subject = Subject::begun_now(form, None);
-                delivery.request = call.request.to_string().into();
-                let call = CallerCall::ReadOn { caller, call, sink };
-                let delivered = match self.send(call) {
-                    Err(error) => delivery.refuse(outlet, None, error),
-                    Ok(()) => delivery.stream(outlet, &subject),
-                };
-                drop(permit);
-                (delivered, None)
-            }
+            } => self.complete(outlet, decoded, form, permits),
+            Taken::Service { call, permits } => self.call_service(outlet, call, permits),
+            Taken::ReadOn { call, form, permit } => self.read_on(outlet, call, form, permit),
         };
         self.after(delivered);
     }
 
+    fn complete(
+        &self,
+        outlet: Outlet,
+        decoded: decode::Decoded,
+        form: Form,
+        _until_end: Permits,
+    ) -> Delivered {
+        let (sink, delivery) = self.delivery(Arc::clone(&self.name));
+        let subject = Subject::begun_now(form, Some(decoded.completion.model.clone()));
+        let call = CallerCall::Complete {
+            caller: self.caller,
+            completion: decoded.completion,
+            sink,
+        };
+        match self.send(call) {
+            Err(error) => delivery.refuse(outlet, None, error),
+            Ok(()) if decoded.stream => delivery.stream(outlet, &subject),
+            Ok(()) => delivery.whole(outlet, &subject),
+        }
+    }
+
+    fn call_service(&self, outlet: Outlet, call: ServiceRequest, _until_end: Permits) -> Delivered {
+        let (sink, delivery) = self.delivery(Arc::clone(&self.name));
+        let caller = self.caller;
+        match self.send(CallerCall::Service { caller, call, sink }) {
+            Err(error) => delivery.refuse(outlet, None, error),
+            Ok(()) => delivery.service(outlet),
+        }
+    }
+
+    fn read_on(&self, outlet: Outlet, call: ReadOn, form: Form, _until_end: Permit) -> Delivered {
+        let (sink, delivery) = self.delivery(call.request.to_string().into());
+        let subject = Subject::begun_now(form, None);
+        let caller = self.caller;
+        match self.send(CallerCall::ReadOn { caller, call, sink }) {
+            Err(error) => {
+                let error = about_earlier(error);
+                delivery.refuse(outlet, None, error)
+            }
+            Ok(()) => delivery.stream(outlet, &subject),
+        }
+    }
+
+    /// A queue for a request's events: the actor's end, and the end that writes to the caller.
+    fn delivery(&self, request: Arc<str>) -> (Box<dyn CallerSink>, Delivery) {
+        let (sink, events) = sink::open();
+        let settings = &self.shared.settings;
+        let delivery = Delivery {
+            events,
+            request,
+            keep_alive: settings.keep_alive_ms.into(),
+            interim: settings.interim_ms.map(Into::into),
+        };
+        (Box::new(sink), delivery)
+    }
+
     /// Guards against work for nobody: `tiny_http` gives no notice of a hang-up, so the first
     /// sign is a write that fails; the node then cancels the work, or an engine would go on
     /// holding memory for an answer that nobody reads.
@@ -308,19 +322,11 @@
         }
     }
 
-    fn nothing(&self, response: Whole) -> Taken {
-        Taken::Nothing(response)
-    }
-
     /// Refuses a call of which nothing was handed to the node.
-    ///
-    /// Guards against a false "not run": where the call is about an earlier request, the caller
-    /// reads the verdict as that request's, which nobody asked the node about.
     fn refuse(&self, request: Request, mut refusal: Refusal) {
         log::debug!("{}: refused: {}", self.name, refusal.error);
-        let earlier = route::names_request(request.url());
-        if earlier && refusal.error.verdict == Verdict::NotRun {
-            refusal.error.verdict = Verdict::MayHaveRun;
+        if route::names_request(request.url()) {
+            refusal.error = about_earlier(refusal.error);
         }
         self.respond(request, answer::refusal(&refusal, &self.name));
     }
@@ -381,6 +387,17 @@
     })
 }
 
+/// The refusal of a call about an earlier request.
+///
+/// Guards against a false "not run": the caller reads the verdict as that request's, which nobody
+/// asked the node about.
+fn about_earlier(mut error: Error) -> Error {
+    if error.verdict == Verdict::NotRun {
+        error.verdict = Verdict::MayHaveRun;
+    }
+    error
+}
+
 fn idempotency_key(request: &Request) -> Result<Option<IdempotencyKey>, Error> {
     let value = head::header(request, "Idempotency-Key")?;
     value.map(decode::idempotency_key).transpose()
--- a/crates/entry/src/callers/route.rs
+++ b/crates/entry/src/callers/route.rs
@@ -22,6 +22,13 @@
     Health,
     /// Whether the node takes new work.
     Ready,
+    /// Something that only an account may ask for.
+    ForAccount(Wanted),
+}
+
+/// What an account asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Wanted {
     /// A completion.
     Complete(Form),
     /// The models that can be asked for.
@@ -41,6 +48,12 @@
     },
 }
 
+impl From<Wanted> for Route {
+    fn from(wanted: Wanted) -> Self {
+        Route::ForAccount(wanted)
+    }
+}
+
 /// The paths about requests made earlier.
 const REQUESTS: &str = "/v1/requests/";
 
@@ -58,9 +71,9 @@
     match path {
         "/healthz" => only(method, &Method::Get, Route::Health),
         "/readyz" => only(method, &Method::Get, Route::Ready),
-        "/v1/completions" => only(method, &Method::Post, Route::Complete(Form::Text)),
-        "/v1/chat/completions" => only(method, &Method::Post, Route::Complete(Form::Chat)),
-        "/v1/models" => only(method, &Method::Get, Route::Models),
+        "/v1/completions" => only(method, &Method::Post, Wanted::Complete(Form::Text).into()),
+        "/v1/chat/completions" => only(method, &Method::Post, Wanted::Complete(Form::Chat).into()),
+        "/v1/models" => only(method, &Method::Get, Wanted::Models.into()),
         _ => match path.strip_prefix(REQUESTS) {
             Some(rest) => find_request(method, rest),
             None => find_service(url, config),
@@ -90,10 +103,10 @@
     let parsed = id.parse::<RequestId>();
     let request = parsed.map_err(|error| head::invalid(error.to_string()))?;
     match (tail, method) {
-        (None, Method::Get) => Ok(Route::Report(request)),
-        (None, Method::Delete) => Ok(Route::Cancel(request)),
+        (None, Method::Get) => Ok(Wanted::Report(request).into()),
+        (None, Method::Delete) => Ok(Wanted::Cancel(request).into()),
         (None, _) => Err(not_allowed("GET and DELETE")),
-        (Some("events"), Method::Get) => Ok(Route::ReadOn(request)),
+        (Some("events"), Method::Get) => Ok(Wanted::ReadOn(request).into()),
         (Some("events"), _) => Err(not_allowed("GET")),
         (Some(_), _) => Err(unknown_path()),
     }
@@ -110,10 +123,8 @@
     } else {
         format!("/{rest}").into()
     };
-    Ok(Route::Service {
-        service: service.name.clone(),
-        path,
-    })
+    let service = service.name.clone();
+    Ok(Wanted::Service { service, path }.into())
 }
 
 /// What stands behind a prefix that ends at a path segment's end.
