Stand-ins register by the platform's own call and keep what was set there by hand

Cause: the registration posted the bare entry, which the platform stand-in refuses (400), so the demo's nodes knew 0 of 6 engines.

--- a/crates/stand-ins/src/platform/operator.rs
+++ b/crates/stand-ins/src/platform/operator.rs
@@ -4,7 +4,7 @@
 use super::faults::Faults;
 use super::model::{PlatformStats, VmChange};
 use bluebell_base::prelude::*;
-use bluebell_platform::WeightInfo;
+use bluebell_platform::{VmEntry, WeightInfo};
 use serde::Serialize;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use std::time::Duration;
@@ -49,6 +49,13 @@
         self.post("/vms", change)
     }
 
+    /// Whether the list of VMs shows the name; yes where the list can't be had now.
+    pub fn lists(&self, name: &VmName) -> bool {
+        let response = self.agent.get(format!("{}/vms", self.base)).call();
+        let listed: Result<Vec<VmEntry>, Error> = decode(response);
+        listed.map_or(true, |entries| entries.iter().any(|e| e.name == *name))
+    }
+
     /// Puts a model version into the weight store.
     ///
     /// # Errors
--- a/crates/stand-ins/src/serve/register/mod.rs
+++ b/crates/stand-ins/src/serve/register/mod.rs
@@ -1,14 +1,12 @@
-//! Registers a stand-in with the platform's list of VMs, again and again.
+//! Keeps a stand-in on the platform's list of VMs.
 
+use crate::platform::{Operator, VmChange};
 use bluebell_base::prelude::*;
 use bluebell_platform::{VmEntry, VmState};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
-/// How long one registration may take.
-const TIMEOUT: Duration = Duration::from_secs(2);
-
 /// How often the handle's end is looked for.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -24,8 +22,8 @@
     }
 }
 
-/// Posts `entry` to the platform at once and then every `interval`, each time with the state that
-/// `state` gives.
+/// Puts `entry` on the platform's list at once, and looks every `interval` whether it is still
+/// there with the state that `state` gave last.
 pub fn register(
     platform: Address,
     entry: VmEntry,
@@ -50,21 +48,32 @@
     state: &impl Fn() -> VmState,
     ended: &AtomicBool,
 ) {
-    let url = format!("http://{platform}/vms");
-    let config = ureq::Agent::config_builder()
-        .proxy(None)
-        .timeout_global(Some(TIMEOUT));
-    let agent = config.build().new_agent();
+    let operator = Operator::open(platform);
+    let mut told = None;
     while !ended.load(Ordering::Acquire) {
         entry.state = state();
-        if let Err(error) = agent.post(&url).send_json(&entry) {
-            log::info!("the platform did not take the registration: {error}");
-        }
-        let mut left = interval;
-        while !left.is_zero() && !ended.load(Ordering::Acquire) {
-            let pause = left.min(TICK);
-            thread::sleep(pause);
-            left -= pause;
+        // Put again only where the stand-in's own state changed or the platform forgot it, so that
+        // what is set at the platform by hand, such as "leaving", stays.
+        if told != Some(entry.state) || !operator.lists(&entry.name) {
+            told = put(&operator, &entry).then_some(entry.state);
         }
+        wait(interval, ended);
+    }
+}
+
+fn put(operator: &Operator, entry: &VmEntry) -> bool {
+    let put = operator.change_vms(&VmChange::Put(entry.clone()));
+    if let Err(error) = &put {
+        log::info!("the platform did not take the registration: {error}");
+    }
+    put.is_ok()
+}
+
+fn wait(interval: Duration, ended: &AtomicBool) {
+    let mut left = interval;
+    while !left.is_zero() && !ended.load(Ordering::Acquire) {
+        let pause = left.min(TICK);
+        thread::sleep(pause);
+        left -= pause;
     }
 }
