Entry: the sink needs no flag of its own; the truncated body of the test is a whole call

Each guard's test was tried with the guard taken out, on a scratch copy (trials): flush, keep-alive comment, interim response, oversized declared body (the process aborted: memory allocation of bytes failed), write timeout, limit of calls, budget of bodies, declared and undeclared length, verdict about an earlier request, framing, header given twice, account handed on, admin credential, pool guard: each made its test fail. Two did not: - the sink's flag for a caller that is gone: the channel's own disconnection says the same, so the flag was needless and is gone; - the check for a body that ends early: what had arrived was refused as JSON anyway. The test now cuts behind a whole call, and fails without the check.

--- a/crates/entry/src/callers/deliver.rs
+++ b/crates/entry/src/callers/deliver.rs
@@ -6,12 +6,11 @@
 //! `Finished`; a stream that fails has no `[DONE]`, so it can't be taken for a whole answer.
 
 use crate::callers::encode::{AnswerBody, End, Subject};
-use crate::callers::sink::Events;
 use crate::http::answer::{self, ErrorBody, Refusal};
 use crate::http::outlet::{EventStream, Outlet};
 use bluebell_base::prelude::*;
 use bluebell_requests::call::CallerEvent;
-use crossbeam_channel::RecvTimeoutError;
+use crossbeam_channel::{Receiver, RecvTimeoutError};
 use std::io;
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -40,7 +39,7 @@
 /// What is written to a caller, and the identity it is written under.
 pub(crate) struct Delivery {
     /// The queue of events.
-    pub(crate) events: Events,
+    pub(crate) events: Receiver<CallerEvent>,
     /// The request's id once it is admitted, the call's number before.
     pub(crate) request: Arc<str>,
     /// The longest silence in a stream.
@@ -228,7 +227,7 @@
 
     /// Waits for the next event, at most as long as a silence may last.
     fn next(&self, silence: Option<Duration>) -> Next {
-        let receiver = &self.events.receiver;
+        let receiver = &self.events;
         let received = match silence {
             Some(silence) => receiver.recv_timeout(silence),
             None => receiver.recv().map_err(|_| RecvTimeoutError::Disconnected),
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -164,11 +164,13 @@
     await_released(&node);
 }
 
-/// A caller dies in the middle of its upload: nothing reaches the node, nothing stays behind.
+/// A caller dies in the middle of its upload, at a place where what arrived would be a whole
+/// call: nothing reaches the node, nothing stays behind.
 #[test]
 fn a_truncated_body_leaves_nothing_behind() {
     let node = Node::callers(|_| ());
     let mut raw = head("Content-Length: 150000\r\n");
+    raw.extend_from_slice(completion("hi").as_bytes());
     raw.extend_from_slice(&vec![b' '; 70_000]);
     let client = Client::send(node.address, &raw);
     client
