Load: latencies are recorded in their full range

Cause: saturating_record clamps to the range a growing histogram has at first, 2 us, so every latency of the demo was printed as 0.0 ms. Ruled out: the clock and the schedule (the run's length was right). Before: latencies_are_counted_in_full fails with 0.002 ms. After: passes.

--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -11,6 +11,9 @@
 /// Significant digits of the latency histograms.
 const SIGNIFICANT_DIGITS: u8 = 3;
 
+/// The longest latency told apart, an hour; longer ones count as this.
+const LONGEST_US: u64 = 3_600_000_000;
+
 /// The most different error texts that are kept.
 const MAX_ERROR_TEXTS: usize = 16;
 
@@ -102,9 +105,13 @@
     }
 }
 
-/// A histogram that grows with what it sees.
+/// A histogram of microseconds up to [`LONGEST_US`].
+///
+/// Its range is fixed because `saturating_record` does not widen one that grows by itself: such a
+/// one holds 2 µs at first and reports every latency as that.
 fn histogram() -> Histogram<u64> {
-    Histogram::new(SIGNIFICANT_DIGITS).expect("the number of digits is within 0 to 5")
+    Histogram::new_with_max(LONGEST_US, SIGNIFICANT_DIGITS)
+        .expect("the digits and the range are valid")
 }
 
 /// Counts of faults in answers.
--- a/crates/load/tests/answers.rs
+++ b/crates/load/tests/answers.rs
@@ -385,3 +385,24 @@
     let report = bluebell_load::spawn(plan).expect("a right plan").join();
     assert_eq!(counts(&report), "lost 1", "{report}");
 }
+
+/// An operator reads 0.0 ms for every latency of a run that took a minute: the histograms kept
+/// their first range of 2 µs and clamped whatever was recorded to it.
+#[test]
+fn latencies_are_counted_in_full() {
+    let replies = vec![
+        error(503, "unavailable", "not_run"),
+        stream(&[0, 1], CUT),
+        stream(&[2], DONE),
+    ];
+    let begin = std::time::Instant::now();
+    let (report, _) = load(replies, true, 1);
+    let whole_ms = begin.elapsed().as_secs_f64() * 1_000.0;
+    let ended = report.bands.iter().find(|band| band.ended == 1);
+    let end_ms = ended.expect("one band has the request").end.max_ms;
+    // The tries and the reading on wait in between, so that the whole answer takes a while.
+    assert!(
+        (5.0..=whole_ms).contains(&end_ms),
+        "{end_ms} of {whole_ms} ms"
+    );
+}
