--- a/crates/bridge/src/jobs.rs
+++ b/crates/bridge/src/jobs.rs
@@ -12,6 +12,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::marker::PhantomData;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -102,15 +103,12 @@
         refused: impl FnOnce() -> T,
         ret: Ret<T>,
     ) {
-        let key = self.add(Waiter::Answer(Box::new(move |value| {
-            if let Ok(value) = value.downcast::<T>() {
-                ret.ret(*value);
-            }
-        })));
-        let (id, link) = (self.id(), self.link.clone());
+        let completer = self.completer(ret);
+        let (id, key) = (completer.inner.id, completer.inner.key);
+        // A job that panics drops the completer, which drops `ret`: its waiter is told that no
+        // answer comes instead of waiting for ever.
         let queued = self.submit(Box::new(move || {
-            let value: Value = Box::new(job());
-            link.send(move |_| deliver_answer(id, key, value));
+            completer.complete(job());
         }));
         if !queued {
             deliver_answer(id, key, Box::new(refused()));
@@ -125,22 +123,8 @@
         job: impl FnOnce(EventSender<E>) + Send + 'static,
         fwd: Fwd<E>,
     ) -> bool {
-        let key = self.add(Waiter::Events(Rc::new(move |value: Value| {
-            if let Ok(value) = value.downcast::<E>() {
-                fwd.fwd(*value);
-            }
-        })));
-        let sender = EventSender {
-            id: self.id(),
-            key,
-            link: self.link.clone(),
-            event: PhantomData,
-        };
-        let queued = self.submit(Box::new(move || job(sender)));
-        if !queued {
-            self.pending.borrow_mut().remove(&key);
-        }
-        queued
+        let sender = self.sender_to(fwd);
+        self.submit(Box::new(move || job(sender)))
     }
 
     /// Makes a completer: whoever holds it, on any thread, gives `ret` its value.
@@ -221,13 +205,20 @@
             let job = self.queue.recv();
             self.idle.fetch_sub(1, Ordering::AcqRel);
             match job {
-                Ok(job) => job(),
+                Ok(job) => run_guarded(job),
                 Err(_) => return,
             }
         }
     }
 }
 
+/// Runs a job so that its panic ends the job, not the thread that other jobs wait for.
+fn run_guarded(job: Job) {
+    if catch_unwind(AssertUnwindSafe(job)).is_err() {
+        log::error!("an I/O job panicked; its caller is told that no answer came");
+    }
+}
+
 /// Sends the events of one streaming job; dropping it ends the stream.
 #[derive(Debug)]
 pub struct EventSender<E> {
@@ -249,6 +240,11 @@
 impl<E> Drop for EventSender<E> {
     fn drop(&mut self) {
         let (id, key) = (self.id, self.key);
+        // The actor thread must never send to its own inbox: full, it would wait for itself, and
+        // the node would stand still. There the waiter is within reach and dropped directly.
+        if pending_of(id).is_some() {
+            return forget(id, key);
+        }
         self.link.send(move |_| forget(id, key));
     }
 }
