Control: fault tables of config and leases, random logs for the reducers, verifier

Cause: a drained node counted as the poorest, so the others gave duties back for its sake and a duty was without holder 6 s after a drain (test a_drained_holder_is_replaced_at_once, seed 0). Ruled out: waiting for the card's leaving flag, which reaches a large fleet only in seconds. Now the release itself says that its holder stops, and giving back in vain doubles the pause.

--- a/crates/control/src/actor/lease_side/duties.rs
+++ b/crates/control/src/actor/lease_side/duties.rs
@@ -19,6 +19,18 @@
 /// The most by which a taker delays by chance, against takers that agree on the rank.
 const TAKE_JITTER_MS: u64 = 100;
 
+/// The longest time between two duties given back for balance.
+const BALANCE_CAP_MS: SpanMs = SpanMs::from_secs(600);
+
+/// When to look at the balance again.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Balance {
+    next_ms: MonoMs,
+    pause_ms: SpanMs,
+    /// What the poorest node held when this node last gave a duty back.
+    fewest: Option<usize>,
+}
+
 impl Control {
     pub(in crate::actor) fn tick_leases(&mut self, cx: CX![], now_ms: MonoMs) {
         for change in self.leases.holder.lapse(now_ms) {
@@ -127,7 +139,10 @@
 
     /// The live nodes with what the log says they hold; this one also with what it is taking.
     fn takers(&self) -> Vec<Taker> {
-        let live = self.nodes.iter().filter(|card| !card.leaving);
+        // The log tells of a stopping node before its card reaches everyone.
+        let stays =
+            |card: &&NodeCard| !card.leaving && !self.leases.leaving.contains(&card.incarnation);
+        let live = self.nodes.iter().filter(stays);
         let taker = |card: &NodeCard| Taker {
             node: card.incarnation,
             held: self.held_by(card.incarnation),
@@ -149,24 +164,42 @@
     /// Gives one duty back where another node holds at least two fewer.
     ///
     /// With a difference of one a duty would go back and forth. One per lease time, since a duty
-    /// that moves costs its users a takeover.
+    /// that moves costs its users a takeover. Where the last one given back did not make the
+    /// poorest node any richer, that node may be unable to take (paused, or cut off from the log
+    /// but not from its peers); then the time doubles, so that duties don't circle for its sake.
     fn balance(&mut self, cx: CX![], now_ms: MonoMs) {
-        let interval_ms = self.settings.ttl_ms;
-        let balanced_ms = *self.leases.balanced_ms.get_or_insert(now_ms);
-        if now_ms.since(balanced_ms) < interval_ms || !self.may_take(now_ms) {
+        let ttl_ms = self.settings.ttl_ms;
+        let balance = self.leases.balance.get_or_insert(Balance {
+            next_ms: now_ms + ttl_ms,
+            pause_ms: ttl_ms,
+            fewest: None,
+        });
+        if now_ms < balance.next_ms || !self.may_take(now_ms) {
             return;
         }
-        let jitter_ms = self.random.random_range(0..=interval_ms.0 / 2);
-        self.leases.balanced_ms = Some(now_ms + SpanMs(jitter_ms));
         let held = self.leases.holder.renewable();
         let fewest = self.takers().iter().map(|taker| taker.held).min();
-        if fewest.is_none_or(|fewest| held.len() < fewest + 2) {
+        let fewest = fewest.filter(|fewest| held.len() >= fewest + 2);
+        let last = self.leases.balance.take();
+        let in_vain = last.is_some_and(|last| last.fewest.is_some() && last.fewest >= fewest);
+        let last_ms = last.map_or(ttl_ms, |last| last.pause_ms);
+        let pause_ms = match in_vain && fewest.is_some() {
+            true => (last_ms + last_ms).min(BALANCE_CAP_MS),
+            false => ttl_ms,
+        };
+        let jitter_ms = self.random.random_range(0..=ttl_ms.0 / 2);
+        self.leases.balance = Some(Balance {
+            next_ms: now_ms + pause_ms + SpanMs(jitter_ms),
+            pause_ms,
+            fewest,
+        });
+        if fewest.is_none() {
             return;
         }
         let me = self.me.incarnation;
         let least_own = held.into_iter().min_by_key(|held| weight(held.duty, me));
         if let Some(record) = least_own {
-            let until_ms = now_ms + interval_ms + interval_ms;
+            let until_ms = now_ms + ttl_ms + ttl_ms;
             self.leases.cooling.insert(record.duty, until_ms);
             self.release(cx, vec![record]);
         }
@@ -181,7 +214,15 @@
         }
         let op = self.operation();
         let holder = self.me.incarnation;
-        self.append_lease(cx, &LeaseRecord::Release(Release { op, holder, held }));
+        self.append_lease(
+            cx,
+            &LeaseRecord::Release(Release {
+                op,
+                holder,
+                held,
+                leaving: self.drained,
+            }),
+        );
     }
 
     pub(in crate::actor) fn begin_drain(&mut self, cx: CX![], ret: Ret<()>) {
--- a/crates/control/src/actor/lease_side/mod.rs
+++ b/crates/control/src/actor/lease_side/mod.rs
@@ -15,10 +15,11 @@
 use bluebell_platform::tail::{StreamPosition, Tail, TailEvent, TailSettings};
 use bluebell_platform::{LogRecord, ReadBatch};
 use bluebell_timers::Timers;
+use duties::Balance;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use stakker::{ActorOwn, CX, Cx, call, fwd_to, ret_some_to, ret_to};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The time between two tries to find the stream's end at the start.
 const FIND_END_AGAIN_MS: SpanMs = SpanMs(500);
@@ -46,7 +47,8 @@
     taking: BTreeMap<Duty, (OperationId, MonoMs)>,
     renewed_ms: Option<MonoMs>,
     cooling: BTreeMap<Duty, MonoMs>,
-    balanced_ms: Option<MonoMs>,
+    balance: Option<Balance>,
+    leaving: BTreeSet<Incarnation>,
     checkpoint_at: Offset,
     checkpoint_ms: Option<MonoMs>,
 }
@@ -87,7 +89,8 @@
             taking: BTreeMap::new(),
             renewed_ms: None,
             cooling: BTreeMap::new(),
-            balanced_ms: None,
+            balance: None,
+            leaving: BTreeSet::new(),
             checkpoint_at: Offset(0),
             checkpoint_ms: None,
         }
@@ -138,6 +141,11 @@
         self.log_clock_ms = self.log_clock_ms.max(Some(at_ms));
     }
 
+    /// Forgets stopped nodes that are no longer among the live ones.
+    pub(super) fn forget_left(&mut self, is_live: impl Fn(&Incarnation) -> bool) {
+        self.leaving.retain(is_live);
+    }
+
     fn poll_soon(&self) {
         if let Some(tail) = &self.tail {
             call!([tail], poll_soon());
@@ -232,6 +240,11 @@
             self.leases.checkpoint_at = record.offset;
             self.leases.checkpoint_ms = Some(now_ms);
         }
+        if let LeaseRecord::Release(release) = &decoded
+            && release.leaving
+        {
+            self.leases.leaving.insert(release.holder);
+        }
         let mut outcomes = Vec::new();
         self.leases
             .reducer
--- a/crates/control/src/actor/mod.rs
+++ b/crates/control/src/actor/mod.rs
@@ -131,6 +131,9 @@
         self.nodes = nodes;
         self.nodes
             .retain(|card| card.incarnation != self.me.incarnation);
+        let nodes = &self.nodes;
+        let is_live = |i: &Incarnation| nodes.iter().any(|card| card.incarnation == *i);
+        self.leases.forget_left(is_live);
         self.raise_floor(cx);
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod reduce;
 pub mod settings;
 pub mod steward;
+pub mod verify;
 
 pub use actor::Control;
 pub use print::{ControlDump, VersionSeen, VersionSource};
--- a/crates/control/src/records/leases.rs
+++ b/crates/control/src/records/leases.rs
@@ -56,6 +56,9 @@
     pub holder: Incarnation,
     /// The duties given back.
     pub held: Vec<HeldRecord>,
+    /// Whether the holder stops and takes none any more.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// A duty with the fencing number under which it is held.
--- a/crates/control/tests/config.rs
+++ b/crates/control/tests/config.rs
@@ -3,19 +3,356 @@
 mod support;
 
 use bluebell_base::prelude::*;
-use bluebell_control::Published;
-use support::{Fleet, config_text};
+use bluebell_control::{Duty, Published};
+use bluebell_stand_ins::platform::{Fault, Operation, PlatformSettings};
+use support::{Fleet, config_text, large_config_text};
+
+fn accepted(version: u64) -> Result<Published, Error> {
+    let version = ConfigVersion(version);
+    Ok(Published::Accepted { version })
+}
+
+fn conflict(current: u64) -> Result<Published, Error> {
+    let current = ConfigVersion(current);
+    Ok(Published::Conflict { current })
+}
+
+fn versions(numbers: &[u64]) -> Vec<ConfigVersion> {
+    numbers
+        .iter()
+        .map(|number| ConfigVersion(*number))
+        .collect()
+}
 
 /// An operator publishes; every node has it in force within seconds.
 #[test]
 fn a_publication_is_in_force_everywhere() {
     let mut fleet = Fleet::with_nodes(1, 9);
     fleet.run_ms(3_000);
-    let answer = fleet.publish_now(0, 0, &config_text(1_000));
-    let version = ConfigVersion(1);
-    assert_eq!(answer, Ok(Published::Accepted { version }));
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
     fleet.run_ms(1_000);
     for index in 0..9 {
-        assert_eq!(fleet.versions(index), vec![version]);
+        assert_eq!(fleet.versions(index), versions(&[1]));
+    }
+}
+
+/// Two operators change the same version at the same moment through different nodes. One wins,
+/// the other is told so, and no node ever shows the loser's text.
+#[test]
+fn racing_operators_get_one_winner() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::with_nodes(seed, 5);
+        fleet.run_ms(2_000);
+        let (one, two) = (config_text(1_000), config_text(2_000));
+        let first = fleet.publish(1, 0, &one);
+        fleet.run_ms(seed % 5);
+        let second = fleet.publish(3, 0, &two);
+        fleet.run_ms(5_000);
+        let answers = [first.take().unwrap(), second.take().unwrap()];
+        assert!(
+            answers.contains(&accepted(1)) && answers.contains(&conflict(1)),
+            "{answers:?}"
+        );
+        let winner = if answers[0] == accepted(1) {
+            &one
+        } else {
+            &two
+        };
+        for index in 0..5 {
+            assert_eq!(fleet.versions(index), versions(&[1]));
+            assert_eq!(&fleet.in_force(index).1, winner);
+        }
+    }
+}
+
+/// What an operator is told, and what is in force in the end, for each fault of one publication.
+///
+/// The operator sees one answer. The fault strikes the append of the publication; the answer has
+/// to be true whatever the fault.
+#[test]
+fn one_publication_under_each_fault() {
+    let slow = |ms| Fault::Slow(SpanMs(ms));
+    // Fault of the append, the answer's verdict or version, the version in the end.
+    let cases: &[(&str, &[Fault], Result<u64, Verdict>, u64)] = &[
+        ("no fault", &[], Ok(1), 1),
+        (
+            "answer lost after taking effect",
+            &[Fault::LoseAnswer],
+            Ok(1),
+            1,
+        ),
+        ("stored twice", &[Fault::Duplicate], Ok(1), 1),
+        (
+            "twice and answer lost",
+            &[Fault::Duplicate, Fault::LoseAnswer],
+            Ok(1),
+            1,
+        ),
+        (
+            "refused without effect",
+            &[Fault::Down],
+            Err(Verdict::NotRun),
+            0,
+        ),
+        (
+            "never answered, no effect",
+            &[Fault::Freeze],
+            Err(Verdict::MayHaveRun),
+            0,
+        ),
+        ("effect after the client gave up", &[slow(7_000)], Ok(1), 1),
+        (
+            "effect after the operator was answered",
+            &[slow(15_000)],
+            Err(Verdict::MayHaveRun),
+            1,
+        ),
+    ];
+    for (name, faults, answer, version) in cases {
+        let mut fleet = Fleet::with_nodes(3, 3);
+        fleet.run_ms(30_000);
+        // Only the publication's append may be struck, so no lease may be renewed right now.
+        fleet.mute_leases(0);
+        for fault in *faults {
+            fleet.add_fault(0, Operation::Append, 1, *fault);
+        }
+        let found = fleet.publish_now(0, 0, &config_text(1_000));
+        match (&found, answer) {
+            (Ok(published), Ok(version)) => {
+                assert_eq!(accepted(*version), Ok(published.clone()), "{name}");
+            }
+            (Err(error), Err(verdict)) => assert_eq!(error.verdict, *verdict, "{name}"),
+            _ => panic!("{name}: {found:?}"),
+        }
+        fleet.run_ms(20_000);
+        for index in 0..3 {
+            assert_eq!(fleet.in_force(index).0, ConfigVersion(*version), "{name}");
+        }
+        assert_eq!(fleet.dump(0).unresolved, 0, "{name}");
+    }
+}
+
+/// The operator's file is wrong, or based on an old version: said at once, nothing is appended.
+#[test]
+fn what_cannot_win_is_not_appended() {
+    let mut fleet = Fleet::with_nodes(4, 2);
+    fleet.run_ms(2_000);
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    fleet.run_ms(1_000);
+    let before = fleet.config_end();
+    let invalid = fleet.publish_now(1, 1, &config_text(0)).unwrap_err();
+    assert_eq!(
+        (invalid.verdict, invalid.kind),
+        (Verdict::NotRun, ErrorKind::Invalid)
+    );
+    assert!(invalid.message.contains("classes[0].end_ms"));
+    assert_eq!(fleet.publish_now(1, 0, &config_text(5)), conflict(1));
+    assert_eq!(fleet.config_end(), before);
+}
+
+/// The log is down for an hour. Publications are refused at once as not run, what is in force
+/// stays in force, and afterwards all goes on.
+#[test]
+fn an_outage_of_an_hour() {
+    let mut fleet = Fleet::with_nodes(5, 5);
+    fleet.run_ms(5_000);
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    fleet.run_ms(2_000);
+    fleet.set_log_down(true);
+    fleet.run_ms(3_600_000);
+    let refused = fleet.publish_now(2, 1, &config_text(2_000)).unwrap_err();
+    assert_eq!(refused.verdict, Verdict::NotRun);
+    assert!(refused.retry_after_ms.is_some());
+    fleet.set_log_down(false);
+    fleet.run_ms(10_000);
+    assert_eq!(fleet.publish_now(2, 1, &config_text(2_000)), accepted(2));
+    fleet.run_ms(2_000);
+    for index in 0..5 {
+        assert_eq!(fleet.versions(index), versions(&[1, 2]));
+    }
+}
+
+/// Retention has long taken the publication. A node that starts then, with no peer to ask, finds
+/// the version in the snapshots, which are written in parts.
+#[test]
+fn snapshots_outlive_retention() {
+    let platform = PlatformSettings {
+        retention_ms: SpanMs::from_secs(120),
+        ..PlatformSettings::default()
+    };
+    let mut fleet = Fleet::new(6, platform);
+    (0..3).for_each(|_| {
+        fleet.start_node();
+    });
+    fleet.run_ms(5_000);
+    let large = large_config_text(1_000, 200_000);
+    assert_eq!(fleet.publish_now(0, 0, &large), accepted(1));
+    for round in 0..10 {
+        fleet.run_ms(60_000 + round * 7_000);
+        let fresh = fleet.start_node();
+        let address = fleet.nodes[fresh].address.clone();
+        fleet.net.borrow_mut().cut.insert(address);
+        fleet.run_ms(5_000);
+        assert_eq!(fleet.versions(fresh), versions(&[1]), "round {round}");
+        assert_eq!(fleet.in_force(fresh).1, large);
+        fleet.kill(fresh);
+    }
+    assert!(fleet.dump(0).contradictions == 0);
+}
+
+/// All VMs are replaced, one after the other and then all at once, while records expire. The
+/// configuration stays, and operators go on from the version they had.
+#[test]
+fn all_nodes_replaced() {
+    let platform = PlatformSettings {
+        retention_ms: SpanMs::from_secs(120),
+        ..PlatformSettings::default()
+    };
+    let mut fleet = Fleet::new(7, platform);
+    (0..3).for_each(|_| {
+        fleet.start_node();
+    });
+    fleet.run_ms(5_000);
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    for old in 0..9 {
+        fleet.run_ms(40_000);
+        fleet.start_node();
+        fleet.run_ms(1_000);
+        fleet.kill(old);
+    }
+    fleet.run_ms(40_000);
+    (9..12).for_each(|old| fleet.kill(old));
+    fleet.run_ms(10_000);
+    let fresh = fleet.start_node();
+    fleet.run_ms(5_000);
+    assert_eq!(fleet.versions(fresh), versions(&[1]));
+    assert_eq!(
+        fleet.publish_now(fresh, 1, &config_text(2_000)),
+        accepted(2)
+    );
+    fleet.run_ms(1_000);
+    assert_eq!(fleet.versions(fresh), versions(&[1, 2]));
+}
+
+/// The whole platform is down and a node restarts, knowing a peer's address from its settings.
+#[test]
+fn a_restart_with_the_platform_down() {
+    let mut fleet = Fleet::with_nodes(11, 3);
+    fleet.run_ms(5_000);
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    fleet.run_ms(3_000);
+    fleet.set_platform_down(true);
+    fleet.run_ms(60_000);
+    fleet.members_settings.seeds = vec![fleet.nodes[1].address.clone()];
+    let fresh = fleet.start_node();
+    fleet.run_ms(5_000);
+    assert_eq!(fleet.versions(fresh), versions(&[1]));
+}
+
+/// The log is down and a node restarts. One of its peers was cut off before the last change and
+/// still holds the old version. The fresh node takes the newest from its peers, and once it saw
+/// that one, never the old.
+#[test]
+fn a_restart_with_the_log_down() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::with_nodes(seed, 4);
+        fleet.run_ms(5_000);
+        assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+        fleet.run_ms(1_000);
+        let stale = fleet.nodes[3].address.clone();
+        fleet.net.borrow_mut().cut.insert(stale.clone());
+        fleet.add_fault(3, Operation::Read, 10_000, Fault::Down);
+        fleet.run_ms(1_000);
+        assert_eq!(fleet.publish_now(0, 1, &config_text(2_000)), accepted(2));
+        fleet.run_ms(5_000);
+        assert_eq!(fleet.versions(3), versions(&[1]));
+        fleet.set_log_down(true);
+        fleet.net.borrow_mut().cut.remove(&stale);
+        let fresh = fleet.start_node();
+        fleet.run_ms(15_000);
+        let seen = fleet.versions(fresh);
+        assert!(
+            seen == versions(&[2]) || seen == versions(&[1, 2]),
+            "{seen:?}"
+        );
+        assert_eq!(
+            fleet.versions(3),
+            versions(&[1, 2]),
+            "the stale one is helped too"
+        );
+        fleet.set_log_down(false);
+        fleet.run_ms(10_000);
+        assert_eq!(fleet.in_force(fresh).0, ConfigVersion(2));
     }
 }
+
+/// An update lands between the point a snapshot stands for and the snapshot itself. A node that
+/// can read only from behind the update must not take the older version for the newest.
+#[test]
+fn a_snapshot_races_an_update() {
+    let platform = PlatformSettings {
+        retention_ms: SpanMs::from_secs(120),
+        ..PlatformSettings::default()
+    };
+    let mut fleet = Fleet::new(8, platform);
+    (0..2).for_each(|_| {
+        fleet.start_node();
+    });
+    fleet.run_ms(10_000);
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    // The holder's snapshot is under way for 6 s, in which the other node publishes.
+    let holder = fleet.running_holders(Duty::Snapshot)[0];
+    fleet.mute_leases(holder);
+    fleet.run_until(MonoMs(39_900), |_| false);
+    let slow = Fault::Slow(SpanMs(4_000));
+    fleet.add_fault(holder, Operation::Append, 2, slow);
+    fleet.run_ms(3_000);
+    assert_eq!(
+        fleet.publish_now(1 - holder, 1, &config_text(2_000)),
+        accepted(2)
+    );
+    for _ in 0..30 {
+        fleet.run_ms(10_000);
+        let fresh = fleet.start_node();
+        let address = fleet.nodes[fresh].address.clone();
+        fleet.net.borrow_mut().cut.insert(address);
+        fleet.run_ms(3_000);
+        assert_eq!(fleet.versions(fresh), versions(&[2]));
+        fleet.kill(fresh);
+    }
+}
+
+/// A newer node publishes a text that this one can't read. It keeps what it has, and its next
+/// readable version comes into force.
+#[test]
+fn a_text_that_this_version_cannot_read() {
+    let mut fleet = Fleet::with_nodes(9, 2);
+    fleet.run_ms(2_000);
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    let newer = r#"{"record":"update","op":7,"base":1,"part":{"index":0,"count":1},"body":"{\"rules\":[]}"}"#;
+    fleet.run_ms(1_000);
+    fleet.append_config(newer);
+    fleet.run_ms(2_000);
+    assert_eq!(fleet.versions(0), versions(&[1]));
+    assert_eq!(fleet.publish_now(0, 2, &config_text(3_000)), accepted(3));
+    fleet.run_ms(1_000);
+    assert_eq!(fleet.versions(1), versions(&[1, 3]));
+}
+
+/// An unreadable, oversized or unknown record stands in the stream: it is skipped and counted.
+#[test]
+fn bad_records_are_skipped() {
+    let mut fleet = Fleet::with_nodes(10, 2);
+    fleet.run_ms(2_000);
+    for text in ["", "{}", r#"{"record":"vote"}"#, &"x".repeat(70_000)] {
+        fleet.append_config(text);
+    }
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    fleet.run_ms(1_000);
+    let skipped = fleet.dump(1).skipped;
+    assert_eq!(
+        (skipped.malformed, skipped.unknown_kind, skipped.too_large),
+        (2, 1, 1)
+    );
+    assert_eq!(fleet.versions(1), versions(&[1]));
+}
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -1,16 +1,32 @@
-//! Leases of duties on the log, under faults.
+//! Leases of duties on the log, under faults. After each step the rig checks that no two running
+//! nodes believe to hold one duty.
 
 mod support;
 
+use bluebell_base::prelude::*;
+use bluebell_control::Duty;
+use bluebell_stand_ins::platform::{Fault, Operation, PlatformSettings};
+use stakker::{Ret, call};
+use std::cell::Cell;
+use std::rc::Rc;
 use support::Fleet;
 
+/// Waits until some node holds the duty; gives the time it took.
+fn wait_for_holder(fleet: &mut Fleet, duty: Duty, limit_ms: u64) -> u64 {
+    let from_ms = fleet.now_ms;
+    let end_ms = from_ms + SpanMs(limit_ms);
+    let found = fleet.run_until(end_ms, |fleet| !fleet.running_holders(duty).is_empty());
+    assert!(found, "nobody held {duty:?} within {limit_ms} ms");
+    fleet.now_ms.since(from_ms).0
+}
+
 /// A fleet starts; each duty finds one holder, and no node hoards them.
 #[test]
 fn each_duty_finds_one_holder() {
     let mut fleet = Fleet::with_nodes(2, 9);
     fleet.run_ms(90_000);
     for duty in fleet.settings.duties() {
-        assert_eq!(fleet.holders(duty).len(), 1, "{duty:?}");
+        assert_eq!(fleet.running_holders(duty).len(), 1, "{duty:?}");
     }
     for index in 0..9 {
         assert_eq!(fleet.members_dump(index).nodes.len(), 8);
@@ -18,3 +34,196 @@
         assert!((2..=3).contains(&held), "{index} holds {held}");
     }
 }
+
+/// A holder dies without a word. Its duties are taken once its lease is certainly over, and not
+/// before.
+#[test]
+fn a_dead_holder_is_replaced() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::with_nodes(seed, 5);
+        fleet.run_ms(40_000 + seed * 317);
+        let duty = Duty::Steward(0);
+        let holder = fleet.running_holders(duty)[0];
+        fleet.kill(holder);
+        let took_ms = wait_for_holder(&mut fleet, duty, 20_000);
+        assert!((7_000..=18_000).contains(&took_ms), "{took_ms}");
+    }
+}
+
+/// A node stops as planned and gives its duties back: others hold all of them within seconds.
+#[test]
+fn a_drained_holder_is_replaced_at_once() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::with_nodes(seed, 5);
+        fleet.run_ms(40_000);
+        let duties = fleet.believed(0);
+        assert!(!duties.is_empty());
+        let drained = Rc::new(Cell::new(false));
+        let done = drained.clone();
+        let ret = Ret::new(move |_| done.set(true));
+        call!([fleet.nodes[0].control], drain(ret));
+        fleet.run_ms(1_000);
+        assert!(drained.get(), "the release is read back");
+        assert!(fleet.believed(0).is_empty());
+        fleet.run_ms(5_000);
+        for duty in duties {
+            assert_eq!(
+                fleet.running_holders(duty).len(),
+                1,
+                "seed {seed}: {duty:?}"
+            );
+        }
+        fleet.run_ms(60_000);
+        assert!(fleet.believed(0).is_empty(), "a drained node takes nothing");
+    }
+}
+
+/// A node stops while the log is down: it isn't held up for longer than its lease.
+#[test]
+fn a_drain_with_the_log_down_ends() {
+    let mut fleet = Fleet::with_nodes(1, 3);
+    fleet.run_ms(30_000);
+    fleet.set_platform_down(true);
+    let drained = Rc::new(Cell::new(false));
+    let done = drained.clone();
+    let ret = Ret::new(move |_| done.set(true));
+    call!([fleet.nodes[0].control], drain(ret));
+    fleet.run_ms(200);
+    assert!(
+        fleet.believed(0).is_empty(),
+        "it acts on nothing from the first moment"
+    );
+    fleet.run_ms(11_000);
+    assert!(drained.get());
+}
+
+/// A holder is paused for about as long as a lease, wakes, still finds its fencing number current
+/// and renews, just when another node takes the duty. At most one of them may believe in it.
+#[test]
+fn a_holder_wakes_as_its_duty_is_taken() {
+    let duty = Duty::Steward(1);
+    let mut taken = 0;
+    for step in 0..60 {
+        let mut fleet = Fleet::with_nodes(step, 3);
+        fleet.run_ms(30_000);
+        let holder = fleet.running_holders(duty)[0];
+        // Slow appends widen the window between deciding and landing.
+        for index in 0..3 {
+            let slow = Fault::Slow(SpanMs(300));
+            fleet.add_fault(index, Operation::Append, 1_000, slow);
+        }
+        fleet.run_ms(3_000);
+        fleet.pause(holder);
+        fleet.run_ms(8_000 + step * 100);
+        fleet.resume(holder);
+        fleet.run_ms(40_000);
+        let now = fleet.running_holders(duty);
+        assert_eq!(now.len(), 1);
+        taken += usize::from(now[0] != holder);
+    }
+    assert!(
+        (5..60).contains(&taken),
+        "the pauses fall on both sides: {taken}"
+    );
+}
+
+/// The nodes' clocks run up to 4 % faster and slower than true.
+#[test]
+fn clocks_of_different_rates() {
+    let mut fleet = Fleet::with_nodes(3, 0);
+    for rate in [0.96, 1.0, 1.04, 0.98] {
+        fleet.next_rate = rate;
+        fleet.start_node();
+    }
+    for round in 0..40 {
+        fleet.run_ms(20_000);
+        let index = round % 4;
+        fleet.pause(index);
+        fleet.run_ms(7_000 + round as u64 * 200);
+        fleet.resume(index);
+    }
+}
+
+/// The log is down for ten minutes. Every lease ends at its holder, nobody takes one over, and
+/// when the log is back the duties are held again without a rush of appends.
+#[test]
+fn an_outage_of_the_log() {
+    let mut fleet = Fleet::with_nodes(4, 9);
+    fleet.run_ms(60_000);
+    fleet.set_platform_down(true);
+    fleet.run_ms(10_500);
+    for duty in fleet.settings.duties() {
+        assert!(
+            fleet.running_holders(duty).is_empty(),
+            "{duty:?} outlived its lease"
+        );
+    }
+    fleet.run_ms(600_000);
+    let end = fleet.leases_end();
+    fleet.set_platform_down(false);
+    let from_ms = fleet.now_ms;
+    let duties = fleet.settings.duties();
+    let all_held = |fleet: &mut Fleet| {
+        let held = |duty: &Duty| !fleet.running_holders(*duty).is_empty();
+        duties.iter().all(held)
+    };
+    assert!(fleet.run_until(from_ms + SpanMs(30_000), all_held));
+    let took_ms = fleet.now_ms.since(from_ms).0;
+    let appended = fleet.leases_end().0 - end.0;
+    assert!(took_ms <= 15_000, "{took_ms}");
+    assert!(appended <= 60, "{appended} records in {took_ms} ms");
+}
+
+/// All nodes are replaced, and the log has kept nothing of the leases: no reader can know who
+/// held what. The new nodes void all leases and go on.
+#[test]
+fn leases_that_nobody_knows() {
+    let platform = PlatformSettings {
+        retention_ms: SpanMs::from_secs(60),
+        ..PlatformSettings::default()
+    };
+    let mut fleet = Fleet::new(5, platform);
+    (0..3).for_each(|_| {
+        fleet.start_node();
+    });
+    fleet.run_ms(60_000);
+    (0..3).for_each(|index| fleet.kill(index));
+    fleet.run_ms(300_000);
+    (0..3).for_each(|_| {
+        fleet.start_node();
+    });
+    fleet.run_ms(5_000);
+    assert!(!fleet.dump(3).leases_known);
+    wait_for_holder(&mut fleet, Duty::Snapshot, 180_000);
+    fleet.run_ms(30_000);
+    for duty in fleet.settings.duties() {
+        assert_eq!(fleet.running_holders(duty).len(), 1, "{duty:?}");
+    }
+}
+
+/// Faults of single appends of all nodes: lost answers, duplicates, slowness, refusals. The
+/// duties go on being held.
+#[test]
+fn faults_of_appends() {
+    let faults = [
+        Fault::LoseAnswer,
+        Fault::Duplicate,
+        Fault::Slow(SpanMs(2_000)),
+        Fault::Down,
+        Fault::Freeze,
+    ];
+    for (seed, fault) in (0..).zip(faults) {
+        let mut fleet = Fleet::with_nodes(seed, 4);
+        fleet.run_ms(30_000);
+        for _ in 0..10 {
+            for index in 0..4 {
+                fleet.add_fault(index, Operation::Append, 1, fault);
+            }
+            fleet.run_ms(15_000);
+        }
+        fleet.run_ms(15_000);
+        for duty in fleet.settings.duties() {
+            assert_eq!(fleet.running_holders(duty).len(), 1, "{fault:?} {duty:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/reducers.rs
@@ -0,0 +1,306 @@
+//! The reducers on random logs: readers that start anywhere never contradict each other.
+
+use bluebell_base::prelude::*;
+use bluebell_control::Duty;
+use bluebell_control::records::*;
+use bluebell_control::reduce::{ConfigReducer, LeaseReducer};
+use bluebell_control::verify::{verify_config, verify_leases};
+use proptest::prelude::*;
+
+/// A step of the random history of the config stream.
+#[derive(Clone, Debug)]
+enum Step {
+    /// An update whose base is `behind` versions before the current one, in `parts` parts, of
+    /// which one may be lost; appended `copies` times.
+    Update {
+        behind: u64,
+        parts: u32,
+        lost: Option<u32>,
+        copies: u8,
+    },
+    /// A snapshot of the state `late` records ago.
+    Snapshot { late: u64, parts: u32 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..3u64, 1..4u32, proptest::option::weighted(0.2, 0..4u32), 1..3u8).prop_map(
+            |(behind, parts, lost, copies)| Step::Update { behind, parts, lost, copies }
+        ),
+        2 => (0..6u64, 1..4u32).prop_map(|(late, parts)| Step::Snapshot { late, parts }),
+    ]
+}
+
+/// Builds the log; a reader from the very beginning is the judge of what is true when.
+struct History {
+    log: Vec<ConfigRecord>,
+    truth: Vec<ConfigReducer>,
+    reader: ConfigReducer,
+    ops: u64,
+}
+
+impl History {
+    fn new() -> Self {
+        let reader = ConfigReducer::new(Offset(0));
+        Self {
+            log: Vec::new(),
+            truth: vec![reader.clone()],
+            reader,
+            ops: 0,
+        }
+    }
+
+    fn push(&mut self, record: ConfigRecord) {
+        let offset = Offset(self.log.len() as u64);
+        self.reader.apply(offset, &record, &mut Vec::new());
+        self.log.push(record);
+        self.truth.push(self.reader.clone());
+    }
+
+    fn apply(&mut self, step: &Step) {
+        self.ops += 1;
+        let op = OperationId(self.ops);
+        match *step {
+            Step::Update {
+                behind,
+                parts,
+                lost,
+                copies,
+            } => {
+                let current = self.reader.known().unwrap().version.0;
+                let base = ConfigVersion(current.saturating_sub(behind));
+                for _ in 0..copies {
+                    for index in (0..parts).filter(|index| Some(*index) != lost) {
+                        self.push(ConfigRecord::Update(Update {
+                            op,
+                            base,
+                            part: Part {
+                                index,
+                                count: parts,
+                            },
+                            body: format!("[{}.{index}]", self.ops).into(),
+                        }));
+                    }
+                }
+            }
+            Step::Snapshot { late, parts } => {
+                let as_of = self.log.len().saturating_sub(late as usize);
+                let known = self.truth[as_of].known().unwrap().clone();
+                let part_bytes = known.body.len().div_ceil(parts as usize).max(4) as u64;
+                for (part, body) in cut(&known.body, Bytes(part_bytes)).unwrap() {
+                    self.push(ConfigRecord::Snapshot(Snapshot {
+                        op,
+                        version: known.version,
+                        made_by: known.made_by,
+                        as_of: Offset(as_of as u64),
+                        part,
+                        body,
+                    }));
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(600))]
+
+    /// Retention takes the beginning of the log, with half a publication or a racing snapshot at
+    /// the cut. A reader that starts there knows nothing or exactly what all others know, and its
+    /// version never goes down.
+    #[test]
+    fn config_readers_agree(
+        steps in proptest::collection::vec(step(), 1..25),
+        gap in any::<(prop::sample::Index, prop::sample::Index)>(),
+    ) {
+        let mut history = History::new();
+        steps.iter().for_each(|step| history.apply(step));
+        let log = &history.log;
+        let (gap_at, gap_to) = (gap.0.index(log.len() + 1), gap.1.index(log.len() + 1));
+        for start in 0..log.len() {
+            let mut reader = ConfigReducer::new(Offset(start as u64));
+            let mut highest = ConfigVersion(0);
+            let mut at = start;
+            while at < log.len() {
+                if at == gap_at && gap_to > at {
+                    reader.skip_to(Offset(gap_to as u64));
+                    at = gap_to;
+                    continue;
+                }
+                reader.apply(Offset(at as u64), &log[at], &mut Vec::new());
+                at += 1;
+                highest = verify_config(&reader, highest).unwrap();
+                if let Some(known) = reader.known() {
+                    prop_assert_eq!(Some(known), history.truth[at].known(), "start {} at {}", start, at);
+                }
+            }
+        }
+    }
+
+    /// Any text may stand in the log: each is skipped or read, none crashes a reader.
+    #[test]
+    fn any_text_is_read_or_skipped(text in "\\PC{0,200}", limit in 0..300u64) {
+        let _ = decode::<ConfigRecord>(&text, Bytes(limit));
+        let _ = decode::<LeaseRecord>(&text, Bytes(limit));
+    }
+}
+
+/// A step of the random history of the leases stream.
+#[derive(Clone, Debug)]
+enum LeaseStep {
+    Take { node: u64, duty: u32, stale: u64 },
+    Renew { node: u64, stale: u64 },
+    Release { node: u64, stale: u64 },
+    Checkpoint { late: u64 },
+    Reset,
+}
+
+fn lease_step() -> impl Strategy<Value = LeaseStep> {
+    prop_oneof![
+        6 => (1..4u64, 0..3u32, 0..4u64)
+            .prop_map(|(node, duty, stale)| LeaseStep::Take { node, duty, stale }),
+        6 => (1..4u64, 0..4u64).prop_map(|(node, stale)| LeaseStep::Renew { node, stale }),
+        2 => (1..4u64, 0..4u64).prop_map(|(node, stale)| LeaseStep::Release { node, stale }),
+        3 => (0..5u64).prop_map(|late| LeaseStep::Checkpoint { late }),
+        1 => Just(LeaseStep::Reset),
+    ]
+}
+
+struct LeaseHistory {
+    log: Vec<LeaseRecord>,
+    truth: Vec<LeaseReducer>,
+}
+
+impl LeaseHistory {
+    fn new() -> Self {
+        Self {
+            log: Vec::new(),
+            truth: vec![LeaseReducer::new(Offset(0))],
+        }
+    }
+
+    /// What a node that reads `stale` records late would write.
+    fn record(&self, step: &LeaseStep) -> LeaseRecord {
+        let op = OperationId(self.log.len() as u64 + 1);
+        let view = |stale: u64| &self.truth[self.log.len().saturating_sub(stale as usize)];
+        let held = |node: u64, stale: u64| {
+            let own = view(stale).grants();
+            let own = own.filter(|(_, grant)| grant.holder == Some(Incarnation(node)));
+            own.map(|(duty, grant)| HeldRecord {
+                duty,
+                fencing: grant.fencing,
+            })
+            .collect()
+        };
+        match *step {
+            LeaseStep::Take { node, duty, stale } => {
+                let duty = Duty::Steward(duty);
+                LeaseRecord::Take(Take {
+                    op,
+                    duty,
+                    holder: Incarnation(node),
+                    address: format!("node-{node}").as_str().into(),
+                    seen: view(stale).touched(duty),
+                })
+            }
+            LeaseStep::Renew { node, stale } => LeaseRecord::Renew(Renew {
+                op,
+                holder: Incarnation(node),
+                held: held(node, stale),
+            }),
+            LeaseStep::Release { node, stale } => LeaseRecord::Release(Release {
+                op,
+                holder: Incarnation(node),
+                held: held(node, stale),
+                leaving: false,
+            }),
+            LeaseStep::Checkpoint { late } => {
+                let as_of = self.log.len().saturating_sub(late as usize);
+                let checkpoint = self.truth[as_of].checkpoint(op, Offset(as_of as u64));
+                LeaseRecord::Checkpoint(checkpoint)
+            }
+            LeaseStep::Reset => LeaseRecord::Reset(Reset { op }),
+        }
+    }
+
+    fn apply(&mut self, step: &LeaseStep) {
+        let record = self.record(step);
+        let mut next = self.truth.last().unwrap().clone();
+        next.apply(
+            Offset(self.log.len() as u64),
+            record.clone(),
+            &mut Vec::new(),
+        );
+        verify_leases(&next, Offset(self.log.len() as u64 + 1)).unwrap();
+        self.log.push(record);
+        self.truth.push(next);
+    }
+}
+
+fn leases_of(reader: &LeaseReducer) -> Vec<(Duty, bluebell_control::reduce::Grant)> {
+    let grants = reader.grants();
+    grants.map(|(duty, grant)| (duty, grant.clone())).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(600))]
+
+    /// Nodes take, renew and release on what they read some records ago. A reader that starts
+    /// anywhere knows nothing or exactly what all others know, and fencing numbers only grow.
+    #[test]
+    fn lease_readers_agree(steps in proptest::collection::vec(lease_step(), 1..50)) {
+        let mut history = LeaseHistory::new();
+        steps.iter().for_each(|step| history.apply(step));
+        for pair in history.truth.windows(2) {
+            for (duty, grant) in pair[0].grants() {
+                let after = pair[1].grant(duty);
+                prop_assert!(after.is_none_or(|after| after.fencing >= grant.fencing));
+            }
+        }
+        for start in 0..history.log.len() {
+            let mut reader = LeaseReducer::new(Offset(start as u64));
+            for at in start..history.log.len() {
+                reader.apply(Offset(at as u64), history.log[at].clone(), &mut Vec::new());
+                verify_leases(&reader, Offset(at as u64 + 1)).unwrap();
+                if reader.is_known() {
+                    prop_assert_eq!(leases_of(&reader), leases_of(&history.truth[at + 1]));
+                }
+            }
+        }
+    }
+}
+
+/// A newer version writes records with more fields and of kinds that this one does not know.
+#[test]
+fn records_of_a_newer_version() {
+    let cases = [
+        (
+            r#"{"record":"release","op":1,"holder":2,"held":[],"why":"new"}"#,
+            "read",
+        ),
+        (
+            r#"{"record":"elect","op":1}"#,
+            "the kind \"elect\" is unknown",
+        ),
+        (
+            r#"{"op":1}"#,
+            "malformed: missing field `record` at line 1 column 8",
+        ),
+        (r#"{"record":"release","op":"x"}"#, "malformed"),
+        (r#"[]"#, "malformed"),
+        ("", "malformed"),
+    ];
+    for (text, expected) in cases {
+        let found = match decode::<LeaseRecord>(text, Bytes(200)) {
+            Ok(_) => "read".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        assert!(found.starts_with(expected), "{text}: {found}");
+    }
+    let long = format!(
+        r#"{{"record":"release","op":1,"holder":2,"held":[],"x":"{}"}}"#,
+        "y".repeat(200)
+    );
+    let error = decode::<LeaseRecord>(&long, Bytes(200)).unwrap_err();
+    assert!(error.to_string().ends_with("over the record limit"));
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -13,14 +13,16 @@
 };
 use bluebell_members::{MemberEvent, Members, MembersDump, MembersPorts, MembersSettings};
 use bluebell_peers::{NodeCard, PeerAnswer, PeerCall, PeerPort};
-use bluebell_platform::{VmEntry, VmRole, VmState};
+use bluebell_platform::{ReadBatch, VmEntry, VmRole, VmState};
 use bluebell_stand_ins::platform::{
-    FakePlatform, FakeSettings, PlatformModel, PlatformSettings, VmChange,
+    FakePlatform, FakeSettings, Fault, FaultRule, Operation, PlatformModel, PlatformSettings,
+    VmChange,
 };
 use bluebell_timers::Timers;
 pub use network::Network;
 use stakker::{ActorOwn, Fwd, Ret, Stakker, call};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -61,6 +63,10 @@
     pub members: ActorOwn<Members>,
     pub events: Seen<ControlEvent>,
     pub member_events: Seen<MemberEvent>,
+    /// Until when the node believes to hold which duty, on its own clock.
+    pub held: Rc<RefCell<BTreeMap<Duty, MonoMs>>>,
+    /// How fast its clock runs.
+    pub rate: f64,
     pub incarnation: Incarnation,
     pub address: Address,
     pub name: VmName,
@@ -76,6 +82,8 @@
     pub net: Rc<RefCell<Network>>,
     pub settings: ControlSettings,
     pub members_settings: MembersSettings,
+    /// How fast the clocks of nodes started from now on run.
+    pub next_rate: f64,
     seed: u64,
     started: u64,
 }
@@ -94,6 +102,7 @@
             net: Network::open(),
             settings,
             members_settings: MembersSettings::default(),
+            next_rate: 1.0,
             seed,
             started: 0,
         }
@@ -107,8 +116,9 @@
         fleet
     }
 
-    fn at(&self, ms: MonoMs) -> Instant {
-        self.origin + Duration::from_millis(ms.0)
+    /// A node's own time at this instant.
+    fn local(&self, rate: f64) -> Instant {
+        self.origin + Duration::from_millis(self.now_ms.0).mul_f64(rate)
     }
 
     /// Starts a node, listed by the platform; gives its index.
@@ -131,7 +141,8 @@
 
     fn spawn(&mut self, name: VmName, address: Address, seed: u64) -> usize {
         let incarnation = Incarnation(seed);
-        let mut stakker = Stakker::new(self.at(self.now_ms));
+        let rate = self.next_rate;
+        let mut stakker = Stakker::new(self.local(rate));
         let timers = Timers::open(self.origin);
         let platform = FakePlatform::open(&self.model, &timers, &name.0, FakeSettings::default());
         let peers: Rc<dyn PeerPort> = Network::port(&self.net, &address);
@@ -146,7 +157,8 @@
             leaving: false,
         };
         let members_slot: Rc<RefCell<Option<stakker::Actor<Members>>>> = Rc::default();
-        let on_control = control_events(&timers, &events, &members_slot, &stakker);
+        let held: Rc<RefCell<BTreeMap<Duty, MonoMs>>> = Rc::default();
+        let on_control = control_events(&timers, &events, &held, &members_slot, &stakker);
         let control = Control::spawn(
             &mut stakker,
             NodeIdentity {
@@ -213,6 +225,8 @@
             members,
             events,
             member_events,
+            held,
+            rate,
             incarnation,
             address,
             name,
@@ -227,6 +241,89 @@
         model.change_vms(now_ms, change).expect("a listed VM");
     }
 
+    /// The log, the list and the weight store refuse all calls.
+    pub fn set_platform_down(&mut self, down: bool) {
+        self.model.borrow_mut().faults.down = down;
+    }
+
+    /// The log refuses all calls; the list and the weight store go on.
+    pub fn set_log_down(&mut self, down: bool) {
+        let rules = &mut self.model.borrow_mut().faults.rules;
+        rules.retain(|rule| rule.client.is_some());
+        let outage = |operation| FaultRule {
+            operation: Some(operation),
+            client: None,
+            calls: u32::MAX,
+            fault: Fault::Down,
+        };
+        if down {
+            rules.extend([Operation::Append, Operation::Read].map(outage));
+        }
+    }
+
+    /// Strikes the next calls of one node to the platform.
+    pub fn add_fault(&mut self, index: usize, operation: Operation, calls: u32, fault: Fault) {
+        let rule = FaultRule {
+            operation: Some(operation),
+            client: Some(self.nodes[index].name.0.clone()),
+            calls,
+            fault,
+        };
+        self.model.borrow_mut().faults.rules.push(rule);
+    }
+
+    /// Lets a node renew right now, so that it appends nothing for its leases for a while.
+    pub fn mute_leases(&mut self, index: usize) {
+        let end = self.leases_end();
+        let holder = format!("\"holder\":{}", self.nodes[index].incarnation.0);
+        let end_ms = self.now_ms + SpanMs::from_secs(10);
+        let done = self.run_until(end_ms, |fleet| {
+            let records = fleet.leases_from(end);
+            records
+                .iter()
+                .any(|text| text.contains("renew") && text.contains(&holder))
+        });
+        if done {
+            self.run_ms(100);
+        }
+    }
+
+    fn read_all(&self, stream: &StreamName, from: Offset) -> ReadBatch {
+        let now_ms = WallMs(self.now_ms.0);
+        let mut model = self.model.borrow_mut();
+        model.read(now_ms, stream, from, Bytes(1 << 40))
+    }
+
+    /// The end of the config stream.
+    pub fn config_end(&self) -> Offset {
+        self.read_all(&self.settings.config_stream, Offset(0)).end
+    }
+
+    /// The end of the leases stream.
+    pub fn leases_end(&self) -> Offset {
+        self.read_all(&self.settings.leases_stream, Offset(0)).end
+    }
+
+    /// The texts of the leases stream from an offset on.
+    pub fn leases_from(&self, from: Offset) -> Vec<Arc<str>> {
+        let batch = self.read_all(&self.settings.leases_stream, from);
+        batch
+            .records
+            .into_iter()
+            .map(|record| record.body)
+            .collect()
+    }
+
+    /// Appends a text to the config stream past all nodes.
+    pub fn append_config(&mut self, text: &str) {
+        let now_ms = WallMs(self.now_ms.0);
+        let stream = self.settings.config_stream.clone();
+        let mut model = self.model.borrow_mut();
+        model
+            .append(now_ms, &stream, &[text.into()], false)
+            .expect("the log takes it");
+    }
+
     /// Ends a node's process without warning.
     pub fn kill(&mut self, index: usize) {
         self.set_life(index, Life::Dead);
@@ -269,23 +366,55 @@
 
     /// Runs all nodes twice at this instant, so that what one hands another is taken in.
     fn run_nodes(&mut self) {
-        let now = self.at(self.now_ms);
         for _ in 0..2 {
-            for node in &mut self.nodes {
+            for index in 0..self.nodes.len() {
+                let now = self.local(self.nodes[index].rate);
+                let node = &mut self.nodes[index];
                 if node.life == Life::Running {
                     node.stakker.run(now, false);
                 }
             }
         }
+        self.check_holders();
+    }
+
+    /// No two running nodes may believe to hold one duty.
+    fn check_holders(&self) {
+        let mut holders: BTreeMap<Duty, usize> = BTreeMap::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            if node.life != Life::Running {
+                continue;
+            }
+            for duty in self.believed(index) {
+                if let Some(other) = holders.insert(duty, index) {
+                    panic!(
+                        "{duty:?} is held by nodes {other} and {index} at {}",
+                        self.now_ms
+                    );
+                }
+            }
+        }
+    }
+
+    /// The duties that a node believes to hold at this instant.
+    pub fn believed(&self, index: usize) -> Vec<Duty> {
+        let node = &self.nodes[index];
+        let now = self.local(node.rate).duration_since(self.origin);
+        let now_ms = MonoMs(now.as_millis() as u64);
+        let held = node.held.borrow();
+        let valid = held.iter().filter(|(_, until_ms)| now_ms < **until_ms);
+        valid.map(|(duty, _)| *duty).collect()
     }
 
     fn next_ms(&mut self) -> MonoMs {
         let origin = self.origin;
         let running = self.nodes.iter_mut().filter(|n| n.life == Life::Running);
-        let next = running.filter_map(|node| node.stakker.next_expiry()).min();
-        let next = next.map_or(MonoMs(u64::MAX), |at| {
-            MonoMs(at.saturating_duration_since(origin).as_millis() as u64 + 1)
+        let next = running.filter_map(|node| {
+            let at = node.stakker.next_expiry()?;
+            let span = at.saturating_duration_since(origin).div_f64(node.rate);
+            Some(MonoMs(span.as_millis() as u64 + 1))
         });
+        let next = next.min().unwrap_or(MonoMs(u64::MAX));
         next.max(self.now_ms + SpanMs(1))
     }
 
@@ -326,7 +455,18 @@
         let slot = cell.clone();
         let ret = Ret::new(move |answer| *slot.borrow_mut() = answer);
         call!([self.nodes[index].control], dump(ret));
-        let now = self.at(self.now_ms);
+        let now = self.local(self.nodes[index].rate);
+        self.nodes[index].stakker.run(now, false);
+        cell.take().expect("an answer")
+    }
+
+    /// The version and text in force on a node.
+    pub fn in_force(&mut self, index: usize) -> (ConfigVersion, Arc<str>) {
+        let cell = Rc::new(RefCell::new(None));
+        let slot = cell.clone();
+        let ret = Ret::new(move |answer| *slot.borrow_mut() = answer);
+        call!([self.nodes[index].control], in_force(ret));
+        let now = self.local(self.nodes[index].rate);
         self.nodes[index].stakker.run(now, false);
         cell.take().expect("an answer")
     }
@@ -336,7 +476,7 @@
         let slot = cell.clone();
         let ret = Ret::new(move |answer| *slot.borrow_mut() = answer);
         call!([self.nodes[index].members], dump(ret));
-        let now = self.at(self.now_ms);
+        let now = self.local(self.nodes[index].rate);
         self.nodes[index].stakker.run(now, false);
         cell.take().expect("an answer")
     }
@@ -353,35 +493,36 @@
 
     /// Whether a node believes at this instant that it holds the duty.
     pub fn believes(&self, index: usize, duty: Duty) -> bool {
-        let events = self.nodes[index].events.borrow();
-        let mut until_ms = MonoMs(0);
-        for (_, event) in events.iter() {
-            match event {
-                ControlEvent::Held { lease, until_ms: u } if lease.duty == duty => until_ms = *u,
-                ControlEvent::Lost(lost) if *lost == duty => until_ms = MonoMs(0),
-                _ => (),
-            }
-        }
-        self.now_ms < until_ms
+        self.believed(index).contains(&duty)
     }
 
-    /// The nodes that believe to hold the duty.
-    pub fn holders(&self, duty: Duty) -> Vec<usize> {
-        let all = 0..self.nodes.len();
-        all.filter(|i| self.nodes[*i].life != Life::Dead && self.believes(*i, duty))
-            .collect()
+    /// The running nodes that believe to hold the duty.
+    pub fn running_holders(&self, duty: Duty) -> Vec<usize> {
+        let running = |index: &usize| self.nodes[*index].life == Life::Running;
+        let all = (0..self.nodes.len()).filter(running);
+        all.filter(|index| self.believes(*index, duty)).collect()
     }
 }
 
 fn control_events(
     timers: &Timers,
     events: &Seen<ControlEvent>,
+    held: &Rc<RefCell<BTreeMap<Duty, MonoMs>>>,
     members: &Rc<RefCell<Option<stakker::Actor<Members>>>>,
     stakker: &Stakker,
 ) -> Fwd<ControlEvent> {
     let (timers, events, members) = (timers.clone(), events.clone(), members.clone());
-    let deferrer = stakker.deferrer();
+    let (deferrer, held) = (stakker.deferrer(), held.clone());
     Fwd::new(move |event: ControlEvent| {
+        match &event {
+            ControlEvent::Held { lease, until_ms } => {
+                held.borrow_mut().insert(lease.duty, *until_ms);
+            }
+            ControlEvent::Lost(duty) => {
+                held.borrow_mut().remove(duty);
+            }
+            ControlEvent::Config { .. } | ControlEvent::Holder(_) => (),
+        }
         let (timers, events, members) = (timers.clone(), events.clone(), members.clone());
         deferrer.defer(move |s| {
             events.borrow_mut().push((timers.now_ms(s), event.clone()));
