--- a/crates/control/tests/config.rs
+++ b/crates/control/tests/config.rs
@@ -71,9 +71,14 @@
 /// to be true whatever the fault.
 #[test]
 fn one_publication_under_each_fault() {
-    let slow = |ms| Fault::Slow(SpanMs(ms));
-    // Fault of the append, the answer's verdict or version, the version in the end.
-    let cases: &[(&str, &[Fault], Result<u64, Verdict>, u64)] = &[
+    type Case = (
+        &'static str,
+        &'static [Fault],
+        // The version or verdict that is answered, and the version in force in the end.
+        Result<u64, Verdict>,
+        u64,
+    );
+    let cases: &[Case] = &[
         ("no fault", &[], Ok(1), 1),
         (
             "answer lost after taking effect",
@@ -100,10 +105,15 @@
             Err(Verdict::MayHaveRun),
             0,
         ),
-        ("effect after the client gave up", &[slow(7_000)], Ok(1), 1),
+        (
+            "effect after the client gave up",
+            &[Fault::Slow(SpanMs(7_000))],
+            Ok(1),
+            1,
+        ),
         (
             "effect after the operator was answered",
-            &[slow(15_000)],
+            &[Fault::Slow(SpanMs(15_000))],
             Err(Verdict::MayHaveRun),
             1,
         ),
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -4,12 +4,13 @@
 //! it runs, and when it goes on, its clock has jumped.
 #![allow(dead_code)]
 
+mod engine;
 mod network;
 
 use bluebell_base::prelude::*;
 use bluebell_control::{
     Control, ControlDump, ControlEvent, ControlPorts, ControlSettings, Duty, NodeIdentity,
-    Published,
+    Published, StewardDump,
 };
 use bluebell_members::{MemberEvent, Members, MembersDump, MembersPorts, MembersSettings};
 use bluebell_peers::{NodeCard, PeerAnswer, PeerCall, PeerPort};
@@ -19,9 +20,10 @@
     VmChange,
 };
 use bluebell_timers::Timers;
+pub use engine::{Engine, EngineEvent};
 pub use network::Network;
 use stakker::{ActorOwn, Fwd, Ret, Stakker, call};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -67,6 +69,8 @@
     pub held: Rc<RefCell<BTreeMap<Duty, MonoMs>>>,
     /// How fast its clock runs.
     pub rate: f64,
+    /// How long after it is handed over an order leaves the node.
+    pub send_ms: Rc<Cell<u64>>,
     pub incarnation: Incarnation,
     pub address: Address,
     pub name: VmName,
@@ -80,6 +84,8 @@
     pub nodes: Vec<Node>,
     pub model: Rc<RefCell<PlatformModel>>,
     pub net: Rc<RefCell<Network>>,
+    /// The engines, by name.
+    pub engines: Rc<RefCell<BTreeMap<UpstreamName, Engine>>>,
     pub settings: ControlSettings,
     pub members_settings: MembersSettings,
     /// How fast the clocks of nodes started from now on run.
@@ -100,6 +106,7 @@
             nodes: Vec::new(),
             model: Rc::new(RefCell::new(PlatformModel::new(platform, WallMs(0)))),
             net: Network::open(),
+            engines: Rc::default(),
             settings,
             members_settings: MembersSettings::default(),
             next_rate: 1.0,
@@ -179,11 +186,27 @@
         let to_control = control.clone();
         let deferrer = stakker.deferrer();
         let clock = timers.clone();
+        let engines = self.engines.clone();
+        let send_ms: Rc<Cell<u64>> = Rc::new(Cell::new(1));
+        let node_send_ms = send_ms.clone();
         let on_member = Fwd::new(move |event: MemberEvent| {
             let (seen, clock, to_control) = (seen.clone(), clock.clone(), to_control.clone());
+            let (engines, send_ms) = (engines.clone(), send_ms.clone());
             deferrer.defer(move |s| {
                 seen.borrow_mut().push((clock.now_ms(s), event.clone()));
                 match event {
+                    MemberEvent::UpstreamLive(entry) if entry.role == VmRole::Engine => {
+                        let engines = engines.borrow();
+                        let engine = &engines[&UpstreamName(entry.name.0.clone())];
+                        let port = engine.port(&clock, send_ms.clone());
+                        call!([to_control], engine_seen(entry, port));
+                    }
+                    MemberEvent::UpstreamLeaving(name) => {
+                        call!([to_control], engine_leaving(name));
+                    }
+                    MemberEvent::UpstreamGone(name) => {
+                        call!([to_control], engine_gone(name));
+                    }
                     MemberEvent::Nodes(cards) => call!([to_control], nodes_changed(cards)),
                     MemberEvent::NodeReplaced { dead } => {
                         call!([to_control], node_replaced(dead));
@@ -227,6 +250,7 @@
             member_events,
             held,
             rate,
+            send_ms: node_send_ms,
             incarnation,
             address,
             name,
@@ -235,6 +259,34 @@
         self.nodes.len() - 1
     }
 
+    /// Starts an engine that serves model `m` in version 1.
+    pub fn start_engine(&mut self, number: u32, deployment: &str, checks_fencing: bool) -> Engine {
+        let name = UpstreamName::from(&*format!("{deployment}-{number}"));
+        let engine = Engine::open(self.origin, checks_fencing);
+        self.engines
+            .borrow_mut()
+            .insert(name.clone(), engine.clone());
+        self.change_vms(VmChange::Put(VmEntry {
+            name: VmName(name.0),
+            role: VmRole::Engine,
+            address: format!("10.1.0.{number}:8000").as_str().into(),
+            deployment: deployment.into(),
+            domain: format!("dom-{}", number % 3).as_str().into(),
+            state: VmState::Live,
+        }));
+        engine
+    }
+
+    pub fn steward_dump(&mut self, index: usize) -> StewardDump {
+        let cell = Rc::new(RefCell::new(None));
+        let slot = cell.clone();
+        let ret = Ret::new(move |answer| *slot.borrow_mut() = answer);
+        call!([self.nodes[index].control], steward_dump(ret));
+        let now = self.local(self.nodes[index].rate);
+        self.nodes[index].stakker.run(now, false);
+        cell.take().expect("an answer")
+    }
+
     pub fn change_vms(&mut self, change: VmChange) {
         let now_ms = WallMs(self.now_ms.0);
         let mut model = self.model.borrow_mut();
