--- a/crates/control/src/steward/engines.rs
+++ b/crates/control/src/steward/engines.rs
@@ -148,7 +148,7 @@
 
 /// The group of a deployment's engines; the same on every node, so by FNV-1a and not by a hasher
 /// that may differ between builds.
-pub(super) fn group_of(deployment: &DeploymentName, groups: u32) -> u32 {
+pub fn group_of(deployment: &DeploymentName, groups: u32) -> u32 {
     let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     let hash = deployment.0.bytes().fold(0xcbf2_9ce4_8422_2325, fold);
     (hash % u64::from(groups)) as u32
--- a/crates/control/src/steward/mod.rs
+++ b/crates/control/src/steward/mod.rs
@@ -20,7 +20,7 @@
 mod reads;
 mod reclaim;
 
-pub use engines::{EngineSeat, View};
+pub use engines::{EngineSeat, View, group_of};
 pub use plan::{Load, Rollout};
 pub use reclaim::{HoldKey, HoldWatch};
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -20,7 +20,7 @@
     VmChange,
 };
 use bluebell_timers::Timers;
-pub use engine::{Engine, EngineEvent};
+pub use engine::Engine;
 pub use network::Network;
 use stakker::{ActorOwn, Fwd, Ret, Stakker, call};
 use std::cell::{Cell, RefCell};
@@ -381,6 +381,16 @@
         self.set_life(index, Life::Dead);
     }
 
+    /// Starts a new process on a dead node's VM, at the same address; gives its index.
+    pub fn restart(&mut self, index: usize) -> usize {
+        self.started += 1;
+        let (name, address) = (
+            self.nodes[index].name.clone(),
+            self.nodes[index].address.clone(),
+        );
+        self.spawn(name, address, self.seed * 1000 + self.started)
+    }
+
     pub fn pause(&mut self, index: usize) {
         self.set_life(index, Life::Paused);
     }
--- a/crates/members/src/actor/probe_side.rs
+++ b/crates/members/src/actor/probe_side.rs
@@ -1,4 +1,4 @@
-//! Probes: one random peer at a time, and at once where there is news.
+//! Probes: one peer at a time, in random order, and at once where there is news.
 //!
 //! Each node sends and gets one probe a second on average, however many nodes there are, so the
 //! cost of a node does not grow with the fleet. News goes to a few random peers at once and each
@@ -10,7 +10,7 @@
 use bluebell_base::prelude::*;
 use bluebell_peers::{NodeCard, PeerAnswer, PeerCall};
 use rand::Rng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use stakker::{CX, ret_to};
 
 /// How long a node is fresh and probes those it never heard faster than usual.
@@ -25,6 +25,8 @@
     started_ms: MonoMs,
     next_ms: MonoMs,
     retry: Vec<Address>,
+    /// Peers still to be probed in this round, in random order.
+    round: Vec<Address>,
 }
 
 impl ProbeSide {
@@ -33,6 +35,7 @@
             started_ms: now_ms,
             next_ms: now_ms,
             retry: Vec::new(),
+            round: Vec::new(),
         }
     }
 
@@ -56,13 +59,23 @@
         self.probes.next_ms = now_ms + SpanMs(wait_ms);
         // A peer that just failed is asked again before another, so that a dead one is suspected
         // within seconds and a lost answer is soon made good.
-        let to = self.probes.retry.pop();
-        let to = to.or_else(|| self.nodes.addresses().choose(&mut self.random).cloned());
+        let to = self.probes.retry.pop().or_else(|| self.next_of_round());
         if let Some(to) = to {
             self.probe(cx, &to, now_ms);
         }
     }
 
+    /// The next peer of a round that goes through all of them, in a new order each time.
+    ///
+    /// Drawn at random each time, a given peer might not be probed for many times the mean.
+    fn next_of_round(&mut self) -> Option<Address> {
+        if self.probes.round.is_empty() {
+            self.probes.round = self.nodes.addresses();
+            self.probes.round.shuffle(&mut self.random);
+        }
+        self.probes.round.pop()
+    }
+
     fn probe_unheard(&mut self, cx: CX![], now_ms: MonoMs) {
         let unheard = self.nodes.unheard();
         let chosen: Vec<Address> = unheard
