--- a/crates/control/src/actor/publishing.rs
+++ b/crates/control/src/actor/publishing.rs
@@ -15,6 +15,9 @@
 /// Publications that may be unresolved at once on one node.
 const UNRESOLVED_LIMIT: usize = 64;
 
+/// The faults of a configuration that are told in one answer.
+const FAULTS_TOLD: usize = 20;
+
 /// How long operators wait before they try again what was refused for the log's sake.
 const RETRY_AFTER_MS: SpanMs = SpanMs(2_000);
 
@@ -66,8 +69,17 @@
 
     fn prepare(&mut self, base: ConfigVersion, body: &str) -> Result<Prepared, Error> {
         if let Err(faults) = bluebell_config::parse(body) {
-            let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-            return Err(Error::not_run(ErrorKind::Invalid, faults.join("; ")));
+            let told: Vec<String> = faults
+                .iter()
+                .take(FAULTS_TOLD)
+                .map(ToString::to_string)
+                .collect();
+            let more = match faults.len().saturating_sub(FAULTS_TOLD) {
+                0 => String::new(),
+                more => format!("; and {more} more"),
+            };
+            let message = format!("{}{more}", told.join("; "));
+            return Err(Error::not_run(ErrorKind::Invalid, message));
         }
         // Versions only go up, so a base below one that was ever seen can't win any more.
         let seen = self.config.in_force_version().max(self.peers.floor());
--- a/crates/control/src/leases/spread.rs
+++ b/crates/control/src/leases/spread.rs
@@ -10,7 +10,7 @@
 
 /// The delay each place adds; longer than an append and a read take, so that the next in line
 /// usually sees the first one's take before it tries.
-const PLACE_MS: u64 = 700;
+const PLACE_MS: u64 = 1_500;
 
 /// The last place that still adds to the delay.
 const PLACES: usize = 8;
--- /dev/null
+++ b/crates/control/tests/measure.rs
@@ -0,0 +1,159 @@
+//! Measures what docs/design and docs/CAPACITY.md state, with bounds that must hold. Run with
+//! `cargo test -p bluebell-control --test measure -- --nocapture` to see the figures.
+
+mod support;
+
+use bluebell_base::prelude::*;
+use bluebell_control::{ControlEvent, Published};
+use support::{Fleet, Traffic, config_text};
+
+/// The longest a change may take everywhere, by the users' size for two years.
+const FORCE_LIMIT_MS: u64 = 9_000;
+
+/// When a version came into force on each node that runs.
+fn forced_ms(fleet: &Fleet, version: u64) -> Vec<MonoMs> {
+    let nodes = fleet.nodes.iter();
+    let at = |node: &support::Node| {
+        let events = node.events.borrow();
+        let found = events.iter().find_map(|(at_ms, event)| match event {
+            ControlEvent::Config { version: v, .. } if v.0 == version => Some(*at_ms),
+            _ => None,
+        });
+        found.expect("in force")
+    };
+    nodes.map(at).collect()
+}
+
+fn percentile(sorted: &[u64], share: f64) -> u64 {
+    let index = (sorted.len() as f64 * share).ceil() as usize;
+    sorted[index.clamp(1, sorted.len()) - 1]
+}
+
+fn print_percentiles(what: &str, mut values: Vec<u64>) -> u64 {
+    values.sort();
+    let at = |share| percentile(&values, share);
+    let max = at(1.0);
+    println!(
+        "{what}: p50 {} ms, p99 {} ms, max {max} ms of {}",
+        at(0.5),
+        at(0.99),
+        values.len()
+    );
+    max
+}
+
+/// Publishes `count` times, each time through another node; gives for each publication the time
+/// until the last node has it in force.
+fn force_times(fleet: &mut Fleet, count: u64) -> Vec<u64> {
+    let mut times = Vec::new();
+    for version in 1..=count {
+        fleet.run_ms(200 + version * 37 % 997);
+        let from_ms = fleet.now_ms;
+        let index = (version % 9) as usize;
+        let answer = fleet.publish_now(index, version - 1, &text_of(version));
+        let accepted = ConfigVersion(version);
+        assert_eq!(answer, Ok(Published::Accepted { version: accepted }));
+        fleet.run_ms(5_000);
+        let last = forced_ms(fleet, version).into_iter().max().unwrap();
+        times.push(last.since(from_ms).0);
+    }
+    times
+}
+
+/// A configuration that tells its version by its end target.
+fn text_of(version: u64) -> Arc<str> {
+    config_text(1_000 + version)
+}
+
+/// From an operator's call to force on the last of nine nodes: in quiet, at two intervals of
+/// reading.
+#[test]
+fn time_to_force() {
+    for tail_ms in [300, 1_000] {
+        let mut fleet = Fleet::with_nodes(1, 0);
+        fleet.settings.config_tail_ms = SpanMs(tail_ms);
+        (0..9).for_each(|_| {
+            fleet.start_node();
+        });
+        fleet.run_ms(30_000);
+        let times = force_times(&mut fleet, 300);
+        let what = format!("force on nine nodes, reading each {tail_ms} ms");
+        assert!(print_percentiles(&what, times) <= FORCE_LIMIT_MS);
+    }
+}
+
+/// The same after an outage in which publications were refused: from the platform's return, with
+/// an operator who tries again every 200 ms.
+#[test]
+fn time_to_force_after_an_outage() {
+    let mut fleet = Fleet::with_nodes(2, 9);
+    let mut times = Vec::new();
+    for version in 1..31 {
+        fleet.set_platform_down(true);
+        fleet.run_ms(120_000 + version * 613 % 5_000);
+        fleet.set_platform_down(false);
+        let from_ms = fleet.now_ms;
+        while fleet
+            .publish_now(0, version - 1, &text_of(version))
+            .is_err()
+        {
+            fleet.run_ms(200);
+        }
+        fleet.run_ms(20_000);
+        let last = forced_ms(&fleet, version).into_iter().max().unwrap();
+        times.push(last.since(from_ms).0);
+    }
+    let max = print_percentiles("force after an outage of two minutes", times);
+    assert!(max <= FORCE_LIMIT_MS);
+}
+
+/// What one node sends and gets for control, as JSON without HTTP's own bytes, while nothing
+/// happens and while engines come and go.
+#[test]
+fn bytes_per_node() {
+    println!(
+        "nodes engines | log reads/s B/s | appends/s B/s | list/s B/s | peers/s B/s | all B/s"
+    );
+    for (nodes, engines) in [(3, 10), (9, 10), (25, 10), (50, 10), (9, 100), (9, 400)] {
+        let mut fleet = Fleet::with_nodes(3, nodes);
+        for number in 0..engines {
+            fleet.start_engine(number, "writers", true);
+        }
+        fleet.run_ms(120_000);
+        let before = totals(&fleet);
+        let span_s = 120;
+        fleet.run_ms(span_s * 1_000);
+        let after = totals(&fleet);
+        let per_node = |index: usize| {
+            let share = (nodes as u64 * span_s) as f64;
+            let calls = (after[index].calls - before[index].calls) as f64 / share;
+            let bytes = (after[index].bytes - before[index].bytes) as f64 / share;
+            (calls, bytes)
+        };
+        let parts = [0, 1, 2, 3].map(per_node);
+        let all: f64 = parts.iter().map(|(_, bytes)| bytes).sum();
+        let parts = parts.map(|(calls, bytes)| format!("{calls:.2} {bytes:.0}"));
+        println!("{nodes} {engines} | {} | {all:.0}", parts.join(" | "));
+        assert!(all <= 6_000.0, "{all} B/s");
+    }
+}
+
+/// The traffic of all nodes: log reads, log appends, list fetches, peer calls.
+fn totals(fleet: &Fleet) -> [Traffic; 4] {
+    let mut totals = [Traffic::default(); 4];
+    for node in &fleet.nodes {
+        for (name, traffic) in node.counts.borrow().iter() {
+            let index = match name.split(' ').next() {
+                Some("read") => 0,
+                Some("append") => 1,
+                _ => 2,
+            };
+            totals[index].calls += traffic.calls;
+            totals[index].bytes += traffic.bytes;
+        }
+    }
+    let net = fleet.net.borrow();
+    totals[3].calls = net.calls.values().sum();
+    totals[3].bytes = net.bytes.values().sum();
+    totals
+}
--- a/crates/members/src/actor/listing_side.rs
+++ b/crates/members/src/actor/listing_side.rs
@@ -24,6 +24,7 @@
     pub(super) complete: bool,
     asked_ms: Option<MonoMs>,
     next_ms: MonoMs,
+    size_bytes: Bytes,
     pub(super) duty: Option<Duty>,
     pub(super) directory: Directory,
 }
@@ -50,6 +51,7 @@
             complete: false,
             asked_ms: None,
             next_ms: now_ms,
+            size_bytes: Bytes::ZERO,
             duty: None,
             directory: Directory::open(cx, ports, timers, settings, random),
         }
@@ -75,6 +77,13 @@
     }
 }
 
+/// The size of a list as JSON, near enough.
+fn size_of(entries: &[VmEntry]) -> Bytes {
+    let size =
+        |entry: &VmEntry| serde_json::to_string(entry).map_or(0, |text| text.len() as u64 + 1);
+    Bytes(entries.iter().map(size).sum())
+}
+
 impl Members {
     pub(super) fn hold_duty(&mut self, cx: CX![], fencing: Fencing, until_ms: MonoMs) {
         let before = self.list_side.duty.filter(|duty| duty.fencing == fencing);
@@ -119,6 +128,7 @@
         let now_ms = self.timers.now_ms(cx);
         self.list_side.asked_ms = None;
         if let Some(Ok(fetched)) = answer {
+            self.list_side.size_bytes = size_of(&fetched);
             self.take_list(cx, &fetched, now_ms);
         }
         let interval_ms = match () {
@@ -126,6 +136,11 @@
             () if self.writes_directory(now_ms) => self.settings.duty_poll_ms,
             () => self.settings.own_poll_ms,
         };
+        // The list comes whole each time; at thousands of VMs a fetch each second would cost the
+        // writer a hundred times what a node may spend on control. Leaving upstreams are told of
+        // by their refusals meanwhile.
+        let paced_ms = self.list_side.size_bytes.0 as f64 / self.settings.list_bytes.0 * 1000.0;
+        let interval_ms = interval_ms.max(SpanMs(paced_ms as u64));
         self.list_side.next_ms = now_ms + self.vary(interval_ms);
     }
 
