Control: an update carries only what it changes of the text it builds on

Ruled out: JSON patch, which needs a library and rules for arrays; compressing, which still grows with the text. The reduction applies the splice to the text of the base, which it has where the update can count at all. After: one line changed in a text of 300 KB appends under 2,000 bytes (test a_small_change_of_a_large_text).

--- a/crates/control/src/actor/publishing.rs
+++ b/crates/control/src/actor/publishing.rs
@@ -6,8 +6,8 @@
 use super::Control;
 use super::config_side::{APPEND_BYTES, part_bytes};
 use crate::Published;
-use crate::records::{ConfigRecord, Update, cut, encode};
-use crate::reduce::ConfigOutcome;
+use crate::records::{ConfigRecord, Splice, Update, cut, encode};
+use crate::reduce::{ConfigOutcome, MAX_TEXT_BYTES};
 use bluebell_base::prelude::*;
 use stakker::{CX, Ret, call, ret_some_to};
 use std::collections::BTreeMap;
@@ -91,12 +91,22 @@
             return Err(error.retry_after(RETRY_AFTER_MS));
         }
         let too_large = || Error::not_run(ErrorKind::TooLarge, "the configuration is too large");
-        let parts = cut(body, part_bytes(self.settings.record_bytes)).ok_or_else(too_large)?;
+        if body.len() as u64 > MAX_TEXT_BYTES.0 {
+            return Err(too_large());
+        }
+        // A node whose log lags behind the base does not know its text, and writes all of it.
+        let known = self.config.reducer.known();
+        let (splice, middle) = match known.filter(|known| known.version == base) {
+            Some(known) => Splice::between(&known.body, body),
+            None => (Splice::WHOLE, body),
+        };
+        let parts = cut(middle, part_bytes(self.settings.record_bytes)).ok_or_else(too_large)?;
         let op = self.operation();
         let update = |(part, body)| {
             encode(&ConfigRecord::Update(Update {
                 op,
                 base,
+                splice,
                 part,
                 body,
             }))
--- a/crates/control/src/records/config.rs
+++ b/crates/control/src/records/config.rs
@@ -1,6 +1,6 @@
 //! The records of the config stream.
 
-use super::Part;
+use super::{Part, Splice};
 use bluebell_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -21,9 +21,12 @@
     pub op: OperationId,
     /// The version it was written against; it counts only while that one is current.
     pub base: ConfigVersion,
+    /// What of the base's text is kept around this one; nothing in records without the field.
+    #[serde(default)]
+    pub splice: Splice,
     /// Its place among the parts.
     pub part: Part,
-    /// This part of the text.
+    /// This part of the text between what is kept.
     pub body: Arc<str>,
 }
 
--- a/crates/control/src/records/mod.rs
+++ b/crates/control/src/records/mod.rs
@@ -10,8 +10,10 @@
 mod config;
 mod leases;
 mod parts;
+mod splice;
 
 pub use codec::{DecodeError, Record, decode, encode};
 pub use config::{ConfigRecord, Snapshot, Update};
 pub use leases::{Checkpoint, GrantRecord, HeldRecord, LeaseRecord, Release, Renew, Reset, Take};
 pub use parts::{MAX_PARTS, Part, cut};
+pub use splice::Splice;
--- a/crates/control/src/reduce/assembly.rs
+++ b/crates/control/src/reduce/assembly.rs
@@ -7,7 +7,7 @@
 //! Invariants: a text is *cut off* where its first parts lie before the reader's start; whether
 //! those were sound is not known, so nobody may conclude from it that the text counts.
 
-use crate::records::Part;
+use crate::records::{Part, Splice};
 use bluebell_base::prelude::*;
 
 /// The largest text that is assembled; the reader's memory is bounded by it.
@@ -22,6 +22,8 @@
         op: OperationId,
         /// The version it builds on.
         base: ConfigVersion,
+        /// What of the base's text is kept.
+        splice: Splice,
     },
     /// Of a snapshot.
     Snapshot {
--- a/crates/control/src/reduce/config.rs
+++ b/crates/control/src/reduce/config.rs
@@ -1,13 +1,14 @@
 //! The reduction of the config stream.
 //!
-//! Rule: an update counts if and only if its base is the current version; it makes the next one.
+//! Rule: an update counts if and only if its base is the current version and its splice fits that
+//! version's text; it makes the next one.
 //! So of racing publications the first in the log wins and each other one is a conflict, and a
 //! repeated append of an update that won is a conflict with itself.
 //!
 //! Invariants: the version never goes down; a snapshot never changes a known state.
 
-use super::assembly::{Assembly, Header, Whole};
-use crate::records::ConfigRecord;
+use super::assembly::{Assembly, Header, MAX_TEXT_BYTES, Whole};
+use crate::records::{ConfigRecord, Splice};
 use bluebell_base::prelude::*;
 
 /// The state of a reader that knows it.
@@ -72,9 +73,20 @@
     offset: Offset,
     op: OperationId,
     base: ConfigVersion,
+    splice: Splice,
     body: Arc<str>,
 }
 
+impl Pending {
+    /// The text it makes out of the current one; none where it does not count.
+    fn text(&self, current: &InForce) -> Option<Arc<str>> {
+        if self.base != current.version {
+            return None;
+        }
+        self.splice.apply(&current.body, &self.body, MAX_TEXT_BYTES)
+    }
+}
+
 #[derive(Clone, Debug)]
 enum State {
     Known(InForce),
@@ -151,6 +163,7 @@
                 Header::Update {
                     op: update.op,
                     base: update.base,
+                    splice: update.splice,
                 },
                 update.part,
                 &update.body,
@@ -174,16 +187,17 @@
     fn apply_whole(&mut self, whole: Whole, out: &mut Vec<ConfigOutcome>) {
         let last = whole.last;
         match (whole.header, whole.body) {
-            (Header::Update { op, base }, Some(body)) => {
+            (Header::Update { op, base, splice }, Some(body)) => {
                 let update = Pending {
                     offset: last,
                     op,
                     base,
+                    splice,
                     body,
                 };
                 self.apply_update(update, out);
             }
-            (Header::Update { op, base }, None) => self.apply_cut_off(last, op, base, out),
+            (Header::Update { op, base, .. }, None) => self.apply_cut_off(last, op, base, out),
             (
                 Header::Snapshot {
                     op,
@@ -205,26 +219,22 @@
     }
 
     fn apply_update(&mut self, update: Pending, out: &mut Vec<ConfigOutcome>) {
-        match &mut self.state {
-            State::Unknown { pending, .. } => pending.push(update),
-            State::Known(in_force) if update.base == in_force.version => {
-                let version = ConfigVersion(in_force.version.0 + 1);
-                *in_force = InForce {
-                    version,
-                    made_by: update.op,
-                    body: update.body,
-                };
-                self.changed_at = Some(update.offset);
-                out.push(ConfigOutcome::Accepted {
-                    op: update.op,
-                    version,
-                });
-            }
-            State::Known(in_force) => out.push(ConfigOutcome::Conflict {
-                op: update.op,
-                current: in_force.version,
-            }),
-        }
+        let in_force = match &mut self.state {
+            State::Unknown { pending, .. } => return pending.push(update),
+            State::Known(in_force) => in_force,
+        };
+        let (op, current) = (update.op, in_force.version);
+        let Some(body) = update.text(in_force) else {
+            return out.push(ConfigOutcome::Conflict { op, current });
+        };
+        let version = ConfigVersion(current.0 + 1);
+        *in_force = InForce {
+            version,
+            made_by: op,
+            body,
+        };
+        self.changed_at = Some(update.offset);
+        out.push(ConfigOutcome::Accepted { op, version });
     }
 
     /// An update whose first parts this reader never saw.
--- a/crates/control/src/reduce/mod.rs
+++ b/crates/control/src/reduce/mod.rs
@@ -11,5 +11,6 @@
 pub mod config;
 pub mod leases;
 
+pub use assembly::MAX_TEXT_BYTES;
 pub use config::{ConfigOutcome, ConfigReducer, InForce};
 pub use leases::{Grant, LeaseOutcome, LeaseReducer};
