--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,5 +2,8 @@
 //! with faults that can be switched while they run.
 
 pub mod engine;
+pub mod faults;
 pub mod listen;
 pub mod platform;
+pub mod serve;
+pub mod service;
