Control: a duty given up is not held again under the same fencing number

Cause: a node whose lease had lapsed gave a duty back; the append of its release took 9 s. Ruled out: voiding a release that lies behind a renewal in the log, which would also void releases that crossed a duplicate.

--- a/crates/control/src/actor/lease_side/duties.rs
+++ b/crates/control/src/actor/lease_side/duties.rs
@@ -208,7 +208,7 @@
     /// Stops acting on the duties first and tells the others afterwards.
     fn release(&mut self, cx: CX![], held: Vec<HeldRecord>) {
         for record in &held {
-            if self.leases.holder.drop_duty(record.duty).is_some() {
+            if self.leases.holder.give_up(record.duty).is_some() {
                 self.emit(ControlEvent::Lost(record.duty));
             }
         }
--- a/crates/control/src/leases/holder.rs
+++ b/crates/control/src/leases/holder.rs
@@ -1,7 +1,8 @@
 //! The duties this node holds, and until when.
 //!
 //! Invariants: a duty is valid only after its take or renewal was read back as having counted;
-//! its validity is counted from before that record was handed in to be appended.
+//! its validity is counted from before that record was handed in to be appended; a duty given up
+//! is not held again under the same fencing number.
 
 use crate::records::HeldRecord;
 use crate::reduce::Grant;
@@ -40,6 +41,7 @@
     me: Incarnation,
     valid_ms: SpanMs,
     held: BTreeMap<Duty, HeldDuty>,
+    given_up: BTreeMap<Duty, Fencing>,
     sent: BTreeMap<OperationId, MonoMs>,
     sent_order: std::collections::VecDeque<OperationId>,
 }
@@ -51,6 +53,7 @@
             me,
             valid_ms,
             held: BTreeMap::new(),
+            given_up: BTreeMap::new(),
             sent: BTreeMap::new(),
             sent_order: Default::default(),
         }
@@ -78,6 +81,16 @@
         if grant.holder != Some(self.me) {
             return self.drop_duty(duty);
         }
+        // A renewal that was under way when this node decided to give the duty back may be read
+        // before the release is, which may still be on its way for any time. Once that lands,
+        // others take the duty at once; this node must not have gone back to holding it.
+        if self
+            .given_up
+            .get(&duty)
+            .is_some_and(|given_up| grant.fencing <= *given_up)
+        {
+            return None;
+        }
         // A record that this process does not remember sending gives no validity: it may have
         // waited in the log service for any time.
         let sent_ms = self.sent.get(&op).copied();
@@ -100,6 +113,14 @@
         valid.then_some(Change::Held { lease, until_ms })
     }
 
+    /// This node is about to release the duty: it is never held again under that fencing number.
+    pub fn give_up(&mut self, duty: Duty) -> Option<Change> {
+        if let Some(held) = self.held.get(&duty) {
+            self.given_up.insert(duty, held.lease.fencing);
+        }
+        self.drop_duty(duty)
+    }
+
     /// The duty was released, or its lease is void.
     pub fn drop_duty(&mut self, duty: Duty) -> Option<Change> {
         let held = self.held.remove(&duty)?;
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -5,6 +5,8 @@
 
 use bluebell_base::prelude::*;
 use bluebell_control::Duty;
+use bluebell_control::leases::{Change, Holder};
+use bluebell_control::reduce::Grant;
 use bluebell_stand_ins::platform::{Fault, Operation, PlatformSettings};
 use stakker::{Ret, call};
 use std::cell::Cell;
@@ -78,6 +80,40 @@
     }
 }
 
+/// A holder gives a duty back, but the release is long on its way. A renewal that it had sent
+/// before is read meanwhile and counts in the log. The holder must not go by it: when the release
+/// lands, another takes the duty at once, and both would hold it.
+#[test]
+fn a_renewal_after_giving_up() {
+    let (me, duty) = (Incarnation(1), Duty::Snapshot);
+    let mut holder = Holder::new(me, SpanMs(9_000));
+    let grant = |fencing| Grant {
+        holder: Some(me),
+        address: "10.0.0.1:9000".into(),
+        fencing: Fencing(fencing),
+        touched: Offset(9),
+    };
+    let (take, renewal, again) = (OperationId(1), OperationId(2), OperationId(3));
+    for op in [take, renewal, again] {
+        holder.sending(op, MonoMs(0));
+    }
+    assert!(
+        holder
+            .on_touched(take, duty, &grant(5), MonoMs(1))
+            .is_some()
+    );
+    assert_eq!(holder.give_up(duty), Some(Change::Lost(duty)));
+    assert_eq!(holder.on_touched(renewal, duty, &grant(5), MonoMs(2)), None);
+    assert!(holder.renewable().is_empty());
+    assert_eq!(holder.valid(duty, MonoMs(3)), None);
+    assert!(
+        holder
+            .on_touched(again, duty, &grant(7), MonoMs(4))
+            .is_some(),
+        "taken anew"
+    );
+}
+
 /// A node stops while the log is down: it isn't held up for longer than its lease.
 #[test]
 fn a_drain_with_the_log_down_ends() {
