Requests: a detached stream is left alone, mute links count as tries; fault tables

Now a node leaves a silent or broken stream alone while nobody reads it, and a node that adopted one resumes on each silence, so it is the owner again before the other's grace ends. Ruled out: asking the engine for its owner (no such call), telling the other node (it may be cut off). Cause: a link that swallows all events was resumed again and again until the deadline, as each lookup said there was news; such resumes are tries now.

--- a/crates/requests/src/life/due.rs
+++ b/crates/requests/src/life/due.rs
@@ -13,12 +13,13 @@
         if let Some(grace_ms) = self.grace_ms() {
             due_ms = due_ms.min(grace_ms);
         }
+        let deadline_ms = self.deadline_ms;
         match &self.phase {
             Phase::Claiming { until_ms }
             | Phase::Backoff { until_ms }
             | Phase::Cancelling { until_ms, .. } => due_ms.min(*until_ms),
             Phase::Reserving(group) => due_ms.min(group.due_ms),
-            Phase::Running(run) => due_ms.min(run.next_due_ms()),
+            Phase::Running(run) => due_ms.min(run.next_due_ms(deadline_ms)),
             Phase::Queued | Phase::Exchanging { .. } | Phase::Done => due_ms,
         }
     }
@@ -76,6 +77,9 @@
         if renewal.is_some_and(|due_ms| cx.now_ms >= due_ms) {
             self.renew_group(cx);
         }
+        if self.rest() {
+            return;
+        }
         match mode {
             Mode::Reading if cx.now_ms >= quiet_until_ms => self.ask(cx),
             Mode::Asking { until_ms, .. } if cx.now_ms >= until_ms => self.on_no_state(cx),
@@ -87,8 +91,9 @@
 }
 
 impl Run {
-    fn next_due_ms(&self) -> MonoMs {
+    fn next_due_ms(&self, deadline_ms: MonoMs) -> MonoMs {
         let due_ms = match self.mode {
+            Mode::Resting => deadline_ms,
             Mode::Reading => self.heard_ms + self.quiet_ms,
             Mode::Asking { until_ms, .. }
             | Mode::Pausing { until_ms }
--- a/crates/requests/src/life/exchange.rs
+++ b/crates/requests/src/life/exchange.rs
@@ -96,10 +96,12 @@
         let may_repeat = self.repeatable || self.verdict() == Verdict::NotRun;
         self.earlier = self.verdict();
         self.present = Verdict::NotRun;
-        if let Work::Exchange(exchange) = &mut self.work {
-            exchange.avoid.push(upstream);
-        }
-        if !may_repeat || self.attempt.0 >= cx.settings.attempts {
+        let Work::Exchange(exchange) = &mut self.work else {
+            return;
+        };
+        exchange.avoid.push(upstream);
+        let next = cx.fleet.route(&exchange.service, &exchange.avoid);
+        if !may_repeat || next.is_none() || self.attempt.0 >= cx.settings.attempts {
             self.fail(error, cx);
             return;
         }
--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -176,6 +176,8 @@
         /// When.
         until_ms: MonoMs,
     },
+    /// Somebody to read on: nobody reads, and the stream is silent or broken.
+    Resting,
     /// The time to look the request up.
     PausingToAsk {
         /// When.
--- a/crates/requests/src/life/read.rs
+++ b/crates/requests/src/life/read.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariants: one reader at a time; a reader that another one replaces gets its own last event.
 
-use super::{Context, Life, Phase, Reader};
+use super::{Context, Life, Mode, Phase, Reader};
 use crate::call::{CallerEvent, CallerId, CallerSink};
 use crate::cursor::{Cursor, Signer};
 use bluebell_base::prelude::*;
@@ -37,6 +37,10 @@
             return;
         }
         self.replay(from, cx);
+        let resting = matches!(&self.phase, Phase::Running(run) if run.mode == Mode::Resting);
+        if resting {
+            self.resume(cx);
+        }
     }
 
     fn replace_reader(&mut self, cx: &mut Context<'_>) {
--- a/crates/requests/src/life/recover.rs
+++ b/crates/requests/src/life/recover.rs
@@ -3,7 +3,7 @@
 //! Invariants: what may not be repeated is sent elsewhere only after the engine itself said that
 //! nothing ran; everything else ends in a bounded number of tries.
 
-use super::{Context, Effect, Life, LinkNo, Mode, Phase};
+use super::{Context, Effect, Life, LinkNo, Mode, Phase, Reader};
 use bluebell_base::prelude::*;
 use bluebell_policy::Outcome;
 use bluebell_upstreams::{Resume, StreamState};
@@ -84,6 +84,9 @@
 
     /// A try brought nothing: tries again after a pause, or takes the next way.
     pub(crate) fn on_fruitless(&mut self, unknown: bool, cx: &mut Context<'_>) {
+        if self.rest() {
+            return;
+        }
         let repeatable = self.repeatable;
         let Phase::Running(run) = &mut self.phase else {
             return;
@@ -107,6 +110,22 @@
         }
     }
 
+    /// Leaves a silent or broken stream alone while nobody reads it; `false` where somebody does.
+    ///
+    /// The caller may have read on through another node, which owns the stream now: it shows here
+    /// as silence or as a broken link. A resume would take the stream back, and the cancel at the
+    /// end of the grace would cut the caller there. Left alone, the other node stays the owner, and
+    /// the engine refuses this node's cancel.
+    pub(crate) fn rest(&mut self) -> bool {
+        if matches!(self.reader, Reader::Attached { .. }) {
+            return false;
+        }
+        if let Phase::Running(run) = &mut self.phase {
+            run.mode = Mode::Resting;
+        }
+        true
+    }
+
     /// Gives the attempt up and starts the work elsewhere, behind the tokens already delivered.
     fn abandon(&mut self, cx: &mut Context<'_>) {
         let Some(upstream) = self.upstream() else {
@@ -226,20 +245,31 @@
     /// The engine has the stream: whatever is new there is read.
     fn on_known(&mut self, events: u64, whole: bool, cx: &mut Context<'_>) {
         let next = self.answer().map_or(0, |answer| answer.next_seq());
+        let news = whole || events > next;
+        let adopted = self.is_adopted();
         let max_ms = cx.settings.stall_max_ms;
         let Phase::Running(run) = &mut self.phase else {
             return;
         };
         run.accepted = true;
-        if !whole && events <= next && run.open {
-            // It is at work and has nothing new, as in a long prefill: the next question comes
-            // later, and the open link stays the one that is read.
-            run.quiet_ms = SpanMs(run.quiet_ms.0.saturating_mul(2).min(max_ms.0));
-            run.heard_ms = cx.now_ms;
-            run.mode = Mode::Reading;
+        if news || !run.open {
+            // The link is broken, or mute though there is something to read. Each such resume
+            // counts as a try until a token comes, or a link that swallows all events would be
+            // opened again and again until the deadline.
+            self.on_fruitless(false, cx);
+            return;
+        }
+        if adopted {
+            // The node that admitted it may have taken the stream back before it learned of the
+            // hang-up. Resuming makes this node the owner again before that one's grace ends.
+            self.resume(cx);
             return;
         }
-        self.resume(cx);
+        // It is at work and has nothing new, as in a long prefill: the next question comes later,
+        // and the open link stays the one that is read.
+        run.quiet_ms = SpanMs(run.quiet_ms.0.saturating_mul(2).min(max_ms.0));
+        run.heard_ms = cx.now_ms;
+        run.mode = Mode::Reading;
     }
 
     /// The engine has no such stream (any more).
--- a/crates/requests/src/settings/mod.rs
+++ b/crates/requests/src/settings/mod.rs
@@ -6,6 +6,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestsSettings {
     /// How long a request whose caller hung up is kept, so that the caller can read on.
+    ///
+    /// Longer than `stall_ms` and two ways to an engine, so that another node that reads the
+    /// answer on has taken the stream back before this node's cancel.
     pub hang_up_grace_ms: SpanMs,
     /// Silence on a stream after which the engine is asked what it knows.
     pub stall_ms: SpanMs,
--- a/crates/requests/tests/chaos.rs
+++ b/crates/requests/tests/chaos.rs
@@ -240,7 +240,10 @@
 
     /// Every caller with a key asks once more: whatever ran must not run again.
     fn retry_keys(&mut self) {
-        let keyed = self.asked.iter().filter(|a| a.call.idempotency_key.is_some());
+        let keyed = self
+            .asked
+            .iter()
+            .filter(|a| a.call.idempotency_key.is_some());
         let calls: Vec<Completion> = keyed.map(|asked| asked.call.clone()).collect();
         calls.into_iter().for_each(|call| self.send(call));
     }
--- a/crates/requests/tests/common/engine.rs
+++ b/crates/requests/tests/common/engine.rs
@@ -68,6 +68,8 @@
     pub faults: Faults,
     pub dead: bool,
     pub frozen: bool,
+    /// Calls are answered, but nothing is computed.
+    pub idle: bool,
     /// How often each request was begun, over all restarts.
     pub runs: HashMap<RequestId, u32>,
     /// Calls to generate that arrived here.
@@ -113,6 +115,7 @@
             faults: Faults::default(),
             dead: false,
             frozen: false,
+            idle: false,
             runs: HashMap::new(),
             generated: Vec::new(),
             reserved: HashMap::new(),
@@ -160,6 +163,11 @@
         }
     }
 
+    /// Computes nothing while calls are answered, as in a long prefill.
+    pub fn freeze_steps(&self, idle: bool) {
+        self.state.borrow_mut().idle = idle;
+    }
+
     /// All connections break.
     pub fn break_all(&self, core: &mut Core) {
         let requests: Vec<_> = self.state.borrow().streams.keys().copied().collect();
@@ -168,6 +176,16 @@
         }
     }
 
+    /// How many streams were stopped by a cancel.
+    pub fn stopped_by_cancel(&self) -> usize {
+        let state = self.state.borrow();
+        let by_cancel = |s: &&Stream| {
+            let ended = s.ended.as_ref().and_then(|end| end.as_ref().err());
+            ended.is_some_and(|error| &*error.message == "cancelled")
+        };
+        state.streams.values().filter(by_cancel).count()
+    }
+
     /// Memory held: open streams and reservations.
     pub fn held(&self) -> usize {
         let state = self.state.borrow();
@@ -375,7 +393,8 @@
     /// Produces one token of a stream, or ends it.
     fn step(&self, core: &mut Core, request: RequestId, attempt: AttemptNo, life: u64) {
         let now_ms = self.now_ms(core);
-        if self.state.borrow().frozen {
+        let stopped = self.state.borrow().frozen || self.state.borrow().idle;
+        if stopped {
             self.after(core, STEP_MS, move |e, core| {
                 e.step(core, request, attempt, life)
             });
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -368,6 +368,13 @@
         self.nodes[node].call(CallerCall::Gone { caller });
     }
 
+    /// A node's process dies; the nodes behind it move up.
+    pub fn kill_node(&mut self, node: usize) {
+        let incarnation = Incarnation(0xb0 + node as u64);
+        self.peers.nodes.borrow_mut().remove(&incarnation);
+        self.nodes.remove(node);
+    }
+
     /// How often a request was begun on any engine.
     pub fn runs(&self, request: RequestId) -> u32 {
         let counts = self.engines.iter().map(|engine| {
--- a/crates/requests/tests/faults.rs
+++ b/crates/requests/tests/faults.rs
@@ -19,6 +19,8 @@
     BreakStream,
     /// Every event is lost for a second, without a word.
     LoseEvents,
+    /// Every event of the engine that has it is lost from now on, without a word.
+    Mute,
     /// Every event is doubled, crossed and out of order from now on.
     Garble,
     /// The engine that has it dies and stays dead.
@@ -58,6 +60,7 @@
     ("draft", STREAMING, Fault::Pause, WHOLE, 1, 10_000),
     ("draft", STREAMING, Fault::BreakStream, WHOLE, 1, 2_000),
     ("draft", STREAMING, Fault::LoseEvents, WHOLE, 1, 5_000),
+    ("draft", STREAMING, Fault::Mute, WHOLE, 2, 20_000),
     ("draft", STREAMING, Fault::Garble, WHOLE, 1, 8_000),
     ("notice", BEFORE, Fault::RefuseAll, NOT_RUN, 0, 1_000),
     ("notice", BEFORE, Fault::LoseCall, MAY_HAVE_RUN, 0, 30_001),
@@ -73,6 +76,7 @@
     ("notice", STREAMING, Fault::Pause, WHOLE, 1, 12_000),
     ("notice", STREAMING, Fault::BreakStream, WHOLE, 1, 2_000),
     ("notice", STREAMING, Fault::LoseEvents, WHOLE, 1, 5_000),
+    ("notice", STREAMING, Fault::Mute, RAN, 1, 30_001),
     ("notice", STREAMING, Fault::Garble, WHOLE, 1, 8_000),
 ];
 
@@ -117,10 +121,17 @@
     world.run_to(31_000);
     told.check("an answer of some length", 80, 0);
     let ended_ms = told.ended_ms();
-    let ran: u32 = world.engines.iter().map(|e| e.state.borrow().runs.values().sum::<u32>()).sum();
+    let ran: u32 = world
+        .engines
+        .iter()
+        .map(|e| e.state.borrow().runs.values().sum::<u32>())
+        .sum();
     let verdict = told.error().map(|error| error.verdict);
     let as_said = verdict == end && ran == runs && ended_ms.is_some_and(|ms| ms <= within_ms);
-    let found = format!("{case:?}: {verdict:?}, {ran} runs, {ended_ms:?}: {}", told.brief());
+    let found = format!(
+        "{case:?}: {verdict:?}, {ran} runs, {ended_ms:?}: {}",
+        told.brief()
+    );
     (!as_said).then_some(found)
 }
 
@@ -136,6 +147,7 @@
         }
         (Fault::Freeze | Fault::Pause, Some(engine)) => engine.freeze(true, core),
         (Fault::BreakStream, Some(engine)) => engine.break_all(core),
+        (Fault::Mute, Some(engine)) => engine.state.borrow_mut().faults.lose_event = 1.0,
         (Fault::RefuseAll, _) => faults.refuse = 1.0,
         (Fault::LoseCall, _) => faults.lose_call = 1.0,
         (Fault::BreakCall, _) => faults.break_call = 1.0,
@@ -147,5 +159,7 @@
         }
         (fault, None) => panic!("{fault:?} needs an engine"),
     }
-    set_faults(world, faults);
+    if fault != Fault::Mute {
+        set_faults(world, faults);
+    }
 }
