--- a/crates/entry/src/http/listener.rs
+++ b/crates/entry/src/http/listener.rs
@@ -3,8 +3,10 @@
 use crate::http::workers::Workers;
 use crate::settings::BindError;
 use bluebell_base::prelude::*;
-use socket2::SockRef;
+use bluebell_pool_guard::PoolGuard;
+use socket2::{SockRef, TcpKeepalive};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -13,6 +15,9 @@
 /// How long the taking thread waits after the system refused a connection.
 const AFTER_ACCEPT_ERROR: Duration = Duration::from_millis(200);
 
+/// How many connections may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
 /// Handles a request on a worker thread.
 pub(crate) type Handler = Arc<dyn Fn(Request) + Send + Sync>;
 
@@ -29,7 +34,8 @@
     stopping: AtomicBool,
     handler: Handler,
     workers: Workers,
-    servers: std::sync::Mutex<Vec<Arc<Server>>>,
+    pool_guard: PoolGuard,
+    servers: Mutex<Vec<Arc<Server>>>,
 }
 
 impl Listener {
@@ -53,6 +59,7 @@
             stopping: AtomicBool::new(false),
             handler,
             workers: Workers::open(name),
+            pool_guard: PoolGuard::spawn(bound).map_err(|e| failed(e.to_string()))?,
             servers: Default::default(),
         });
         let taker = Shared::serve(&shared).map_err(|e| failed(e.to_string()))?;
@@ -93,12 +100,26 @@
 /// - No delay: without it a small event waits for the acknowledgement of the one before.
 /// - Write timeout: `tiny_http` sets none and hands no socket out, so a caller that stops reading
 ///   would hold its thread for good; a write that times out counts as a hang-up.
+/// - Keepalive: there is no read timeout either, so a caller whose VM vanishes in the middle of its
+///   upload would hold its part of the limits for good; the system's probes end the connection.
+/// - Backlog: the standard library's is 128; callers beyond it in a burst would wait a second and
+///   more for their next try to connect.
 fn set_options(socket: &TcpListener, write_timeout_ms: SpanMs) -> std::io::Result<()> {
     let options = SockRef::from(socket);
+    options.listen(BACKLOG)?;
     options.set_tcp_nodelay(true)?;
+    options.set_tcp_keepalive(&keepalive())?;
     options.set_write_timeout(Some(write_timeout_ms.into()))
 }
 
+/// Probes after half a minute of silence; a peer that answers none is given up after another.
+fn keepalive() -> TcpKeepalive {
+    TcpKeepalive::new()
+        .with_time(Duration::from_secs(30))
+        .with_interval(Duration::from_secs(10))
+        .with_retries(3)
+}
+
 impl Shared {
     /// Starts a server on the socket, and the thread that takes its requests.
     fn serve(shared: &Arc<Shared>) -> std::io::Result<JoinHandle<()>> {
@@ -124,6 +145,7 @@
     }
 
     fn hand_over(&self, request: Request) {
+        self.pool_guard.request_seen();
         let handler = Arc::clone(&self.handler);
         self.workers.run(Box::new(move || handler(request)));
     }
