Stand-ins register in the form that the platform's stand-in takes

Cause: the registration posted a bare entry where the platform takes a change of its list, so no engine was ever listed and a node knew none (demo: a node knows 0 of 6 engines after 60 s). Ruled out: the node's membership, which read the list eight times and found it empty, as GET /vms did.

--- a/crates/stand-ins/src/serve/register/mod.rs
+++ b/crates/stand-ins/src/serve/register/mod.rs
@@ -1,14 +1,12 @@
 //! Registers a stand-in with the platform's list of VMs, again and again.
 
+use crate::platform::{Operator, VmChange};
 use bluebell_base::prelude::*;
 use bluebell_platform::{VmEntry, VmState};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
-/// How long one registration may take.
-const TIMEOUT: Duration = Duration::from_secs(2);
-
 /// How often the handle's end is looked for.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -50,14 +48,10 @@
     state: &impl Fn() -> VmState,
     ended: &AtomicBool,
 ) {
-    let url = format!("http://{platform}/vms");
-    let config = ureq::Agent::config_builder()
-        .proxy(None)
-        .timeout_global(Some(TIMEOUT));
-    let agent = config.build().new_agent();
+    let operator = Operator::open(platform);
     while !ended.load(Ordering::Acquire) {
         entry.state = state();
-        if let Err(error) = agent.post(&url).send_json(&entry) {
+        if let Err(error) = operator.change_vms(&VmChange::Put(entry.clone())) {
             log::info!("the platform did not take the registration: {error}");
         }
         let mut left = interval;
