Load: histograms span up to an hour

Cause: a histogram made without bounds resizes on record but clips on saturating_record, so every latency was reported as 0.0 ms (demo, 60 requests). A test now compares latencies with the time that passed; it fails with the old histogram (p50 0.0 ms below the server's 20 ms).

--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -11,6 +11,9 @@
 /// Significant digits of the latency histograms.
 const SIGNIFICANT_DIGITS: u8 = 3;
 
+/// The longest span that is told apart: an hour.
+const MAX_US: u64 = 3_600_000_000;
+
 /// The most different error texts that are kept.
 const MAX_ERROR_TEXTS: usize = 16;
 
@@ -102,9 +105,9 @@
     }
 }
 
-/// A histogram that grows with what it sees.
+/// A histogram of microseconds; a span over [`MAX_US`] counts as that.
 fn histogram() -> Histogram<u64> {
-    Histogram::new(SIGNIFICANT_DIGITS).expect("the number of digits is within 0 to 5")
+    Histogram::new_with_max(MAX_US, SIGNIFICANT_DIGITS).expect("bounds and digits are in range")
 }
 
 /// Counts of faults in answers.
--- a/crates/load/tests/answers.rs
+++ b/crates/load/tests/answers.rs
@@ -8,10 +8,14 @@
 use std::io::Cursor;
 use std::sync::Mutex;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use tiny_http::{Header, Response, Server};
 
 const REQUEST: &str = "req-0000000000000007-1";
 
+/// How long the server takes for each answer.
+const ANSWER_DELAY: Duration = Duration::from_millis(20);
+
 /// Every prompt's answer is `t0 t1 t2`.
 struct ThreeTokens;
 
@@ -102,6 +106,7 @@
             key: header(&request, "idempotency-key"),
             cursor: header(&request, "last-event-id"),
         });
+        std::thread::sleep(ANSWER_DELAY);
         let reply = replies.pop_front().unwrap_or(Reply {
             status: 500,
             body: "the script is at its end".into(),
@@ -336,6 +341,18 @@
     }
 }
 
+#[test]
+fn latencies_are_those_that_passed() {
+    let (report, _) = load(vec![stream(&[0, 1, 2], DONE)], false, 1);
+    let band = report.bands.first().expect("one band");
+    let delay_ms = ANSWER_DELAY.as_millis() as f64;
+    let took_ms = report.took_ms.0 as f64 + 1.0;
+    let possible = delay_ms..=took_ms;
+    assert!(possible.contains(&band.first_token.p50_ms), "{report}");
+    assert!(possible.contains(&band.end.max_ms), "{report}");
+    assert_eq!((band.first_token.count, band.between_tokens.count), (1, 2));
+}
+
 #[test]
 fn every_try_carries_the_same_key_and_reading_on_the_last_cursor() {
     let replies = vec![
