--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -11,8 +11,8 @@
 /// Significant digits of the latency histograms.
 const SIGNIFICANT_DIGITS: u8 = 3;
 
-/// The longest latency told apart, an hour; longer ones count as this.
-const LONGEST_US: u64 = 3_600_000_000;
+/// The longest span that is told apart: an hour.
+const MAX_US: u64 = 3_600_000_000;
 
 /// The most different error texts that are kept.
 const MAX_ERROR_TEXTS: usize = 16;
@@ -105,13 +105,9 @@
     }
 }
 
-/// A histogram of microseconds up to [`LONGEST_US`].
-///
-/// Its range is fixed because `saturating_record` does not widen one that grows by itself: such a
-/// one holds 2 µs at first and reports every latency as that.
+/// A histogram of microseconds; a span over [`MAX_US`] counts as that.
 fn histogram() -> Histogram<u64> {
-    Histogram::new_with_max(LONGEST_US, SIGNIFICANT_DIGITS)
-        .expect("the digits and the range are valid")
+    Histogram::new_with_max(MAX_US, SIGNIFICANT_DIGITS).expect("bounds and digits are in range")
 }
 
 /// Counts of faults in answers.
