Policy: engines kept for short work, a fleet-wide cost model, groups that come again

The prefill rate was far off (13,000 tok/s where 37,000 are real) as each engine's model saw few samples. The memory is really taken: decoding beside prefill is slow and holds it. A group whose reservation failed may come 64 times; work that failed after it may have run, 4 times.

--- a/crates/bench/examples/policy.rs
+++ b/crates/bench/examples/policy.rs
@@ -17,6 +17,10 @@
             Some(("svg", path)) => options.svg = Some(path.into()),
             Some(("repeats", count)) => options.repeats = count.parse().unwrap_or(1),
             Some(("policy", kind)) => options.policies = kind.parse().into_iter().collect(),
+            Some(("secs", secs)) => {
+                options.duration_ms =
+                    bluebell_base::prelude::SpanMs::from_secs(secs.parse().unwrap_or(240));
+            }
             Some(("seed", seed)) => options.seed = seed.parse().unwrap_or(1),
             _ => {}
         }
--- a/crates/bench/src/driver/engines.rs
+++ b/crates/bench/src/driver/engines.rs
@@ -45,21 +45,26 @@
         self.advance(attempt.engine);
         let reserved = self.reserve(&attempt);
         let load = self.engines[attempt.engine.index()].model.load_now();
-        let started = reserved.is_ok() && self.generate(&attempt);
-        if !started {
-            self.release(&attempt);
-            if let Err(engine) = reserved {
-                self.totals.groups_failed += 1;
-                self.live[attempt.request.index()].avoid.push(engine);
+        let cached_tokens = match reserved {
+            Ok(()) => self.generate(&attempt),
+            Err(_) => None,
+        };
+        match cached_tokens {
+            Some(cached_tokens) => {
+                let event = Event::Accepted(attempt.request, attempt.number, cached_tokens, load);
+                self.queue.push(self.now_us + WAY_US, event);
+                self.records[attempt.request.index()].attempts += 1;
+                let slot = &mut self.engines[attempt.engine.index()];
+                slot.open.push(attempt.clone());
+            }
+            None => {
+                self.release(&attempt);
+                if let Err(engine) = reserved {
+                    self.totals.groups_failed += 1;
+                    self.live[attempt.request.index()].avoid.push(engine);
+                }
+                self.tell_end(&attempt, Outcome::NotRun);
             }
-            self.tell_end(&attempt, Outcome::NotRun);
-        } else {
-            let event = Event::Accepted(attempt.request, attempt.number, load);
-            self.queue.push(self.now_us + WAY_US, event);
-            self.records[attempt.request.index()].attempts += 1;
-            self.engines[attempt.engine.index()]
-                .open
-                .push(attempt.clone());
         }
         self.arm(attempt.engine);
     }
@@ -118,7 +123,8 @@
         Ok(())
     }
 
-    fn generate(&mut self, attempt: &Attempt) -> bool {
+    /// Begins the work; gives how much of the prompt the engine's cache covers.
+    fn generate(&mut self, attempt: &Attempt) -> Option<Tokens> {
         let request = &self.requests[attempt.request.index()];
         let id = self.request_id(attempt.request);
         let mut call = call_of(request, id, attempt.number);
@@ -130,7 +136,12 @@
             call.group = Some(reservation(attempt));
             call.lent_tokens = lent_tokens(request, slot.model.settings());
         }
-        slot.alive && slot.model.generate(self.now_us, call).is_ok()
+        if !slot.alive {
+            return None;
+        }
+        let admission = slot.model.generate(self.now_us, call).ok()?;
+        let view = slot.model.view(id, admission.reader())?;
+        Some(view.cached_tokens)
     }
 
     /// Frees what a group holds.
--- a/crates/bench/src/driver/mod.rs
+++ b/crates/bench/src/driver/mod.rs
@@ -161,7 +161,9 @@
             Event::Arrive(request) => self.arrive(request),
             Event::Call(attempt) => self.call(attempt),
             Event::Cancel(request, number, engine) => self.cancel(request, number, engine),
-            Event::Accepted(request, number, load) => self.accepted(request, number, &load),
+            Event::Accepted(request, number, cached_tokens, load) => {
+                self.accepted(request, number, cached_tokens, &load);
+            }
             Event::Step(engine) => self.step(engine),
             Event::FirstToken(request, number) => self.first_token(request, number),
             Event::End(request, number, outcome) => self.attempt_ended(request, number, outcome),
--- a/crates/bench/src/driver/nodes.rs
+++ b/crates/bench/src/driver/nodes.rs
@@ -12,8 +12,10 @@
 use bluebell_upstreams::prompt::mix;
 use bluebell_upstreams::{LoadReport, Priority};
 
-/// Attempts at idempotent work.
+/// Attempts at work that may have run.
 const ATTEMPTS: u32 = 4;
+/// Attempts at work that certainly did not run, such as groups that found no memory.
+const ATTEMPTS_NOT_RUN: u32 = 64;
 /// Nodes' clocks began at different instants, so that none can be compared with another's.
 const CLOCK_STEP_US: u64 = 1_000_003_000;
 /// One refused caller in so many comes back when it was told to.
@@ -255,7 +257,13 @@
     }
 
     /// The load that rides on an engine's acceptance reaches the node.
-    pub(super) fn accepted(&mut self, request: RequestNo, number: AttemptNo, load: &LoadReport) {
+    pub(super) fn accepted(
+        &mut self,
+        request: RequestNo,
+        number: AttemptNo,
+        cached_tokens: Tokens,
+        load: &LoadReport,
+    ) {
         if self.live[request.index()].number != number.0 {
             return;
         }
@@ -263,7 +271,7 @@
         let id = self.request_id(request);
         let row = &mut self.nodes[node.index()];
         let now_ms = row.clock_ms(self.now_us);
-        row.policy.on_accepted(id, load, now_ms);
+        row.policy.on_accepted(id, cached_tokens, load, now_ms);
         self.decide(node);
     }
 
@@ -320,7 +328,11 @@
             Outcome::Failed => idempotent,
         };
         let first_came = self.records[request.index()].first_us.is_some();
-        if !may_retry || number.0 >= ATTEMPTS || first_came {
+        let most = match outcome {
+            Outcome::NotRun => ATTEMPTS_NOT_RUN,
+            _ => ATTEMPTS,
+        };
+        if !may_retry || number.0 >= most || first_came {
             return self.over(request, Fate::Failed);
         }
         let live = &mut self.live[request.index()];
--- a/crates/bench/src/driver/queue.rs
+++ b/crates/bench/src/driver/queue.rs
@@ -41,7 +41,7 @@
     /// A cancel reaches an engine.
     Cancel(RequestNo, AttemptNo, EngineNo),
     /// The load that rides on an engine's acceptance reaches the node.
-    Accepted(RequestNo, AttemptNo, LoadReport),
+    Accepted(RequestNo, AttemptNo, Tokens, LoadReport),
     /// An engine's next step or expiry is due.
     Step(EngineNo),
     /// A first token reaches the node.
--- a/crates/policy/src/baseline/mod.rs
+++ b/crates/policy/src/baseline/mod.rs
@@ -169,7 +169,13 @@
         self.tables.take(request);
     }
 
-    fn on_accepted(&mut self, request: RequestId, load: &LoadReport, now_ms: MonoMs) {
+    fn on_accepted(
+        &mut self,
+        request: RequestId,
+        _cached_tokens: Tokens,
+        load: &LoadReport,
+        now_ms: MonoMs,
+    ) {
         let entry = self
             .tables
             .jobs
--- a/crates/policy/src/cost/mod.rs
+++ b/crates/policy/src/cost/mod.rs
@@ -8,8 +8,20 @@
 
 use bluebell_base::prelude::*;
 
-/// The weight of a new sample in the moving means.
-const GAIN: f64 = 0.15;
+/// The weight of a new sample in the moving means of one engine.
+pub const ENGINE_GAIN: Gain = Gain {
+    faster: 0.15,
+    slower: 0.15,
+};
+/// The weight of a new sample in the moving means of the whole fleet. What delays a first token
+/// (other work, preemption, memory) only ever adds to it, so that fast samples tell more of the
+/// engines than slow ones.
+pub const FLEET_GAIN: Gain = Gain {
+    faster: 0.1,
+    slower: 0.05,
+};
+/// The weight of a new sample in the error.
+const ERROR_GAIN: f64 = 0.05;
 /// Prompts shorter than this say more of the overhead than of the rate.
 const RATE_SAMPLE_TOKENS: f64 = 2_048.0;
 /// The bounds of a believable prefill rate, in tokens a second.
@@ -30,6 +42,15 @@
     pub samples: u64,
 }
 
+/// The weights of new samples.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Gain {
+    /// Of a sample faster than the model.
+    pub faster: f64,
+    /// Of a sample slower than the model.
+    pub slower: f64,
+}
+
 /// One first token: what was predicted from, and what was seen.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sample {
@@ -60,22 +81,32 @@
     }
 
     /// Takes a first token in.
-    pub fn learn(&mut self, sample: Sample) {
+    pub fn learn(&mut self, sample: Sample, gain: Gain) {
         let seen_ms = sample.seen_ms.max(1.0);
         let error = (seen_ms - sample.predicted_ms).abs() / seen_ms;
-        self.error += GAIN * (error - self.error);
+        self.error += ERROR_GAIN * (error - self.error);
         self.samples += 1;
         let tokens = sample.own_tokens + sample.ahead_tokens;
         if sample.own_tokens >= RATE_SAMPLE_TOKENS {
             let busy_ms = (seen_ms - self.overhead_ms).max(seen_ms * 0.1);
             let rate = (tokens * 1_000.0 / busy_ms).clamp(RATE_BOUNDS.0, RATE_BOUNDS.1);
+            let gain = if rate > self.prefill_per_s {
+                gain.faster
+            } else {
+                gain.slower
+            };
             // Means of logarithms: a wait twice as long and one half as long cancel out.
-            let log = self.prefill_per_s.ln() + GAIN * (rate.ln() - self.prefill_per_s.ln());
+            let log = self.prefill_per_s.ln() + gain * (rate.ln() - self.prefill_per_s.ln());
             self.prefill_per_s = log.exp().clamp(RATE_BOUNDS.0, RATE_BOUNDS.1);
         } else {
             let rest_ms = seen_ms - self.prefill_ms(tokens);
             let rest_ms = rest_ms.clamp(OVERHEAD_BOUNDS_MS.0, OVERHEAD_BOUNDS_MS.1);
-            self.overhead_ms += GAIN * (rest_ms - self.overhead_ms);
+            let gain = if rest_ms < self.overhead_ms {
+                gain.faster
+            } else {
+                gain.slower
+            };
+            self.overhead_ms += gain * (rest_ms - self.overhead_ms);
         }
     }
 }
--- a/crates/policy/src/fleet/engine.rs
+++ b/crates/policy/src/fleet/engine.rs
@@ -10,6 +10,9 @@
 /// A job sent so shortly before the instant of a report is not in it: it was underway.
 const UNDERWAY_MS: SpanMs = SpanMs(10);
 
+/// An engine that refused a group's memory is not asked again for so long.
+const GROUP_REFUSED_MS: SpanMs = SpanMs(1_500);
+
 /// Whether an engine takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -49,6 +52,7 @@
     pub report: LoadReport,
     /// The instant that the report describes.
     pub reported_ms: MonoMs,
+    group_after_ms: MonoMs,
     /// The jobs of this node there.
     pub in_flight: Vec<InFlight>,
     backlog_tokens: f64,
@@ -67,6 +71,7 @@
             busy: Busy::default(),
             report: LoadReport::default(),
             reported_ms: now_ms,
+            group_after_ms: now_ms,
             in_flight: Vec::new(),
             backlog_tokens: 0.0,
             backlog_ms: now_ms,
@@ -121,6 +126,16 @@
         self.facts.kv_capacity_tokens.0.saturating_sub(self.kv_used)
     }
 
+    /// The engine refused a group's memory.
+    pub fn group_refused(&mut self, now_ms: MonoMs) {
+        self.group_after_ms = now_ms + GROUP_REFUSED_MS;
+    }
+
+    /// Whether a group may ask it for memory.
+    pub fn takes_group(&self, now_ms: MonoMs) -> bool {
+        now_ms >= self.group_after_ms
+    }
+
     /// A job was sent there.
     pub fn sent(&mut self, job: InFlight) {
         self.backlog_tokens = self.backlog_tokens(job.sent_ms) + job.prefill_tokens;
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -14,19 +14,22 @@
 pub use engine::{Engine, InFlight, State};
 pub use health::Health;
 
-use crate::cost::CostModel;
+use crate::cost::{CostModel, ENGINE_GAIN, FLEET_GAIN, Sample};
 use crate::job::EngineFacts;
 use bluebell_base::prelude::*;
 
 /// An engine is an outlier where its rate is below this share of the mean.
-const OUTLIER: f64 = 0.6;
+const OUTLIER: f64 = 0.4;
+/// Work counts as alone on its engine with less than this share of its own tokens ahead.
+const ALONE: f64 = 0.1;
+/// So many samples must have shown it.
+const OUTLIER_SAMPLES: u64 = 5;
 
 /// The table of engines.
 #[derive(Debug)]
 pub struct Fleet {
     engines: Vec<Option<Engine>>,
     by_model: Vec<Vec<UpstreamId>>,
-    prior: CostModel,
     mean: CostModel,
     mean_step_ms: f64,
 }
@@ -37,13 +40,12 @@
         Self {
             engines: Vec::new(),
             by_model: Vec::new(),
-            prior,
             mean: prior,
             mean_step_ms: 0.0,
         }
     }
 
-    /// The mean of what was learned of all engines.
+    /// What was learned of all engines together.
     pub fn mean_cost(&self) -> CostModel {
         self.mean
     }
@@ -52,7 +54,8 @@
     /// otherwise: engines are alike unless something is wrong, and the small differences that a
     /// few samples show would send work to whichever engine was lucky last.
     pub fn trusted_cost(&self, engine: &Engine) -> CostModel {
-        if engine.cost.prefill_per_s < self.mean.prefill_per_s * OUTLIER {
+        let known = engine.cost.samples >= OUTLIER_SAMPLES;
+        if known && engine.cost.prefill_per_s < self.mean.prefill_per_s * OUTLIER {
             return engine.cost;
         }
         self.mean
@@ -63,9 +66,8 @@
         self.mean_step_ms
     }
 
-    /// Computes the means anew.
+    /// Computes the mean of the steps anew.
     pub fn average(&mut self) {
-        self.mean = self.learned();
         let reported = || self.iter().filter(|e| e.report.step_ms > 0.0);
         let sum: f64 = reported().map(|e| e.report.step_ms).sum();
         self.mean_step_ms = sum / reported().count().max(1) as f64;
@@ -102,7 +104,10 @@
         if self.engines.len() <= index {
             self.engines.resize_with(index + 1, || None);
         }
-        let prior = self.learned();
+        let prior = CostModel {
+            samples: 0,
+            ..self.mean
+        };
         match &mut self.engines[index] {
             Some(engine) => engine.update(facts),
             empty => *empty = Some(Engine::new(facts, prior, now_ms)),
@@ -126,17 +131,19 @@
         }
     }
 
-    /// The mean of what was learned, for an engine of which nothing is known yet.
-    fn learned(&self) -> CostModel {
-        let known = || self.iter().filter(|e| e.cost.samples > 0);
-        let count = known().count() as f64;
-        if count == 0.0 {
-            return self.prior;
+    /// Takes a first token in, for the whole fleet and for its engine.
+    pub fn learn(&mut self, upstream: UpstreamId, sample: Sample) {
+        // Work that had others ahead of it tells of their order too, and not of the engine alone.
+        if sample.ahead_tokens <= sample.own_tokens * ALONE {
+            self.mean.learn(sample, FLEET_GAIN);
+        }
+        let mean = self.mean;
+        if let Some(engine) = self.get_mut(upstream) {
+            if engine.cost.samples == 0 {
+                engine.cost = mean;
+            }
+            engine.cost.learn(sample, ENGINE_GAIN);
         }
-        let mut mean = self.prior;
-        mean.prefill_per_s = known().map(|e| e.cost.prefill_per_s).sum::<f64>() / count;
-        mean.overhead_ms = known().map(|e| e.cost.overhead_ms).sum::<f64>() / count;
-        mean
     }
 
     fn relist(&mut self) {
--- a/crates/policy/src/groups/mod.rs
+++ b/crates/policy/src/groups/mod.rs
@@ -44,7 +44,7 @@
             continue;
         }
         if members.len() + 1 >= most_parts {
-            return None;
+            break;
         }
         let part = missing.min(offer.kv_tokens);
         missing -= part;
--- a/crates/policy/src/laxity/mod.rs
+++ b/crates/policy/src/laxity/mod.rs
@@ -69,6 +69,17 @@
         }
     }
 
+    /// A group that comes again was refused memory by the last engine it names.
+    fn note_refused(&mut self, job: &Job, now_ms: MonoMs) {
+        if !self.needs_group(job) {
+            return;
+        }
+        let refused_by = job.avoid.last();
+        if let Some(engine) = refused_by.and_then(|id| self.tables.fleet.get_mut(*id)) {
+            engine.group_refused(now_ms);
+        }
+    }
+
     /// Computes the fleet's means anew where they are old.
     fn refresh(&mut self, now_ms: MonoMs) {
         if now_ms.since(self.averaged_ms) >= AVERAGE_EVERY_MS {
@@ -106,6 +117,7 @@
         if self.tables.jobs.slot(job.request).is_some() {
             return Ok(());
         }
+        self.note_refused(&job, now_ms);
         let cost = admission::work_tokens(&job);
         self.shares.offer(job.account, cost, now_ms);
         self.check(&job, now_ms)?;
@@ -146,8 +158,14 @@
         }
     }
 
-    fn on_accepted(&mut self, request: RequestId, load: &LoadReport, now_ms: MonoMs) {
-        self.accepted(request, load, now_ms);
+    fn on_accepted(
+        &mut self,
+        request: RequestId,
+        cached_tokens: Tokens,
+        load: &LoadReport,
+        now_ms: MonoMs,
+    ) {
+        self.accepted(request, cached_tokens, load, now_ms);
     }
 
     fn on_first_token(&mut self, request: RequestId, now_ms: MonoMs) {
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -20,6 +20,12 @@
 /// The steps that short work waits for on a busy engine: half of the running one, and its own one
 /// filled up with other work.
 const BUSY_STEPS: f64 = 1.5;
+/// The share of its memory that an engine kept for short work does not lend.
+const LENT_ROOM_SHARE: f64 = 0.2;
+/// Prompts up to this length are short work, in tokens.
+const SHORT_TOKENS: u64 = 4_096;
+/// What taking an engine kept for short work counts for, in milliseconds.
+const KEPT_MS: f64 = 400.0;
 /// An engine with less wait than this counts as idle, in milliseconds.
 const IDLE_MS: f64 = 10.0;
 /// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
@@ -30,6 +36,10 @@
 pub struct Scored {
     /// The engine.
     pub upstream: UpstreamId,
+    /// Whether it is kept for short work.
+    pub kept: bool,
+    /// Whether a group may ask it for memory.
+    pub takes_group: bool,
     /// The predicted time before the job's prefill begins.
     pub wait_ms: f64,
     /// The expected first token, where work of other nodes may have come meanwhile.
@@ -102,7 +112,12 @@
         })
     }
 
-    fn needs_group(&self, job: &Job) -> bool {
+    /// How many engines at the end of a list are kept for short work.
+    fn kept(&self, engines: usize) -> usize {
+        (engines as f64 * self.settings.short_share).round() as usize
+    }
+
+    pub(super) fn needs_group(&self, job: &Job) -> bool {
         job.kv_tokens() > self.tables.fleet.largest(job.model, 1)
     }
 
@@ -117,15 +132,22 @@
         } else {
             0
         };
-        let looked_at = (0..window).map(|i| list[(begin + i) % list.len()]);
-        let engines = looked_at.filter_map(|id| self.tables.fleet.get(id));
-        for engine in engines {
+        let kept_from = list.len() - self.kept(list.len());
+        for index in (0..window).map(|i| (begin + i) % list.len()) {
+            let Some(engine) = self.tables.fleet.get(list[index]) else {
+                continue;
+            };
             if engine.health.allows(engine.in_flight.len(), now_ms) {
-                scored.push(self.score_one(job, engine, now_ms));
+                let kept = index >= kept_from;
+                scored.push(Scored {
+                    kept,
+                    ..self.score_one(job, engine, now_ms)
+                });
             }
         }
+        // Engines that refused a group's memory a moment ago may have it now.
         let others = |s: &Scored| !job.avoid.contains(&s.upstream);
-        if scored.iter().any(others) {
+        if !self.needs_group(job) && scored.iter().any(others) {
             scored.retain(others);
         }
         self.scratch.scored = scored;
@@ -146,6 +168,8 @@
         let own_ms = cost.overhead_ms + cost.prefill_ms(prefill_tokens);
         Scored {
             upstream,
+            kept: false,
+            takes_group: engine.takes_group(now_ms),
             wait_ms,
             expected_ms: chance * engine.busy.step_ms() * BUSY_STEPS + memory_ms + own_ms,
             first_token_ms: wait_ms + own_ms,
@@ -161,7 +185,8 @@
     fn place_at_once(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
         if job.idempotent {
             let scored = &self.scratch.scored;
-            let idle = |s: &&Scored| s.wait_ms <= IDLE_MS && s.kv_free >= job.kv_tokens().0;
+            let idle =
+                |s: &&Scored| !s.kept && s.wait_ms <= IDLE_MS && s.kv_free >= job.kv_tokens().0;
             let count = scored
                 .iter()
                 .filter(idle)
@@ -176,6 +201,10 @@
         // The list runs from the long end; of equals, the last ones are preferred.
         let scored = &mut self.scratch.scored;
         scored.reverse();
+        if job.prompt_tokens.0 > SHORT_TOKENS {
+            let kept = scored.iter_mut().filter(|s| s.kept);
+            kept.for_each(|s| s.expected_ms += KEPT_MS);
+        }
         scored.sort_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms));
         let best_ms = scored.first()?.expected_ms;
         let near = scored.iter().take(self.settings.choices);
@@ -196,7 +225,8 @@
             s.kv_free >= need.saturating_add(room.min(s.kv_capacity - need.min(s.kv_capacity)))
         };
         let scored = &self.scratch.scored;
-        let has_slack = |s: &&Scored| s.backlog_ms <= slack_ms && fits(s);
+        let urgent = now_ms >= self.latest_start_ms(job);
+        let has_slack = |s: &&Scored| (urgent || !s.kept) && s.backlog_ms <= slack_ms && fits(s);
         let count = scored
             .iter()
             .filter(has_slack)
@@ -207,7 +237,7 @@
             let chosen = *scored.iter().filter(has_slack).nth(drawn)?;
             return Some(self.place(job, chosen, now_ms));
         }
-        if now_ms < self.latest_start_ms(job) {
+        if !urgent {
             return None;
         }
         let fitting = scored.iter().filter(|s| fits(s));
@@ -216,36 +246,39 @@
         Some(self.place(job, chosen, now_ms))
     }
 
-    /// A group from the long end, where enough memory is believed free.
+    /// A group: its leader from the long end, its members first among the engines kept for short
+    /// work, as lending memory costs no step there.
     fn place_group(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
+        let urgent = now_ms >= self.latest_start_ms(job);
+        let slack_ms = self.settings.slack_ms.0 as f64;
         let room_share = self.settings.room_share;
-        let mut offers = std::mem::take(&mut self.scratch.offers);
-        offers.clear();
-        offers.extend(self.scratch.scored.iter().map(|s| {
+        let offer = |s: &Scored| {
+            let share = if s.kept { LENT_ROOM_SHARE } else { room_share };
+            let room = (s.kv_capacity as f64 * share) as u64;
+            let free = if s.takes_group { s.kv_free } else { 0 };
             Offer {
                 upstream: s.upstream,
-                kv_tokens: s
-                    .kv_free
-                    .saturating_sub((s.kv_capacity as f64 * room_share) as u64),
+                kv_tokens: free.saturating_sub(room),
             }
-        }));
-        let urgent = now_ms >= self.latest_start_ms(job);
-        let slack_ms = self.settings.slack_ms.0 as f64;
-        let most = offers.iter().map(|o| o.kv_tokens).max().unwrap_or(0);
-        let leader = self
-            .scratch
-            .scored
+        };
+        let mut offers = std::mem::take(&mut self.scratch.offers);
+        offers.clear();
+        let scored = &self.scratch.scored;
+        offers.extend(scored.iter().filter(|s| s.kept).map(offer));
+        offers.extend(scored.iter().filter(|s| !s.kept).map(offer));
+        let most = offers
             .iter()
-            .zip(&offers)
-            .find(|(scored, offer)| {
-                let has_slack = urgent || scored.backlog_ms <= slack_ms;
-                has_slack && offer.kv_tokens >= most / 2
-            });
-        let leader = leader.map(|(scored, offer)| (*scored, *offer));
+            .map(|offer| offer.kv_tokens)
+            .max()
+            .unwrap_or(0);
+        let may_lead = |s: &&Scored| {
+            !s.kept && (urgent || s.backlog_ms <= slack_ms) && offer(s).kv_tokens >= most / 2
+        };
         let parts = self.settings.group_parts;
-        let built = leader.and_then(|(scored, offer)| {
-            let group = groups::build(offer, &offers, job.kv_tokens(), parts)?;
-            Some((scored, group))
+        let mut leaders = scored.iter().filter(may_lead);
+        let built = leaders.find_map(|scored| {
+            let group = groups::build(offer(scored), &offers, job.kv_tokens(), parts)?;
+            Some((*scored, group))
         });
         self.scratch.offers = offers;
         let (scored, group) = built?;
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -21,7 +21,13 @@
 
 impl Laxity {
     /// Takes the fresh load in and recalls the job where another place is clearly better.
-    pub(super) fn accepted(&mut self, request: RequestId, load: &LoadReport, now_ms: MonoMs) {
+    pub(super) fn accepted(
+        &mut self,
+        request: RequestId,
+        cached_tokens: Tokens,
+        load: &LoadReport,
+        now_ms: MonoMs,
+    ) {
         let Some(slot) = self.tables.jobs.slot(request) else {
             return;
         };
@@ -33,6 +39,8 @@
             engine.on_load(load, now_ms);
         }
         if let Some(entry) = self.tables.jobs.get_mut(slot) {
+            let own_tokens = entry.job.prompt_tokens.saturating_sub(cached_tokens);
+            entry.prefill_tokens = own_tokens.0.max(1) as f64;
             let backlog_tokens = load.prefill_backlog_tokens.0 as f64;
             entry.ahead_tokens = super::placement::ahead(backlog_tokens, entry.prefill_tokens);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -60,9 +60,16 @@
     /// An undecided job is no longer wanted.
     fn withdraw(&mut self, request: RequestId, now_ms: MonoMs);
 
-    /// An engine took a sent job. `load` is the load just before that, as it rides on the answer;
-    /// it is fresher than any report, and tells at once where other nodes were faster.
-    fn on_accepted(&mut self, request: RequestId, load: &LoadReport, now_ms: MonoMs);
+    /// An engine took a sent job, and its cache covers so many of the prompt's tokens. `load` is
+    /// the load just before that, as it rides on the answer; it is fresher than any report, and
+    /// tells at once where other nodes were faster.
+    fn on_accepted(
+        &mut self,
+        request: RequestId,
+        cached_tokens: Tokens,
+        load: &LoadReport,
+        now_ms: MonoMs,
+    );
 
     /// A sent job's first token came.
     fn on_first_token(&mut self, request: RequestId, now_ms: MonoMs);
--- a/crates/policy/src/settings/mod.rs
+++ b/crates/policy/src/settings/mod.rs
@@ -71,6 +71,8 @@
     pub slack_ms: SpanMs,
     /// The share of an engine's KV memory that deferrable work leaves free at least.
     pub room_share: f64,
+    /// The share of the engines that is kept free of longer work while that can wait.
+    pub short_share: f64,
     /// How often a waiting queue is looked at.
     pub tick_ms: SpanMs,
     /// The most engines of a group, the leader included.
@@ -89,7 +91,8 @@
             choices: 2,
             deferrable_ms: SpanMs(1_000),
             slack_ms: SpanMs(250),
-            room_share: 0.1,
+            room_share: 0.05,
+            short_share: 0.12,
             tick_ms: SpanMs(20),
             group_parts: 8,
             prior_prefill: PerSecond(10_000.0),
--- a/crates/policy/src/tables/dump.rs
+++ b/crates/policy/src/tables/dump.rs
@@ -6,7 +6,16 @@
 /// Adds a line for the whole and one for each engine.
 pub fn dump(tables: &Tables, text: &mut String) {
     // Writing to a string cannot fail.
-    let _ = writeln!(text, "jobs {}", tables.jobs.len());
+    let mean = tables.fleet.mean_cost();
+    let _ = writeln!(
+        text,
+        "jobs {}, fleet prefill {:.0} tok/s overhead {:.0} ms error {:.2} samples {}",
+        tables.jobs.len(),
+        mean.prefill_per_s,
+        mean.overhead_ms,
+        mean.error,
+        mean.samples,
+    );
     for engine in tables.fleet.iter() {
         let _ = writeln!(
             text,
--- a/crates/policy/src/tables/mod.rs
+++ b/crates/policy/src/tables/mod.rs
@@ -112,9 +112,12 @@
             predicted_ms: entry.predicted_ms,
             seen_ms: now_ms.since(entry.sent_ms).0 as f64,
         };
-        let engine = entry.upstream.and_then(|id| self.fleet.get_mut(id));
+        let upstream = entry.upstream;
+        if let Some(upstream) = upstream {
+            self.fleet.learn(upstream, sample);
+        }
+        let engine = upstream.and_then(|id| self.fleet.get_mut(id));
         if let Some(engine) = engine {
-            engine.cost.learn(sample);
             engine.health.succeeded();
             engine.first_token(slot);
         }
--- a/crates/policy/tests/random.rs
+++ b/crates/policy/tests/random.rs
@@ -101,7 +101,7 @@
             }
             Step::Accepted(n, backlog) => {
                 self.policy
-                    .on_accepted(known(n), &load(*backlog, 0), now_ms);
+                    .on_accepted(known(n), Tokens(backlog / 7), &load(*backlog, 0), now_ms);
             }
             Step::FirstToken(n) => self.policy.on_first_token(known(n), now_ms),
             Step::End(n, how) => {
