--- a/crates/stand-ins/src/serve/register/mod.rs
+++ b/crates/stand-ins/src/serve/register/mod.rs
@@ -1,4 +1,4 @@
-//! Registers a stand-in with the platform's list of VMs, again and again.
+//! Keeps a stand-in on the platform's list of VMs.
 
 use crate::platform::{Operator, VmChange};
 use bluebell_base::prelude::*;
@@ -22,8 +22,8 @@
     }
 }
 
-/// Posts `entry` to the platform at once and then every `interval`, each time with the state that
-/// `state` gives.
+/// Puts `entry` on the platform's list at once, and looks every `interval` whether it is still
+/// there with the state that `state` gave last.
 pub fn register(
     platform: Address,
     entry: VmEntry,
@@ -49,16 +49,31 @@
     ended: &AtomicBool,
 ) {
     let operator = Operator::open(platform);
+    let mut told = None;
     while !ended.load(Ordering::Acquire) {
         entry.state = state();
-        if let Err(error) = operator.change_vms(&VmChange::Put(entry.clone())) {
-            log::info!("the platform did not take the registration: {error}");
-        }
-        let mut left = interval;
-        while !left.is_zero() && !ended.load(Ordering::Acquire) {
-            let pause = left.min(TICK);
-            thread::sleep(pause);
-            left -= pause;
+        // Put again only where the stand-in's own state changed or the platform forgot it, so that
+        // what is set at the platform by hand, such as "leaving", stays.
+        if told != Some(entry.state) || !operator.lists(&entry.name) {
+            told = put(&operator, &entry).then_some(entry.state);
         }
+        wait(interval, ended);
+    }
+}
+
+fn put(operator: &Operator, entry: &VmEntry) -> bool {
+    let put = operator.change_vms(&VmChange::Put(entry.clone()));
+    if let Err(error) = &put {
+        log::info!("the platform did not take the registration: {error}");
+    }
+    put.is_ok()
+}
+
+fn wait(interval: Duration, ended: &AtomicBool) {
+    let mut left = interval;
+    while !left.is_zero() && !ended.load(Ordering::Acquire) {
+        let pause = left.min(TICK);
+        thread::sleep(pause);
+        left -= pause;
     }
 }
