Claims: wait a second for the next owner instead of refusing at once

Before: at a planned handover of a shard the claims that were waiting there, and those that came until the next owner was known, were answered 'not_run' (a_planned_handover_refuses_no_claim failed so at each handover time tried, 0 to 900 ms). Now such a claim waits for the new owner, at most hold_ms (1 s); where a shard has been without an owner for that long, later claims are refused at once as before.

The bound in claims_do_not_wait_for_an_owner_for_long is 1010 ms: a second, and 10 ms for the timers.

--- a/crates/claims/src/owner/mod.rs
+++ b/crates/claims/src/owner/mod.rs
@@ -333,7 +333,7 @@
             let unsure = self.unsure("the shard has another owner");
             flight.items().for_each(|item| item.refuse(unsure.clone()));
         }
-        let refused = self.refused("the shard has another owner");
+        let refused = self.ownerless();
         for mut item in self.queue.take_all() {
             item.refuse(refused.clone());
         }
@@ -345,6 +345,12 @@
         Error::not_run(ErrorKind::Unavailable, why).retry_after(self.parts.settings.retry_after_ms)
     }
 
+    /// The same where another owner may serve the shard.
+    fn ownerless(&self) -> Error {
+        let why = "this node does not own the shard any more";
+        Error::not_run(ErrorKind::NotFound, why).retry_after(self.parts.settings.retry_after_ms)
+    }
+
     /// An error for an operation that may be in the log, now or later.
     fn unsure(&self, why: &str) -> Error {
         Error::may_have_run(ErrorKind::Unavailable, why)
--- a/crates/claims/src/owner/serve.rs
+++ b/crates/claims/src/owner/serve.rs
@@ -39,7 +39,7 @@
     /// Why nothing is taken now.
     fn closed(&self, now_ms: MonoMs) -> Option<Error> {
         if self.phase == Phase::Ended || now_ms >= self.tenure.until_ms {
-            return Some(self.refused("this node does not own the shard any more"));
+            return Some(self.ownerless());
         }
         // An outage of the log: refused at once, not held. Once the wait is over, the next
         // operation tries the log again.
--- a/crates/claims/src/router/mod.rs
+++ b/crates/claims/src/router/mod.rs
@@ -39,6 +39,8 @@
 #[derive(Default)]
 struct Shard {
     owner: Option<ShardOwner>,
+    /// Since when claims have found no owner.
+    ownerless_ms: Option<MonoMs>,
     held: Option<Held>,
 }
 
@@ -75,7 +77,11 @@
         let Some(slot) = self.shards.get_mut(shard.index()) else {
             return;
         };
+        let same = slot.owner.as_ref().map(|old| old.incarnation) == Some(owner.incarnation);
         slot.owner = Some(owner);
+        if !same {
+            slot.ownerless_ms = None;
+        }
         self.ask_new_owner(cx, shard);
     }
 
@@ -124,6 +130,23 @@
             actor,
             report,
         });
+        slot.ownerless_ms = None;
+        self.ask_new_owner(cx, shard);
+    }
+
+    /// Until when claims of a shard without an owner may wait for one.
+    fn owner_due_ms(&mut self, shard: ShardId, now_ms: MonoMs) -> MonoMs {
+        let hold_ms = self.parts.settings.hold_ms;
+        match self.shards.get_mut(shard.index()) {
+            Some(slot) => *slot.ownerless_ms.get_or_insert(now_ms) + hold_ms,
+            None => now_ms,
+        }
+    }
+
+    fn owner_answered(&mut self, shard: ShardId) {
+        if let Some(slot) = self.shards.get_mut(shard.index()) {
+            slot.ownerless_ms = None;
+        }
     }
 
     pub(crate) fn shard_lost(&mut self, _cx: CX![], shard: ShardId) {
@@ -156,7 +179,8 @@
     }
 
     fn nowhere(&self) -> Error {
-        Error::not_run(ErrorKind::Unavailable, "the key's shard has no owner now")
+        // `NotFound` tells other nodes that they asked the wrong one; callers never see it.
+        Error::not_run(ErrorKind::NotFound, "the key's shard has no owner here now")
             .retry_after(self.parts.settings.retry_after_ms)
     }
 
--- a/crates/claims/src/router/pending.rs
+++ b/crates/claims/src/router/pending.rs
@@ -9,8 +9,11 @@
 use stakker::{CX, call, fwd_to, ret_to};
 use std::collections::HashMap;
 
-/// Tries to get an answer to one claim.
-const ATTEMPTS: u32 = 2;
+/// Tries again after lost answers, for one claim.
+const LOST_TRIES: u32 = 1;
+
+/// How often a claim that waits for an owner looks for one.
+const OWNER_POLL_MS: SpanMs = SpanMs(100);
 
 /// The claims that wait, by number.
 #[derive(Default)]
@@ -28,6 +31,10 @@
     attempts: u32,
     /// The peer that the last attempt went to; none: the owner here.
     asked: Option<Incarnation>,
+    /// Answers lost so far.
+    lost: u32,
+    /// Whether no attempt is under way, for want of an owner.
+    waits: bool,
     /// Whether the claim may be in the log without our knowing.
     unsure: bool,
 }
@@ -44,10 +51,6 @@
 
 impl Claims {
     pub(crate) fn claim(&mut self, cx: CX![], call: ClaimCall, ret: ClaimRet) {
-        if matches!(self.route(call.key), Route::Nowhere) {
-            ret.ret(Err(self.nowhere()));
-            return;
-        }
         self.pending.next_number += 1;
         let number = self.pending.next_number;
         let fwd = fwd_to!([cx], |this, cx, _now_ms: MonoMs| this
@@ -60,26 +63,28 @@
             deadline,
             attempts: 0,
             asked: None,
+            lost: 0,
+            waits: false,
             unsure: false,
         };
         self.pending.by_number.insert(number, claim);
         self.attempt(cx, number);
     }
 
-    /// Asks a shard's new owner about the claims that still wait for the old one: where that died
-    /// or is paused, its answer comes too late or never.
+    /// Asks a shard's new owner about the claims that still wait for the old one, which may be
+    /// dead or paused, so that its answer comes too late or never.
     pub(super) fn ask_new_owner(&mut self, cx: CX![], shard: ShardId) {
         let shards = self.parts.settings.shards;
         let claims = self.pending.by_number.iter();
         let numbers: Vec<u64> = claims
             .filter(|(_, claim)| shard_of(claim.call.key, shards) == shard)
-            .filter(|(_, claim)| claim.attempts < ATTEMPTS && self.has_moved(claim))
+            .filter(|(_, claim)| claim.waits || self.has_moved(claim))
             .map(|(number, _)| *number)
             .collect();
         for number in numbers {
             if let Some(claim) = self.pending.by_number.get_mut(&number) {
                 // The old owner may have recorded it.
-                claim.unsure = true;
+                claim.unsure |= !claim.waits;
             }
             self.attempt(cx, number);
         }
@@ -108,11 +113,12 @@
         if let Some(claim) = self.pending.by_number.get_mut(&number) {
             claim.attempts = attempt;
             claim.asked = asked;
+            claim.waits = false;
         }
         match route {
             Route::Nowhere => {
                 let nowhere = self.nowhere();
-                self.give_up(cx, number, nowhere);
+                self.without_owner(cx, number, nowhere);
             }
             Route::Here(owner) => {
                 let ret = ret_to!(
@@ -150,6 +156,8 @@
         };
         let error = match answer {
             Ok(answer) => {
+                let shard = shard_of(claim.call.key, self.parts.settings.shards);
+                self.owner_answered(shard);
                 if let Some(claim) = self.pending.by_number.remove(&number) {
                     self.parts.timers.cancel(cx, claim.deadline);
                     claim.ret.ret(Ok(answer));
@@ -164,6 +172,8 @@
         }
         if self.is_worth_another(number, &error) {
             self.attempt(cx, number);
+        } else if is_ownerless(&error) {
+            self.without_owner(cx, number, error);
         } else {
             self.give_up(cx, number, error);
         }
@@ -172,24 +182,50 @@
     /// Another attempt helps where another owner serves now, or where only the answer was lost:
     /// the owner answers the same request again. An error that says when to come back is the
     /// owner's own answer, not a lost one.
-    fn is_worth_another(&self, number: u64, error: &Error) -> bool {
-        let Some(claim) = self.pending.by_number.get(&number) else {
+    fn is_worth_another(&mut self, number: u64, error: &Error) -> bool {
+        let Some(claim) = self.pending.by_number.get_mut(&number) else {
             return false;
         };
-        if claim.attempts >= ATTEMPTS {
-            return false;
+        let lost = error.verdict != Verdict::NotRun && error.retry_after_ms.is_none();
+        claim.lost += u32::from(lost);
+        let again = lost && claim.lost <= LOST_TRIES;
+        self.pending
+            .by_number
+            .get(&number)
+            .is_some_and(|claim| again || self.has_moved(claim))
+    }
+
+    /// Lets a claim wait while its shard may just be changing owners, as at every planned stop.
+    /// Where the shard has been without one for longer, the claim is given up at once.
+    fn without_owner(&mut self, cx: CX![], number: u64, error: Error) {
+        let now_ms = self.parts.timers.now_ms(cx);
+        let Some(claim) = self.pending.by_number.get_mut(&number) else {
+            return;
+        };
+        let shard = shard_of(claim.call.key, self.parts.settings.shards);
+        claim.waits = true;
+        let due_ms = self.owner_due_ms(shard, now_ms);
+        if now_ms >= due_ms {
+            self.give_up(cx, number, error);
+            return;
         }
-        if matches!(self.route(claim.call.key), Route::Nowhere) {
-            return false;
+        let fwd = fwd_to!([cx], |this, cx, _now_ms: MonoMs| this
+            .look_for_owner(cx, number));
+        let at_ms = due_ms.min(now_ms + OWNER_POLL_MS);
+        self.parts.timers.subscribe_at(cx, at_ms, fwd);
+    }
+
+    fn look_for_owner(&mut self, cx: CX![], number: u64) {
+        let claim = self.pending.by_number.get(&number);
+        if claim.is_some_and(|claim| claim.waits) {
+            self.attempt(cx, number);
         }
-        let lost = error.verdict != Verdict::NotRun && error.retry_after_ms.is_none();
-        self.has_moved(claim) || lost
     }
 
-    /// The claim's time is over; an attempt is still under way.
+    /// The claim's time is over; where an attempt is under way, it may still be recorded.
     fn claim_late(&mut self, cx: CX![], number: u64) {
         if let Some(claim) = self.pending.by_number.get_mut(&number) {
-            claim.unsure = true;
+            claim.unsure |= !claim.waits;
         }
         let late = Error::not_run(ErrorKind::Unavailable, "the key's owner does not answer");
         self.give_up(cx, number, late);
@@ -215,8 +251,19 @@
             self.settle(cx, call);
         }
         let wait_ms = self.parts.settings.retry_after_ms;
-        let answer = Error::not_run(error.kind, error.message)
+        let kind = match error.kind {
+            ErrorKind::NotFound => ErrorKind::Unavailable,
+            kind => kind,
+        };
+        let answer = Error::not_run(kind, error.message)
             .retry_after(error.retry_after_ms.unwrap_or(wait_ms));
         claim.ret.ret(Err(answer));
     }
 }
+
+/// Whether an error says that nobody serves the shard at that place: no owner is known, the node
+/// asked is none, or nobody listens there.
+fn is_ownerless(error: &Error) -> bool {
+    let refused = error.kind == ErrorKind::Unavailable && error.retry_after_ms.is_none();
+    error.verdict == Verdict::NotRun && (error.kind == ErrorKind::NotFound || refused)
+}
--- a/crates/claims/tests/at_most_once/owners.rs
+++ b/crates/claims/tests/at_most_once/owners.rs
@@ -152,6 +152,39 @@
     rig.check().unwrap();
 }
 
+/// A node is stopped as planned and hands its shard over; callers in that moment get their grant
+/// from the new owner a little later, instead of a refusal.
+#[test]
+fn a_planned_handover_refuses_no_claim() {
+    for handover_ms in [0, 50, 500, 900] {
+        let mut rig = served_by_0(3);
+        let waiting = [rig.ask(2, 1), rig.ask(0, 2)];
+        rig.lose(0, 0);
+        let late = [rig.ask(2, 3), rig.ask(0, 4), rig.ask(1, 5)];
+        rig.run_ms(handover_ms);
+        rig.give(0, 1);
+        rig.run_ms(1000);
+        for asked in waiting.iter().chain(&late) {
+            assert_eq!(asked.text(), "granted", "{handover_ms} ms");
+        }
+        rig.check().unwrap();
+    }
+}
+
+/// A shard without an owner for long: the first callers wait a second for one, later ones are
+/// refused at once.
+#[test]
+fn claims_do_not_wait_for_an_owner_for_long() {
+    let mut rig = served_by_0(3);
+    rig.lose(0, 0);
+    for (node, later_ms, bound_ms) in [(2, 1500, 1010), (2, 10, 10), (2, 60_000, 10)] {
+        let asked = rig.ask(node, 1);
+        rig.run_ms(later_ms);
+        assert_eq!(asked.text(), "not_run");
+        assert!(asked.took() <= Some(SpanMs(bound_ms)), "{:?}", asked.took());
+    }
+}
+
 /// A shard moves away and back. Batches of the first tenure must not count in the second, and keys
 /// claimed in between stay held. Cause: leases that lapse for a moment.
 #[test]
