--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -40,7 +40,11 @@
 pub trait ClaimsPort {
     /// Claims a key.
     ///
-    /// An error is `NotRun` as far as this request goes: without a grant it must not run.
+    /// An error is `NotRun` as far as this request goes: without a grant it must not run, and it
+    /// must not claim the key again, since its claim may have been settled for it. A request that
+    /// tries later is a new one.
+    ///
+    /// A grant is good for the key's validity; the request is sent on, or given up, well within.
     fn claim(&self, core: &mut Core, call: ClaimCall, ret: Ret<Result<ClaimAnswer, Error>>);
 
     /// Settles a claim; goes on in the background until it is in the log or the key expires.
--- a/crates/peers/src/server/mod.rs
+++ b/crates/peers/src/server/mod.rs
@@ -166,8 +166,11 @@
         sealed
             .verify(&self.settings.secret, wall_ms(), &mut guard)
             .map_err(|error| {
-                self.stats.call_refused();
-                log::warn!("a call to the peer interface was refused: {error}");
+                let count = self.stats.call_refused();
+                // Anybody can send such calls; they must not fill the log.
+                if count.is_power_of_two() {
+                    log::warn!("call {count} to the peer interface was refused: {error}");
+                }
                 refusal(UNAUTHENTICATED_CODE, &error.to_string())
             })?;
         Ok(sealed)
--- a/crates/peers/src/stats/mod.rs
+++ b/crates/peers/src/stats/mod.rs
@@ -110,8 +110,9 @@
         add(&self.kinds[kind as usize].sent_bytes, bytes);
     }
 
-    pub(crate) fn call_refused(&self) {
-        self.refused.fetch_add(1, Ordering::Relaxed);
+    /// Counts a refusal; tells how many there have been.
+    pub(crate) fn call_refused(&self) -> u64 {
+        self.refused.fetch_add(1, Ordering::Relaxed) + 1
     }
 }
 
