Control: takes that land after a drain are given back, and duties given back are not orphaned

Ruled out: waiting in drain for the takes' fate, which an outage can draw out. A drain also says so when it has nothing to release.

--- a/crates/control/src/actor/lease_side/duties.rs
+++ b/crates/control/src/actor/lease_side/duties.rs
@@ -22,6 +22,10 @@
 /// The longest time between two duties given back for balance.
 const BALANCE_CAP_MS: SpanMs = SpanMs::from_secs(600);
 
+/// How long a duty given back for balance is left to others. If the one it was meant for does not
+/// take it by then, it is better held by this node than by nobody.
+const COOLING_MS: SpanMs = SpanMs(5_000);
+
 /// When to look at the balance again.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Balance {
@@ -41,8 +45,8 @@
         }
         self.tick_reset(cx, now_ms);
         self.finish_drain(now_ms);
-        if self.draining.is_some() || self.drained {
-            return;
+        if self.drained {
+            return self.release_late(cx);
         }
         self.renew(cx, now_ms);
         self.take_free(cx, now_ms);
@@ -199,7 +203,7 @@
         let me = self.me.incarnation;
         let least_own = held.into_iter().min_by_key(|held| weight(held.duty, me));
         if let Some(record) = least_own {
-            let until_ms = now_ms + ttl_ms + ttl_ms;
+            let until_ms = now_ms + COOLING_MS;
             self.leases.cooling.insert(record.duty, until_ms);
             self.release(cx, vec![record]);
         }
@@ -229,6 +233,8 @@
         let held = self.leases.holder.renewable();
         self.drained = true;
         if held.is_empty() {
+            // Said all the same, so that nobody gives duties back for the sake of this node.
+            self.release(cx, held);
             return ret.ret(());
         }
         self.drain_ends_ms = self.timers.now_ms(cx) + self.settings.ttl_ms;
@@ -236,6 +242,13 @@
         self.release(cx, held);
     }
 
+    fn release_late(&mut self, cx: CX![]) {
+        let held = self.leases.holder.renewable();
+        if !held.is_empty() {
+            self.release(cx, held);
+        }
+    }
+
     /// Answers a drain once the release is read back, or once the leases are over anyway: with
     /// the log down others take them after their end, and a stopping node must not wait for it.
     pub(in crate::actor) fn finish_drain(&mut self, now_ms: MonoMs) {
--- a/crates/control/src/actor/lease_side/mod.rs
+++ b/crates/control/src/actor/lease_side/mod.rs
@@ -108,6 +108,10 @@
         self.skipped
     }
 
+    pub(super) fn taking(&self) -> usize {
+        self.taking.len()
+    }
+
     pub(super) fn until(&self) -> impl Iterator<Item = (&Lease, MonoMs)> {
         self.holder.until()
     }
@@ -328,6 +332,9 @@
 
     fn announce(&mut self, change: Option<Change>) {
         match change {
+            // A take that was under way when the node began to stop may still count; the duty is
+            // released at the next tick and acted on by nobody until then.
+            Some(Change::Held { .. }) if self.drained => (),
             Some(Change::Held { lease, until_ms }) => {
                 self.emit(ControlEvent::Held { lease, until_ms });
             }
--- a/crates/control/src/actor/mod.rs
+++ b/crates/control/src/actor/mod.rs
@@ -194,6 +194,7 @@
             leases_known: self.leases.is_known(),
             leases: self.leases.all(),
             held: self.leases.until().map(until).collect(),
+            taking: self.leases.taking(),
             vacant: self.vacant(),
             log_down: self.config.is_down() || self.leases.is_down(),
         });
--- a/crates/control/src/print/mod.rs
+++ b/crates/control/src/print/mod.rs
@@ -91,6 +91,8 @@
     pub leases: Vec<Lease>,
     /// Duties of this node.
     pub held: Vec<HeldDump>,
+    /// Takes of this node whose fate is not read.
+    pub taking: usize,
     /// Duties that nobody holds by the log.
     pub vacant: Vec<Duty>,
     /// Whether either stream can't be read now.
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -114,6 +114,28 @@
     );
 }
 
+/// A node stops while a take of its own is long on its way, and counts later. The duty is given
+/// back at once, and the stopping node never acts on it.
+#[test]
+fn a_take_that_lands_after_a_drain() {
+    let mut fleet = Fleet::with_nodes(3, 1);
+    fleet.add_fault(0, Operation::Append, 1, Fault::Slow(SpanMs(4_000)));
+    let sent = |fleet: &mut Fleet| fleet.dump(0).taking > 0;
+    assert!(fleet.run_until(MonoMs(10_000), sent));
+    call!([fleet.nodes[0].control], drain(Ret::new(|_| ())));
+    fleet.start_node();
+    let end = fleet.leases_end();
+    let end_ms = fleet.now_ms + SpanMs(20_000);
+    let acts = |fleet: &mut Fleet| !fleet.believed(0).is_empty();
+    assert!(!fleet.run_until(end_ms, acts));
+    let own = format!("\"holder\":{}", fleet.nodes[0].incarnation.0);
+    let take = |text: &Arc<str>| text.contains("take") && text.contains(&own);
+    assert!(fleet.leases_from(end).iter().any(take), "a take landed");
+    for duty in fleet.settings.duties() {
+        assert_eq!(fleet.running_holders(duty), vec![1], "{duty:?}");
+    }
+}
+
 /// A node stops while the log is down: it isn't held up for longer than its lease.
 #[test]
 fn a_drain_with_the_log_down_ends() {
