--- a/crates/control/tests/config.rs
+++ b/crates/control/tests/config.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use bluebell_base::prelude::*;
-use bluebell_control::{Duty, Published};
+use bluebell_control::{ControlEvent, Duty, Published};
+use bluebell_members::MemberEvent;
 use bluebell_stand_ins::platform::{Fault, Operation, PlatformSettings};
 use support::{Fleet, config_text, large_config_text};
 
@@ -259,12 +260,23 @@
     assert_eq!(fleet.versions(fresh), versions(&[1]));
 }
 
+/// When a node first saw a peer's card with that version.
+fn first_card_of(fleet: &Fleet, index: usize, version: ConfigVersion) -> MonoMs {
+    let events = fleet.nodes[index].member_events.borrow();
+    let found = events.iter().find(|(_, event)| match event {
+        MemberEvent::Nodes(cards) => cards.iter().any(|card| card.config == version),
+        _ => false,
+    });
+    found.expect("a card").0
+}
+
 /// The log is down and a node restarts. One of its peers was cut off before the last change and
 /// still holds the old version. The fresh node takes the newest from its peers, and once it saw
 /// that one, never the old.
 #[test]
 fn a_restart_with_the_log_down() {
-    for seed in 0..10 {
+    let mut reverted = 0;
+    for seed in 0..20 {
         let mut fleet = Fleet::with_nodes(seed, 4);
         fleet.run_ms(5_000);
         assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
@@ -285,6 +297,16 @@
             seen == versions(&[2]) || seen == versions(&[1, 2]),
             "{seen:?}"
         );
+        // Once a peer's card said 2, nothing older may come into force.
+        let told_ms = first_card_of(&fleet, fresh, ConfigVersion(2));
+        let events = fleet.nodes[fresh].events.borrow();
+        let late = events.iter().filter(|(at_ms, _)| *at_ms > told_ms);
+        let old = late.filter(|(_, event)| match event {
+            ControlEvent::Config { version, .. } => *version < ConfigVersion(2),
+            _ => false,
+        });
+        reverted += old.count();
+        drop(events);
         assert_eq!(
             fleet.versions(3),
             versions(&[1, 2]),
@@ -294,6 +316,7 @@
         fleet.run_ms(10_000);
         assert_eq!(fleet.in_force(fresh).0, ConfigVersion(2));
     }
+    assert_eq!(reverted, 0);
 }
 
 /// An update lands between the point a snapshot stands for and the snapshot itself. A node that
@@ -354,6 +377,42 @@
     }
 }
 
+/// The log is down. A fresh node asks the only peer that it knows, which is stale and slow; before
+/// the answer comes, another peer says that it holds a newer version. The old one must not come
+/// into force, not even for the moment until the newer one is here.
+#[test]
+fn a_late_answer_of_a_stale_peer() {
+    let mut fleet = Fleet::with_nodes(13, 2);
+    fleet.run_ms(5_000);
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    fleet.run_ms(2_000);
+    let (newest, stale) = (
+        fleet.nodes[0].address.clone(),
+        fleet.nodes[1].address.clone(),
+    );
+    fleet.add_fault(1, Operation::Read, 10_000, Fault::Down);
+    let pair = (newest.clone(), stale.clone());
+    fleet.net.borrow_mut().cut_pairs.insert(pair);
+    assert_eq!(fleet.publish_now(0, 1, &config_text(2_000)), accepted(2));
+    fleet.set_log_down(true);
+    fleet.net.borrow_mut().cut.insert(newest.clone());
+    let delay = (stale.clone(), SpanMs(900));
+    fleet.net.borrow_mut().config_delays.extend([delay]);
+    let fresh = fleet.start_node();
+    let end_ms = fleet.now_ms + SpanMs(5_000);
+    let knows = |fleet: &mut Fleet, version| fleet.dump(fresh).seen_at_peers == version;
+    assert!(fleet.run_until(end_ms, |fleet| knows(fleet, ConfigVersion(1))));
+    fleet.net.borrow_mut().cut.remove(&newest);
+    assert!(fleet.run_until(end_ms, |fleet| knows(fleet, ConfigVersion(2))));
+    assert_eq!(
+        fleet.versions(fresh),
+        versions(&[]),
+        "the answer is still on its way"
+    );
+    fleet.run_ms(10_000);
+    assert_eq!(fleet.versions(fresh), versions(&[2]));
+}
+
 /// A newer node publishes a text that this one can't read. It keeps what it has, and its next
 /// readable version comes into force.
 #[test]
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -114,6 +114,32 @@
     );
 }
 
+/// A record under this process's incarnation counts that it does not remember sending, such as
+/// one that waited in the log service for long: it may not act on it before it has renewed.
+#[test]
+fn a_forgotten_record_gives_no_validity() {
+    let (me, duty) = (Incarnation(1), Duty::Snapshot);
+    let mut holder = Holder::new(me, SpanMs(9_000));
+    let grant = Grant {
+        holder: Some(me),
+        address: "10.0.0.1:9000".into(),
+        fencing: Fencing(5),
+        touched: Offset(5),
+    };
+    let now_ms = MonoMs(100_000);
+    assert_eq!(
+        holder.on_touched(OperationId(1), duty, &grant, now_ms),
+        None
+    );
+    assert_eq!(holder.valid(duty, now_ms), None);
+    holder.sending(OperationId(2), now_ms);
+    assert!(
+        holder
+            .on_touched(OperationId(2), duty, &grant, now_ms)
+            .is_some()
+    );
+}
+
 /// A node stops while a take of its own is long on its way, and counts later. The duty is given
 /// back at once, and the stopping node never acts on it.
 #[test]
--- a/crates/control/tests/support/network.rs
+++ b/crates/control/tests/support/network.rs
@@ -20,6 +20,10 @@
     dead: BTreeSet<Address>,
     /// Nodes that can neither call nor be called.
     pub cut: BTreeSet<Address>,
+    /// Pairs of nodes that can't reach each other.
+    pub cut_pairs: BTreeSet<(Address, Address)>,
+    /// How much later calls for the configuration arrive, by whom they are for.
+    pub config_delays: BTreeMap<Address, SpanMs>,
     /// Bytes of JSON sent and received, by address.
     pub bytes: BTreeMap<Address, u64>,
     /// Calls made, by address.
@@ -56,7 +60,11 @@
     }
 
     fn handler(&self, from: &Address, to: &Address) -> Option<Handler> {
-        let cut = self.cut.contains(from) || self.cut.contains(to) || self.dead.contains(to);
+        let pair = |a: &Address, b: &Address| (a.clone(), b.clone());
+        let apart =
+            self.cut_pairs.contains(&pair(from, to)) || self.cut_pairs.contains(&pair(to, from));
+        let cut =
+            apart || self.cut.contains(from) || self.cut.contains(to) || self.dead.contains(to);
         self.handlers.get(to).filter(|_| !cut).cloned()
     }
 }
@@ -76,8 +84,13 @@
                 ret.ret(Err(error));
             }
         });
+        let delay_ms = match call {
+            PeerCall::Config { .. } => self.net.borrow().config_delays.get(to).copied(),
+            _ => None,
+        };
+        let delay_ms = LATENCY_MS + delay_ms.unwrap_or_default();
         let (net, from, to) = (self.net.clone(), self.from.clone(), to.clone());
-        core.after(LATENCY_MS.into(), move |_| {
+        core.after(delay_ms.into(), move |_| {
             let size = serde_json::to_string(&call).unwrap().len();
             net.borrow_mut().count(&from, &to, size);
             *net.borrow_mut().calls.entry(from.clone()).or_default() += 1;
