--- a/crates/control/tests/reducers.rs
+++ b/crates/control/tests/reducers.rs
@@ -319,6 +319,41 @@
     }
 }
 
+/// Which parts in a row make a text that counts; `x` is a record of another writer.
+#[test]
+fn parts_count_only_side_by_side() {
+    let cases = [
+        ("0 1 2", 1),
+        ("0 x 1 2", 0),
+        ("0 1 x 2", 0),
+        ("0 1", 0),
+        ("1 2", 0),
+        ("0 0 1 2", 1),
+        ("0 1 1 2", 0),
+        ("0 1 0 1 2", 1),
+        ("0 1 2 0 1 2", 1),
+        ("0 2 1", 0),
+    ];
+    for (log, version) in cases {
+        let mut reader = ConfigReducer::new(Offset(0));
+        for (offset, record) in (0..).zip(log.split(' ')) {
+            let record = match record.parse() {
+                Ok(index) => ConfigRecord::Update(Update {
+                    op: OperationId(1),
+                    base: ConfigVersion(0),
+                    splice: Splice::WHOLE,
+                    part: Part { index, count: 3 },
+                    body: "x".into(),
+                }),
+                Err(_) => foreign(),
+            };
+            reader.apply(Offset(offset), &record, &mut Vec::new());
+        }
+        let known = reader.known().unwrap().version;
+        assert_eq!(known, ConfigVersion(version), "{log}");
+    }
+}
+
 /// A newer version writes records with more fields and of kinds that this one does not know.
 #[test]
 fn records_of_a_newer_version() {
--- a/crates/control/tests/support/engine.rs
+++ b/crates/control/tests/support/engine.rs
@@ -2,7 +2,6 @@
 //! they were handed over, on that node's clock, so that a pause can fall between.
 
 use bluebell_base::prelude::*;
-use bluebell_timers::Timers;
 use bluebell_upstreams::engine::LoadedModel;
 use bluebell_upstreams::{
     CacheEvents, CancelAnswer, EngineOrder, EnginePort, Event, Generate, Hold, LoadReport,
@@ -73,10 +72,9 @@
     }
 
     /// The port of one node, whose orders leave `send_ms` after they were handed over.
-    pub fn port(&self, timers: &Timers, send_ms: Rc<Cell<u64>>) -> Rc<dyn EnginePort> {
+    pub fn port(&self, send_ms: Rc<Cell<u64>>) -> Rc<dyn EnginePort> {
         Rc::new(Port {
             engine: self.clone(),
-            timers: timers.clone(),
             send_ms,
         })
     }
@@ -177,7 +175,6 @@
 
 struct Port {
     engine: Engine,
-    timers: Timers,
     send_ms: Rc<Cell<u64>>,
 }
 
