Control: sharper tests of pauses, drains, outages and paces

The tests now pause with the weight store's answer on its way, go back to a version for which the new steward has nothing to order, pace 8 GB loads, compare holders across the outage, and land the take while nobody else is there.

--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -149,14 +149,19 @@
     let sent = |fleet: &mut Fleet| fleet.dump(0).taking > 0;
     assert!(fleet.run_until(MonoMs(10_000), sent));
     call!([fleet.nodes[0].control], drain(Ret::new(|_| ())));
-    fleet.start_node();
     let end = fleet.leases_end();
-    let end_ms = fleet.now_ms + SpanMs(20_000);
     let acts = |fleet: &mut Fleet| !fleet.believed(0).is_empty();
+    let end_ms = fleet.now_ms + SpanMs(5_500);
+    assert!(!fleet.run_until(end_ms, acts));
+    let landed = fleet.leases_from(end);
+    let count = |kind: &str| landed.iter().filter(|text| text.contains(kind)).count();
+    assert!(
+        count("\"take\"") > 0 && count("\"release\"") > 1,
+        "{landed:?}"
+    );
+    fleet.start_node();
+    let end_ms = fleet.now_ms + SpanMs(10_000);
     assert!(!fleet.run_until(end_ms, acts));
-    let own = format!("\"holder\":{}", fleet.nodes[0].incarnation.0);
-    let take = |text: &Arc<str>| text.contains("take") && text.contains(&own);
-    assert!(fleet.leases_from(end).iter().any(take), "a take landed");
     for duty in fleet.settings.duties() {
         assert_eq!(fleet.running_holders(duty), vec![1], "{duty:?}");
     }
@@ -228,12 +233,20 @@
     }
 }
 
+/// The holder of each duty.
+fn holders_of(fleet: &Fleet, duties: &[Duty]) -> Vec<usize> {
+    let holder = |duty: &Duty| fleet.running_holders(*duty)[0];
+    duties.iter().map(holder).collect()
+}
+
 /// The log is down for ten minutes. Every lease ends at its holder, nobody takes one over, and
 /// when the log is back the duties are held again without a rush of appends.
 #[test]
 fn an_outage_of_the_log() {
     let mut fleet = Fleet::with_nodes(4, 9);
-    fleet.run_ms(60_000);
+    fleet.run_ms(90_000);
+    let duties = fleet.settings.duties();
+    let before: Vec<usize> = holders_of(&fleet, &duties);
     fleet.set_platform_down(true);
     fleet.run_ms(10_500);
     for duty in fleet.settings.duties() {
@@ -246,7 +259,6 @@
     let end = fleet.leases_end();
     fleet.set_platform_down(false);
     let from_ms = fleet.now_ms;
-    let duties = fleet.settings.duties();
     let all_held = |fleet: &mut Fleet| {
         let held = |duty: &Duty| !fleet.running_holders(*duty).is_empty();
         duties.iter().all(held)
@@ -256,6 +268,11 @@
     let appended = fleet.leases_end().0 - end.0;
     assert!(took_ms <= 15_000, "{took_ms}");
     assert!(appended <= 60, "{appended} records in {took_ms} ms");
+    assert_eq!(
+        holders_of(&fleet, &duties),
+        before,
+        "the old holders renewed"
+    );
 }
 
 /// All nodes are replaced, and the log has kept nothing of the leases: no reader can know who
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -25,7 +25,7 @@
         fleet.model.borrow_mut().put_weights(WeightInfo {
             model: "m".into(),
             version,
-            size_bytes: Bytes(4_000_000_000),
+            size_bytes: Bytes(8_000_000_000),
             limit_bytes: PerSecond(4_000_000_000.0),
         });
     }
@@ -98,8 +98,8 @@
                 .all(|engine| engine.serves(now_ms) == Some(2))
         });
         assert!(done);
-        // 5 loads of 4 GB by a quarter of 4 GB/s are 4 s apart at least.
-        assert!(fleet.now_ms.since(from_ms) >= SpanMs(4 * 4_000));
+        // 5 loads of 8 GB by a quarter of 4 GB/s are 8 s apart at least.
+        assert!(fleet.now_ms.since(from_ms) >= SpanMs(4 * 8_000));
         for engine in &engines {
             assert_eq!(loads(engine), vec![(2, true)], "ordered once");
         }
@@ -155,7 +155,7 @@
 /// Where a steward is paused in the course of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PausedAt {
-    /// Before it checks its lease.
+    /// While it waits for the weight store, before it checks its lease.
     BeforeCheck,
     /// After the check, before the order leaves.
     BeforeSend,
@@ -170,68 +170,78 @@
     in_effect_ms: u64,
 }
 
-/// A steward is paused in the middle of an order to load version 2, for a minute. Meanwhile
-/// another takes over, the operator changes to version 3 and all replicas load that. Then the
-/// paused one goes on.
-fn paused_steward(seed: u64, at: PausedAt, checks: bool) -> Wrong {
+/// A steward is paused in the middle of an order to load version 2, for a minute and more.
+/// Meanwhile another takes over, the operator changes to version `next` and all replicas come to
+/// serve that. Then the paused one goes on.
+fn paused_steward(seed: u64, at: PausedAt, checks: bool, next: u64) -> Wrong {
     let (mut fleet, engines) = fleet(seed, 3, 3, checks);
     let old = steward(&mut fleet);
-    if at == PausedAt::BeforeSend {
-        fleet.nodes[old].send_ms.set(2_000);
-    }
-    publish(&mut fleet, 1, &wants(2, checks));
-    let loads_sent = |fleet: &mut Fleet| fleet.steward_dump(old).counts.loads > 0;
-    let arrived = |_: &mut Fleet| engines.iter().any(|e| !loads(e).is_empty());
-    let end_ms = fleet.now_ms + SpanMs(60_000);
-    match at {
-        PausedAt::BeforeCheck => (),
-        PausedAt::BeforeSend => assert!(fleet.run_until(end_ms, loads_sent)),
-        PausedAt::AfterSend => assert!(fleet.run_until(end_ms, arrived)),
-    }
-    fleet.pause(old);
+    pause_in_order(&mut fleet, &engines, old, at, checks);
     let group = Duty::Steward(group_of_writers());
     let end_ms = fleet.now_ms + SpanMs(30_000);
     assert!(fleet.run_until(end_ms, |fleet| !fleet.running_holders(group).is_empty()));
     fleet.run_ms(1_000);
-    publish(&mut fleet, 2, &wants(3, checks));
-    let end_ms = fleet.now_ms + SpanMs(120_000);
-    let done = fleet.run_until(end_ms, |fleet| {
+    publish(&mut fleet, 2, &wants(next, checks));
+    let all_serve = |fleet: &mut Fleet| {
         let now_ms = fleet.now_ms;
         engines
             .iter()
-            .all(|engine| engine.serves(now_ms) == Some(3))
-    });
-    assert!(done, "the new steward brings all to version 3");
+            .all(|engine| engine.serves(now_ms) == Some(next))
+    };
+    fleet.run_ms(60_000);
+    let end_ms = fleet.now_ms + SpanMs(60_000);
+    assert!(
+        fleet.run_until(end_ms, all_serve),
+        "the new steward brings all to it"
+    );
     fleet.resume(old);
     let woke_ms = fleet.now_ms;
-    let mut wrong_ms = 0;
-    let mut last_ms = woke_ms;
+    let (mut wrong_ms, mut last_ms) = (0, woke_ms);
     fleet.run_until(woke_ms + SpanMs(120_000), |fleet| {
-        let now_ms = fleet.now_ms;
-        let serves = |e: &Engine| e.serves(now_ms);
-        if engines.iter().any(|e| serves(e) != Some(3)) {
-            wrong_ms += now_ms.since(last_ms).0;
+        if !all_serve(fleet) {
+            wrong_ms += fleet.now_ms.since(last_ms).0;
         }
-        last_ms = now_ms;
+        last_ms = fleet.now_ms;
         false
     });
-    let now_ms = fleet.now_ms;
-    assert!(
-        engines.iter().all(|e| e.serves(now_ms) == Some(3)),
-        "repaired"
-    );
+    assert!(all_serve(&mut fleet), "repaired");
     let late = engines.iter().flat_map(|e| e.events());
     let late = late.filter(|event| event.at_ms >= woke_ms && event.obeyed);
-    let wrong = |order: &EngineOrder| matches!(order, EngineOrder::LoadModel { version, .. } if *version != 3);
+    let wrong = |order: &EngineOrder| matches!(order, EngineOrder::LoadModel { version, .. } if *version != next);
     Wrong {
         obeyed: late.filter(|event| wrong(&event.order)).count(),
         in_effect_ms: wrong_ms,
     }
 }
 
+/// Publishes version 2 and pauses the steward at that step of its first order.
+fn pause_in_order(
+    fleet: &mut Fleet,
+    engines: &[Engine],
+    steward: usize,
+    at: PausedAt,
+    checks: bool,
+) {
+    if at == PausedAt::BeforeSend {
+        fleet.nodes[steward].send_ms.set(2_000);
+    }
+    let lookups = fleet.model.borrow().stats().weight_lookups;
+    publish(fleet, 1, &wants(2, checks));
+    let end_ms = fleet.now_ms + SpanMs(60_000);
+    let reached = fleet.run_until(end_ms, |fleet| match at {
+        // The store's answer is on its way and will be read first thing after the pause.
+        PausedAt::BeforeCheck => fleet.model.borrow().stats().weight_lookups > lookups,
+        PausedAt::BeforeSend => fleet.steward_dump(steward).counts.loads > 0,
+        PausedAt::AfterSend => engines.iter().any(|engine| !loads(engine).is_empty()),
+    });
+    assert!(reached);
+    fleet.pause(steward);
+}
+
 /// An engine serves a version that no operator wants any more, since a steward that was replaced
-/// woke up and its order went out late. Engines that check the fencing number refuse it; for the
-/// others the new steward reads the state back and repairs it.
+/// woke up and its order went out late. Engines that check the fencing number refuse it, also
+/// where the new steward had nothing to order; for the others the new steward reads the state
+/// back and repairs it.
 #[test]
 fn a_steward_paused_at_each_step() {
     let steps = [
@@ -240,12 +250,16 @@
         PausedAt::AfterSend,
     ];
     for checks in [true, false] {
-        for at in steps {
+        for (at, next) in steps.iter().flat_map(|at| [(*at, 3), (*at, 1)]) {
             for seed in 0..3 {
-                let wrong = paused_steward(seed, at, checks);
-                println!("checks {checks} paused {at:?} seed {seed}: {wrong:?}");
+                let wrong = paused_steward(seed, at, checks, next);
+                println!("checks {checks} paused {at:?} then {next} seed {seed}: {wrong:?}");
                 let unfenced = !checks && at == PausedAt::BeforeSend;
-                assert_eq!(wrong.obeyed, usize::from(unfenced), "{checks} {at:?}");
+                assert_eq!(
+                    wrong.obeyed,
+                    usize::from(unfenced),
+                    "{checks} {at:?} {next}"
+                );
                 // Read back each 10 s, looked at each 0.2 s, loaded in 3 s.
                 let bound_ms = if unfenced { 20_000 } else { 0 };
                 assert!(wrong.in_effect_ms <= bound_ms, "{checks} {at:?} {wrong:?}");
