--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -3,5 +3,7 @@
 
 pub mod engine;
 pub mod faults;
+pub mod listen;
+pub mod platform;
 pub mod serve;
 pub mod service;
