Generate names what a group's other engines hold

Cause: the leader of a group could not know how much the members lend, as the call named only the reservation. The stand-in engine then took all of its own memory for the stream, waited until every other stream had ended, and held up whatever came behind it, while the policy had counted on a part only. Ruled out: reserving on the leader as well, which needs another exchange before the first token; asking the members, which the leader does not know. Now the call says what the others hold; the leader holds the rest and refuses as too long what does not fit. Requests fill the field from the granted parts.

a_group_leader_holds_what_the_others_do_not passes on both kinds of engine.

--- a/crates/load/src/direct.rs
+++ b/crates/load/src/direct.rs
@@ -70,6 +70,7 @@
             deadline_ms: self.patience_ms,
             continue_from: Vec::new(),
             group: None,
+            group_kv_tokens: Tokens::ZERO,
         }
     }
 }
--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -215,6 +215,7 @@
             deadline_ms: self.deadline_ms.since(cx.now_ms),
             continue_from: answer.tokens.clone(),
             group: group.map(|group| group.reservation),
+            group_kv_tokens: group.map_or(Tokens::ZERO, Group::lent_tokens),
         })
     }
 
--- a/crates/requests/src/life/group.rs
+++ b/crates/requests/src/life/group.rs
@@ -161,6 +161,14 @@
 }
 
 impl Group {
+    /// What the members hold together, without the leader.
+    pub(crate) fn lent_tokens(&self) -> Tokens {
+        self.members
+            .iter()
+            .map(|member| member.part.kv_tokens)
+            .sum()
+    }
+
     fn is_ready(&self, cx: &Context<'_>) -> bool {
         let mut members = self.members.iter();
         let there = members.all(|member| cx.fleet.takes_work(member.part.upstream));
--- a/crates/stand-ins/src/engine/call/mod.rs
+++ b/crates/stand-ins/src/engine/call/mod.rs
@@ -54,7 +54,7 @@
             deadline_ms: call.deadline_ms,
             skip_events: call.continue_from.len() as u64,
             group: call.group,
-            lent_tokens: Tokens::ZERO,
+            lent_tokens: call.group_kv_tokens,
         }
     }
 }
--- a/crates/stand-ins/src/engine/model/life/mod.rs
+++ b/crates/stand-ins/src/engine/model/life/mod.rs
@@ -111,12 +111,7 @@
             return reserved_tokens;
         }
         let whole_tokens = call.prompt_tokens.0 + call.max_tokens.0;
-        let need_tokens = whole_tokens.saturating_sub(call.lent_tokens.0);
-        match call.group {
-            // What the others lend is not known here; this engine gives at most all it has.
-            Some(_) => need_tokens.min(self.settings.kv_capacity_tokens.0),
-            None => need_tokens,
-        }
+        whole_tokens.saturating_sub(call.lent_tokens.0)
     }
 
     fn check_room(&self, need_tokens: u64) -> Result<(), Error> {
--- a/crates/stand-ins/tests/common/mod.rs
+++ b/crates/stand-ins/tests/common/mod.rs
@@ -235,6 +235,7 @@
         deadline_ms: SpanMs::from_secs(50),
         continue_from: Vec::new(),
         group: None,
+        group_kv_tokens: Tokens::ZERO,
     }
 }
 
--- a/crates/stand-ins/tests/engine_contract.rs
+++ b/crates/stand-ins/tests/engine_contract.rs
@@ -355,6 +355,31 @@
     }
 }
 
+/// The longest prompts do not fit into one engine. The leader must take what the others do not
+/// hold, neither refusing the whole nor taking all of its own memory.
+#[test]
+fn a_group_leader_holds_what_the_others_do_not() {
+    for (kind, real) in KINDS {
+        println!("{kind}");
+        let small = EngineSettings {
+            kv_capacity_tokens: Tokens(20),
+            ..settings()
+        };
+        let mut rig = Rig::open(real, small);
+        let alone = rig.generate(generate(1, PROMPT, MAX_TOKENS));
+        assert_eq!(failure(&rig.finish(&alone)).kind, ErrorKind::TooLarge);
+        let mut call = generate(2, PROMPT, MAX_TOKENS);
+        call.group = Some(ReservationId(1));
+        call.group_kv_tokens = Tokens(16);
+        let seen = rig.generate(call);
+        let events = rig.finish(&seen);
+        assert_eq!(tokens(&events, 2), expected());
+        // Fourteen tokens of prompt and twelve of answer, less the sixteen.
+        assert_eq!(rig.stats().peak_held_tokens, Tokens(10));
+        assert_eq!(rig.stats().held_tokens, Tokens::ZERO);
+    }
+}
+
 #[test]
 fn orders_obey_the_fencing_number_only_where_it_is_checked() {
     for (kind, real) in KINDS {
--- a/crates/upstreams/src/engine/mod.rs
+++ b/crates/upstreams/src/engine/mod.rs
@@ -53,6 +53,9 @@
     /// The reservation under which the other engines of a group hold memory, if it is a group.
     #[serde(default)]
     pub group: Option<ReservationId>,
+    /// How much the other engines of the group hold; this one holds the rest.
+    #[serde(default)]
+    pub group_kv_tokens: Tokens,
 }
 
 /// A call to read a running or finished stream from an event on.
