--- a/crates/requests/src/life/group.rs
+++ b/crates/requests/src/life/group.rs
@@ -178,10 +178,9 @@
 impl Group {
     /// What the members hold together, without the leader.
     pub(crate) fn lent_tokens(&self) -> Tokens {
-        self.members
-            .iter()
-            .map(|member| member.part.kv_tokens)
-            .sum()
+        let members = self.members.iter();
+        let others = members.filter(|member| member.part.upstream != self.leader);
+        others.map(|member| member.part.kv_tokens).sum()
     }
 
     fn is_ready(&self, cx: &Context<'_>) -> bool {
--- a/crates/requests/tests/claims.rs
+++ b/crates/requests/tests/claims.rs
@@ -59,8 +59,12 @@
         world.run_for(100);
         match end {
             End::Cancel => {
-                let held = world.claims.held.borrow();
-                let request = held.values().next().expect("a claim").0.request;
+                let incarnation = Incarnation(0xb0);
+                let sequence = 1;
+                let request = RequestId {
+                    incarnation,
+                    sequence,
+                };
                 let account = AccountName::from("parish");
                 let reply = Box::new(|_| ());
                 world.nodes[0].call(CallerCall::Cancel {
@@ -88,6 +92,22 @@
     }
 }
 
+/// A claim's late grant comes when the request has ended and another one has its place in the
+/// table: that one must not take the grant for its own and run without a claim.
+#[test]
+fn a_late_grant_is_nobody_elses() {
+    let mut world = World::new(1, 1, 1);
+    world.claims.delay_ms.set(4_000);
+    let mut first = notice();
+    first.deadline_ms = Some(SpanMs(1_000));
+    world.complete(0, first);
+    world.run_for(2_000);
+    world.claims.delay_ms.set(60_000);
+    let (_, second) = world.complete(0, keyed("notice", PROMPT, 40, "other"));
+    world.run_for(4_500);
+    assert_eq!(second.all(), [], "it ran by another request's grant");
+}
+
 /// A caller that asks again hears what became of its first call, by that call's identity.
 #[test]
 fn a_held_key_says_who_holds_it_and_how_far_it_came() {
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -32,7 +32,7 @@
   ],
   "accounts": [
     {"name": "parish", "key_sha256": "0000000000000000000000000000000000000000000000000000000000000000"},
-    {"name": "paper", "key_sha256": "0000000000000000000000000000000000000000000000000000000000000000"}
+    {"name": "paper", "key_sha256": "1111000000000000000000000000000000000000000000000000000000000000"}
   ],
   "models": [{"name": "m", "version": 1}],
   "services": [{"name": "board", "prefix": "/board", "timeout_ms": 5000,
@@ -155,16 +155,32 @@
     }
 }
 
-/// Claims that are granted at once, or with the faults of the switches.
+/// Claims that take effect and are granted together, or with the faults of the switches.
 #[derive(Default)]
 pub struct Claims {
-    pub held: RefCell<HashMap<ClaimKey, (ClaimCall, ClaimState)>>,
+    pub held: Rc<RefCell<Held>>,
     pub claimed: Cell<u32>,
     pub down: Cell<bool>,
     pub silent: Cell<bool>,
     pub delay_ms: Cell<u64>,
 }
 
+type Held = HashMap<ClaimKey, (ClaimCall, ClaimState)>;
+
+fn take(held: &mut Held, call: ClaimCall) -> ClaimAnswer {
+    match held.get(&call.key) {
+        Some((by, state)) if by.request != call.request => ClaimAnswer::Held {
+            by: by.request,
+            state: *state,
+            same: by.fingerprint == call.fingerprint,
+        },
+        _ => {
+            held.insert(call.key, (call, ClaimState::Pending));
+            ClaimAnswer::Granted
+        }
+    }
+}
+
 impl ClaimsPort for Claims {
     fn claim(&self, core: &mut Core, call: ClaimCall, ret: Ret<Result<ClaimAnswer, Error>>) {
         self.claimed.set(self.claimed.get() + 1);
@@ -174,24 +190,20 @@
                 "the log is down",
             )));
         }
-        let mut held = self.held.borrow_mut();
-        let answer = match held.get(&call.key) {
-            Some((by, state)) if by.request != call.request => ClaimAnswer::Held {
-                by: by.request,
-                state: *state,
-                same: by.fingerprint == call.fingerprint,
-            },
-            _ => ClaimAnswer::Granted,
-        };
-        if answer == ClaimAnswer::Granted {
-            held.insert(call.key, (call, ClaimState::Pending));
-        }
-        let delay_ms = match self.silent.get() {
-            true => 3_600_000,
-            false => self.delay_ms.get(),
-        };
-        let at = core.now() + Duration::from_millis(delay_ms);
-        core.timer_add(at, move |_| ret.ret(Ok(answer)));
+        let held = self.held.clone();
+        let silent = self.silent.get();
+        let at = core.now() + Duration::from_millis(self.delay_ms.get());
+        core.timer_add(at, move |core| {
+            let answer = take(&mut held.borrow_mut(), call);
+            match silent {
+                // Taken effect, and the answer is lost without a word.
+                true => {
+                    let later = core.now() + Duration::from_secs(3600);
+                    core.timer_add(later, move |_| drop(ret));
+                }
+                false => ret.ret(Ok(answer)),
+            }
+        });
     }
 
     fn settle(&self, _: &mut Core, call: SettleCall) {
--- /dev/null
+++ b/crates/requests/tests/groups.rs
@@ -0,0 +1,78 @@
+//! Prompts beyond one engine's memory, on the stand-in engines with their model of KV memory.
+
+mod common;
+
+use bluebell_base::prelude::*;
+use bluebell_stand_ins::engine::{EngineSettings, FakeEngine};
+use common::engine::KV_TOKENS;
+use common::{Told, World, call, card};
+
+fn world_of(engines: usize, seed: u64) -> (World, Vec<FakeEngine>) {
+    let mut world = World::new(2, 0, seed);
+    let settings = EngineSettings {
+        kv_capacity_tokens: KV_TOKENS,
+        ..EngineSettings::default()
+    };
+    let open = |index| FakeEngine::open(&mut world.stakker, settings.clone(), index as u64);
+    let fakes: Vec<FakeEngine> = (0..engines).map(open).collect();
+    for node in &world.nodes {
+        for (index, fake) in fakes.iter().enumerate() {
+            node.engine_live(card(index), fake.port());
+        }
+    }
+    (world, fakes)
+}
+
+fn held(fakes: &[FakeEngine]) -> Tokens {
+    fakes.iter().map(|fake| fake.stats().held_tokens).sum()
+}
+
+/// Two callers at two nodes ask for answers to prompts that each need two engines, of which there
+/// are two. Each group could get one engine's memory and wait for the other's for ever; both must
+/// be answered, one after the other, and all memory is free afterwards.
+#[test]
+fn groups_that_want_the_same_engines_both_finish() {
+    for seed in 0..20 {
+        let (mut world, fakes) = world_of(2, seed);
+        let prompts = [0, 1].map(|i| format!("word {i} ").repeat(6_000));
+        let told: Vec<Told> = (0..2)
+            .map(|node| world.complete(node, call("draft", &prompts[node], 20)).1)
+            .collect();
+        world.run_for(29_000);
+        for (told, prompt) in told.iter().zip(&prompts) {
+            assert!(told.is_finished(), "seed {seed}: {}", told.brief());
+            told.check(prompt, 20, 0);
+        }
+        assert_eq!(held(&fakes), Tokens(0), "seed {seed}");
+        fakes.iter().for_each(|f| f.verify().expect("consistent"));
+    }
+}
+
+/// The node that reserved a group's memory dies in the middle of the answer: nobody releases it,
+/// and it must come back by its expiry.
+#[test]
+fn a_dead_nodes_group_holds_no_memory_for_good() {
+    let (mut world, fakes) = world_of(2, 1);
+    let prompt = "word 0 ".repeat(6_000);
+    world.complete(0, call("draft", &prompt, 600));
+    world.run_for(1_000);
+    assert!(held(&fakes) > KV_TOKENS, "both engines are in use");
+    world.kill_node(0);
+    for fake in &fakes {
+        fake.hang_up(&mut world.stakker, Incarnation(0xb0));
+    }
+    world.run_for(16_000);
+    assert_eq!(held(&fakes), Tokens(0));
+}
+
+/// A caller of a group's answer hangs up: after the grace both engines are free at once.
+#[test]
+fn a_hang_up_frees_the_whole_group() {
+    let (mut world, fakes) = world_of(2, 1);
+    let prompt = "word 0 ".repeat(6_000);
+    let (caller, _) = world.complete(0, call("draft", &prompt, 600));
+    world.run_for(1_000);
+    world.gone(0, caller);
+    world.run_for(3_100);
+    assert_eq!(held(&fakes), Tokens(0));
+}
--- a/crates/requests/tests/services.rs
+++ b/crates/requests/tests/services.rs
@@ -116,6 +116,10 @@
 ];
 
 fn ask(world: &mut World, method: &str, path: &str) -> Told {
+    ask_keyed(world, method, path, None)
+}
+
+fn ask_keyed(world: &mut World, method: &str, path: &str, key: Option<&str>) -> Told {
     let (caller, told) = (world.caller(), world.told());
     let call = ServiceRequest {
         account: "parish".into(),
@@ -124,7 +128,7 @@
         path: path.into(),
         content_type: None,
         body: b"body".to_vec(),
-        idempotency_key: None,
+        idempotency_key: key.map(IdempotencyKey::from),
     };
     let sink = Box::new(told.clone());
     world.nodes[0].call(CallerCall::Service { caller, call, sink });
@@ -173,6 +177,24 @@
     }
 }
 
+/// A keyed call's answer is lost: its key stays held, and the caller's retry hears "may have run"
+/// instead of posting a second notice. A call that no replica took frees its key.
+#[test]
+fn a_keyed_call_runs_at_most_once() {
+    for (does, held) in [(Does::Lose, 1), (Does::Answer, 1), (Does::Refuse, 0)] {
+        let (mut world, replicas) = with_replicas([does, does]);
+        ask_keyed(&mut world, "POST", "/notices", Some("k"));
+        world.run_for(100);
+        assert_eq!(world.claims.held.borrow().len(), held, "{does:?}");
+        let before = replicas[0].calls.get();
+        let again = ask_keyed(&mut world, "POST", "/notices", Some("k"));
+        world.run_for(100);
+        let conflict = again.error().is_some_and(|e| e.kind == ErrorKind::Conflict);
+        assert_eq!(conflict, held == 1, "{does:?}: {}", again.brief());
+        assert_eq!(replicas[0].calls.get() == before, held == 1, "{does:?}");
+    }
+}
+
 /// A leaving replica gets no new calls.
 #[test]
 fn a_leaving_replica_gets_no_new_calls() {
