Requests: a link that breaks in a long prefill is no fruitless try; full answers end; bounded memory

Cause 1: silence limits of the HTTP client break a stream's link in a long prefill; each break counted as a fruitless try, so repeatable long work would have been begun anew elsewhere after four of them. The engine is asked now. Cause 2: a lost last event of an answer with all its tokens began it anew.

--- a/crates/requests/src/actor/arrivals.rs
+++ b/crates/requests/src/actor/arrivals.rs
@@ -94,10 +94,18 @@
         });
     }
 
-    fn open_config(&self) -> Result<Arc<FleetConfig>, Refused> {
+    /// The configuration, where the node takes a new request with a prompt or body of `bytes`.
+    fn open_config(&self, bytes: usize) -> Result<Arc<FleetConfig>, Refused> {
         if self.draining.is_some() {
             return Err(self.unavailable(RefusedBy::Draining, "the node is stopping"));
         }
+        // Requests pile up here while the claims or all engines are slow; without a bound their
+        // prompts would take the node's memory, and all its requests with it.
+        let held_bytes = self.table.held_bytes() + Bytes(bytes as u64);
+        let full = self.table.len() >= self.settings.live_count;
+        if full || held_bytes > self.settings.live_bytes {
+            return Err(self.unavailable(RefusedBy::NodeFull, "the node holds all it can"));
+        }
         let config = self.config.clone();
         config.ok_or_else(|| self.unavailable(RefusedBy::NoConfig, "no configuration yet"))
     }
@@ -109,7 +117,7 @@
     }
 
     fn completion_life(&mut self, call: Completion, now_ms: MonoMs) -> Result<Life, Refused> {
-        let config = self.open_config()?;
+        let config = self.open_config(call.prompt.len())?;
         let (class_id, class) = config
             .class(&call.class)
             .ok_or_else(|| unknown(format!("no class of work is named {}", call.class)))?;
@@ -162,7 +170,7 @@
     }
 
     fn service_life(&mut self, call: ServiceRequest, now_ms: MonoMs) -> Result<Life, Refused> {
-        let config = self.open_config()?;
+        let config = self.open_config(call.body.len())?;
         let service = config.services.iter().find(|s| s.name == call.service);
         let service =
             service.ok_or_else(|| unknown(format!("no service is named {}", call.service)))?;
--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -215,10 +215,12 @@
             first_seq: base,
             stream: LinkNo(0),
             open: false,
+            heard: false,
             accepted: true,
             mode: crate::life::Mode::Reading,
             heard_ms: now_ms,
             quiet_ms: self.settings.stall_ms,
+            breaks: 0,
             tries: 0,
         });
         life
--- a/crates/requests/src/actor/mod.rs
+++ b/crates/requests/src/actor/mod.rs
@@ -167,7 +167,7 @@
             self.effects = effects;
             return false;
         };
-        let reader = life.reader_id();
+        let (reader, bytes) = (life.reader_id(), life.held_bytes());
         let mut context = Context {
             now_ms,
             owner: self.incarnation,
@@ -182,7 +182,7 @@
             out: &mut effects,
         };
         pass(life, &mut context);
-        self.table.reindex(id, reader);
+        self.table.reindex(id, reader, bytes);
         for effect in effects.drain(..) {
             self.carry_out(cx, id, request, effect);
         }
--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -147,6 +147,8 @@
     pub stream: LinkNo,
     /// Whether that link isn't known to be broken.
     pub open: bool,
+    /// Whether anything came on it.
+    pub heard: bool,
     /// Whether the engine accepted the work.
     pub accepted: bool,
     /// What is awaited.
@@ -155,6 +157,8 @@
     pub heard_ms: MonoMs,
     /// Silence after which it is asked.
     pub quiet_ms: SpanMs,
+    /// Links in a row that broke while the engine was at work with nothing new.
+    pub breaks: u32,
     /// Fruitless tries in a row to resume or look up.
     pub tries: u32,
 }
@@ -439,6 +443,17 @@
         }
     }
 
+    /// The bytes of the prompt or body that it holds.
+    pub fn held_bytes(&self) -> Bytes {
+        Bytes(match &self.work {
+            Work::Answer(answer) => answer
+                .prompt
+                .as_ref()
+                .map_or(0, |prompt| prompt.len() as u64),
+            Work::Exchange(exchange) => exchange.call.body.len() as u64,
+        })
+    }
+
     /// The metrics' labels of a model's answer.
     pub fn labels(&self) -> Option<(&ClassName, LengthBand)> {
         let answer = self.answer()?;
@@ -511,10 +526,12 @@
             first_seq,
             stream: link,
             open: true,
+            heard: false,
             accepted: false,
             mode: Mode::Reading,
             heard_ms: cx.now_ms,
             quiet_ms: cx.settings.stall_ms,
+            breaks: 0,
             tries: 0,
         }
     }
--- a/crates/requests/src/life/recover.rs
+++ b/crates/requests/src/life/recover.rs
@@ -6,7 +6,7 @@
 use super::{Context, Effect, Life, LinkNo, Mode, Phase, Reader};
 use bluebell_base::prelude::*;
 use bluebell_policy::Outcome;
-use bluebell_upstreams::{Resume, StreamState};
+use bluebell_upstreams::{FinishReason, Resume, StreamState};
 
 impl Life {
     /// The present link broke or the engine ended the stream without an answer.
@@ -23,6 +23,13 @@
             self.on_refused(error, cx);
             return;
         }
+        if run.heard {
+            // The engine had it a moment ago, and silence limits break links in a long prefill:
+            // whether this is a fruitless try is for the engine to say.
+            run.heard = false;
+            self.ask_unless_resting(cx);
+            return;
+        }
         // The engine answered that it has no such stream: asking for it again won't help.
         let unknown = run.generated != Some(link) && error.kind == ErrorKind::NotFound;
         self.on_fruitless(unknown, cx);
@@ -101,8 +108,7 @@
         if repeatable && (unknown || gone || run.tries > limit) {
             self.abandon(cx);
         } else if run.tries > limit {
-            let error = Error::may_have_run(ErrorKind::Upstream, "the engine's answer is lost");
-            self.fail(error, cx);
+            self.give_up(cx);
         } else if unknown {
             run.mode = Mode::PausingToAsk { until_ms };
         } else {
@@ -110,6 +116,12 @@
         }
     }
 
+    fn ask_unless_resting(&mut self, cx: &mut Context<'_>) {
+        if !self.rest() {
+            self.ask(cx);
+        }
+    }
+
     /// Leaves a silent or broken stream alone while nobody reads it; `false` where somebody does.
     ///
     /// The caller may have read on through another node, which owns the stream now: it shows here
@@ -128,6 +140,9 @@
 
     /// Gives the attempt up and starts the work elsewhere, behind the tokens already delivered.
     fn abandon(&mut self, cx: &mut Context<'_>) {
+        if self.finish_if_full(cx) {
+            return;
+        }
         let Some(upstream) = self.upstream() else {
             return;
         };
@@ -171,6 +186,7 @@
         run.heard_ms = cx.now_ms;
         run.stream = link;
         run.open = true;
+        run.heard = false;
         let call = Resume {
             request,
             attempt,
@@ -252,13 +268,20 @@
             return;
         };
         run.accepted = true;
-        if news || !run.open {
-            // The link is broken, or mute though there is something to read. Each such resume
+        if news {
+            // The link is broken or mute though there is something to read. Each such resume
             // counts as a try until a token comes, or a link that swallows all events would be
             // opened again and again until the deadline.
             self.on_fruitless(false, cx);
             return;
         }
+        if !run.open {
+            // At work with nothing new, but its link broke: not a fruitless try.
+            let until_ms = cx.now_ms + cx.settings.backoff(run.breaks);
+            run.breaks += 1;
+            run.mode = Mode::Pausing { until_ms };
+            return;
+        }
         if adopted {
             // The node that admitted it may have taken the stream back before it learned of the
             // hang-up. Resuming makes this node the owner again before that one's grace ends.
@@ -279,10 +302,30 @@
             return;
         }
         // Unknown to the engine proves nothing: it may have run it, restarted and forgotten.
+        self.give_up(cx);
+    }
+
+    /// Nothing more can be learned of work that may not be repeated.
+    fn give_up(&mut self, cx: &mut Context<'_>) {
+        if self.finish_if_full(cx) {
+            return;
+        }
         let error = Error::may_have_run(ErrorKind::Upstream, "the engine's answer is lost");
         self.fail(error, cx);
     }
 
+    /// Ends an answer that has as many tokens as were asked for: only the word that it is whole
+    /// was lost, and no engine would generate anything behind it.
+    fn finish_if_full(&mut self, cx: &mut Context<'_>) -> bool {
+        let full = self
+            .answer()
+            .is_some_and(|answer| answer.job.is_some() && answer.next_seq() >= answer.max_tokens.0);
+        if full {
+            self.finish(FinishReason::Length, cx);
+        }
+        full
+    }
+
     /// Whether the present attempt is the only one that this engine was sent, so that what it says
     /// of the request it says of this attempt.
     fn sole_attempt_there(&self) -> bool {
--- a/crates/requests/src/life/stream.rs
+++ b/crates/requests/src/life/stream.rs
@@ -35,6 +35,7 @@
             return;
         }
         run.heard_ms = cx.now_ms;
+        run.heard |= current;
         match event.body {
             EventBody::Accepted {
                 prompt_tokens,
@@ -98,6 +99,7 @@
         };
         run.accepted = true;
         run.tries = 0;
+        run.breaks = 0;
         run.quiet_ms = cx.settings.stall_ms;
         let upstream = run.upstream;
         let Some(name) = cx.fleet.name(upstream) else {
--- a/crates/requests/src/observe/mod.rs
+++ b/crates/requests/src/observe/mod.rs
@@ -9,6 +9,8 @@
 pub enum RefusedBy {
     /// By the policy.
     Policy(RefusalReason),
+    /// The node holds as many requests or as many bytes of prompts as it may.
+    NodeFull,
     /// The node is stopping.
     Draining,
     /// No configuration is in force yet.
@@ -30,6 +32,7 @@
             Self::Policy(RefusalReason::OverShare) => "over_share",
             Self::Policy(RefusalReason::Overloaded) => "overloaded",
             Self::Policy(RefusalReason::TooLong) => "too_long",
+            Self::NodeFull => "node_full",
             Self::Draining => "draining",
             Self::NoConfig => "no_config",
             Self::Unknown => "unknown_name",
--- a/crates/requests/src/print/mod.rs
+++ b/crates/requests/src/print/mod.rs
@@ -20,6 +20,8 @@
     pub draining: bool,
     /// Live requests.
     pub live_count: usize,
+    /// The bytes of prompts and bodies that they hold.
+    pub live_bytes: Bytes,
     /// The first of them.
     pub live: Vec<LiveDump>,
     /// Cancels and releases under way.
@@ -98,6 +100,7 @@
             config: self.config_version(),
             draining: self.is_draining(),
             live_count: self.table().len(),
+            live_bytes: self.table().held_bytes(),
             live: live.collect(),
             chores: chores.collect(),
             finished_count: self.ring().len(),
--- a/crates/requests/src/settings/mod.rs
+++ b/crates/requests/src/settings/mod.rs
@@ -40,6 +40,10 @@
     pub retry_node_burst: f64,
     /// When a caller refused for a passing reason is told to come back.
     pub retry_after_ms: SpanMs,
+    /// Live requests this node takes at most.
+    pub live_count: usize,
+    /// Bytes of prompts and bodies that live requests may hold together.
+    pub live_bytes: Bytes,
     /// Ended requests kept for reports and reading on.
     pub finished_count: usize,
     /// Bytes of answers kept with them.
@@ -67,6 +71,8 @@
             retry_account_burst: 5.0,
             retry_node_burst: 20.0,
             retry_after_ms: SpanMs::from_secs(1),
+            live_count: 20_000,
+            live_bytes: Bytes(256 * 1024 * 1024),
             finished_count: 4096,
             finished_bytes: Bytes(16 * 1024 * 1024),
             finished_keep_ms: SpanMs::from_secs(120),
--- a/crates/requests/src/table/mod.rs
+++ b/crates/requests/src/table/mod.rs
@@ -20,6 +20,7 @@
     free: Vec<EntryId>,
     by_request: HashMap<RequestId, EntryId>,
     by_caller: HashMap<CallerId, EntryId>,
+    held_bytes: u64,
 }
 
 impl Table {
@@ -33,6 +34,7 @@
         if let Some(caller) = life.reader_id() {
             self.by_caller.insert(caller, id);
         }
+        self.held_bytes += life.held_bytes().0;
         self.slots[id.index()] = Some(life);
         self.by_request.insert(request, id);
         id
@@ -45,6 +47,7 @@
         if let Some(caller) = life.reader_id() {
             self.by_caller.remove(&caller);
         }
+        self.held_bytes -= life.held_bytes().0;
         self.free.push(id);
         Some(life)
     }
@@ -70,9 +73,13 @@
         self.by_caller.get(&caller).copied()
     }
 
-    /// Brings the index of callers up to date after a step that began with reader `before`.
-    pub fn reindex(&mut self, id: EntryId, before: Option<CallerId>) {
-        let now = self.get(id).and_then(Life::reader_id);
+    /// Brings the index of callers and the bytes held up to date after a step that began with
+    /// reader `before` and `before_bytes`.
+    pub fn reindex(&mut self, id: EntryId, before: Option<CallerId>, before_bytes: Bytes) {
+        let life = self.get(id);
+        let now = life.and_then(Life::reader_id);
+        let now_bytes = life.map_or(Bytes::ZERO, Life::held_bytes);
+        self.held_bytes = self.held_bytes + now_bytes.0 - before_bytes.0;
         if before == now {
             return;
         }
@@ -100,6 +107,11 @@
         self.by_request.len()
     }
 
+    /// The bytes of prompts and bodies held.
+    pub fn held_bytes(&self) -> Bytes {
+        Bytes(self.held_bytes)
+    }
+
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.by_request.is_empty()
--- a/crates/requests/src/verify/mod.rs
+++ b/crates/requests/src/verify/mod.rs
@@ -26,6 +26,10 @@
             return broken(what);
         }
     }
+    let held: Bytes = table.iter().map(|(_, life)| life.held_bytes()).sum();
+    if held != table.held_bytes() {
+        return Err(format!("{held} of prompts are held, {} counted", table.held_bytes()).into());
+    }
     for (caller, id) in table.callers() {
         let reads = table.get(id).and_then(Life::reader_id) == Some(caller);
         if !reads {
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -284,7 +284,7 @@
                 incarnation,
                 fleet_secret: b"secret".to_vec(),
                 claims: claims.clone(),
-                policy: bluebell_policy::open(policy, &config, seed),
+                policy: bluebell_policy::open(policy, &config, seed + node),
                 observer: Box::new(NoObserver),
                 lookup: peers.clone(),
                 seed: seed + node,
--- a/crates/requests/tests/groups.rs
+++ b/crates/requests/tests/groups.rs
@@ -34,7 +34,7 @@
 fn groups_that_want_the_same_engines_both_finish() {
     for seed in 0..20 {
         let (mut world, fakes) = world_of(2, seed);
-        let prompts = [0, 1].map(|i| format!("word {i} ").repeat(6_000));
+        let prompts = [0, 1].map(|i| format!("word {i} ").repeat(8_500));
         let told: Vec<Told> = (0..2)
             .map(|node| world.complete(node, call("draft", &prompts[node], 20)).1)
             .collect();
@@ -53,7 +53,7 @@
 #[test]
 fn a_dead_nodes_group_holds_no_memory_for_good() {
     let (mut world, fakes) = world_of(2, 1);
-    let prompt = "word 0 ".repeat(6_000);
+    let prompt = "word 0 ".repeat(8_500);
     world.complete(0, call("draft", &prompt, 600));
     world.run_for(1_000);
     assert!(held(&fakes) > KV_TOKENS, "both engines are in use");
@@ -69,7 +69,7 @@
 #[test]
 fn a_hang_up_frees_the_whole_group() {
     let (mut world, fakes) = world_of(2, 1);
-    let prompt = "word 0 ".repeat(6_000);
+    let prompt = "word 0 ".repeat(8_500);
     let (caller, _) = world.complete(0, call("draft", &prompt, 600));
     world.run_for(1_000);
     world.gone(0, caller);
