--- a/crates/requests/src/actor/arrivals.rs
+++ b/crates/requests/src/actor/arrivals.rs
@@ -265,6 +265,7 @@
         present: Verdict::NotRun,
         link: LinkNo(0),
         work,
+        sent_to: None,
         cancels: Vec::new(),
         requeues: 0,
         ended: None,
--- a/crates/requests/src/actor/effects.rs
+++ b/crates/requests/src/actor/effects.rs
@@ -5,7 +5,7 @@
 use crate::life::{Effect, LinkNo};
 use crate::table::EntryId;
 use bluebell_base::prelude::*;
-use bluebell_peers::{ClaimAnswer, ClaimCall, SettleCall, Settlement};
+use bluebell_peers::{ClaimAnswer, ClaimCall, RequestReport, SettleCall, Settlement};
 use bluebell_upstreams::{CancelAnswer, Event, Reserve, ServiceAnswer, StreamState};
 use stakker::{CX, fwd_to, ret_to};
 
@@ -53,6 +53,13 @@
                     engine.port.lookup(cx, request, ret);
                 }
             }
+            Effect::AskPeer { link } => {
+                let ret = ret_to!(
+                    [cx],
+                    on_peer_report(id, request, link) as (Result<Option<RequestReport>, Error>)
+                );
+                self.lookup.lookup(cx, request, ret);
+            }
             Effect::Cancel {
                 upstream,
                 attempt,
--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -12,6 +12,7 @@
 use crate::budget::PayerId;
 use crate::cursor::Cursor;
 use crate::life::{Answer, LinkNo, Phase, Reader, Run, Work};
+use crate::table::EntryId;
 use crate::waits::{Wait, WaitId, Wish};
 use bluebell_base::prelude::*;
 use bluebell_peers::RequestReport;
@@ -92,6 +93,24 @@
         self.settle_down(cx);
     }
 
+    /// The admitting node's word on an adopted request came, or was lost.
+    pub(super) fn on_peer_report(
+        &mut self,
+        cx: CX![],
+        id: EntryId,
+        request: RequestId,
+        link: LinkNo,
+        answer: Option<Result<Option<RequestReport>, Error>>,
+    ) {
+        let report = answer.and_then(Result::ok).flatten();
+        let upstream = report.as_ref().and_then(|report| report.upstream.as_ref());
+        let upstream = upstream.and_then(|name| self.fleet.id(name));
+        self.step(cx, id, request, |life, context| {
+            life.on_peer_report(link, report, upstream, context);
+        });
+        self.settle_down(cx);
+    }
+
     fn grant(&mut self, cx: CX![], report: RequestReport, wish: Wish) {
         if let Wish::Report(reply) = wish {
             return reply(Ok(report));
@@ -207,6 +226,7 @@
         life.reader = Reader::Detached {
             until_ms: life.deadline_ms,
         };
+        life.sent_to = Some(upstream);
         life.phase = Phase::Running(Run {
             upstream,
             group: None,
@@ -221,6 +241,7 @@
             heard_ms: now_ms,
             quiet_ms: self.settings.stall_ms,
             breaks: 0,
+            peer_asked: false,
             tries: 0,
         });
         life
--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -177,6 +177,7 @@
         run.generated = Some(link);
         run.group = group;
         self.phase = Phase::Running(run);
+        self.sent_to = Some(upstream);
         let Some(call) = call else {
             let error = Error::not_run(ErrorKind::Internal, "the prompt is gone");
             self.fail(error, cx);
--- a/crates/requests/src/life/exchange.rs
+++ b/crates/requests/src/life/exchange.rs
@@ -37,6 +37,7 @@
         self.attempt = AttemptNo(self.attempt.0 + 1);
         self.present = Verdict::MayHaveRun;
         self.phase = Phase::Exchanging { upstream };
+        self.sent_to = Some(upstream);
         let link = self.next_link();
         cx.observer.attempt();
         if !first {
--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -76,6 +76,8 @@
     pub link: LinkNo,
     /// What is to be done.
     pub work: Work,
+    /// The engine or replica that it was last sent to.
+    pub sent_to: Option<UpstreamId>,
     /// Callers that wait for its cancellation.
     pub cancels: Vec<CancelReply>,
     /// How often it went back to the policy with nothing run.
@@ -159,6 +161,8 @@
     pub quiet_ms: SpanMs,
     /// Links in a row that broke while the engine was at work with nothing new.
     pub breaks: u32,
+    /// Whether the node that admitted it was asked where it runs, for an adopted request.
+    pub peer_asked: bool,
     /// Fruitless tries in a row to resume or look up.
     pub tries: u32,
 }
@@ -332,6 +336,11 @@
         /// The link its answer comes on.
         link: LinkNo,
     },
+    /// Ask the node that admitted it where it runs now.
+    AskPeer {
+        /// The link the answer comes on.
+        link: LinkNo,
+    },
     /// Cancel an attempt, until the engine answers or its hold has expired.
     Cancel {
         /// On this engine.
@@ -489,7 +498,7 @@
             }
             _ => "queued",
         };
-        let upstream = self.upstream().and_then(|id| fleet.name(id)).cloned();
+        let upstream = self.sent_to.and_then(|id| fleet.name(id)).cloned();
         RequestReport {
             request: self.request,
             account: self.account.clone(),
@@ -532,6 +541,7 @@
             heard_ms: cx.now_ms,
             quiet_ms: cx.settings.stall_ms,
             breaks: 0,
+            peer_asked: false,
             tries: 0,
         }
     }
--- a/crates/requests/src/life/read.rs
+++ b/crates/requests/src/life/read.rs
@@ -78,14 +78,7 @@
     }
 
     fn upstream_name(&self, cx: &Context<'_>) -> Option<UpstreamName> {
-        let upstream = self.upstream().or(self.last_upstream());
-        upstream.and_then(|id| cx.fleet.name(id)).cloned()
-    }
-
-    /// The engine that a request between two attempts was last sent to.
-    fn last_upstream(&self) -> Option<UpstreamId> {
-        let job = self.answer()?.job.as_ref()?;
-        job.avoid.last().copied()
+        self.sent_to.and_then(|id| cx.fleet.name(id)).cloned()
     }
 
     /// An engine is gone, or said to be.
--- a/crates/requests/src/life/recover.rs
+++ b/crates/requests/src/life/recover.rs
@@ -5,6 +5,7 @@
 
 use super::{Context, Effect, Life, LinkNo, Mode, Phase, Reader};
 use bluebell_base::prelude::*;
+use bluebell_peers::RequestReport;
 use bluebell_policy::Outcome;
 use bluebell_upstreams::{FinishReason, Resume, StreamState};
 
@@ -95,14 +96,15 @@
             return;
         }
         let repeatable = self.repeatable;
+        let patient = !repeatable && !self.is_adopted();
         let Phase::Running(run) = &mut self.phase else {
             return;
         };
         run.tries += 1;
         let gone = !cx.fleet.is_there(run.upstream);
-        let limit = match repeatable {
-            true => cx.settings.resume_tries,
-            false => cx.settings.lookup_tries,
+        let limit = match patient {
+            true => cx.settings.lookup_tries,
+            false => cx.settings.resume_tries,
         };
         let until_ms = cx.now_ms + cx.settings.backoff(run.tries - 1);
         if repeatable && (unknown || gone || run.tries > limit) {
@@ -221,11 +223,7 @@
         answer: Option<Result<StreamState, Error>>,
         cx: &mut Context<'_>,
     ) {
-        let asked = match &self.phase {
-            Phase::Running(run) => run.mode,
-            _ => Mode::Reading,
-        };
-        if !matches!(asked, Mode::Asking { link: present, .. } if present == link) {
+        if !self.awaits(link) {
             cx.observer.dropped_event();
             return;
         }
@@ -307,13 +305,70 @@
 
     /// Nothing more can be learned of work that may not be repeated.
     fn give_up(&mut self, cx: &mut Context<'_>) {
-        if self.finish_if_full(cx) {
+        if self.finish_if_full(cx) || self.ask_peer(cx) {
             return;
         }
         let error = Error::may_have_run(ErrorKind::Upstream, "the engine's answer is lost");
         self.fail(error, cx);
     }
 
+    /// Asks the node that admitted an adopted request where it runs; `false` where that was done.
+    ///
+    /// The cursor may name an attempt that was given up since: the engine died, and the admitting
+    /// node went on elsewhere.
+    fn ask_peer(&mut self, cx: &mut Context<'_>) -> bool {
+        let adopted = self.is_adopted();
+        let link = self.next_link();
+        let Phase::Running(run) = &mut self.phase else {
+            return false;
+        };
+        if !adopted || run.peer_asked {
+            return false;
+        }
+        run.peer_asked = true;
+        let until_ms = cx.now_ms + cx.settings.answer_wait_ms;
+        run.mode = Mode::Asking { link, until_ms };
+        cx.out.push(Effect::AskPeer { link });
+        true
+    }
+
+    /// The admitting node's report of an adopted request, with the engine where it is known here.
+    pub fn on_peer_report(
+        &mut self,
+        link: LinkNo,
+        report: Option<RequestReport>,
+        upstream: Option<UpstreamId>,
+        cx: &mut Context<'_>,
+    ) {
+        if !self.awaits(link) {
+            cx.observer.dropped_event();
+            return;
+        }
+        let ours = report.filter(|report| report.account == self.account);
+        let newer = ours.filter(|report| report.attempt > self.attempt);
+        let (Some(report), Some(upstream)) = (newer, upstream) else {
+            self.give_up(cx);
+            return;
+        };
+        self.attempt = report.attempt;
+        self.sent_to = Some(upstream);
+        let first_link = LinkNo(self.link.0 + 1);
+        if let Phase::Running(run) = &mut self.phase {
+            run.upstream = upstream;
+            run.first_link = first_link;
+            run.tries = 0;
+        }
+        self.resume(cx);
+    }
+
+    /// Whether the answer awaited now is the one on `link`.
+    fn awaits(&self, link: LinkNo) -> bool {
+        let Phase::Running(run) = &self.phase else {
+            return false;
+        };
+        matches!(run.mode, Mode::Asking { link: present, .. } if present == link)
+    }
+
     /// Ends an answer that has as many tokens as were asked for: only the word that it is whole
     /// was lost, and no engine would generate anything behind it.
     fn finish_if_full(&mut self, cx: &mut Context<'_>) -> bool {
--- /dev/null
+++ b/crates/requests/tests/bounds.rs
@@ -0,0 +1,145 @@
+//! Bounds: retries, memory, and work that is not begun anew without need.
+
+mod common;
+
+use bluebell_base::prelude::*;
+use bluebell_requests::RequestsSettings;
+use bluebell_upstreams::prompt::{expected_count, prompt_hash};
+use common::engine::Faults;
+use common::{World, call, set_faults};
+
+/// All engines refuse all work: the callers hear so, and the retries stay a small share of the
+/// calls, so that the fleet isn't held down by its own retries.
+#[test]
+fn retries_keep_to_their_budget() {
+    let mut world = World::new(1, 3, 1);
+    let refuse = 1.0;
+    set_faults(
+        &world,
+        Faults {
+            refuse,
+            ..Faults::default()
+        },
+    );
+    let settings = RequestsSettings::default();
+    for index in 0..300 {
+        world.complete(0, call("draft", &format!("prompt {index}"), 10));
+        world.run_for(10);
+    }
+    world.run_for(1_000);
+    let counts = &world.counts;
+    assert_eq!(counts.admitted.get(), 300);
+    let most = settings.retry_account_burst + settings.retry_share * 300.0;
+    assert!(
+        f64::from(counts.retries.get()) <= most,
+        "{}",
+        counts.retries.get()
+    );
+    assert!(counts.denied.get() > 0, "the budget was never used up");
+}
+
+/// The claims are silent and callers go on calling with large prompts: the node holds no more than
+/// it may, and the callers over the bound are told to come back.
+#[test]
+fn prompts_under_way_are_bounded() {
+    let settings = RequestsSettings {
+        live_bytes: Bytes(100_000),
+        ..RequestsSettings::default()
+    };
+    let mut world = World::with(1, 1, 1, settings);
+    world.claims.silent.set(true);
+    let told: Vec<_> = (0..20)
+        .map(|i| {
+            world.complete(
+                0,
+                common::keyed("notice", &"x".repeat(10_000), 10, &format!("{i}")),
+            )
+        })
+        .collect();
+    world.run_for(10);
+    let refused = told.iter().filter_map(|(_, told)| told.error());
+    let refused: Vec<Error> = refused.collect();
+    assert_eq!(refused.len(), 10);
+    assert!(
+        refused
+            .iter()
+            .all(|e| e.verdict == Verdict::NotRun && e.retry_after_ms.is_some())
+    );
+    world.run_for(6_000);
+    world.claims.silent.set(false);
+    let (_, told) = world.complete(0, call("draft", &"x".repeat(30_000), 10));
+    world.run_for(2_000);
+    assert!(
+        told.is_finished(),
+        "the bytes are free again: {}",
+        told.brief()
+    );
+}
+
+/// A long prefill sends nothing for minutes, and the client's limit of silence breaks its link
+/// again and again. Begun anew elsewhere each time, the longest prompts would never be answered.
+#[test]
+fn a_long_prefill_is_not_begun_anew() {
+    let mut world = World::new(1, 2, 1);
+    let (_, told) = world.complete(0, call("draft", "a whole archive", 20));
+    world.run_for(10);
+    let engine = world
+        .engines
+        .iter()
+        .find(|e| e.held() > 0)
+        .cloned()
+        .expect("sent");
+    engine.freeze_steps(true);
+    for _ in 0..8 {
+        world.run_for(2_500);
+        engine.break_all(&mut world.stakker);
+    }
+    engine.freeze_steps(false);
+    world.run_for(5_000);
+    assert!(told.is_finished(), "{}", told.brief());
+    assert_eq!(world.runs(told.request().expect("admitted")), 1);
+}
+
+/// The engine dies between the last token and the word that the answer is whole. With all the
+/// tokens that were asked for, it is whole; nothing is begun anew, nothing is reported lost.
+#[test]
+fn a_full_answer_is_whole_without_the_last_word() {
+    let max_tokens = 30;
+    let full = |prompt: &String| expected_count(prompt_hash(prompt), Tokens(30)) == max_tokens;
+    let prompt = (0..)
+        .map(|i| format!("prompt {i}"))
+        .find(full)
+        .expect("one in sixteen");
+    for class in ["draft", "notice"] {
+        let mut world = World::new(1, 2, 1);
+        let (_, told) = world.complete(0, call(class, &prompt, max_tokens));
+        while told.texts().len() < max_tokens as usize {
+            world.run_for(1);
+        }
+        for engine in world.engines.clone() {
+            engine.kill(&mut world.stakker);
+        }
+        world.run_to(30_001);
+        assert!(told.is_finished(), "{class}: {}", told.brief());
+        told.check(&prompt, max_tokens, 0);
+    }
+}
+
+/// The metrics are told what happened.
+#[test]
+fn the_observer_is_told() {
+    let mut world = World::new(1, 1, 1);
+    let (_, told) = world.complete(0, call("draft", "a notice", 40));
+    world.run_for(2_000);
+    let tokens = told.texts().len() as u32;
+    let counts = &world.counts;
+    let seen = [
+        &counts.admitted,
+        &counts.attempts,
+        &counts.first_tokens,
+        &counts.finished,
+    ];
+    assert_eq!(seen.map(|count| count.get()), [1; 4]);
+    assert_eq!(counts.between_tokens.get(), tokens - 1);
+    assert_eq!(counts.retries.get() + counts.failed.get(), 0);
+}
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use bluebell_policy::{Kind, PolicySettings};
 use bluebell_requests::call::{CallerCall, CallerEvent, CallerId, CallerSink, Completion, ReadOn};
 use bluebell_requests::{
-    EngineCard, NoObserver, RequestLookup, Requests, RequestsHandle, RequestsPorts,
-    RequestsSettings,
+    EngineCard, LengthBand, RefusedBy, RequestLookup, RequestObserver, Requests, RequestsHandle,
+    RequestsPorts, RequestsSettings,
 };
 use bluebell_timers::Timers;
 use bluebell_upstreams::prompt::{expected_count, expected_token, prompt_hash};
@@ -249,6 +249,56 @@
     }
 }
 
+/// Counts what the observers are told.
+#[derive(Default)]
+pub struct Counts {
+    pub admitted: Cell<u32>,
+    pub attempts: Cell<u32>,
+    pub retries: Cell<u32>,
+    pub denied: Cell<u32>,
+    pub first_tokens: Cell<u32>,
+    pub between_tokens: Cell<u32>,
+    pub finished: Cell<u32>,
+    pub failed: Cell<u32>,
+}
+
+struct Counter(Rc<Counts>);
+
+fn add(count: &Cell<u32>) {
+    count.set(count.get() + 1);
+}
+
+impl RequestObserver for Counter {
+    fn admitted(&mut self, _: &ClassName, _: LengthBand) {
+        add(&self.0.admitted);
+    }
+    fn refused(&mut self, _: RefusedBy) {}
+    fn first_token(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {
+        add(&self.0.first_tokens);
+    }
+    fn between_tokens(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {
+        add(&self.0.between_tokens);
+    }
+    fn attempt(&mut self) {
+        add(&self.0.attempts);
+    }
+    fn retry(&mut self) {
+        add(&self.0.retries);
+    }
+    fn retry_denied(&mut self) {
+        add(&self.0.denied);
+    }
+    fn finished(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {
+        add(&self.0.finished);
+    }
+    fn failed(&mut self, _: &Error) {
+        add(&self.0.failed);
+    }
+    fn cancelled(&mut self) {}
+    fn dropped_event(&mut self) {}
+    fn upstream_refused(&mut self, _: &UpstreamName, _: &Error) {}
+}
+
 pub struct World {
     pub stakker: Stakker,
     pub origin: Instant,
@@ -257,6 +307,7 @@
     pub engines: Vec<Engine>,
     pub claims: Rc<Claims>,
     pub peers: Rc<Peers>,
+    pub counts: Rc<Counts>,
     clock: Arc<std::sync::atomic::AtomicU64>,
     callers: u64,
 }
@@ -272,6 +323,7 @@
         let config: Arc<FleetConfig> = Arc::new(bluebell_config::parse(CONFIG).expect("checked"));
         let claims = Rc::new(Claims::default());
         let peers = Rc::new(Peers::default());
+        let counts = Rc::new(Counts::default());
         let engines: Vec<Engine> = (0..engines)
             .map(|i| Engine::new(origin, seed.wrapping_mul(31) + i))
             .collect();
@@ -285,7 +337,7 @@
                 fleet_secret: b"secret".to_vec(),
                 claims: claims.clone(),
                 policy: bluebell_policy::open(policy, &config, seed + node),
-                observer: Box::new(NoObserver),
+                observer: Box::new(Counter(counts.clone())),
                 lookup: peers.clone(),
                 seed: seed + node,
             };
@@ -306,6 +358,7 @@
             engines,
             claims,
             peers,
+            counts,
             clock: Arc::default(),
             callers: 0,
         };
--- a/crates/requests/tests/groups.rs
+++ b/crates/requests/tests/groups.rs
@@ -3,12 +3,17 @@
 mod common;
 
 use bluebell_base::prelude::*;
+use bluebell_requests::RequestsSettings;
 use bluebell_stand_ins::engine::{EngineSettings, FakeEngine};
 use common::engine::KV_TOKENS;
 use common::{Told, World, call, card};
 
 fn world_of(engines: usize, seed: u64) -> (World, Vec<FakeEngine>) {
-    let mut world = World::new(2, 0, seed);
+    world_with(engines, seed, RequestsSettings::default())
+}
+
+fn world_with(engines: usize, seed: u64, requests: RequestsSettings) -> (World, Vec<FakeEngine>) {
+    let mut world = World::with(2, 0, seed, requests);
     let settings = EngineSettings {
         kv_capacity_tokens: KV_TOKENS,
         ..EngineSettings::default()
@@ -65,6 +70,28 @@
     assert_eq!(held(&fakes), Tokens(0));
 }
 
+/// An answer takes longer than a reservation's holding time: without renewal the lent memory would
+/// go to others in the middle of it.
+#[test]
+fn a_groups_memory_is_renewed_while_it_runs() {
+    let settings = RequestsSettings {
+        hold_ms: SpanMs::from_secs(2),
+        ..RequestsSettings::default()
+    };
+    let (mut world, fakes) = world_with(2, 1, settings);
+    let prompt = "word 0 ".repeat(8_500);
+    let (_, told) = world.complete(0, call("draft", &prompt, 1_200));
+    world.run_for(1_000);
+    for _ in 0..40 {
+        let both = fakes.iter().all(|f| f.stats().held_tokens > Tokens(0));
+        assert!(both || told.is_finished(), "a member's memory was let go");
+        world.run_for(100);
+    }
+    world.run_to(29_000);
+    assert!(told.is_finished(), "{}", told.brief());
+    assert_eq!(held(&fakes), Tokens(0));
+}
+
 /// A caller of a group's answer hangs up: after the grace both engines are free at once.
 #[test]
 fn a_hang_up_frees_the_whole_group() {
--- a/crates/requests/tests/reading.rs
+++ b/crates/requests/tests/reading.rs
@@ -94,6 +94,28 @@
     assert_eq!(world.runs(request), 1);
 }
 
+/// The engine dies, the admitting node goes on elsewhere, and the caller, whose last event came
+/// from the dead engine, reads on through the other node: that one asks where the work went.
+#[test]
+fn a_cursor_of_a_given_up_attempt_leads_to_the_present_one() {
+    let mut world = World::new(2, 2, 3);
+    let (caller, told) = world.complete(0, call("draft", PROMPT, MAX));
+    world.run_for(1_000);
+    let request = told.request().expect("admitted");
+    let cursor = told.last_cursor();
+    let before = seen(&told);
+    world.engines[world.engine_of(request)]
+        .clone()
+        .kill(&mut world.stakker);
+    world.run_for(1_500);
+    world.gone(0, caller);
+    let rest = world.read_on(1, "parish", request, cursor);
+    world.run_for(12_000);
+    rest.check(PROMPT, MAX, before);
+    assert!(rest.is_finished(), "{}", rest.brief());
+    assert_eq!(world.runs(request), 2);
+}
+
 /// The node that admitted a request dies and nobody reads on: the engine's hold expires.
 #[test]
 fn a_dead_nodes_streams_hold_no_memory_for_good() {
