--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -177,6 +177,7 @@
         run.generated = Some(link);
         run.group = group;
         self.phase = Phase::Running(run);
+        self.sent_to = Some(upstream);
         let Some(call) = call else {
             let error = Error::not_run(ErrorKind::Internal, "the prompt is gone");
             self.fail(error, cx);
@@ -215,6 +216,7 @@
             deadline_ms: self.deadline_ms.since(cx.now_ms),
             continue_from: answer.tokens.clone(),
             group: group.map(|group| group.reservation),
+            group_kv_tokens: group.map_or(Tokens::ZERO, Group::lent_tokens),
         })
     }
 
--- a/crates/stand-ins/src/serve/mod.rs
+++ b/crates/stand-ins/src/serve/mod.rs
@@ -10,9 +10,9 @@
 pub use answer::{EventWriter, break_off, error, json, read_body, read_json};
 pub use register::{Registration, register};
 
-use socket2::SockRef;
+use crate::listen;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use tiny_http::{Request, Server};
@@ -44,10 +44,7 @@
         address: &str,
         handle: impl Fn(Request) + Send + Sync + 'static,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        // Accepted connections inherit this; without it, small events wait for the peer's delayed
-        // acknowledgement.
-        SockRef::from(&listener).set_tcp_nodelay(true)?;
+        let listener = listen::bind(address)?;
         let address = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(ServerHandle(server));
