--- a/crates/control/src/actor/publishing.rs
+++ b/crates/control/src/actor/publishing.rs
@@ -6,8 +6,8 @@
 use super::Control;
 use super::config_side::{APPEND_BYTES, part_bytes};
 use crate::Published;
-use crate::records::{ConfigRecord, Update, cut, encode};
-use crate::reduce::ConfigOutcome;
+use crate::records::{ConfigRecord, Splice, Update, cut, encode};
+use crate::reduce::{ConfigOutcome, MAX_TEXT_BYTES};
 use bluebell_base::prelude::*;
 use stakker::{CX, Ret, call, ret_some_to};
 use std::collections::BTreeMap;
@@ -15,6 +15,9 @@
 /// Publications that may be unresolved at once on one node.
 const UNRESOLVED_LIMIT: usize = 64;
 
+/// The faults of a configuration that are told in one answer.
+const FAULTS_TOLD: usize = 20;
+
 /// How long operators wait before they try again what was refused for the log's sake.
 const RETRY_AFTER_MS: SpanMs = SpanMs(2_000);
 
@@ -66,8 +69,17 @@
 
     fn prepare(&mut self, base: ConfigVersion, body: &str) -> Result<Prepared, Error> {
         if let Err(faults) = bluebell_config::parse(body) {
-            let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-            return Err(Error::not_run(ErrorKind::Invalid, faults.join("; ")));
+            let told: Vec<String> = faults
+                .iter()
+                .take(FAULTS_TOLD)
+                .map(ToString::to_string)
+                .collect();
+            let more = match faults.len().saturating_sub(FAULTS_TOLD) {
+                0 => String::new(),
+                more => format!("; and {more} more"),
+            };
+            let message = format!("{}{more}", told.join("; "));
+            return Err(Error::not_run(ErrorKind::Invalid, message));
         }
         // Versions only go up, so a base below one that was ever seen can't win any more.
         let seen = self.config.in_force_version().max(self.peers.floor());
@@ -79,12 +91,22 @@
             return Err(error.retry_after(RETRY_AFTER_MS));
         }
         let too_large = || Error::not_run(ErrorKind::TooLarge, "the configuration is too large");
-        let parts = cut(body, part_bytes(self.settings.record_bytes)).ok_or_else(too_large)?;
+        if body.len() as u64 > MAX_TEXT_BYTES.0 {
+            return Err(too_large());
+        }
+        // A node whose log lags behind the base does not know its text, and writes all of it.
+        let known = self.config.reducer.known();
+        let (splice, middle) = match known.filter(|known| known.version == base) {
+            Some(known) => Splice::between(&known.body, body),
+            None => (Splice::WHOLE, body),
+        };
+        let parts = cut(middle, part_bytes(self.settings.record_bytes)).ok_or_else(too_large)?;
         let op = self.operation();
         let update = |(part, body)| {
             encode(&ConfigRecord::Update(Update {
                 op,
                 base,
+                splice,
                 part,
                 body,
             }))
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -113,7 +113,7 @@
     pub seed: u64,
     /// How long the run took, in milliseconds.
     pub took_ms: SpanMs,
-    /// Requests of the schedule.
+    /// Requests of the schedule, without those for an engine directly.
     pub offered: u64,
     /// Requests that ended; fewer where the run was stopped.
     pub ended: u64,
@@ -149,7 +149,7 @@
     pub bands: Vec<BandReport>,
     /// Latencies of completions under an idempotency key, to the first token.
     pub keyed_first_token: LatencyReport,
-    /// Latencies of an engine called directly in the same run.
+    /// Latencies of an engine called directly in the same run; these are in no other count.
     pub direct_bands: Vec<BandReport>,
     /// Error texts, as far as kept.
     pub errors: Vec<ErrorText>,
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -125,7 +125,7 @@
             if shows {
                 live::write(
                     &state.tally(),
-                    state.schedule.0.len() as u64,
+                    state.schedule.offered(),
                     state.shared.start.elapsed(),
                 );
             }
@@ -166,7 +166,7 @@
         Report::of(
             &tally,
             plan.seed,
-            self.state.schedule.0.len() as u64,
+            self.state.schedule.offered(),
             took_ms,
             plan.oracle.is_some(),
             untruths(plan, &tally),
