--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -33,4 +33,4 @@
 pub use report::{BandReport, LatencyReport, Report};
 pub use run::{LoadRun, spawn};
 pub use schedule::{Kind, Planned, Schedule};
-pub use truth::{HttpRunSource, RunCount, RunSource};
+pub use truth::{HttpRunSource, RunCount, RunCounts, RunSource};
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -93,8 +93,10 @@
 pub struct Checked {
     /// Whether each token was compared with the right one.
     pub identity: bool,
-    /// Whether verdicts were compared with what upstreams ran.
-    pub verdicts: bool,
+    /// Upstreams whose own counts verdicts were compared with.
+    pub upstreams_asked: u64,
+    /// Upstreams that could not be asked any more; the check may have missed what they ran.
+    pub upstreams_unreachable: u64,
 }
 
 /// How often an error text came.
@@ -193,7 +195,8 @@
             },
             checked: Checked {
                 identity,
-                verdicts: untruths.is_some(),
+                upstreams_asked: found.asked,
+                upstreams_unreachable: found.unreachable,
             },
             bands: band_reports(&tally.bands),
             keyed_first_token: LatencyReport::of(&tally.keyed_latency.first_token_us),
--- a/crates/load/src/report/print.rs
+++ b/crates/load/src/report/print.rs
@@ -66,9 +66,10 @@
         )?;
         writeln!(
             f,
-            "checked: completeness yes, identity {}, verdicts against upstreams {}",
+            "checked: completeness yes, identity {}, verdicts against {} upstreams ({} not reached)",
             yes_no(self.checked.identity),
-            yes_no(self.checked.verdicts)
+            self.checked.upstreams_asked,
+            self.checked.upstreams_unreachable
         )
     }
 
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -177,11 +177,5 @@
 /// Compares verdicts with what upstreams ran; none where that can't be known.
 fn untruths(plan: &LoadPlan, tally: &Tally) -> Option<Untruths> {
     let source = plan.run_source.as_ref()?;
-    match source.counts() {
-        Ok(counts) => Some(compare(&tally.claims, &counts)),
-        Err(error) => {
-            log::warn!("verdicts can't be checked: {error}");
-            None
-        }
-    }
+    Some(compare(&tally.claims, &source.counts()))
 }
--- a/crates/load/src/truth.rs
+++ b/crates/load/src/truth.rs
@@ -3,7 +3,8 @@
 //! Terms: a *run key* is what upstreams count runs by: the text of a request's id at engines, the
 //! idempotency key at plain services.
 //!
-//! Invariants: only what upstreams counted convicts the system; a key they don't know is no fault.
+//! Invariants: only what upstreams counted convicts the system; a key they don't know is no fault,
+//! and an upstream that can't be asked any more only makes the check find less.
 
 use bluebell_base::prelude::*;
 use serde::Deserialize;
@@ -30,13 +31,21 @@
     pub runs: u64,
 }
 
+/// What upstreams told of what they ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunCounts {
+    /// All counts; what ran on several upstreams appears several times.
+    pub counts: Vec<RunCount>,
+    /// Upstreams that told.
+    pub asked: u64,
+    /// Upstreams that can't be asked any more, such as killed ones.
+    pub unreachable: u64,
+}
+
 /// Knows what upstreams really ran.
 pub trait RunSource: Send + Sync {
-    /// All counts of all upstreams; what ran on several appears several times.
-    ///
-    /// # Errors
-    /// An upstream that can't be asked; nothing is concluded then.
-    fn counts(&self) -> Result<Vec<RunCount>, Error>;
+    /// Asks all upstreams.
+    fn counts(&self) -> RunCounts;
 }
 
 /// Asks stand-in upstreams over HTTP.
@@ -66,16 +75,21 @@
 }
 
 impl RunSource for HttpRunSource {
-    fn counts(&self) -> Result<Vec<RunCount>, Error> {
-        let mut counts = Vec::new();
+    fn counts(&self) -> RunCounts {
+        let mut all = RunCounts::default();
         for upstream in &self.upstreams {
-            let asked = self.ask(upstream).map_err(|error| {
-                let message = format!("what {upstream} ran can't be known: {error}");
-                Error::not_run(ErrorKind::Unavailable, message)
-            })?;
-            counts.extend(asked);
+            match self.ask(upstream) {
+                Ok(counts) => {
+                    all.counts.extend(counts);
+                    all.asked += 1;
+                }
+                Err(error) => {
+                    log::warn!("what {upstream} ran can't be known: {error}");
+                    all.unreachable += 1;
+                }
+            }
         }
-        Ok(counts)
+        all
     }
 }
 
@@ -91,22 +105,30 @@
     pub(crate) once: bool,
 }
 
-/// What was untrue.
+/// What was untrue, and how many upstreams were asked to find it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Untruths {
     /// Requests declared not run that ran.
     pub(crate) untrue_not_run: u64,
     /// Requests that must run at most once and were begun more often.
     pub(crate) ran_twice: u64,
+    /// Upstreams that told what they ran.
+    pub(crate) asked: u64,
+    /// Upstreams that can't be asked any more.
+    pub(crate) unreachable: u64,
 }
 
 /// Compares what callers were told with what upstreams ran.
-pub(crate) fn compare(claims: &[Claim], counts: &[RunCount]) -> Untruths {
+pub(crate) fn compare(claims: &[Claim], told: &RunCounts) -> Untruths {
     let mut runs_of: HashMap<&str, u64> = HashMap::new();
-    for count in counts {
+    for count in &told.counts {
         *runs_of.entry(&count.key).or_default() += count.runs;
     }
-    let mut untruths = Untruths::default();
+    let mut untruths = Untruths {
+        asked: told.asked,
+        unreachable: told.unreachable,
+        ..Untruths::default()
+    };
     for claim in claims {
         let known = claim.keys.iter().filter_map(|key| runs_of.get(&**key));
         let runs: u64 = known.sum();
