--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod answer;
 mod balancer;
+mod client;
 mod direct;
 mod exchange;
 mod live;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -6,7 +6,8 @@
 //! report counts.
 
 use crate::balancer::Balancer;
-use crate::exchange::{Exchange, Shared, agent};
+use crate::client::agent;
+use crate::exchange::{Exchange, Shared};
 use crate::live;
 use crate::plan::{LoadPlan, PlanError};
 use crate::prompt::PromptMaker;
