--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -400,7 +400,7 @@
     /// where the stand-in is, ip:port
     #[argh(option)]
     pub at: String,
-    /// all faults that shall be in force, as JSON, such as {{"down":true}}; {{}} for none
+    /// all faults that shall be in force, as JSON, such as {"down":true}; {} for none
     #[argh(positional)]
     pub faults: String,
 }
