--- a/crates/ctl/src/commands/demo/mod.rs
+++ b/crates/ctl/src/commands/demo/mod.rs
@@ -9,9 +9,7 @@
 use crate::commands::load::{demo_classes, demo_keys, finish};
 use crate::outcome::CommandError;
 use bluebell_base::prelude::*;
-use bluebell_load::{
-    AccountKey, HttpDirectEngine, HttpRunSource, KeyedPlan, LoadPlan, ServicePlan, StandInOracle,
-};
+use bluebell_load::{AccountKey, HttpRunSource, KeyedPlan, LoadPlan, ServicePlan, StandInOracle};
 use fleet::Nodes;
 use surroundings::{MODEL, SERVICE_PATH, Surroundings};
 
@@ -19,12 +17,6 @@
 const KEYED_SHARE: f64 = 0.2;
 /// The share of requests that go to the service.
 const SERVICE_SHARE: f64 = 0.05;
-/// The share of requests sent to an engine directly, for comparison.
-const DIRECT_SHARE: f64 = 0.1;
-
-/// The incarnation under which engines are called directly; no node draws zero.
-const DIRECT_OWNER: Incarnation = Incarnation(0);
-
 /// How long one answer is waited for.
 const PATIENCE_MS: SpanMs = SpanMs::from_secs(300);
 
@@ -69,8 +61,6 @@
 fn plan(args: &Demo, nodes: &Nodes, surroundings: &Surroundings) -> Result<LoadPlan, CommandError> {
     let answer_tokens = Tokens(args.answer_tokens);
     let model = ModelName::from(MODEL);
-    let engines = surroundings.engines();
-    let direct = HttpDirectEngine::open(engines, model.clone(), DIRECT_OWNER, PATIENCE_MS);
     let any_class = ClassName::from("short-draft");
     let any_key = AccountKey::new("");
     let defaults = LoadPlan::new(nodes.callers(), any_key, any_class);
@@ -93,8 +83,6 @@
         patience_ms: PATIENCE_MS,
         oracle: Some(Arc::new(StandInOracle)),
         run_source: Some(Arc::new(HttpRunSource::open(surroundings.upstreams()))),
-        direct: Some(Arc::new(direct)),
-        direct_share: DIRECT_SHARE,
         ..defaults
     })
 }
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -11,8 +11,8 @@
 /// Significant digits of the latency histograms.
 const SIGNIFICANT_DIGITS: u8 = 3;
 
-/// The longest span that is told apart: an hour.
-const MAX_US: u64 = 3_600_000_000;
+/// The longest latency told apart, an hour; longer ones count as this.
+const LONGEST_US: u64 = 3_600_000_000;
 
 /// The most different error texts that are kept.
 const MAX_ERROR_TEXTS: usize = 16;
@@ -105,9 +105,13 @@
     }
 }
 
-/// A histogram of microseconds; a span over [`MAX_US`] counts as that.
+/// A histogram of microseconds up to [`LONGEST_US`].
+///
+/// Its range is fixed because `saturating_record` does not widen one that grows by itself: such a
+/// one holds 2 µs at first and reports every latency as that.
 fn histogram() -> Histogram<u64> {
-    Histogram::new_with_max(MAX_US, SIGNIFICANT_DIGITS).expect("bounds and digits are in range")
+    Histogram::new_with_max(LONGEST_US, SIGNIFICANT_DIGITS)
+        .expect("the digits and the range are valid")
 }
 
 /// Counts of faults in answers.
@@ -137,7 +141,7 @@
 /// Everything counted in a run.
 #[derive(Clone, Debug)]
 pub struct Tally {
-    /// Requests that ended, of all kinds.
+    /// Requests through the system that ended.
     pub ended: u64,
     /// Whole answers.
     pub whole: u64,
@@ -209,8 +213,12 @@
 
     /// A request ended.
     pub fn record(&mut self, record: RequestRecord) {
-        self.count_outcome(&record);
         self.record_latency(&record);
+        if record.planned.kind == Kind::Direct {
+            // What an engine does when called directly is no outcome of the system's.
+            return;
+        }
+        self.count_outcome(&record);
         self.keep_claim(&record);
         if let Some(text) = record.error_text {
             self.keep_error_text(text);
@@ -219,6 +227,8 @@
 
     fn count_outcome(&mut self, record: &RequestRecord) {
         self.ended += 1;
+        self.tokens += record.between_us.len() as u64;
+        self.tokens += u64::from(record.first_token_us.is_some());
         match record.outcome {
             Outcome::Whole => self.whole += 1,
             Outcome::Failed(Verdict::NotRun) => self.not_run += 1,
@@ -240,8 +250,6 @@
 
     fn record_latency(&mut self, record: &RequestRecord) {
         let band = LengthBand::of(record.planned.prompt_tokens).index();
-        let tokens = record.between_us.len() as u64 + u64::from(record.first_token_us.is_some());
-        self.tokens += tokens;
         match record.planned.kind {
             Kind::Completion => self.bands[band].record(record),
             Kind::KeyedCompletion => {
