--- a/crates/policy/src/laxity/mod.rs
+++ b/crates/policy/src/laxity/mod.rs
@@ -41,7 +41,6 @@
     shares: Shares,
     demand: Demand,
     averaged_ms: MonoMs,
-    probing: Option<RequestId>,
     rng: ChaCha8Rng,
     scratch: Scratch,
 }
@@ -65,7 +64,6 @@
             shares: Shares::open(config),
             demand: Demand::default(),
             averaged_ms: MonoMs(0),
-            probing: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
             scratch: Scratch::default(),
         }
@@ -154,7 +152,6 @@
     }
 
     fn withdraw(&mut self, request: RequestId, now_ms: MonoMs) {
-        self.probing.take_if(|probing| *probing == request);
         if let Some(entry) = self.tables.take(request) {
             let cost = admission::work_tokens(&entry.job);
             self.shares.give_back(entry.job.account, cost, now_ms);
@@ -168,7 +165,6 @@
         load: &LoadReport,
         now_ms: MonoMs,
     ) {
-        self.probing.take_if(|probing| *probing == request);
         self.accepted(request, cached_tokens, load, now_ms);
     }
 
@@ -177,7 +173,6 @@
     }
 
     fn on_end(&mut self, request: RequestId, outcome: Outcome, now_ms: MonoMs) {
-        self.probing.take_if(|probing| *probing == request);
         if self.tables.requeue(request, outcome) {
             return;
         }
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -28,8 +28,6 @@
 const KEPT_MS: f64 = 400.0;
 /// What taking another engine counts for short work, in milliseconds.
 const OTHERS_MS: f64 = 40.0;
-/// What is known of an engine's memory counts for so long.
-const KV_NEWS_MS: SpanMs = SpanMs(500);
 /// An engine with less wait than this counts as idle, in milliseconds.
 const IDLE_MS: f64 = 10.0;
 /// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
@@ -42,8 +40,6 @@
     pub upstream: UpstreamId,
     /// Whether it is kept for short work.
     pub kept: bool,
-    /// The instant of which the newest news of its load is.
-    pub news_ms: MonoMs,
     /// Whether a group may ask it for memory.
     pub takes_group: bool,
     /// The predicted time before the job's prefill begins.
@@ -176,7 +172,6 @@
             upstream,
             kept: false,
             takes_group: engine.takes_group(now_ms),
-            news_ms: engine.reported_ms,
             wait_ms,
             expected_ms: chance * engine.busy.step_ms() * BUSY_STEPS + memory_ms + own_ms,
             first_token_ms: wait_ms + own_ms,
@@ -253,43 +248,15 @@
         if let Some(chosen) = chosen {
             return Some(self.place(job, chosen, now_ms));
         }
-        if let Some(chosen) = self.probe(job, now_ms) {
-            return Some(self.place(job, chosen, now_ms));
-        }
         if !urgent {
             return None;
         }
-        let scored = &self.scratch.scored;
         let fitting = scored.iter().filter(|s| fits(s));
         let chosen = fitting.min_by(|a, b| a.first_token_ms.total_cmp(&b.first_token_ms));
         let chosen = *chosen?;
         Some(self.place(job, chosen, now_ms))
     }
 
-    /// The engine whose memory was looked at the longest ago, to find out anew by sending.
-    ///
-    /// Waiting work of several nodes contends for memory that comes free unseen between reports.
-    /// One probe at a time and node finds it; more of them would get in each other's way in the
-    /// engines' queues, where work that waits for memory holds back what is behind it.
-    fn probe(&mut self, job: &Job, now_ms: MonoMs) -> Option<Scored> {
-        if self.probing.is_some() || !job.idempotent {
-            return None;
-        }
-        let slack_ms = self.settings.slack_ms.0 as f64;
-        let may = |s: &&Scored| {
-            !s.kept && s.backlog_ms <= slack_ms && now_ms.since(s.news_ms) >= KV_NEWS_MS
-        };
-        let chosen = self
-            .scratch
-            .scored
-            .iter()
-            .filter(may)
-            .min_by_key(|s| s.news_ms);
-        let chosen = *chosen?;
-        self.probing = Some(job.request);
-        Some(chosen)
-    }
-
     /// A group: its leader from the long end, its members first among the engines kept for short
     /// work, as lending memory costs no step there.
     fn place_group(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -13,7 +13,7 @@
 use bluebell_upstreams::LoadReport;
 
 /// The most recalls of one job; afterwards it stays where it is.
-const MOST_RECALLS: u32 = 64;
+const MOST_RECALLS: u32 = 16;
 /// What a recall costs, in milliseconds: the ways there and back, and a margin.
 const RECALL_MS: f64 = 10.0;
 /// The part of a wait that another engine must save.
