--- a/crates/policy/src/baseline/mod.rs
+++ b/crates/policy/src/baseline/mod.rs
@@ -120,9 +120,7 @@
     }
 
     fn on_load(&mut self, upstream: UpstreamId, report: &LoadReport, now_ms: MonoMs) {
-        if let Some(engine) = self.tables.fleet.get_mut(upstream) {
-            engine.on_load(report, now_ms);
-        }
+        self.tables.fleet.on_load(upstream, report, now_ms);
     }
 
     fn on_cache(&mut self, _upstream: UpstreamId, _events: &[CacheEvent], _gap: bool) {}
@@ -136,8 +134,7 @@
                 retry_after_ms: NO_ENGINE_RETRY_MS,
             });
         }
-        let engines = serving.iter().filter_map(|id| fleet.get(*id));
-        if groups::most_tokens(engines, self.settings.group_parts) < job.kv_tokens() {
+        if fleet.largest_group(job.model) < job.kv_tokens() {
             return Err(Refusal {
                 reason: RefusalReason::TooLong,
                 retry_after_ms: NO_ENGINE_RETRY_MS,
--- a/crates/policy/src/cache/mod.rs
+++ b/crates/policy/src/cache/mod.rs
@@ -42,14 +42,22 @@
         }
     }
 
-    /// How many tokens of the prompt the engine's cache is believed to cover.
-    pub fn covered(&self, upstream: UpstreamId, prefixes: &[Prefix]) -> Tokens {
-        let held = |prefix: &&Prefix| {
-            let holders = self.holders.get(&prefix.hash);
-            holders.is_some_and(|holders| holders.contains(&upstream))
-        };
-        let longest = prefixes.iter().rev().find(held);
-        longest.map_or(Tokens::ZERO, |prefix| prefix.tokens)
+    /// Adds the engines whose caches are believed to cover a part of the prompt, with its length.
+    /// A cache that holds a prefix holds the shorter ones too, so that the first one that nobody
+    /// holds ends the search.
+    pub fn covering(&self, prefixes: &[Prefix], out: &mut Vec<(UpstreamId, Tokens)>) {
+        out.clear();
+        for prefix in prefixes {
+            let Some(holders) = self.holders.get(&prefix.hash).filter(|h| !h.is_empty()) else {
+                return;
+            };
+            for holder in holders {
+                match out.iter_mut().find(|(upstream, _)| upstream == holder) {
+                    Some((_, tokens)) => *tokens = prefix.tokens,
+                    None => out.push((*holder, prefix.tokens)),
+                }
+            }
+        }
     }
 
     /// How many prefixes are kept, and how many are in the order of forgetting.
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -15,11 +15,15 @@
 pub use health::Health;
 
 use crate::cost::{CostModel, ENGINE_GAIN, FLEET_GAIN, Sample};
+use crate::groups;
 use crate::job::EngineFacts;
 use bluebell_base::prelude::*;
+use bluebell_upstreams::LoadReport;
 
 /// An engine is an outlier where its rate is below this share of the mean.
 const OUTLIER: f64 = 0.4;
+/// The weight of a report in the mean duration of a step.
+const STEP_GAIN: f64 = 0.01;
 /// Work counts as alone on its engine with less than this share of its own tokens ahead.
 const ALONE: f64 = 0.1;
 /// So many samples must have shown it.
@@ -30,16 +34,27 @@
 pub struct Fleet {
     engines: Vec<Option<Engine>>,
     by_model: Vec<Vec<UpstreamId>>,
+    sizes: Vec<Sizes>,
+    group_parts: usize,
     mean: CostModel,
     mean_step_ms: f64,
 }
 
+/// The most memory that engines of one model have, when they are empty.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Sizes {
+    one: Tokens,
+    group: Tokens,
+}
+
 impl Fleet {
     /// An empty table whose engines begin with the cost model given.
-    pub fn open(prior: CostModel) -> Self {
+    pub fn open(prior: CostModel, group_parts: usize) -> Self {
         Self {
             engines: Vec::new(),
             by_model: Vec::new(),
+            sizes: Vec::new(),
+            group_parts,
             mean: prior,
             mean_step_ms: 0.0,
         }
@@ -66,11 +81,17 @@
         self.mean_step_ms
     }
 
-    /// Computes the mean of the steps anew.
-    pub fn average(&mut self) {
-        let reported = || self.iter().filter(|e| e.report.step_ms > 0.0);
-        let sum: f64 = reported().map(|e| e.report.step_ms).sum();
-        self.mean_step_ms = sum / reported().count().max(1) as f64;
+    /// Takes a load report in.
+    pub fn on_load(&mut self, upstream: UpstreamId, report: &LoadReport, now_ms: MonoMs) {
+        if report.step_ms > 0.0 {
+            self.mean_step_ms += STEP_GAIN * (report.step_ms - self.mean_step_ms);
+        }
+        if let Some(engine) = self.get_mut(upstream) {
+            engine.on_load(report, now_ms);
+        }
+        if report.leaving {
+            self.leaving(upstream);
+        }
     }
 
     /// The engine, where it is known.
@@ -93,6 +114,20 @@
         self.by_model.get(model.index()).map_or(&[], Vec::as_slice)
     }
 
+    /// The memory of the largest engine that serves a model.
+    pub fn largest(&self, model: ModelId) -> Tokens {
+        self.sizes
+            .get(model.index())
+            .map_or(Tokens::ZERO, |sizes| sizes.one)
+    }
+
+    /// The most memory that a group of engines serving a model has.
+    pub fn largest_group(&self, model: ModelId) -> Tokens {
+        self.sizes
+            .get(model.index())
+            .map_or(Tokens::ZERO, |sizes| sizes.group)
+    }
+
     /// The models that have a list.
     pub fn models(&self) -> impl Iterator<Item = ModelId> {
         (0..self.by_model.len()).map(|i| ModelId(i as u32))
@@ -117,7 +152,8 @@
 
     /// Closes an engine for new work.
     pub fn leaving(&mut self, upstream: UpstreamId) {
-        if let Some(engine) = self.get_mut(upstream) {
+        let open = |engine: &&mut Engine| engine.state == State::Open;
+        if let Some(engine) = self.get_mut(upstream).filter(open) {
             engine.state = State::Leaving;
             self.relist();
         }
@@ -166,5 +202,13 @@
         for list in &mut self.by_model {
             list.sort_by_key(|id| (rank(id), *id));
         }
+        self.sizes.clear();
+        for list in &self.by_model {
+            let listed = || list.iter().filter_map(|id| engines[id.index()].as_ref());
+            self.sizes.push(Sizes {
+                one: groups::most_tokens(listed(), 1),
+                group: groups::most_tokens(listed(), self.group_parts),
+            });
+        }
     }
 }
--- a/crates/policy/src/jobs/mod.rs
+++ b/crates/policy/src/jobs/mod.rs
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug)]
 pub struct Entry {
     /// The job.
-    pub job: Job,
+    pub job: Arc<Job>,
     /// How far it has come.
     pub stage: Stage,
     /// The engine that runs it, once sent.
@@ -56,7 +56,7 @@
     fn new(job: Job) -> Self {
         Self {
             prefill_tokens: job.prompt_tokens.0 as f64,
-            job,
+            job: Arc::new(job),
             stage: Stage::Queued,
             upstream: None,
             members: Vec::new(),
--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,7 +4,6 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
-use crate::groups;
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
@@ -41,7 +40,7 @@
             return Err(refusal(RefusalReason::Overloaded, wait_ms - most_ms));
         }
         let own_ms = laxity_ms * OVER_SHARE_WAIT;
-        if wait_ms > own_ms && self.shares.over(job.account, now_ms) > 1.0 {
+        if wait_ms > own_ms && self.shares.over(job.account, 0.0, now_ms) > 1.0 {
             return Err(refusal(RefusalReason::OverShare, wait_ms - own_ms));
         }
         Ok(())
@@ -56,7 +55,7 @@
                 retry_after_ms: NO_ENGINE_RETRY_MS,
             });
         }
-        let largest = fleet.largest(job.model, self.settings.group_parts);
+        let largest = fleet.largest_group(job.model);
         if job.kv_tokens() > largest {
             return Err(Refusal {
                 reason: RefusalReason::TooLong,
@@ -98,11 +97,3 @@
         retry_after_ms: SpanMs(wait_ms.clamp(RETRY_BOUNDS_MS.0, RETRY_BOUNDS_MS.1)),
     }
 }
-
-impl crate::fleet::Fleet {
-    /// The most that a group of engines serving a model can hold.
-    pub fn largest(&self, model: ModelId, parts: usize) -> Tokens {
-        let engines = self.serving(model).iter().filter_map(|id| self.get(*id));
-        groups::most_tokens(engines, parts)
-    }
-}
--- a/crates/policy/src/laxity/mod.rs
+++ b/crates/policy/src/laxity/mod.rs
@@ -30,9 +30,6 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-/// How often the fleet's means are computed anew.
-const AVERAGE_EVERY_MS: SpanMs = SpanMs(250);
-
 /// The production policy.
 pub struct Laxity {
     settings: PolicySettings,
@@ -40,7 +37,6 @@
     cache: CacheView,
     shares: Shares,
     demand: Demand,
-    averaged_ms: MonoMs,
     rng: ChaCha8Rng,
     scratch: Scratch,
 }
@@ -50,8 +46,11 @@
 struct Scratch {
     due: Vec<Slot>,
     scored: Vec<Scored>,
+    /// For which job and when they were scored; none once anything changed.
+    scored_for: Option<(RequestId, MonoMs)>,
     recalls: Vec<RequestId>,
     offers: Vec<crate::groups::Offer>,
+    covering: Vec<(UpstreamId, Tokens)>,
 }
 
 impl Laxity {
@@ -63,7 +62,6 @@
             cache: CacheView::default(),
             shares: Shares::open(config),
             demand: Demand::default(),
-            averaged_ms: MonoMs(0),
             rng: ChaCha8Rng::seed_from_u64(seed),
             scratch: Scratch::default(),
         }
@@ -79,37 +77,32 @@
             engine.group_refused(now_ms);
         }
     }
-
-    /// Computes the fleet's means anew where they are old.
-    fn refresh(&mut self, now_ms: MonoMs) {
-        if now_ms.since(self.averaged_ms) >= AVERAGE_EVERY_MS {
-            self.averaged_ms = now_ms;
-            self.tables.fleet.average();
-        }
-    }
 }
 
 impl Policy for Laxity {
     fn engine_seen(&mut self, facts: EngineFacts, now_ms: MonoMs) {
+        self.scratch.scored_for = None;
         self.tables.fleet.seen(facts, now_ms);
     }
 
     fn engine_leaving(&mut self, upstream: UpstreamId, _now_ms: MonoMs) {
+        self.scratch.scored_for = None;
         self.tables.fleet.leaving(upstream);
     }
 
     fn engine_gone(&mut self, upstream: UpstreamId, _now_ms: MonoMs) {
+        self.scratch.scored_for = None;
         self.tables.gone(upstream);
         self.cache.forget(upstream);
     }
 
     fn on_load(&mut self, upstream: UpstreamId, report: &LoadReport, now_ms: MonoMs) {
-        if let Some(engine) = self.tables.fleet.get_mut(upstream) {
-            engine.on_load(report, now_ms);
-        }
+        self.scratch.scored_for = None;
+        self.tables.fleet.on_load(upstream, report, now_ms);
     }
 
     fn on_cache(&mut self, upstream: UpstreamId, events: &[CacheEvent], gap: bool) {
+        self.scratch.scored_for = None;
         self.cache.on_events(upstream, events, gap);
     }
 
@@ -127,7 +120,6 @@
     }
 
     fn decide(&mut self, now_ms: MonoMs, out: &mut Vec<Decision>) {
-        self.refresh(now_ms);
         self.recall_due(out);
         let mut due = std::mem::take(&mut self.scratch.due);
         std::mem::swap(&mut due, &mut self.tables.queue);
@@ -152,6 +144,7 @@
     }
 
     fn withdraw(&mut self, request: RequestId, now_ms: MonoMs) {
+        self.scratch.scored_for = None;
         if let Some(entry) = self.tables.take(request) {
             let cost = admission::work_tokens(&entry.job);
             self.shares.give_back(entry.job.account, cost, now_ms);
@@ -165,14 +158,17 @@
         load: &LoadReport,
         now_ms: MonoMs,
     ) {
+        self.scratch.scored_for = None;
         self.accepted(request, cached_tokens, load, now_ms);
     }
 
     fn on_first_token(&mut self, request: RequestId, now_ms: MonoMs) {
+        self.scratch.scored_for = None;
         self.tables.first_token(request, now_ms);
     }
 
     fn on_end(&mut self, request: RequestId, outcome: Outcome, now_ms: MonoMs) {
+        self.scratch.scored_for = None;
         if self.tables.requeue(request, outcome) {
             return;
         }
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -12,6 +12,7 @@
 use crate::tables::Placement;
 use bluebell_base::prelude::*;
 use rand::Rng;
+use rand_chacha::ChaCha8Rng;
 
 /// How much worse than the best one another engine may look and still be drawn, in milliseconds.
 const NEAR_MS: f64 = 5.0;
@@ -22,6 +23,8 @@
 const BUSY_STEPS: f64 = 1.5;
 /// The share of its memory that an engine kept for short work does not lend.
 const LENT_ROOM_SHARE: f64 = 0.2;
+/// One part in so many of the engines looked at are of the kind that the job should keep off.
+const SECOND_PART: usize = 4;
 /// Prompts up to this length are short work, in tokens.
 const SHORT_TOKENS: u64 = 4_096;
 /// What taking an engine kept for short work counts for, in milliseconds.
@@ -66,6 +69,21 @@
     backlog_tokens.min(prefill_tokens + STEP_TOKENS)
 }
 
+/// A part of the list at a random place, the whole list where it is short enough.
+fn window<'a>(
+    list: &'a [UpstreamId],
+    most: usize,
+    rng: &mut ChaCha8Rng,
+) -> impl ExactSizeIterator<Item = UpstreamId> + use<'a> {
+    let count = most.min(list.len());
+    let begin = if count < list.len() {
+        rng.random_range(0..list.len())
+    } else {
+        0
+    };
+    (0..count).map(move |i| list[(begin + i) % list.len()])
+}
+
 impl Laxity {
     /// Whether the job may wait in the queue for slack.
     pub(super) fn deferrable(&self, job: &Job) -> bool {
@@ -95,6 +113,7 @@
             self.place_at_once(&job, now_ms)
         };
         let placement = placement?;
+        self.scratch.scored_for = None;
         if self.deferrable(&job) {
             self.demand.sent(placement.prefill_tokens);
         }
@@ -120,31 +139,43 @@
     }
 
     pub(super) fn needs_group(&self, job: &Job) -> bool {
-        job.kv_tokens() > self.tables.fleet.largest(job.model, 1)
+        job.kv_tokens() > self.tables.fleet.largest(job.model)
     }
 
     /// Scores the engines that may get the job; those it should avoid only where no other is.
     pub(super) fn score(&mut self, job: &Job, now_ms: MonoMs) {
+        if self.scratch.scored_for == Some((job.request, now_ms)) {
+            // Nothing changed since admission scored them.
+            return;
+        }
+        self.scratch.scored_for = Some((job.request, now_ms));
         let mut scored = std::mem::take(&mut self.scratch.scored);
         scored.clear();
+        self.cache
+            .covering(&job.prefixes, &mut self.scratch.covering);
         let list = self.tables.fleet.serving(job.model);
-        let window = self.settings.window.min(list.len());
-        let begin = if window < list.len() {
-            self.rng.random_range(0..list.len())
+        let (others, kept) = list.split_at(list.len() - self.kept(list.len()));
+        let short = job.prompt_tokens.0 <= SHORT_TOKENS;
+        let (first, second) = if short {
+            (kept, others)
         } else {
-            0
+            (others, kept)
         };
-        let kept_from = list.len() - self.kept(list.len());
-        for index in (0..window).map(|i| (begin + i) % list.len()) {
-            let Some(engine) = self.tables.fleet.get(list[index]) else {
+        let most = self.settings.window;
+        let first_most = most - (most / SECOND_PART).min(second.len());
+        let first = window(first, first_most, &mut self.rng);
+        let second = window(second, most - first.len(), &mut self.rng);
+        let both = first
+            .map(|id| (id, short))
+            .chain(second.map(|id| (id, !short)));
+        let fleet = &self.tables.fleet;
+        for (id, kept) in both {
+            let Some(engine) = fleet.get(id) else {
                 continue;
             };
             if engine.health.allows(engine.in_flight.len(), now_ms) {
-                let kept = index >= kept_from;
-                scored.push(Scored {
-                    kept,
-                    ..self.score_one(job, engine, now_ms)
-                });
+                let one = self.score_one(job, engine, now_ms);
+                scored.push(Scored { kept, ..one });
             }
         }
         // Engines that refused a group's memory a moment ago may have it now.
@@ -157,7 +188,8 @@
 
     fn score_one(&self, job: &Job, engine: &Engine, now_ms: MonoMs) -> Scored {
         let upstream = engine.facts.upstream;
-        let covered = self.cache.covered(upstream, &job.prefixes);
+        let covering = self.scratch.covering.iter().find(|(id, _)| *id == upstream);
+        let covered = covering.map_or(Tokens::ZERO, |(_, tokens)| *tokens);
         let prefill_tokens = job.prompt_tokens.saturating_sub(covered).0.max(1) as f64;
         let backlog_tokens = engine.backlog_tokens(now_ms);
         let ahead_tokens = ahead(backlog_tokens, prefill_tokens);
@@ -200,26 +232,18 @@
                 return Some(self.place(job, chosen, now_ms));
             }
         }
-        // The list runs from the long end; of equals, the last ones are preferred.
-        let scored = &mut self.scratch.scored;
-        scored.reverse();
         // Longer work keeps off the engines kept for short work, and short work off the others,
         // which look idle for a moment only.
         let short = job.prompt_tokens.0 <= SHORT_TOKENS;
-        let (off_ms, wrong) = if short {
-            (OTHERS_MS, false)
-        } else {
-            (KEPT_MS, true)
-        };
-        let off = scored.iter_mut().filter(|s| s.kept == wrong);
-        off.for_each(|s| s.expected_ms += off_ms);
-        scored.sort_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms));
-        let best_ms = scored.first()?.expected_ms;
-        let near = scored.iter().take(self.settings.choices);
-        let near = near.filter(|s| s.expected_ms <= best_ms + NEAR_MS);
-        let count = near.count();
-        let drawn = self.rng.random_range(0..count);
-        let chosen = self.scratch.scored[drawn];
+        let off_ms = if short { OTHERS_MS } else { KEPT_MS };
+        let cost_ms = |s: &Scored| s.expected_ms + if s.kept == short { 0.0 } else { off_ms };
+        let scored = &self.scratch.scored;
+        let best_ms = scored.iter().map(cost_ms).fold(f64::INFINITY, f64::min);
+        let near = |s: &&Scored| cost_ms(s) <= best_ms + NEAR_MS;
+        let drawn = self
+            .rng
+            .random_range(0..scored.iter().filter(near).count().max(1));
+        let chosen = *scored.iter().filter(near).nth(drawn)?;
         Some(self.place(job, chosen, now_ms))
     }
 
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -35,9 +35,7 @@
         let Some(upstream) = entry.and_then(|entry| entry.upstream) else {
             return;
         };
-        if let Some(engine) = self.tables.fleet.get_mut(upstream) {
-            engine.on_load(load, now_ms);
-        }
+        self.tables.fleet.on_load(upstream, load, now_ms);
         if let Some(entry) = self.tables.jobs.get_mut(slot) {
             let own_tokens = entry.job.prompt_tokens.saturating_sub(cached_tokens);
             entry.prefill_tokens = own_tokens.0.max(1) as f64;
--- a/crates/policy/src/settings/mod.rs
+++ b/crates/policy/src/settings/mod.rs
@@ -87,7 +87,7 @@
     fn default() -> Self {
         Self {
             kind: Kind::Laxity,
-            window: 64,
+            window: 32,
             choices: 2,
             deferrable_ms: SpanMs(1_000),
             slack_ms: SpanMs(250),
--- a/crates/policy/src/shares/mod.rs
+++ b/crates/policy/src/shares/mod.rs
@@ -9,38 +9,31 @@
 
 use bluebell_base::prelude::*;
 use bluebell_config::FleetConfig;
+use std::collections::HashMap;
 
 /// After this long a token counts for 1/e.
 const DECAY_MS: f64 = 30_000.0;
 /// How often the level is computed anew.
-const LEVEL_EVERY_MS: SpanMs = SpanMs(250);
-/// The rounds of halving that find the level to about one thousandth.
-const LEVEL_ROUNDS: usize = 12;
+const LEVEL_EVERY_MS: SpanMs = SpanMs(1_000);
+/// Sums are brought down to the present scale when it has grown by this factor.
+const RESCALE: f64 = 1e9;
 
-/// One account's work.
+/// One account's work, in the scale of [`Shares`].
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Work {
     offered: f64,
     admitted: f64,
-    at_ms: MonoMs,
-}
-
-impl Work {
-    fn at(self, now_ms: MonoMs) -> Self {
-        let decay = (-(now_ms.since(self.at_ms).0 as f64) / DECAY_MS).exp();
-        Self {
-            offered: self.offered * decay,
-            admitted: self.admitted * decay,
-            at_ms: now_ms,
-        }
-    }
 }
 
 /// The accounts' work and the level.
-#[derive(Debug, Default)]
+///
+/// Instead of letting all sums decay, new work counts for more and more; the comparison of the sums
+/// is the same, and no pass over all accounts is needed but now and then to rescale.
+#[derive(Debug)]
 pub struct Shares {
     names: Vec<AccountName>,
     work: Vec<Work>,
+    scale_ms: MonoMs,
     level: f64,
     level_ms: Option<MonoMs>,
 }
@@ -48,7 +41,13 @@
 impl Shares {
     /// Shares for the configuration's accounts.
     pub fn open(config: &FleetConfig) -> Self {
-        let mut shares = Self::default();
+        let mut shares = Self {
+            names: Vec::new(),
+            work: Vec::new(),
+            scale_ms: MonoMs(0),
+            level: f64::INFINITY,
+            level_ms: None,
+        };
         shares.set_config(config);
         shares
     }
@@ -58,9 +57,10 @@
     pub fn set_config(&mut self, config: &FleetConfig) {
         let old = std::mem::take(&mut self.names);
         let work = std::mem::take(&mut self.work);
+        let known: HashMap<&AccountName, Work> = old.iter().zip(work).collect();
         for account in &config.accounts {
-            let known = old.iter().position(|name| *name == account.name);
-            self.work.push(known.map_or(Work::default(), |i| work[i]));
+            let work = known.get(&account.name).copied();
+            self.work.push(work.unwrap_or_default());
             self.names.push(account.name.clone());
         }
         self.level_ms = None;
@@ -68,34 +68,34 @@
 
     /// Notes work that an account asks for.
     pub fn offer(&mut self, account: AccountId, tokens: f64, now_ms: MonoMs) {
-        let work = self.work_of(account);
-        *work = work.at(now_ms);
-        work.offered += tokens;
+        let tokens = tokens * self.scale(now_ms);
+        self.work_of(account).offered += tokens;
     }
 
     /// Notes work that an account got.
     pub fn admit(&mut self, account: AccountId, tokens: f64, now_ms: MonoMs) {
-        let work = self.work_of(account);
-        *work = work.at(now_ms);
-        work.admitted += tokens;
+        let tokens = tokens * self.scale(now_ms);
+        self.work_of(account).admitted += tokens;
     }
 
     /// Takes back work that was admitted and will not be done.
     pub fn give_back(&mut self, account: AccountId, tokens: f64, now_ms: MonoMs) {
+        let tokens = tokens * self.scale(now_ms);
         let work = self.work_of(account);
-        *work = work.at(now_ms);
         work.admitted = (work.admitted - tokens).max(0.0);
     }
 
-    /// How much an account has compared to the level: over 1, it is over its share.
-    pub fn over(&mut self, account: AccountId, now_ms: MonoMs) -> f64 {
+    /// How much an account has compared to the level: over 1, it is over its share. With `cut`,
+    /// the level shares out that part less than what all got.
+    pub fn over(&mut self, account: AccountId, cut: f64, now_ms: MonoMs) -> f64 {
+        let scale = self.scale(now_ms);
         let stale = |at: MonoMs| now_ms.since(at) >= LEVEL_EVERY_MS;
         if self.level_ms.is_none_or(stale) {
-            self.level = self.compute_level(now_ms);
+            self.step_level(cut);
             self.level_ms = Some(now_ms);
         }
-        let work = self.work_of(account).at(now_ms);
-        work.admitted / self.level.max(1.0)
+        let admitted = self.work_of(account).admitted;
+        admitted / self.level.max(scale)
     }
 
     fn work_of(&mut self, account: AccountId) -> &mut Work {
@@ -105,25 +105,38 @@
         &mut self.work[account.index()]
     }
 
-    /// Finds the level by halving: what all got, shared out evenly, nobody above what it asked.
-    fn compute_level(&mut self, now_ms: MonoMs) -> f64 {
+    /// What a token of now counts for.
+    fn scale(&mut self, now_ms: MonoMs) -> f64 {
+        let scale = (now_ms.since(self.scale_ms).0 as f64 / DECAY_MS).exp();
+        if scale < RESCALE {
+            return scale;
+        }
+        for work in &mut self.work {
+            work.offered /= scale;
+            work.admitted /= scale;
+        }
+        self.level /= scale;
+        self.scale_ms = now_ms;
+        1.0
+    }
+
+    /// One step of Newton's method to the level at which all that may be had is shared out. What
+    /// is shared out grows with the level in straight pieces, so that few steps suffice, and one a
+    /// second follows the demand.
+    fn step_level(&mut self, cut: f64) {
         let mut admitted = 0.0;
         let mut highest: f64 = 0.0;
-        for work in &mut self.work {
-            *work = work.at(now_ms);
+        for work in &self.work {
             admitted += work.admitted;
             highest = highest.max(work.offered);
         }
-        let (mut low, mut high) = (0.0, highest);
-        for _ in 0..LEVEL_ROUNDS {
-            let middle = (low + high) / 2.0;
-            let filled: f64 = self.work.iter().map(|w| w.offered.min(middle)).sum();
-            if filled < admitted {
-                low = middle;
-            } else {
-                high = middle;
-            }
+        self.level = self.level.min(highest);
+        let wanted = admitted * (1.0 - cut);
+        let (mut filled, mut above) = (0.0, 0.0);
+        for work in &self.work {
+            filled += work.offered.min(self.level);
+            above += f64::from(u8::from(work.offered >= self.level));
         }
-        high
+        self.level = (self.level + (wanted - filled) / f64::max(above, 1.0)).max(0.0);
     }
 }
--- a/crates/policy/src/tables/mod.rs
+++ b/crates/policy/src/tables/mod.rs
@@ -48,7 +48,7 @@
     pub fn open(settings: &PolicySettings) -> Self {
         let prior = CostModel::prior(settings.prior_prefill, settings.prior_overhead_ms);
         Self {
-            fleet: Fleet::open(prior),
+            fleet: Fleet::open(prior, settings.group_parts),
             jobs: Jobs::default(),
             queue: Vec::new(),
         }
