--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -11,14 +11,16 @@
 const NO_ENGINE_RETRY_MS: SpanMs = SpanMs(1_000);
 /// The bounds of the time to come back.
 const RETRY_BOUNDS_MS: (u64, u64) = (200, 60_000);
-/// Up to this pressure, accounts over their share are not held back.
-const FREE_PRESSURE: f64 = 0.2;
+/// Up to this pressure, no account is held back.
+const FREE_PRESSURE: f64 = 0.1;
+/// Above this pressure, they are held back even where they do not surge.
+const HARD_PRESSURE: f64 = 0.5;
 /// How much less is shared out for each unit of pressure above that.
-const CUT: f64 = 0.5;
+const CUT: f64 = 1.0;
 /// An account that offers so many times its custom is held back first.
 const SURGE: f64 = 1.5;
 /// The most that is cut.
-const MOST_CUT: f64 = 0.3;
+const MOST_CUT: f64 = 0.5;
 /// The share of its laxity that any job may be predicted to wait.
 const MOST_WAIT: f64 = 0.8;
 
@@ -45,15 +47,28 @@
         if wait_ms > most_ms && wait_ms > 1.0 {
             return Err(refusal(RefusalReason::Overloaded, wait_ms - most_ms));
         }
-        let excess = self.demand.pressure() - FREE_PRESSURE;
-        if excess > 0.0 && self.deferrable(job) {
-            let cut = (excess * CUT).min(MOST_CUT);
-            let over = self.shares.over(job.account, cut, now_ms);
-            if over > 1.0 && self.shares.surge(job.account, now_ms) > SURGE {
-                return Err(refusal(RefusalReason::OverShare, self.over_share_ms(over)));
-            }
+        self.check_share(job, now_ms)
+    }
+
+    /// Refuses long work of accounts over their share: of those that surge as soon as targets come
+    /// near, of the others only once targets are about to be missed. Short work is let through, as
+    /// refusing it relieves nothing.
+    fn check_share(&mut self, job: &Job, now_ms: MonoMs) -> Result<(), Refusal> {
+        let pressure = self.demand.pressure();
+        if pressure <= FREE_PRESSURE || !self.deferrable(job) {
+            return Ok(());
         }
-        Ok(())
+        let surges = self.shares.surge(job.account, now_ms) > SURGE;
+        let free = if surges { FREE_PRESSURE } else { HARD_PRESSURE };
+        if pressure <= free {
+            return Ok(());
+        }
+        let cut = ((pressure - free) * CUT).min(MOST_CUT);
+        let over = self.shares.over(job.account, cut, now_ms);
+        if over <= 1.0 {
+            return Ok(());
+        }
+        Err(refusal(RefusalReason::OverShare, self.over_share_ms(over)))
     }
 
     fn check_engines(&self, job: &Job) -> Result<(), Refusal> {
