Policy: longer work leaves room in the memory of engines kept for short work

Cause: short work waited for memory, not for prefill: prompts of 4-32k left no room at all, and urgent long work a twentieth. Shown by the slowdowns at 200 %, far above the two steps that prefill can cost. Change: longer work leaves a fifth of a kept engine free, a twentieth of another one (half of that where it cannot wait).

--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -43,6 +43,8 @@
     pub upstream: UpstreamId,
     /// Whether it is kept for short work.
     pub kept: bool,
+    /// Whether the job's memory is believed free there, and the room that it must leave.
+    pub fits: bool,
     /// Whether a group may ask it for memory.
     pub takes_group: bool,
     /// The predicted time before the job's prefill begins.
@@ -133,6 +135,17 @@
         })
     }
 
+    /// The memory that a job must leave free for shorter work, in tokens.
+    fn room(&self, job: &Job, kept: bool, kv_capacity: u64) -> u64 {
+        let share = match (job.prompt_tokens.0 <= SHORT_TOKENS, kept) {
+            (true, _) => 0.0,
+            (false, true) => LENT_ROOM_SHARE,
+            (false, false) if self.deferrable(job) => self.settings.room_share,
+            (false, false) => self.settings.room_share / 2.0,
+        };
+        (kv_capacity as f64 * share) as u64
+    }
+
     /// How many engines at the end of a list are kept for short work.
     fn kept(&self, engines: usize) -> usize {
         (engines as f64 * self.settings.short_share).round() as usize
@@ -174,8 +187,7 @@
                 continue;
             };
             if engine.health.allows(engine.in_flight.len(), now_ms) {
-                let one = self.score_one(job, engine, now_ms);
-                scored.push(Scored { kept, ..one });
+                scored.push(self.score_one(job, engine, kept, now_ms));
             }
         }
         // Engines that refused a group's memory a moment ago may have it now.
@@ -186,7 +198,7 @@
         self.scratch.scored = scored;
     }
 
-    fn score_one(&self, job: &Job, engine: &Engine, now_ms: MonoMs) -> Scored {
+    fn score_one(&self, job: &Job, engine: &Engine, kept: bool, now_ms: MonoMs) -> Scored {
         let upstream = engine.facts.upstream;
         let covering = self.scratch.covering.iter().find(|(id, _)| *id == upstream);
         let covered = covering.map_or(Tokens::ZERO, |(_, tokens)| *tokens);
@@ -195,14 +207,19 @@
         let ahead_tokens = ahead(backlog_tokens, prefill_tokens);
         let chance = engine.busy.chance(backlog_tokens, now_ms);
         let kv_free = engine.kv_free();
-        let lacks = kv_free < job.kv_tokens().0;
-        let memory_ms = if lacks { NO_MEMORY_MS } else { 0.0 };
+        let kv_capacity = engine.facts.kv_capacity_tokens.0;
+        let need = job.kv_tokens().0;
+        let room = self.room(job, kept, kv_capacity);
+        // A job that only fits into the empty engine may take the room.
+        let fits = kv_free >= need.saturating_add(room).min(kv_capacity.max(need));
+        let memory_ms = if fits { 0.0 } else { NO_MEMORY_MS };
         let cost = self.tables.fleet.trusted_cost(engine);
         let wait_ms = cost.prefill_ms(ahead_tokens) + memory_ms;
         let own_ms = cost.overhead_ms + cost.prefill_ms(prefill_tokens);
         Scored {
             upstream,
-            kept: false,
+            kept,
+            fits,
             takes_group: engine.takes_group(now_ms),
             wait_ms,
             expected_ms: chance * engine.busy.step_ms() * BUSY_STEPS + memory_ms + own_ms,
@@ -211,7 +228,7 @@
             ahead_tokens,
             backlog_ms: cost.prefill_ms(backlog_tokens),
             kv_free,
-            kv_capacity: engine.facts.kv_capacity_tokens.0,
+            kv_capacity,
         }
     }
 
@@ -219,8 +236,7 @@
     fn place_at_once(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
         if job.idempotent {
             let scored = &self.scratch.scored;
-            let idle =
-                |s: &&Scored| !s.kept && s.wait_ms <= IDLE_MS && s.kv_free >= job.kv_tokens().0;
+            let idle = |s: &&Scored| !s.kept && s.wait_ms <= IDLE_MS && s.fits;
             let count = scored
                 .iter()
                 .filter(idle)
@@ -249,16 +265,10 @@
 
     /// The first engine from the long end that has slack and room; any engine once urgent.
     fn place_in_slack(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
-        let need = job.kv_tokens().0;
         let slack_ms = self.settings.slack_ms.0 as f64;
-        let room_share = self.settings.room_share;
-        let fits = |s: &Scored| {
-            let room = (s.kv_capacity as f64 * room_share) as u64;
-            s.kv_free >= need.saturating_add(room.min(s.kv_capacity - need.min(s.kv_capacity)))
-        };
         let scored = &self.scratch.scored;
         let urgent = now_ms >= self.latest_start_ms(job);
-        let has_slack = |s: &&Scored| (urgent || !s.kept) && s.backlog_ms <= slack_ms && fits(s);
+        let has_slack = |s: &&Scored| (urgent || !s.kept) && s.backlog_ms <= slack_ms && s.fits;
         let mut chosen: Option<Scored> = None;
         let count = scored.iter().filter(has_slack).count();
         for _ in 0..self.settings.choices.min(count) {
@@ -275,7 +285,7 @@
         if !urgent {
             return None;
         }
-        let fitting = scored.iter().filter(|s| fits(s));
+        let fitting = scored.iter().filter(|s| s.fits);
         let chosen = fitting.min_by(|a, b| a.first_token_ms.total_cmp(&b.first_token_ms));
         let chosen = *chosen?;
         Some(self.place(job, chosen, now_ms))
