Policy: the last of the engines kept for short work are closed to urgent work too

Conclusion: kept; short work is what a family waits for, and the cost is a little goodput in overload.

--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -13,6 +13,7 @@
 use bluebell_base::prelude::*;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use std::ops::Range;
 
 /// How much worse than the best one another engine may look and still be drawn, in milliseconds.
 const NEAR_MS: f64 = 5.0;
@@ -43,6 +44,8 @@
     pub upstream: UpstreamId,
     /// Whether it is kept for short work.
     pub kept: bool,
+    /// Whether it is kept for short work also from urgent work.
+    pub last: bool,
     /// Whether the job's memory is believed free there, and the room that it must leave.
     pub fits: bool,
     /// Whether a group may ask it for memory.
@@ -71,19 +74,19 @@
     backlog_tokens.min(prefill_tokens + STEP_TOKENS)
 }
 
-/// A part of the list at a random place, the whole list where it is short enough.
-fn window<'a>(
-    list: &'a [UpstreamId],
+/// A part of the indexes from a random place on, all of them where they are few enough.
+fn window(
+    indexes: Range<usize>,
     most: usize,
     rng: &mut ChaCha8Rng,
-) -> impl ExactSizeIterator<Item = UpstreamId> + use<'a> {
-    let count = most.min(list.len());
-    let begin = if count < list.len() {
-        rng.random_range(0..list.len())
+) -> impl ExactSizeIterator<Item = usize> + use<> {
+    let count = most.min(indexes.len());
+    let begin = if count < indexes.len() {
+        rng.random_range(0..indexes.len())
     } else {
         0
     };
-    (0..count).map(move |i| list[(begin + i) % list.len()])
+    (0..count).map(move |i| indexes.start + (begin + i) % indexes.len())
 }
 
 impl Laxity {
@@ -167,7 +170,9 @@
         self.cache
             .covering(&job.prefixes, &mut self.scratch.covering);
         let list = self.tables.fleet.serving(job.model);
-        let (others, kept) = list.split_at(list.len() - self.kept(list.len()));
+        let kept_from = list.len() - self.kept(list.len());
+        let last_from = list.len() - self.kept(list.len()).div_ceil(2);
+        let (others, kept) = (0..kept_from, kept_from..list.len());
         let short = job.prompt_tokens.0 <= SHORT_TOKENS;
         let (first, second) = if short {
             (kept, others)
@@ -178,16 +183,15 @@
         let first_most = most - (most / SECOND_PART).min(second.len());
         let first = window(first, first_most, &mut self.rng);
         let second = window(second, most - first.len(), &mut self.rng);
-        let both = first
-            .map(|id| (id, short))
-            .chain(second.map(|id| (id, !short)));
         let fleet = &self.tables.fleet;
-        for (id, kept) in both {
-            let Some(engine) = fleet.get(id) else {
+        for index in first.chain(second) {
+            let Some(engine) = fleet.get(list[index]) else {
                 continue;
             };
             if engine.health.allows(engine.in_flight.len(), now_ms) {
-                scored.push(self.score_one(job, engine, kept, now_ms));
+                let mut one = self.score_one(job, engine, index >= kept_from, now_ms);
+                one.last = index >= last_from;
+                scored.push(one);
             }
         }
         // Engines that refused a group's memory a moment ago may have it now.
@@ -219,6 +223,7 @@
         Scored {
             upstream,
             kept,
+            last: false,
             fits,
             takes_group: engine.takes_group(now_ms),
             wait_ms,
@@ -268,7 +273,8 @@
         let slack_ms = self.settings.slack_ms.0 as f64;
         let scored = &self.scratch.scored;
         let urgent = now_ms >= self.latest_start_ms(job);
-        let has_slack = |s: &&Scored| (urgent || !s.kept) && s.backlog_ms <= slack_ms && s.fits;
+        let open = |s: &Scored| !s.last && (urgent || !s.kept);
+        let has_slack = |s: &&Scored| open(s) && s.backlog_ms <= slack_ms && s.fits;
         let mut chosen: Option<Scored> = None;
         let count = scored.iter().filter(has_slack).count();
         for _ in 0..self.settings.choices.min(count) {
@@ -285,7 +291,7 @@
         if !urgent {
             return None;
         }
-        let fitting = scored.iter().filter(|s| s.fits);
+        let fitting = scored.iter().filter(|s| open(s) && s.fits);
         let chosen = fitting.min_by(|a, b| a.first_token_ms.total_cmp(&b.first_token_ms));
         let chosen = *chosen?;
         Some(self.place(job, chosen, now_ms))
