--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -171,7 +171,8 @@
             .covering(&job.prefixes, &mut self.scratch.covering);
         let list = self.tables.fleet.serving(job.model);
         let kept_from = list.len() - self.kept(list.len());
-        let last_from = list.len() - self.kept(list.len()).div_ceil(2);
+        let kept_count = self.kept(list.len());
+        let last_from = list.len() - (kept_count - kept_count / 3);
         let (others, kept) = (0..kept_from, kept_from..list.len());
         let short = job.prompt_tokens.0 <= SHORT_TOKENS;
         let (first, second) = if short {
