--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -11,6 +11,9 @@
 /// Significant digits of the latency histograms.
 const SIGNIFICANT_DIGITS: u8 = 3;
 
+/// The longest span that is told apart: an hour.
+const MAX_US: u64 = 3_600_000_000;
+
 /// The most different error texts that are kept.
 const MAX_ERROR_TEXTS: usize = 16;
 
@@ -55,6 +58,8 @@
     pub connects_refused: u64,
     /// The identities it was given.
     pub requests: Vec<RequestId>,
+    /// Its idempotency key.
+    pub key: Option<Arc<str>>,
     /// The text of the error it ended with.
     pub error_text: Option<String>,
 }
@@ -100,9 +105,9 @@
     }
 }
 
-/// A histogram that grows with what it sees.
+/// A histogram of microseconds; a span over [`MAX_US`] counts as that.
 fn histogram() -> Histogram<u64> {
-    Histogram::new(SIGNIFICANT_DIGITS).expect("the number of digits is within 0 to 5")
+    Histogram::new_with_max(MAX_US, SIGNIFICANT_DIGITS).expect("bounds and digits are in range")
 }
 
 /// Counts of faults in answers.
@@ -250,16 +255,22 @@
 
     /// Keeps what the check of verdicts needs, and no more: memory grows only with these.
     fn keep_claim(&mut self, record: &RequestRecord) {
-        let once = matches!(record.planned.kind, Kind::KeyedCompletion | Kind::Service);
         let verdict = match record.outcome {
             Outcome::Failed(verdict) => Some(verdict),
             _ => None,
         };
-        if record.requests.is_empty() || !(once || verdict == Some(Verdict::NotRun)) {
+        let once = record.key.is_some();
+        if !once && verdict != Some(Verdict::NotRun) {
             return;
         }
+        let mut ids = record.requests.iter().map(|id| Arc::from(id.to_string()));
+        let keys: Vec<Arc<str>> = match record.planned.kind {
+            Kind::Service => record.key.iter().cloned().collect(),
+            Kind::KeyedCompletion => ids.collect(),
+            Kind::Completion | Kind::Direct => ids.next_back().into_iter().collect(),
+        };
         self.claims.push(Claim {
-            requests: record.requests.clone(),
+            keys,
             verdict,
             once,
         });
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -368,6 +368,13 @@
         self.nodes[node].call(CallerCall::Gone { caller });
     }
 
+    /// A node's process dies; the nodes behind it move up.
+    pub fn kill_node(&mut self, node: usize) {
+        let incarnation = Incarnation(0xb0 + node as u64);
+        self.peers.nodes.borrow_mut().remove(&incarnation);
+        self.nodes.remove(node);
+    }
+
     /// How often a request was begun on any engine.
     pub fn runs(&self, request: RequestId) -> u32 {
         let counts = self.engines.iter().map(|engine| {
@@ -393,7 +400,14 @@
         name: format!("engine-{index}").as_str().into(),
         domain: "galway-a".into(),
         models: vec!["m".into()],
-        kv_capacity_tokens: Tokens(480_000),
+        kv_capacity_tokens: engine::KV_TOKENS,
+    }
+}
+
+/// Sets faults at all engines.
+pub fn set_faults(world: &World, faults: engine::Faults) {
+    for engine in &world.engines {
+        engine.state.borrow_mut().faults = faults;
     }
 }
 
