Stream decoder before arbitrary bytes; contract of orders in a file of its own

Any mix of events, own and foreign, comments and random bytes ends either with the stream's own last event or with an error that leaves open whether it ran.

--- a/crates/stand-ins/tests/common/mod.rs
+++ b/crates/stand-ins/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use bluebell_bridge::{Bridge, Inbox};
 use bluebell_stand_ins::engine::{EngineServer, EngineSettings, EngineStats, FakeEngine};
 use bluebell_stand_ins::faults::FaultSwitches;
+use bluebell_upstreams::prompt::{expected_count, expected_token, prompt_hash};
 use bluebell_upstreams::{EnginePort, Event, EventBody, Generate, HttpEngine, Priority, Resume};
 use stakker::{Core, Fwd, Ret, Stakker};
 use std::cell::RefCell;
@@ -274,3 +275,27 @@
         other => panic!("no failure but {other:?}"),
     }
 }
+
+pub const PROMPT: &str = "A notice for the local paper, in the family's own words.";
+pub const MAX_TOKENS: u64 = 12;
+
+/// Steps short enough for the real clock, long enough to be interrupted.
+pub fn settings() -> EngineSettings {
+    EngineSettings {
+        base_step_us: 5000,
+        load_lag_ms: SpanMs(20),
+        cache_lag_ms: SpanMs(20),
+        cache_loss_per_mille: 0,
+        block_tokens: 4,
+        ..EngineSettings::default()
+    }
+}
+
+/// The answer to [`PROMPT`].
+pub fn expected() -> Vec<(u64, Arc<str>)> {
+    let hash = prompt_hash(PROMPT);
+    let count = expected_count(hash, Tokens(MAX_TOKENS));
+    (0..count)
+        .map(|index| (index, expected_token(hash, index).into()))
+        .collect()
+}
--- a/crates/upstreams/src/http/stream/mod.rs
+++ b/crates/upstreams/src/http/stream/mod.rs
@@ -3,6 +3,9 @@
 //! Invariants: each stream gives exactly one last event of its own request and attempt; nothing
 //! follows it.
 
+#[cfg(test)]
+mod tests;
+
 use super::exchange::{Exchange, JSON, Outgoing, broken, read_body, refusal};
 use super::wire::DATA_PREFIX;
 use crate::engine::{Event, EventBody};
@@ -88,8 +91,17 @@
         return Err(refusal(answer.status().as_u16(), &body));
     }
     let mut lines = BufReader::new(answer.into_body().into_reader());
+    forward(&mut lines, subject, emit)
+}
+
+/// Hands on the events of a stream until its last, or until nobody wants them.
+fn forward(
+    lines: &mut impl BufRead,
+    subject: Subject,
+    emit: &mut impl FnMut(Event) -> bool,
+) -> Result<(), Error> {
     let mut line = Vec::new();
-    while let Some(event) = next_event(&mut lines, &mut line)? {
+    while let Some(event) = next_event(lines, &mut line)? {
         let last = subject.is_ended_by(&event);
         if !emit(event) || last {
             return Ok(());
