Test of registration against the platform's own stand-in

Registration now speaks the platform stand-in's form of change, so the test's listener, which read a bare entry, failed. It is replaced by one that registers with the real stand-in: live, leaving, and listed again where it was forgotten.

--- a/crates/stand-ins/tests/engine_server.rs
+++ b/crates/stand-ins/tests/engine_server.rs
@@ -7,11 +7,10 @@
 use bluebell_platform::{VmEntry, VmRole, VmState};
 use bluebell_stand_ins::engine::{EngineServer, EngineSettings, EngineStats, ServerOptions};
 use bluebell_stand_ins::faults::FaultSwitches;
-use bluebell_stand_ins::serve::{Listening, json, read_json};
+use bluebell_stand_ins::platform::{PlatformServer, PlatformSettings, VmChange};
 use bluebell_upstreams::{EventBody, HttpEngine};
 use common::{World, collector, failure, generate, is_own_last};
 use std::io::Read;
-use std::sync::{Mutex, mpsc};
 use std::time::{Duration, Instant};
 
 /// The longest a test waits.
@@ -119,21 +118,29 @@
     assert!(server.stats().computed_tokens > Tokens(100_000));
 }
 
+/// Waits until the platform lists the engine in this state.
+fn until_listed(platform: &PlatformServer, wanted: &VmEntry) {
+    let begun = Instant::now();
+    loop {
+        let listed = platform.with_model(|model, now_ms| model.list_vms(now_ms));
+        if listed == [wanted.clone()] {
+            return;
+        }
+        assert!(begun.elapsed() < LONGEST, "{wanted:?} is not listed");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The platform learns of an engine, of its leaving, and of it again where it forgot it.
 #[test]
 fn it_registers_with_the_platform_and_says_when_it_is_leaving() {
-    let (sender, entries) = mpsc::channel::<VmEntry>();
-    let sender = Mutex::new(sender);
-    let platform = Listening::bind("127.0.0.1:0", move |mut request| {
-        assert_eq!(request.url(), "/vms");
-        let entry = read_json(&mut request).expect("an entry");
-        json(request, 200, &(), &[]);
-        // The test may be over.
-        let _ = sender.lock().expect("one at a time").send(entry);
-    });
-    let listening = platform.expect("a free port");
-    let platform = listening.address().to_string();
+    let settings = PlatformSettings {
+        vm_lag_ms: SpanMs::ZERO,
+        ..PlatformSettings::default()
+    };
+    let platform = PlatformServer::bind("127.0.0.1:0", settings).expect("a free port");
     let (server, address) = serve(EngineSettings::default(), ServerOptions::default());
-    let entry = VmEntry {
+    let mut entry = VmEntry {
         name: "engine-1".into(),
         role: VmRole::Engine,
         address,
@@ -142,15 +149,17 @@
         state: VmState::Live,
     };
     let interval = Duration::from_millis(20);
-    let registration = server.register(platform.as_str().into(), entry.clone(), interval);
-    assert_eq!(entries.recv_timeout(LONGEST).expect("an entry"), entry);
+    let registration = server.register(platform.address(), entry.clone(), interval);
+    until_listed(&platform, &entry);
     server.set_faults(FaultSwitches {
         leaving: true,
         ..FaultSwitches::default()
     });
-    let begun = Instant::now();
-    while entries.recv_timeout(LONGEST).expect("an entry").state != VmState::Leaving {
-        assert!(begun.elapsed() < LONGEST, "it never says that it leaves");
-    }
+    entry.state = VmState::Leaving;
+    until_listed(&platform, &entry);
+    let forget = VmChange::Remove(entry.name.clone());
+    let forgotten = platform.with_model(|model, now_ms| model.change_vms(now_ms, forget));
+    assert_eq!(forgotten, Ok(()));
+    until_listed(&platform, &entry);
     drop(registration);
 }
