--- a/crates/node/src/hub/drain.rs
+++ b/crates/node/src/hub/drain.rs
@@ -9,8 +9,8 @@
 
 /// How long duties may take to be handed over; with the log down nobody could take them.
 const HAND_OVER_LIMIT_MS: SpanMs = SpanMs::from_secs(5);
-/// How long answers already handed to I/O threads may take to reach their sockets.
-const FLUSH_MS: SpanMs = SpanMs(500);
+/// The pause between two looks whether callers still read their answers.
+const FLUSH_PAUSE_MS: SpanMs = SpanMs(50);
 
 impl Hub {
     /// Begins the planned stop; further calls change nothing.
@@ -50,14 +50,28 @@
         self.flush(cx);
     }
 
+    /// Waits until every answer has reached its socket.
+    ///
+    /// Guards against a slow caller: its whole answer lies in this process when the request ends,
+    /// and would be cut with it. The wait ends with the last call, at the drain limit at the
+    /// latest, which is set from the beginning of the stop.
     fn flush(&mut self, cx: CX![]) {
-        let end = fwd_to!([cx], on_flushed() as (MonoMs));
-        self.parts.timers.subscribe_in(cx, FLUSH_MS, end);
+        if self.flushing {
+            return;
+        }
+        self.flushing = true;
+        let now_ms = self.parts.timers.now_ms(cx);
+        self.on_flush_due(cx, now_ms);
     }
 
-    fn on_flushed(&mut self, cx: CX![], _now_ms: MonoMs) {
-        log::info!("drained");
-        cx.shutdown(StopCause::Stopped);
+    fn on_flush_due(&mut self, cx: CX![], _now_ms: MonoMs) {
+        if self.parts.callers.calls_in_progress() == 0 {
+            log::info!("drained");
+            cx.shutdown(StopCause::Stopped);
+            return;
+        }
+        let again = fwd_to!([cx], on_flush_due() as (MonoMs));
+        self.parts.timers.subscribe_in(cx, FLUSH_PAUSE_MS, again);
     }
 
     fn on_drain_limit(&mut self, cx: CX![], _now_ms: MonoMs) {
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -63,6 +63,7 @@
     parts: HubParts,
     engines: EngineTable,
     stopping: bool,
+    flushing: bool,
 }
 
 impl Hub {
@@ -76,6 +77,7 @@
             parts,
             engines: EngineTable::default(),
             stopping: false,
+            flushing: false,
         };
         hub.poll_next(cx);
         hub.seed_later(cx);
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -44,10 +44,6 @@
     fleet_secret: Secret, "fleet-secret", "BLUEBELL_FLEET_SECRET", "secret", Required;
     /// The credential that operators give to the administration API.
     admin_credential: Secret, "admin-credential", "BLUEBELL_ADMIN_CREDENTIAL", "secret", Required;
-    /// The certificate chain for callers and operators, in PEM; goes with the key.
-    tls_cert: Option<PathBuf>, "tls-cert", "BLUEBELL_TLS_CERT", "path", Unset;
-    /// The certificate's private key, in PEM.
-    tls_key: Option<PathBuf>, "tls-key", "BLUEBELL_TLS_KEY", "path", Unset;
     /// Threads that talk to upstreams; each carries one stream at a time.
     io_threads: u32, "io-threads", "BLUEBELL_IO_THREADS", "count", Default("256");
     /// The most callers served at the same time; more are refused.
@@ -116,9 +112,6 @@
     fn clashes(&self) -> Vec<SettingError> {
         let mut errors = Vec::new();
         let mut clash = |reason: &str| errors.push(SettingError::Clash(reason.into()));
-        if self.tls_cert.is_some() != self.tls_key.is_some() {
-            clash("--tls-cert and --tls-key go together: give both or neither");
-        }
         if self.peers_advertised.is_none() && is_unspecified(&self.peers_address) {
             clash(
                 "--peers-advertised is needed where --peers-address is not one other nodes can call",
