--- a/crates/control/src/actor/mod.rs
+++ b/crates/control/src/actor/mod.rs
@@ -131,6 +131,9 @@
         self.nodes = nodes;
         self.nodes
             .retain(|card| card.incarnation != self.me.incarnation);
+        let nodes = &self.nodes;
+        let is_live = |i: &Incarnation| nodes.iter().any(|card| card.incarnation == *i);
+        self.leases.forget_left(is_live);
         self.raise_floor(cx);
     }
 
@@ -191,6 +194,7 @@
             leases_known: self.leases.is_known(),
             leases: self.leases.all(),
             held: self.leases.until().map(until).collect(),
+            taking: self.leases.taking(),
             vacant: self.vacant(),
             log_down: self.config.is_down() || self.leases.is_down(),
         });
--- /dev/null
+++ b/crates/control/tests/orders.rs
@@ -0,0 +1,370 @@
+//! Orders to engines, under pauses and takeovers.
+
+mod support;
+
+use bluebell_base::prelude::*;
+use bluebell_control::{Duty, Published};
+use bluebell_stand_ins::engine::{EngineSettings, FakeEngine};
+use bluebell_upstreams::engine::LoadedModel;
+use bluebell_upstreams::{EngineOrder, Hold, HoldKind};
+use support::{Engine, Fleet};
+
+/// A configuration that wants version `version` of model `m`.
+fn wants(version: u64, checks_fencing: bool) -> Arc<str> {
+    format!(
+        r#"{{"classes":[{{"name":"draft","first_token":[{{"within_ms":600}}],"end_ms":9000,
+        "idempotent":true}}],"accounts":[],"models":[{{"name":"m","version":{version}}}],
+        "deployments":[{{"name":"writers","checks_fencing":{checks_fencing}}}]}}"#
+    )
+    .into()
+}
+
+/// A fleet of `nodes` nodes and `engines` engines that all serve version 1.
+fn fleet(seed: u64, nodes: usize, engines: u32, checks: bool) -> (Fleet, Vec<Engine>) {
+    let mut fleet = Fleet::with_nodes(seed, nodes);
+    fleet.put_weights(&[1, 2, 3]);
+    let engines = (0..engines).map(|i| fleet.start_engine(i, "writers", checks));
+    let engines = engines.collect();
+    fleet.run_ms(5_000);
+    let published = fleet.publish_now(0, 0, &wants(1, checks));
+    let version = ConfigVersion(1);
+    assert_eq!(published, Ok(Published::Accepted { version }));
+    fleet.run_ms(60_000);
+    (fleet, engines)
+}
+
+fn stewards_of(fleet: &Fleet) -> Vec<usize> {
+    let groups = (0..fleet.settings.stewards).map(Duty::Steward);
+    groups
+        .flat_map(|duty| fleet.running_holders(duty))
+        .collect()
+}
+
+/// The node that orders the engines: the one that has sent orders or read their states.
+fn steward(fleet: &mut Fleet) -> usize {
+    let found = stewards_of(fleet).into_iter().find(|index| {
+        let group = group_of_writers();
+        fleet.believes(*index, Duty::Steward(group))
+    });
+    found.expect("a steward")
+}
+
+/// The group of the deployment `writers` among four.
+fn group_of_writers() -> u32 {
+    bluebell_control::steward::group_of(&"writers".into(), 4)
+}
+
+fn publish(fleet: &mut Fleet, base: u64, body: &Arc<str>) {
+    let node = (0..fleet.nodes.len())
+        .find(|index| fleet.nodes[*index].life == support::Life::Running)
+        .expect("a running node");
+    let published = fleet.publish_now(node, base, body);
+    let version = ConfigVersion(base + 1);
+    assert_eq!(published, Ok(Published::Accepted { version }));
+}
+
+fn loads(engine: &Engine) -> Vec<(u64, bool)> {
+    let events = engine.events().into_iter();
+    let load = events.filter_map(|event| match event.order {
+        EngineOrder::LoadModel { version, .. } => Some((version, event.obeyed)),
+        _ => None,
+    });
+    load.collect()
+}
+
+/// An operator changes a model's version. The replicas load it one after the other, at the weight
+/// store's rate, and no more than one is ever away.
+#[test]
+fn a_rolling_load_keeps_replicas_serving() {
+    for checks in [true, false] {
+        let (mut fleet, engines) = fleet(1, 3, 5, checks);
+        publish(&mut fleet, 1, &wants(2, checks));
+        let from_ms = fleet.now_ms;
+        let done = fleet.run_until(from_ms + SpanMs(120_000), |fleet| {
+            let now_ms = fleet.now_ms;
+            let serving = engines
+                .iter()
+                .filter(|e| e.serves(now_ms).is_some())
+                .count();
+            assert!(serving >= 4, "only {serving} of 5 serve");
+            engines
+                .iter()
+                .all(|engine| engine.serves(now_ms) == Some(2))
+        });
+        assert!(done);
+        // 5 loads of 8 GB by a quarter of 4 GB/s are 8 s apart at least.
+        assert!(fleet.now_ms.since(from_ms) >= SpanMs(4 * 8_000));
+        for engine in &engines {
+            assert_eq!(loads(engine), vec![(2, true)], "ordered once");
+        }
+    }
+}
+
+/// The same with the stand-in engines, which answer an order before they have loaded.
+#[test]
+fn stand_in_engines_are_rolled() {
+    let mut fleet = Fleet::with_nodes(6, 1);
+    fleet.put_weights(&[1, 2]);
+    let settings = EngineSettings {
+        models: vec![LoadedModel {
+            model: "m".into(),
+            version: 1,
+        }],
+        model_bytes: Bytes(8_000_000_000),
+        weight_bytes_per_second: PerSecond(1_000_000_000.0),
+        ..EngineSettings::default()
+    };
+    for number in 0..3 {
+        let core = &mut fleet.nodes[0].stakker;
+        let engine = FakeEngine::open(core, settings.clone(), number.into());
+        let name = UpstreamName::from(&*format!("writers-{number}"));
+        fleet.ports.borrow_mut().insert(name, engine.port());
+        fleet.list_engine(number, "writers");
+    }
+    fleet.run_ms(5_000);
+    publish(&mut fleet, 0, &wants(1, true));
+    fleet.run_ms(30_000);
+    publish(&mut fleet, 1, &wants(2, true));
+    fleet.run_ms(120_000);
+    let counts = fleet.steward_dump(0).counts;
+    assert_eq!(
+        (counts.loads, counts.loaded, counts.failed_loads),
+        (3, 3, 0)
+    );
+    assert_eq!(engines.len(), 3);
+    assert_eq!(
+        counts.fences, 3,
+        "each engine was shown the fencing number once"
+    );
+}
+
+/// The store does not hold the version that the operator named: no replica is touched.
+#[test]
+fn an_unknown_version_is_not_ordered() {
+    let (mut fleet, engines) = fleet(2, 3, 3, true);
+    publish(&mut fleet, 1, &wants(9, true));
+    fleet.run_ms(120_000);
+    assert!(engines.iter().all(|engine| loads(engine).is_empty()));
+}
+
+/// A version can't be loaded. After two replicas failed, the others are left with what they
+/// serve, until the configuration changes.
+#[test]
+fn a_broken_version_is_halted() {
+    let (mut fleet, engines) = fleet(3, 3, 5, true);
+    engines
+        .iter()
+        .for_each(|engine| engine.break_versions(&[2]));
+    publish(&mut fleet, 1, &wants(2, true));
+    fleet.run_ms(600_000);
+    let tried = engines.iter().filter(|engine| !loads(engine).is_empty());
+    assert_eq!(tried.count(), 2);
+    publish(&mut fleet, 2, &wants(3, true));
+    fleet.run_ms(120_000);
+    let now_ms = fleet.now_ms;
+    assert!(
+        engines
+            .iter()
+            .all(|engine| engine.serves(now_ms) == Some(3))
+    );
+}
+
+/// Orders take effect, but their answers are lost: the state read back tells, and nothing is
+/// ordered twice.
+#[test]
+fn lost_answers_of_orders() {
+    let (mut fleet, engines) = fleet(4, 3, 3, true);
+    engines.iter().for_each(|engine| engine.lose_answers(1));
+    publish(&mut fleet, 1, &wants(2, true));
+    fleet.run_ms(120_000);
+    let now_ms = fleet.now_ms;
+    for engine in &engines {
+        assert_eq!(engine.serves(now_ms), Some(2));
+        assert_eq!(loads(engine).len(), 1);
+    }
+}
+
+/// Where a steward is paused in the course of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PausedAt {
+    /// While it waits for the weight store, before it checks its lease.
+    BeforeCheck,
+    /// After the check, before the order leaves.
+    BeforeSend,
+    /// After the order has left, before its answer is read.
+    AfterSend,
+}
+
+/// How the wrong orders of one case went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Wrong {
+    obeyed: usize,
+    in_effect_ms: u64,
+}
+
+/// A steward is paused in the middle of an order to load version 2, for a minute and more.
+/// Meanwhile another takes over, the operator changes to version `next` and all replicas come to
+/// serve that. Then the paused one goes on.
+fn paused_steward(seed: u64, at: PausedAt, checks: bool, next: u64) -> Wrong {
+    let (mut fleet, engines) = fleet(seed, 3, 3, checks);
+    let old = steward(&mut fleet);
+    pause_in_order(&mut fleet, &engines, old, at, checks);
+    let group = Duty::Steward(group_of_writers());
+    let end_ms = fleet.now_ms + SpanMs(30_000);
+    assert!(fleet.run_until(end_ms, |fleet| !fleet.running_holders(group).is_empty()));
+    fleet.run_ms(1_000);
+    publish(&mut fleet, 2, &wants(next, checks));
+    let all_serve = |fleet: &mut Fleet| {
+        let now_ms = fleet.now_ms;
+        engines
+            .iter()
+            .all(|engine| engine.serves(now_ms) == Some(next))
+    };
+    fleet.run_ms(60_000);
+    let end_ms = fleet.now_ms + SpanMs(60_000);
+    assert!(
+        fleet.run_until(end_ms, all_serve),
+        "the new steward brings all to it"
+    );
+    fleet.resume(old);
+    let woke_ms = fleet.now_ms;
+    let (mut wrong_ms, mut last_ms) = (0, woke_ms);
+    fleet.run_until(woke_ms + SpanMs(120_000), |fleet| {
+        if !all_serve(fleet) {
+            wrong_ms += fleet.now_ms.since(last_ms).0;
+        }
+        last_ms = fleet.now_ms;
+        false
+    });
+    assert!(all_serve(&mut fleet), "repaired");
+    let late = engines.iter().flat_map(|e| e.events());
+    let late = late.filter(|event| event.at_ms >= woke_ms && event.obeyed);
+    let wrong = |order: &EngineOrder| matches!(order, EngineOrder::LoadModel { version, .. } if *version != next);
+    Wrong {
+        obeyed: late.filter(|event| wrong(&event.order)).count(),
+        in_effect_ms: wrong_ms,
+    }
+}
+
+/// Publishes version 2 and pauses the steward at that step of its first order.
+fn pause_in_order(
+    fleet: &mut Fleet,
+    engines: &[Engine],
+    steward: usize,
+    at: PausedAt,
+    checks: bool,
+) {
+    if at == PausedAt::BeforeSend {
+        fleet.nodes[steward].send_ms.set(2_000);
+    }
+    let lookups = fleet.model.borrow().stats().weight_lookups;
+    publish(fleet, 1, &wants(2, checks));
+    let end_ms = fleet.now_ms + SpanMs(60_000);
+    let reached = fleet.run_until(end_ms, |fleet| match at {
+        // The store's answer is on its way and will be read first thing after the pause.
+        PausedAt::BeforeCheck => fleet.model.borrow().stats().weight_lookups > lookups,
+        PausedAt::BeforeSend => fleet.steward_dump(steward).counts.loads > 0,
+        PausedAt::AfterSend => engines.iter().any(|engine| !loads(engine).is_empty()),
+    });
+    assert!(reached);
+    fleet.pause(steward);
+}
+
+/// An engine serves a version that no operator wants any more, since a steward that was replaced
+/// woke up and its order went out late. Engines that check the fencing number refuse it, also
+/// where the new steward had nothing to order; for the others the new steward reads the state
+/// back and repairs it.
+#[test]
+fn a_steward_paused_at_each_step() {
+    let steps = [
+        PausedAt::BeforeCheck,
+        PausedAt::BeforeSend,
+        PausedAt::AfterSend,
+    ];
+    for checks in [true, false] {
+        for (at, next) in steps.iter().flat_map(|at| [(*at, 3), (*at, 1)]) {
+            for seed in 0..3 {
+                let wrong = paused_steward(seed, at, checks, next);
+                println!("checks {checks} paused {at:?} then {next} seed {seed}: {wrong:?}");
+                let unfenced = !checks && at == PausedAt::BeforeSend;
+                assert_eq!(
+                    wrong.obeyed,
+                    usize::from(unfenced),
+                    "{checks} {at:?} {next}"
+                );
+                // Read back each 10 s, looked at each 0.2 s, loaded in 3 s.
+                let bound_ms = if unfenced { 20_000 } else { 0 };
+                assert!(wrong.in_effect_ms <= bound_ms, "{checks} {at:?} {wrong:?}");
+            }
+        }
+    }
+}
+
+fn hold(request: u64, owner: Incarnation) -> Hold {
+    Hold {
+        kind: HoldKind::Stream,
+        request: request_id(owner, request),
+        reservation: None,
+        owner,
+        kv_tokens: Tokens(1_000),
+        expires_ms: SpanMs(0),
+    }
+}
+
+fn request_id(incarnation: Incarnation, sequence: u64) -> RequestId {
+    RequestId {
+        incarnation,
+        sequence,
+    }
+}
+
+/// Memory stays held on an engine. It is freed where its owner is certainly dead, or where the
+/// engine itself said long ago that it had expired; never for a paused owner that renews.
+#[test]
+fn memory_of_nobody_is_reclaimed() {
+    let (mut fleet, engines) = fleet(5, 4, 2, true);
+    let engine = &engines[0];
+    let owner = (0..4).find(|i| *i != steward(&mut fleet)).unwrap();
+    let incarnation = fleet.nodes[owner].incarnation;
+    let unknown = Incarnation(77);
+    let kept = [
+        // Renewed all the time below, as the paused owner's open stream is.
+        (hold(1, incarnation), 0),
+        (hold(2, unknown), 600_000),
+        (hold(3, unknown), 5_000),
+    ];
+    for (hold, for_ms) in kept {
+        engine.keep(hold, fleet.now_ms + SpanMs(for_ms));
+    }
+    fleet.pause(owner);
+    for _ in 0..20 {
+        engine.keep(hold(1, incarnation), fleet.now_ms + SpanMs(30_000));
+        fleet.run_ms(10_000);
+    }
+    // The paused owner's and the one that runs on are kept, the overdue one is gone.
+    let mut ids = engine.kept();
+    ids.sort();
+    assert_eq!(
+        ids,
+        vec![request_id(unknown, 2), request_id(incarnation, 1)]
+    );
+
+    let reclaimed = engine.events().into_iter().map(|event| event.order);
+    let of_paused = |order: &EngineOrder| match order {
+        EngineOrder::Reclaim { owner, .. } => *owner == incarnation,
+        _ => false,
+    };
+    assert!(!reclaimed.clone().any(|order| of_paused(&order)));
+
+    // The owner's process is replaced by another at the same address. The engine would keep the
+    // memory for long.
+    engine.keep(hold(1, incarnation), fleet.now_ms + SpanMs(3_600_000));
+    fleet.kill(owner);
+    fleet.restart(owner);
+    let end_ms = fleet.now_ms + SpanMs(90_000);
+    let freed = fleet.run_until(end_ms, |_| {
+        !engine.kept().contains(&request_id(incarnation, 1))
+    });
+    assert!(freed);
+    assert_eq!(engine.kept(), vec![request_id(unknown, 2)]);
+}
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -1,6 +1,7 @@
 //! The command line: usage errors, exit codes, checks of files, and the administration API's
 //! client against a scripted node.
 
+use expect_test::expect_file;
 use std::process::{Command, Output};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -93,6 +94,50 @@
     }
 }
 
+/// Every command, in the order of the page.
+const COMMANDS: [&[&str]; 18] = [
+    &[],
+    &["config"],
+    &["config", "check"],
+    &["config", "publish"],
+    &["config", "show"],
+    &["config", "history"],
+    &["state"],
+    &["fleet"],
+    &["drain"],
+    &["load"],
+    &["bench"],
+    &["demo"],
+    &["stand-in"],
+    &["stand-in", "engine"],
+    &["stand-in", "service"],
+    &["stand-in", "platform"],
+    &["stand-in", "vm"],
+    &["stand-in", "faults"],
+];
+
+/// `UPDATE_EXPECT=1 cargo test -p bluebellctl` writes the page anew.
+#[test]
+fn the_page_of_commands_is_up_to_date() {
+    let mut page = String::from(PAGE_HEAD);
+    for command in COMMANDS {
+        let output = ctl(&[command, &["--help"]].concat());
+        let name = [&["bluebellctl"], command].concat().join(" ");
+        let help = text(&output.stdout);
+        page.push_str(&format!(
+            "\n## `{name}`\n\n```text\n{}\n```\n",
+            help.trim_end()
+        ));
+    }
+    expect_file!["../../../docs/CTL.md"].assert_eq(&page);
+}
+
+const PAGE_HEAD: &str = "# Commands of `bluebellctl`
+
+The help of every command as it prints it; a test compares this page. Exit codes: 0 all went as
+asked, 1 it did not, 2 the command line was wrong (every fault is listed).
+";
+
 #[test]
 fn the_example_files_have_no_faults() {
     for name in ["fleet.json", "demo-fleet.json"] {
--- a/crates/entry/src/callers/deliver.rs
+++ b/crates/entry/src/callers/deliver.rs
@@ -6,15 +6,18 @@
 //! `Finished`; a stream that fails has no `[DONE]`, so it can't be taken for a whole answer.
 
 use crate::callers::encode::{AnswerBody, End, Subject};
-use crate::callers::sink::Events;
 use crate::http::answer::{self, ErrorBody, Refusal};
 use crate::http::outlet::{EventStream, Outlet};
 use bluebell_base::prelude::*;
 use bluebell_requests::call::CallerEvent;
-use crossbeam_channel::RecvTimeoutError;
+use crossbeam_channel::{Receiver, RecvTimeoutError};
 use std::io;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
+/// The status codes that end an exchange. After any other a caller would wait for the rest.
+const FINAL_STATUS: RangeInclusive<u16> = 200..=599;
+
 /// How an exchange ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Delivered {
@@ -36,7 +39,7 @@
 /// What is written to a caller, and the identity it is written under.
 pub(crate) struct Delivery {
     /// The queue of events.
-    pub(crate) events: Events,
+    pub(crate) events: Receiver<CallerEvent>,
     /// The request's id once it is admitted, the call's number before.
     pub(crate) request: Arc<str>,
     /// The longest silence in a stream.
@@ -182,6 +185,9 @@
                     content_type,
                     body,
                 }) => {
+                    if !FINAL_STATUS.contains(&status) {
+                        return self.refuse(outlet, None, not_final(status));
+                    }
                     let media_type = content_type.as_deref();
                     let response = answer::whole(status, media_type, body, &self.request);
                     return outlet.respond(response).into();
@@ -201,6 +207,7 @@
     }
 
     fn admitted(&mut self, request: RequestId) {
+        log::debug!("{}: is {request}", self.request);
         self.request = request.to_string().into();
     }
 
@@ -220,7 +227,7 @@
 
     /// Waits for the next event, at most as long as a silence may last.
     fn next(&self, silence: Option<Duration>) -> Next {
-        let receiver = &self.events.receiver;
+        let receiver = &self.events;
         let received = match silence {
             Some(silence) => receiver.recv_timeout(silence),
             None => receiver.recv().map_err(|_| RecvTimeoutError::Disconnected),
@@ -247,3 +254,9 @@
     let message = "an answer of another kind than asked for arrived";
     Error::may_have_run(ErrorKind::Internal, message)
 }
+
+/// A plain service's answer that is none.
+fn not_final(status: u16) -> Error {
+    let message = format!("the service answered with status {status}, which is no final one");
+    Error::ran(ErrorKind::Upstream, message)
+}
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -6,7 +6,8 @@
 //! report counts.
 
 use crate::balancer::Balancer;
-use crate::exchange::{Exchange, Shared, agent};
+use crate::client::agent;
+use crate::exchange::{Exchange, Shared};
 use crate::live;
 use crate::plan::{LoadPlan, PlanError};
 use crate::prompt::PromptMaker;
@@ -125,7 +126,7 @@
             if shows {
                 live::write(
                     &state.tally(),
-                    state.schedule.0.len() as u64,
+                    state.schedule.offered(),
                     state.shared.start.elapsed(),
                 );
             }
@@ -166,7 +167,7 @@
         Report::of(
             &tally,
             plan.seed,
-            self.state.schedule.0.len() as u64,
+            self.state.schedule.offered(),
             took_ms,
             plan.oracle.is_some(),
             untruths(plan, &tally),
@@ -177,11 +178,5 @@
 /// Compares verdicts with what upstreams ran; none where that can't be known.
 fn untruths(plan: &LoadPlan, tally: &Tally) -> Option<Untruths> {
     let source = plan.run_source.as_ref()?;
-    match source.counts() {
-        Ok(counts) => Some(compare(&tally.claims, &counts)),
-        Err(error) => {
-            log::warn!("verdicts can't be checked: {error}");
-            None
-        }
-    }
+    Some(compare(&tally.claims, &source.counts()))
 }
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -12,6 +12,8 @@
 use crate::tables::Placement;
 use bluebell_base::prelude::*;
 use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::ops::Range;
 
 /// How much worse than the best one another engine may look and still be drawn, in milliseconds.
 const NEAR_MS: f64 = 5.0;
@@ -20,6 +22,16 @@
 /// The steps that short work waits for on a busy engine: half of the running one, and its own one
 /// filled up with other work.
 const BUSY_STEPS: f64 = 1.5;
+/// The share of its memory that an engine kept for short work does not lend.
+const LENT_ROOM_SHARE: f64 = 0.2;
+/// One part in so many of the engines looked at are of the kind that the job should keep off.
+const SECOND_PART: usize = 4;
+/// Prompts up to this length are short work, in tokens.
+const SHORT_TOKENS: u64 = 4_096;
+/// What taking an engine kept for short work counts for, in milliseconds.
+const KEPT_MS: f64 = 400.0;
+/// What taking another engine counts for short work, in milliseconds.
+const OTHERS_MS: f64 = 40.0;
 /// An engine with less wait than this counts as idle, in milliseconds.
 const IDLE_MS: f64 = 10.0;
 /// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
@@ -30,6 +42,14 @@
 pub struct Scored {
     /// The engine.
     pub upstream: UpstreamId,
+    /// Whether it is kept for short work.
+    pub kept: bool,
+    /// Whether it is kept for short work also from urgent work.
+    pub last: bool,
+    /// Whether the job's memory is believed free there, and the room that it must leave.
+    pub fits: bool,
+    /// Whether a group may ask it for memory.
+    pub takes_group: bool,
     /// The predicted time before the job's prefill begins.
     pub wait_ms: f64,
     /// The expected first token, where work of other nodes may have come meanwhile.
@@ -54,6 +74,21 @@
     backlog_tokens.min(prefill_tokens + STEP_TOKENS)
 }
 
+/// A part of the indexes from a random place on, all of them where they are few enough.
+fn window(
+    indexes: Range<usize>,
+    most: usize,
+    rng: &mut ChaCha8Rng,
+) -> impl ExactSizeIterator<Item = usize> + use<> {
+    let count = most.min(indexes.len());
+    let begin = if count < indexes.len() {
+        rng.random_range(0..indexes.len())
+    } else {
+        0
+    };
+    (0..count).map(move |i| indexes.start + (begin + i) % indexes.len())
+}
+
 impl Laxity {
     /// Whether the job may wait in the queue for slack.
     pub(super) fn deferrable(&self, job: &Job) -> bool {
@@ -83,6 +118,7 @@
             self.place_at_once(&job, now_ms)
         };
         let placement = placement?;
+        self.scratch.scored_for = None;
         if self.deferrable(&job) {
             self.demand.sent(placement.prefill_tokens);
         }
@@ -102,50 +138,95 @@
         })
     }
 
-    fn needs_group(&self, job: &Job) -> bool {
-        job.kv_tokens() > self.tables.fleet.largest(job.model, 1)
+    /// The memory that a job must leave free for shorter work, in tokens.
+    fn room(&self, job: &Job, kept: bool, kv_capacity: u64) -> u64 {
+        let share = match (job.prompt_tokens.0 <= SHORT_TOKENS, kept) {
+            (true, _) => 0.0,
+            (false, true) => LENT_ROOM_SHARE,
+            (false, false) if self.deferrable(job) => self.settings.room_share,
+            (false, false) => self.settings.room_share / 2.0,
+        };
+        (kv_capacity as f64 * share) as u64
+    }
+
+    /// How many engines at the end of a list are kept for short work.
+    fn kept(&self, engines: usize) -> usize {
+        (engines as f64 * self.settings.short_share).round() as usize
+    }
+
+    pub(super) fn needs_group(&self, job: &Job) -> bool {
+        job.kv_tokens() > self.tables.fleet.largest(job.model)
     }
 
     /// Scores the engines that may get the job; those it should avoid only where no other is.
     pub(super) fn score(&mut self, job: &Job, now_ms: MonoMs) {
+        if self.scratch.scored_for == Some((job.request, now_ms)) {
+            // Nothing changed since admission scored them.
+            return;
+        }
+        self.scratch.scored_for = Some((job.request, now_ms));
         let mut scored = std::mem::take(&mut self.scratch.scored);
         scored.clear();
+        self.cache
+            .covering(&job.prefixes, &mut self.scratch.covering);
         let list = self.tables.fleet.serving(job.model);
-        let window = self.settings.window.min(list.len());
-        let begin = if window < list.len() {
-            self.rng.random_range(0..list.len())
+        let kept_from = list.len() - self.kept(list.len());
+        let kept_count = self.kept(list.len());
+        let last_from = list.len() - (kept_count - kept_count / 3);
+        let (others, kept) = (0..kept_from, kept_from..list.len());
+        let short = job.prompt_tokens.0 <= SHORT_TOKENS;
+        let (first, second) = if short {
+            (kept, others)
         } else {
-            0
+            (others, kept)
         };
-        let looked_at = (0..window).map(|i| list[(begin + i) % list.len()]);
-        let engines = looked_at.filter_map(|id| self.tables.fleet.get(id));
-        for engine in engines {
+        let most = self.settings.window;
+        let first_most = most - (most / SECOND_PART).min(second.len());
+        let first = window(first, first_most, &mut self.rng);
+        let second = window(second, most - first.len(), &mut self.rng);
+        let fleet = &self.tables.fleet;
+        for index in first.chain(second) {
+            let Some(engine) = fleet.get(list[index]) else {
+                continue;
+            };
             if engine.health.allows(engine.in_flight.len(), now_ms) {
-                scored.push(self.score_one(job, engine, now_ms));
+                let mut one = self.score_one(job, engine, index >= kept_from, now_ms);
+                one.last = index >= last_from;
+                scored.push(one);
             }
         }
+        // Engines that refused a group's memory a moment ago may have it now.
         let others = |s: &Scored| !job.avoid.contains(&s.upstream);
-        if scored.iter().any(others) {
+        if !self.needs_group(job) && scored.iter().any(others) {
             scored.retain(others);
         }
         self.scratch.scored = scored;
     }
 
-    fn score_one(&self, job: &Job, engine: &Engine, now_ms: MonoMs) -> Scored {
+    fn score_one(&self, job: &Job, engine: &Engine, kept: bool, now_ms: MonoMs) -> Scored {
         let upstream = engine.facts.upstream;
-        let covered = self.cache.covered(upstream, &job.prefixes);
+        let covering = self.scratch.covering.iter().find(|(id, _)| *id == upstream);
+        let covered = covering.map_or(Tokens::ZERO, |(_, tokens)| *tokens);
         let prefill_tokens = job.prompt_tokens.saturating_sub(covered).0.max(1) as f64;
         let backlog_tokens = engine.backlog_tokens(now_ms);
         let ahead_tokens = ahead(backlog_tokens, prefill_tokens);
         let chance = engine.busy.chance(backlog_tokens, now_ms);
         let kv_free = engine.kv_free();
-        let lacks = kv_free < job.kv_tokens().0;
-        let memory_ms = if lacks { NO_MEMORY_MS } else { 0.0 };
+        let kv_capacity = engine.facts.kv_capacity_tokens.0;
+        let need = job.kv_tokens().0;
+        let room = self.room(job, kept, kv_capacity);
+        // A job that only fits into the empty engine may take the room.
+        let fits = kv_free >= need.saturating_add(room).min(kv_capacity.max(need));
+        let memory_ms = if fits { 0.0 } else { NO_MEMORY_MS };
         let cost = self.tables.fleet.trusted_cost(engine);
         let wait_ms = cost.prefill_ms(ahead_tokens) + memory_ms;
         let own_ms = cost.overhead_ms + cost.prefill_ms(prefill_tokens);
         Scored {
             upstream,
+            kept,
+            last: false,
+            fits,
+            takes_group: engine.takes_group(now_ms),
             wait_ms,
             expected_ms: chance * engine.busy.step_ms() * BUSY_STEPS + memory_ms + own_ms,
             first_token_ms: wait_ms + own_ms,
@@ -153,7 +234,7 @@
             ahead_tokens,
             backlog_ms: cost.prefill_ms(backlog_tokens),
             kv_free,
-            kv_capacity: engine.facts.kv_capacity_tokens.0,
+            kv_capacity,
         }
     }
 
@@ -161,7 +242,7 @@
     fn place_at_once(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
         if job.idempotent {
             let scored = &self.scratch.scored;
-            let idle = |s: &&Scored| s.wait_ms <= IDLE_MS && s.kv_free >= job.kv_tokens().0;
+            let idle = |s: &&Scored| !s.kept && s.wait_ms <= IDLE_MS && s.fits;
             let count = scored
                 .iter()
                 .filter(idle)
@@ -173,79 +254,83 @@
                 return Some(self.place(job, chosen, now_ms));
             }
         }
-        // The list runs from the long end; of equals, the last ones are preferred.
-        let scored = &mut self.scratch.scored;
-        scored.reverse();
-        scored.sort_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms));
-        let best_ms = scored.first()?.expected_ms;
-        let near = scored.iter().take(self.settings.choices);
-        let near = near.filter(|s| s.expected_ms <= best_ms + NEAR_MS);
-        let count = near.count();
-        let drawn = self.rng.random_range(0..count);
-        let chosen = self.scratch.scored[drawn];
+        // Longer work keeps off the engines kept for short work, and short work off the others,
+        // which look idle for a moment only.
+        let short = job.prompt_tokens.0 <= SHORT_TOKENS;
+        let off_ms = if short { OTHERS_MS } else { KEPT_MS };
+        let cost_ms = |s: &Scored| s.expected_ms + if s.kept == short { 0.0 } else { off_ms };
+        let scored = &self.scratch.scored;
+        let best_ms = scored.iter().map(cost_ms).fold(f64::INFINITY, f64::min);
+        let near = |s: &&Scored| cost_ms(s) <= best_ms + NEAR_MS;
+        let drawn = self
+            .rng
+            .random_range(0..scored.iter().filter(near).count().max(1));
+        let chosen = *scored.iter().filter(near).nth(drawn)?;
         Some(self.place(job, chosen, now_ms))
     }
 
     /// The first engine from the long end that has slack and room; any engine once urgent.
     fn place_in_slack(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
-        let need = job.kv_tokens().0;
         let slack_ms = self.settings.slack_ms.0 as f64;
-        let room_share = self.settings.room_share;
-        let fits = |s: &Scored| {
-            let room = (s.kv_capacity as f64 * room_share) as u64;
-            s.kv_free >= need.saturating_add(room.min(s.kv_capacity - need.min(s.kv_capacity)))
-        };
         let scored = &self.scratch.scored;
-        let has_slack = |s: &&Scored| s.backlog_ms <= slack_ms && fits(s);
-        let count = scored
-            .iter()
-            .filter(has_slack)
-            .take(self.settings.choices)
-            .count();
-        if count > 0 {
+        let urgent = now_ms >= self.latest_start_ms(job);
+        let open = |s: &Scored| !s.last && (urgent || !s.kept);
+        let has_slack = |s: &&Scored| open(s) && s.backlog_ms <= slack_ms && s.fits;
+        let mut chosen: Option<Scored> = None;
+        let count = scored.iter().filter(has_slack).count();
+        for _ in 0..self.settings.choices.min(count) {
             let drawn = self.rng.random_range(0..count);
-            let chosen = *scored.iter().filter(has_slack).nth(drawn)?;
+            let other = scored.iter().filter(has_slack).nth(drawn).copied();
+            let freer = |a: &Scored, b: &Scored| (b.kept, a.kv_free) > (a.kept, b.kv_free);
+            if other.is_some_and(|other| chosen.is_none_or(|chosen| freer(&other, &chosen))) {
+                chosen = other;
+            }
+        }
+        if let Some(chosen) = chosen {
             return Some(self.place(job, chosen, now_ms));
         }
-        if now_ms < self.latest_start_ms(job) {
+        if !urgent {
             return None;
         }
-        let fitting = scored.iter().filter(|s| fits(s));
+        let fitting = scored.iter().filter(|s| open(s) && s.fits);
         let chosen = fitting.min_by(|a, b| a.first_token_ms.total_cmp(&b.first_token_ms));
         let chosen = *chosen?;
         Some(self.place(job, chosen, now_ms))
     }
 
-    /// A group from the long end, where enough memory is believed free.
+    /// A group: its leader from the long end, its members first among the engines kept for short
+    /// work, as lending memory costs no step there.
     fn place_group(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
+        let urgent = now_ms >= self.latest_start_ms(job);
+        let slack_ms = self.settings.slack_ms.0 as f64;
         let room_share = self.settings.room_share;
-        let mut offers = std::mem::take(&mut self.scratch.offers);
-        offers.clear();
-        offers.extend(self.scratch.scored.iter().map(|s| {
+        let offer = |s: &Scored| {
+            let share = if s.kept { LENT_ROOM_SHARE } else { room_share };
+            let room = (s.kv_capacity as f64 * share) as u64;
+            let free = if s.takes_group { s.kv_free } else { 0 };
             Offer {
                 upstream: s.upstream,
-                kv_tokens: s
-                    .kv_free
-                    .saturating_sub((s.kv_capacity as f64 * room_share) as u64),
+                kv_tokens: free.saturating_sub(room),
             }
-        }));
-        let urgent = now_ms >= self.latest_start_ms(job);
-        let slack_ms = self.settings.slack_ms.0 as f64;
-        let most = offers.iter().map(|o| o.kv_tokens).max().unwrap_or(0);
-        let leader = self
-            .scratch
-            .scored
+        };
+        let mut offers = std::mem::take(&mut self.scratch.offers);
+        offers.clear();
+        let scored = &self.scratch.scored;
+        offers.extend(scored.iter().filter(|s| s.kept).map(offer));
+        offers.extend(scored.iter().filter(|s| !s.kept).map(offer));
+        let most = offers
             .iter()
-            .zip(&offers)
-            .find(|(scored, offer)| {
-                let has_slack = urgent || scored.backlog_ms <= slack_ms;
-                has_slack && offer.kv_tokens >= most / 2
-            });
-        let leader = leader.map(|(scored, offer)| (*scored, *offer));
+            .map(|offer| offer.kv_tokens)
+            .max()
+            .unwrap_or(0);
+        let may_lead = |s: &&Scored| {
+            !s.kept && (urgent || s.backlog_ms <= slack_ms) && offer(s).kv_tokens >= most / 2
+        };
         let parts = self.settings.group_parts;
-        let built = leader.and_then(|(scored, offer)| {
-            let group = groups::build(offer, &offers, job.kv_tokens(), parts)?;
-            Some((scored, group))
+        let mut leaders = scored.iter().filter(may_lead);
+        let built = leaders.find_map(|scored| {
+            let group = groups::build(offer(scored), &offers, job.kv_tokens(), parts)?;
+            Some((*scored, group))
         });
         self.scratch.offers = offers;
         let (scored, group) = built?;
--- a/crates/requests/src/life/exchange.rs
+++ b/crates/requests/src/life/exchange.rs
@@ -37,6 +37,7 @@
         self.attempt = AttemptNo(self.attempt.0 + 1);
         self.present = Verdict::MayHaveRun;
         self.phase = Phase::Exchanging { upstream };
+        self.sent_to = Some(upstream);
         let link = self.next_link();
         cx.observer.attempt();
         if !first {
@@ -96,10 +97,12 @@
         let may_repeat = self.repeatable || self.verdict() == Verdict::NotRun;
         self.earlier = self.verdict();
         self.present = Verdict::NotRun;
-        if let Work::Exchange(exchange) = &mut self.work {
-            exchange.avoid.push(upstream);
-        }
-        if !may_repeat || self.attempt.0 >= cx.settings.attempts {
+        let Work::Exchange(exchange) = &mut self.work else {
+            return;
+        };
+        exchange.avoid.push(upstream);
+        let next = cx.fleet.route(&exchange.service, &exchange.avoid);
+        if !may_repeat || next.is_none() || self.attempt.0 >= cx.settings.attempts {
             self.fail(error, cx);
             return;
         }
--- a/crates/requests/src/life/read.rs
+++ b/crates/requests/src/life/read.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariants: one reader at a time; a reader that another one replaces gets its own last event.
 
-use super::{Context, Life, Phase, Reader};
+use super::{Context, Life, Mode, Phase, Reader};
 use crate::call::{CallerEvent, CallerId, CallerSink};
 use crate::cursor::{Cursor, Signer};
 use bluebell_base::prelude::*;
@@ -37,6 +37,10 @@
             return;
         }
         self.replay(from, cx);
+        let resting = matches!(&self.phase, Phase::Running(run) if run.mode == Mode::Resting);
+        if resting {
+            self.resume(cx);
+        }
     }
 
     fn replace_reader(&mut self, cx: &mut Context<'_>) {
@@ -74,14 +78,7 @@
     }
 
     fn upstream_name(&self, cx: &Context<'_>) -> Option<UpstreamName> {
-        let upstream = self.upstream().or(self.last_upstream());
-        upstream.and_then(|id| cx.fleet.name(id)).cloned()
-    }
-
-    /// The engine that a request between two attempts was last sent to.
-    fn last_upstream(&self) -> Option<UpstreamId> {
-        let job = self.answer()?.job.as_ref()?;
-        job.avoid.last().copied()
+        self.sent_to.and_then(|id| cx.fleet.name(id)).cloned()
     }
 
     /// An engine is gone, or said to be.
@@ -118,6 +115,6 @@
 impl super::Group {
     fn names(&self, upstream: UpstreamId) -> bool {
         let mut members = self.members.iter();
-        self.leader == upstream || members.any(|member| member.part.upstream == upstream)
+        members.any(|member| member.part.upstream == upstream)
     }
 }
--- a/crates/requests/src/life/stream.rs
+++ b/crates/requests/src/life/stream.rs
@@ -12,14 +12,15 @@
 impl Life {
     /// An event came on `link`.
     pub fn on_event(&mut self, link: LinkNo, event: Event, cx: &mut Context<'_>) {
-        // A late or crossed answer: it belongs to another request, or to an attempt that was given
-        // up. It shows by its identity, which each event carries, and never reaches the reader.
-        let ours = event.request == self.request && event.attempt == self.attempt;
+        let named = event.request == self.request && event.attempt == self.attempt;
         let Phase::Running(run) = &mut self.phase else {
             cx.observer.dropped_event();
             return;
         };
-        if !ours {
+        // A late or crossed answer: it belongs to another request, or to an attempt that was given
+        // up. It shows by the identity that each event carries, or by coming on a link that was
+        // opened for an earlier attempt, whatever it says of itself; it never reaches the reader.
+        if !named || link < run.first_link {
             cx.observer.dropped_event();
             return;
         }
@@ -34,6 +35,7 @@
             return;
         }
         run.heard_ms = cx.now_ms;
+        run.heard |= current;
         match event.body {
             EventBody::Accepted {
                 prompt_tokens,
@@ -97,6 +99,7 @@
         };
         run.accepted = true;
         run.tries = 0;
+        run.breaks = 0;
         run.quiet_ms = cx.settings.stall_ms;
         let upstream = run.upstream;
         let Some(name) = cx.fleet.name(upstream) else {
