bluebellctl fleet: a table of nodes as text

The scripted answer of the fleet's test had an empty list, which no node gives; it is replaced by a whole one, and the test compares the row of a leaving node.

--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -173,6 +173,11 @@
     body: String,
 }
 
+/// Two nodes, one of which answers.
+const FLEET: &str = r#"{"this":{"name":"node-0","address":"127.0.0.1:9001","domain":"galway-a",
+    "incarnation":1,"config":7,"leaving":false},"nodes":[{"name":"node-1",
+    "address":"127.0.0.1:9002","domain":"galway-b","incarnation":2,"config":7,"leaving":true}]}"#;
+
 /// Answers one call.
 fn node(status: u16, answer: &'static str) -> (String, JoinHandle<Asked>) {
     let server = Arc::new(Server::http("127.0.0.1:0").expect("a free port"));
@@ -246,10 +251,10 @@
         (
             &["fleet"],
             200,
-            r#"{"nodes":[]}"#,
+            FLEET,
             "GET /admin/fleet",
             0,
-            "\"nodes\": []",
+            "node-1                   127.0.0.1:9002           galway-b                7  leaving",
         ),
         (
             &["drain"],
