Stand-ins: a burst of connections waits to be accepted

Cause: the standard library listens with room for 128 connections that nobody has accepted yet; the kernel drops what goes beyond it, and the client's second try comes after its whole second to connect is over. It showed as calls refused with 'timeout: connect' before an idle engine. Ruled out: a longer connect timeout, which would slow the way around a dead VM.

--- a/crates/stand-ins/src/listen.rs
+++ b/crates/stand-ins/src/listen.rs
@@ -10,6 +10,12 @@
 use std::net::TcpListener;
 use tiny_http::Server;
 
+/// Connections that may wait to be accepted.
+///
+/// The standard library's own limit is 128. In a burst, the kernel drops what goes beyond it, and
+/// the client tries again only after a second, which is all the time it has to connect.
+const WAITING_CONNECTIONS: i32 = 1024;
+
 /// Serves HTTP at `addr`, such as `127.0.0.1:0`, on connections that send at once.
 ///
 /// # Errors
@@ -24,6 +30,9 @@
 /// Those of listening at the address.
 pub fn bind(addr: &str) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(addr)?;
-    SockRef::from(&listener).set_tcp_nodelay(true)?;
+    let socket = SockRef::from(&listener);
+    socket.set_tcp_nodelay(true)?;
+    // Listening again only changes the limit.
+    socket.listen(WAITING_CONNECTIONS)?;
     Ok(listener)
 }
