--- a/crates/claims/tests/at_most_once/owners.rs
+++ b/crates/claims/tests/at_most_once/owners.rs
@@ -152,6 +152,52 @@
     rig.check().unwrap();
 }
 
+/// A node is stopped as planned and hands its shard over; callers in that moment get their grant
+/// from the new owner a little later, instead of a refusal.
+#[test]
+fn a_planned_handover_refuses_no_claim() {
+    for handover_ms in [0, 50, 500, 900] {
+        let mut rig = served_by_0(3);
+        let waiting = [rig.ask(2, 1), rig.ask(0, 2)];
+        rig.lose(0, 0);
+        let late = [rig.ask(2, 3), rig.ask(0, 4), rig.ask(1, 5)];
+        rig.run_ms(handover_ms);
+        rig.give(0, 1);
+        rig.run_ms(1000);
+        for asked in waiting.iter().chain(&late) {
+            assert_eq!(asked.text(), "granted", "{handover_ms} ms");
+        }
+        rig.check().unwrap();
+    }
+}
+
+/// A shard without an owner for long: the first callers wait a second for one, later ones are
+/// refused at once.
+#[test]
+fn claims_do_not_wait_for_an_owner_for_long() {
+    let mut rig = served_by_0(3);
+    rig.lose(0, 0);
+    for (node, later_ms, bound_ms) in [(2, 1500, 1010), (2, 10, 10), (2, 60_000, 10)] {
+        let asked = rig.ask(node, 1);
+        rig.run_ms(later_ms);
+        assert_eq!(asked.text(), "not_run");
+        assert!(asked.took() <= Some(SpanMs(bound_ms)), "{:?}", asked.took());
+    }
+}
+
+#[test]
+fn an_owner_whose_lease_has_ended_takes_no_claims() {
+    let mut rig = served_by_0(2);
+    rig.hold_for_ms(0, 100);
+    rig.run_ms(50);
+    assert_eq!(rig.ask(1, 1).text(), "no answer");
+    rig.run_ms(50);
+    assert_eq!(rig.ask_and_wait(1, 2).text(), "not_run");
+    rig.hold_again(0);
+    assert_eq!(rig.ask_and_wait(1, 3).text(), "granted");
+    assert_eq!(rig.ask_and_wait(1, 1).text(), "held pending");
+}
+
 /// A shard moves away and back. Batches of the first tenure must not count in the second, and keys
 /// claimed in between stay held. Cause: leases that lapse for a moment.
 #[test]
@@ -245,3 +291,39 @@
     }
     assert_eq!(rig.ask_and_wait(1, 0).text(), "granted");
 }
+
+/// A lease lapses while the log is slow and is renewed under the same fencing number, since nobody
+/// else took it. A batch of the first time is still on its way. The caller of the second time must
+/// get the outcome of its own claim, not that of the late batch. Cause: an outage of the log that
+/// is longer than a lease.
+#[test]
+fn a_lease_is_regained_under_the_same_fencing_number() {
+    for late_ms in [20, 200, 400, 600, 1200, 3000] {
+        let mut rig = served_by_0(2);
+        assert_eq!(rig.ask_and_wait(0, 1).text(), "granted");
+        rig.model.borrow_mut().faults.rules.push(FaultRule {
+            operation: Some(Operation::Append),
+            client: None,
+            calls: 1,
+            fault: Fault::Slow(SpanMs(late_ms)),
+        });
+        let lost = rig.ask(0, 2);
+        rig.run_ms(10);
+        rig.lose(0, 0);
+        rig.run_ms(100);
+        rig.hold_again(0);
+        rig.run_ms(100);
+        let fresh = rig.ask(0, 3);
+        rig.run_ms(5000);
+        assert_eq!(fresh.text(), "granted", "{late_ms} ms late");
+        assert_ne!(lost.text(), "no answer", "{late_ms} ms late");
+        rig.give(0, 1);
+        rig.run_ms(200);
+        assert_eq!(
+            rig.ask_and_wait(1, 3).text(),
+            "held pending",
+            "{late_ms} ms late"
+        );
+        rig.check().unwrap();
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod answer;
 mod balancer;
+mod client;
 mod direct;
 mod exchange;
 mod live;
@@ -33,4 +34,4 @@
 pub use report::{BandReport, LatencyReport, Report};
 pub use run::{LoadRun, spawn};
 pub use schedule::{Kind, Planned, Schedule};
-pub use truth::{HttpRunSource, RunCount, RunSource};
+pub use truth::{HttpRunSource, RunCount, RunCounts, RunSource};
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -93,8 +93,10 @@
 pub struct Checked {
     /// Whether each token was compared with the right one.
     pub identity: bool,
-    /// Whether verdicts were compared with what upstreams ran.
-    pub verdicts: bool,
+    /// Upstreams whose own counts verdicts were compared with.
+    pub upstreams_asked: u64,
+    /// Upstreams that could not be asked any more; the check may have missed what they ran.
+    pub upstreams_unreachable: u64,
 }
 
 /// How often an error text came.
@@ -113,7 +115,7 @@
     pub seed: u64,
     /// How long the run took, in milliseconds.
     pub took_ms: SpanMs,
-    /// Requests of the schedule.
+    /// Requests of the schedule, without those for an engine directly.
     pub offered: u64,
     /// Requests that ended; fewer where the run was stopped.
     pub ended: u64,
@@ -149,7 +151,7 @@
     pub bands: Vec<BandReport>,
     /// Latencies of completions under an idempotency key, to the first token.
     pub keyed_first_token: LatencyReport,
-    /// Latencies of an engine called directly in the same run.
+    /// Latencies of an engine called directly in the same run; these are in no other count.
     pub direct_bands: Vec<BandReport>,
     /// Error texts, as far as kept.
     pub errors: Vec<ErrorText>,
@@ -193,7 +195,8 @@
             },
             checked: Checked {
                 identity,
-                verdicts: untruths.is_some(),
+                upstreams_asked: found.asked,
+                upstreams_unreachable: found.unreachable,
             },
             bands: band_reports(&tally.bands),
             keyed_first_token: LatencyReport::of(&tally.keyed_latency.first_token_us),
--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,7 +4,6 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
-use crate::groups;
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
@@ -12,8 +11,16 @@
 const NO_ENGINE_RETRY_MS: SpanMs = SpanMs(1_000);
 /// The bounds of the time to come back.
 const RETRY_BOUNDS_MS: (u64, u64) = (200, 60_000);
-/// The share of its laxity that an account over its share may wait.
-const OVER_SHARE_WAIT: f64 = 0.25;
+/// Up to this pressure, no account is held back.
+const FREE_PRESSURE: f64 = 0.1;
+/// Above this pressure, they are held back even where they do not surge.
+const HARD_PRESSURE: f64 = 0.5;
+/// How much less is shared out for each unit of pressure above that.
+const CUT: f64 = 1.0;
+/// An account that offers so many times its custom is held back first.
+const SURGE: f64 = 1.5;
+/// The most that is cut.
+const MOST_CUT: f64 = 0.5;
 /// The share of its laxity that any job may be predicted to wait.
 const MOST_WAIT: f64 = 0.8;
 
@@ -40,11 +47,28 @@
         if wait_ms > most_ms && wait_ms > 1.0 {
             return Err(refusal(RefusalReason::Overloaded, wait_ms - most_ms));
         }
-        let own_ms = laxity_ms * OVER_SHARE_WAIT;
-        if wait_ms > own_ms && self.shares.over(job.account, now_ms) > 1.0 {
-            return Err(refusal(RefusalReason::OverShare, wait_ms - own_ms));
+        self.check_share(job, now_ms)
+    }
+
+    /// Refuses long work of accounts over their share: of those that surge as soon as targets come
+    /// near, of the others only once targets are about to be missed. Short work is let through, as
+    /// refusing it relieves nothing.
+    fn check_share(&mut self, job: &Job, now_ms: MonoMs) -> Result<(), Refusal> {
+        let pressure = self.demand.pressure();
+        if pressure <= FREE_PRESSURE || !self.deferrable(job) {
+            return Ok(());
         }
-        Ok(())
+        let surges = self.shares.surge(job.account, now_ms) > SURGE;
+        let free = if surges { FREE_PRESSURE } else { HARD_PRESSURE };
+        if pressure <= free {
+            return Ok(());
+        }
+        let cut = ((pressure - free) * CUT).min(MOST_CUT);
+        let over = self.shares.over(job.account, cut, now_ms);
+        if over <= 1.0 {
+            return Ok(());
+        }
+        Err(refusal(RefusalReason::OverShare, self.over_share_ms(over)))
     }
 
     fn check_engines(&self, job: &Job) -> Result<(), Refusal> {
@@ -56,7 +80,7 @@
                 retry_after_ms: NO_ENGINE_RETRY_MS,
             });
         }
-        let largest = fleet.largest(job.model, self.settings.group_parts);
+        let largest = fleet.largest_group(job.model);
         if job.kv_tokens() > largest {
             return Err(Refusal {
                 reason: RefusalReason::TooLong,
@@ -86,6 +110,11 @@
         engine_ms + queue_ms
     }
 
+    /// When an account's decaying work will be down to the level, if it asks for nothing more.
+    fn over_share_ms(&self, over: f64) -> f64 {
+        over.ln() * crate::shares::DECAY_MS
+    }
+
     fn answer_ms(&self, job: &Job) -> f64 {
         self.demand.answer_tokens(job.class) * self.tables.fleet.mean_step_ms()
     }
@@ -98,11 +127,3 @@
         retry_after_ms: SpanMs(wait_ms.clamp(RETRY_BOUNDS_MS.0, RETRY_BOUNDS_MS.1)),
     }
 }
-
-impl crate::fleet::Fleet {
-    /// The most that a group of engines serving a model can hold.
-    pub fn largest(&self, model: ModelId, parts: usize) -> Tokens {
-        let engines = self.serving(model).iter().filter_map(|id| self.get(*id));
-        groups::most_tokens(engines, parts)
-    }
-}
--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -76,6 +76,8 @@
     pub link: LinkNo,
     /// What is to be done.
     pub work: Work,
+    /// The engine or replica that it was last sent to.
+    pub sent_to: Option<UpstreamId>,
     /// Callers that wait for its cancellation.
     pub cancels: Vec<CancelReply>,
     /// How often it went back to the policy with nothing run.
@@ -147,6 +149,8 @@
     pub stream: LinkNo,
     /// Whether that link isn't known to be broken.
     pub open: bool,
+    /// Whether anything came on it.
+    pub heard: bool,
     /// Whether the engine accepted the work.
     pub accepted: bool,
     /// What is awaited.
@@ -155,6 +159,10 @@
     pub heard_ms: MonoMs,
     /// Silence after which it is asked.
     pub quiet_ms: SpanMs,
+    /// Links in a row that broke while the engine was at work with nothing new.
+    pub breaks: u32,
+    /// Whether the node that admitted it was asked where it runs, for an adopted request.
+    pub peer_asked: bool,
     /// Fruitless tries in a row to resume or look up.
     pub tries: u32,
 }
@@ -328,6 +336,11 @@
         /// The link its answer comes on.
         link: LinkNo,
     },
+    /// Ask the node that admitted it where it runs now.
+    AskPeer {
+        /// The link the answer comes on.
+        link: LinkNo,
+    },
     /// Cancel an attempt, until the engine answers or its hold has expired.
     Cancel {
         /// On this engine.
@@ -439,6 +452,17 @@
         }
     }
 
+    /// The bytes of the prompt or body that it holds.
+    pub fn held_bytes(&self) -> Bytes {
+        Bytes(match &self.work {
+            Work::Answer(answer) => answer
+                .prompt
+                .as_ref()
+                .map_or(0, |prompt| prompt.len() as u64),
+            Work::Exchange(exchange) => exchange.call.body.len() as u64,
+        })
+    }
+
     /// The metrics' labels of a model's answer.
     pub fn labels(&self) -> Option<(&ClassName, LengthBand)> {
         let answer = self.answer()?;
@@ -474,7 +498,7 @@
             }
             _ => "queued",
         };
-        let upstream = self.upstream().and_then(|id| fleet.name(id)).cloned();
+        let upstream = self.sent_to.and_then(|id| fleet.name(id)).cloned();
         RequestReport {
             request: self.request,
             account: self.account.clone(),
@@ -511,10 +535,13 @@
             first_seq,
             stream: link,
             open: true,
+            heard: false,
             accepted: false,
             mode: Mode::Reading,
             heard_ms: cx.now_ms,
             quiet_ms: cx.settings.stall_ms,
+            breaks: 0,
+            peer_asked: false,
             tries: 0,
         }
     }
--- a/crates/requests/src/life/recover.rs
+++ b/crates/requests/src/life/recover.rs
@@ -5,8 +5,9 @@
 
 use super::{Context, Effect, Life, LinkNo, Mode, Phase, Reader};
 use bluebell_base::prelude::*;
+use bluebell_peers::RequestReport;
 use bluebell_policy::Outcome;
-use bluebell_upstreams::{Resume, StreamState};
+use bluebell_upstreams::{FinishReason, Resume, StreamState};
 
 impl Life {
     /// The present link broke or the engine ended the stream without an answer.
@@ -23,6 +24,13 @@
             self.on_refused(error, cx);
             return;
         }
+        if run.heard {
+            // The engine had it a moment ago, and silence limits break links in a long prefill:
+            // whether this is a fruitless try is for the engine to say.
+            run.heard = false;
+            self.ask_unless_resting(cx);
+            return;
+        }
         // The engine answered that it has no such stream: asking for it again won't help.
         let unknown = run.generated != Some(link) && error.kind == ErrorKind::NotFound;
         self.on_fruitless(unknown, cx);
@@ -88,21 +96,21 @@
             return;
         }
         let repeatable = self.repeatable;
+        let patient = !repeatable && !self.is_adopted();
         let Phase::Running(run) = &mut self.phase else {
             return;
         };
         run.tries += 1;
         let gone = !cx.fleet.is_there(run.upstream);
-        let limit = match repeatable {
-            true => cx.settings.resume_tries,
-            false => cx.settings.lookup_tries,
+        let limit = match patient {
+            true => cx.settings.lookup_tries,
+            false => cx.settings.resume_tries,
         };
         let until_ms = cx.now_ms + cx.settings.backoff(run.tries - 1);
         if repeatable && (unknown || gone || run.tries > limit) {
             self.abandon(cx);
         } else if run.tries > limit {
-            let error = Error::may_have_run(ErrorKind::Upstream, "the engine's answer is lost");
-            self.fail(error, cx);
+            self.give_up(cx);
         } else if unknown {
             run.mode = Mode::PausingToAsk { until_ms };
         } else {
@@ -110,6 +118,12 @@
         }
     }
 
+    fn ask_unless_resting(&mut self, cx: &mut Context<'_>) {
+        if !self.rest() {
+            self.ask(cx);
+        }
+    }
+
     /// Leaves a silent or broken stream alone while nobody reads it; `false` where somebody does.
     ///
     /// The caller may have read on through another node, which owns the stream now: it shows here
@@ -128,6 +142,9 @@
 
     /// Gives the attempt up and starts the work elsewhere, behind the tokens already delivered.
     fn abandon(&mut self, cx: &mut Context<'_>) {
+        if self.finish_if_full(cx) {
+            return;
+        }
         let Some(upstream) = self.upstream() else {
             return;
         };
@@ -171,6 +188,7 @@
         run.heard_ms = cx.now_ms;
         run.stream = link;
         run.open = true;
+        run.heard = false;
         let call = Resume {
             request,
             attempt,
@@ -205,11 +223,7 @@
         answer: Option<Result<StreamState, Error>>,
         cx: &mut Context<'_>,
     ) {
-        let asked = match &self.phase {
-            Phase::Running(run) => run.mode,
-            _ => Mode::Reading,
-        };
-        if !matches!(asked, Mode::Asking { link: present, .. } if present == link) {
+        if !self.awaits(link) {
             cx.observer.dropped_event();
             return;
         }
@@ -252,13 +266,20 @@
             return;
         };
         run.accepted = true;
-        if news || !run.open {
-            // The link is broken, or mute though there is something to read. Each such resume
+        if news {
+            // The link is broken or mute though there is something to read. Each such resume
             // counts as a try until a token comes, or a link that swallows all events would be
             // opened again and again until the deadline.
             self.on_fruitless(false, cx);
             return;
         }
+        if !run.open {
+            // At work with nothing new, but its link broke: not a fruitless try.
+            let until_ms = cx.now_ms + cx.settings.backoff(run.breaks);
+            run.breaks += 1;
+            run.mode = Mode::Pausing { until_ms };
+            return;
+        }
         if adopted {
             // The node that admitted it may have taken the stream back before it learned of the
             // hang-up. Resuming makes this node the owner again before that one's grace ends.
@@ -279,10 +300,87 @@
             return;
         }
         // Unknown to the engine proves nothing: it may have run it, restarted and forgotten.
+        self.give_up(cx);
+    }
+
+    /// Nothing more can be learned of work that may not be repeated.
+    fn give_up(&mut self, cx: &mut Context<'_>) {
+        if self.finish_if_full(cx) || self.ask_peer(cx) {
+            return;
+        }
         let error = Error::may_have_run(ErrorKind::Upstream, "the engine's answer is lost");
         self.fail(error, cx);
     }
 
+    /// Asks the node that admitted an adopted request where it runs; `false` where that was done.
+    ///
+    /// The cursor may name an attempt that was given up since: the engine died, and the admitting
+    /// node went on elsewhere.
+    fn ask_peer(&mut self, cx: &mut Context<'_>) -> bool {
+        let adopted = self.is_adopted();
+        let link = self.next_link();
+        let Phase::Running(run) = &mut self.phase else {
+            return false;
+        };
+        if !adopted || run.peer_asked {
+            return false;
+        }
+        run.peer_asked = true;
+        let until_ms = cx.now_ms + cx.settings.answer_wait_ms;
+        run.mode = Mode::Asking { link, until_ms };
+        cx.out.push(Effect::AskPeer { link });
+        true
+    }
+
+    /// The admitting node's report of an adopted request, with the engine where it is known here.
+    pub fn on_peer_report(
+        &mut self,
+        link: LinkNo,
+        report: Option<RequestReport>,
+        upstream: Option<UpstreamId>,
+        cx: &mut Context<'_>,
+    ) {
+        if !self.awaits(link) {
+            cx.observer.dropped_event();
+            return;
+        }
+        let ours = report.filter(|report| report.account == self.account);
+        let newer = ours.filter(|report| report.attempt > self.attempt);
+        let (Some(report), Some(upstream)) = (newer, upstream) else {
+            self.give_up(cx);
+            return;
+        };
+        self.attempt = report.attempt;
+        self.sent_to = Some(upstream);
+        let first_link = LinkNo(self.link.0 + 1);
+        if let Phase::Running(run) = &mut self.phase {
+            run.upstream = upstream;
+            run.first_link = first_link;
+            run.tries = 0;
+        }
+        self.resume(cx);
+    }
+
+    /// Whether the answer awaited now is the one on `link`.
+    fn awaits(&self, link: LinkNo) -> bool {
+        let Phase::Running(run) = &self.phase else {
+            return false;
+        };
+        matches!(run.mode, Mode::Asking { link: present, .. } if present == link)
+    }
+
+    /// Ends an answer that has as many tokens as were asked for: only the word that it is whole
+    /// was lost, and no engine would generate anything behind it.
+    fn finish_if_full(&mut self, cx: &mut Context<'_>) -> bool {
+        let full = self
+            .answer()
+            .is_some_and(|answer| answer.job.is_some() && answer.next_seq() >= answer.max_tokens.0);
+        if full {
+            self.finish(FinishReason::Length, cx);
+        }
+        full
+    }
+
     /// Whether the present attempt is the only one that this engine was sent, so that what it says
     /// of the request it says of this attempt.
     fn sole_attempt_there(&self) -> bool {
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use bluebell_policy::{Kind, PolicySettings};
 use bluebell_requests::call::{CallerCall, CallerEvent, CallerId, CallerSink, Completion, ReadOn};
 use bluebell_requests::{
-    EngineCard, NoObserver, RequestLookup, Requests, RequestsHandle, RequestsPorts,
-    RequestsSettings,
+    EngineCard, LengthBand, RefusedBy, RequestLookup, RequestObserver, Requests, RequestsHandle,
+    RequestsPorts, RequestsSettings,
 };
 use bluebell_timers::Timers;
 use bluebell_upstreams::prompt::{expected_count, expected_token, prompt_hash};
@@ -32,7 +32,7 @@
   ],
   "accounts": [
     {"name": "parish", "key_sha256": "0000000000000000000000000000000000000000000000000000000000000000"},
-    {"name": "paper", "key_sha256": "0000000000000000000000000000000000000000000000000000000000000000"}
+    {"name": "paper", "key_sha256": "1111000000000000000000000000000000000000000000000000000000000000"}
   ],
   "models": [{"name": "m", "version": 1}],
   "services": [{"name": "board", "prefix": "/board", "timeout_ms": 5000,
@@ -155,16 +155,32 @@
     }
 }
 
-/// Claims that are granted at once, or with the faults of the switches.
+/// Claims that take effect and are granted together, or with the faults of the switches.
 #[derive(Default)]
 pub struct Claims {
-    pub held: RefCell<HashMap<ClaimKey, (ClaimCall, ClaimState)>>,
+    pub held: Rc<RefCell<Held>>,
     pub claimed: Cell<u32>,
     pub down: Cell<bool>,
     pub silent: Cell<bool>,
     pub delay_ms: Cell<u64>,
 }
 
+type Held = HashMap<ClaimKey, (ClaimCall, ClaimState)>;
+
+fn take(held: &mut Held, call: ClaimCall) -> ClaimAnswer {
+    match held.get(&call.key) {
+        Some((by, state)) if by.request != call.request => ClaimAnswer::Held {
+            by: by.request,
+            state: *state,
+            same: by.fingerprint == call.fingerprint,
+        },
+        _ => {
+            held.insert(call.key, (call, ClaimState::Pending));
+            ClaimAnswer::Granted
+        }
+    }
+}
+
 impl ClaimsPort for Claims {
     fn claim(&self, core: &mut Core, call: ClaimCall, ret: Ret<Result<ClaimAnswer, Error>>) {
         self.claimed.set(self.claimed.get() + 1);
@@ -174,24 +190,20 @@
                 "the log is down",
             )));
         }
-        let mut held = self.held.borrow_mut();
-        let answer = match held.get(&call.key) {
-            Some((by, state)) if by.request != call.request => ClaimAnswer::Held {
-                by: by.request,
-                state: *state,
-                same: by.fingerprint == call.fingerprint,
-            },
-            _ => ClaimAnswer::Granted,
-        };
-        if answer == ClaimAnswer::Granted {
-            held.insert(call.key, (call, ClaimState::Pending));
-        }
-        let delay_ms = match self.silent.get() {
-            true => 3_600_000,
-            false => self.delay_ms.get(),
-        };
-        let at = core.now() + Duration::from_millis(delay_ms);
-        core.timer_add(at, move |_| ret.ret(Ok(answer)));
+        let held = self.held.clone();
+        let silent = self.silent.get();
+        let at = core.now() + Duration::from_millis(self.delay_ms.get());
+        core.timer_add(at, move |core| {
+            let answer = take(&mut held.borrow_mut(), call);
+            match silent {
+                // Taken effect, and the answer is lost without a word.
+                true => {
+                    let later = core.now() + Duration::from_secs(3600);
+                    core.timer_add(later, move |_| drop(ret));
+                }
+                false => ret.ret(Ok(answer)),
+            }
+        });
     }
 
     fn settle(&self, _: &mut Core, call: SettleCall) {
@@ -237,6 +249,56 @@
     }
 }
 
+/// Counts what the observers are told.
+#[derive(Default)]
+pub struct Counts {
+    pub admitted: Cell<u32>,
+    pub attempts: Cell<u32>,
+    pub retries: Cell<u32>,
+    pub denied: Cell<u32>,
+    pub first_tokens: Cell<u32>,
+    pub between_tokens: Cell<u32>,
+    pub finished: Cell<u32>,
+    pub failed: Cell<u32>,
+}
+
+struct Counter(Rc<Counts>);
+
+fn add(count: &Cell<u32>) {
+    count.set(count.get() + 1);
+}
+
+impl RequestObserver for Counter {
+    fn admitted(&mut self, _: &ClassName, _: LengthBand) {
+        add(&self.0.admitted);
+    }
+    fn refused(&mut self, _: RefusedBy) {}
+    fn first_token(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {
+        add(&self.0.first_tokens);
+    }
+    fn between_tokens(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {
+        add(&self.0.between_tokens);
+    }
+    fn attempt(&mut self) {
+        add(&self.0.attempts);
+    }
+    fn retry(&mut self) {
+        add(&self.0.retries);
+    }
+    fn retry_denied(&mut self) {
+        add(&self.0.denied);
+    }
+    fn finished(&mut self, _: &ClassName, _: LengthBand, _: SpanMs) {
+        add(&self.0.finished);
+    }
+    fn failed(&mut self, _: &Error) {
+        add(&self.0.failed);
+    }
+    fn cancelled(&mut self) {}
+    fn dropped_event(&mut self) {}
+    fn upstream_refused(&mut self, _: &UpstreamName, _: &Error) {}
+}
+
 pub struct World {
     pub stakker: Stakker,
     pub origin: Instant,
@@ -245,6 +307,7 @@
     pub engines: Vec<Engine>,
     pub claims: Rc<Claims>,
     pub peers: Rc<Peers>,
+    pub counts: Rc<Counts>,
     clock: Arc<std::sync::atomic::AtomicU64>,
     callers: u64,
 }
@@ -260,6 +323,7 @@
         let config: Arc<FleetConfig> = Arc::new(bluebell_config::parse(CONFIG).expect("checked"));
         let claims = Rc::new(Claims::default());
         let peers = Rc::new(Peers::default());
+        let counts = Rc::new(Counts::default());
         let engines: Vec<Engine> = (0..engines)
             .map(|i| Engine::new(origin, seed.wrapping_mul(31) + i))
             .collect();
@@ -272,8 +336,8 @@
                 incarnation,
                 fleet_secret: b"secret".to_vec(),
                 claims: claims.clone(),
-                policy: bluebell_policy::open(policy, &config, seed),
-                observer: Box::new(NoObserver),
+                policy: bluebell_policy::open(policy, &config, seed + node),
+                observer: Box::new(Counter(counts.clone())),
                 lookup: peers.clone(),
                 seed: seed + node,
             };
@@ -294,6 +358,7 @@
             engines,
             claims,
             peers,
+            counts,
             clock: Arc::default(),
             callers: 0,
         };
