--- a/crates/requests/src/actor/effects.rs
+++ b/crates/requests/src/actor/effects.rs
@@ -5,13 +5,22 @@
 use crate::life::{Effect, LinkNo};
 use crate::table::EntryId;
 use bluebell_base::prelude::*;
-use bluebell_peers::{ClaimAnswer, ClaimCall, RequestReport, SettleCall, Settlement};
-use bluebell_upstreams::{CancelAnswer, Event, Reserve, ServiceAnswer, StreamState};
+use bluebell_peers::{ClaimAnswer, ClaimCall, ClaimKey, RequestReport, SettleCall, Settlement};
+use bluebell_upstreams::{CancelAnswer, Event, Reserve, ServiceAnswer, ServiceCall, StreamState};
 use stakker::{CX, fwd_to, ret_to};
 
 /// An answer that a port gave, or `None` where it dropped the call.
 type Answer<T> = Option<Result<T, Error>>;
 
+/// What an answer of a plain service belongs to.
+struct Exchanged {
+    request: RequestId,
+    upstream: UpstreamId,
+    link: LinkNo,
+    /// The claim that the call runs under.
+    key: Option<ClaimKey>,
+}
+
 impl Requests {
     /// Sends one effect of a request.
     pub(super) fn carry_out(&mut self, cx: CX![], id: EntryId, request: RequestId, effect: Effect) {
@@ -87,21 +96,40 @@
                 upstream,
                 link,
                 call,
-            } => {
-                let Some(replica) = self.fleet.replica_mut(upstream) else {
-                    return;
-                };
-                replica.in_flight += 1;
-                let port = replica.port.clone();
-                let ret = ret_to!(
-                    [cx],
-                    on_exchanged(id, request, upstream, link) as (Result<ServiceAnswer, Error>)
-                );
-                port.call(cx, call, ret);
-            }
+            } => self.exchange(cx, (id, request), upstream, link, call),
         }
     }
 
+    fn exchange(
+        &mut self,
+        cx: CX![],
+        (id, request): (EntryId, RequestId),
+        upstream: UpstreamId,
+        link: LinkNo,
+        call: ServiceCall,
+    ) {
+        let life = self.table.get(id);
+        let key = life.and_then(|life| life.claim.as_ref().map(|claim| claim.key));
+        let Some(replica) = self.fleet.replica_mut(upstream) else {
+            return;
+        };
+        replica.in_flight += 1;
+        let port = replica.port.clone();
+        let ret = ret_to!(
+            [cx],
+            on_exchanged(
+                id,
+                Exchanged {
+                    request,
+                    upstream,
+                    link,
+                    key
+                }
+            ) as (Result<ServiceAnswer, Error>)
+        );
+        port.call(cx, call, ret);
+    }
+
     fn reserve(
         &mut self,
         cx: CX![],
@@ -189,17 +217,31 @@
         &mut self,
         cx: CX![],
         id: EntryId,
-        request: RequestId,
-        upstream: UpstreamId,
-        link: LinkNo,
+        call: Exchanged,
         answer: Answer<ServiceAnswer>,
     ) {
-        if let Some(replica) = self.fleet.replica_mut(upstream) {
+        if let Some(replica) = self.fleet.replica_mut(call.upstream) {
             replica.in_flight -= 1;
         }
-        self.step(cx, id, request, |life, context| {
-            life.on_exchanged(link, answer, context);
+        let settlement = match &answer {
+            Some(Ok(_)) => Some(Settlement::Ran),
+            Some(Err(error)) if error.verdict == Verdict::NotRun => Some(Settlement::NotRun),
+            Some(Err(_)) | None => None,
+        };
+        let found = self.step(cx, id, call.request, |life, context| {
+            life.on_exchanged(call.link, answer, context);
         });
+        if let (false, Some(key), Some(settlement)) = (found, call.key, settlement) {
+            // The request ended in doubt before the replica answered (deadline, cancel): its
+            // caller's retries hear the truth from now on.
+            let request = call.request;
+            let settle = SettleCall {
+                key,
+                request,
+                settlement,
+            };
+            self.claims.settle(cx, settle);
+        }
         self.settle_down(cx);
     }
 
--- a/crates/requests/tests/reading.rs
+++ b/crates/requests/tests/reading.rs
@@ -243,6 +243,8 @@
     let mut world = World::new(1, 2, 3);
     let long = "word ".repeat(KV_TOKENS.0 as usize);
     let blocked = world.engines[1].clone();
+    // Its refusals come well after the other one's grants.
+    blocked.state.borrow_mut().faults.delay_call_ms = 50;
     blocked
         .state
         .borrow_mut()
--- a/crates/requests/tests/services.rs
+++ b/crates/requests/tests/services.rs
@@ -195,6 +195,37 @@
     }
 }
 
+/// A keyed call is cancelled, and its answer comes afterwards: the key's holder is known to have
+/// run from then on.
+#[test]
+fn an_answer_after_the_end_settles_the_key() {
+    let (mut world, replicas) = with_replicas([Does::Nothing, Does::Nothing]);
+    let told = ask_keyed(&mut world, "POST", "/notices", Some("k"));
+    world.run_for(10);
+    let request = told.request().expect("admitted");
+    let account = AccountName::from("parish");
+    let reply = Box::new(|_| ());
+    world.nodes[0].call(CallerCall::Cancel {
+        account,
+        request,
+        reply,
+    });
+    world.run_for(10);
+    assert!(
+        told.error()
+            .is_some_and(|e| e.verdict == Verdict::MayHaveRun)
+    );
+    let ret = replicas[0].kept.borrow_mut().pop().expect("called");
+    ret.ret(Ok(ServiceAnswer {
+        status: 200,
+        content_type: None,
+        body: Vec::new(),
+    }));
+    world.run_for(10);
+    let states: Vec<_> = world.claims.held.borrow().values().map(|c| c.1).collect();
+    assert_eq!(states, [bluebell_peers::ClaimState::Ran]);
+}
+
 /// A leaving replica gets no new calls.
 #[test]
 fn a_leaving_replica_gets_no_new_calls() {
