--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -15,13 +15,18 @@
 
 pub mod begin;
 pub mod due;
+pub mod effect;
 pub mod end;
 pub mod exchange;
 pub mod group;
 pub mod read;
 pub mod recover;
+pub mod run;
 pub mod stream;
 
+pub use effect::Effect;
+pub use run::{Group, Member, Mode, Run};
+
 use crate::budget::{Budgets, PayerId};
 use crate::call::{CallerEvent, CallerId, CallerSink};
 use crate::cursor::Signer;
@@ -30,10 +35,10 @@
 use crate::observe::{LengthBand, RequestObserver};
 use crate::settings::RequestsSettings;
 use bluebell_base::prelude::*;
-use bluebell_peers::{ClaimCall, ClaimKey, RequestReport, SettleCall};
-use bluebell_policy::{GroupPart, Job, Policy};
+use bluebell_peers::{ClaimCall, RequestReport};
+use bluebell_policy::{Job, Policy};
 use bluebell_timers::Subscription;
-use bluebell_upstreams::{Generate, Priority, Reserve, Resume, ServiceCall};
+use bluebell_upstreams::ServiceCall;
 use rand_chacha::ChaCha8Rng;
 
 bluebell_base::define_id! {
@@ -132,91 +137,6 @@
     Done,
 }
 
-/// One attempt on one engine.
-#[derive(Debug)]
-pub struct Run {
-    /// The engine.
-    pub upstream: UpstreamId,
-    /// The group, where the prompt needs several engines.
-    pub group: Option<Group>,
-    /// The first link of this attempt; what comes on an earlier one belongs to an earlier attempt.
-    pub first_link: LinkNo,
-    /// The link of the `generate` call; only its refusal proves that nothing ran.
-    pub generated: Option<LinkNo>,
-    /// The position of the first event that this attempt produces.
-    pub first_seq: u64,
-    /// The link that events come on now: the generate call's, or the last resume's.
-    pub stream: LinkNo,
-    /// Whether that link isn't known to be broken.
-    pub open: bool,
-    /// Whether anything came on it.
-    pub heard: bool,
-    /// Whether the engine accepted the work.
-    pub accepted: bool,
-    /// What is awaited.
-    pub mode: Mode,
-    /// When the engine was last heard.
-    pub heard_ms: MonoMs,
-    /// Silence after which it is asked.
-    pub quiet_ms: SpanMs,
-    /// Links in a row that broke while the engine was at work with nothing new.
-    pub breaks: u32,
-    /// Whether the node that admitted it was asked where it runs, for an adopted request.
-    pub peer_asked: bool,
-    /// Fruitless tries in a row to resume or look up.
-    pub tries: u32,
-}
-
-/// What an attempt waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
-    /// Events of the stream.
-    Reading,
-    /// The answer to a lookup; events of the stream are welcome meanwhile.
-    Asking {
-        /// The link of the lookup.
-        link: LinkNo,
-        /// When the answer is given up.
-        until_ms: MonoMs,
-    },
-    /// The time to resume the stream.
-    Pausing {
-        /// When.
-        until_ms: MonoMs,
-    },
-    /// Somebody to read on: nobody reads, and the stream is silent or broken.
-    Resting,
-    /// The time to look the request up.
-    PausingToAsk {
-        /// When.
-        until_ms: MonoMs,
-    },
-}
-
-/// A group of engines that holds one long prompt.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Group {
-    /// The reservation, the same on all members.
-    pub reservation: ReservationId,
-    /// The engine that runs it.
-    pub leader: UpstreamId,
-    /// Its priority there.
-    pub priority: Priority,
-    /// The leader and the members, with how far each is.
-    pub members: Vec<Member>,
-    /// When the reservations are renewed next, or those outstanding are given up.
-    pub due_ms: MonoMs,
-}
-
-/// One member of a group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Member {
-    /// Its part.
-    pub part: GroupPart,
-    /// Whether it granted the reservation.
-    pub granted: bool,
-}
-
 /// What a request asks for.
 pub enum Work {
     /// A model's answer.
@@ -304,79 +224,6 @@
     Failed(Error),
 }
 
-/// What must be sent for a request, in order.
-#[derive(Debug, PartialEq)]
-pub enum Effect {
-    /// Claim its key.
-    Claim(ClaimCall),
-    /// Settle its claim.
-    Settle(SettleCall),
-    /// Begin its answer.
-    Generate {
-        /// On this engine.
-        upstream: UpstreamId,
-        /// The link its events come on.
-        link: LinkNo,
-        /// The call.
-        call: Box<Generate>,
-    },
-    /// Read its answer on.
-    Resume {
-        /// On this engine.
-        upstream: UpstreamId,
-        /// The link its events come on.
-        link: LinkNo,
-        /// The call.
-        call: Resume,
-    },
-    /// Look it up.
-    Lookup {
-        /// On this engine.
-        upstream: UpstreamId,
-        /// The link its answer comes on.
-        link: LinkNo,
-    },
-    /// Ask the node that admitted it where it runs now.
-    AskPeer {
-        /// The link the answer comes on.
-        link: LinkNo,
-    },
-    /// Cancel an attempt, until the engine answers or its hold has expired.
-    Cancel {
-        /// On this engine.
-        upstream: UpstreamId,
-        /// The attempt.
-        attempt: AttemptNo,
-        /// Whether the request waits for the answer.
-        tell: bool,
-        /// The claim to settle by the answer.
-        settle: Option<ClaimKey>,
-    },
-    /// Reserve (or renew) memory for its group.
-    Reserve {
-        /// On this engine.
-        upstream: UpstreamId,
-        /// The call.
-        call: Reserve,
-    },
-    /// Release its group's memory, until the engine answers or the hold has expired.
-    Release {
-        /// On this engine.
-        upstream: UpstreamId,
-        /// The reservation.
-        reservation: ReservationId,
-    },
-    /// Call a plain service.
-    Exchange {
-        /// This replica.
-        upstream: UpstreamId,
-        /// The link its answer comes on.
-        link: LinkNo,
-        /// The call.
-        call: ServiceCall,
-    },
-}
-
 /// What a pass may read, decide by and tell.
 pub struct Context<'a> {
     /// The instant of the step.
@@ -523,26 +370,3 @@
         self.prompt_tokens.or(estimated).unwrap_or_default()
     }
 }
-
-impl Run {
-    /// A run whose stream begins now on `link`, with the event at `first_seq`.
-    pub fn new(upstream: UpstreamId, link: LinkNo, first_seq: u64, cx: &Context<'_>) -> Self {
-        Self {
-            upstream,
-            group: None,
-            first_link: link,
-            generated: None,
-            first_seq,
-            stream: link,
-            open: true,
-            heard: false,
-            accepted: false,
-            mode: Mode::Reading,
-            heard_ms: cx.now_ms,
-            quiet_ms: cx.settings.stall_ms,
-            breaks: 0,
-            peer_asked: false,
-            tries: 0,
-        }
-    }
-}
