--- a/crates/bench/src/plan/mod.rs
+++ b/crates/bench/src/plan/mod.rs
@@ -12,8 +12,8 @@
 const VARIED_LOAD: f64 = 0.85;
 /// The load under faults; what is left can carry it even without a failure domain.
 const FAULT_LOAD: f64 = 0.5;
-/// The load of the runs in which one account may offer ten times its share.
-const ACCOUNTS_LOAD: f64 = 0.85;
+/// The loads at which one account offers its share, and then ten times that.
+pub const ACCOUNTS_LOADS: [f64; 2] = [0.7, 0.85];
 /// How much more than its share that account offers.
 const HOG_FACTOR: f64 = 10.0;
 
@@ -28,7 +28,7 @@
                     seed: options.seed,
                     ..Scenario::new(fleet, PolicySettings::of(policy), load)
                 };
-                let rows = part_rows(*part, &base);
+                let rows = part_rows(*part, &options.loads, &base);
                 all.extend(rows.into_iter().map(|scenario| (*part, scenario)));
             }
         }
@@ -36,9 +36,9 @@
     all
 }
 
-fn part_rows(part: Part, base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
+fn part_rows(part: Part, at: &[f64], base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
     match part {
-        Part::Loads => loads(base),
+        Part::Loads => loads(at, base),
         Part::Nodes => [1, 3, 9]
             .map(|nodes| Scenario {
                 nodes,
@@ -52,23 +52,25 @@
             })
             .to_vec(),
         Part::Faults => faults(base),
-        Part::Accounts => [1.0, HOG_FACTOR]
-            .map(|hog_factor| Scenario {
+        Part::Accounts => ACCOUNTS_LOADS
+            .iter()
+            .flat_map(|load| [(*load, 1.0), (*load, HOG_FACTOR)])
+            .map(|(load, hog_factor)| Scenario {
                 hog_factor,
-                ..base(ACCOUNTS_LOAD)
+                ..base(load)
             })
-            .to_vec(),
+            .collect(),
         Part::Cost => Vec::new(),
     }
 }
 
-fn loads(base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
-    let with = LOADS.map(base);
-    let without = LOADS.map(|load| Scenario {
+fn loads(at: &[f64], base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
+    let with = at.iter().map(|load| base(*load));
+    let without = at.iter().map(|load| Scenario {
         long_work: false,
-        ..base(load)
+        ..base(*load)
     });
-    with.into_iter().chain(without).collect()
+    with.chain(without).collect()
 }
 
 fn faults(base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
--- a/crates/claims/src/router/mod.rs
+++ b/crates/claims/src/router/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::ShardOwner;
 use crate::owner::{ClaimRet, Owner, OwnerParts, SettleRet, ShardReport, Tenure};
-use crate::records::shard_of;
+use crate::records::{Epoch, shard_of};
 use bluebell_base::prelude::*;
 use bluebell_peers::{ClaimCall, ClaimKey, PeerAnswer, PeerCall, PeerPort, SettleCall};
 use pending::PendingClaims;
@@ -32,18 +32,21 @@
     shards: Vec<Shard>,
     pending: PendingClaims,
     settling: Settling,
+    rounds: u64,
 }
 
 /// One shard as this node sees it.
 #[derive(Default)]
 struct Shard {
     owner: Option<ShardOwner>,
+    /// Since when claims have found no owner.
+    ownerless_ms: Option<MonoMs>,
     held: Option<Held>,
 }
 
 /// A shard that this node owns.
 struct Held {
-    fencing: Fencing,
+    epoch: Epoch,
     actor: ActorOwn<Owner>,
     report: Rc<RefCell<ShardReport>>,
 }
@@ -65,6 +68,7 @@
             parts,
             peers,
             shards,
+            rounds: 0,
         })
     }
 
@@ -73,7 +77,11 @@
         let Some(slot) = self.shards.get_mut(shard.index()) else {
             return;
         };
+        let same = slot.owner.as_ref().map(|old| old.incarnation) == Some(owner.incarnation);
         slot.owner = Some(owner);
+        if !same {
+            slot.ownerless_ms = None;
+        }
         self.ask_new_owner(cx, shard);
     }
 
@@ -87,19 +95,28 @@
         let Some(slot) = self.shards.get_mut(shard.index()) else {
             return;
         };
-        if let Some(held) = slot.held.as_ref().filter(|held| held.fencing >= fencing) {
-            if held.fencing == fencing {
+        if let Some(held) = slot
+            .held
+            .as_ref()
+            .filter(|held| held.epoch.fencing >= fencing)
+        {
+            if held.epoch.fencing == fencing {
                 call!([held.actor], renew(until_ms));
             }
             return;
         }
         let report = Rc::new(RefCell::new(ShardReport::default()));
+        self.rounds += 1;
+        let epoch = Epoch {
+            fencing,
+            round: self.rounds,
+        };
         let tenure = Tenure {
             shard,
-            fencing,
+            epoch,
             until_ms,
         };
-        let ended = fwd_to!([cx], |this, cx, ended: Fencing| this
+        let ended = fwd_to!([cx], |this, cx, ended: Epoch| this
             .owner_ended(cx, shard, ended));
         let parts = self.parts.clone();
         let own_report = Rc::clone(&report);
@@ -109,10 +126,27 @@
             ret_nop!()
         );
         slot.held = Some(Held {
-            fencing,
+            epoch,
             actor,
             report,
         });
+        slot.ownerless_ms = None;
+        self.ask_new_owner(cx, shard);
+    }
+
+    /// Until when claims of a shard without an owner may wait for one.
+    fn owner_due_ms(&mut self, shard: ShardId, now_ms: MonoMs) -> MonoMs {
+        let hold_ms = self.parts.settings.hold_ms;
+        match self.shards.get_mut(shard.index()) {
+            Some(slot) => *slot.ownerless_ms.get_or_insert(now_ms) + hold_ms,
+            None => now_ms,
+        }
+    }
+
+    fn owner_answered(&mut self, shard: ShardId) {
+        if let Some(slot) = self.shards.get_mut(shard.index()) {
+            slot.ownerless_ms = None;
+        }
     }
 
     pub(crate) fn shard_lost(&mut self, _cx: CX![], shard: ShardId) {
@@ -122,9 +156,9 @@
         }
     }
 
-    fn owner_ended(&mut self, _cx: CX![], shard: ShardId, fencing: Fencing) {
+    fn owner_ended(&mut self, _cx: CX![], shard: ShardId, epoch: Epoch) {
         if let Some(slot) = self.shards.get_mut(shard.index()) {
-            slot.held.take_if(|held| held.fencing == fencing);
+            slot.held.take_if(|held| held.epoch == epoch);
         }
     }
 
@@ -145,7 +179,8 @@
     }
 
     fn nowhere(&self) -> Error {
-        Error::not_run(ErrorKind::Unavailable, "the key's shard has no owner now")
+        // `NotFound` tells other nodes that they asked the wrong one; callers never see it.
+        Error::not_run(ErrorKind::NotFound, "the key's shard has no owner here now")
             .retry_after(self.parts.settings.retry_after_ms)
     }
 
--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -7,6 +7,7 @@
 
 use crate::answer::AnswerCheck;
 use crate::balancer::Balancer;
+use crate::client::{Called, called};
 use crate::plan::{ClassPlan, LoadPlan};
 use crate::prompt::PromptMaker;
 use crate::schedule::{Kind, Planned};
@@ -14,14 +15,11 @@
 use crate::tally::{Outcome, RequestRecord};
 use crate::wire::{Chunk, CompletionBody, DONE, ErrorAnswer, ErrorBody};
 use bluebell_base::prelude::*;
-use std::io::{self, BufReader};
+use std::io::BufReader;
 use std::time::{Duration, Instant};
 use ureq::Body;
 use ureq::http::Response;
 
-/// How long a connection to a node may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// The wait before a broken stream is first read on, so that a node that just died is seen as
 /// such; doubled at each further try.
 const RESUME_PAUSE: Duration = Duration::from_millis(100);
@@ -49,32 +47,6 @@
     pub start: Instant,
 }
 
-/// The HTTP client of a run.
-pub fn agent(plan: &LoadPlan) -> ureq::Agent {
-    let patience = Duration::from(plan.patience_ms);
-    ureq::Agent::config_builder()
-        .proxy(None)
-        .http_status_as_error(false)
-        .max_redirects(0)
-        .timeout_connect(Some(CONNECT_TIMEOUT))
-        .timeout_recv_response(Some(patience))
-        .timeout_recv_body(Some(patience))
-        .max_idle_connections(plan.threads)
-        .max_idle_connections_per_host(plan.threads)
-        .build()
-        .new_agent()
-}
-
-/// What one call came to.
-enum Called {
-    /// An answer whose body follows.
-    Answer(Box<Response<Body>>),
-    /// The node refused the connection: nothing was sent.
-    Refused,
-    /// The connection broke before an answer.
-    Broken(String),
-}
-
 /// What reading one connection's events came to.
 enum Read {
     /// The answer ended.
@@ -475,25 +447,6 @@
     (RESUME_PAUSE * 2u32.pow(doublings)).min(MAX_RESUME_PAUSE)
 }
 
-/// Sorts what a call came to.
-fn called(result: Result<Response<Body>, ureq::Error>) -> Called {
-    match result {
-        Ok(answer) => Called::Answer(Box::new(answer)),
-        Err(error) if was_refused(&error) => Called::Refused,
-        Err(error) => Called::Broken(error.to_string()),
-    }
-}
-
-/// Whether a call failed before anything was sent.
-fn was_refused(error: &ureq::Error) -> bool {
-    match error {
-        ureq::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
-        ureq::Error::ConnectionFailed => true,
-        ureq::Error::Timeout(timeout) => matches!(timeout, ureq::Timeout::Connect),
-        _ => false,
-    }
-}
-
 /// Microseconds since an instant; zero where it is to come.
 fn since_us(instant: Instant) -> u64 {
     Instant::now()
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -54,6 +54,12 @@
         }
         Self(planned)
     }
+
+    /// How many of its requests go through the system.
+    pub fn offered(&self) -> u64 {
+        let through = self.0.iter().filter(|planned| planned.kind != Kind::Direct);
+        through.count() as u64
+    }
 }
 
 /// The time to the next arrival of a Poisson process.
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -141,7 +141,7 @@
 /// Everything counted in a run.
 #[derive(Clone, Debug)]
 pub struct Tally {
-    /// Requests that ended, of all kinds.
+    /// Requests through the system that ended.
     pub ended: u64,
     /// Whole answers.
     pub whole: u64,
@@ -213,8 +213,12 @@
 
     /// A request ended.
     pub fn record(&mut self, record: RequestRecord) {
-        self.count_outcome(&record);
         self.record_latency(&record);
+        if record.planned.kind == Kind::Direct {
+            // What an engine does when called directly is no outcome of the system's.
+            return;
+        }
+        self.count_outcome(&record);
         self.keep_claim(&record);
         if let Some(text) = record.error_text {
             self.keep_error_text(text);
@@ -223,6 +227,8 @@
 
     fn count_outcome(&mut self, record: &RequestRecord) {
         self.ended += 1;
+        self.tokens += record.between_us.len() as u64;
+        self.tokens += u64::from(record.first_token_us.is_some());
         match record.outcome {
             Outcome::Whole => self.whole += 1,
             Outcome::Failed(Verdict::NotRun) => self.not_run += 1,
@@ -244,8 +250,6 @@
 
     fn record_latency(&mut self, record: &RequestRecord) {
         let band = LengthBand::of(record.planned.prompt_tokens).index();
-        let tokens = record.between_us.len() as u64 + u64::from(record.first_token_us.is_some());
-        self.tokens += tokens;
         match record.planned.kind {
             Kind::Completion => self.bands[band].record(record),
             Kind::KeyedCompletion => {
