--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -239,7 +239,7 @@
             accepted: true,
             mode: crate::life::Mode::Reading,
             heard_ms: now_ms,
-            quiet_ms: self.settings.stall_ms,
+            quiet_ms: self.settings.adopted_stall_ms(),
             breaks: 0,
             peer_asked: false,
             tries: 0,
--- a/crates/requests/src/life/stream.rs
+++ b/crates/requests/src/life/stream.rs
@@ -94,13 +94,17 @@
     fn deliver(&mut self, seq: EventSeq, text: Arc<str>, cx: &mut Context<'_>) {
         self.present = Verdict::Ran;
         self.observe_token(cx);
+        let quiet_ms = match self.is_adopted() {
+            true => cx.settings.adopted_stall_ms(),
+            false => cx.settings.stall_ms,
+        };
         let Phase::Running(run) = &mut self.phase else {
             return;
         };
         run.accepted = true;
         run.tries = 0;
         run.breaks = 0;
-        run.quiet_ms = cx.settings.stall_ms;
+        run.quiet_ms = quiet_ms;
         let upstream = run.upstream;
         let Some(name) = cx.fleet.name(upstream) else {
             return;
--- a/crates/requests/src/settings/mod.rs
+++ b/crates/requests/src/settings/mod.rs
@@ -7,8 +7,8 @@
 pub struct RequestsSettings {
     /// How long a request whose caller hung up is kept, so that the caller can read on.
     ///
-    /// Longer than `stall_ms` and two ways to an engine, so that another node that reads the
-    /// answer on has taken the stream back before this node's cancel.
+    /// Half of it must be longer than a few exchanges with an engine, so that another node that
+    /// reads the answer on has taken the stream back before this node's cancel.
     pub hang_up_grace_ms: SpanMs,
     /// Silence on a stream after which the engine is asked what it knows.
     pub stall_ms: SpanMs,
@@ -81,6 +81,12 @@
 }
 
 impl RequestsSettings {
+    /// The silence after which a node that adopted a stream takes it (back): less than the grace
+    /// of the node that admitted it, so that it is the owner again before that one's cancel.
+    pub fn adopted_stall_ms(&self) -> SpanMs {
+        self.stall_ms.min(SpanMs(self.hang_up_grace_ms.0 / 2))
+    }
+
     /// The pause before try number `tries` (counted from 0), without jitter.
     pub fn backoff(&self, tries: u32) -> SpanMs {
         let doubled = self.backoff_ms.0.saturating_mul(1 << tries.min(16));
