--- a/crates/control/src/actor/mod.rs
+++ b/crates/control/src/actor/mod.rs
@@ -77,6 +77,9 @@
         ),
     ) -> Option<Self> {
         let (me, ports, timers, settings, seed, events) = start;
+        for fault in settings.faults() {
+            log::error!("control settings: {fault}");
+        }
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let config = ConfigSide::open(cx, &ports, &timers, &settings, &mut random);
         let leases = LeaseSide::open(cx, &me, &ports, &timers, &settings, &mut random);
--- a/crates/control/src/settings/mod.rs
+++ b/crates/control/src/settings/mod.rs
@@ -81,7 +81,59 @@
     }
 }
 
+/// What one duty takes in a checkpoint or renewal at most, with a long address.
+const DUTY_BYTES: u64 = 200;
+
+/// How often within a lease the leases stream has to be read at least.
+const READS_PER_LEASE: u64 = 4;
+
+/// How many times the margin a lease has to last at least.
+const MARGINS_PER_LEASE: u64 = 4;
+
 impl ControlSettings {
+    /// What can't work, in words; empty where all is well.
+    pub fn faults(&self) -> Vec<Arc<str>> {
+        let duties = self.duties().len() as u64;
+        let checks = [
+            (
+                // An oversized checkpoint would be refused by every reader, and each fresh node
+                // would void all leases.
+                duties * DUTY_BYTES > self.record_bytes.0,
+                format!(
+                    "{duties} duties do not fit a record of {}",
+                    self.record_bytes
+                ),
+            ),
+            (
+                self.margin_ms.0 * MARGINS_PER_LEASE > self.ttl_ms.0,
+                format!(
+                    "a lease of {} is too short for a margin of {}",
+                    self.ttl_ms, self.margin_ms
+                ),
+            ),
+            (
+                self.leases_tail_ms.0 * READS_PER_LEASE > self.ttl_ms.0,
+                format!(
+                    "a lease of {} is too short for reading each {}",
+                    self.ttl_ms, self.leases_tail_ms
+                ),
+            ),
+            (
+                self.stewards == 0,
+                "at least one steward is needed".to_owned(),
+            ),
+            (
+                self.retention_ms <= self.publish_timeout_ms,
+                format!(
+                    "records kept for {} expire before a publication is given up",
+                    self.retention_ms
+                ),
+            ),
+        ];
+        let wrong = checks.into_iter().filter(|(wrong, _)| *wrong);
+        wrong.map(|(_, text)| text.into()).collect()
+    }
+
     /// All duties of the fleet.
     pub fn duties(&self) -> Vec<Duty> {
         let shards = (0..self.shards).map(|i| Duty::Shard(ShardId(i)));
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -4,10 +4,11 @@
 mod support;
 
 use bluebell_base::prelude::*;
-use bluebell_control::Duty;
 use bluebell_control::leases::{Change, Holder};
 use bluebell_control::reduce::Grant;
+use bluebell_control::{ControlSettings, Duty};
 use bluebell_stand_ins::platform::{Fault, Operation, PlatformSettings};
+use expect_test::expect;
 use stakker::{Ret, call};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -328,3 +329,78 @@
         }
     }
 }
+
+/// Settings under which leases can't work are named before the node starts.
+#[test]
+fn settings_that_cannot_work() {
+    assert!(ControlSettings::default().faults().is_empty());
+    let settings = ControlSettings {
+        shards: 1_000,
+        stewards: 0,
+        ttl_ms: SpanMs(2_000),
+        ..ControlSettings::default()
+    };
+    let faults = settings.faults().join("\n");
+    expect![[r#"
+        1002 duties do not fit a record of 65536B
+        a lease of 2000ms is too short for a margin of 1000ms
+        a lease of 2000ms is too short for reading each 1000ms
+        at least one steward is needed"#]]
+    .assert_eq(&faults);
+}
+
+/// What an operator reads of a node alone that holds all duties.
+#[test]
+fn the_dump_of_a_node() {
+    let mut fleet = Fleet::with_nodes(1, 0);
+    (fleet.settings.shards, fleet.settings.stewards) = (1, 1);
+    fleet.start_node();
+    fleet.run_ms(5_000);
+    let mut dump = fleet.dump(0);
+    dump.leases.truncate(1);
+    dump.held.truncate(1);
+    expect![[r#"
+        {
+          "in_force": 0,
+          "seen_at_peers": 0,
+          "log_version": 0,
+          "pending_updates": 0,
+          "unresolved": 0,
+          "contradictions": 0,
+          "skipped": {
+            "too_large": 0,
+            "unknown_kind": 0,
+            "malformed": 0
+          },
+          "leases_known": true,
+          "leases": [
+            {
+              "duty": {
+                "duty": "shard",
+                "index": 0
+              },
+              "holder": 1001,
+              "address": "10.0.0.1:9000",
+              "fencing": 2
+            }
+          ],
+          "held": [
+            {
+              "lease": {
+                "duty": {
+                  "duty": "shard",
+                  "index": 0
+                },
+                "holder": 1001,
+                "address": "10.0.0.1:9000",
+                "fencing": 2
+              },
+              "until_ms": 11121
+            }
+          ],
+          "taking": 0,
+          "vacant": [],
+          "log_down": false
+        }"#]]
+    .assert_eq(&dump.to_json());
+}
