Policy: work goes to the cache that saves more than the wait there costs

Cause: a fifth of the prompts repeat a document of their account, but only chance put them on an engine that had it. Change: work that may be recalled goes to the engine with the earliest first token among those whose cache saves at least 50 ms and more than their backlog; a recall counts what the cache saves, and leaves kept engines out of the comparison.

--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -32,6 +32,8 @@
 const KEPT_MS: f64 = 400.0;
 /// What taking another engine counts for short work, in milliseconds.
 const OTHERS_MS: f64 = 40.0;
+/// A cache that saves less than this is not sought, in milliseconds.
+const WORTH_CACHE_MS: f64 = 50.0;
 /// An engine with less wait than this counts as idle, in milliseconds.
 const IDLE_MS: f64 = 10.0;
 /// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
@@ -112,6 +114,8 @@
         self.score(&job, now_ms);
         let placement = if self.needs_group(&job) {
             self.place_group(&job, now_ms)
+        } else if let Some(chosen) = self.on_cache(&job) {
+            Some(self.place(&job, chosen, now_ms))
         } else if self.deferrable(&job) {
             self.place_in_slack(&job, now_ms)
         } else {
@@ -238,6 +242,25 @@
         }
     }
 
+    /// An engine whose cache covers so much of the prompt that no idle one is sooner.
+    fn on_cache(&self, job: &Job) -> Option<Scored> {
+        if !job.idempotent || self.scratch.covering.is_empty() {
+            return None;
+        }
+        let whole = job.prompt_tokens.0 as f64;
+        let covers = |s: &&Scored| {
+            let saved_ms = self
+                .tables
+                .fleet
+                .mean_cost()
+                .prefill_ms(whole - s.prefill_tokens);
+            !s.kept && s.fits && saved_ms >= WORTH_CACHE_MS && s.backlog_ms <= saved_ms
+        };
+        let scored = self.scratch.scored.iter().filter(covers);
+        let sooner = |a: &&Scored, b: &&Scored| a.first_token_ms.total_cmp(&b.first_token_ms);
+        scored.min_by(sooner).copied()
+    }
+
     /// The engine with the earliest predicted first token, drawn among the best few.
     fn place_at_once(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
         if job.idempotent {
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -82,23 +82,25 @@
         } else {
             0.0
         };
-        let ahead_ms = self.tables.fleet.mean_cost().prefill_ms(entry.ahead_tokens) + memory_ms;
+        let cost = self.tables.fleet.mean_cost();
+        let ahead_ms = cost.prefill_ms(entry.ahead_tokens) + memory_ms;
         if ahead_ms <= RECALL_MS {
             return false;
         }
         let job = entry.job.clone();
+        let own_ms = cost.prefill_ms(entry.prefill_tokens);
+        let cached_ms = cost.prefill_ms(job.prompt_tokens.0 as f64) - own_ms;
         let slack_ms = self.settings.slack_ms.0 as f64;
         let may_wait = self.deferrable(&job) && now_ms < self.latest_start_ms(&job);
-        if may_wait && ahead_ms > slack_ms {
+        if may_wait && ahead_ms > slack_ms + cached_ms {
             return true;
         }
         self.score(&job, now_ms);
-        let others = self
-            .scratch
-            .scored
-            .iter()
-            .filter(|s| s.upstream != upstream);
-        let best_ms = others.map(|s| s.wait_ms).fold(f64::INFINITY, f64::min);
-        best_ms + RECALL_MS < ahead_ms * WORTH
+        let others = self.scratch.scored.iter();
+        let others = others.filter(|s| s.upstream != upstream && !s.kept);
+        let best_ms = others
+            .map(|s| s.first_token_ms)
+            .fold(f64::INFINITY, f64::min);
+        best_ms + RECALL_MS < ahead_ms * WORTH + own_ms
     }
 }
