Policy: large prompts borrow memory where no engine has enough of it

Change: work over 65,536 tokens that finds no engine forms a group as prompts over one engine's memory do, with members first among the kept engines; groups take the largest offers first.

--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -13,6 +13,7 @@
 use bluebell_base::prelude::*;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
 use std::ops::Range;
 
 /// How much worse than the best one another engine may look and still be drawn, in milliseconds.
@@ -34,6 +35,8 @@
 const OTHERS_MS: f64 = 40.0;
 /// A cache that saves less than this is not sought, in milliseconds.
 const WORTH_CACHE_MS: f64 = 50.0;
+/// Work that takes so much memory may borrow some where no engine has enough, in tokens.
+const LARGE_TOKENS: u64 = 65_536;
 /// An engine with less wait than this counts as idle, in milliseconds.
 const IDLE_MS: f64 = 10.0;
 /// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
@@ -117,7 +120,9 @@
         } else if let Some(chosen) = self.on_cache(&job) {
             Some(self.place(&job, chosen, now_ms))
         } else if self.deferrable(&job) {
-            self.place_in_slack(&job, now_ms)
+            let alone = self.place_in_slack(&job, now_ms);
+            let large = alone.is_none() && job.kv_tokens().0 >= LARGE_TOKENS;
+            alone.or_else(|| large.then(|| self.place_group(&job, now_ms)).flatten())
         } else {
             self.place_at_once(&job, now_ms)
         };
@@ -340,18 +345,18 @@
         offers.clear();
         let scored = &self.scratch.scored;
         offers.extend(scored.iter().filter(|s| s.kept).map(offer));
+        let kept = offers.len();
         offers.extend(scored.iter().filter(|s| !s.kept).map(offer));
-        let most = offers
-            .iter()
-            .map(|offer| offer.kv_tokens)
-            .max()
-            .unwrap_or(0);
-        let may_lead = |s: &&Scored| {
-            !s.kept && (urgent || s.backlog_ms <= slack_ms) && offer(s).kv_tokens >= most / 2
-        };
+        // The largest first: the fewer parts, the fewer reservations that another node's work can
+        // make fail.
+        offers[kept..].sort_by_key(|offer| Reverse(offer.kv_tokens));
+        let may_lead = |s: &&Scored| !s.kept && (urgent || s.backlog_ms <= slack_ms);
         let parts = self.settings.group_parts;
-        let mut leaders = scored.iter().filter(may_lead);
-        let built = leaders.find_map(|scored| {
+        let leader = scored
+            .iter()
+            .filter(may_lead)
+            .max_by_key(|s| offer(s).kv_tokens);
+        let built = leader.and_then(|scored| {
             let group = groups::build(offer(scored), &offers, job.kv_tokens(), parts)?;
             Some((*scored, group))
         });
