Policy: groups that found no memory wait a little longer each time

Cause: a group whose reservation failed came again within milliseconds, 64 times on the same late news. Change: 25 ms more after each refusal, 500 ms at most; large work that borrows is treated alike.

--- a/crates/policy/src/jobs/mod.rs
+++ b/crates/policy/src/jobs/mod.rs
@@ -38,6 +38,8 @@
     pub upstream: Option<UpstreamId>,
     /// The engines that lend it memory.
     pub members: Vec<GroupPart>,
+    /// When it may be placed at the earliest.
+    pub not_before_ms: MonoMs,
     /// How often it was recalled.
     pub recalls: u32,
     /// Whether its engine went with it.
@@ -60,6 +62,7 @@
             stage: Stage::Queued,
             upstream: None,
             members: Vec::new(),
+            not_before_ms: MonoMs(0),
             recalls: 0,
             lost: false,
             sent_ms: MonoMs(0),
--- a/crates/policy/src/laxity/mod.rs
+++ b/crates/policy/src/laxity/mod.rs
@@ -30,6 +30,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+/// How much longer a group waits after each refused reservation.
+const BACK_OFF_MS: SpanMs = SpanMs(25);
+/// The longest wait of a group between two reservations.
+const MOST_BACK_OFF_MS: SpanMs = SpanMs(500);
+
 /// The production policy.
 pub struct Laxity {
     settings: PolicySettings,
@@ -84,9 +89,19 @@
         self.demand.waited(waited_ms / laxity_ms.max(1.0));
     }
 
+    /// How long a group waits that comes again: what is known of memory must grow fresher first, or
+    /// it would be refused again and again within milliseconds.
+    fn back_off_ms(&self, job: &Job) -> SpanMs {
+        if !self.may_borrow(job) {
+            return SpanMs::ZERO;
+        }
+        let refusals = job.avoid.len() as u64;
+        SpanMs((refusals * BACK_OFF_MS.0).min(MOST_BACK_OFF_MS.0))
+    }
+
     /// A group that comes again was refused memory by the last engine it names.
     fn note_refused(&mut self, job: &Job, now_ms: MonoMs) {
-        if !self.needs_group(job) {
+        if !self.may_borrow(job) {
             return;
         }
         let refused_by = job.avoid.last();
@@ -132,7 +147,13 @@
         self.shares.offer(job.account, cost, now_ms);
         self.check(&job, now_ms)?;
         self.shares.admit(job.account, cost, now_ms);
+        let back_off_ms = self.back_off_ms(&job);
+        let request = job.request;
         self.tables.enqueue(job);
+        let slot = self.tables.jobs.slot(request);
+        if let Some(entry) = slot.and_then(|slot| self.tables.jobs.get_mut(slot)) {
+            entry.not_before_ms = now_ms + back_off_ms;
+        }
         Ok(())
     }
 
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -109,11 +109,16 @@
 
     /// Decides a queued job, or leaves it waiting.
     pub(super) fn decide_one(&mut self, slot: Slot, now_ms: MonoMs) -> Option<Decision> {
-        let job = self.tables.jobs.get(slot)?.job.clone();
+        let entry = self.tables.jobs.get(slot)?;
+        let not_before_ms = entry.not_before_ms;
+        let job = entry.job.clone();
         let service_ms = self.service_ms(&job);
         if now_ms + service_ms > job.deadline_ms {
             return self.refuse(&job, now_ms);
         }
+        if now_ms < not_before_ms {
+            return None;
+        }
         self.score(&job, now_ms);
         let placement = if self.needs_group(&job) {
             self.place_group(&job, now_ms)
@@ -121,7 +126,7 @@
             Some(self.place(&job, chosen, now_ms))
         } else if self.deferrable(&job) {
             let alone = self.place_in_slack(&job, now_ms);
-            let large = alone.is_none() && job.kv_tokens().0 >= LARGE_TOKENS;
+            let large = alone.is_none() && self.may_borrow(&job);
             alone.or_else(|| large.then(|| self.place_group(&job, now_ms)).flatten())
         } else {
             self.place_at_once(&job, now_ms)
@@ -163,6 +168,11 @@
         (engines as f64 * self.settings.short_share).round() as usize
     }
 
+    /// Whether the job may take memory of several engines.
+    pub(super) fn may_borrow(&self, job: &Job) -> bool {
+        job.kv_tokens().0 >= LARGE_TOKENS
+    }
+
     pub(super) fn needs_group(&self, job: &Job) -> bool {
         job.kv_tokens() > self.tables.fleet.largest(job.model)
     }
@@ -206,7 +216,7 @@
         }
         // Engines that refused a group's memory a moment ago may have it now.
         let others = |s: &Scored| !job.avoid.contains(&s.upstream);
-        if !self.needs_group(job) && scored.iter().any(others) {
+        if !self.may_borrow(job) && scored.iter().any(others) {
             scored.retain(others);
         }
         self.scratch.scored = scored;
