--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,7 +4,6 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
-use super::placement::Scored;
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
@@ -93,18 +92,10 @@
 
     /// How long the job is predicted to wait before its prefill begins.
     fn predicted_wait_ms(&mut self, job: &Job, now_ms: MonoMs) -> f64 {
-        self.score(job, now_ms);
-        let deferrable = self.deferrable(job);
-        // Memory comes free while deferrable work waits; how long that takes shows in the pressure.
-        let ahead_ms = |s: &Scored| if deferrable { s.backlog_ms } else { s.wait_ms };
-        let waits = self.scratch.scored.iter().map(ahead_ms);
-        let engine_ms = waits.fold(f64::INFINITY, f64::min);
-        if !deferrable || engine_ms.is_infinite() {
-            return if engine_ms.is_finite() {
-                engine_ms
-            } else {
-                0.0
-            };
+        let best = self.best_ahead(job, now_ms);
+        let engine_ms = best.map_or(0.0, |scored| scored.wait_ms);
+        if !self.deferrable(job) {
+            return engine_ms;
         }
         let start_ms = self.latest_start_ms(job);
         let queued = self.tables.queue.iter();
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -100,6 +100,13 @@
         self.service_ms(job) > self.settings.deferrable_ms || self.needs_group(job)
     }
 
+    /// The engine where the job could begin first.
+    pub(super) fn best_ahead(&mut self, job: &Job, now_ms: MonoMs) -> Option<Scored> {
+        self.score(job, now_ms);
+        let scored = self.scratch.scored.iter().copied();
+        scored.min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
+    }
+
     /// Decides a queued job, or leaves it waiting.
     pub(super) fn decide_one(&mut self, slot: Slot, now_ms: MonoMs) -> Option<Decision> {
         let entry = self.tables.jobs.get(slot)?;
