Capacity: a rig of production actors that measures control's slopes, and bluebellctl capacity

Bytes and calls are counted on fakes under virtual time and repeat exactly for a seed; processor time, memory and the wire's bytes are real.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -40,6 +40,8 @@
     Load(Box<Load>),
     /// The policy bench.
     Bench(Bench),
+    /// Measure what control costs.
+    Capacity(Capacity),
     /// The whole system in one process.
     Demo(Demo),
     /// Stand-ins.
@@ -254,6 +256,32 @@
     pub svg_file: Option<String>,
 }
 
+/// Measure what control costs a node at several sizes of the fleet, and fit straight lines: the
+/// slopes that docs/CAPACITY.md is worked out from.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+pub struct Capacity {
+    /// a part to measure: nodes, upstreams, config, force, start, outage, memory or wire; repeat
+    /// for more (default all)
+    #[argh(option)]
+    pub part: Vec<String>,
+    /// the seed of all randomness (default 1)
+    #[argh(option)]
+    pub seed: Option<u64>,
+    /// a number of nodes; repeat for more (default 3 9 25 50)
+    #[argh(option)]
+    pub nodes: Vec<usize>,
+    /// a number of upstreams; repeat for more (default 30 300 900 1800)
+    #[argh(option)]
+    pub upstreams: Vec<usize>,
+    /// a number of accounts; repeat for more (default 10 300 1000 2200)
+    #[argh(option)]
+    pub accounts: Vec<usize>,
+    /// a number of configuration changes in the log; repeat for more (default 0 100 300 950)
+    #[argh(option)]
+    pub changes: Vec<usize>,
+}
+
 /// Run a stand-in for what surrounds the nodes, or set one up.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "stand-in")]
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one module each.
 
 mod bench;
+mod capacity;
 mod config;
 mod demo;
 mod load;
@@ -19,6 +20,7 @@
         Command::Drain(_) => node::drain(&ctl),
         Command::Load(args) => load::run(args, ctl.json),
         Command::Bench(args) => bench::run(args, ctl.json),
+        Command::Capacity(args) => capacity::run(args, ctl.json),
         Command::Demo(args) => demo::run(args, ctl.json),
         Command::StandIn(stand_in) => stand_in::run(&stand_in.kind),
     }
