--- a/crates/node/src/hub/drain.rs
+++ b/crates/node/src/hub/drain.rs
@@ -5,7 +5,8 @@
 
 use super::Hub;
 use bluebell_base::prelude::*;
-use stakker::{CX, StopCause, call, fwd_to, ret_to};
+use bluebell_claims::ClaimsReport;
+use stakker::{CX, StopCause, call, fwd_to, ret_some_to, ret_to};
 
 /// How long duties may take to be handed over; with the log down nobody could take them.
 const HAND_OVER_LIMIT_MS: SpanMs = SpanMs::from_secs(5);
@@ -32,12 +33,34 @@
 
     fn on_requests_done(&mut self, cx: CX![], _done: Option<()>) {
         log::info!("draining: nothing in flight any more, duties are handed over");
-        let ret = ret_to!([cx], on_duties_done() as (()));
-        call!([self.parts.control], drain(ret));
         let limit = fwd_to!([cx], on_hand_over_limit() as (MonoMs));
         self.parts
             .timers
             .subscribe_in(cx, HAND_OVER_LIMIT_MS, limit);
+        self.ask_claims(cx);
+    }
+
+    fn ask_claims(&mut self, cx: CX![]) {
+        let ret = ret_some_to!([cx], on_claims() as (ClaimsReport));
+        self.parts.claims.report(cx, ret);
+    }
+
+    /// Hands the duties over once all settlements are in the log.
+    ///
+    /// A settlement lost with the process leaves its key "may have run" until it expires, though
+    /// the request's end is known here.
+    fn on_claims(&mut self, cx: CX![], report: ClaimsReport) {
+        if report.settlements_waiting > 0 && !self.flushing {
+            let again = fwd_to!([cx], on_claims_due() as (MonoMs));
+            self.parts.timers.subscribe_in(cx, FLUSH_PAUSE_MS, again);
+            return;
+        }
+        let ret = ret_to!([cx], on_duties_done() as (()));
+        call!([self.parts.control], drain(ret));
+    }
+
+    fn on_claims_due(&mut self, cx: CX![], _now_ms: MonoMs) {
+        self.ask_claims(cx);
     }
 
     fn on_duties_done(&mut self, cx: CX![], _done: Option<()>) {
--- a/crates/node/src/hub/fleet.rs
+++ b/crates/node/src/hub/fleet.rs
@@ -122,7 +122,7 @@
 
     fn open_service(&mut self, name: UpstreamName, entry: VmEntry) {
         let service = ServiceName(entry.deployment.0.clone());
-        let port = HttpService::open(self.parts.calls.clone(), entry.address);
+        let port = HttpService::open(self.parts.services.clone(), entry.address);
         self.parts.requests.service_live(service, name, port);
     }
 
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -54,6 +54,9 @@
     pub roll: Roll,
     /// I/O threads for streams from engines.
     pub streams: Bridge,
+    /// I/O threads for calls to plain services, apart from the short calls, which a service that
+    /// answers nobody would hold up with cancels and polls among them.
+    pub services: Bridge,
     /// I/O threads for short calls.
     pub calls: Bridge,
 }
--- a/crates/node/src/launch/wiring.rs
+++ b/crates/node/src/launch/wiring.rs
@@ -55,6 +55,7 @@
     settings: Rc<NodeSettings>,
     timers: Timers,
     streams: Bridge,
+    services: Bridge,
     calls: Bridge,
     metrics: Arc<Metrics>,
     incarnation: Incarnation,
@@ -77,7 +78,7 @@
         let client = base.open_platform();
         let log = HttpLog::open(&client);
         let control = base.spawn_control(stakker, &card, &client, &log, &peers, &late);
-        let claims = base.spawn_claims(stakker, &card, &log, &peers);
+        let claims = base.spawn_claims(stakker, &card, &log, &peers)?;
         let members = base.spawn_members(stakker, &card, &client, &log, &peers, &late);
         let requests = base.spawn_requests(stakker, &claims, &peers, &late);
         let callers = base.bind_callers(&requests)?;
@@ -101,6 +102,7 @@
             peer_stats: runtime.stats(),
             roll: base.roll,
             streams: base.streams,
+            services: base.services,
             calls: base.calls,
         };
         let hub = Rc::new(Hub::spawn(stakker, parts));
@@ -166,6 +168,7 @@
         Ok(Self {
             timers: Timers::open(stakker.now()),
             streams: Bridge::open(inbox, threads),
+            services: Bridge::open(inbox, threads),
             calls: Bridge::open(inbox, CALL_THREADS),
             metrics: Arc::new(metrics),
             incarnation: Incarnation(random.random()),
@@ -232,6 +235,7 @@
             shards: self.settings.shards,
             ttl_ms: self.settings.lease_ttl_ms,
             config_tail_ms: self.settings.config_poll_ms,
+            retention_ms: self.settings.log_retention_ms,
             ..ControlSettings::default()
         };
         let events = late.fwd(|hub, event| stakker::call!([hub], on_control(event)));
@@ -252,11 +256,14 @@
         card: &NodeCard,
         log: &Rc<dyn LogPort>,
         peers: &Rc<dyn PeerPort>,
-    ) -> ClaimsHandle {
+    ) -> Result<ClaimsHandle, LaunchError> {
         let settings = ClaimSettings {
             shards: self.settings.shards,
             ..ClaimSettings::default()
         };
+        settings
+            .check(self.settings.log_retention_ms)
+            .map_err(|e| LaunchError::part("claims", e))?;
         let parts = ClaimsParts {
             settings,
             timers: self.timers.clone(),
@@ -265,7 +272,7 @@
             incarnation: card.incarnation,
             seed: self.seed,
         };
-        Claims::spawn(core, parts)
+        Ok(Claims::spawn(core, parts))
     }
 
     fn spawn_members(
@@ -282,13 +289,18 @@
             peers: Rc::clone(peers),
             list: HttpVmList::open(client),
         };
+        let settings = MembersSettings {
+            duty_poll_ms: self.settings.vm_list_poll_ms,
+            retention_ms: self.settings.log_retention_ms,
+            ..MembersSettings::default()
+        };
         let events = late.fwd(|hub, event| stakker::call!([hub], on_member(event)));
         Members::spawn(
             core,
             card.clone(),
             ports,
             self.timers.clone(),
-            MembersSettings::default(),
+            settings,
             self.seed,
             events,
         )
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -64,6 +64,8 @@
     config_poll_ms: SpanMs, "config-poll-ms", "BLUEBELL_CONFIG_POLL_MS", "ms", Default("500");
     /// How often the platform's list of VMs is read by the node whose duty that is.
     vm_list_poll_ms: SpanMs, "vm-list-poll-ms", "BLUEBELL_VM_LIST_POLL_MS", "ms", Default("1000");
+    /// How long the platform's log keeps records; the same on all nodes of the fleet.
+    log_retention_ms: SpanMs, "log-retention-ms", "BLUEBELL_LOG_RETENTION_MS", "ms", Default("86400000");
     /// A configuration file that is published where the log holds none yet.
     seed_config: Option<PathBuf>, "seed-config", "BLUEBELL_SEED_CONFIG", "path", Unset;
     /// How long a planned stop waits for running work before the process exits all the same.
