--- /dev/null
+++ b/crates/node/tests/sockets/main.rs
@@ -0,0 +1,5 @@
+//! Nodes over real sockets, before stand-ins in the same process.
+
+mod path;
+mod streams;
+mod support;
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/sockets/path.rs
@@ -1,9 +1,7 @@
 //! The whole path over real sockets: caller, node, platform, engine, service.
 
-mod support;
-
+use crate::support::Fleet;
 use serde_json::json;
-use support::Fleet;
 
 #[test]
 fn work_is_answered_through_every_node() {
--- /dev/null
+++ b/crates/node/tests/sockets/streams.rs
@@ -0,0 +1,129 @@
+//! Streams over real sockets: read on through another node, and finished by a node that stops.
+
+use crate::support::{Fleet, KEY};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+
+/// Tokens asked for; long enough to still run when the test acts.
+const ANSWER_TOKENS: u64 = 400;
+
+/// A stream being read.
+struct Stream {
+    request: String,
+    lines: std::io::Lines<BufReader<ureq::BodyReader<'static>>>,
+}
+
+/// One event with text, and the cursor behind it.
+struct Piece {
+    cursor: String,
+    text: String,
+}
+
+impl Stream {
+    fn open(fleet: &Fleet, index: usize, class: &str) -> Self {
+        let body = json!({
+            "model": "pond-1", "class": class, "prompt": "a long eulogy",
+            "max_tokens": ANSWER_TOKENS, "stream": true
+        });
+        let call = fleet.agent.post(fleet.url(index, "/v1/completions"));
+        let call = call.header("authorization", format!("Bearer {KEY}"));
+        Self::of(call.send_json(&body).expect("an answer"))
+    }
+
+    fn read_on(fleet: &Fleet, index: usize, request: &str, cursor: &str) -> Self {
+        let url = fleet.url(index, &format!("/v1/requests/{request}/events"));
+        let call = fleet.agent.get(url);
+        let call = call.header("authorization", format!("Bearer {KEY}"));
+        let call = call.header("last-event-id", cursor);
+        Self::of(call.call().expect("an answer"))
+    }
+
+    fn of(answer: ureq::http::Response<ureq::Body>) -> Self {
+        assert_eq!(answer.status(), 200);
+        let header = answer.headers().get("x-request-id");
+        let request = header.and_then(|value| value.to_str().ok());
+        let request = request.expect("every answer names its request").to_owned();
+        let reader = BufReader::new(answer.into_body().into_reader());
+        Self {
+            request,
+            lines: reader.lines(),
+        }
+    }
+
+    /// The next piece of text; none behind the last one.
+    fn next(&mut self) -> Option<Piece> {
+        let mut cursor = String::new();
+        loop {
+            let line = self.lines.next()?.expect("the stream stays whole");
+            if let Some(id) = line.strip_prefix("id: ") {
+                cursor = id.to_owned();
+            }
+            let Some(data) = line.strip_prefix("data: ") else {
+                continue;
+            };
+            if data == "[DONE]" {
+                return None;
+            }
+            let value: Value = serde_json::from_str(data).expect("JSON");
+            assert!(value["error"].is_null(), "{data}");
+            let text = value["choices"][0]["text"].as_str().unwrap_or_default();
+            if !text.is_empty() {
+                let text = text.to_owned();
+                return Some(Piece { cursor, text });
+            }
+        }
+    }
+
+    fn rest(&mut self) -> Vec<String> {
+        std::iter::from_fn(|| self.next().map(|piece| piece.text)).collect()
+    }
+}
+
+/// A family's line drops in the middle of a text; the caller's program comes back through the
+/// balancer, which leads it to another node, and shows what it has and the rest as one text.
+#[test]
+fn a_broken_stream_is_read_on_through_another_node() {
+    let fleet = Fleet::start(2, 2);
+    let whole = Stream::open(&fleet, 0, "short-draft").rest();
+    let mut first = Stream::open(&fleet, 0, "short-draft");
+    let mut seen = Vec::new();
+    let mut cursor = String::new();
+    for _ in 0..5 {
+        let piece = first.next().expect("more to come");
+        seen.push(piece.text);
+        cursor = piece.cursor;
+    }
+    let request = first.request.clone();
+    drop(first);
+    let mut second = Stream::read_on(&fleet, 1, &request, &cursor);
+    seen.extend(second.rest());
+    assert_eq!(seen, whole);
+    assert_eq!(fleet.runs(), 2, "the second stream was not run again");
+    fleet.stop();
+}
+
+/// A node is replaced while a text is being written: its process must not end before the text
+/// has, and whoever calls meanwhile is told at once to go elsewhere.
+#[test]
+fn a_planned_stop_finishes_what_runs_and_takes_nothing_new() {
+    let fleet = Fleet::start(1, 1);
+    let mut stream = Stream::open(&fleet, 0, "notice");
+    let first = stream.next().expect("more to come");
+    fleet.nodes[0].stopper().drain();
+    crate::support::wait_for("the node not to be ready", || {
+        let ready = fleet.agent.get(fleet.url(0, "/readyz")).call();
+        ready.is_ok_and(|answer| answer.status() == 503)
+    });
+    let body = json!({ "model": "pond-1", "class": "notice", "prompt": "x", "max_tokens": 4 });
+    let refused = fleet.post(0, "/v1/completions", None, &body);
+    assert_eq!(refused.status, 503, "{}", refused.text);
+    assert_eq!(refused.json["error"]["verdict"], "not_run");
+    let mut seen = vec![first.text];
+    seen.extend(stream.rest());
+    assert!(
+        seen.len() as u64 >= ANSWER_TOKENS / 2,
+        "{} pieces",
+        seen.len()
+    );
+    fleet.stop();
+}
