Policy: a surge is told by what an account is used to get, and cut down to that

What an account asked for became its custom within two minutes; the max-min level follows the surge down only slowly; a single long prompt looks like a surge. Change: custom is what an account got, and does not grow by a surge; prompts count up to 32,768 tokens and chance is allowed for; under pressure, or with fewer than 0.4 of the engines free, an account that surges gets 1.5 times its custom, or the accounts' mean where that is more.

--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,6 +4,7 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
+use super::placement::SHORT_TOKENS;
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
@@ -15,10 +16,12 @@
 const FREE_PRESSURE: f64 = 0.1;
 /// Above this pressure, they are held back even where they do not surge.
 const HARD_PRESSURE: f64 = 0.5;
+/// When an account that surges may come back: by then a part of what it got has decayed.
+const SURGE_RETRY_MS: f64 = 10_000.0;
+/// With a smaller share of the engines free, accounts that surge are held back.
+const FREE_SHARE: f64 = 0.4;
 /// How much less is shared out for each unit of pressure above that.
 const CUT: f64 = 1.0;
-/// An account that offers so many times its custom is held back first.
-const SURGE: f64 = 1.5;
 /// The most that is cut.
 const MOST_CUT: f64 = 0.5;
 /// The share of its laxity that any job may be predicted to wait.
@@ -50,20 +53,22 @@
         self.check_share(job, now_ms)
     }
 
-    /// Refuses long work of accounts over their share: of those that surge as soon as targets come
-    /// near, of the others only once targets are about to be missed. Short work is let through, as
-    /// refusing it relieves nothing.
+    /// Refuses longer work of accounts over their share: of those that surge as soon as targets
+    /// come near or few engines are free, of the others only once targets are about to be missed.
+    /// Short work is let through, as refusing it relieves nothing.
     fn check_share(&mut self, job: &Job, now_ms: MonoMs) -> Result<(), Refusal> {
-        let pressure = self.demand.pressure();
-        if pressure <= FREE_PRESSURE || !self.deferrable(job) {
+        if job.prompt_tokens.0 <= SHORT_TOKENS {
             return Ok(());
         }
-        let surges = self.shares.surge(job.account, now_ms) > SURGE;
-        let free = if surges { FREE_PRESSURE } else { HARD_PRESSURE };
-        if pressure <= free {
+        let pressure = self.demand.pressure();
+        let near = pressure > FREE_PRESSURE || self.free_share() < FREE_SHARE;
+        if near && self.shares.surges(job.account, now_ms) {
+            return Err(refusal(RefusalReason::OverShare, SURGE_RETRY_MS));
+        }
+        if pressure <= HARD_PRESSURE || !self.deferrable(job) {
             return Ok(());
         }
-        let cut = ((pressure - free) * CUT).min(MOST_CUT);
+        let cut = ((pressure - HARD_PRESSURE) * CUT).min(MOST_CUT);
         let over = self.shares.over(job.account, cut, now_ms);
         if over <= 1.0 {
             return Ok(());
@@ -71,6 +76,16 @@
         Err(refusal(RefusalReason::OverShare, self.over_share_ms(over)))
     }
 
+    /// The share of the engines scored last that are believed to have slack and memory.
+    fn free_share(&self) -> f64 {
+        let slack_ms = self.settings.slack_ms.0 as f64;
+        let open = || self.scratch.scored.iter().filter(|s| !s.kept);
+        let free = open()
+            .filter(|s| s.fits && s.backlog_ms <= slack_ms)
+            .count();
+        free as f64 / open().count().max(1) as f64
+    }
+
     fn check_engines(&self, job: &Job) -> Result<(), Refusal> {
         let fleet = &self.tables.fleet;
         let serving = fleet.serving(job.model);
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -28,7 +28,7 @@
 /// One part in so many of the engines looked at are of the kind that the job should keep off.
 const SECOND_PART: usize = 4;
 /// Prompts up to this length are short work, in tokens.
-const SHORT_TOKENS: u64 = 4_096;
+pub(super) const SHORT_TOKENS: u64 = 4_096;
 /// What taking an engine kept for short work counts for, in milliseconds.
 const KEPT_MS: f64 = 400.0;
 /// What taking another engine counts for short work, in milliseconds.
--- a/crates/policy/src/shares/mod.rs
+++ b/crates/policy/src/shares/mod.rs
@@ -4,7 +4,7 @@
 //! sums of tokens; the *level* is the most that each account may have when what all got is shared
 //! out evenly and nobody gets more than it asked for (max-min fairness).
 //!
-//! An account's *custom* is what it offered over a much longer past; it *surges* where it offers much
+//! An account's *custom* is what it got over a much longer past; it *surges* where it asks for much
 //! more than that now.
 //!
 //! Invariants: an account that asks for less than the level is never over its share, however much
@@ -18,6 +18,12 @@
 pub const DECAY_MS: f64 = 60_000.0;
 /// After this long an offered token counts for 1/e in the custom.
 const CUSTOM_MS: f64 = 600_000.0;
+/// A prompt counts up to this much where surges are looked for, in tokens.
+const CAP_TOKENS: f64 = 32_768.0;
+/// An account surges that offers so many times its custom.
+const SURGE: f64 = 1.5;
+/// So many deviations above that may be chance.
+const CHANCE: f64 = 2.5;
 /// How often the level is computed anew.
 const LEVEL_EVERY_MS: SpanMs = SpanMs(1_000);
 /// Sums are brought down to the present scale when it has grown by this factor.
@@ -28,7 +34,11 @@
 struct Work {
     offered: f64,
     admitted: f64,
-    /// Offered over the longer past, in a scale of its own.
+    /// Offered, each prompt counted up to [`CAP_TOKENS`].
+    recent: f64,
+    /// Admitted, counted likewise.
+    got: f64,
+    /// The same over the longer past, in a scale of its own.
     custom: f64,
 }
 
@@ -43,6 +53,9 @@
     opened_ms: Option<MonoMs>,
     scale_ms: MonoMs,
     custom_ms: MonoMs,
+    /// All accounts' customs, and how many accounts have one.
+    customs: f64,
+    customers: u32,
     level: f64,
     level_ms: Option<MonoMs>,
 }
@@ -56,6 +69,8 @@
             opened_ms: None,
             scale_ms: MonoMs(0),
             custom_ms: MonoMs(0),
+            customs: 0.0,
+            customers: 0,
             level: f64::INFINITY,
             level_ms: None,
         };
@@ -74,6 +89,8 @@
             self.work.push(work.unwrap_or_default());
             self.names.push(account.name.clone());
         }
+        self.customs = self.work.iter().map(|work| work.custom).sum();
+        self.customers = self.work.iter().filter(|work| work.custom > 0.0).count() as u32;
         self.level_ms = None;
     }
 
@@ -84,17 +101,25 @@
             self.scale_ms = now_ms;
             self.custom_ms = now_ms;
         }
-        let slow = self.custom_scale(now_ms);
         let scale = self.scale(now_ms);
         let work = self.work_of(account);
         work.offered += tokens * scale;
-        work.custom += tokens * slow;
+        work.recent += tokens.min(CAP_TOKENS) * scale;
     }
 
     /// Notes work that an account got.
     pub fn admit(&mut self, account: AccountId, tokens: f64, now_ms: MonoMs) {
-        let tokens = tokens * self.scale(now_ms);
-        self.work_of(account).admitted += tokens;
+        let slow = self.custom_scale(now_ms);
+        let scale = self.scale(now_ms);
+        let work = self.work_of(account);
+        work.admitted += tokens * scale;
+        let capped = tokens.min(CAP_TOKENS);
+        work.got += capped * scale;
+        let got = work.got / scale;
+        // A surge must not become a custom within minutes.
+        if self.seen_ms(now_ms) < DECAY_MS || got <= self.usual(account, slow, now_ms) * SURGE {
+            self.add_custom(account, capped * slow);
+        }
     }
 
     /// Takes back work that was admitted and will not be done.
@@ -117,16 +142,43 @@
         admitted / self.level.max(scale)
     }
 
-    /// How many times its custom an account offers now.
-    pub fn surge(&mut self, account: AccountId, now_ms: MonoMs) -> f64 {
-        let seen_ms = now_ms.since(self.opened_ms.unwrap_or(now_ms)).0 as f64;
+    /// Whether an account asks for much more than its custom now and has got its custom already.
+    ///
+    /// A node sees few requests of one account, and a single long prompt can be most of its work;
+    /// so each prompt counts up to a cap, and the bound leaves room for chance.
+    pub fn surges(&mut self, account: AccountId, now_ms: MonoMs) -> bool {
         let slow = self.custom_scale(now_ms);
         let scale = self.scale(now_ms);
+        let usual = self.usual(account, slow, now_ms);
         let work = self.work_of(account);
+        let chance = CHANCE * (usual * CAP_TOKENS).sqrt() + CAP_TOKENS;
+        work.recent / scale > usual * SURGE + chance && work.got / scale > usual * SURGE
+    }
+
+    /// What an account may be expected to get in the recent past: its custom, or the mean of all
+    /// accounts' where that is more, so that small and new ones have room to grow.
+    fn usual(&self, account: AccountId, slow: f64, now_ms: MonoMs) -> f64 {
+        let seen_ms = self.seen_ms(now_ms);
         // A sum that has not run for long is not yet as large as its rate will make it.
-        let rate = |sum: f64, decay_ms: f64| sum / decay_ms / (1.0 - (-seen_ms / decay_ms).exp());
-        let custom = rate(work.custom / slow, CUSTOM_MS);
-        rate(work.offered / scale, DECAY_MS) / custom.max(f64::MIN_POSITIVE)
+        let filled = |decay_ms: f64| decay_ms * (1.0 - (-seen_ms / decay_ms).exp());
+        let own = self
+            .work
+            .get(account.index())
+            .map_or(0.0, |work| work.custom);
+        let mean = self.customs / f64::from(self.customers.max(1));
+        own.max(mean) / slow / filled(CUSTOM_MS).max(1.0) * filled(DECAY_MS)
+    }
+
+    fn seen_ms(&self, now_ms: MonoMs) -> f64 {
+        now_ms.since(self.opened_ms.unwrap_or(now_ms)).0 as f64
+    }
+
+    fn add_custom(&mut self, account: AccountId, tokens: f64) {
+        let work = self.work_of(account);
+        let first = work.custom == 0.0;
+        work.custom += tokens;
+        self.customs += tokens;
+        self.customers += u32::from(first);
     }
 
     fn custom_scale(&mut self, now_ms: MonoMs) -> f64 {
@@ -137,6 +189,7 @@
         for work in &mut self.work {
             work.custom /= scale;
         }
+        self.customs /= scale;
         self.custom_ms = now_ms;
         1.0
     }
@@ -157,6 +210,8 @@
         for work in &mut self.work {
             work.offered /= scale;
             work.admitted /= scale;
+            work.recent /= scale;
+            work.got /= scale;
         }
         self.level /= scale;
         self.scale_ms = now_ms;
