--- a/crates/ctl/src/commands/demo/surroundings.rs
+++ b/crates/ctl/src/commands/demo/surroundings.rs
@@ -73,15 +73,10 @@
         self.platform.address()
     }
 
-    /// Where the engines are.
-    pub fn engines(&self) -> Vec<Address> {
-        let address = |engine: &EngineServer| socket_address(engine.address());
-        self.engines.iter().map(address).collect()
-    }
-
     /// Where everything is that runs requests.
     pub fn upstreams(&self) -> Vec<Address> {
-        let mut upstreams = self.engines();
+        let address = |engine: &EngineServer| socket_address(engine.address());
+        let mut upstreams: Vec<Address> = self.engines.iter().map(address).collect();
         upstreams.push(socket_address(self.service.address()));
         upstreams
     }
--- a/crates/load/src/report/print.rs
+++ b/crates/load/src/report/print.rs
@@ -3,6 +3,9 @@
 use super::{BandReport, LatencyReport, Report};
 use std::fmt;
 
+/// Bands with fewer measured requests on either side aren't compared.
+const MIN_COMPARED: u64 = 20;
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.write_counts(f)?;
@@ -63,9 +66,10 @@
         )?;
         writeln!(
             f,
-            "checked: completeness yes, identity {}, verdicts against upstreams {}",
+            "checked: completeness yes, identity {}, verdicts against {} upstreams ({} not reached)",
             yes_no(self.checked.identity),
-            yes_no(self.checked.verdicts)
+            self.checked.upstreams_asked,
+            self.checked.upstreams_unreachable
         )
     }
 
@@ -137,6 +141,10 @@
         let Some(band) = system.iter().find(|band| band.band == direct.band) else {
             continue;
         };
+        let counts = [band.first_token.count, direct.first_token.count];
+        if counts.iter().any(|count| *count < MIN_COMPARED) {
+            continue;
+        }
         let p50_ms = band.first_token.p50_ms - direct.first_token.p50_ms;
         let p99_ms = band.first_token.p99_ms - direct.first_token.p99_ms;
         writeln!(
--- a/crates/policy/src/jobs/mod.rs
+++ b/crates/policy/src/jobs/mod.rs
@@ -31,13 +31,15 @@
 #[derive(Clone, Debug)]
 pub struct Entry {
     /// The job.
-    pub job: Job,
+    pub job: Arc<Job>,
     /// How far it has come.
     pub stage: Stage,
     /// The engine that runs it, once sent.
     pub upstream: Option<UpstreamId>,
     /// The engines that lend it memory.
     pub members: Vec<GroupPart>,
+    /// When it may be placed at the earliest.
+    pub not_before_ms: MonoMs,
     /// How often it was recalled.
     pub recalls: u32,
     /// Whether its engine went with it.
@@ -56,10 +58,11 @@
     fn new(job: Job) -> Self {
         Self {
             prefill_tokens: job.prompt_tokens.0 as f64,
-            job,
+            job: Arc::new(job),
             stage: Stage::Queued,
             upstream: None,
             members: Vec::new(),
+            not_before_ms: MonoMs(0),
             recalls: 0,
             lost: false,
             sent_ms: MonoMs(0),
--- a/crates/requests/src/life/group.rs
+++ b/crates/requests/src/life/group.rs
@@ -176,6 +176,13 @@
 }
 
 impl Group {
+    /// What the members hold together, without the leader.
+    pub(crate) fn lent_tokens(&self) -> Tokens {
+        let members = self.members.iter();
+        let others = members.filter(|member| member.part.upstream != self.leader);
+        others.map(|member| member.part.kv_tokens).sum()
+    }
+
     fn is_ready(&self, cx: &Context<'_>) -> bool {
         let mut members = self.members.iter();
         members.all(|member| cx.fleet.takes_work(member.part.upstream))
--- a/crates/requests/src/settings/mod.rs
+++ b/crates/requests/src/settings/mod.rs
@@ -7,8 +7,8 @@
 pub struct RequestsSettings {
     /// How long a request whose caller hung up is kept, so that the caller can read on.
     ///
-    /// Longer than `stall_ms` and two ways to an engine, so that another node that reads the
-    /// answer on has taken the stream back before this node's cancel.
+    /// Half of it must be longer than a few exchanges with an engine, so that another node that
+    /// reads the answer on has taken the stream back before this node's cancel.
     pub hang_up_grace_ms: SpanMs,
     /// Silence on a stream after which the engine is asked what it knows.
     pub stall_ms: SpanMs,
@@ -40,6 +40,10 @@
     pub retry_node_burst: f64,
     /// When a caller refused for a passing reason is told to come back.
     pub retry_after_ms: SpanMs,
+    /// Live requests this node takes at most.
+    pub live_count: usize,
+    /// Bytes of prompts and bodies that live requests may hold together.
+    pub live_bytes: Bytes,
     /// Ended requests kept for reports and reading on.
     pub finished_count: usize,
     /// Bytes of answers kept with them.
@@ -67,6 +71,8 @@
             retry_account_burst: 5.0,
             retry_node_burst: 20.0,
             retry_after_ms: SpanMs::from_secs(1),
+            live_count: 20_000,
+            live_bytes: Bytes(256 * 1024 * 1024),
             finished_count: 4096,
             finished_bytes: Bytes(16 * 1024 * 1024),
             finished_keep_ms: SpanMs::from_secs(120),
@@ -75,6 +81,12 @@
 }
 
 impl RequestsSettings {
+    /// The silence after which a node that adopted a stream takes it (back): less than the grace
+    /// of the node that admitted it, so that it is the owner again before that one's cancel.
+    pub fn adopted_stall_ms(&self) -> SpanMs {
+        self.stall_ms.min(SpanMs(self.hang_up_grace_ms.0 / 2))
+    }
+
     /// The pause before try number `tries` (counted from 0), without jitter.
     pub fn backoff(&self, tries: u32) -> SpanMs {
         let doubled = self.backoff_ms.0.saturating_mul(1 << tries.min(16));
