--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -13,6 +13,7 @@
 use bluebell_base::prelude::*;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
 use std::ops::Range;
 
 /// How much worse than the best one another engine may look and still be drawn, in milliseconds.
@@ -32,6 +33,10 @@
 const KEPT_MS: f64 = 400.0;
 /// What taking another engine counts for short work, in milliseconds.
 const OTHERS_MS: f64 = 40.0;
+/// A cache that saves less than this is not sought, in milliseconds.
+const WORTH_CACHE_MS: f64 = 50.0;
+/// Work that takes so much memory may borrow some where no engine has enough, in tokens.
+const LARGE_TOKENS: u64 = 65_536;
 /// An engine with less wait than this counts as idle, in milliseconds.
 const IDLE_MS: f64 = 10.0;
 /// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
@@ -104,16 +109,25 @@
 
     /// Decides a queued job, or leaves it waiting.
     pub(super) fn decide_one(&mut self, slot: Slot, now_ms: MonoMs) -> Option<Decision> {
-        let job = self.tables.jobs.get(slot)?.job.clone();
+        let entry = self.tables.jobs.get(slot)?;
+        let not_before_ms = entry.not_before_ms;
+        let job = entry.job.clone();
         let service_ms = self.service_ms(&job);
         if now_ms + service_ms > job.deadline_ms {
             return self.refuse(&job, now_ms);
         }
+        if now_ms < not_before_ms {
+            return None;
+        }
         self.score(&job, now_ms);
         let placement = if self.needs_group(&job) {
             self.place_group(&job, now_ms)
+        } else if let Some(chosen) = self.on_cache(&job) {
+            Some(self.place(&job, chosen, now_ms))
         } else if self.deferrable(&job) {
-            self.place_in_slack(&job, now_ms)
+            let alone = self.place_in_slack(&job, now_ms);
+            let large = alone.is_none() && self.may_borrow(&job);
+            alone.or_else(|| large.then(|| self.place_group(&job, now_ms)).flatten())
         } else {
             self.place_at_once(&job, now_ms)
         };
@@ -154,6 +168,11 @@
         (engines as f64 * self.settings.short_share).round() as usize
     }
 
+    /// Whether the job may take memory of several engines.
+    pub(super) fn may_borrow(&self, job: &Job) -> bool {
+        job.kv_tokens().0 >= LARGE_TOKENS
+    }
+
     pub(super) fn needs_group(&self, job: &Job) -> bool {
         job.kv_tokens() > self.tables.fleet.largest(job.model)
     }
@@ -197,7 +216,7 @@
         }
         // Engines that refused a group's memory a moment ago may have it now.
         let others = |s: &Scored| !job.avoid.contains(&s.upstream);
-        if !self.needs_group(job) && scored.iter().any(others) {
+        if !self.may_borrow(job) && scored.iter().any(others) {
             scored.retain(others);
         }
         self.scratch.scored = scored;
@@ -238,6 +257,25 @@
         }
     }
 
+    /// An engine whose cache covers so much of the prompt that no idle one is sooner.
+    fn on_cache(&self, job: &Job) -> Option<Scored> {
+        if !job.idempotent || self.scratch.covering.is_empty() {
+            return None;
+        }
+        let whole = job.prompt_tokens.0 as f64;
+        let covers = |s: &&Scored| {
+            let saved_ms = self
+                .tables
+                .fleet
+                .mean_cost()
+                .prefill_ms(whole - s.prefill_tokens);
+            !s.kept && s.fits && saved_ms >= WORTH_CACHE_MS && s.backlog_ms <= saved_ms
+        };
+        let scored = self.scratch.scored.iter().filter(covers);
+        let sooner = |a: &&Scored, b: &&Scored| a.first_token_ms.total_cmp(&b.first_token_ms);
+        scored.min_by(sooner).copied()
+    }
+
     /// The engine with the earliest predicted first token, drawn among the best few.
     fn place_at_once(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
         if job.idempotent {
@@ -317,18 +355,18 @@
         offers.clear();
         let scored = &self.scratch.scored;
         offers.extend(scored.iter().filter(|s| s.kept).map(offer));
+        let kept = offers.len();
         offers.extend(scored.iter().filter(|s| !s.kept).map(offer));
-        let most = offers
-            .iter()
-            .map(|offer| offer.kv_tokens)
-            .max()
-            .unwrap_or(0);
-        let may_lead = |s: &&Scored| {
-            !s.kept && (urgent || s.backlog_ms <= slack_ms) && offer(s).kv_tokens >= most / 2
-        };
+        // The largest first: the fewer parts, the fewer reservations that another node's work can
+        // make fail.
+        offers[kept..].sort_by_key(|offer| Reverse(offer.kv_tokens));
+        let may_lead = |s: &&Scored| !s.kept && (urgent || s.backlog_ms <= slack_ms);
         let parts = self.settings.group_parts;
-        let mut leaders = scored.iter().filter(may_lead);
-        let built = leaders.find_map(|scored| {
+        let leader = scored
+            .iter()
+            .filter(may_lead)
+            .max_by_key(|s| offer(s).kv_tokens);
+        let built = leader.and_then(|scored| {
             let group = groups::build(offer(scored), &offers, job.kv_tokens(), parts)?;
             Some((*scored, group))
         });
