--- a/crates/node/src/launch/wiring.rs
+++ b/crates/node/src/launch/wiring.rs
@@ -63,6 +63,13 @@
     roll: Roll,
 }
 
+/// The ports to the platform and to other nodes.
+struct Outside {
+    client: PlatformClient,
+    log: Rc<dyn LogPort>,
+    peers: Rc<dyn PeerPort>,
+}
+
 impl Running {
     /// Opens all parts.
     pub(super) fn open(stakker: &mut Stakker, settings: NodeSettings) -> Result<Self, LaunchError> {
@@ -71,16 +78,14 @@
         let late = LateHub::default();
 
         let runtime = base.open_peer_runtime()?;
-        let peers = JsonRpcPeers::open(&runtime);
         let peer_server = base.bind_peers(&runtime, &late)?;
         let card = base.card(peer_server.address());
 
-        let client = base.open_platform();
-        let log = HttpLog::open(&client);
-        let control = base.spawn_control(stakker, &card, &client, &log, &peers, &late);
-        let claims = base.spawn_claims(stakker, &card, &log, &peers)?;
-        let members = base.spawn_members(stakker, &card, &client, &log, &peers, &late);
-        let requests = base.spawn_requests(stakker, &claims, &peers, &late);
+        let outside = base.open_outside(&runtime);
+        let control = base.spawn_control(stakker, &card, &outside, &late);
+        let claims = base.spawn_claims(stakker, &card, &outside)?;
+        let members = base.spawn_members(stakker, &card, &outside, &late);
+        let requests = base.spawn_requests(stakker, &claims, &outside, &late);
         let callers = base.bind_callers(&requests)?;
         let admin = base.bind_admin(&late)?;
 
@@ -203,23 +208,26 @@
         }
     }
 
-    fn open_platform(&self) -> PlatformClient {
+    fn open_outside(&self, runtime: &PeerRuntime) -> Outside {
         let credential = self.settings.platform_credential.as_ref();
-        PlatformClient::open(
+        let client = PlatformClient::open(
             self.calls.clone(),
             &self.settings.platform_address,
             credential.map(|secret| secret.expose().clone()),
             CallTimeouts::default(),
-        )
+        );
+        Outside {
+            log: HttpLog::open(&client),
+            peers: JsonRpcPeers::open(runtime),
+            client,
+        }
     }
 
     fn spawn_control(
         &self,
         core: &mut Core,
         card: &NodeCard,
-        client: &PlatformClient,
-        log: &Rc<dyn LogPort>,
-        peers: &Rc<dyn PeerPort>,
+        outside: &Outside,
         late: &LateHub,
     ) -> ActorOwn<Control> {
         let identity = NodeIdentity {
@@ -227,9 +235,9 @@
             address: card.address.clone(),
         };
         let ports = ControlPorts {
-            log: Rc::clone(log),
-            peers: Rc::clone(peers),
-            weights: HttpWeights::open(client),
+            log: Rc::clone(&outside.log),
+            peers: Rc::clone(&outside.peers),
+            weights: HttpWeights::open(&outside.client),
         };
         let settings = ControlSettings {
             shards: self.settings.shards,
@@ -254,8 +262,7 @@
         &self,
         core: &mut Core,
         card: &NodeCard,
-        log: &Rc<dyn LogPort>,
-        peers: &Rc<dyn PeerPort>,
+        outside: &Outside,
     ) -> Result<ClaimsHandle, LaunchError> {
         let settings = ClaimSettings {
             shards: self.settings.shards,
@@ -267,8 +274,8 @@
         let parts = ClaimsParts {
             settings,
             timers: self.timers.clone(),
-            log: Rc::clone(log),
-            peers: Rc::clone(peers),
+            log: Rc::clone(&outside.log),
+            peers: Rc::clone(&outside.peers),
             incarnation: card.incarnation,
             seed: self.seed,
         };
@@ -279,15 +286,13 @@
         &self,
         core: &mut Core,
         card: &NodeCard,
-        client: &PlatformClient,
-        log: &Rc<dyn LogPort>,
-        peers: &Rc<dyn PeerPort>,
+        outside: &Outside,
         late: &LateHub,
     ) -> ActorOwn<Members> {
         let ports = MembersPorts {
-            log: Rc::clone(log),
-            peers: Rc::clone(peers),
-            list: HttpVmList::open(client),
+            log: Rc::clone(&outside.log),
+            peers: Rc::clone(&outside.peers),
+            list: HttpVmList::open(&outside.client),
         };
         let settings = MembersSettings {
             duty_poll_ms: self.settings.vm_list_poll_ms,
@@ -310,7 +315,7 @@
         &self,
         core: &mut Core,
         claims: &ClaimsHandle,
-        peers: &Rc<dyn PeerPort>,
+        outside: &Outside,
         late: &LateHub,
     ) -> RequestsHandle {
         let refused = late.fwd(|hub, name| stakker::call!([hub], on_upstream_refused(name)));
@@ -330,7 +335,7 @@
             claims: Rc::new(claims.clone()),
             policy,
             observer: NodeObserver::open(Arc::clone(&self.metrics), refused),
-            lookup: PeerLookup::open(Rc::clone(peers), Rc::clone(&self.roll)),
+            lookup: PeerLookup::open(Rc::clone(&outside.peers), Rc::clone(&self.roll)),
             seed: self.seed,
         };
         Requests::spawn(core, settings, ports)
