--- a/crates/bench/examples/policy.rs
+++ b/crates/bench/examples/policy.rs
@@ -27,6 +27,17 @@
                     .filter_map(|load| load.parse().ok())
                     .collect();
             }
+            Some(("short_share", share)) => {
+                options.production.short_share = share.parse().unwrap_or(0.0);
+            }
+            Some(("choices", count)) => options.production.choices = count.parse().unwrap_or(1),
+            Some(("room_share", share)) => {
+                options.production.room_share = share.parse().unwrap_or(0.0);
+            }
+            Some(("deferrable", ms)) => {
+                options.production.deferrable_ms.0 = ms.parse().unwrap_or(1_000);
+            }
+            Some(("slack", ms)) => options.production.slack_ms.0 = ms.parse().unwrap_or(250),
             Some(("seed", seed)) => options.seed = seed.parse().unwrap_or(1),
             _ => {}
         }
--- a/crates/bench/src/options/mod.rs
+++ b/crates/bench/src/options/mod.rs
@@ -1,7 +1,7 @@
 //! What a bench run does.
 
 use bluebell_base::prelude::*;
-use bluebell_policy::Kind;
+use bluebell_policy::{Kind, PolicySettings};
 use std::path::PathBuf;
 
 /// What a bench run does; the default finishes within about two minutes in a release build.
@@ -19,6 +19,8 @@
     pub parts: Vec<Part>,
     /// Which policies are run; the targets that compare need them all.
     pub policies: Vec<Kind>,
+    /// The constants of the production policy, for trials with others.
+    pub production: PolicySettings,
     /// The offered loads of the part `loads`, as shares of capacity.
     pub loads: Vec<f64>,
     /// Where the whole result is written as JSON, if anywhere.
@@ -91,6 +93,7 @@
             threads: 4,
             parts: Part::ALL.to_vec(),
             policies: Kind::ALL.to_vec(),
+            production: PolicySettings::default(),
             loads: crate::plan::LOADS.to_vec(),
             json: None,
             svg: None,
--- a/crates/bench/src/plan/mod.rs
+++ b/crates/bench/src/plan/mod.rs
@@ -4,7 +4,7 @@
 use crate::scenario::{Fault, Lag, Scenario};
 use crate::workload::FleetKind;
 use bluebell_base::prelude::*;
-use bluebell_policy::PolicySettings;
+use bluebell_policy::{Kind, PolicySettings};
 
 /// The offered loads, as shares of capacity.
 pub const LOADS: [f64; 6] = [0.5, 0.7, 0.85, 0.95, 1.2, 2.0];
@@ -26,7 +26,7 @@
                 let base = |load| Scenario {
                     duration_ms: options.duration_ms,
                     seed: options.seed,
-                    ..Scenario::new(fleet, PolicySettings::of(policy), load)
+                    ..Scenario::new(fleet, settings(options, policy), load)
                 };
                 let rows = part_rows(*part, &options.loads, &base);
                 all.extend(rows.into_iter().map(|scenario| (*part, scenario)));
@@ -36,6 +36,13 @@
     all
 }
 
+fn settings(options: &BenchOptions, kind: Kind) -> PolicySettings {
+    if kind == options.production.kind {
+        return options.production.clone();
+    }
+    PolicySettings::of(kind)
+}
+
 fn part_rows(part: Part, at: &[f64], base: &dyn Fn(f64) -> Scenario) -> Vec<Scenario> {
     match part {
         Part::Loads => loads(at, base),
--- a/crates/policy/src/settings/mod.rs
+++ b/crates/policy/src/settings/mod.rs
@@ -90,7 +90,7 @@
             kind: Kind::Laxity,
             window: 32,
             choices: 2,
-            deferrable_ms: SpanMs(1_000),
+            deferrable_ms: SpanMs(500),
             slack_ms: SpanMs(250),
             room_share: 0.05,
             short_share: 0.12,
