--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Whether it is a row of one of the simple policies.
+    pub fn is_baseline(&self) -> bool {
+        self.policy.parse().is_ok_and(Kind::is_baseline)
+    }
+
     /// Whether it is a row of the production policy.
     pub fn is_production(&self) -> bool {
         self.policy == Kind::default().to_string()
--- a/crates/bench/src/targets/judge.rs
+++ b/crates/bench/src/targets/judge.rs
@@ -188,7 +188,7 @@
         let theirs = rows
             .iter()
             .filter(at)
-            .filter(|row| !row.is_production())
+            .filter(|row| row.is_baseline())
             .map(|r| slowdown(&r));
         let best = theirs.fold(f64::INFINITY, f64::min);
         let ours = ours.fold(0.0, f64::max);
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -9,6 +9,7 @@
 use super::Laxity;
 use crate::job::Decision;
 use crate::jobs::{Slot, Stage};
+use crate::settings::Kind;
 use bluebell_base::prelude::*;
 use bluebell_upstreams::LoadReport;
 
@@ -66,7 +67,8 @@
         let Some(entry) = self.tables.jobs.get(slot) else {
             return false;
         };
-        let may = entry.job.idempotent
+        let may = self.settings.kind != Kind::NoRecall
+            && entry.job.idempotent
             && entry.stage == Stage::Sent
             && entry.members.is_empty()
             && entry.recalls < MOST_RECALLS;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -90,7 +90,7 @@
 /// Opens the policy that the settings name; the same seed and calls give the same decisions.
 pub fn open(settings: PolicySettings, config: &FleetConfig, seed: u64) -> Box<dyn Policy> {
     match settings.kind {
-        Kind::Laxity => Box::new(laxity::Laxity::open(settings, config, seed)),
+        Kind::Laxity | Kind::NoRecall => Box::new(laxity::Laxity::open(settings, config, seed)),
         Kind::RoundRobin | Kind::LeastRequests | Kind::LeastTokens => {
             Box::new(baseline::Baseline::open(settings, seed))
         }
--- a/crates/policy/src/settings/mod.rs
+++ b/crates/policy/src/settings/mod.rs
@@ -13,6 +13,9 @@
     /// The production policy: least laxity first, long work in slack.
     #[default]
     Laxity,
+    /// The production policy before it recalled work, and what is left of it on a node that does
+    /// not carry recalls out.
+    NoRecall,
     /// Baseline: one engine after the other.
     RoundRobin,
     /// Baseline: the engine with the fewest requests.
@@ -23,16 +26,23 @@
 
 impl Kind {
     /// All policies, the production one last.
-    pub const ALL: [Kind; 4] = [
+    pub const ALL: [Kind; 5] = [
         Kind::RoundRobin,
         Kind::LeastRequests,
         Kind::LeastTokens,
+        Kind::NoRecall,
         Kind::Laxity,
     ];
 
+    /// Whether it is one of the simple policies that ours is compared with.
+    pub fn is_baseline(self) -> bool {
+        !matches!(self, Kind::Laxity | Kind::NoRecall)
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Kind::Laxity => "laxity",
+            Kind::NoRecall => "no-recall",
             Kind::RoundRobin => "round-robin",
             Kind::LeastRequests => "least-requests",
             Kind::LeastTokens => "least-tokens",
