--- a/crates/bridge/src/jobs.rs
+++ b/crates/bridge/src/jobs.rs
@@ -12,6 +12,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::marker::PhantomData;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -102,15 +103,12 @@
         refused: impl FnOnce() -> T,
         ret: Ret<T>,
     ) {
-        let key = self.add(Waiter::Answer(Box::new(move |value| {
-            if let Ok(value) = value.downcast::<T>() {
-                ret.ret(*value);
-            }
-        })));
-        let (id, link) = (self.id(), self.link.clone());
+        let completer = self.completer(ret);
+        let (id, key) = (completer.inner.id, completer.inner.key);
+        // A job that panics drops the completer, which drops `ret`: its waiter is told that no
+        // answer comes instead of waiting for ever.
         let queued = self.submit(Box::new(move || {
-            let value: Value = Box::new(job());
-            link.send(move |_| deliver_answer(id, key, value));
+            completer.complete(job());
         }));
         if !queued {
             deliver_answer(id, key, Box::new(refused()));
@@ -125,22 +123,39 @@
         job: impl FnOnce(EventSender<E>) + Send + 'static,
         fwd: Fwd<E>,
     ) -> bool {
+        let sender = self.sender_to(fwd);
+        self.submit(Box::new(move || job(sender)))
+    }
+
+    /// Makes a completer: whoever holds it, on any thread, gives `ret` its value.
+    pub fn completer<T: Send + 'static>(&self, ret: Ret<T>) -> Completer<T> {
+        let key = self.add(Waiter::Answer(Box::new(move |value| {
+            if let Ok(value) = value.downcast::<T>() {
+                ret.ret(*value);
+            }
+        })));
+        Completer {
+            inner: self.sender(key),
+        }
+    }
+
+    /// Makes a sender: whoever holds it, on any thread, sends events to `fwd`, in order.
+    pub fn sender_to<E: Send + 'static>(&self, fwd: Fwd<E>) -> EventSender<E> {
         let key = self.add(Waiter::Events(Rc::new(move |value: Value| {
             if let Ok(value) = value.downcast::<E>() {
                 fwd.fwd(*value);
             }
         })));
-        let sender = EventSender {
+        self.sender(key)
+    }
+
+    fn sender<E>(&self, key: u64) -> EventSender<E> {
+        EventSender {
             id: self.id(),
             key,
             link: self.link.clone(),
             event: PhantomData,
-        };
-        let queued = self.submit(Box::new(move || job(sender)));
-        if !queued {
-            self.pending.borrow_mut().remove(&key);
         }
-        queued
     }
 
     fn id(&self) -> u64 {
@@ -190,13 +205,20 @@
             let job = self.queue.recv();
             self.idle.fetch_sub(1, Ordering::AcqRel);
             match job {
-                Ok(job) => job(),
+                Ok(job) => run_guarded(job),
                 Err(_) => return,
             }
         }
     }
 }
 
+/// Runs a job so that its panic ends the job, not the thread that other jobs wait for.
+fn run_guarded(job: Job) {
+    if catch_unwind(AssertUnwindSafe(job)).is_err() {
+        log::error!("an I/O job panicked; its caller is told that no answer came");
+    }
+}
+
 /// Sends the events of one streaming job; dropping it ends the stream.
 #[derive(Debug)]
 pub struct EventSender<E> {
@@ -218,10 +240,32 @@
 impl<E> Drop for EventSender<E> {
     fn drop(&mut self) {
         let (id, key) = (self.id, self.key);
+        // The actor thread must never send to its own inbox: full, it would wait for itself, and
+        // the node would stand still. There the waiter is within reach and dropped directly.
+        if pending_of(id).is_some() {
+            return forget(id, key);
+        }
         self.link.send(move |_| forget(id, key));
     }
 }
 
+/// Gives one `Ret` its value from any thread; dropping it unused drops the `Ret`.
+#[derive(Debug)]
+pub struct Completer<T> {
+    inner: EventSender<T>,
+}
+
+impl<T: Send + 'static> Completer<T> {
+    /// Gives the value; `false` once the node is gone.
+    pub fn complete(self, value: T) -> bool {
+        let (id, key) = (self.inner.id, self.inner.key);
+        let value: Value = Box::new(value);
+        self.inner
+            .link
+            .send(move |_| deliver_answer(id, key, value))
+    }
+}
+
 fn pending_of(id: u64) -> Option<Answers> {
     PENDING.with_borrow(|map| map.get(&id).cloned())
 }
@@ -248,7 +292,10 @@
 }
 
 fn forget(id: u64, key: u64) {
-    if let Some(pending) = pending_of(id) {
-        pending.borrow_mut().remove(&key);
-    }
+    let Some(pending) = pending_of(id) else {
+        return;
+    };
+    // Dropped outside the borrow: a dropped `Ret` runs code that may use the bridge again.
+    let waiter = pending.borrow_mut().remove(&key);
+    drop(waiter);
 }
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,205 @@
+//! Several nodes with the production actors on one platform, under virtual time.
+//!
+//! Each node has a `Stakker` of its own, so that a pause is what it is for a process: nothing of
+//! it runs, and when it goes on, its clock has jumped.
+#![allow(dead_code, unused_imports)]
+
+mod ask;
+mod counting;
+mod engine;
+mod faults;
+mod network;
+mod spawn;
+
+use bluebell_base::prelude::*;
+use bluebell_control::{
+    Control, ControlDump, ControlEvent, ControlPorts, ControlSettings, Duty, NodeIdentity,
+    Published, StewardDump,
+};
+use bluebell_members::{MemberEvent, Members, MembersDump, MembersPorts, MembersSettings};
+use bluebell_peers::{NodeCard, PeerAnswer, PeerCall, PeerPort};
+use bluebell_platform::{ReadBatch, VmEntry, VmRole, VmState, WeightInfo};
+use bluebell_stand_ins::platform::{
+    FakePlatform, FakeSettings, Fault, FaultRule, Operation, PlatformModel, PlatformSettings,
+    VmChange,
+};
+use bluebell_timers::Timers;
+use bluebell_upstreams::EnginePort;
+use counting::Counting;
+pub use counting::{Counts, Traffic};
+pub use engine::Engine;
+pub use network::Network;
+use stakker::{Actor, ActorOwn, Fwd, Ret, Stakker, call};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A configuration with one class whose end target tells versions apart.
+pub fn config_text(end_ms: u64) -> Arc<str> {
+    format!(
+        r#"{{"classes":[{{"name":"draft","first_token":[{{"within_ms":600}}],"end_ms":{end_ms},
+        "idempotent":true}}],"accounts":[],"models":[]}}"#
+    )
+    .into()
+}
+
+/// A configuration of about `bytes` bytes.
+pub fn large_config_text(end_ms: u64, bytes: usize) -> Arc<str> {
+    let account = |i| format!(r#"{{"name":"account-{i}","key_sha256":"{i:064x}"}}"#);
+    let accounts: Vec<String> = (0..bytes / 105).map(account).collect();
+    let accounts = accounts.join(",");
+    config_text(end_ms)
+        .replace(r#""accounts":[]"#, &format!(r#""accounts":[{accounts}]"#))
+        .into()
+}
+
+/// Whether a node's code runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    Running,
+    Paused,
+    Dead,
+}
+
+pub type Seen<T> = Rc<RefCell<Vec<(MonoMs, T)>>>;
+
+/// One node.
+pub struct Node {
+    pub stakker: Stakker,
+    pub control: ActorOwn<Control>,
+    pub members: ActorOwn<Members>,
+    pub events: Seen<ControlEvent>,
+    pub member_events: Seen<MemberEvent>,
+    /// Until when the node believes to hold which duty, on its own clock.
+    pub held: Rc<RefCell<BTreeMap<Duty, MonoMs>>>,
+    /// How fast its clock runs.
+    pub rate: f64,
+    /// How long after it is handed over an order leaves the node.
+    pub send_ms: Rc<Cell<u64>>,
+    /// Its traffic with the platform.
+    pub counts: Counts,
+    pub incarnation: Incarnation,
+    pub address: Address,
+    pub name: VmName,
+    pub life: Life,
+}
+
+/// The fleet.
+pub struct Fleet {
+    pub origin: Instant,
+    pub now_ms: MonoMs,
+    pub nodes: Vec<Node>,
+    pub model: Rc<RefCell<PlatformModel>>,
+    pub net: Rc<RefCell<Network>>,
+    /// The engines, by name.
+    pub engines: Rc<RefCell<BTreeMap<UpstreamName, Engine>>>,
+    /// Engines that live on one node's clock, for fleets of one node.
+    pub ports: Rc<RefCell<BTreeMap<UpstreamName, Rc<dyn EnginePort>>>>,
+    pub settings: ControlSettings,
+    pub members_settings: MembersSettings,
+    /// How fast the clocks of nodes started from now on run.
+    pub next_rate: f64,
+    seed: u64,
+    started: u64,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, platform: PlatformSettings) -> Self {
+        let settings = ControlSettings {
+            retention_ms: platform.retention_ms,
+            ..ControlSettings::default()
+        };
+        Self {
+            origin: Instant::now(),
+            now_ms: MonoMs(0),
+            nodes: Vec::new(),
+            model: Rc::new(RefCell::new(PlatformModel::new(platform, WallMs(0)))),
+            net: Network::open(),
+            engines: Rc::default(),
+            ports: Rc::default(),
+            settings,
+            members_settings: MembersSettings::default(),
+            next_rate: 1.0,
+            seed,
+            started: 0,
+        }
+    }
+
+    pub fn with_nodes(seed: u64, count: usize) -> Self {
+        let mut fleet = Self::new(seed, PlatformSettings::default());
+        (0..count).for_each(|_| {
+            fleet.start_node();
+        });
+        fleet
+    }
+
+    /// A node's own time at this instant.
+    fn local(&self, rate: f64) -> Instant {
+        self.origin + Duration::from_millis(self.now_ms.0).mul_f64(rate)
+    }
+
+    /// Lets the fleet run for a while.
+    pub fn run_ms(&mut self, span_ms: u64) {
+        let end_ms = self.now_ms + SpanMs(span_ms);
+        self.run_until(end_ms, |_| false);
+    }
+
+    /// Lets the fleet run until `done`; `false` where the time is over before.
+    pub fn run_until(&mut self, end_ms: MonoMs, mut done: impl FnMut(&mut Fleet) -> bool) -> bool {
+        loop {
+            self.run_nodes();
+            if done(self) {
+                return true;
+            }
+            if self.now_ms >= end_ms {
+                return false;
+            }
+            self.now_ms = self.next_ms().min(end_ms);
+        }
+    }
+
+    /// Runs all nodes twice at this instant, so that what one hands another is taken in.
+    fn run_nodes(&mut self) {
+        for _ in 0..2 {
+            for index in 0..self.nodes.len() {
+                let now = self.local(self.nodes[index].rate);
+                let node = &mut self.nodes[index];
+                if node.life == Life::Running {
+                    node.stakker.run(now, false);
+                }
+            }
+        }
+        self.check_holders();
+    }
+
+    /// No two running nodes may believe to hold one duty.
+    fn check_holders(&self) {
+        let mut holders: BTreeMap<Duty, usize> = BTreeMap::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            if node.life != Life::Running {
+                continue;
+            }
+            for duty in self.believed(index) {
+                if let Some(other) = holders.insert(duty, index) {
+                    panic!(
+                        "{duty:?} is held by nodes {other} and {index} at {}",
+                        self.now_ms
+                    );
+                }
+            }
+        }
+    }
+
+    fn next_ms(&mut self) -> MonoMs {
+        let origin = self.origin;
+        let running = self.nodes.iter_mut().filter(|n| n.life == Life::Running);
+        let next = running.filter_map(|node| {
+            let at = node.stakker.next_expiry()?;
+            let span = at.saturating_duration_since(origin).div_f64(node.rate);
+            Some(MonoMs(span.as_millis() as u64 + 1))
+        });
+        let next = next.min().unwrap_or(MonoMs(u64::MAX));
+        next.max(self.now_ms + SpanMs(1))
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,8 +3,20 @@
 //! Terms: the *callers' interface* takes completions and service calls; the *administration API*
 //! takes the operators' calls on an address of its own.
 
+mod admin;
+mod callers;
+mod calls;
+mod http;
+mod settings;
+
+pub use admin::Admin;
+pub use callers::Callers;
+#[doc(hidden)]
+pub use callers::decoding;
+pub use settings::{AdminSettings, BindError, CallersSettings};
+
 use bluebell_base::prelude::*;
-use bluebell_control::Published;
+use bluebell_control::{Published, VersionSeen};
 
 /// Takes the answer to an operator's call.
 pub type Reply<T> = Box<dyn FnOnce(Result<T, Error>) + Send>;
@@ -13,8 +25,8 @@
 pub enum AdminCall {
     /// The configuration in force: version and text.
     Config(Reply<ConfigText>),
-    /// Earlier versions still known, oldest first.
-    History(Reply<Vec<ConfigText>>),
+    /// The versions that came into force at this node, oldest first.
+    History(Reply<Vec<VersionSeen>>),
     /// Publish a configuration based on a version.
     Publish {
         /// The version it was based on.
--- a/crates/stand-ins/src/engine/call/mod.rs
+++ b/crates/stand-ins/src/engine/call/mod.rs
@@ -54,7 +54,7 @@
             deadline_ms: call.deadline_ms,
             skip_events: call.continue_from.len() as u64,
             group: call.group,
-            lent_tokens: Tokens::ZERO,
+            lent_tokens: call.group_kv_tokens,
         }
     }
 }
@@ -165,7 +165,7 @@
     pub finished: u64,
 }
 
-/// A request whose work was begun more than once.
+/// How often work of a request was begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct RepeatedRun {
     /// The request.
