--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -95,6 +95,7 @@
                 self.phase = Phase::Queued;
                 self.tell_admitted(cx);
             }
+            Err(refusal) if self.may_wait_for(refusal.reason) => self.back_off(cx),
             Err(refusal) => {
                 // The policy does not keep what it refuses, so there is nothing to withdraw.
                 self.phase = Phase::Backoff {
@@ -105,11 +106,28 @@
         }
     }
 
+    /// Whether work that was begun and lost its engine waits for the refusal's reason to pass.
+    ///
+    /// Its caller has part of an answer, or can't be told that nothing ran: giving it up because
+    /// the fleet is short just after the engine died would lose what waiting a moment may save.
+    /// Work that hasn't run is given back at once, so that its caller can choose.
+    fn may_wait_for(&self, reason: RefusalReason) -> bool {
+        let passing = match reason {
+            RefusalReason::NoEngine | RefusalReason::Overloaded | RefusalReason::OverShare => true,
+            RefusalReason::TooLate | RefusalReason::TooLong => false,
+        };
+        passing && self.verdict() != Verdict::NotRun
+    }
+
     /// The policy gives up what it had taken.
     pub fn on_refuse(&mut self, refusal: Refusal, cx: &mut Context<'_>) {
         if !matches!(self.phase, Phase::Queued) {
             return;
         }
+        if self.may_wait_for(refusal.reason) {
+            self.back_off(cx);
+            return;
+        }
         // The policy no longer has it, so there is nothing to withdraw.
         self.phase = Phase::Backoff {
             until_ms: cx.now_ms,
--- a/crates/requests/tests/bounds.rs
+++ b/crates/requests/tests/bounds.rs
@@ -7,6 +7,7 @@
 use bluebell_upstreams::prompt::{expected_count, prompt_hash};
 use common::engine::Faults;
 use common::{World, call, set_faults};
+use std::rc::Rc;
 
 /// All engines refuse all work: the callers hear so, and the retries stay a small share of the
 /// calls, so that the fleet isn't held down by its own retries.
@@ -125,6 +126,26 @@
     }
 }
 
+/// The only engine dies in the middle of an answer and another one comes up a moment later: the
+/// answer goes on there, instead of being lost because no engine was there for that moment.
+#[test]
+fn a_begun_answer_waits_for_an_engine() {
+    let mut world = World::new(1, 1, 1);
+    let (_, told) = world.complete(0, call("draft", "a draft", 80));
+    world.run_for(300);
+    world.engines[0].clone().kill(&mut world.stakker);
+    world.nodes[0].engine_gone(common::card(0).name);
+    let (_, new) = world.complete(0, call("draft", "another draft", 80));
+    world.run_for(3_000);
+    let error = new.error().expect("new work is sent away at once");
+    assert_eq!(error.verdict, Verdict::NotRun);
+    world.engines[0].restart();
+    world.nodes[0].engine_live(common::card(0), Rc::new(world.engines[0].clone()));
+    world.run_for(8_000);
+    assert!(told.is_finished(), "{}", told.brief());
+    told.check("a draft", 80, 0);
+}
+
 /// The metrics are told what happened.
 #[test]
 fn the_observer_is_told() {
--- a/crates/requests/tests/chaos.rs
+++ b/crates/requests/tests/chaos.rs
@@ -5,6 +5,8 @@
 mod common;
 
 use bluebell_base::prelude::*;
+use bluebell_policy::Kind;
+use bluebell_requests::RequestsSettings;
 use bluebell_requests::call::{CallerCall, CallerId, Completion};
 use common::engine::{Faults, KV_TOKENS};
 use common::{Told, World, call, card, keyed};
@@ -69,7 +71,13 @@
     fn new(seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let (nodes, engines) = (rng.random_range(1..=2), rng.random_range(2..=4));
-        let world = World::new(nodes, engines, seed);
+        // The production policy and a baseline in turn.
+        let kind = match seed % 2 {
+            0 => Kind::Laxity,
+            _ => Kind::LeastRequests,
+        };
+        let settings = RequestsSettings::default();
+        let world = World::deciding(kind, nodes, engines, seed, settings);
         let chaos = Self {
             world,
             rng,
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -318,6 +318,17 @@
     }
 
     pub fn with(nodes: u64, engines: u64, seed: u64, settings: RequestsSettings) -> Self {
+        Self::deciding(Kind::LeastRequests, nodes, engines, seed, settings)
+    }
+
+    /// A world whose nodes decide by the policy `kind`.
+    pub fn deciding(
+        kind: Kind,
+        nodes: u64,
+        engines: u64,
+        seed: u64,
+        settings: RequestsSettings,
+    ) -> Self {
         let origin = Instant::now();
         let mut stakker = Stakker::new(origin);
         let config: Arc<FleetConfig> = Arc::new(bluebell_config::parse(CONFIG).expect("checked"));
@@ -330,7 +341,7 @@
         let mut handles = Vec::new();
         for node in 0..nodes {
             let incarnation = Incarnation(0xb0 + node);
-            let policy = PolicySettings::of(Kind::LeastRequests);
+            let policy = PolicySettings::of(kind);
             let ports = RequestsPorts {
                 timers: Timers::open(origin),
                 incarnation,
