Control: holders renew in time after an outage; operation ids differ with one seed for all nodes

Nodes started with one seed drew the same operation ids, and could take each other's records for their own; the generator now starts from the incarnation as well, and the rig gives all nodes one seed. With the other random numbers that gave, holders changed after an outage (an_outage_of_the_log): a holder's appender paused up to 10 s, takers wait 5 s. Ruled out: a longer grace, which every outage would pay for. Holders now try four times a lease and renew as soon as the appender lets them. After: the same holders after the outage with eight seeds.

--- a/crates/control/src/actor/lease_side/mod.rs
+++ b/crates/control/src/actor/lease_side/mod.rs
@@ -12,6 +12,7 @@
 use crate::{ControlEvent, Duty, Lease};
 use bluebell_base::prelude::*;
 use bluebell_platform::appender::{Appender, AppenderSettings};
+use bluebell_platform::backoff::BackoffSettings;
 use bluebell_platform::tail::{StreamPosition, Tail, TailEvent, TailSettings};
 use bluebell_platform::{LogRecord, ReadBatch};
 use bluebell_timers::Timers;
@@ -67,7 +68,7 @@
             ports.log.clone(),
             timers.clone(),
             settings.leases_stream.clone(),
-            AppenderSettings::default(),
+            appender_settings(settings),
             random.random(),
         );
         let valid_ms = settings.ttl_ms.saturating_sub(settings.margin_ms);
@@ -157,6 +158,22 @@
     }
 }
 
+/// How many times within a lease a holder tries to append again while the log fails.
+const TRIES_PER_LEASE: u64 = 4;
+
+/// Holders have to renew within the time that takers leave them after an outage, so they try more
+/// often than other writers; there are no more of them than duties.
+fn appender_settings(settings: &ControlSettings) -> AppenderSettings {
+    let backoff = BackoffSettings {
+        cap_ms: SpanMs(settings.ttl_ms.0 / TRIES_PER_LEASE),
+        ..BackoffSettings::default()
+    };
+    AppenderSettings {
+        backoff,
+        ..AppenderSettings::default()
+    }
+}
+
 impl Control {
     /// Asks where the leases stream ends, to begin a window before that: the stream holds a day
     /// of renewals, of which only the last checkpoint and what follows it matter.
@@ -364,8 +381,12 @@
     }
 
     fn on_lease_appended(&mut self, _cx: CX![], answer: Result<Offset, Error>) {
-        if answer.is_ok() {
-            self.leases.poll_soon();
+        match answer {
+            Ok(_) => self.leases.poll_soon(),
+            // Nothing was sent or taken; a renewal is due again as soon as the appender lets it.
+            Err(error) if error.verdict == Verdict::NotRun => self.leases.renewed_ms = None,
+            // Its fate is read, or shows in the next renewal's.
+            Err(_) => (),
         }
     }
 
--- a/crates/control/src/actor/mod.rs
+++ b/crates/control/src/actor/mod.rs
@@ -61,26 +61,26 @@
         seed: u64,
         events: Fwd<ControlEvent>,
     ) -> ActorOwn<Control> {
-        let start = (me, ports, timers, settings, seed, events);
-        actor!(core, Control::init(start), ret_nop!())
+        actor!(
+            core,
+            Control::init(me, ports, timers, settings, seed, events),
+            ret_nop!()
+        )
     }
 
     fn init(
         cx: CX![],
-        start: (
-            NodeIdentity,
-            ControlPorts,
-            Timers,
-            ControlSettings,
-            u64,
-            Fwd<ControlEvent>,
-        ),
+        me: NodeIdentity,
+        ports: ControlPorts,
+        timers: Timers,
+        settings: ControlSettings,
+        seed: u64,
+        events: Fwd<ControlEvent>,
     ) -> Option<Self> {
-        let (me, ports, timers, settings, seed, events) = start;
         for fault in settings.faults() {
             log::error!("control settings: {fault}");
         }
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut random = generator(seed, me.incarnation);
         let config = ConfigSide::open(cx, &ports, &timers, &settings, &mut random);
         let leases = LeaseSide::open(cx, &me, &ports, &timers, &settings, &mut random);
         let steward = Steward::spawn(cx, ports.weights.clone(), timers.clone(), settings.clone());
@@ -241,3 +241,12 @@
         OperationId(self.random.random())
     }
 }
+
+/// The generator of one process. The incarnation goes in beside the seed: two nodes that were
+/// given one seed would draw the same operation ids, and take each other's records for their own.
+fn generator(seed: u64, incarnation: Incarnation) -> ChaCha8Rng {
+    let mut bytes = <ChaCha8Rng as SeedableRng>::Seed::default();
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    bytes[8..16].copy_from_slice(&incarnation.0.to_le_bytes());
+    ChaCha8Rng::from_seed(bytes)
+}
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -244,7 +244,11 @@
 /// when the log is back the duties are held again without a rush of appends.
 #[test]
 fn an_outage_of_the_log() {
-    let mut fleet = Fleet::with_nodes(4, 9);
+    (0..8).for_each(outage_of_the_log);
+}
+
+fn outage_of_the_log(seed: u64) {
+    let mut fleet = Fleet::with_nodes(seed, 9);
     fleet.run_ms(90_000);
     let duties = fleet.settings.duties();
     let before: Vec<usize> = holders_of(&fleet, &duties);
--- a/crates/control/tests/support/spawn.rs
+++ b/crates/control/tests/support/spawn.rs
@@ -21,7 +21,7 @@
         self.spawn(name, address, self.seed * 1000 + number)
     }
 
-    pub(super) fn spawn(&mut self, name: VmName, address: Address, seed: u64) -> usize {
+    pub(super) fn spawn(&mut self, name: VmName, address: Address, incarnation: u64) -> usize {
         let rate = self.next_rate;
         let mut stakker = Stakker::new(self.local(rate));
         let timers = Timers::open(self.origin);
@@ -43,7 +43,7 @@
             counts: counts.clone(),
         });
         let peers: Rc<dyn PeerPort> = Network::port(&self.net, &address);
-        let incarnation = Incarnation(seed);
+        let incarnation = Incarnation(incarnation);
         let on_control = forward(&stakker, &hub, Hub::on_control);
         let control = Control::spawn(
             &mut stakker,
@@ -58,7 +58,7 @@
             },
             timers.clone(),
             self.settings.clone(),
-            seed,
+            self.seed,
             on_control,
         );
         let on_member = forward(&stakker, &hub, Hub::on_member);
@@ -72,7 +72,7 @@
             },
             timers,
             self.members_settings.clone(),
-            seed + 7,
+            self.seed,
             on_member,
         );
         *hub.control.borrow_mut() = Some(control.clone());
--- a/crates/members/src/actor/mod.rs
+++ b/crates/members/src/actor/mod.rs
@@ -57,29 +57,29 @@
         seed: u64,
         events: Fwd<MemberEvent>,
     ) -> ActorOwn<Members> {
-        let start = (card, ports, timers, settings, seed, events);
-        actor!(core, Members::init(start), ret_nop!())
+        actor!(
+            core,
+            Members::init(card, ports, timers, settings, seed, events),
+            ret_nop!()
+        )
     }
 
     fn init(
         cx: CX![],
-        start: (
-            NodeCard,
-            MembersPorts,
-            Timers,
-            MembersSettings,
-            u64,
-            Fwd<MemberEvent>,
-        ),
+        card: NodeCard,
+        ports: MembersPorts,
+        timers: Timers,
+        settings: MembersSettings,
+        seed: u64,
+        events: Fwd<MemberEvent>,
     ) -> Option<Self> {
-        let (card, ports, timers, settings, seed, events) = start;
         let mut nodes = Nodes::new(card.address.clone());
         settings
             .seeds
             .iter()
             .for_each(|seed| nodes.on_candidate(seed));
         let now_ms = timers.now_ms(cx);
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut random = generator(seed, card.incarnation);
         let list_side = ListingSide::open(cx, &ports, &timers, &settings, &mut random);
         let mut members = Self {
             evidence: Evidence::new(settings.refusal_ms),
@@ -204,3 +204,12 @@
         self.events.fwd(MemberEvent::Nodes(self.nodes.live()));
     }
 }
+
+/// The generator of one process. The incarnation goes in beside the seed: two nodes that were
+/// given one seed would draw the same operation ids, and take each other's records for their own.
+fn generator(seed: u64, incarnation: Incarnation) -> ChaCha8Rng {
+    let mut bytes = <ChaCha8Rng as SeedableRng>::Seed::default();
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    bytes[8..16].copy_from_slice(&incarnation.0.to_le_bytes());
+    ChaCha8Rng::from_seed(bytes)
+}
