--- a/crates/control/src/actor/lease_side/duties.rs
+++ b/crates/control/src/actor/lease_side/duties.rs
@@ -273,10 +273,12 @@
         {
             return;
         }
-        let written_ms = *self.leases.checkpoint_ms.get_or_insert(now_ms);
-        let old = now_ms.since(written_ms) >= self.settings.checkpoint_ms;
+        let since_ms = |at_ms: MonoMs| now_ms.since(at_ms);
+        let written_ms = self.leases.checkpoint_ms;
+        // Where none was seen, one is due: nodes that start now can't know the leases.
+        let old = written_ms.is_none_or(|at_ms| since_ms(at_ms) >= self.settings.checkpoint_ms);
         let many = self.leases.next.0 >= self.leases.checkpoint_at.0 + CHECKPOINT_RECORDS;
-        let spaced = now_ms.since(written_ms) >= self.settings.leases_tail_ms;
+        let spaced = written_ms.is_none_or(|at_ms| since_ms(at_ms) >= self.settings.leases_tail_ms);
         if old || (many && spaced) {
             self.leases.checkpoint_ms = Some(now_ms);
             let op = self.operation();
--- a/crates/control/src/actor/lease_side/mod.rs
+++ b/crates/control/src/actor/lease_side/mod.rs
@@ -25,8 +25,9 @@
 /// The time between two tries to find the stream's end at the start.
 const FIND_END_AGAIN_MS: SpanMs = SpanMs(500);
 
-/// How many checkpoint intervals a reader that knows nothing waits before it resets all leases.
-const RESET_AFTER_CHECKPOINTS: u64 = 3;
+/// How many checkpoint intervals a reader that knows nothing waits before it resets all leases;
+/// in that time a holder that has died is replaced and its successor writes a checkpoint.
+const RESET_AFTER_CHECKPOINTS: u64 = 2;
 
 /// The lease half's state.
 pub(super) struct LeaseSide {
