--- a/crates/ctl/src/commands/bench.rs
+++ b/crates/ctl/src/commands/bench.rs
@@ -45,6 +45,7 @@
         parts,
         policies,
         loads: defaults.loads,
+        production: defaults.production,
         json: args.json_file.as_ref().map(Into::into),
         svg: args.svg_file.as_ref().map(Into::into),
     })
