--- a/crates/policy/src/settings/mod.rs
+++ b/crates/policy/src/settings/mod.rs
@@ -13,6 +13,9 @@
     /// The production policy: least laxity first, long work in slack.
     #[default]
     Laxity,
+    /// The production policy before it recalled work, and what is left of it on a node that does
+    /// not carry recalls out.
+    NoRecall,
     /// Baseline: one engine after the other.
     RoundRobin,
     /// Baseline: the engine with the fewest requests.
@@ -23,16 +26,23 @@
 
 impl Kind {
     /// All policies, the production one last.
-    pub const ALL: [Kind; 4] = [
+    pub const ALL: [Kind; 5] = [
         Kind::RoundRobin,
         Kind::LeastRequests,
         Kind::LeastTokens,
+        Kind::NoRecall,
         Kind::Laxity,
     ];
 
+    /// Whether it is one of the simple policies that ours is compared with.
+    pub fn is_baseline(self) -> bool {
+        !matches!(self, Kind::Laxity | Kind::NoRecall)
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Kind::Laxity => "laxity",
+            Kind::NoRecall => "no-recall",
             Kind::RoundRobin => "round-robin",
             Kind::LeastRequests => "least-requests",
             Kind::LeastTokens => "least-tokens",
@@ -77,7 +87,8 @@
     pub tick_ms: SpanMs,
     /// The most engines of a group, the leader included.
     pub group_parts: usize,
-    /// The prefill rate assumed of an engine before any was measured, in tokens a second.
+    /// The prefill rate assumed of the engines before any was measured, in tokens a second; rather
+    /// too high than too low, as work refused for a wrong guess teaches nothing.
     pub prior_prefill: PerSecond,
     /// The overhead assumed before any was measured.
     pub prior_overhead_ms: SpanMs,
@@ -89,13 +100,13 @@
             kind: Kind::Laxity,
             window: 32,
             choices: 2,
-            deferrable_ms: SpanMs(1_000),
+            deferrable_ms: SpanMs(500),
             slack_ms: SpanMs(250),
             room_share: 0.05,
             short_share: 0.12,
             tick_ms: SpanMs(20),
             group_parts: 8,
-            prior_prefill: PerSecond(10_000.0),
+            prior_prefill: PerSecond(30_000.0),
             prior_overhead_ms: SpanMs(30),
         }
     }
