Members: the directory's writer shows between two fetches that it is at work

A writer that can't reach the list stops its beats half a minute after its next fetch was due, so the others look for themselves. Nothing is written within 2 s before a fetch, since a record not yet read back would hold up that of the fetch's changes.

--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -296,3 +296,31 @@
         assert_eq!(replaced.collect::<Vec<_>>(), vec![dead], "node {index}");
     }
 }
+
+/// The list is so long that its writer fetches it once in two minutes, while a stream without a
+/// record for half a minute counts as stale. All nodes fetched the list themselves then, all the
+/// time: 400 copies of it where one would do. The writer has to show between two fetches that it
+/// is at work; once it can't reach the list any more, the others look for themselves.
+#[test]
+fn a_long_list_is_fetched_by_one() {
+    let mut fleet = fleet(11, 5, 0);
+    (0..1_800).for_each(|number| fleet.list_engine(number, "writers"));
+    fleet.run_ms(400_000);
+    let lists = |fleet: &Fleet| fleet.model.borrow().stats().lists;
+    let before = lists(&fleet);
+    fleet.run_ms(600_000);
+    let asked = lists(&fleet) - before;
+    assert!((3..=12).contains(&asked), "{asked} fetches in 600 s");
+
+    let holder = (0..5).find(|index| {
+        let held = fleet.nodes[*index].held.borrow();
+        held.contains_key(&Duty::Directory)
+    });
+    let writer = holder.expect("a writer");
+    fleet.add_fault(writer, Operation::ListVms, u32::MAX, Fault::Down);
+    fleet.run_ms(400_000);
+    let before = lists(&fleet);
+    fleet.run_ms(600_000);
+    let asked = lists(&fleet) - before;
+    assert!(asked >= 12, "{asked} fetches in 600 s without the writer's");
+}
--- a/crates/members/src/actor/directory_side.rs
+++ b/crates/members/src/actor/directory_side.rs
@@ -241,6 +241,21 @@
             self.follow_directory(cx, Offset(0));
         }
         self.write_full_if_due(cx, now_ms);
+        self.write_beat_if_due(cx, now_ms);
+    }
+
+    /// Writes between two fetches that the writer is at work.
+    ///
+    /// A long list is fetched less often than the stream goes stale. Were beats written by fetches
+    /// alone, all nodes would take the stream for stale all the time and fetch the list
+    /// themselves, hundreds of copies of it for one. A writer that can't reach the list stops to
+    /// write beats soon after a fetch is due, so that the others do look for themselves.
+    fn write_beat_if_due(&mut self, cx: CX![], now_ms: MonoMs) {
+        let beat_ms = self.list_side.directory.beat_ms;
+        let due = beat_ms.is_none_or(|at_ms| now_ms.since(at_ms) >= self.settings.beat_ms);
+        if due && !self.list_side.fetches_soon(now_ms) && self.speaks_for_list(now_ms) {
+            self.write_changes(cx, Vec::new(), now_ms);
+        }
     }
 
     fn may_write(&self, now_ms: MonoMs) -> Option<Fencing> {
--- a/crates/members/src/actor/listing_side.rs
+++ b/crates/members/src/actor/listing_side.rs
@@ -15,6 +15,9 @@
 /// How long a fetch may stay unanswered before another is made.
 const ANSWER_MS: SpanMs = SpanMs::from_secs(10);
 
+/// How long before a fetch nothing is written that could wait.
+const BEFORE_FETCH_MS: SpanMs = SpanMs::from_secs(2);
+
 /// The time between fetches until the first one has succeeded.
 const FIRST_MS: SpanMs = SpanMs(1_000);
 
@@ -25,6 +28,8 @@
     asked_ms: Option<MonoMs>,
     next_ms: MonoMs,
     size_bytes: Bytes,
+    /// When the list was last fetched, and how long the next fetch waits from then at most.
+    fetched: Option<(MonoMs, SpanMs)>,
     pub(super) duty: Option<Duty>,
     pub(super) directory: Directory,
 }
@@ -52,6 +57,7 @@
             asked_ms: None,
             next_ms: now_ms,
             size_bytes: Bytes::ZERO,
+            fetched: None,
             duty: None,
             directory: Directory::open(cx, ports, timers, settings, random),
         }
@@ -71,6 +77,12 @@
         self.directory.replaying
     }
 
+    /// Whether a fetch is under way or comes so soon that a record written now may not be read
+    /// back by then, and would hold up that of the fetch's changes.
+    pub(super) fn fetches_soon(&self, now_ms: MonoMs) -> bool {
+        self.asked_ms.is_some() || now_ms + BEFORE_FETCH_MS >= self.next_ms
+    }
+
     /// Makes the next fetch due at `at_ms` at the latest.
     pub(super) fn fetch_by(&mut self, at_ms: MonoMs) {
         self.next_ms = self.next_ms.min(at_ms);
@@ -108,6 +120,14 @@
         duty.is_some_and(|duty| now_ms < duty.until_ms)
     }
 
+    /// Whether the list was fetched so lately that this node may speak for it.
+    pub(super) fn speaks_for_list(&self, now_ms: MonoMs) -> bool {
+        let fetched = self.list_side.fetched;
+        let until_ms =
+            |(at_ms, wait_ms): (MonoMs, SpanMs)| at_ms + wait_ms + self.settings.stale_ms;
+        fetched.is_some_and(|fetched| now_ms < until_ms(fetched))
+    }
+
     pub(super) fn tick_listing(&mut self, cx: CX![], now_ms: MonoMs) {
         self.tick_directory(cx, now_ms);
         let waiting = self.list_side.asked_ms;
@@ -127,9 +147,10 @@
     fn on_list(&mut self, cx: CX![], answer: Option<Result<Vec<VmEntry>, Error>>) {
         let now_ms = self.timers.now_ms(cx);
         self.list_side.asked_ms = None;
-        if let Some(Ok(fetched)) = answer {
-            self.list_side.size_bytes = size_of(&fetched);
-            self.take_list(cx, &fetched, now_ms);
+        let fetched = answer.and_then(Result::ok);
+        if let Some(fetched) = &fetched {
+            self.list_side.size_bytes = size_of(fetched);
+            self.take_list(cx, fetched, now_ms);
         }
         let interval_ms = match () {
             () if !self.list_side.complete => FIRST_MS,
@@ -141,7 +162,11 @@
         // by their refusals meanwhile.
         let paced_ms = self.list_side.size_bytes.0 as f64 / self.settings.list_bytes.0 * 1000.0;
         let interval_ms = interval_ms.max(SpanMs(paced_ms as u64));
-        self.list_side.next_ms = now_ms + self.vary(interval_ms);
+        let wait_ms = self.vary(interval_ms);
+        self.list_side.next_ms = now_ms + wait_ms;
+        if fetched.is_some() {
+            self.list_side.fetched = Some((now_ms, wait_ms));
+        }
     }
 
     /// A time between half and one and a half of `span_ms`, so that nodes that began together
