--- a/crates/capacity/src/measure/idle.rs
+++ b/crates/capacity/src/measure/idle.rs
@@ -7,6 +7,10 @@
 use bluebell_base::prelude::*;
 use std::time::Instant;
 
+/// The two-year size, for its proportion.
+const FLEET_NODES: usize = 400;
+const FLEET_UPSTREAMS: usize = 1_800;
+
 /// Upstreams on the list while the number of nodes varies.
 const ENGINES: usize = 30;
 
@@ -117,3 +121,17 @@
     let title = format!("Nothing changes, {ENGINES} upstreams; JSON bytes without HTTP's own");
     table(&title, "nodes", &sizes.nodes, &rows)
 }
+
+/// By the number of nodes, with upstreams in the proportion of the two-year size.
+pub(super) fn by_fleet(sizes: &Sizes) -> Table {
+    let measure = |nodes: &usize| {
+        let engines = *nodes * FLEET_UPSTREAMS / FLEET_NODES;
+        let mut rig = settled(sizes.seed, *nodes, engines);
+        let mut row = Idle::measure(&mut rig, sizes.span_ms).row();
+        row.push(("upstreams", engines as f64));
+        row
+    };
+    let rows: Vec<_> = sizes.nodes.iter().map(measure).collect();
+    let title = "Nothing changes, 4.5 upstreams a node; JSON bytes without HTTP's own";
+    table(title, "nodes", &sizes.nodes, &rows)
+}
--- a/crates/capacity/src/measure/memory.rs
+++ b/crates/capacity/src/measure/memory.rs
@@ -30,6 +30,10 @@
     bytes.max(0.0)
 }
 
+fn parsed(accounts: usize) -> Option<FleetConfig> {
+    config(accounts).ok()
+}
+
 fn config(accounts: usize) -> Result<FleetConfig, Error> {
     let text = config_text(accounts, 1);
     serde_json::from_str(&text).map_err(|_| failed("the configuration does not parse"))
@@ -41,7 +45,7 @@
         let config = config(*accounts)?;
         let text = config_text(*accounts, 1);
         rows.push(vec![
-            ("configuration, parsed, B", bytes_of(|| config.clone())),
+            ("configuration, parsed, B", bytes_of(|| parsed(*accounts))),
             ("configuration, text, B", bytes_of(|| String::from(&*text))),
             (
                 "policy, B",
--- a/crates/capacity/src/measure/mod.rs
+++ b/crates/capacity/src/measure/mod.rs
@@ -24,6 +24,8 @@
     Nodes,
     /// Traffic, processor time and time to notice by the number of upstreams.
     Upstreams,
+    /// Traffic and processor time by the number of nodes, each with 4.5 upstreams.
+    Fleet,
     /// Changes of configurations by their size.
     Config,
     /// The time until a change is in force everywhere by the number of nodes.
@@ -39,9 +41,10 @@
 }
 
 /// All parts in the order they are run.
-pub const PARTS: [Part; 8] = [
+pub const PARTS: [Part; 9] = [
     Part::Nodes,
     Part::Upstreams,
+    Part::Fleet,
     Part::Config,
     Part::Force,
     Part::Start,
@@ -56,6 +59,7 @@
         match self {
             Part::Nodes => "nodes",
             Part::Upstreams => "upstreams",
+            Part::Fleet => "fleet",
             Part::Config => "config",
             Part::Force => "force",
             Part::Start => "start",
@@ -113,6 +117,7 @@
     let tables = match part {
         Part::Nodes => vec![idle::by_nodes(sizes)],
         Part::Upstreams => vec![upstreams::by_upstreams(sizes)?],
+        Part::Fleet => vec![idle::by_fleet(sizes)],
         Part::Config => vec![agreed::by_size(sizes)?],
         Part::Force => vec![agreed::by_nodes(sizes)?],
         Part::Start => vec![start::by_changes(sizes)?],
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -261,7 +261,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
 pub struct Capacity {
-    /// a part to measure: nodes, upstreams, config, force, start, outage, memory or wire; repeat
+    /// a part to measure: nodes, upstreams, fleet, config, force, start, outage, memory or wire; repeat
     /// for more (default all)
     #[argh(option)]
     pub part: Vec<String>,
--- a/scripts/idle-nodes.sh
+++ b/scripts/idle-nodes.sh
@@ -82,6 +82,8 @@
             if ($1 < '"$upstreams"') print "next"
         }' >"$work/curl"
         curl -s -K "$work/curl"
+        # A node that fetched the list before these are seen would fetch it again only much later.
+        sleep 3
     fi
     local own=()
     for i in $(seq "$nodes"); do
