Stand-in engine: an attempt behind the whole text ends at once

Cause: generate with a continue_from as long as the answer was refused as invalid, so repeatable work whose engine died before the end of its answer failed with ran, though the text was whole. Ruled out: the requests, whose next attempt was right. Before: the call was refused (nothing is left to generate). After: it finishes without a token; cargo test -p bluebell-stand-ins passes.

--- a/crates/stand-ins/src/engine/model/life/mod.rs
+++ b/crates/stand-ins/src/engine/model/life/mod.rs
@@ -94,8 +94,8 @@
         if !self.serves(&call.model) {
             return refuse("the engine does not serve the model");
         }
-        if call.skip_events >= self.answer_events(call) {
-            let text = "nothing is left to generate";
+        if call.skip_events > self.answer_events(call) {
+            let text = "the text to go on from is longer than the answer";
             return Err(Error::not_run(ErrorKind::Invalid, text));
         }
         Ok(())
--- a/crates/stand-ins/src/engine/model/step/mod.rs
+++ b/crates/stand-ins/src/engine/model/step/mod.rs
@@ -139,6 +139,10 @@
         let Some(stream) = self.streams.get_mut(key) else {
             return;
         };
+        // An earlier attempt gave the whole text and only its end was lost.
+        if stream.produced >= stream.total {
+            return self.finish(key, now_us);
+        }
         let seq = EventSeq(stream.produced);
         stream.produced += 1;
         stream.computed_tokens += 1;
--- a/crates/stand-ins/tests/engine_contract.rs
+++ b/crates/stand-ins/tests/engine_contract.rs
@@ -214,6 +214,27 @@
     }
 }
 
+/// An engine dies between the last token and the end of the answer. The caller has the whole text
+/// and gets an error, unless the attempt that goes on behind it ends at once, without a token.
+#[test]
+fn an_attempt_behind_the_whole_text_ends_at_once() {
+    for (kind, real) in KINDS {
+        println!("{kind}");
+        let mut rig = Rig::open(real, settings());
+        let mut call = generate(1, PROMPT, MAX_TOKENS);
+        call.continue_from = expected().into_iter().map(|token| token.1).collect();
+        let count = call.continue_from.len() as u64;
+        let seen = rig.generate(call);
+        let events = rig.finish(&seen);
+        assert_eq!(tokens(&events, 1), []);
+        let last = events.last().expect("an end").body.clone();
+        assert!(
+            matches!(last, EventBody::Finished { count: c, .. } if c == count),
+            "{last:?}"
+        );
+    }
+}
+
 #[test]
 fn a_dead_engine_is_a_certain_not_run() {
     for (kind, real) in KINDS {
