--- a/crates/ctl/src/commands/bench.rs
+++ b/crates/ctl/src/commands/bench.rs
@@ -44,9 +44,9 @@
         threads: args.threads.unwrap_or(defaults.threads),
         parts,
         policies,
-        loads: defaults.loads,
         json: args.json_file.as_ref().map(Into::into),
         svg: args.svg_file.as_ref().map(Into::into),
+        ..defaults
     })
 }
 
