--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,7 +4,7 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
-use super::placement::SHORT_TOKENS;
+use super::placement::{LARGE_TOKENS, SHORT_TOKENS, Scored};
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
@@ -80,9 +80,9 @@
     fn free_share(&self) -> f64 {
         let slack_ms = self.settings.slack_ms.0 as f64;
         let open = || self.scratch.scored.iter().filter(|s| !s.kept);
-        let free = open()
-            .filter(|s| s.fits && s.backlog_ms <= slack_ms)
-            .count();
+        // Whether this very job fits says nothing of the fleet: the longest fit nowhere alone.
+        let is_free = |s: &&Scored| s.kv_free >= LARGE_TOKENS && s.backlog_ms <= slack_ms;
+        let free = open().filter(is_free).count();
         free as f64 / open().count().max(1) as f64
     }
 
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -36,7 +36,7 @@
 /// A cache that saves less than this is not sought, in milliseconds.
 const WORTH_CACHE_MS: f64 = 50.0;
 /// Work that takes so much memory may borrow some where no engine has enough, in tokens.
-const LARGE_TOKENS: u64 = 65_536;
+pub(super) const LARGE_TOKENS: u64 = 65_536;
 /// An engine with less wait than this counts as idle, in milliseconds.
 const IDLE_MS: f64 = 10.0;
 /// Work ahead on an engine that goes before a short job at most, in tokens: about one step.
