--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -107,8 +107,7 @@
 
     /// How long the job is predicted to wait before its prefill begins.
     fn predicted_wait_ms(&mut self, job: &Job, now_ms: MonoMs) -> f64 {
-        let best = self.best_ahead(job, now_ms);
-        let engine_ms = best.map_or(0.0, |scored| scored.wait_ms);
+        let engine_ms = self.engine_wait_ms(job, now_ms);
         if !self.deferrable(job) {
             return engine_ms;
         }
@@ -125,6 +124,18 @@
         engine_ms + queue_ms
     }
 
+    /// The wait on the engine where the job could begin first. Work that may borrow memory needs
+    /// none of the engines to have enough alone.
+    fn engine_wait_ms(&mut self, job: &Job, now_ms: MonoMs) -> f64 {
+        let best = self.best_ahead(job, now_ms);
+        let alone_ms = best.map_or(0.0, |scored| scored.wait_ms);
+        if !self.may_borrow(job) || self.lendable_tokens() < job.kv_tokens().0 {
+            return alone_ms;
+        }
+        let backlogs = self.scratch.scored.iter().map(|scored| scored.backlog_ms);
+        backlogs.fold(alone_ms, f64::min)
+    }
+
     /// When an account's decaying work will be down to the level, if it asks for nothing more.
     fn over_share_ms(&self, over: f64) -> f64 {
         over.ln() * crate::shares::DECAY_MS
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -9,6 +9,7 @@
 use crate::groups::{self, Offer};
 use crate::job::{Decision, Job, Refusal, RefusalReason};
 use crate::jobs::Slot;
+use crate::settings::PolicySettings;
 use crate::tables::Placement;
 use bluebell_base::prelude::*;
 use rand::Rng;
@@ -79,6 +80,19 @@
     backlog_tokens.min(prefill_tokens + STEP_TOKENS)
 }
 
+impl Scored {
+    /// The memory that the engine can give to a group.
+    fn lendable_tokens(&self, settings: &PolicySettings) -> u64 {
+        let share = match self.kept {
+            true => LENT_ROOM_SHARE,
+            false => settings.room_share,
+        };
+        let room = (self.kv_capacity as f64 * share) as u64;
+        let free = if self.takes_group { self.kv_free } else { 0 };
+        free.saturating_sub(room)
+    }
+}
+
 /// A part of the indexes from a random place on, all of them where they are few enough.
 fn window(
     indexes: Range<usize>,
@@ -343,20 +357,21 @@
         Some(self.place(job, chosen, now_ms))
     }
 
+    /// The memory that the engines scored last can give to a group together.
+    pub(super) fn lendable_tokens(&self) -> u64 {
+        let scored = self.scratch.scored.iter();
+        scored.map(|s| s.lendable_tokens(&self.settings)).sum()
+    }
+
     /// A group: its leader from the long end, its members first among the engines kept for short
     /// work, as lending memory costs no step there.
     fn place_group(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
         let urgent = now_ms >= self.latest_start_ms(job);
         let slack_ms = self.settings.slack_ms.0 as f64;
-        let room_share = self.settings.room_share;
-        let offer = |s: &Scored| {
-            let share = if s.kept { LENT_ROOM_SHARE } else { room_share };
-            let room = (s.kv_capacity as f64 * share) as u64;
-            let free = if s.takes_group { s.kv_free } else { 0 };
-            Offer {
-                upstream: s.upstream,
-                kv_tokens: free.saturating_sub(room),
-            }
+        let settings = &self.settings;
+        let offer = |s: &Scored| Offer {
+            upstream: s.upstream,
+            kv_tokens: s.lendable_tokens(settings),
         };
         let mut offers = std::mem::take(&mut self.scratch.offers);
         offers.clear();
