Policy: work is urgent while it can still share a busy engine's steps in time

Cause: queued work went to a busy engine at the last instant at which an idle one would do, and so was late by the running step.

--- a/crates/policy/src/laxity/order.rs
+++ b/crates/policy/src/laxity/order.rs
@@ -6,6 +6,8 @@
 use bluebell_base::prelude::*;
 use bluebell_upstreams::Priority;
 
+/// What a busy engine's steps cost work that comes to it.
+const STEPS_MS: SpanMs = SpanMs(350);
 /// Steps of priority for each doubling of the laxity.
 const STEPS_PER_DOUBLING: f64 = 4.0;
 
@@ -23,6 +25,12 @@
         job.first_token_due_ms - self.service_ms(job)
     }
 
+    /// Whether the job cannot wait longer: on a busy engine it waits for the running step and shares
+    /// the next one, which must still fit before its target.
+    pub(super) fn is_urgent(&self, job: &Job, now_ms: MonoMs) -> bool {
+        now_ms + STEPS_MS >= self.latest_start_ms(job)
+    }
+
     /// The job's prefill alone on an idle engine, by the fleet's mean speed.
     pub(super) fn service_ms(&self, job: &Job) -> SpanMs {
         let cost = self.tables.fleet.mean_cost();
--- a/crates/policy/src/laxity/placement.rs
+++ b/crates/policy/src/laxity/placement.rs
@@ -332,7 +332,7 @@
     fn place_in_slack(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
         let slack_ms = self.settings.slack_ms.0 as f64;
         let scored = &self.scratch.scored;
-        let urgent = now_ms >= self.latest_start_ms(job);
+        let urgent = self.is_urgent(job, now_ms);
         let open = |s: &Scored| !s.last && (urgent || !s.kept);
         let has_slack = |s: &&Scored| open(s) && s.backlog_ms <= slack_ms && s.fits;
         let mut chosen: Option<Scored> = None;
@@ -366,7 +366,7 @@
     /// A group: its leader from the long end, its members first among the engines kept for short
     /// work, as lending memory costs no step there.
     fn place_group(&mut self, job: &Job, now_ms: MonoMs) -> Option<Placement> {
-        let urgent = now_ms >= self.latest_start_ms(job);
+        let urgent = self.is_urgent(job, now_ms);
         let slack_ms = self.settings.slack_ms.0 as f64;
         let settings = &self.settings;
         let offer = |s: &Scored| Offer {
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -93,7 +93,7 @@
         let own_ms = cost.prefill_ms(entry.prefill_tokens);
         let cached_ms = cost.prefill_ms(job.prompt_tokens.0 as f64) - own_ms;
         let slack_ms = self.settings.slack_ms.0 as f64;
-        let may_wait = self.deferrable(&job) && now_ms < self.latest_start_ms(&job);
+        let may_wait = self.deferrable(&job) && !self.is_urgent(&job, now_ms);
         if may_wait && ahead_ms > slack_ms + cached_ms {
             return true;
         }
