--- a/crates/policy/src/settings/mod.rs
+++ b/crates/policy/src/settings/mod.rs
@@ -100,7 +100,7 @@
             kind: Kind::Laxity,
             window: 32,
             choices: 2,
-            deferrable_ms: SpanMs(500),
+            deferrable_ms: SpanMs(700),
             slack_ms: SpanMs(250),
             room_share: 0.05,
             short_share: 0.12,
