--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,7 +4,7 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
-use super::placement::SHORT_TOKENS;
+use super::placement::{LARGE_TOKENS, SHORT_TOKENS, Scored};
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
@@ -80,9 +80,9 @@
     fn free_share(&self) -> f64 {
         let slack_ms = self.settings.slack_ms.0 as f64;
         let open = || self.scratch.scored.iter().filter(|s| !s.kept);
-        let free = open()
-            .filter(|s| s.fits && s.backlog_ms <= slack_ms)
-            .count();
+        // Whether this very job fits says nothing of the fleet: the longest fit nowhere alone.
+        let is_free = |s: &&Scored| s.kv_free >= LARGE_TOKENS && s.backlog_ms <= slack_ms;
+        let free = open().filter(is_free).count();
         free as f64 / open().count().max(1) as f64
     }
 
@@ -107,8 +107,7 @@
 
     /// How long the job is predicted to wait before its prefill begins.
     fn predicted_wait_ms(&mut self, job: &Job, now_ms: MonoMs) -> f64 {
-        let best = self.best_ahead(job, now_ms);
-        let engine_ms = best.map_or(0.0, |scored| scored.wait_ms);
+        let engine_ms = self.engine_wait_ms(job, now_ms);
         if !self.deferrable(job) {
             return engine_ms;
         }
@@ -125,6 +124,18 @@
         engine_ms + queue_ms
     }
 
+    /// The wait on the engine where the job could begin first. Work that may borrow memory needs
+    /// none of the engines to have enough alone.
+    fn engine_wait_ms(&mut self, job: &Job, now_ms: MonoMs) -> f64 {
+        let best = self.best_ahead(job, now_ms);
+        let alone_ms = best.map_or(0.0, |scored| scored.wait_ms);
+        if !self.may_borrow(job) || self.lendable_tokens() < job.kv_tokens().0 {
+            return alone_ms;
+        }
+        let backlogs = self.scratch.scored.iter().map(|scored| scored.backlog_ms);
+        backlogs.fold(alone_ms, f64::min)
+    }
+
     /// When an account's decaying work will be down to the level, if it asks for nothing more.
     fn over_share_ms(&self, over: f64) -> f64 {
         over.ln() * crate::shares::DECAY_MS
