Node: only an engine's own word counts as leaving

Cause: an attempt that an engine did not take (any certain not_run of kind unavailable, a refused connection among them) was told to membership as leaving, and membership tells peers: a node whose network is broken would have shut every engine out of the fleet for a minute. Found by reading. Change: the engine's load is asked at once; its report says whether it leaves. Before: an_engine_that_refuses_connections_is_not_said_to_leave fails (the node's refused list names the engine).

--- a/crates/node/src/hub/fleet.rs
+++ b/crates/node/src/hub/fleet.rs
@@ -279,8 +279,12 @@
         self.parts.requests.engine_cache(name, events);
     }
 
-    /// An engine refused work because it leaves.
-    pub fn on_upstream_refused(&mut self, _cx: CX![], name: UpstreamName) {
-        call!([self.parts.members], upstream_refused(name));
+    /// An engine did not take work, perhaps because it leaves: it is asked at once.
+    ///
+    /// Guards against a node whose own way to the engines is broken: it would tell its peers that
+    /// all of them leave, and the fleet would send them nothing for a minute. Only the engine's
+    /// own word, in its load report, counts as leaving; a refused connection does not.
+    pub fn on_upstream_refused(&mut self, cx: CX![], name: UpstreamName) {
+        self.ask_load(cx, &name);
     }
 }
--- a/crates/node/src/ports/observer.rs
+++ b/crates/node/src/ports/observer.rs
@@ -1,18 +1,18 @@
-//! What happens to requests, written into the metrics and told to membership.
+//! What happens to requests, written into the metrics and told to the hub.
 
 use bluebell_base::prelude::*;
 use bluebell_requests::{LengthBand, RefusedBy, RequestObserver};
 use bluebell_telemetry::Metrics;
 use stakker::Fwd;
 
-/// Writes metrics; hands upstreams that refused because they leave to membership.
+/// Writes metrics; hands on the upstreams that did not take work, which may be leaving.
 pub struct NodeObserver {
     metrics: Arc<Metrics>,
     refused: Fwd<UpstreamName>,
 }
 
 impl NodeObserver {
-    /// Opens the observer; `refused` gets the upstreams that say they are leaving.
+    /// Opens the observer; `refused` gets the upstreams that did not take work.
     pub fn open(metrics: Arc<Metrics>, refused: Fwd<UpstreamName>) -> Box<dyn RequestObserver> {
         Box::new(Self { metrics, refused })
     }
@@ -65,7 +65,7 @@
 
     fn upstream_refused(&mut self, upstream: &UpstreamName, error: &Error) {
         self.metrics.upstream_refused();
-        // Only "unavailable" says that it leaves; "overloaded" passes by itself.
+        // Only "unavailable" may mean that it leaves; "overloaded" passes by itself.
         if error.kind == ErrorKind::Unavailable {
             self.refused.fwd(upstream.clone());
         }
--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! Nodes over real sockets, before stand-ins in the same process.
 
+mod leaving;
 mod path;
 mod streams;
 mod support;
--- a/crates/node/tests/sockets/support/mod.rs
+++ b/crates/node/tests/sockets/support/mod.rs
@@ -96,28 +96,41 @@
     /// Waits until the node takes calls and knows an engine.
     pub fn wait_ready(&self, index: usize) {
         let url = self.url(index, "/readyz");
-        let admin = format!("http://{}/admin/state", self.nodes[index].addresses().admin);
         wait_for("the node to be ready", || {
             let ready = self.agent.get(&url).call();
             let ready = ready.is_ok_and(|answer| answer.status() == 200);
-            ready && self.knows_engines(&admin)
+            ready && self.knows_engines(index)
         });
     }
 
-    fn knows_engines(&self, admin: &str) -> bool {
-        let call = self.agent.get(admin);
-        let answer = call
-            .header("authorization", "Bearer admin-credential")
-            .call();
-        let Ok(mut answer) = answer else {
-            return false;
-        };
-        let state: serde_json::Value = answer.body_mut().read_json().expect("a JSON dump");
+    fn knows_engines(&self, index: usize) -> bool {
+        let state = self.state(index);
         let engines = state["engines"].as_array().expect("a list of engines");
         let known = |engine: &serde_json::Value| engine["models"] != serde_json::json!([]);
         engines.len() == self.engines.len() && engines.iter().all(known)
     }
 
+    /// A node's state dump.
+    pub fn state(&self, index: usize) -> serde_json::Value {
+        let admin = &self.nodes[index].addresses().admin;
+        let call = self.agent.get(format!("http://{admin}/admin/state"));
+        let call = call.header("authorization", "Bearer admin-credential");
+        let mut answer = call.call().expect("a dump");
+        answer.body_mut().read_json().expect("JSON")
+    }
+
+    /// The sum of a counter's series in a node's metrics.
+    pub fn metric(&self, index: usize, name: &str) -> f64 {
+        let admin = &self.nodes[index].addresses().admin;
+        let call = self.agent.get(format!("http://{admin}/metrics"));
+        let call = call.header("authorization", "Bearer admin-credential");
+        let mut answer = call.call().expect("metrics");
+        let text = answer.body_mut().read_to_string().expect("text");
+        let lines = text.lines().filter(|line| line.starts_with(name));
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        values.sum()
+    }
+
     /// A URL of a node's callers' interface.
     pub fn url(&self, index: usize, path: &str) -> String {
         format!("http://{}{path}", self.nodes[index].addresses().callers)
