--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -25,7 +25,7 @@
 use bluebell_peers::{ClaimAnswer, ClaimCall, SettleCall};
 use stakker::{Core, Ret};
 
-/// Who owns a shard, as the leases on the control stream say.
+/// Who owns a shard, as the leases stream says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShardOwner {
     /// The shard.
--- a/crates/claims/src/router/handle.rs
+++ b/crates/claims/src/router/handle.rs
@@ -70,7 +70,7 @@
 }
 
 impl ClaimsHandle {
-    /// Says who owns a shard now, as read from the control stream.
+    /// Says who owns a shard now, as read from the leases stream.
     pub fn set_owner(&self, _core: &mut Core, owner: ShardOwner) {
         call!([self.actor], set_owner(owner));
     }
--- a/crates/node/src/hub/fleet.rs
+++ b/crates/node/src/hub/fleet.rs
@@ -132,6 +132,8 @@
         {
             engine.leaving = false;
             engine.announced = false;
+            let seen = (entry, Rc::clone(&engine.port));
+            call!([self.parts.control], engine_seen(seen.0, seen.1));
             self.announce(&name);
             return;
         }
--- a/crates/node/src/launch/wiring.rs
+++ b/crates/node/src/launch/wiring.rs
@@ -82,7 +82,7 @@
         let card = base.card(peer_server.address());
 
         let outside = base.open_outside(&runtime);
-        let control = base.spawn_control(stakker, &card, &outside, &late);
+        let control = base.spawn_control(stakker, &card, &outside, &late)?;
         let claims = base.spawn_claims(stakker, &card, &outside)?;
         let members = base.spawn_members(stakker, &card, &outside, &late);
         let requests = base.spawn_requests(stakker, &claims, &outside, &late);
@@ -229,7 +229,7 @@
         card: &NodeCard,
         outside: &Outside,
         late: &LateHub,
-    ) -> ActorOwn<Control> {
+    ) -> Result<ActorOwn<Control>, LaunchError> {
         let identity = NodeIdentity {
             incarnation: card.incarnation,
             address: card.address.clone(),
@@ -246,8 +246,12 @@
             retention_ms: self.settings.log_retention_ms,
             ..ControlSettings::default()
         };
+        let faults = settings.faults();
+        if !faults.is_empty() {
+            return Err(LaunchError::part("control", faults.join("; ")));
+        }
         let events = late.fwd(|hub, event| stakker::call!([hub], on_control(event)));
-        Control::spawn(
+        Ok(Control::spawn(
             core,
             identity,
             ports,
@@ -255,7 +259,7 @@
             settings,
             self.seed,
             events,
-        )
+        ))
     }
 
     fn spawn_claims(
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -60,7 +60,7 @@
     lease_ttl_ms: SpanMs, "lease-ttl-ms", "BLUEBELL_LEASE_TTL_MS", "ms", Default("10000");
     /// Shards of the idempotency keys; the same on all nodes of the fleet.
     shards: u32, "shards", "BLUEBELL_SHARDS", "count", Default("16");
-    /// How often the control stream of the log is read.
+    /// How often the config stream of the log is read.
     config_poll_ms: SpanMs, "config-poll-ms", "BLUEBELL_CONFIG_POLL_MS", "ms", Default("500");
     /// How often the platform's list of VMs is read by the node whose duty that is.
     vm_list_poll_ms: SpanMs, "vm-list-poll-ms", "BLUEBELL_VM_LIST_POLL_MS", "ms", Default("1000");
