Policy: work that comes again is refused only for its deadline

Cause: after a failure, work was admitted anew against its first-token target, and refused where that had passed, though it had been admitted and could still end in time.

--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -44,6 +44,11 @@
             let excess_ms = wait_ms + service_ms + answer_ms - to_deadline_ms;
             return Err(refusal(RefusalReason::TooLate, excess_ms));
         }
+        if !job.avoid.is_empty() {
+            // It was admitted before and comes again after a failure: what was promised stands as
+            // long as the deadline can be met.
+            return Ok(());
+        }
         let to_target_ms = job.first_token_due_ms.since(now_ms).0 as f64;
         let laxity_ms = (to_target_ms - service_ms).max(0.0);
         let most_ms = laxity_ms * MOST_WAIT;
--- a/crates/policy/tests/refusals.rs
+++ b/crates/policy/tests/refusals.rs
@@ -136,3 +136,18 @@
         .admit(job(2, 2_000, 2_000, 500), MonoMs(2_000))
         .expect("the engine is there");
 }
+
+/// A prompt was admitted and its engine died; meanwhile the fleet is full and its first-token target
+/// has passed. It must not be refused now, since its deadline can still be met.
+#[test]
+fn work_that_comes_again_is_refused_only_for_its_deadline() {
+    let mut policy = open(Kind::Laxity, 4, 1);
+    for engine in 0..4 {
+        policy.on_load(UpstreamId(engine), &load(400_000, 0), MonoMs(20_000));
+    }
+    let mut again = job(1, 100_000, 1_000, 5_000);
+    let first = policy.admit(again.clone(), MonoMs(20_000));
+    assert_eq!(first.map_err(|r| r.reason), Err(RefusalReason::Overloaded));
+    again.avoid.push(UpstreamId(3));
+    assert_eq!(policy.admit(again, MonoMs(20_000)), Ok(()));
+}
