--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,7 +4,7 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
-use super::placement::{LARGE_TOKENS, SHORT_TOKENS, Scored};
+use super::score::{LARGE_TOKENS, SHORT_TOKENS, Scored};
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
--- a/crates/policy/src/laxity/mod.rs
+++ b/crates/policy/src/laxity/mod.rs
@@ -14,6 +14,7 @@
 mod order;
 mod placement;
 mod recall;
+mod score;
 
 use crate::cache::CacheView;
 use crate::job::{Decision, EngineFacts, Job, Outcome, Refusal};
@@ -26,9 +27,9 @@
 use bluebell_config::FleetConfig;
 use bluebell_upstreams::{LoadReport, engine::CacheEvent};
 use demand::Demand;
-use placement::Scored;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use score::Scored;
 
 /// How much longer a group waits after each refused reservation.
 const BACK_OFF_MS: SpanMs = SpanMs(25);
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -41,7 +41,7 @@
             let own_tokens = entry.job.prompt_tokens.saturating_sub(cached_tokens);
             entry.prefill_tokens = own_tokens.0.max(1) as f64;
             let backlog_tokens = load.prefill_backlog_tokens.0 as f64;
-            entry.ahead_tokens = super::placement::ahead(backlog_tokens, entry.prefill_tokens);
+            entry.ahead_tokens = super::score::ahead(backlog_tokens, entry.prefill_tokens);
         }
         if self.better_elsewhere(slot, upstream, now_ms) {
             self.scratch.recalls.push(request);
@@ -80,7 +80,7 @@
             engine.kv_used() > engine.facts.kv_capacity_tokens.0
         });
         let memory_ms = if lacks_memory {
-            super::placement::NO_MEMORY_MS
+            super::score::NO_MEMORY_MS
         } else {
             0.0
         };
@@ -99,7 +99,7 @@
         }
         self.score(&job, now_ms);
         let others = self.scratch.scored.iter();
-        let short = job.prompt_tokens.0 <= super::placement::SHORT_TOKENS;
+        let short = job.prompt_tokens.0 <= super::score::SHORT_TOKENS;
         let others = others.filter(|s| s.upstream != upstream && (short || !s.kept));
         let best_ms = others
             .map(|s| s.first_token_ms)
