--- a/crates/bench/src/driver/nodes.rs
+++ b/crates/bench/src/driver/nodes.rs
@@ -114,6 +114,8 @@
     /// A request arrives.
     pub(super) fn arrive(&mut self, request: RequestNo) {
         self.live[request.index()].arrived_us = self.now_us;
+        // One that comes back reached no engine before, so its attempts are counted anew.
+        self.live[request.index()].number = 0;
         self.records[request.index()].arrived_us = self.now_us;
         self.admit(request);
     }
@@ -126,7 +128,10 @@
         self.live[request.index()].number += 1;
         match row.policy.admit(job, now_ms) {
             Ok(()) => self.decide(node),
-            Err(refusal) => self.refused(request, refusal, false),
+            Err(refusal) => {
+                let late = self.live[request.index()].number > 1;
+                self.refused(request, refusal, late);
+            }
         }
     }
 
--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -44,9 +44,10 @@
             let excess_ms = wait_ms + service_ms + answer_ms - to_deadline_ms;
             return Err(refusal(RefusalReason::TooLate, excess_ms));
         }
-        if !job.avoid.is_empty() {
+        if !job.avoid.is_empty() && !self.may_borrow(job) {
             // It was admitted before and comes again after a failure: what was promised stands as
-            // long as the deadline can be met.
+            // long as the deadline can be met. A group that found no memory is weighed anew: if all
+            // such groups stayed, they would take turns at failing until their targets are missed.
             return Ok(());
         }
         let to_target_ms = job.first_token_due_ms.since(now_ms).0 as f64;
