--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,7 +4,7 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
-use super::placement::{LARGE_TOKENS, SHORT_TOKENS, Scored};
+use super::score::{LARGE_TOKENS, SHORT_TOKENS, Scored};
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
@@ -44,6 +44,12 @@
             let excess_ms = wait_ms + service_ms + answer_ms - to_deadline_ms;
             return Err(refusal(RefusalReason::TooLate, excess_ms));
         }
+        if !job.avoid.is_empty() && !self.may_borrow(job) {
+            // It was admitted before and comes again after a failure: what was promised stands as
+            // long as the deadline can be met. A group that found no memory is weighed anew: if all
+            // such groups stayed, they would take turns at failing until their targets are missed.
+            return Ok(());
+        }
         let to_target_ms = job.first_token_due_ms.since(now_ms).0 as f64;
         let laxity_ms = (to_target_ms - service_ms).max(0.0);
         let most_ms = laxity_ms * MOST_WAIT;
