--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -20,6 +20,6 @@
         Command::Load(args) => load::run(args, ctl.json),
         Command::Bench(args) => bench::run(args, ctl.json),
         Command::Demo(args) => demo::run(args, ctl.json),
-        Command::StandIn(stand_in) => stand_in::run(&stand_in.kind),
+        Command::StandIn(stand_in) => stand_in::run(&stand_in.kind, ctl.json),
     }
 }
--- a/crates/ctl/src/commands/stand_in.rs
+++ b/crates/ctl/src/commands/stand_in.rs
@@ -12,6 +12,7 @@
 use bluebell_stand_ins::platform::{Operator, PlatformServer, PlatformSettings, VmChange};
 use bluebell_stand_ins::service::{ServiceServer, ServiceSettings};
 use bluebell_upstreams::engine::LoadedModel;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
 use std::time::Duration;
@@ -19,18 +20,43 @@
 /// How often a stand-in tells the platform that it lives.
 pub const REGISTER_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What a stand-in prints once it listens, for whoever started it.
+#[derive(Serialize)]
+struct Started<'a> {
+    stand_in: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    name: Option<&'a str>,
+    address: &'a Address,
+}
+
+impl Started<'_> {
+    fn print(&self, json: bool) -> Result<(), CommandError> {
+        if json {
+            let line = serde_json::to_string(self).map_err(CommandError::failed)?;
+            return print_line(&line);
+        }
+        let Self {
+            stand_in, address, ..
+        } = self;
+        match self.name {
+            Some(name) => print_line(&format!("{stand_in} stand-in {name} at {address}")),
+            None => print_line(&format!("{stand_in} stand-in at {address}")),
+        }
+    }
+}
+
 /// Runs or sets up a stand-in.
-pub fn run(kind: &StandInKind) -> Result<(), CommandError> {
+pub fn run(kind: &StandInKind, json: bool) -> Result<(), CommandError> {
     match kind {
-        StandInKind::Engine(args) => engine(args),
-        StandInKind::Service(args) => service(args),
-        StandInKind::Platform(args) => platform(args),
+        StandInKind::Engine(args) => engine(args, json),
+        StandInKind::Service(args) => service(args, json),
+        StandInKind::Platform(args) => platform(args, json),
         StandInKind::Vm(args) => vm(args),
         StandInKind::Faults(args) => faults(args),
     }
 }
 
-fn platform(args: &StandInPlatform) -> Result<(), CommandError> {
+fn platform(args: &StandInPlatform, json: bool) -> Result<(), CommandError> {
     let defaults = PlatformSettings::default();
     let settings = PlatformSettings {
         retention_ms: args.retention_ms.map_or(defaults.retention_ms, SpanMs),
@@ -40,13 +66,18 @@
         ..defaults
     };
     let server = PlatformServer::bind(&args.listen, settings).map_err(CommandError::failed)?;
-    print_line(&format!("platform stand-in at {}", server.address()))?;
+    let started = Started {
+        stand_in: "platform",
+        name: None,
+        address: &server.address(),
+    };
+    started.print(json)?;
     wait_for_signal()?;
     server.stop();
     Ok(())
 }
 
-fn engine(args: &StandInEngine) -> Result<(), CommandError> {
+fn engine(args: &StandInEngine, json: bool) -> Result<(), CommandError> {
     let defaults = EngineSettings::default();
     let model = LoadedModel {
         model: args.model.parse().map_err(CommandError::usage)?,
@@ -78,10 +109,12 @@
         domain: args.domain.parse().map_err(CommandError::usage)?,
         state: VmState::Live,
     };
-    print_line(&format!(
-        "engine stand-in {} at {}",
-        entry.name, entry.address
-    ))?;
+    let started = Started {
+        stand_in: "engine",
+        name: Some(entry.name.as_str()),
+        address: &entry.address,
+    };
+    started.print(json)?;
     let _registration = match &args.platform {
         Some(platform) => {
             let platform = address("--platform", platform)?;
@@ -92,7 +125,7 @@
     wait_for_signal()
 }
 
-fn service(args: &StandInService) -> Result<(), CommandError> {
+fn service(args: &StandInService, json: bool) -> Result<(), CommandError> {
     let settings = ServiceSettings {
         name: args.service.as_str().into(),
         work_ms: SpanMs(args.work_ms),
@@ -108,10 +141,12 @@
         domain: args.domain.parse().map_err(CommandError::usage)?,
         state: VmState::Live,
     };
-    print_line(&format!(
-        "service stand-in {} at {}",
-        entry.name, entry.address
-    ))?;
+    let started = Started {
+        stand_in: "service",
+        name: Some(entry.name.as_str()),
+        address: &entry.address,
+    };
+    started.print(json)?;
     let _registration = match &args.platform {
         Some(platform) => {
             let platform = address("--platform", platform)?;
--- a/crates/node/src/launch/mod.rs
+++ b/crates/node/src/launch/mod.rs
@@ -9,6 +9,7 @@
 use bluebell_bridge::Link;
 use bluebell_settings::NodeSettings;
 use crossbeam_channel::{Sender, bounded};
+use serde::{Deserialize, Serialize};
 use stakker::Stakker;
 use std::io;
 use std::thread::{self, JoinHandle};
@@ -41,7 +42,7 @@
 }
 
 /// Where a running node listens.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeAddresses {
     /// The callers' interface.
     pub callers: Address,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,8 +1,12 @@
 //! The node program: reads its settings, opens the logs, runs the node until it is told to stop.
+//!
+//! Once it listens it prints one line of JSON with its addresses to standard output, which is
+//! where a script learns the ports that the system picked; all else goes to standard error.
 
-use bluebell_node::Node;
+use bluebell_node::{Node, NodeAddresses};
 use bluebell_settings::{EnvVar, NodeSettings, Parsed, effective_text};
 use bluebell_telemetry::open_logs;
+use std::io::{Write, stdout};
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -58,6 +62,7 @@
         addresses.admin,
         addresses.peers
     );
+    print_addresses(addresses);
     let stopper = node.stopper();
     if let Err(error) = ctrlc::set_handler(move || stopper.drain()) {
         log::warn!("signals won't stop this node gracefully: {error}");
@@ -65,3 +70,11 @@
     node.join();
     ExitCode::SUCCESS
 }
+
+/// Prints the addresses; a node that nobody reads from runs all the same.
+fn print_addresses(addresses: &NodeAddresses) {
+    let line = serde_json::to_string(addresses).expect("addresses are strings");
+    if let Err(error) = writeln!(stdout(), "{line}") {
+        log::debug!("the addresses can't be printed: {error}");
+    }
+}
