Stand-ins: the pool guard answers bursts of lasting connections

Cause: tiny_http's pool queues connections for threads that are already taken, so in a burst some get no answer until others close. The entry has had the guard against it; engines, service and platform of the stand-ins had not, so a node that calls them could wait until its timeout, which at the platform costs it a lease.

--- a/crates/stand-ins/src/platform/server/mod.rs
+++ b/crates/stand-ins/src/platform/server/mod.rs
@@ -9,6 +9,7 @@
 use super::model::{PlatformModel, PlatformSettings};
 use crate::listen::listen;
 use bluebell_base::prelude::*;
+use bluebell_pool_guard::PoolGuard;
 use routes::{Answer, Call};
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -39,6 +40,8 @@
 }
 
 struct Shared {
+    /// Dropped before the server that it connects to.
+    pool_guard: PoolGuard,
     http: Server,
     model: Mutex<PlatformModel>,
     frozen: Mutex<Vec<Request>>,
@@ -69,6 +72,7 @@
         let bound = bound.ok_or_else(|| io::Error::other("not an IP address"))?;
         let clock = Clock::start();
         let shared = Arc::new(Shared {
+            pool_guard: PoolGuard::spawn(bound)?,
             http,
             model: Mutex::new(PlatformModel::new(settings, clock.now_ms())),
             frozen: Mutex::default(),
@@ -148,6 +152,7 @@
     fn run(self: Arc<Self>) {
         // An error of `recv` is the wake-up of `stop`.
         while let Ok(mut request) = self.http.recv() {
+            self.pool_guard.request_seen();
             match self.parse(&mut request) {
                 Ok(call) => self.take(request, call),
                 Err(error) => respond(request, &Answer::error(&error)),
--- a/crates/stand-ins/src/serve/mod.rs
+++ b/crates/stand-ins/src/serve/mod.rs
@@ -11,6 +11,7 @@
 pub use register::{Registration, register};
 
 use crate::listen;
+use bluebell_pool_guard::PoolGuard;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,10 +50,11 @@
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(ServerHandle(server));
         let accepting = Arc::clone(&server);
+        let guard = PoolGuard::spawn(address)?;
         let handle = Arc::new(handle);
         thread::Builder::new()
             .name("accept".into())
-            .spawn(move || accept(&accepting.0, &handle))?;
+            .spawn(move || accept(&accepting.0, &guard, &handle))?;
         Ok(Self { server, address })
     }
 
@@ -68,8 +70,13 @@
     }
 }
 
-fn accept(server: &Server, handle: &Arc<impl Fn(Request) + Send + Sync + 'static>) {
+fn accept(
+    server: &Server,
+    guard: &PoolGuard,
+    handle: &Arc<impl Fn(Request) + Send + Sync + 'static>,
+) {
     while let Ok(request) = server.recv() {
+        guard.request_seen();
         let handle = Arc::clone(handle);
         let spawned = thread::Builder::new()
             .name("request".into())
