--- a/crates/requests/tests/chaos.rs
+++ b/crates/requests/tests/chaos.rs
@@ -302,6 +302,7 @@
             assert!(runs <= 1, "{key} ran {runs} times");
         }
         assert_eq!(self.world.held(), 0, "memory is held by nobody");
+        assert!(self.world.policies_are_empty(), "jobs of nobody are left");
         let asked = self.asked.iter().filter(|asked| !asked.hung_up);
         asked.map(end_of).collect()
     }
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -464,6 +464,19 @@
         counts.sum()
     }
 
+    /// Whether no node's policy has a job left.
+    pub fn policies_are_empty(&mut self) -> bool {
+        let dumps: Rc<RefCell<Vec<Arc<str>>>> = Rc::default();
+        for node in &self.nodes {
+            let dumps = dumps.clone();
+            node.dump(ret_some_do!(move |dump| dumps.borrow_mut().push(dump)));
+        }
+        self.run_for(1);
+        let dumps = dumps.borrow();
+        let empty = dumps.iter().filter(|dump| dump.contains("jobs 0,"));
+        empty.count() == self.nodes.len()
+    }
+
     pub fn held(&self) -> usize {
         self.engines.iter().map(Engine::held).sum()
     }
--- a/crates/requests/tests/recall.rs
+++ b/crates/requests/tests/recall.rs
@@ -140,10 +140,12 @@
     let in_time = hung_up || ended_ms.is_some_and(|ms| ms <= within_ms);
     let held = world.engines.iter().filter(|e| !e.state.borrow().frozen);
     let held: usize = held.map(|engine| engine.held()).sum();
+    let is_clear = world.policies_are_empty();
     let counts = &world.counts;
     let as_said = error == end
         && (sent, ran, held) == (attempts, runs, 0)
         && in_time
+        && is_clear
         && counts.recalls.get() == 1
         && counts.retries.get() == 0;
     let found = format!(
