--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use bluebell_config::FleetConfig;
 use bluebell_peers::Settlement;
 use bluebell_peers::{ClaimAnswer, ClaimCall, ClaimKey, ClaimState, RequestReport, SettleCall};
-use bluebell_policy::{Kind, PolicySettings};
+use bluebell_policy::{Kind, Policy, PolicySettings};
 use bluebell_requests::call::{CallerCall, CallerEvent, CallerId, CallerSink, Completion, ReadOn};
 use bluebell_requests::{
     EngineCard, LengthBand, RefusedBy, RequestLookup, RequestObserver, Requests, RequestsHandle,
@@ -332,6 +332,19 @@
         (nodes, engines): (u64, u64),
         seed: u64,
         settings: RequestsSettings,
+    ) -> Self {
+        let policy = PolicySettings::of(kind);
+        Self::with_policies((nodes, engines), seed, settings, &|config, seed| {
+            bluebell_policy::open(policy.clone(), config, seed)
+        })
+    }
+
+    /// A world whose nodes decide by policies that `open` gives.
+    pub fn with_policies(
+        (nodes, engines): (u64, u64),
+        seed: u64,
+        settings: RequestsSettings,
+        open: &dyn Fn(&FleetConfig, u64) -> Box<dyn Policy>,
     ) -> Self {
         let origin = Instant::now();
         let mut stakker = Stakker::new(origin);
@@ -345,13 +358,12 @@
         let mut handles = Vec::new();
         for node in 0..nodes {
             let incarnation = Incarnation(0xb0 + node);
-            let policy = PolicySettings::of(kind);
             let ports = RequestsPorts {
                 timers: Timers::open(origin),
                 incarnation,
                 fleet_secret: b"secret".to_vec(),
                 claims: claims.clone(),
-                policy: bluebell_policy::open(policy, &config, seed + node),
+                policy: open(&config, seed + node),
                 observer: Box::new(Counter(counts.clone())),
                 lookup: peers.clone(),
                 seed: seed + node,
