--- a/crates/requests/examples/cost.rs
+++ b/crates/requests/examples/cost.rs
@@ -124,7 +124,7 @@
         incarnation: Incarnation(1),
         fleet_secret: b"secret".to_vec(),
         claims: Rc::new(Nothing),
-        policy: bluebell_policy::open(PolicySettings::of(Kind::LeastRequests), &config, 1),
+        policy: bluebell_policy::open(PolicySettings::of(Kind::Laxity), &config, 1),
         observer: Box::new(NoObserver),
         lookup: Rc::new(Nothing),
         seed: 1,
