--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -223,6 +223,9 @@
         life.admitted = true;
         life.attempt = stream.attempt;
         life.present = stream.verdict.max(Verdict::MayHaveRun);
+        // The engine's "not run" to a cancel from here is true of this attempt only: the admitting
+        // node sees its stream broken and may begin another one elsewhere.
+        life.earlier = Verdict::MayHaveRun;
         life.reader = Reader::Detached {
             until_ms: life.deadline_ms,
         };
