--- a/crates/policy/src/laxity/admission.rs
+++ b/crates/policy/src/laxity/admission.rs
@@ -4,7 +4,7 @@
 //! be worked off; it is never a way to hold the caller off for longer than that.
 
 use super::Laxity;
-use super::placement::SHORT_TOKENS;
+use super::score::{LARGE_TOKENS, SHORT_TOKENS, Scored};
 use crate::job::{Job, Refusal, RefusalReason};
 use bluebell_base::prelude::*;
 
@@ -44,6 +44,12 @@
             let excess_ms = wait_ms + service_ms + answer_ms - to_deadline_ms;
             return Err(refusal(RefusalReason::TooLate, excess_ms));
         }
+        if !job.avoid.is_empty() && !self.may_borrow(job) {
+            // It was admitted before and comes again after a failure: what was promised stands as
+            // long as the deadline can be met. A group that found no memory is weighed anew: if all
+            // such groups stayed, they would take turns at failing until their targets are missed.
+            return Ok(());
+        }
         let to_target_ms = job.first_token_due_ms.since(now_ms).0 as f64;
         let laxity_ms = (to_target_ms - service_ms).max(0.0);
         let most_ms = laxity_ms * MOST_WAIT;
@@ -80,9 +86,9 @@
     fn free_share(&self) -> f64 {
         let slack_ms = self.settings.slack_ms.0 as f64;
         let open = || self.scratch.scored.iter().filter(|s| !s.kept);
-        let free = open()
-            .filter(|s| s.fits && s.backlog_ms <= slack_ms)
-            .count();
+        // Whether this very job fits says nothing of the fleet: the longest fit nowhere alone.
+        let is_free = |s: &&Scored| s.kv_free >= LARGE_TOKENS && s.backlog_ms <= slack_ms;
+        let free = open().filter(is_free).count();
         free as f64 / open().count().max(1) as f64
     }
 
@@ -107,8 +113,7 @@
 
     /// How long the job is predicted to wait before its prefill begins.
     fn predicted_wait_ms(&mut self, job: &Job, now_ms: MonoMs) -> f64 {
-        let best = self.best_ahead(job, now_ms);
-        let engine_ms = best.map_or(0.0, |scored| scored.wait_ms);
+        let engine_ms = self.engine_wait_ms(job, now_ms);
         if !self.deferrable(job) {
             return engine_ms;
         }
@@ -125,6 +130,18 @@
         engine_ms + queue_ms
     }
 
+    /// The wait on the engine where the job could begin first. Work that may borrow memory needs
+    /// none of the engines to have enough alone.
+    fn engine_wait_ms(&mut self, job: &Job, now_ms: MonoMs) -> f64 {
+        let best = self.best_ahead(job, now_ms);
+        let alone_ms = best.map_or(0.0, |scored| scored.wait_ms);
+        if !self.may_borrow(job) || self.lendable_tokens() < job.kv_tokens().0 {
+            return alone_ms;
+        }
+        let backlogs = self.scratch.scored.iter().map(|scored| scored.backlog_ms);
+        backlogs.fold(alone_ms, f64::min)
+    }
+
     /// When an account's decaying work will be down to the level, if it asks for nothing more.
     fn over_share_ms(&self, over: f64) -> f64 {
         over.ln() * crate::shares::DECAY_MS
