Upstreams: all engines and services share one bounded pool of connections

Found by scripts/idle-nodes.sh: each engine's port had an agent of its own, which keeps up to two idle connections with buffers of 128 KB each way, filled by being asked for its load once. Memory grew by half a megabyte an upstream; a node that knows 1,800 engines is over its 256 MB from some 490 on. Now one agent: at most 128 idle connections in all, 16 KB each way.

--- a/crates/upstreams/src/http/exchange/mod.rs
+++ b/crates/upstreams/src/http/exchange/mod.rs
@@ -2,6 +2,7 @@
 
 use bluebell_base::prelude::*;
 use serde::de::DeserializeOwned;
+use std::sync::OnceLock;
 use std::time::Duration;
 use ureq::http::{Method, Request, Response};
 use ureq::{Agent, Body};
@@ -21,6 +22,15 @@
 /// Idle connections kept for short calls to one upstream.
 const IDLE_CONNECTIONS: usize = 2;
 
+/// Idle connections kept to all upstreams together.
+///
+/// Each keeps its buffers. With a pool for each upstream, what a node holds in memory grew by two
+/// connections for each upstream that it ever asked.
+const IDLE_CONNECTIONS_IN_ALL: usize = 128;
+
+/// The buffer of a connection for each way; the head of an answer has to fit.
+const BUFFER_BYTES: usize = 16 << 10;
+
 /// The media type of JSON.
 pub(super) const JSON: &str = "application/json";
 
@@ -50,20 +60,33 @@
     pub fresh: bool,
 }
 
+/// The agent of all exchanges of this process, which share its pool of connections.
+fn agent() -> Agent {
+    static AGENT: OnceLock<Agent> = OnceLock::new();
+    AGENT.get_or_init(open_agent).clone()
+}
+
+fn open_agent() -> Agent {
+    Agent::config_builder()
+        .proxy(None)
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .timeout_per_read(Some(SILENCE))
+        .timeout_per_write(Some(SILENCE))
+        .max_idle_connections(IDLE_CONNECTIONS_IN_ALL)
+        .max_idle_connections_per_host(IDLE_CONNECTIONS)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
+        .build()
+        .new_agent()
+}
+
 impl Exchange {
     /// Prepares exchanges with one upstream.
     pub fn open(address: Address, credential: Option<Arc<str>>) -> Self {
-        let config = Agent::config_builder()
-            .proxy(None)
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .timeout_per_read(Some(SILENCE))
-            .timeout_per_write(Some(SILENCE))
-            .max_idle_connections_per_host(IDLE_CONNECTIONS)
-            .build();
         Self {
-            agent: config.new_agent(),
+            agent: agent(),
             address,
             credential,
         }
