Requests: nothing is sent upstream behind the deadline

Cause: a claim's grant or the policy's decision that comes in the very instant of the deadline, before its timer, was still sent: the work began for a caller that was told next that time is up, with "may have run" where nothing need have. The deadline is now checked right before each dispatch to an engine or replica. With the check taken out, a_grant_at_the_deadline_sends_nothing fails (1 sent).

--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -186,6 +186,9 @@
         group: Option<Group>,
         cx: &mut Context<'_>,
     ) {
+        if self.expire(cx) {
+            return;
+        }
         debug_assert!(self.repeatable || self.verdict() == Verdict::NotRun);
         self.attempt = AttemptNo(self.attempt.0 + 1);
         let link = self.next_link();
--- a/crates/requests/src/life/due.rs
+++ b/crates/requests/src/life/due.rs
@@ -42,9 +42,7 @@
         if self.is_done() {
             return;
         }
-        if cx.now_ms >= self.deadline_ms {
-            let error = Error::may_have_run(ErrorKind::DeadlineExceeded, "the deadline passed");
-            self.fail(error, cx);
+        if self.expire(cx) {
             return;
         }
         if self
@@ -71,6 +69,20 @@
         }
     }
 
+    /// Ends it where its deadline passed; gives whether that was so.
+    ///
+    /// Nothing is sent upstream behind the deadline: on a busy node a grant or a decision can come
+    /// before the timer of the deadline, and the work would begin for a caller that is told next
+    /// that time is up.
+    pub(crate) fn expire(&mut self, cx: &mut Context<'_>) -> bool {
+        if cx.now_ms < self.deadline_ms {
+            return false;
+        }
+        let error = Error::may_have_run(ErrorKind::DeadlineExceeded, "the deadline passed");
+        self.fail(error, cx);
+        true
+    }
+
     fn on_run_due(&mut self, cx: &mut Context<'_>) {
         let Phase::Running(run) = &mut self.phase else {
             return;
--- a/crates/requests/src/life/exchange.rs
+++ b/crates/requests/src/life/exchange.rs
@@ -16,6 +16,9 @@
 impl Life {
     /// Sends the call to a replica.
     pub(crate) fn dispatch(&mut self, cx: &mut Context<'_>) {
+        if self.expire(cx) {
+            return;
+        }
         self.tell_admitted(cx);
         let left_ms = self.deadline_ms.since(cx.now_ms);
         let (repeatable, first) = (self.repeatable, self.attempt.0 == 0);
--- a/crates/requests/tests/claims.rs
+++ b/crates/requests/tests/claims.rs
@@ -180,3 +180,28 @@
         (Verdict::MayHaveRun, ErrorKind::Conflict)
     );
 }
+
+/// The grant comes in the very instant of the deadline, before its timer: nothing is sent to an
+/// engine for a caller that is told next that time is up, and the key is free again.
+#[test]
+fn a_grant_at_the_deadline_sends_nothing() {
+    for delay_ms in 497..=502 {
+        let mut world = World::new(1, 1, 1);
+        world.claims.delay_ms.set(delay_ms);
+        let call = bluebell_requests::call::Completion {
+            deadline_ms: Some(SpanMs(500)),
+            ..notice()
+        };
+        let (_, told) = world.complete(0, call);
+        world.run_for(1_000);
+        let sent = world.engines[0].state.borrow().generated.len();
+        // The grant's own timer is rounded up by a millisecond.
+        let in_time = delay_ms + 1 < 500;
+        assert_eq!(sent, usize::from(in_time), "after {delay_ms} ms");
+        if !in_time {
+            let ended = (Verdict::NotRun, ErrorKind::DeadlineExceeded);
+            assert_eq!(verdict_and_kind(&told), ended);
+            assert!(world.claims.held.borrow().is_empty());
+        }
+    }
+}
