--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -22,6 +22,7 @@
     metrics.attempt();
     metrics.attempt();
     metrics.retry();
+    metrics.recalled();
     metrics.claims(5);
     metrics.append();
     metrics.control_bytes(Peer::Platform, Bytes(120));
@@ -36,6 +37,7 @@
         r#"bluebell_refused_total{reason="too_late"} 2"#,
         "bluebell_attempts_total 2",
         "bluebell_retries_total 1",
+        "bluebell_recalls_total 1",
         "bluebell_claims_total 5",
         "bluebell_appends_total 1",
         r#"bluebell_control_bytes_total{peer="platform"} 120"#,
