--- a/crates/policy/src/cache/mod.rs
+++ b/crates/policy/src/cache/mod.rs
@@ -3,6 +3,9 @@
 //! Invariants: at most [`CAPACITY`] prefixes are kept, the oldest forgotten first; after a gap
 //! nothing is believed of that engine; a wrong belief costs time only, never correctness.
 
+#[cfg(test)]
+mod tests;
+
 use crate::job::Prefix;
 use bluebell_base::prelude::*;
 use bluebell_upstreams::engine::CacheEvent;
--- a/crates/policy/src/jobs/mod.rs
+++ b/crates/policy/src/jobs/mod.rs
@@ -5,6 +5,9 @@
 //! Invariants: a request has at most one slot; the slots in use and the free ones make up the
 //! table; the table never shrinks and grows only to the most jobs there were at once.
 
+#[cfg(test)]
+mod tests;
+
 use crate::job::{GroupPart, Job};
 use bluebell_base::prelude::*;
 use std::collections::HashMap;
