--- a/crates/bench/examples/policy.rs
+++ b/crates/bench/examples/policy.rs
@@ -1,49 +1,62 @@
-//! Runs parts of the policy bench: `cargo run --release -p bluebell-bench --example policy -- PART...`
+//! Runs parts of the policy bench, with constants of the production policy to try.
+//!
+//! `cargo run --release -p bluebell-bench --example policy -- [PART...] [NAME=VALUE...]`
+//!
+//! Parts: `loads`, `nodes`, `lags`, `faults`, `accounts`, `cost`; none given means all. Names: `json`
+//! and `svg` (files to write), `repeats`, `secs` (of arrivals a run), `seed`, `policy`, `loads`
+//! (shares of capacity, with commas); and of the production policy `short_share`, `room_share`,
+//! `choices`, `deferrable` and `slack` (in milliseconds).
 
+use bluebell_base::prelude::*;
 use bluebell_bench::{BenchOptions, Part};
+use std::str::FromStr;
 
 fn main() {
-    let mut options = BenchOptions::default();
-    let parts: Vec<Part> = std::env::args()
-        .skip(1)
-        .filter_map(|a| a.parse().ok())
-        .collect();
-    if !parts.is_empty() {
-        options.parts = parts;
+    if let Err(error) = run() {
+        eprintln!("{error}");
+        std::process::exit(1);
     }
+}
+
+fn run() -> Result<(), Error> {
+    let mut options = BenchOptions::default();
+    let mut parts: Vec<Part> = Vec::new();
     for arg in std::env::args().skip(1) {
         match arg.split_once('=') {
-            Some(("json", path)) => options.json = Some(path.into()),
-            Some(("svg", path)) => options.svg = Some(path.into()),
-            Some(("repeats", count)) => options.repeats = count.parse().unwrap_or(1),
-            Some(("policy", kind)) => options.policies = kind.parse().into_iter().collect(),
-            Some(("secs", secs)) => {
-                options.duration_ms =
-                    bluebell_base::prelude::SpanMs::from_secs(secs.parse().unwrap_or(240));
-            }
-            Some(("loads", loads)) => {
-                options.loads = loads
-                    .split(',')
-                    .filter_map(|load| load.parse().ok())
-                    .collect();
-            }
-            Some(("short_share", share)) => {
-                options.production.short_share = share.parse().unwrap_or(0.0);
-            }
-            Some(("choices", count)) => options.production.choices = count.parse().unwrap_or(1),
-            Some(("room_share", share)) => {
-                options.production.room_share = share.parse().unwrap_or(0.0);
-            }
-            Some(("deferrable", ms)) => {
-                options.production.deferrable_ms.0 = ms.parse().unwrap_or(1_000);
-            }
-            Some(("slack", ms)) => options.production.slack_ms.0 = ms.parse().unwrap_or(250),
-            Some(("seed", seed)) => options.seed = seed.parse().unwrap_or(1),
-            _ => {}
+            None => parts.push(parse(&arg)?),
+            Some((name, value)) => set(&mut options, name, value)?,
         }
     }
-    if let Err(error) = bluebell_bench::run(&options, &mut std::io::stdout()) {
-        eprintln!("{error}");
-        std::process::exit(1);
+    if !parts.is_empty() {
+        options.parts = parts;
+    }
+    bluebell_bench::run(&options, &mut std::io::stdout()).map(|_| ())
+}
+
+fn set(options: &mut BenchOptions, name: &str, value: &str) -> Result<(), Error> {
+    let production = &mut options.production;
+    match name {
+        "json" => options.json = Some(value.into()),
+        "svg" => options.svg = Some(value.into()),
+        "repeats" => options.repeats = parse(value)?,
+        "secs" => options.duration_ms = SpanMs::from_secs(parse(value)?),
+        "seed" => options.seed = parse(value)?,
+        "policy" => options.policies = vec![parse(value)?],
+        "loads" => options.loads = value.split(',').map(parse).collect::<Result<_, _>>()?,
+        "short_share" => production.short_share = parse(value)?,
+        "room_share" => production.room_share = parse(value)?,
+        "choices" => production.choices = parse(value)?,
+        "deferrable" => production.deferrable_ms = SpanMs(parse(value)?),
+        "slack" => production.slack_ms = SpanMs(parse(value)?),
+        _ => return Err(unknown(name)),
     }
+    Ok(())
+}
+
+fn parse<T: FromStr>(text: &str) -> Result<T, Error> {
+    text.parse().map_err(|_| unknown(text))
+}
+
+fn unknown(text: &str) -> Error {
+    Error::not_run(ErrorKind::Invalid, format!("{text:?} is not understood"))
 }
