Process tests: a paused node, a lost platform, a frozen engine

The lease is 2.5 s in these tests, since a fleet knows its upstreams only after the first lease of the directory has been waited out.

--- a/crates/ctl/tests/support/fleet.rs
+++ b/crates/ctl/tests/support/fleet.rs
@@ -5,11 +5,11 @@
 use bluebell_base::prelude::*;
 use bluebell_node::NodeAddresses;
 use bluebell_platform::{VmEntry, VmRole, VmState};
-use bluebell_stand_ins::platform::{Operator, VmChange};
+use bluebell_stand_ins::platform::{Faults, Operator, VmChange};
 use nix::sys::signal::Signal;
 use serde::Deserialize;
 use serde_json::Value;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The operators' credential of every node.
 const ADMIN_CREDENTIAL: &str = "a-credential-of-operators";
@@ -33,7 +33,7 @@
             nodes: 3,
             engines: 2,
             speed: 2.0,
-            lease_ttl_ms: 4_000,
+            lease_ttl_ms: 2_500,
         }
     }
 }
@@ -55,6 +55,16 @@
     pub addresses: NodeAddresses,
 }
 
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    /// Whether a header says when to come back.
+    pub retry_after: bool,
+    pub json: Value,
+    pub took: Duration,
+}
+
 /// A fleet of processes, all of them ended when it is dropped.
 pub struct Fleet {
     plan: FleetPlan,
@@ -150,6 +160,43 @@
         assert!(status.success(), "{status}: {}", process.log());
     }
 
+    /// Starts the platform, killed before, with nothing on its log, where it listened before.
+    pub fn restart_platform(&mut self) {
+        self.platform = start_platform(self.platform.address.as_str());
+    }
+
+    /// Switches the platform's faults.
+    pub fn set_platform_faults(&self, faults: &Faults) {
+        let operator = Operator::open(&self.platform.address);
+        operator
+            .set_faults(faults)
+            .expect("the platform takes them");
+    }
+
+    /// Posts JSON to a node as a caller does.
+    pub fn post(&self, index: usize, path: &str, key: Option<&str>, body: &Value) -> Answer {
+        let url = format!("http://{}{path}", self.nodes[index].addresses.callers);
+        let call = self.agent.post(url);
+        let mut call = call.header("authorization", "Bearer demo-key-0");
+        if let Some(key) = key {
+            call = call.header("idempotency-key", key);
+        }
+        let begun = Instant::now();
+        let mut answer = call.send_json(body).expect("an HTTP answer");
+        let retry_after = answer.headers().get("retry-after").is_some();
+        Answer {
+            status: answer.status().as_u16(),
+            retry_after,
+            json: answer.body_mut().read_json().expect("a JSON body"),
+            took: begun.elapsed(),
+        }
+    }
+
+    /// The version of the configuration that a node has in force.
+    pub fn config_version(&self, index: usize) -> Value {
+        self.admin(index, "/admin/config")["version"].clone()
+    }
+
     /// Waits until a node takes calls and knows what every engine serves.
     pub fn wait_ready(&self, index: usize) {
         let wanted = self.engines.len();
@@ -239,6 +286,6 @@
     let config = ureq::Agent::config_builder()
         .proxy(None)
         .http_status_as_error(false)
-        .timeout_global(Some(Duration::from_secs(5)));
+        .timeout_global(Some(PATIENCE));
     config.build().new_agent()
 }
--- a/crates/ctl/tests/support/process.rs
+++ b/crates/ctl/tests/support/process.rs
@@ -26,7 +26,7 @@
     name: String,
     child: Child,
     log: Log,
-    printed: Receiver<String>,
+    printed: Mutex<Receiver<String>>,
 }
 
 impl Process {
@@ -55,13 +55,14 @@
             name: name.into(),
             child,
             log,
-            printed,
+            printed: Mutex::new(printed),
         }
     }
 
     /// The next line of JSON that it prints.
     pub fn next_line<T: DeserializeOwned>(&self) -> T {
-        let line = self.printed.recv_timeout(PATIENCE);
+        let printed = self.printed.lock().expect("no thread panics with it");
+        let line = printed.recv_timeout(PATIENCE);
         let line = line.unwrap_or_else(|_| panic!("{} printed no line\n{}", self.name, self.log()));
         serde_json::from_str(&line).unwrap_or_else(|error| panic!("{}: {line}: {error}", self.name))
     }
