--- a/crates/bench/src/driver/nodes.rs
+++ b/crates/bench/src/driver/nodes.rs
@@ -114,6 +114,8 @@
     /// A request arrives.
     pub(super) fn arrive(&mut self, request: RequestNo) {
         self.live[request.index()].arrived_us = self.now_us;
+        // One that comes back reached no engine before, so its attempts are counted anew.
+        self.live[request.index()].number = 0;
         self.records[request.index()].arrived_us = self.now_us;
         self.admit(request);
     }
@@ -126,7 +128,10 @@
         self.live[request.index()].number += 1;
         match row.policy.admit(job, now_ms) {
             Ok(()) => self.decide(node),
-            Err(refusal) => self.refused(request, refusal, false),
+            Err(refusal) => {
+                let late = self.live[request.index()].number > 1;
+                self.refused(request, refusal, late);
+            }
         }
     }
 
@@ -145,6 +150,7 @@
             record.came_back = Some(false);
         }
         record.refused_late = late;
+        record.refused_begun = self.live[request.index()].begun;
         record.retry_after_ms = refusal.retry_after_ms;
         self.over(request, Fate::Refused(refusal.reason));
     }
@@ -316,6 +322,7 @@
         let class = self.requests[request.index()].class;
         let idempotent = self.config.classes[class.index()].idempotent;
         let recalled = std::mem::take(&mut self.live[request.index()].recalled);
+        self.live[request.index()].begun |= outcome != Outcome::NotRun;
         if recalled && matches!(outcome, Outcome::NotRun | Outcome::Cancelled) {
             // The policy has queued it again; the next attempt has the next number.
             self.live[request.index()].number += 1;
--- a/crates/node/src/launch/wiring.rs
+++ b/crates/node/src/launch/wiring.rs
@@ -55,6 +55,7 @@
     settings: Rc<NodeSettings>,
     timers: Timers,
     streams: Bridge,
+    services: Bridge,
     calls: Bridge,
     metrics: Arc<Metrics>,
     incarnation: Incarnation,
@@ -62,6 +63,13 @@
     roll: Roll,
 }
 
+/// The ports to the platform and to other nodes.
+struct Outside {
+    client: PlatformClient,
+    log: Rc<dyn LogPort>,
+    peers: Rc<dyn PeerPort>,
+}
+
 impl Running {
     /// Opens all parts.
     pub(super) fn open(stakker: &mut Stakker, settings: NodeSettings) -> Result<Self, LaunchError> {
@@ -70,16 +78,14 @@
         let late = LateHub::default();
 
         let runtime = base.open_peer_runtime()?;
-        let peers = JsonRpcPeers::open(&runtime);
         let peer_server = base.bind_peers(&runtime, &late)?;
         let card = base.card(peer_server.address());
 
-        let client = base.open_platform();
-        let log = HttpLog::open(&client);
-        let control = base.spawn_control(stakker, &card, &client, &log, &peers, &late);
-        let claims = base.spawn_claims(stakker, &card, &log, &peers);
-        let members = base.spawn_members(stakker, &card, &client, &log, &peers, &late);
-        let requests = base.spawn_requests(stakker, &claims, &peers, &late);
+        let outside = base.open_outside(&runtime);
+        let control = base.spawn_control(stakker, &card, &outside, &late)?;
+        let claims = base.spawn_claims(stakker, &card, &outside)?;
+        let members = base.spawn_members(stakker, &card, &outside, &late);
+        let requests = base.spawn_requests(stakker, &claims, &outside, &late);
         let callers = base.bind_callers(&requests)?;
         let admin = base.bind_admin(&late)?;
 
@@ -101,6 +107,7 @@
             peer_stats: runtime.stats(),
             roll: base.roll,
             streams: base.streams,
+            services: base.services,
             calls: base.calls,
         };
         let hub = Rc::new(Hub::spawn(stakker, parts));
@@ -166,6 +173,7 @@
         Ok(Self {
             timers: Timers::open(stakker.now()),
             streams: Bridge::open(inbox, threads),
+            services: Bridge::open(inbox, threads),
             calls: Bridge::open(inbox, CALL_THREADS),
             metrics: Arc::new(metrics),
             incarnation: Incarnation(random.random()),
@@ -200,42 +208,50 @@
         }
     }
 
-    fn open_platform(&self) -> PlatformClient {
+    fn open_outside(&self, runtime: &PeerRuntime) -> Outside {
         let credential = self.settings.platform_credential.as_ref();
-        PlatformClient::open(
+        let client = PlatformClient::open(
             self.calls.clone(),
             &self.settings.platform_address,
             credential.map(|secret| secret.expose().clone()),
             CallTimeouts::default(),
-        )
+        );
+        Outside {
+            log: HttpLog::open(&client),
+            peers: JsonRpcPeers::open(runtime),
+            client,
+        }
     }
 
     fn spawn_control(
         &self,
         core: &mut Core,
         card: &NodeCard,
-        client: &PlatformClient,
-        log: &Rc<dyn LogPort>,
-        peers: &Rc<dyn PeerPort>,
+        outside: &Outside,
         late: &LateHub,
-    ) -> ActorOwn<Control> {
+    ) -> Result<ActorOwn<Control>, LaunchError> {
         let identity = NodeIdentity {
             incarnation: card.incarnation,
             address: card.address.clone(),
         };
         let ports = ControlPorts {
-            log: Rc::clone(log),
-            peers: Rc::clone(peers),
-            weights: HttpWeights::open(client),
+            log: Rc::clone(&outside.log),
+            peers: Rc::clone(&outside.peers),
+            weights: HttpWeights::open(&outside.client),
         };
         let settings = ControlSettings {
             shards: self.settings.shards,
             ttl_ms: self.settings.lease_ttl_ms,
             config_tail_ms: self.settings.config_poll_ms,
+            retention_ms: self.settings.log_retention_ms,
             ..ControlSettings::default()
         };
+        let faults = settings.faults();
+        if !faults.is_empty() {
+            return Err(LaunchError::part("control", faults.join("; ")));
+        }
         let events = late.fwd(|hub, event| stakker::call!([hub], on_control(event)));
-        Control::spawn(
+        Ok(Control::spawn(
             core,
             identity,
             ports,
@@ -243,44 +259,49 @@
             settings,
             self.seed,
             events,
-        )
+        ))
     }
 
     fn spawn_claims(
         &self,
         core: &mut Core,
         card: &NodeCard,
-        log: &Rc<dyn LogPort>,
-        peers: &Rc<dyn PeerPort>,
-    ) -> ClaimsHandle {
+        outside: &Outside,
+    ) -> Result<ClaimsHandle, LaunchError> {
         let settings = ClaimSettings {
             shards: self.settings.shards,
             ..ClaimSettings::default()
         };
+        settings
+            .check(self.settings.log_retention_ms)
+            .map_err(|e| LaunchError::part("claims", e))?;
         let parts = ClaimsParts {
             settings,
             timers: self.timers.clone(),
-            log: Rc::clone(log),
-            peers: Rc::clone(peers),
+            log: Rc::clone(&outside.log),
+            peers: Rc::clone(&outside.peers),
             incarnation: card.incarnation,
             seed: self.seed,
         };
-        Claims::spawn(core, parts)
+        Ok(Claims::spawn(core, parts))
     }
 
     fn spawn_members(
         &self,
         core: &mut Core,
         card: &NodeCard,
-        client: &PlatformClient,
-        log: &Rc<dyn LogPort>,
-        peers: &Rc<dyn PeerPort>,
+        outside: &Outside,
         late: &LateHub,
     ) -> ActorOwn<Members> {
         let ports = MembersPorts {
-            log: Rc::clone(log),
-            peers: Rc::clone(peers),
-            list: HttpVmList::open(client),
+            log: Rc::clone(&outside.log),
+            peers: Rc::clone(&outside.peers),
+            list: HttpVmList::open(&outside.client),
+        };
+        let settings = MembersSettings {
+            duty_poll_ms: self.settings.vm_list_poll_ms,
+            retention_ms: self.settings.log_retention_ms,
+            ..MembersSettings::default()
         };
         let events = late.fwd(|hub, event| stakker::call!([hub], on_member(event)));
         Members::spawn(
@@ -288,7 +309,7 @@
             card.clone(),
             ports,
             self.timers.clone(),
-            MembersSettings::default(),
+            settings,
             self.seed,
             events,
         )
@@ -298,7 +319,7 @@
         &self,
         core: &mut Core,
         claims: &ClaimsHandle,
-        peers: &Rc<dyn PeerPort>,
+        outside: &Outside,
         late: &LateHub,
     ) -> RequestsHandle {
         let refused = late.fwd(|hub, name| stakker::call!([hub], on_upstream_refused(name)));
@@ -318,7 +339,7 @@
             claims: Rc::new(claims.clone()),
             policy,
             observer: NodeObserver::open(Arc::clone(&self.metrics), refused),
-            lookup: PeerLookup::open(Rc::clone(peers), Rc::clone(&self.roll)),
+            lookup: PeerLookup::open(Rc::clone(&outside.peers), Rc::clone(&self.roll)),
             seed: self.seed,
         };
         Requests::spawn(core, settings, ports)
--- a/crates/policy/src/laxity/recall.rs
+++ b/crates/policy/src/laxity/recall.rs
@@ -9,6 +9,7 @@
 use super::Laxity;
 use crate::job::Decision;
 use crate::jobs::{Slot, Stage};
+use crate::settings::Kind;
 use bluebell_base::prelude::*;
 use bluebell_upstreams::LoadReport;
 
@@ -40,7 +41,7 @@
             let own_tokens = entry.job.prompt_tokens.saturating_sub(cached_tokens);
             entry.prefill_tokens = own_tokens.0.max(1) as f64;
             let backlog_tokens = load.prefill_backlog_tokens.0 as f64;
-            entry.ahead_tokens = super::placement::ahead(backlog_tokens, entry.prefill_tokens);
+            entry.ahead_tokens = super::score::ahead(backlog_tokens, entry.prefill_tokens);
         }
         if self.better_elsewhere(slot, upstream, now_ms) {
             self.scratch.recalls.push(request);
@@ -66,7 +67,8 @@
         let Some(entry) = self.tables.jobs.get(slot) else {
             return false;
         };
-        let may = entry.job.idempotent
+        let may = self.settings.kind != Kind::NoRecall
+            && entry.job.idempotent
             && entry.stage == Stage::Sent
             && entry.members.is_empty()
             && entry.recalls < MOST_RECALLS;
@@ -78,7 +80,7 @@
             engine.kv_used() > engine.facts.kv_capacity_tokens.0
         });
         let memory_ms = if lacks_memory {
-            super::placement::NO_MEMORY_MS
+            super::score::NO_MEMORY_MS
         } else {
             0.0
         };
@@ -91,13 +93,14 @@
         let own_ms = cost.prefill_ms(entry.prefill_tokens);
         let cached_ms = cost.prefill_ms(job.prompt_tokens.0 as f64) - own_ms;
         let slack_ms = self.settings.slack_ms.0 as f64;
-        let may_wait = self.deferrable(&job) && now_ms < self.latest_start_ms(&job);
+        let may_wait = self.deferrable(&job) && !self.is_urgent(&job, now_ms);
         if may_wait && ahead_ms > slack_ms + cached_ms {
             return true;
         }
         self.score(&job, now_ms);
         let others = self.scratch.scored.iter();
-        let others = others.filter(|s| s.upstream != upstream && !s.kept);
+        let short = job.prompt_tokens.0 <= super::score::SHORT_TOKENS;
+        let others = others.filter(|s| s.upstream != upstream && (short || !s.kept));
         let best_ms = others
             .map(|s| s.first_token_ms)
             .fold(f64::INFINITY, f64::min);
--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -95,6 +95,7 @@
                 self.phase = Phase::Queued;
                 self.tell_admitted(cx);
             }
+            Err(refusal) if self.may_wait_for(refusal.reason) => self.back_off(cx),
             Err(refusal) => {
                 // The policy does not keep what it refuses, so there is nothing to withdraw.
                 self.phase = Phase::Backoff {
@@ -105,11 +106,28 @@
         }
     }
 
+    /// Whether work that was begun and lost its engine waits for the refusal's reason to pass.
+    ///
+    /// Its caller has part of an answer, or can't be told that nothing ran: giving it up because
+    /// the fleet is short just after the engine died would lose what waiting a moment may save.
+    /// Work that hasn't run is given back at once, so that its caller can choose.
+    fn may_wait_for(&self, reason: RefusalReason) -> bool {
+        let passing = match reason {
+            RefusalReason::NoEngine | RefusalReason::Overloaded | RefusalReason::OverShare => true,
+            RefusalReason::TooLate | RefusalReason::TooLong => false,
+        };
+        passing && self.verdict() != Verdict::NotRun
+    }
+
     /// The policy gives up what it had taken.
     pub fn on_refuse(&mut self, refusal: Refusal, cx: &mut Context<'_>) {
         if !matches!(self.phase, Phase::Queued) {
             return;
         }
+        if self.may_wait_for(refusal.reason) {
+            self.back_off(cx);
+            return;
+        }
         // The policy no longer has it, so there is nothing to withdraw.
         self.phase = Phase::Backoff {
             until_ms: cx.now_ms,
@@ -151,7 +169,7 @@
             cx.policy.on_end(self.request, Outcome::NotRun, cx.now_ms);
             return;
         }
-        if !cx.fleet.takes_work(upstream) {
+        if !cx.fleet.takes_work(upstream) || self.recalls.are_left_at(upstream) {
             self.end_attempt(Outcome::NotRun, cx);
             self.avoid(upstream);
             self.back_off(cx);
@@ -168,6 +186,9 @@
         group: Option<Group>,
         cx: &mut Context<'_>,
     ) {
+        if self.expire(cx) {
+            return;
+        }
         debug_assert!(self.repeatable || self.verdict() == Verdict::NotRun);
         self.attempt = AttemptNo(self.attempt.0 + 1);
         let link = self.next_link();
@@ -186,7 +207,8 @@
         // From here on nobody can say that it didn't run until the engine says so.
         self.present = Verdict::MayHaveRun;
         cx.observer.attempt();
-        if self.attempt.0 > 1 {
+        let resent = std::mem::take(&mut self.recalls.resend);
+        if self.attempt.0 > 1 && !resent {
             cx.observer.retry();
         }
         let call = Box::new(call);
--- a/crates/requests/src/life/due.rs
+++ b/crates/requests/src/life/due.rs
@@ -17,6 +17,7 @@
         match &self.phase {
             Phase::Claiming { until_ms }
             | Phase::Backoff { until_ms }
+            | Phase::Recalling { until_ms, .. }
             | Phase::Cancelling { until_ms, .. } => due_ms.min(*until_ms),
             Phase::Reserving(group) => due_ms.min(group.due_ms),
             Phase::Running(run) => due_ms.min(run.next_due_ms(deadline_ms)),
@@ -41,9 +42,7 @@
         if self.is_done() {
             return;
         }
-        if cx.now_ms >= self.deadline_ms {
-            let error = Error::may_have_run(ErrorKind::DeadlineExceeded, "the deadline passed");
-            self.fail(error, cx);
+        if self.expire(cx) {
             return;
         }
         if self
@@ -58,8 +57,11 @@
                 self.claim_failed("no answer in time", None, cx);
             }
             Phase::Backoff { until_ms } if cx.now_ms >= *until_ms => self.start(cx),
+            Phase::Recalling { until_ms, .. } if cx.now_ms >= *until_ms => {
+                self.on_recall_unanswered(cx);
+            }
             Phase::Cancelling { until_ms, .. } if cx.now_ms >= *until_ms => {
-                self.on_cancelled(None, cx);
+                self.on_cancelled(self.attempt, None, cx);
             }
             Phase::Reserving(group) if cx.now_ms >= group.due_ms => self.group_failed(cx),
             Phase::Running(_) => self.on_run_due(cx),
@@ -67,6 +69,20 @@
         }
     }
 
+    /// Ends it where its deadline passed; gives whether that was so.
+    ///
+    /// Nothing is sent upstream behind the deadline: on a busy node a grant or a decision can come
+    /// before the timer of the deadline, and the work would begin for a caller that is told next
+    /// that time is up.
+    pub(crate) fn expire(&mut self, cx: &mut Context<'_>) -> bool {
+        if cx.now_ms < self.deadline_ms {
+            return false;
+        }
+        let error = Error::may_have_run(ErrorKind::DeadlineExceeded, "the deadline passed");
+        self.fail(error, cx);
+        true
+    }
+
     fn on_run_due(&mut self, cx: &mut Context<'_>) {
         let Phase::Running(run) = &mut self.phase else {
             return;
--- a/crates/requests/tests/common/mod.rs
+++ b/crates/requests/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use bluebell_config::FleetConfig;
 use bluebell_peers::Settlement;
 use bluebell_peers::{ClaimAnswer, ClaimCall, ClaimKey, ClaimState, RequestReport, SettleCall};
-use bluebell_policy::{Kind, PolicySettings};
+use bluebell_policy::{Kind, Policy, PolicySettings};
 use bluebell_requests::call::{CallerCall, CallerEvent, CallerId, CallerSink, Completion, ReadOn};
 use bluebell_requests::{
     EngineCard, LengthBand, RefusedBy, RequestLookup, RequestObserver, Requests, RequestsHandle,
@@ -255,6 +255,7 @@
     pub admitted: Cell<u32>,
     pub attempts: Cell<u32>,
     pub retries: Cell<u32>,
+    pub recalls: Cell<u32>,
     pub denied: Cell<u32>,
     pub first_tokens: Cell<u32>,
     pub between_tokens: Cell<u32>,
@@ -285,6 +286,9 @@
     fn retry(&mut self) {
         add(&self.0.retries);
     }
+    fn recalled(&mut self) {
+        add(&self.0.recalls);
+    }
     fn retry_denied(&mut self) {
         add(&self.0.denied);
     }
@@ -318,6 +322,30 @@
     }
 
     pub fn with(nodes: u64, engines: u64, seed: u64, settings: RequestsSettings) -> Self {
+        Self::deciding(Kind::LeastRequests, nodes, engines, seed, settings)
+    }
+
+    /// A world whose nodes decide by the policy `kind`.
+    pub fn deciding(
+        kind: Kind,
+        nodes: u64,
+        engines: u64,
+        seed: u64,
+        settings: RequestsSettings,
+    ) -> Self {
+        let policy = PolicySettings::of(kind);
+        Self::with_policies((nodes, engines), seed, settings, &|config, seed| {
+            bluebell_policy::open(policy.clone(), config, seed)
+        })
+    }
+
+    /// A world whose nodes decide by policies that `open` gives.
+    pub fn with_policies(
+        (nodes, engines): (u64, u64),
+        seed: u64,
+        settings: RequestsSettings,
+        open: &dyn Fn(&FleetConfig, u64) -> Box<dyn Policy>,
+    ) -> Self {
         let origin = Instant::now();
         let mut stakker = Stakker::new(origin);
         let config: Arc<FleetConfig> = Arc::new(bluebell_config::parse(CONFIG).expect("checked"));
@@ -330,13 +358,12 @@
         let mut handles = Vec::new();
         for node in 0..nodes {
             let incarnation = Incarnation(0xb0 + node);
-            let policy = PolicySettings::of(Kind::LeastRequests);
             let ports = RequestsPorts {
                 timers: Timers::open(origin),
                 incarnation,
                 fleet_secret: b"secret".to_vec(),
                 claims: claims.clone(),
-                policy: bluebell_policy::open(policy, &config, seed + node),
+                policy: open(&config, seed + node),
                 observer: Box::new(Counter(counts.clone())),
                 lookup: peers.clone(),
                 seed: seed + node,
@@ -449,6 +476,19 @@
         counts.sum()
     }
 
+    /// Whether no node's policy has a job left.
+    pub fn policies_are_empty(&mut self) -> bool {
+        let dumps: Rc<RefCell<Vec<Arc<str>>>> = Rc::default();
+        for node in &self.nodes {
+            let dumps = dumps.clone();
+            node.dump(ret_some_do!(move |dump| dumps.borrow_mut().push(dump)));
+        }
+        self.run_for(1);
+        let dumps = dumps.borrow();
+        let empty = dumps.iter().filter(|dump| dump.contains("jobs 0,"));
+        empty.count() == self.nodes.len()
+    }
+
     pub fn held(&self) -> usize {
         self.engines.iter().map(Engine::held).sum()
     }
