Control: an accepted version comes into force whatever the check says

Cause: a version that older programs had accepted stayed out of force on nodes whose program checks more strictly. After an upgrade a fresh node had no configuration and refused all work, though what is accepted is to be in force everywhere and never to revert.

Rule now: the check stands before the append only. What the log gives and this program can decode comes into force; the check's faults are said in the log and stand as 'faults' in the dump. What can't be decoded at all stays out of force and stands there as 'unusable'. bluebell_config gets decode(), the first half of parse().

Ruled out: keeping old checks beside new ones (never gone, each record would have to name its check). The parts of a node were read for what an unchecked value does to them (accounts, classes, services, limits): no panic was found; a key hash that is none was met already by a key that nobody has. No run with such values through the callers' interface was made.

--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -70,7 +70,7 @@
         let reason = format!("has {} bytes; at most {CONFIG_BYTES} are taken", text.len());
         return Err(vec![Fault::new(".", reason)]);
     }
-    let config = read(text).map_err(|fault| vec![fault])?;
+    let config = decode(text).map_err(|fault| vec![fault])?;
     let faults = check(&config);
     if faults.is_empty() {
         return Ok(config);
@@ -78,7 +78,11 @@
     Err(faults)
 }
 
-fn read(text: &str) -> Result<FleetConfig, Fault> {
+/// Decodes a configuration without checking it.
+///
+/// # Errors
+/// Why the text is not JSON of the right shape.
+pub fn decode(text: &str) -> Result<FleetConfig, Fault> {
     let mut deserializer = serde_json::Deserializer::from_str(text);
     let config = serde_path_to_error::deserialize(&mut deserializer)
         .map_err(|error| Fault::new(error.path().to_string(), error.inner().to_string()))?;
--- a/crates/control/src/actor/config_side.rs
+++ b/crates/control/src/actor/config_side.rs
@@ -2,13 +2,13 @@
 
 use super::Control;
 use super::publishing::Publications;
-use crate::print::{SkippedRecords, VersionSeen, VersionSource};
+use crate::print::{SkippedRecords, UnusableVersion, VersionSeen, VersionSource};
 use crate::records::{ConfigRecord, Snapshot, cut, decode, encode};
 use crate::reduce::{ConfigOutcome, ConfigReducer};
 use crate::settings::{ControlPorts, ControlSettings};
 use crate::{ControlEvent, Duty};
 use bluebell_base::prelude::*;
-use bluebell_config::FleetConfig;
+use bluebell_config::{Fault, FleetConfig};
 use bluebell_platform::LogRecord;
 use bluebell_platform::appender::{Appender, AppenderSettings};
 use bluebell_platform::backoff::BackoffSettings;
@@ -29,6 +29,9 @@
 /// What of a record's size limit is left to its other fields and to escaped characters.
 const PART_SHARE: u64 = 2;
 
+/// The faults of a configuration that are told at once.
+pub(super) const FAULTS_TOLD: usize = 20;
+
 /// The largest publication; the assembling reader has the same bound.
 pub(super) const APPEND_BYTES: Bytes = Bytes(40 * 1024 * 1024);
 
@@ -39,6 +42,14 @@
     appended_ms: WallMs,
 }
 
+/// What is in force on this node.
+struct InForceHere {
+    version: ConfigVersion,
+    body: Arc<str>,
+    /// What this program's check has against it.
+    faults: Vec<Fault>,
+}
+
 /// The config half's state.
 pub(super) struct ConfigSide {
     tail: ActorOwn<Tail>,
@@ -48,8 +59,8 @@
     at_end: bool,
     down: bool,
     skipped: SkippedRecords,
-    in_force: Option<(ConfigVersion, Arc<str>, Arc<FleetConfig>)>,
-    unusable: ConfigVersion,
+    in_force: Option<InForceHere>,
+    unusable: Option<UnusableVersion>,
     history: VecDeque<VersionSeen>,
     pub(super) publications: Publications,
     snapshot: Option<SnapshotSeen>,
@@ -108,7 +119,7 @@
             down: false,
             skipped: SkippedRecords::default(),
             in_force: None,
-            unusable: ConfigVersion(0),
+            unusable: None,
             history: VecDeque::new(),
             publications: Publications::default(),
             snapshot: None,
@@ -120,18 +131,33 @@
     }
 
     pub(super) fn in_force_version(&self) -> ConfigVersion {
-        let version = self.in_force.as_ref().map(|(version, _, _)| *version);
-        version.unwrap_or(ConfigVersion(0))
+        let in_force = self.in_force.as_ref();
+        in_force.map_or(ConfigVersion(0), |in_force| in_force.version)
     }
 
     /// The highest version that is in force or can't be used here.
     pub(super) fn reached(&self) -> ConfigVersion {
-        self.in_force_version().max(self.unusable)
+        let in_force = self.in_force_version();
+        let unusable = self.unusable.as_ref();
+        unusable.map_or(in_force, |unusable| unusable.version.max(in_force))
     }
 
     pub(super) fn in_force_body(&self) -> Arc<str> {
-        let body = self.in_force.as_ref().map(|(_, body, _)| body.clone());
-        body.unwrap_or_else(|| "".into())
+        let in_force = self.in_force.as_ref();
+        in_force.map_or_else(|| "".into(), |in_force| in_force.body.clone())
+    }
+
+    /// What the check has against the version in force; the first of them.
+    pub(super) fn faults(&self) -> Vec<Fault> {
+        let faults = self.in_force.iter().flat_map(|in_force| &in_force.faults);
+        faults.take(FAULTS_TOLD).cloned().collect()
+    }
+
+    /// The version that can't be used here, where none newer is in force.
+    pub(super) fn unusable(&self) -> Option<UnusableVersion> {
+        let unusable = self.unusable.as_ref();
+        let newer = unusable.filter(|unusable| unusable.version > self.in_force_version());
+        newer.cloned()
     }
 
     pub(super) fn history(&self) -> Vec<VersionSeen> {
@@ -290,16 +316,37 @@
         if !newer || version < self.peers.floor() {
             return;
         }
-        let config = match bluebell_config::parse(&body) {
-            Ok(config) => Arc::new(config),
-            Err(faults) => {
-                // A newer version of the program may publish what this one can't read. The old
+        match bluebell_config::decode(&body) {
+            Ok(config) => self.bring_into_force(cx, version, body, config, source),
+            Err(fault) => {
+                // A newer version of the program may publish what this one can't decode. The old
                 // configuration stays in force; whether a version counts must not depend on who
                 // reads it.
-                self.config.unusable = version;
-                return log::error!("{version} can't be used here: {}", faults[0]);
+                log::error!("{version} can't be used here: {fault}");
+                self.config.unusable = Some(UnusableVersion { version, fault });
             }
-        };
+        }
+    }
+
+    /// Brings a version into force, whatever the check has against it.
+    ///
+    /// The check stands before the append. A version in the log passed the check of the program
+    /// that published it; where a newer program's stricter check kept it out of force, a node
+    /// that starts after an upgrade would have no configuration and refuse all work, and the
+    /// fleet's nodes would differ in what is in force. So its faults are only told.
+    fn bring_into_force(
+        &mut self,
+        cx: CX![],
+        version: ConfigVersion,
+        body: Arc<str>,
+        config: FleetConfig,
+        source: VersionSource,
+    ) {
+        let faults = bluebell_config::check(&config);
+        if let Some(first) = faults.first() {
+            let count = faults.len();
+            log::error!("{version} is in force with {count} faults; the first: {first}");
+        }
         self.config.history.push_back(VersionSeen {
             version,
             source,
@@ -309,7 +356,12 @@
         if self.config.history.len() > HISTORY_KEPT {
             self.config.history.pop_front();
         }
-        self.config.in_force = Some((version, body, config.clone()));
+        self.config.in_force = Some(InForceHere {
+            version,
+            body,
+            faults,
+        });
+        let config = Arc::new(config);
         self.emit(ControlEvent::Config { version, config });
     }
 
--- a/crates/control/src/actor/mod.rs
+++ b/crates/control/src/actor/mod.rs
@@ -188,6 +188,8 @@
         };
         ret.ret(ControlDump {
             in_force: self.config.in_force_version(),
+            faults: self.config.faults(),
+            unusable: self.config.unusable(),
             seen_at_peers: self.peers.floor(),
             log_version: self.config.log_version(),
             pending_updates: self.config.pending_updates(),
--- a/crates/control/src/actor/publishing.rs
+++ b/crates/control/src/actor/publishing.rs
@@ -4,7 +4,7 @@
 //! not take effect.
 
 use super::Control;
-use super::config_side::{APPEND_BYTES, part_bytes};
+use super::config_side::{APPEND_BYTES, FAULTS_TOLD, part_bytes};
 use crate::Published;
 use crate::records::{ConfigRecord, Splice, Update, cut, encode};
 use crate::reduce::{ConfigOutcome, MAX_TEXT_BYTES};
@@ -15,9 +15,6 @@
 /// Publications that may be unresolved at once on one node.
 const UNRESOLVED_LIMIT: usize = 64;
 
-/// The faults of a configuration that are told in one answer.
-const FAULTS_TOLD: usize = 20;
-
 /// How long operators wait before they try again what was refused for the log's sake.
 const RETRY_AFTER_MS: SpanMs = SpanMs(2_000);
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod verify;
 
 pub use actor::Control;
-pub use print::{ControlDump, VersionSeen, VersionSource};
+pub use print::{ControlDump, UnusableVersion, VersionSeen, VersionSource};
 pub use settings::{ControlPorts, ControlSettings, NodeIdentity};
 pub use steward::{StewardCounts, StewardDump};
 
--- a/crates/control/src/print/mod.rs
+++ b/crates/control/src/print/mod.rs
@@ -3,6 +3,7 @@
 use crate::records::DecodeError;
 use crate::{Duty, Lease};
 use bluebell_base::prelude::*;
+use bluebell_config::Fault;
 use serde::{Deserialize, Serialize};
 
 /// From where a version came into force on this node.
@@ -28,6 +29,15 @@
     pub body_bytes: Bytes,
 }
 
+/// A version that this node knows of and can't bring into force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnusableVersion {
+    /// The version.
+    pub version: ConfigVersion,
+    /// Why its text is no configuration to this program.
+    pub fault: Fault,
+}
+
 /// A duty held by this node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldDump {
@@ -73,6 +83,11 @@
 pub struct ControlDump {
     /// The version in force here.
     pub in_force: ConfigVersion,
+    /// What the check of this program has against the version in force; the first of them. Not
+    /// empty where it was published through a program with another check.
+    pub faults: Vec<Fault>,
+    /// A version newer than the one in force that this program can't decode.
+    pub unusable: Option<UnusableVersion>,
     /// The highest version that a peer said it holds.
     pub seen_at_peers: ConfigVersion,
     /// The version that the log gives; none while it is not known.
--- a/crates/control/tests/config.rs
+++ b/crates/control/tests/config.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use bluebell_base::prelude::*;
+use bluebell_control::records::{ConfigRecord, Part, Splice, Update, encode};
 use bluebell_control::{ControlEvent, Duty, Published};
 use bluebell_members::MemberEvent;
 use bluebell_stand_ins::platform::{Fault, Operation, PlatformSettings};
@@ -425,9 +426,58 @@
     fleet.append_config(newer);
     fleet.run_ms(2_000);
     assert_eq!(fleet.versions(0), versions(&[1]));
+    let unusable = fleet.dump(0).unusable.expect("version 2");
+    assert_eq!(unusable.version, ConfigVersion(2));
+    assert!(unusable.fault.reason.contains("unknown field `rules`"));
     assert_eq!(fleet.publish_now(0, 2, &config_text(3_000)), accepted(3));
     fleet.run_ms(2_000);
     assert_eq!(fleet.versions(1), versions(&[1, 3]));
+    assert_eq!(fleet.dump(0).unusable, None);
+}
+
+/// A configuration was accepted by the program of its day; the check of a newer program refuses it.
+///
+/// The fleet is upgraded node by node, and a node that starts anew would have no configuration and
+/// refuse all work, while its operators have done nothing. The version is what was agreed, so it
+/// comes into force, with its faults in the dump; the next publication has to pass the check.
+#[test]
+fn a_text_that_a_stricter_check_refuses() {
+    let mut fleet = Fleet::with_nodes(14, 2);
+    fleet.run_ms(2_000);
+    assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
+    fleet.run_ms(2_000);
+    let refused = config_text(0);
+    fleet.append_config(&update_record(1, &refused));
+    fleet.run_ms(2_000);
+    let fresh = fleet.start_node();
+    fleet.run_ms(5_000);
+    for index in [0, 1, fresh] {
+        assert_eq!(fleet.in_force(index), (ConfigVersion(2), refused.clone()));
+        let dump = fleet.dump(index);
+        let paths: Vec<&str> = dump.faults.iter().map(|fault| &*fault.path).collect();
+        assert!(paths.contains(&"classes[0].end_ms"), "{paths:?}");
+        assert_eq!(dump.unusable, None);
+    }
+    let again = fleet.publish_now(0, 2, &refused).unwrap_err();
+    assert_eq!(again.kind, ErrorKind::Invalid);
+    assert_eq!(fleet.publish_now(0, 2, &config_text(2_000)), accepted(3));
+    fleet.run_ms(2_000);
+    for index in [0, 1, fresh] {
+        assert_eq!(fleet.in_force(index).0, ConfigVersion(3));
+        assert_eq!(fleet.dump(index).faults, []);
+    }
+}
+
+/// An update of one part, as another program could have appended it.
+fn update_record(base: u64, body: &str) -> String {
+    encode(&ConfigRecord::Update(Update {
+        op: OperationId(7),
+        base: ConfigVersion(base),
+        splice: Splice::WHOLE,
+        part: Part { index: 0, count: 1 },
+        body: body.into(),
+    }))
+    .to_string()
 }
 
 /// An unreadable, oversized or unknown record stands in the stream: it is skipped and counted.
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -367,6 +367,8 @@
     expect![[r#"
         {
           "in_force": 0,
+          "faults": [],
+          "unusable": null,
           "seen_at_peers": 0,
           "log_version": 0,
           "pending_updates": 0,
