--- a/crates/control/src/records/parts.rs
+++ b/crates/control/src/records/parts.rs
@@ -19,9 +19,9 @@
     /// The part of a text that needs no cutting.
     pub const WHOLE: Part = Part { index: 0, count: 1 };
 
-    /// Whether it is the last one.
+    /// Whether it is the last one; a place that makes no sense is not.
     pub fn is_last(self) -> bool {
-        self.index + 1 == self.count
+        self.count.checked_sub(1) == Some(self.index)
     }
 
     /// Whether the numbers make sense.
--- a/crates/control/tests/config.rs
+++ b/crates/control/tests/config.rs
@@ -485,7 +485,9 @@
 fn bad_records_are_skipped() {
     let mut fleet = Fleet::with_nodes(10, 2);
     fleet.run_ms(2_000);
-    for text in ["", "{}", r#"{"record":"vote"}"#, &"x".repeat(70_000)] {
+    // The place of a part is what another program wrote, and may be no place at all.
+    let place = r#"{"record":"snapshot","op":1,"version":1,"made_by":1,"as_of":0,"part":{"index":4294967295,"count":0},"body":""}"#;
+    for text in ["", "{}", r#"{"record":"vote"}"#, &"x".repeat(70_000), place] {
         fleet.append_config(text);
     }
     assert_eq!(fleet.publish_now(0, 0, &config_text(1_000)), accepted(1));
