Control: an engine that answers no order holds up no other

Cause: the steward showed its fencing number always to the first engine by name that had not seen it. One that still tells its state but answers no order got it at each tick for as long as it is on the list, and the others of the node's groups were never fenced, so that no new version was loaded on any of them. The next one by name behind the last has its turn now.

an_engine_that_answers_no_order_holds_up_no_other failed before the change (no load within 120 s of virtual time) and passes with it. on_weights is split in two on the way; a test's story no longer leans on the one above it.

--- a/crates/control/src/steward/orders.rs
+++ b/crates/control/src/steward/orders.rs
@@ -40,7 +40,10 @@
     step: Option<Step>,
     rollout: Rollout,
     next_load_ms: Option<MonoMs>,
-    fencing: Option<UpstreamName>,
+    /// Whether an order that shows the fencing number is under way.
+    showing: bool,
+    /// The engine that was last shown the fencing number.
+    shown_last: Option<UpstreamName>,
 }
 
 impl OrderSide {
@@ -87,16 +90,10 @@
     /// Until an engine has seen the number, it still obeys the former steward, which may have been
     /// paused before sending.
     pub(super) fn tick_fences(&mut self, cx: CX![], _now_ms: MonoMs) {
-        let unfenced = self.engines.iter().find(|seat| {
-            let checks = self.config.checks_fencing(seat.deployment());
-            let own = self.duties.contains_key(&seat.group());
-            checks
-                && own
-                && seat.view().is_some()
-                && !seat.is_fenced()
-                && self.orders.fencing.is_none()
-        });
-        let Some(seat) = unfenced else {
+        if self.orders.showing {
+            return;
+        }
+        let Some(seat) = self.next_unfenced() else {
             return;
         };
         let Some(role) = seat.view().map(|view| view.role) else {
@@ -108,7 +105,8 @@
             return;
         };
         self.counts.fences += 1;
-        self.orders.fencing = Some(name.clone());
+        self.orders.showing = true;
+        self.orders.shown_last = Some(name.clone());
         let ret = ret_to!(
             [cx],
             on_fenced(name, fencing) as (Result<OrderAnswer, Error>)
@@ -116,6 +114,22 @@
         port.order(cx, order, fencing, ret);
     }
 
+    /// The next engine by name, behind the last one, that has not seen the fencing number.
+    ///
+    /// Were it always the first of them, one that answers no order would hold up all others: none
+    /// would be fenced, and so none be given a new version, for as long as it is on the list.
+    fn next_unfenced(&self) -> Option<&EngineSeat> {
+        let is_unfenced = |seat: &&EngineSeat| {
+            let checks = self.config.checks_fencing(seat.deployment());
+            let own = self.duties.contains_key(&seat.group());
+            checks && own && seat.view().is_some() && !seat.is_fenced()
+        };
+        let unfenced = || self.engines.iter().filter(is_unfenced);
+        let last = self.orders.shown_last.as_ref();
+        let behind = |seat: &&EngineSeat| last.is_none_or(|last| seat.name() > *last);
+        unfenced().find(behind).or_else(|| unfenced().next())
+    }
+
     fn on_fenced(
         &mut self,
         cx: CX![],
@@ -123,7 +137,7 @@
         fencing: Fencing,
         answer: Option<Result<OrderAnswer, Error>>,
     ) {
-        self.orders.fencing = None;
+        self.orders.showing = false;
         if let Some(Ok(answer)) = answer {
             self.on_order_answer(cx, &name, fencing, answer);
         }
@@ -202,7 +216,7 @@
         });
     }
 
-    /// Orders the load, if the store holds the version; a version that it doesn't hold would take
+    /// Goes on to the order, if the store holds the version; one that it doesn't hold would take
     /// a replica's time for nothing.
     fn on_weights(&mut self, cx: CX![], load: Load, answer: Result<WeightInfo, Error>) {
         let asked =
@@ -220,15 +234,19 @@
                 return;
             }
         };
+        let pace_ms = pace_ms(&info, self.settings.stewards);
+        self.order_load(cx, load, pace_ms, now_ms);
+    }
+
+    /// Orders the load, where nothing has changed while the store was asked.
+    fn order_load(&mut self, cx: CX![], load: Load, pace_ms: SpanMs, now_ms: MonoMs) {
         let Some(seat) = self.engines.get(&load.engine) else {
             return;
         };
-        // Things may have changed while the store was asked.
         if !self.may_order(seat) || !seat.is_live() {
             return;
         }
         let (group, port) = (seat.group(), seat.port());
-        let pace_ms = pace_ms(&info, self.settings.stewards);
         let order = EngineOrder::LoadModel {
             model: load.model.clone(),
             version: load.version,
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -100,7 +100,28 @@
     }
 }
 
-/// The same with the stand-in engines, which answer an order before they have loaded.
+/// An engine answers no order any more, but its state and so stays on the list. Its steward goes
+/// on to show it the fencing number, and the other engines of the deployment never got their turn:
+/// a new version was loaded nowhere.
+#[test]
+fn an_engine_that_answers_no_order_holds_up_no_other() {
+    let mut fleet = Fleet::with_nodes(15, 2);
+    fleet.put_weights(&[1, 2]);
+    let engines: Vec<Engine> = (0..3)
+        .map(|number| fleet.start_engine(number, "writers", true))
+        .collect();
+    engines[0].lose_answers(u32::MAX);
+    fleet.run_ms(5_000);
+    publish(&mut fleet, 0, &wants(2, true));
+    let end_ms = fleet.now_ms + SpanMs(120_000);
+    let done = fleet.run_until(end_ms, |fleet| {
+        let now_ms = fleet.now_ms;
+        engines[1..].iter().all(|e| e.serves(now_ms) == Some(2))
+    });
+    assert!(done, "{:?}", engines[1].events());
+}
+
+/// A rolling load with the stand-in engines, which answer an order before they have loaded.
 #[test]
 fn stand_in_engines_are_rolled() {
     let mut fleet = Fleet::with_nodes(6, 1);
