--- a/crates/upstreams/src/http/exchange/mod.rs
+++ b/crates/upstreams/src/http/exchange/mod.rs
@@ -1,7 +1,11 @@
 //! One HTTP exchange, with its time limits and the verdict of each way it can fail.
 
+#[cfg(test)]
+mod tests;
+
 use bluebell_base::prelude::*;
 use serde::de::DeserializeOwned;
+use std::fmt;
 use std::time::Duration;
 use ureq::http::{Method, Request, Response};
 use ureq::{Agent, Body};
@@ -25,13 +29,22 @@
 pub(super) const JSON: &str = "application/json";
 
 /// One upstream's address and how it is reached; cheap to clone.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) struct Exchange {
     agent: Agent,
     address: Address,
     credential: Option<Arc<str>>,
 }
 
+impl fmt::Debug for Exchange {
+    /// Leaves the credential out, so that no log or state dump shows it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Exchange")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
 /// What shall be sent.
 #[derive(Debug)]
 pub(super) struct Outgoing<'a> {
