--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -17,6 +17,9 @@
 const ADDRESS_ENV: &str = "BLUEBELL_ADMIN_ADDRESS";
 const CREDENTIAL_ENV: &str = "BLUEBELL_ADMIN_CREDENTIAL";
 
+/// The status of a publication that came too late.
+const CONFLICT: u16 = 409;
+
 /// How long a call may take; a publication waits for the log.
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -111,10 +114,11 @@
         let failed = |error| CommandError::failed(format!("{}: {error}", self.address));
         let mut answer = answer.map_err(failed)?;
         let text = answer.body_mut().read_to_string().map_err(failed)?;
-        if answer.status().is_success() {
+        let status = answer.status().as_u16();
+        // A conflict is an answer to a publication like an acceptance, not an error of the node.
+        if answer.status().is_success() || is_conflict(status, &text) {
             return Ok(text);
         }
-        let status = answer.status().as_u16();
         Err(CommandError::failed(error_text(status, &text)))
     }
 }
@@ -123,17 +127,17 @@
     std::env::var(name).ok()
 }
 
+/// Whether an answer says that another publication came first.
+fn is_conflict(status: u16, text: &str) -> bool {
+    let body: Value = serde_json::from_str(text).unwrap_or_default();
+    status == CONFLICT && body["result"] == "conflict"
+}
+
 /// An error answer as text: its message, its verdict, and the faults of a configuration.
 fn error_text(status: u16, text: &str) -> String {
     let Ok(body) = serde_json::from_str::<Value>(text) else {
         return format!("the node answered {status}: {text}");
     };
-    if body["result"] == "conflict" {
-        return format!(
-            "conflict: version {} came first and is in force",
-            body["current"]
-        );
-    }
     let message = body["error"]["message"].as_str().unwrap_or("no message");
     let verdict = body["error"]["verdict"].as_str().unwrap_or("no verdict");
     let mut lines = vec![format!("the node answered {status}: {message} ({verdict})")];
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -108,7 +108,7 @@
 #[argh(subcommand, name = "state")]
 pub struct State {}
 
-/// Show who is there: nodes and upstreams, live or leaving, and their configuration versions.
+/// Show which nodes are there, live or leaving, and their configuration versions.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fleet")]
 pub struct Fleet {}
--- a/crates/ctl/src/commands/config.rs
+++ b/crates/ctl/src/commands/config.rs
@@ -52,19 +52,28 @@
     let body = serde_json::to_string(&body).map_err(CommandError::failed)?;
     let answer = Admin::open(ctl)?.post("/admin/config", &body)?;
     if ctl.json {
-        return print_line(&answer);
+        print_line(&answer)?;
     }
     match serde_json::from_str(&answer).map_err(CommandError::failed)? {
+        Published::Accepted { .. } if ctl.json => Ok(()),
         Published::Accepted { version } => {
             print_line(&format!("version {} is in force", version.0))
         }
         Published::Conflict { current } => {
-            let why = format!("conflict: version {} came first", current.0);
+            let why = conflict_text(publication.base, current.0);
             Err(CommandError::failed(why))
         }
     }
 }
 
+/// Why a publication on `base` changed nothing.
+fn conflict_text(base: u64, current: u64) -> String {
+    match current > base {
+        true => format!("conflict: version {current} came first and is in force"),
+        false => format!("conflict: version {current} is in force, there is no version {base}"),
+    }
+}
+
 fn show(ctl: &Ctl) -> Result<(), CommandError> {
     let text = Admin::open(ctl)?.get("/admin/config")?;
     if ctl.json {
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -224,6 +224,22 @@
             1,
             "version 9 came first",
         ),
+        (
+            publish,
+            409,
+            r#"{"result":"conflict","current":2}"#,
+            "POST /admin/config",
+            1,
+            "version 2 is in force, there is no version 3",
+        ),
+        (
+            &["--json", "config", "publish", &demo, "--base", "3"],
+            409,
+            conflict,
+            "POST /admin/config",
+            1,
+            conflict,
+        ),
         (
             publish,
             503,
