--- a/scripts/measure-path.sh
+++ b/scripts/measure-path.sh
@@ -38,6 +38,7 @@
     while sleep 1; do
         for i in 0 1 2; do
             local proc
+            [ -r "$RUN_DIR/node-$i.pid" ] || continue
             proc=/proc/$(pid_of "node-$i")
             [ -r "$proc/status" ] || continue
             awk -v t=$((SECONDS - begun)) -v n="node-$i" -v hz="$ticks" '
@@ -62,6 +63,8 @@
     third=$(awk -v n="$requests" -v r="$rate" 'BEGIN { printf "%.1f", n / r / 3 }')
     sleep "$third"
     kill -KILL "$(pid_of node-1)"
+    # The system gives the id to other processes, which must not be sampled as the node.
+    rm "$RUN_DIR/node-1.pid"
     sleep "$third"
     kill -KILL "$(pid_of engine-0)"
 fi
