--- a/crates/node/src/launch/wiring.rs
+++ b/crates/node/src/launch/wiring.rs
@@ -298,7 +298,9 @@
             peers: Rc::clone(&outside.peers),
             list: HttpVmList::open(&outside.client),
         };
+        let seeds = self.settings.peer_seeds.as_ref();
         let settings = MembersSettings {
+            seeds: seeds.map_or_else(Vec::new, |seeds| seeds.as_slice().to_vec()),
             duty_poll_ms: self.settings.vm_list_poll_ms,
             retention_ms: self.settings.log_retention_ms,
             ..MembersSettings::default()
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,4 +19,4 @@
 pub use print::{effective_text, flags_page, help_text};
 pub use resolve::{Effective, EnvVar, Parsed, Source};
 pub use table::{Fallback, SettingInfo};
-pub use value::{Secret, SettingValue};
+pub use value::{AddressList, Secret, SettingValue};
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -4,7 +4,7 @@
 use crate::print::help_text;
 use crate::resolve::{EnvVar, Parsed, Resolver, unknown_env};
 use crate::table::Fallback::{Default, Required, Unset};
-use crate::value::Secret;
+use crate::value::{AddressList, Secret};
 use argh::FromArgs;
 use bluebell_base::prelude::*;
 use bluebell_telemetry::{LogFormat, LogLevels};
@@ -36,6 +36,8 @@
     peers_address: Address, "peers-address", "BLUEBELL_PEERS_ADDRESS", "ip:port", Default("127.0.0.1:8082");
     /// Where other nodes reach this one, if not at the peers' address.
     peers_advertised: Option<Address>, "peers-advertised", "BLUEBELL_PEERS_ADVERTISED", "ip:port", Unset;
+    /// Where other nodes are reached at the start, before the platform's list of VMs is read.
+    peer_seeds: Option<AddressList>, "peer-seeds", "BLUEBELL_PEER_SEEDS", "ip:port,...", Unset;
     /// Where the platform's log, weight store and VM list are.
     platform_address: Address, "platform-address", "BLUEBELL_PLATFORM_ADDRESS", "ip:port", Required;
     /// The credential sent to the platform.
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -116,6 +116,30 @@
     }
 }
 
+/// Addresses separated by commas, in the order given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AddressList(Vec<Address>);
+
+impl AddressList {
+    /// The addresses; at least one.
+    pub fn as_slice(&self) -> &[Address] {
+        &self.0
+    }
+}
+
+impl SettingValue for AddressList {
+    fn read(text: &str) -> Result<Self, String> {
+        let addresses: Result<Vec<_>, _> =
+            text.split(',').map(str::trim).map(Address::read).collect();
+        addresses.map(Self)
+    }
+
+    fn show(&self) -> String {
+        let texts: Vec<&str> = self.0.iter().map(Address::as_str).collect();
+        texts.join(",")
+    }
+}
+
 impl SettingValue for PathBuf {
     fn read(text: &str) -> Result<Self, String> {
         if text.is_empty() {
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -90,6 +90,38 @@
     assert_eq!(unknown_env, ["BLUEBELL_MISSPELT".into()]);
 }
 
+#[test]
+fn peer_seeds_are_a_list_of_addresses() {
+    let seeds = |args: &[&str], vars: &[(&str, &str)]| {
+        let list = run(args, vars).peer_seeds;
+        list.map(|list| list.as_slice().to_vec())
+    };
+    let two = vec![Address::from("10.0.0.1:8082"), Address::from("[::1]:8082")];
+    assert_eq!(seeds(&[], &[]), None);
+    assert_eq!(
+        seeds(&["--peer-seeds", "10.0.0.1:8082"], &[]),
+        Some(two[..1].to_vec())
+    );
+    let vars = [("BLUEBELL_PEER_SEEDS", "10.0.0.1:8082, [::1]:8082")];
+    assert_eq!(seeds(&[], &vars), Some(two));
+}
+
+#[test]
+fn peer_seeds_that_are_no_addresses_are_faults() {
+    let cases = [
+        ("", ""),
+        ("10.0.0.1:8082,", ""),
+        ("10.0.0.1:8082,,10.0.0.2:8082", ""),
+        ("vm-1:8082", "vm-1:8082"),
+        ("10.0.0.1:8082,10.0.0.2", "10.0.0.2"),
+    ];
+    for (text, bad) in cases {
+        let errors = parse(&["--peer-seeds", text], &[]).expect_err("it is faulty");
+        let wanted = format!("--peer-seeds: {bad:?} is not an address of the form ip:port");
+        assert_eq!(errors_text(errors), wanted, "{text:?}");
+    }
+}
+
 #[test]
 fn every_fault_is_listed_at_once() {
     let args = [
@@ -168,7 +200,7 @@
     for secret in ["a-secret-of-the-fleet", "a-credential-of-operators"] {
         assert!(!text.contains(secret), "{text}");
     }
-    let head: Vec<&str> = text.lines().take(11).collect();
+    let head: Vec<&str> = text.lines().take(12).collect();
     expect![[r#"
         name                 vm-1                             flag
         domain               galway-a                         flag
@@ -177,6 +209,7 @@
         admin-address        127.0.0.1:8081                   default
         peers-address        127.0.0.1:8082                   default
         peers-advertised     (unset)                          unset
+        peer-seeds           (unset)                          unset
         platform-address     127.0.0.1:7000                   flag
         platform-credential  (unset)                          unset
         fleet-secret         (set)                            flag
