Bridge: a job without room is answered with its refusal

Cause: a job that found the queue full was dropped before its refusal was delivered; its completer took the waiter along, so the `Ret` got nothing and the caller was told "may have run" of a call that never left the node. Ruled out: delivering the refusal from the completer's drop, which can't know it.

--- a/crates/bridge/src/jobs.rs
+++ b/crates/bridge/src/jobs.rs
@@ -110,8 +110,12 @@
         let queued = self.submit(Box::new(move || {
             completer.complete(job());
         }));
-        if !queued {
+        if let Err(job) = queued {
+            // Guards against a refusal that shows as "no answer came", so that a caller would be
+            // told that its request may have run: dropping the job drops `ret` with its completer.
+            // The refusal goes first, and the drop then finds no waiter.
             deliver_answer(id, key, Box::new(refused()));
+            drop(job);
         }
     }
 
@@ -124,7 +128,7 @@
         fwd: Fwd<E>,
     ) -> bool {
         let sender = self.sender_to(fwd);
-        self.submit(Box::new(move || job(sender)))
+        self.submit(Box::new(move || job(sender))).is_ok()
     }
 
     /// Makes a completer: whoever holds it, on any thread, gives `ret` its value.
@@ -169,13 +173,11 @@
         *next
     }
 
-    fn submit(&self, job: Job) -> bool {
-        match self.queue.try_send(job) {
-            Ok(()) => (),
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => return false,
-        }
+    /// Queues a job; hands it back where there is no room.
+    fn submit(&self, job: Job) -> Result<(), Job> {
+        self.queue.try_send(job).map_err(TrySendError::into_inner)?;
         self.start_worker();
-        true
+        Ok(())
     }
 
     fn start_worker(&self) {
--- a/crates/bridge/tests/jobs.rs
+++ b/crates/bridge/tests/jobs.rs
@@ -1,6 +1,6 @@
 //! The bridge's jobs: answers, events, refusals and panics, on real threads.
 
-use bluebell_bridge::{Bridge, Inbox};
+use bluebell_bridge::{Bridge, EventSender, Inbox};
 use stakker::{Fwd, Ret, Stakker};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -92,3 +92,23 @@
     drop((bridge, inbox));
     filler.join().expect("the filler ends with the inbox");
 }
+
+/// A user is told that its request may have run, though it never left the node: in a burst the
+/// bridge has no room for the call's job, and the dropped job took its waiter with it before the
+/// refusal could be delivered.
+#[test]
+fn a_job_without_room_is_answered_with_its_refusal() {
+    let inbox = Inbox::open();
+    let mut stakker = Stakker::new(Instant::now());
+    let bridge = Bridge::open(&inbox, 1);
+    let seen = Seen::default();
+    let (release, held) = crossbeam_channel::bounded::<()>(0);
+    let hold = move |_: EventSender<u32>| assert!(held.recv().is_err());
+    assert!(bridge.stream(hold, Fwd::new(|_| ())));
+    while bridge.stream(|_: EventSender<u32>| (), Fwd::new(|_| ())) {}
+    bridge.call(|| 7, || 9, record(&seen));
+    assert_eq!(*seen.borrow(), [Some(9)]);
+    drop(release);
+    drive(&inbox, &mut stakker, || bridge.pending() == 0);
+    assert_eq!(*seen.borrow(), [Some(9)]);
+}
