Logs: every package goes by its short name

Cause: the list of short names had been left behind by the packages capacity, pool-guard and settings, so `pool_guard=debug` was taken for a module path that no line has and logged nothing.

--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -17,10 +17,11 @@
 use std::sync::Arc;
 
 /// The packages whose short names may stand in a directive.
-const PACKAGES: [&str; 18] = [
+const PACKAGES: [&str; 21] = [
     "base",
     "bench",
     "bridge",
+    "capacity",
     "claims",
     "config",
     "control",
@@ -31,7 +32,9 @@
     "peers",
     "platform",
     "policy",
+    "pool_guard",
     "requests",
+    "settings",
     "stand_ins",
     "telemetry",
     "timers",
--- a/crates/telemetry/tests/logs.rs
+++ b/crates/telemetry/tests/logs.rs
@@ -106,3 +106,21 @@
         assert!(text.parse::<LogLevels>().is_err(), "{text:?}");
     }
 }
+
+/// An operator asks for `pool_guard=debug` and sees nothing: the package came after the list of
+/// short names, so its directive was taken for a module path that no line has.
+#[test]
+fn every_package_goes_by_its_short_name() {
+    let packages = concat!(env!("CARGO_MANIFEST_DIR"), "/..");
+    for package in std::fs::read_dir(packages).expect("the workspace's packages") {
+        let name = package.expect("an entry").file_name();
+        let short = name.to_string_lossy().replace('-', "_");
+        if short == "ctl" {
+            // The one package whose module path has no `bluebell_` before the short name.
+            continue;
+        }
+        let (levels, target) = (format!("off,{short}=debug"), format!("bluebell_{short}"));
+        let seen = lines(LogFormat::Text, &levels, &target, Level::Debug);
+        assert_eq!(seen.len(), 1, "{short}");
+    }
+}
