--- a/crates/entry/src/admin/exchange.rs
+++ b/crates/entry/src/admin/exchange.rs
@@ -6,11 +6,10 @@
 use crate::http::body::{self, BodyLimits};
 use crate::http::credentials::KeyHash;
 use crate::http::{head, oversize};
-use crate::{AdminCall, ConfigText, Reply};
+use crate::{AdminCall, ConfigText, Reply, calls};
 use bluebell_base::prelude::*;
 use bluebell_config::{Fault, FleetConfig};
 use bluebell_control::Published;
-use crossbeam_channel::bounded;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::sync::atomic::Ordering;
@@ -91,7 +90,7 @@
 
 impl Call<'_> {
     fn answer(&self, request: &mut Request) -> Result<Whole, Refusal> {
-        head::check(request).map_err(|(status, error)| Refusal { status, error })?;
+        head::check(request)?;
         self.authenticate(request)?;
         match route::find(request.method(), request.url())? {
             Route::Config => self.config(),
@@ -197,19 +196,12 @@
 
     /// Hands a call to the node and waits for its answer.
     fn ask<T: Send + 'static>(&self, call: impl FnOnce(Reply<T>) -> AdminCall) -> Result<T, Error> {
-        let (out, answered) = bounded(1);
-        let reply = Box::new(move |result| {
-            // An operator that waited too long has been answered already.
-            let _ = out.try_send(result);
-        });
-        if !self.shared.calls.send(call(reply)) {
+        calls::ask(self.shared.settings.reply_timeout_ms, |reply| {
+            if self.shared.calls.send(call(reply)) {
+                return Ok(());
+            }
             let message = "the node is stopping";
-            return Err(Error::not_run(ErrorKind::Unavailable, message));
-        }
-        let timeout = self.shared.settings.reply_timeout_ms.into();
-        answered.recv_timeout(timeout).unwrap_or_else(|_| {
-            let message = "the node did not answer in time; whether it did as asked is unknown";
-            Err(Error::may_have_run(ErrorKind::DeadlineExceeded, message))
+            Err(Error::not_run(ErrorKind::Unavailable, message))
         })
     }
 }
--- a/crates/entry/src/callers/exchange.rs
+++ b/crates/entry/src/callers/exchange.rs
@@ -11,11 +11,11 @@
 use crate::http::limits::Permit;
 use crate::http::outlet::Outlet;
 use crate::http::oversize;
+use crate::{Reply, calls};
 use bluebell_base::prelude::*;
 use bluebell_config::FleetConfig;
 use bluebell_peers::RequestReport;
 use bluebell_requests::call::{CallerCall, CallerId, CallerSink, ReadOn, ServiceRequest};
-use crossbeam_channel::bounded;
 use std::sync::atomic::Ordering;
 use tiny_http::Request;
 
@@ -80,7 +80,7 @@
 impl Call<'_> {
     /// Authenticates, routes, reads and decodes a request.
     fn take(&self, request: &mut Request) -> Result<Taken, Refusal> {
-        head::check(request).map_err(|(status, error)| Refusal { status, error })?;
+        head::check(request)?;
         let in_force = self.in_force();
         let config = in_force
             .as_ref()
@@ -218,20 +218,10 @@
     fn ask(
         &self,
         id: RequestId,
-        call: impl FnOnce(ReportReply) -> CallerCall,
+        call: impl FnOnce(Reply<RequestReport>) -> CallerCall,
     ) -> Result<Taken, Refusal> {
-        let (out, answered) = bounded(1);
-        let reply = Box::new(move |result| {
-            // A caller that waited too long has been answered already.
-            let _ = out.try_send(result);
-        });
-        self.send(call(reply))?;
-        let timeout = self.shared.settings.reply_timeout_ms.into();
-        let result = answered.recv_timeout(timeout).map_err(|_| {
-            let message = "the node did not answer in time; whether it did as asked is unknown";
-            Error::may_have_run(ErrorKind::DeadlineExceeded, message)
-        })?;
-        let report = result?;
+        let timeout_ms = self.shared.settings.reply_timeout_ms;
+        let report = calls::ask(timeout_ms, |reply| self.send(call(reply)))?;
         let body = ReportBody::from(&report);
         Ok(Taken::Nothing(answer::json(200, &body, &id.to_string())))
     }
@@ -376,8 +366,6 @@
     }
 }
 
-type ReportReply = Box<dyn FnOnce(Result<RequestReport, Error>) + Send>;
-
 fn authenticate<'a>(in_force: &'a InForce, request: &Request) -> Result<&'a AccountName, Error> {
     let credential = head::bearer(request)?;
     let account = in_force.account(credential);
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -1,6 +1,8 @@
-//! The way of calls from I/O threads to an actor.
+//! The way of calls from I/O threads to an actor, and of the answers back.
 
+use crate::Reply;
 use crate::settings::BindError;
+use bluebell_base::prelude::*;
 use bluebell_bridge::{Bridge, EventSender};
 use crossbeam_channel::bounded;
 use stakker::Fwd;
@@ -27,3 +29,24 @@
     let received = sender.recv_timeout(START_TIMEOUT);
     received.map_err(|_| BindError::Bridge)
 }
+
+/// Hands a call to the node with `send` and waits for its answer.
+///
+/// # Errors
+/// Those of `send` and of the answer; `DeadlineExceeded` where none came in time.
+pub(crate) fn ask<T: Send + 'static>(
+    timeout_ms: SpanMs,
+    send: impl FnOnce(Reply<T>) -> Result<(), Error>,
+) -> Result<T, Error> {
+    let (out, answered) = bounded(1);
+    send(Box::new(move |result| {
+        // Whoever waited too long has been answered already.
+        let _ = out.try_send(result);
+    }))?;
+    answered
+        .recv_timeout(timeout_ms.into())
+        .unwrap_or_else(|_| {
+            let message = "the node did not answer in time; whether it did as asked is unknown";
+            Err(Error::may_have_run(ErrorKind::DeadlineExceeded, message))
+        })
+}
--- a/crates/entry/src/http/head.rs
+++ b/crates/entry/src/http/head.rs
@@ -1,5 +1,6 @@
 //! Reading a request's head: headers, query and credential, with precise refusals.
 
+use crate::http::answer::Refusal;
 use bluebell_base::prelude::*;
 use tiny_http::Request;
 
@@ -71,22 +72,28 @@
 ///
 /// # Errors
 /// With the status code to answer.
-pub(crate) fn check(request: &Request) -> Result<(), (u16, Error)> {
+pub(crate) fn check(request: &Request) -> Result<(), Refusal> {
     let headers = request.headers().iter();
     let header_bytes: usize = headers
         .map(|header| header.field.as_str().len() + header.value.len())
         .sum();
     if header_bytes > HEADER_BYTES {
         let message = format!("the headers are over {HEADER_BYTES} bytes");
-        return Err((431, invalid(message)));
+        return Err(Refusal {
+            status: 431,
+            error: invalid(message),
+        });
     }
     if request.url().len() > URL_BYTES {
-        return Err((414, invalid(format!("the path is over {URL_BYTES} bytes"))));
+        return Err(Refusal {
+            status: 414,
+            error: invalid(format!("the path is over {URL_BYTES} bytes")),
+        });
     }
     if !request.url().starts_with('/') {
-        return Err((400, invalid("the request target must begin with /")));
+        return Err(invalid("the request target must begin with /").into());
     }
-    check_framing(request).map_err(|error| (400, error))
+    Ok(check_framing(request)?)
 }
 
 /// Guards against request smuggling: where two programs on the way disagree about a body's end,
