Administration API: GET /admin/upstreams tells the upstreams

Cause: the API takes the upstreams out of the node's word on the fleet, which had only nodes; the absent field was read as null, so every node answered null whatever it served. The contract test passed because its node was a fake that had the field. Ruled out: reading the hub's own table, which knows engines but no services.

--- a/crates/entry/src/admin/exchange.rs
+++ b/crates/entry/src/admin/exchange.rs
@@ -57,6 +57,13 @@
     name: &'a AccountName,
 }
 
+/// The upstreams' part of who is there.
+#[derive(Deserialize)]
+struct FleetUpstreams<'a> {
+    #[serde(borrow)]
+    upstreams: &'a RawValue,
+}
+
 /// An answer that only says that it was done.
 #[derive(Serialize)]
 struct DoneBody {
@@ -179,9 +186,8 @@
 
     fn upstreams(&self) -> Result<Whole, Refusal> {
         let fleet = self.ask(AdminCall::Fleet)?;
-        let fleet: serde_json::Value = serde_json::from_str(&fleet).map_err(unreadable)?;
-        let upstreams = fleet.get("upstreams").cloned().unwrap_or_default();
-        Ok(answer::json(200, &upstreams, &self.name))
+        let fleet: FleetUpstreams = serde_json::from_str(&fleet).map_err(unreadable)?;
+        Ok(self.json(fleet.upstreams.get()))
     }
 
     fn done(&self, call: impl FnOnce(Reply<()>) -> AdminCall) -> Result<Whole, Refusal> {
--- a/crates/node/src/hub/admin.rs
+++ b/crates/node/src/hub/admin.rs
@@ -7,6 +7,7 @@
 use bluebell_entry::{AdminCall, ConfigText, Reply};
 use bluebell_members::MembersDump;
 use bluebell_peers::NodeCard;
+use bluebell_platform::{VmEntry, VmRole, VmState};
 use bluebell_telemetry::StateDump;
 use serde::Serialize;
 use stakker::{CX, Ret, call, ret_some_to};
@@ -18,6 +19,8 @@
     this: NodeCard,
     /// The live nodes it knows.
     nodes: Vec<NodeCard>,
+    /// The upstreams it knows.
+    upstreams: Vec<VmEntry>,
 }
 
 impl Hub {
@@ -43,7 +46,10 @@
                 reply(Ok(()));
             }
             AdminCall::Dump(reply) => self.dump(cx, reply),
-            AdminCall::Fleet(reply) => reply(self.fleet_text()),
+            AdminCall::Fleet(reply) => {
+                let ret = ret_some_to!([cx], on_fleet(reply) as (MembersDump));
+                call!([self.parts.members], dump(ret));
+            }
             AdminCall::Ready(reply) => reply(self.ready()),
             AdminCall::Metrics(reply) => reply(self.metrics_text()),
         }
@@ -66,10 +72,15 @@
         Ok(text.into())
     }
 
-    fn fleet_text(&self) -> Result<Arc<str>, Error> {
+    fn on_fleet(&mut self, _cx: CX![], reply: Reply<Arc<str>>, members: MembersDump) {
+        reply(self.fleet_text(members));
+    }
+
+    fn fleet_text(&self, members: MembersDump) -> Result<Arc<str>, Error> {
         let view = FleetView {
             this: self.card(),
             nodes: self.parts.roll.borrow().clone(),
+            upstreams: upstreams(members),
         };
         let text = serde_json::to_string_pretty(&view);
         let text = text.map_err(|e| Error::not_run(ErrorKind::Internal, e.to_string()))?;
@@ -146,6 +157,20 @@
     }
 }
 
+/// The listed upstreams; their own word that they leave goes before the list, which lags.
+fn upstreams(members: MembersDump) -> Vec<VmEntry> {
+    let refused = members.refused;
+    let with_own_word = |mut entry: VmEntry| {
+        if refused.iter().any(|name| name.0 == entry.name.0) {
+            entry.state = VmState::Leaving;
+        }
+        entry
+    };
+    let listed = members.listed.into_iter();
+    let upstreams = listed.filter(|entry| entry.role != VmRole::Node);
+    upstreams.map(with_own_word).collect()
+}
+
 fn unanswered() -> Error {
     Error::may_have_run(ErrorKind::Unavailable, "the node stopped before an answer")
 }
--- a/crates/node/src/hub/fleet.rs
+++ b/crates/node/src/hub/fleet.rs
@@ -132,8 +132,8 @@
         {
             engine.leaving = false;
             engine.announced = false;
-            let seen = (entry, Rc::clone(&engine.port));
-            call!([self.parts.control], engine_seen(seen.0, seen.1));
+            let port = Rc::clone(&engine.port);
+            call!([self.parts.control], engine_seen(entry, port));
             self.announce(&name);
             return;
         }
@@ -145,8 +145,8 @@
             entry.address.clone(),
             None,
         );
-        let seen = (entry.clone(), Rc::clone(&port));
-        call!([self.parts.control], engine_seen(seen.0, seen.1));
+        let (seen, seen_at) = (entry.clone(), Rc::clone(&port));
+        call!([self.parts.control], engine_seen(seen, seen_at));
         self.engines.engines.push(Engine {
             entry,
             name: name.clone(),
--- a/crates/node/tests/sockets/path.rs
+++ b/crates/node/tests/sockets/path.rs
@@ -60,3 +60,25 @@
     assert!(answer.status < 300, "{} {}", answer.status, answer.text);
     fleet.stop();
 }
+
+/// An operator asks a node for its upstreams and reads `null`, whatever serves: the administration
+/// API takes them out of the node's word on the fleet, which had the nodes only.
+#[test]
+fn operators_are_told_of_the_upstreams() {
+    let fleet = Fleet::start(1, 2);
+    let upstreams = fleet.admin(0, "/admin/upstreams");
+    let upstreams = upstreams.as_array().expect("a list of upstreams");
+    let mut told: Vec<_> = upstreams
+        .iter()
+        .map(|entry| (entry["name"].as_str(), entry["role"].as_str()))
+        .collect();
+    told.sort_unstable();
+    let wanted = [
+        (Some("board-0"), Some("service")),
+        (Some("engine-0"), Some("engine")),
+        (Some("engine-1"), Some("engine")),
+    ];
+    assert_eq!(told, wanted);
+    assert!(upstreams.iter().all(|entry| entry["state"] == "live"));
+    fleet.stop();
+}
--- a/crates/node/tests/sockets/support/mod.rs
+++ b/crates/node/tests/sockets/support/mod.rs
@@ -112,10 +112,15 @@
 
     /// A node's state dump.
     pub fn state(&self, index: usize) -> serde_json::Value {
+        self.admin(index, "/admin/state")
+    }
+
+    /// What a node's administration API answers.
+    pub fn admin(&self, index: usize, path: &str) -> serde_json::Value {
         let admin = &self.nodes[index].addresses().admin;
-        let call = self.agent.get(format!("http://{admin}/admin/state"));
+        let call = self.agent.get(format!("http://{admin}{path}"));
         let call = call.header("authorization", "Bearer admin-credential");
-        let mut answer = call.call().expect("a dump");
+        let mut answer = call.call().expect("an answer");
         answer.body_mut().read_json().expect("JSON")
     }
 
