Metrics: bytes between nodes reach bluebell_control_bytes

Cause: the peer interface counts its bytes and the metrics have a counter for control traffic, but nobody carried the one to the other, so an operator could not watch the control budget. They are brought up to date at each scrape. The platform's and the upstreams' part is still not counted.

--- a/crates/node/src/hub/admin.rs
+++ b/crates/node/src/hub/admin.rs
@@ -6,9 +6,9 @@
 use bluebell_control::{ControlDump, Published, StewardDump, VersionSeen};
 use bluebell_entry::{AdminCall, ConfigText, Reply};
 use bluebell_members::MembersDump;
-use bluebell_peers::NodeCard;
+use bluebell_peers::{CallKind, NodeCard};
 use bluebell_platform::{VmEntry, VmRole, VmState};
-use bluebell_telemetry::StateDump;
+use bluebell_telemetry::{Peer, StateDump};
 use serde::Serialize;
 use stakker::{CX, Ret, call, ret_some_to};
 
@@ -66,12 +66,23 @@
         Ok(())
     }
 
-    fn metrics_text(&self) -> Result<Arc<str>, Error> {
+    fn metrics_text(&mut self) -> Result<Arc<str>, Error> {
+        self.count_peer_bytes();
         let text = self.parts.metrics.render();
         let text = text.map_err(|e| Error::not_run(ErrorKind::Internal, e.to_string()))?;
         Ok(text.into())
     }
 
+    /// Brings the metrics up to what the peer interface has counted.
+    fn count_peer_bytes(&mut self) {
+        let stats = &self.parts.peer_stats;
+        let counts = CallKind::ALL.into_iter().map(|kind| stats.count(kind));
+        let total: Bytes = counts.map(|c| c.sent_bytes + c.received_bytes).sum();
+        let more = total.saturating_sub(self.peer_bytes);
+        self.parts.metrics.control_bytes(Peer::Node, more);
+        self.peer_bytes = total;
+    }
+
     fn on_fleet(&mut self, _cx: CX![], reply: Reply<Arc<str>>, members: MembersDump) {
         reply(self.fleet_text(members));
     }
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -67,6 +67,8 @@
     engines: EngineTable,
     stopping: bool,
     flushing: bool,
+    /// The bytes of node-to-node traffic that the metrics have already.
+    peer_bytes: Bytes,
 }
 
 impl Hub {
@@ -81,6 +83,7 @@
             engines: EngineTable::default(),
             stopping: false,
             flushing: false,
+            peer_bytes: Bytes::ZERO,
         };
         hub.poll_next(cx);
         hub.seed_later(cx);
--- a/crates/node/tests/sockets/path.rs
+++ b/crates/node/tests/sockets/path.rs
@@ -1,6 +1,6 @@
 //! The whole path over real sockets: caller, node, platform, engine, service.
 
-use crate::support::Fleet;
+use crate::support::{Fleet, wait_for};
 use serde_json::json;
 
 #[test]
@@ -82,3 +82,15 @@
     assert!(upstreams.iter().all(|entry| entry["state"] == "live"));
     fleet.stop();
 }
+
+/// An operator watches what nodes tell one another against the control budget and finds no such
+/// metric: the peer interface counted its bytes, but nobody handed the counts to the metrics.
+#[test]
+fn traffic_between_nodes_is_a_metric() {
+    let fleet = Fleet::start(2, 1);
+    let bytes = || fleet.metric(0, r#"bluebell_control_bytes_total{peer="node"}"#);
+    wait_for("probes to be counted", || bytes() > 0.0);
+    let before = bytes();
+    wait_for("further probes to be added", || bytes() > before);
+    fleet.stop();
+}
