Settings: flags and variables as given can't be printed

`NodeArgs` and `EnvVar` derived Debug, so a log line or a panic message with one of them would have shown the secrets before they are wrapped. Zero is the types' default, which spares a trait; the constant carries its unit.

--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -75,7 +75,7 @@
 }
 
 /// A lease shorter than this could not be renewed in time over a slow log.
-const MIN_LEASE_TTL: SpanMs = SpanMs(1_000);
+const MIN_LEASE_TTL_MS: SpanMs = SpanMs(1_000);
 
 impl NodeSettings {
     /// Reads the settings from flags (without the program's name) and environment variables.
@@ -121,10 +121,10 @@
                 "--peers-advertised is needed where --peers-address is not one other nodes can call",
             );
         }
-        if self.lease_ttl_ms < MIN_LEASE_TTL {
+        if self.lease_ttl_ms < MIN_LEASE_TTL_MS {
             clash(&format!(
                 "--lease-ttl-ms must be at least {}",
-                MIN_LEASE_TTL.0
+                MIN_LEASE_TTL_MS.0
             ));
         }
         if self.config_poll_ms >= self.lease_ttl_ms {
--- a/crates/settings/src/resolve.rs
+++ b/crates/settings/src/resolve.rs
@@ -6,8 +6,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-/// An environment variable as given.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// An environment variable as given; its value, which may be a secret, is never printed.
+#[derive(Clone, PartialEq, Eq)]
 pub struct EnvVar {
     /// Its name.
     pub name: String,
@@ -15,6 +15,14 @@
     pub value: String,
 }
 
+impl fmt::Debug for EnvVar {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EnvVar")
+            .field("name", &self.name)
+            .finish_non_exhaustive()
+    }
+}
+
 impl EnvVar {
     /// The process's variables that are ours; values that are not UTF-8 are taken as far as
     /// possible, and then fail their check.
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -49,8 +49,8 @@
             )+
         }
 
-        /// The flags as given, before they are checked.
-        #[derive(Clone, Debug, Default, PartialEq, argh::FromArgs)]
+        /// The flags as given, before they are checked; without `Debug`, since some are secrets.
+        #[derive(Clone, Default, PartialEq, argh::FromArgs)]
         #[argh(description = $program)]
         pub struct $args {
             /// print the effective settings, with where each came from, and exit
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -55,7 +55,7 @@
 
 plain_values!(VmName, DomainName, RegionName, LogFormat, LogLevels);
 
-/// Reads sizes and counts, of which none may be zero.
+/// Reads sizes and counts, whose default is zero and of which none may be zero.
 macro_rules! positive_values {
     ($($type:ty),+) => {$(
         impl SettingValue for $type {
@@ -63,7 +63,7 @@
                 let value: Self = text
                     .parse()
                     .map_err(|_| format!("{text:?} is not a whole number"))?;
-                if value == Self::from_zero() {
+                if value == Self::default() {
                     return Err("must be more than 0".into());
                 }
                 Ok(value)
@@ -76,30 +76,6 @@
     )+};
 }
 
-/// Zero of a type; lets one macro serve sizes and plain counts.
-trait FromZero {
-    /// Zero.
-    fn from_zero() -> Self;
-}
-
-impl FromZero for SpanMs {
-    fn from_zero() -> Self {
-        Self::ZERO
-    }
-}
-
-impl FromZero for Bytes {
-    fn from_zero() -> Self {
-        Self::ZERO
-    }
-}
-
-impl FromZero for u32 {
-    fn from_zero() -> Self {
-        0
-    }
-}
-
 positive_values!(SpanMs, Bytes, u32);
 
 impl SettingValue for Address {
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -216,6 +216,8 @@
         admin-credential     (set)                            flag"#]]
     .assert_eq(&head.join("\n"));
     assert!(!format!("{:?}", run(&[], &[])).contains("secret-of"));
+    let vars = env(&[("BLUEBELL_FLEET_SECRET", "a-secret-of-the-fleet")]);
+    assert!(!format!("{vars:?}").contains("secret-of"));
 }
 
 #[test]
