--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -70,6 +70,8 @@
     meter: Meter,
     stopping: bool,
     flushing: bool,
+    /// The bytes of node-to-node traffic that the metrics have already.
+    peer_bytes: Bytes,
 }
 
 impl Hub {
@@ -85,6 +87,7 @@
             meter: Meter::default(),
             stopping: false,
             flushing: false,
+            peer_bytes: Bytes::ZERO,
         };
         hub.poll_next(cx);
         hub.seed_later(cx);
--- a/crates/node/tests/sockets/path.rs
+++ b/crates/node/tests/sockets/path.rs
@@ -1,6 +1,6 @@
 //! The whole path over real sockets: caller, node, platform, engine, service.
 
-use crate::support::Fleet;
+use crate::support::{Fleet, wait_for};
 use serde_json::json;
 
 #[test]
@@ -60,3 +60,37 @@
     assert!(answer.status < 300, "{} {}", answer.status, answer.text);
     fleet.stop();
 }
+
+/// An operator asks a node for its upstreams and reads `null`, whatever serves: the administration
+/// API takes them out of the node's word on the fleet, which had the nodes only.
+#[test]
+fn operators_are_told_of_the_upstreams() {
+    let fleet = Fleet::start(1, 2);
+    let upstreams = fleet.admin(0, "/admin/upstreams");
+    let upstreams = upstreams.as_array().expect("a list of upstreams");
+    let mut told: Vec<_> = upstreams
+        .iter()
+        .map(|entry| (entry["name"].as_str(), entry["role"].as_str()))
+        .collect();
+    told.sort_unstable();
+    let wanted = [
+        (Some("board-0"), Some("service")),
+        (Some("engine-0"), Some("engine")),
+        (Some("engine-1"), Some("engine")),
+    ];
+    assert_eq!(told, wanted);
+    assert!(upstreams.iter().all(|entry| entry["state"] == "live"));
+    fleet.stop();
+}
+
+/// An operator watches what nodes tell one another against the control budget and finds no such
+/// metric: the peer interface counted its bytes, but nobody handed the counts to the metrics.
+#[test]
+fn traffic_between_nodes_is_a_metric() {
+    let fleet = Fleet::start(2, 1);
+    let bytes = || fleet.metric(0, r#"bluebell_control_bytes_total{peer="node"}"#);
+    wait_for("probes to be counted", || bytes() > 0.0);
+    let before = bytes();
+    wait_for("further probes to be added", || bytes() > before);
+    fleet.stop();
+}
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -4,7 +4,7 @@
 use crate::print::help_text;
 use crate::resolve::{EnvVar, Parsed, Resolver, unknown_env};
 use crate::table::Fallback::{Default, Required, Unset};
-use crate::value::Secret;
+use crate::value::{AddressList, Secret};
 use argh::FromArgs;
 use bluebell_base::prelude::*;
 use bluebell_telemetry::{LogFormat, LogLevels};
@@ -36,6 +36,8 @@
     peers_address: Address, "peers-address", "BLUEBELL_PEERS_ADDRESS", "ip:port", Default("127.0.0.1:8082");
     /// Where other nodes reach this one, if not at the peers' address.
     peers_advertised: Option<Address>, "peers-advertised", "BLUEBELL_PEERS_ADVERTISED", "ip:port", Unset;
+    /// Where other nodes are reached at the start, before the platform's list of VMs is read.
+    peer_seeds: Option<AddressList>, "peer-seeds", "BLUEBELL_PEER_SEEDS", "ip:port,...", Unset;
     /// Where the platform's log, weight store and VM list are.
     platform_address: Address, "platform-address", "BLUEBELL_PLATFORM_ADDRESS", "ip:port", Required;
     /// The credential sent to the platform.
@@ -74,10 +76,10 @@
 
 /// A lease shorter than this could not be read and renewed in time: control takes a margin of a
 /// second off, and reads leases once a second, four times a lease.
-const MIN_LEASE_TTL: SpanMs = SpanMs(4_000);
+const MIN_LEASE_TTL_MS: SpanMs = SpanMs(4_000);
 
 /// Reading the config stream less often would not bring changes into force within seconds.
-const MAX_CONFIG_POLL: SpanMs = SpanMs(5_000);
+const MAX_CONFIG_POLL_MS: SpanMs = SpanMs(5_000);
 
 impl NodeSettings {
     /// Reads the settings from flags (without the program's name) and environment variables.
@@ -123,16 +125,16 @@
                 "--peers-advertised is needed where --peers-address is not one other nodes can call",
             );
         }
-        if self.lease_ttl_ms < MIN_LEASE_TTL {
+        if self.lease_ttl_ms < MIN_LEASE_TTL_MS {
             clash(&format!(
                 "--lease-ttl-ms must be at least {}",
-                MIN_LEASE_TTL.0
+                MIN_LEASE_TTL_MS.0
             ));
         }
-        if self.config_poll_ms > MAX_CONFIG_POLL {
+        if self.config_poll_ms > MAX_CONFIG_POLL_MS {
             clash(&format!(
                 "--config-poll-ms must be at most {}: changes shall be in force within seconds",
-                MAX_CONFIG_POLL.0
+                MAX_CONFIG_POLL_MS.0
             ));
         }
         errors
