Requests: no waiting for a try that comes too late

Work that was begun and lost its engine, and that the policy refuses for a passing reason, backs off and tries again. The last of these pauses could reach behind the deadline: no try could come any more, but the caller was kept until the deadline and then told only that it had passed, not when to come back. Work without a first token was also tried on when the token's target had passed. The same held for work whose engine was gone each time it was sent, and for a group that found no memory.

Now it ends at once where the next try would come at the deadline or later, and for refused work whose caller has no first token also at that token's target; with its own verdict, the refusal's reason and its time to come back.

Ruled out: shortening the last pause to fit before the deadline; the policy names no engine before it looks at the time left, so such tries would go on up to the deadline with nothing gained.

--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -95,17 +95,34 @@
                 self.phase = Phase::Queued;
                 self.tell_admitted(cx);
             }
-            Err(refusal) if self.may_wait_for(refusal.reason) => self.back_off(cx),
-            Err(refusal) => {
-                // The policy does not keep what it refuses, so there is nothing to withdraw.
-                self.phase = Phase::Backoff {
-                    until_ms: cx.now_ms,
-                };
-                self.refuse(refusal, cx);
-            }
+            Err(refusal) => self.wait_or_refuse(refusal, cx),
+        }
+    }
+
+    /// Waits for the refusal's reason to pass where a later try may still succeed; ends at once
+    /// otherwise.
+    ///
+    /// The policy does not keep what it refuses, so there is nothing to withdraw.
+    fn wait_or_refuse(&mut self, refusal: Refusal, cx: &mut Context<'_>) {
+        let last_try_ms = self.last_try_ms();
+        if !self.may_wait_for(refusal.reason) || !self.wait_for_try(last_try_ms, cx) {
+            self.phase = Phase::Backoff {
+                until_ms: cx.now_ms,
+            };
+            self.refuse(refusal, cx);
         }
     }
 
+    /// When a try to place refused work comes too late: at the deadline or, while its caller has
+    /// no first token, when that token is due.
+    fn last_try_ms(&self) -> MonoMs {
+        let unbegun = self.answer().filter(|answer| answer.next_seq() == 0);
+        let job = unbegun.and_then(|answer| answer.job.as_ref());
+        job.map_or(self.deadline_ms, |job| {
+            self.deadline_ms.min(job.first_token_due_ms)
+        })
+    }
+
     /// Whether work that was begun and lost its engine waits for the refusal's reason to pass.
     ///
     /// Its caller has part of an answer, or can't be told that nothing ran: giving it up because
@@ -124,15 +141,7 @@
         if !matches!(self.phase, Phase::Queued) {
             return;
         }
-        if self.may_wait_for(refusal.reason) {
-            self.back_off(cx);
-            return;
-        }
-        // The policy no longer has it, so there is nothing to withdraw.
-        self.phase = Phase::Backoff {
-            until_ms: cx.now_ms,
-        };
-        self.refuse(refusal, cx);
+        self.wait_or_refuse(refusal, cx);
     }
 
     /// Fails by the policy's refusal.
@@ -255,13 +264,28 @@
         job.class = class.unwrap_or(job.class);
     }
 
-    /// Waits a jittered moment, then goes to the policy again.
+    /// Waits a jittered moment, then goes to the policy again; ends at once where the deadline
+    /// leaves no time for that.
     pub(crate) fn back_off(&mut self, cx: &mut Context<'_>) {
+        if self.wait_for_try(self.deadline_ms, cx) {
+            return;
+        }
+        let error = Error::not_run(ErrorKind::Unavailable, "no engine took it in time");
+        self.fail(error.retry_after(cx.settings.retry_after_ms), cx);
+    }
+
+    /// Waits a jittered moment for the next try; `false` where it would come at `last_try_ms` or
+    /// later.
+    ///
+    /// A request that waits for such a try has been given up already: its caller would hear
+    /// nothing until the deadline, and then not when to come back.
+    fn wait_for_try(&mut self, last_try_ms: MonoMs, cx: &mut Context<'_>) -> bool {
         let pause_ms = cx.settings.backoff(self.requeues);
         self.requeues += 1;
         let jitter = cx.rng.random_range(0.5..1.5);
         let until_ms = cx.now_ms + pause_ms.mul_f64(jitter);
         self.phase = Phase::Backoff { until_ms };
+        until_ms < last_try_ms
     }
 
     pub(crate) fn avoid(&mut self, upstream: UpstreamId) {
