--- a/crates/requests/src/actor/mod.rs
+++ b/crates/requests/src/actor/mod.rs
@@ -5,6 +5,7 @@
 //! the policy's due decisions are carried out.
 
 mod arrivals;
+mod chores;
 mod effects;
 mod foreign;
 mod handle;
