--- a/crates/requests/src/actor/readers.rs
+++ b/crates/requests/src/actor/readers.rs
@@ -7,8 +7,8 @@
 use crate::call::{CallerEvent, CallerId, CallerSink, ReadOn};
 use crate::cursor::Cursor;
 use crate::finished::Finished;
+use crate::life::CancelReply;
 use crate::life::read::token_events;
-use crate::life::{CancelReply, Last};
 use crate::table::EntryId;
 use crate::waits::Wish;
 use bluebell_base::prelude::*;
@@ -81,12 +81,13 @@
 
     /// Gives a caller an ended answer from event `from` on.
     fn replay(&self, finished: &Finished, call: &ReadOn, sink: &dyn CallerSink, from: u64) {
-        let whole = from >= finished.base;
-        if finished.report.account != call.account || !whole || finished.last == Last::Service {
-            refuse(sink, call.request, not_found());
-            return;
-        }
         let request = call.request;
+        let last = finished.last.event(request);
+        let readable = finished.report.account == call.account && from >= finished.base;
+        let Some(last) = last.filter(|_| readable) else {
+            refuse(sink, request, not_found());
+            return;
+        };
         sink.send(CallerEvent::Admitted { request });
         let upstream = finished.report.upstream.clone();
         let template = Cursor {
@@ -101,7 +102,7 @@
         for event in token_events(&template, from, texts, &self.signer) {
             sink.send(event);
         }
-        sink.send(last_event(request, &finished.last));
+        sink.send(last);
     }
 
     pub(super) fn report(
@@ -158,25 +159,3 @@
         error,
     });
 }
-
-fn last_event(request: RequestId, last: &Last) -> CallerEvent {
-    match last {
-        Last::Finished {
-            reason,
-            prompt_tokens,
-            answer_tokens,
-        } => CallerEvent::Finished {
-            reason: reason.clone(),
-            prompt_tokens: *prompt_tokens,
-            answer_tokens: *answer_tokens,
-        },
-        Last::Failed(error) => CallerEvent::Failed {
-            request: Some(request),
-            error: error.clone(),
-        },
-        Last::Service => CallerEvent::Failed {
-            request: Some(request),
-            error: not_found(),
-        },
-    }
-}
--- a/crates/requests/src/life/begin.rs
+++ b/crates/requests/src/life/begin.rs
@@ -106,9 +106,7 @@
     fn wait_or_refuse(&mut self, refusal: Refusal, cx: &mut Context<'_>) {
         let last_try_ms = self.last_try_ms();
         if !self.may_wait_for(refusal.reason) || !self.wait_for_try(last_try_ms, cx) {
-            self.phase = Phase::Backoff {
-                until_ms: cx.now_ms,
-            };
+            self.leave_all(cx);
             self.refuse(refusal, cx);
         }
     }
@@ -144,6 +142,13 @@
         self.wait_or_refuse(refusal, cx);
     }
 
+    /// Neither the policy nor an upstream has it any more, so that its end lets go of nothing.
+    pub(crate) fn leave_all(&mut self, cx: &Context<'_>) {
+        self.phase = Phase::Backoff {
+            until_ms: cx.now_ms,
+        };
+    }
+
     /// Fails by the policy's refusal.
     fn refuse(&mut self, refusal: Refusal, cx: &mut Context<'_>) {
         cx.observer.refused(RefusedBy::Policy(refusal.reason));
--- a/crates/requests/src/life/end.rs
+++ b/crates/requests/src/life/end.rs
@@ -5,7 +5,6 @@
 //! where it is certain, which after a dispatch means by the engine's own word.
 
 use super::{CancelReply, Context, Effect, Ended, Last, Life, Mode, Phase};
-use crate::call::CallerEvent;
 use bluebell_base::prelude::*;
 use bluebell_peers::{SettleCall, Settlement};
 use bluebell_policy::Outcome;
@@ -142,25 +141,8 @@
 
     /// Tells the reader the last event and ends.
     pub(crate) fn close(&mut self, last: Last, cx: &mut Context<'_>) {
-        let request = self.request;
-        let event = match &last {
-            Last::Finished {
-                reason,
-                prompt_tokens,
-                answer_tokens,
-            } => Some(CallerEvent::Finished {
-                reason: reason.clone(),
-                prompt_tokens: *prompt_tokens,
-                answer_tokens: *answer_tokens,
-            }),
-            Last::Failed(error) => Some(CallerEvent::Failed {
-                request: Some(request),
-                error: error.clone(),
-            }),
-            // Told by the caller of this function, with its body.
-            Last::Service => None,
-        };
-        if let Some(event) = event {
+        // A plain service's answer is told by the caller of this function, with its body.
+        if let Some(event) = last.event(self.request) {
             self.tell(event, cx);
         }
         self.phase = Phase::Done;
--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -375,6 +375,28 @@
     }
 }
 
+impl Last {
+    /// The event that tells a reader; none for a plain service's answer, whose body is not kept.
+    pub fn event(&self, request: RequestId) -> Option<CallerEvent> {
+        match self {
+            Self::Finished {
+                reason,
+                prompt_tokens,
+                answer_tokens,
+            } => Some(CallerEvent::Finished {
+                reason: reason.clone(),
+                prompt_tokens: *prompt_tokens,
+                answer_tokens: *answer_tokens,
+            }),
+            Self::Failed(error) => Some(CallerEvent::Failed {
+                request: Some(request),
+                error: error.clone(),
+            }),
+            Self::Service => None,
+        }
+    }
+}
+
 impl Answer {
     /// The position of the next event wanted.
     pub fn next_seq(&self) -> u64 {
--- a/crates/requests/src/life/recover.rs
+++ b/crates/requests/src/life/recover.rs
@@ -50,9 +50,7 @@
         self.avoid(upstream);
         let hopeless = matches!(error.kind, ErrorKind::Invalid | ErrorKind::TooLarge);
         if hopeless {
-            self.phase = Phase::Backoff {
-                until_ms: cx.now_ms,
-            };
+            self.leave_all(cx);
             self.fail(error, cx);
             return;
         }
@@ -61,9 +59,7 @@
 
     /// Goes back to the policy where the budget allows it; ends with `error` where it does not.
     fn retry_elsewhere(&mut self, error: Error, cx: &mut Context<'_>) {
-        self.phase = Phase::Backoff {
-            until_ms: cx.now_ms,
-        };
+        self.leave_all(cx);
         let tried = self.attempt.0.saturating_sub(self.recalls.count);
         let spent = tried >= cx.settings.attempts;
         if spent || !cx.budgets.take(self.payer) {
