--- a/crates/entry/src/callers/encode.rs
+++ b/crates/entry/src/callers/encode.rs
@@ -3,7 +3,7 @@
 use crate::callers::route::Form;
 use bluebell_base::prelude::*;
 use bluebell_config::FleetConfig;
-use bluebell_peers::RequestReport;
+use bluebell_peers::{RequestReport, RequestState};
 use serde::Serialize;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -183,19 +183,19 @@
 
 /// What a caller is told of its request; names of upstreams stay inside.
 #[derive(Debug, Serialize)]
-pub(crate) struct ReportBody<'a> {
+pub(crate) struct ReportBody {
     request: RequestId,
-    state: &'a str,
+    state: RequestState,
     verdict: Verdict,
     events: u64,
     attempts: u32,
 }
 
-impl<'a> From<&'a RequestReport> for ReportBody<'a> {
-    fn from(report: &'a RequestReport) -> Self {
+impl From<&RequestReport> for ReportBody {
+    fn from(report: &RequestReport) -> Self {
         Self {
             request: report.request,
-            state: &report.state,
+            state: report.state,
             verdict: report.verdict,
             events: report.events,
             attempts: report.attempt.0,
--- a/crates/entry/tests/calls.rs
+++ b/crates/entry/tests/calls.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use bluebell_base::prelude::*;
-use bluebell_peers::RequestReport;
+use bluebell_peers::{RequestReport, RequestState};
 use bluebell_requests::call::{CallerCall, CallerEvent, CallerSink, Completion};
 use expect_test::{Expect, expect};
 use std::sync::mpsc;
@@ -109,7 +109,7 @@
     Ok(RequestReport {
         request,
         account,
-        state: "running".into(),
+        state: RequestState::Running,
         verdict: Verdict::MayHaveRun,
         events: 4,
         upstream: Some(UpstreamName::from("engine-3")),
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -18,7 +18,7 @@
 pub use client::JsonRpcPeers;
 pub use message::{
     ClaimAnswer, ClaimCall, ClaimKey, ClaimState, NodeCard, PeerAnswer, PeerCall, RequestReport,
-    SettleCall, Settlement,
+    RequestState, SettleCall, Settlement,
 };
 pub use runtime::PeerRuntime;
 pub use server::PeerServer;
--- a/crates/peers/src/message/mod.rs
+++ b/crates/peers/src/message/mod.rs
@@ -123,6 +123,27 @@
     pub settlement: Settlement,
 }
 
+/// How far a request has come, as a caller reads it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestState {
+    /// No upstream has it.
+    Queued,
+    /// An upstream has it.
+    Running,
+    /// It ended with a whole answer.
+    Finished,
+    /// It ended without one.
+    Failed,
+}
+
+impl RequestState {
+    /// Whether it has ended.
+    pub fn is_ended(self) -> bool {
+        matches!(self, Self::Finished | Self::Failed)
+    }
+}
+
 /// What a node knows of a request it admitted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestReport {
@@ -130,8 +151,8 @@
     pub request: RequestId,
     /// Whose it is; others get "not found".
     pub account: AccountName,
-    /// Its state as a caller reads it: `queued`, `running`, `finished`, `failed`.
-    pub state: Arc<str>,
+    /// How far it has come.
+    pub state: RequestState,
     /// The verdict so far.
     pub verdict: Verdict,
     /// Events delivered so far.
--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -115,7 +115,7 @@
         if let Wish::Report(reply) = wish {
             return reply(Ok(report));
         }
-        let ended = matches!(&*report.state, "failed" | "finished");
+        let ended = report.state.is_ended();
         if matches!(wish, Wish::Cancel(_)) && ended {
             if let Wish::Cancel(reply) = wish {
                 reply(Ok(report));
--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -37,7 +37,7 @@
 use crate::observe::{LengthBand, RequestObserver};
 use crate::settings::RequestsSettings;
 use bluebell_base::prelude::*;
-use bluebell_peers::{ClaimCall, RequestReport};
+use bluebell_peers::{ClaimCall, RequestReport, RequestState};
 use bluebell_policy::{Job, Policy};
 use bluebell_timers::Subscription;
 use bluebell_upstreams::ServiceCall;
@@ -351,22 +351,22 @@
     /// What is known of it, for reports.
     pub fn report(&self, fleet: &Fleet) -> RequestReport {
         let state = match (&self.ended, &self.phase) {
-            (Some(ended), _) if matches!(ended.last, Last::Failed(_)) => "failed",
-            (Some(_), _) => "finished",
+            (Some(ended), _) if matches!(ended.last, Last::Failed(_)) => RequestState::Failed,
+            (Some(_), _) => RequestState::Finished,
             (
                 _,
                 Phase::Running(_)
                 | Phase::Exchanging { .. }
                 | Phase::Recalling { .. }
                 | Phase::Cancelling { .. },
-            ) => "running",
-            _ => "queued",
+            ) => RequestState::Running,
+            _ => RequestState::Queued,
         };
         let upstream = self.sent_to.and_then(|id| fleet.name(id)).cloned();
         RequestReport {
             request: self.request,
             account: self.account.clone(),
-            state: state.into(),
+            state,
             verdict: self.verdict(),
             events: self.answer().map_or(0, Answer::next_seq),
             upstream,
