--- a/crates/claims/src/owner/seek.rs
+++ b/crates/claims/src/owner/seek.rs
@@ -6,6 +6,7 @@
 //! The log's clock may step back by less than a quarter of the validity without harm: that much
 //! more is read than needed.
 
+use crate::settings::VALIDITY_MARGIN;
 use bluebell_base::prelude::*;
 use bluebell_platform::ReadBatch;
 
@@ -43,7 +44,7 @@
     /// Starts the search for records not older than the validity; read offset 0 first.
     pub fn new(validity_ms: SpanMs) -> Self {
         Self {
-            span_ms: validity_ms.mul_f64(1.25),
+            span_ms: validity_ms.mul_f64(VALIDITY_MARGIN),
             step: Step::Size,
             horizon_ms: WallMs::ZERO,
         }
--- a/crates/claims/src/records/mod.rs
+++ b/crates/claims/src/records/mod.rs
@@ -107,9 +107,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SettleOp(Packed128, u8, Packed64, u64);
 
-/// The code of [`Settlement::Ran`]; any other code is read as [`Settlement::NotRun`]'s opposite,
-/// so that an unknown settlement never frees a key.
+/// The code of [`Settlement::NotRun`], the only one that frees a key.
 const NOT_RUN_CODE: u8 = 0;
+/// The code of [`Settlement::Ran`]; an unknown code is read as this, so that it frees no key.
 const RAN_CODE: u8 = 1;
 
 impl From<&ClaimCall> for ClaimOp {
--- a/crates/claims/src/settings/mod.rs
+++ b/crates/claims/src/settings/mod.rs
@@ -49,6 +49,10 @@
     }
 }
 
+/// How much longer than its validity a key's record is reckoned with, where clocks or readers of
+/// the log differ: by a quarter.
+pub(crate) const VALIDITY_MARGIN: f64 = 1.25;
+
 /// A setting that can't work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
@@ -80,7 +84,7 @@
         if self.batch_ops == 0 || self.queued_ops == 0 || self.settlements == 0 {
             return Err(SettingsError::NoRoom);
         }
-        if self.validity_ms.mul_f64(1.25) > retention_ms {
+        if self.validity_ms.mul_f64(VALIDITY_MARGIN) > retention_ms {
             return Err(SettingsError::OutlivesRetention {
                 validity_ms: self.validity_ms,
                 retention_ms,
--- a/crates/peers/src/client/mod.rs
+++ b/crates/peers/src/client/mod.rs
@@ -7,7 +7,7 @@
 use crate::message::{PeerAnswer, PeerCall};
 use crate::runtime::{PeerRuntime, wall_ms};
 use crate::server::CALL_METHOD;
-use crate::settings::PeerSettings;
+use crate::settings::{PeerSettings, RETRY_AFTER_MS};
 use crate::stats::{CallKind, PeerStats};
 use crate::{PeerPort, nonce};
 use bluebell_base::prelude::*;
@@ -26,9 +26,6 @@
 /// Peers whose connections are kept; one more and all are opened anew.
 const KEPT_PEERS: usize = 1024;
 
-/// When to come back after too many calls were under way.
-const RETRY_AFTER_MS: SpanMs = SpanMs(500);
-
 /// Calls peers by JSON-RPC over HTTP.
 #[derive(Debug)]
 pub struct JsonRpcPeers {
@@ -141,7 +138,7 @@
     }
 
     fn open(&self, to: &Address) -> Result<HttpClient, Error> {
-        let limit_bytes = u32::try_from(self.settings.max_body_bytes.0).unwrap_or(u32::MAX);
+        let limit_bytes = self.settings.body_limit_bytes();
         HttpClientBuilder::default()
             .request_timeout(self.settings.call_timeout_ms.into())
             .max_request_size(limit_bytes)
--- a/crates/peers/src/server/mod.rs
+++ b/crates/peers/src/server/mod.rs
@@ -11,7 +11,7 @@
 use crate::envelope::{ReplayGuard, Reply, SealedAnswer, SealedCall};
 use crate::message::{PeerAnswer, PeerCall};
 use crate::runtime::{PeerRuntime, wall_ms};
-use crate::settings::PeerSettings;
+use crate::settings::{PeerSettings, RETRY_AFTER_MS};
 use crate::stats::{CallKind, PeerStats};
 use bluebell_base::prelude::*;
 use bluebell_bridge::EventSender;
@@ -32,9 +32,6 @@
 const MALFORMED_CODE: i32 = -32602;
 const INTERNAL_CODE: i32 = -32603;
 
-/// When a caller should come back after too many calls were being served.
-const RETRY_AFTER_MS: SpanMs = SpanMs(500);
-
 type Answer = Result<PeerAnswer, Error>;
 
 /// A running peer interface; it stops when dropped.
@@ -104,7 +101,7 @@
 }
 
 fn server_config(settings: &PeerSettings) -> ServerConfig {
-    let limit_bytes = u32::try_from(settings.max_body_bytes.0).unwrap_or(u32::MAX);
+    let limit_bytes = settings.body_limit_bytes();
     ServerConfig::builder()
         .http_only()
         .max_request_body_size(limit_bytes)
--- a/crates/peers/src/settings/mod.rs
+++ b/crates/peers/src/settings/mod.rs
@@ -8,6 +8,9 @@
 /// The shortest secret accepted, in bytes.
 const SHORTEST_SECRET_BYTES: usize = 16;
 
+/// When to come back after too many calls were under way or being served.
+pub(crate) const RETRY_AFTER_MS: SpanMs = SpanMs(500);
+
 /// The secret that all nodes of the fleet share.
 #[derive(Clone, PartialEq, Eq)]
 pub struct FleetSecret(Arc<[u8]>);
@@ -59,6 +62,11 @@
 }
 
 impl PeerSettings {
+    /// The largest call or answer, as the library counts it.
+    pub(crate) fn body_limit_bytes(&self) -> u32 {
+        u32::try_from(self.max_body_bytes.0).unwrap_or(u32::MAX)
+    }
+
     /// The defaults, with the secret given.
     pub fn new(secret: FleetSecret) -> Self {
         Self {
--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -11,12 +11,15 @@
 use super::readers::{not_found, refuse};
 use crate::budget::PayerId;
 use crate::cursor::Cursor;
-use crate::life::{Answer, LinkNo, Phase, Reader, Run, Work};
+use crate::life::{Answer, Life, LinkNo, Mode, Phase, Reader, Run, Work};
 use crate::table::EntryId;
 use crate::waits::{Wait, WaitId, Wish};
 use bluebell_base::prelude::*;
 use bluebell_peers::RequestReport;
-use stakker::{CX, ret_to};
+use stakker::{CX, fwd_to, ret_to};
+
+/// Stands for the class and the model of an adopted request, which only its own node knows.
+const ADOPTED: &str = "adopted";
 
 /// The stream that shall be adopted.
 struct Stream {
@@ -61,7 +64,7 @@
         );
         self.lookup.lookup(cx, request, ret);
         // A silent peer must not hold the caller.
-        let fwd = stakker::fwd_to!([cx], on_peer_silent(id) as (MonoMs));
+        let fwd = fwd_to!([cx], on_peer_silent(id) as (MonoMs));
         let wait_ms = self.settings.answer_wait_ms;
         self.timers.subscribe_in(cx, wait_ms, fwd);
     }
@@ -127,14 +130,12 @@
             let error = Error::may_have_run(ErrorKind::Unavailable, message);
             let error = error.retry_after(self.settings.retry_after_ms);
             let (account, request) = (report.account, report.request);
-            return deny(
-                Wait {
-                    account,
-                    request,
-                    wish,
-                },
-                error,
-            );
+            let wait = Wait {
+                account,
+                request,
+                wish,
+            };
+            return deny(wait, error);
         };
         let stream = Stream {
             account: report.account,
@@ -198,7 +199,7 @@
         stream: Stream,
         upstream: UpstreamId,
         wish: &Wish,
-    ) -> crate::life::Life {
+    ) -> Life {
         let now_ms = self.timers.now_ms(cx);
         let base = match wish {
             Wish::ReadOn { from, .. } => *from,
@@ -206,8 +207,8 @@
         };
         let payer = PayerId(self.payers.intern(&stream.account));
         let answer = Answer {
-            class: ClassName::from("adopted"),
-            model: ModelName::from("adopted"),
+            class: ClassName::from(ADOPTED),
+            model: ModelName::from(ADOPTED),
             prompt: None,
             prompt_bytes: Bytes::ZERO,
             prompt_tokens: None,
@@ -240,7 +241,7 @@
             open: false,
             heard: false,
             accepted: true,
-            mode: crate::life::Mode::Reading,
+            mode: Mode::Reading,
             heard_ms: now_ms,
             quiet_ms: self.settings.adopted_stall_ms(),
             breaks: 0,
--- a/crates/requests/src/finished/mod.rs
+++ b/crates/requests/src/finished/mod.rs
@@ -11,6 +11,9 @@
 /// Bytes counted for a kept request apart from its texts.
 const RECORD_BYTES: u64 = 512;
 
+/// Bytes counted for each text apart from its letters: the reference to it.
+const TEXT_REF_BYTES: usize = 16;
+
 /// An ended request.
 #[derive(Clone, Debug)]
 pub struct Finished {
@@ -28,7 +31,11 @@
 
 impl Finished {
     fn bytes(&self) -> u64 {
-        let texts: usize = self.tokens.iter().map(|text| text.len() + 16).sum();
+        let texts: usize = self
+            .tokens
+            .iter()
+            .map(|text| text.len() + TEXT_REF_BYTES)
+            .sum();
         RECORD_BYTES + texts as u64
     }
 }
