Requests: a plain service's failed call says when to come back

Where a call ended because no replica was left or its attempts were used up, its caller was told that nothing ran, or that a repeatable call failed, but not when to come back; the retry budget's refusal and a call that found no replica at all said so. A call that may have run and may not be repeated still names no time.

--- a/crates/requests/src/life/exchange.rs
+++ b/crates/requests/src/life/exchange.rs
@@ -105,13 +105,19 @@
         };
         exchange.avoid.push(upstream);
         let next = cx.fleet.route(&exchange.service, &exchange.avoid);
-        if !may_repeat || next.is_none() || self.attempt.0 >= cx.settings.attempts {
+        if !may_repeat {
+            // Coming back would be the repetition that must not be.
             self.fail(error, cx);
             return;
         }
+        let after_ms = error.retry_after_ms.unwrap_or(cx.settings.retry_after_ms);
+        if next.is_none() || self.attempt.0 >= cx.settings.attempts {
+            self.fail(error.retry_after(after_ms), cx);
+            return;
+        }
         if !cx.budgets.take(self.payer) {
             cx.observer.retry_denied();
-            self.fail(error.retry_after(cx.settings.retry_after_ms), cx);
+            self.fail(error.retry_after(after_ms), cx);
             return;
         }
         self.dispatch(cx);
--- a/crates/requests/tests/services.rs
+++ b/crates/requests/tests/services.rs
@@ -177,6 +177,25 @@
     }
 }
 
+/// No replica takes a call, or each breaks: its caller hears when to come back, but not of a call
+/// that may have run and may not be repeated.
+#[test]
+fn a_failed_call_says_when_to_come_back() {
+    for (method, does, comes_back) in [
+        ("GET", Does::Refuse, true),
+        ("GET", Does::Lose, true),
+        ("POST", Does::Refuse, true),
+        ("POST", Does::Lose, false),
+    ] {
+        let (mut world, _) = with_replicas([does, does]);
+        let told = ask(&mut world, method, "/notices");
+        world.run_for(100);
+        let error = told.error().expect("it failed");
+        let told_when = error.retry_after_ms.is_some();
+        assert_eq!(told_when, comes_back, "{method}, {does:?}");
+    }
+}
+
 /// A keyed call's answer is lost: its key stays held, and the caller's retry hears "may have run"
 /// instead of posting a second notice. A call that no replica took frees its key.
 #[test]
