--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -37,7 +37,7 @@
 use crate::observe::{LengthBand, RequestObserver};
 use crate::settings::RequestsSettings;
 use bluebell_base::prelude::*;
-use bluebell_peers::{ClaimCall, RequestReport};
+use bluebell_peers::{ClaimCall, RequestReport, RequestState};
 use bluebell_policy::{Job, Policy};
 use bluebell_timers::Subscription;
 use bluebell_upstreams::ServiceCall;
@@ -351,22 +351,22 @@
     /// What is known of it, for reports.
     pub fn report(&self, fleet: &Fleet) -> RequestReport {
         let state = match (&self.ended, &self.phase) {
-            (Some(ended), _) if matches!(ended.last, Last::Failed(_)) => "failed",
-            (Some(_), _) => "finished",
+            (Some(ended), _) if matches!(ended.last, Last::Failed(_)) => RequestState::Failed,
+            (Some(_), _) => RequestState::Finished,
             (
                 _,
                 Phase::Running(_)
                 | Phase::Exchanging { .. }
                 | Phase::Recalling { .. }
                 | Phase::Cancelling { .. },
-            ) => "running",
-            _ => "queued",
+            ) => RequestState::Running,
+            _ => RequestState::Queued,
         };
         let upstream = self.sent_to.and_then(|id| fleet.name(id)).cloned();
         RequestReport {
             request: self.request,
             account: self.account.clone(),
-            state: state.into(),
+            state,
             verdict: self.verdict(),
             events: self.answer().map_or(0, Answer::next_seq),
             upstream,
@@ -375,6 +375,28 @@
     }
 }
 
+impl Last {
+    /// The event that tells a reader; none for a plain service's answer, whose body is not kept.
+    pub fn event(&self, request: RequestId) -> Option<CallerEvent> {
+        match self {
+            Self::Finished {
+                reason,
+                prompt_tokens,
+                answer_tokens,
+            } => Some(CallerEvent::Finished {
+                reason: reason.clone(),
+                prompt_tokens: *prompt_tokens,
+                answer_tokens: *answer_tokens,
+            }),
+            Self::Failed(error) => Some(CallerEvent::Failed {
+                request: Some(request),
+                error: error.clone(),
+            }),
+            Self::Service => None,
+        }
+    }
+}
+
 impl Answer {
     /// The position of the next event wanted.
     pub fn next_seq(&self) -> u64 {
