Upstreams: only X-Verdict: not_run makes a service's answer a refusal

Cause: the header was taken for a refusal whatever it said, so a service that tells 'ran' in it lost its answer: the caller got MayHaveRun for work that was done. The header's page text always said 'with not_run'. only_not_run_makes_a_service_answer_a_refusal failed before the change and passes with it; the tests of stand-ins and upstreams pass.

--- a/crates/stand-ins/tests/http_clients.rs
+++ b/crates/stand-ins/tests/http_clients.rs
@@ -6,7 +6,8 @@
 use bluebell_base::prelude::*;
 use bluebell_stand_ins::serve::{EventWriter, Listening, break_off, error, json};
 use bluebell_upstreams::engine::LoadReport;
-use bluebell_upstreams::{Event, EventBody, FinishReason, HttpEngine};
+use bluebell_upstreams::http::VERDICT_HEADER;
+use bluebell_upstreams::{Event, EventBody, FinishReason, HttpEngine, HttpService, ServiceCall};
 use common::{Seen, World, collector, failure, generate, is_own_last, request};
 use std::sync::Mutex;
 use std::sync::mpsc;
@@ -172,3 +173,47 @@
     });
     assert_eq!(events, [token(0), finished(1)]);
 }
+
+/// A service tells in its answers what became of the call, as `X-Verdict: ran`. The header was
+/// taken for a refusal whatever it said: the caller of work that was done got an error in the
+/// answer's place, and the call counted as one that may have run.
+#[test]
+fn only_not_run_makes_a_service_answer_a_refusal() {
+    let cases = [("ran", true), ("may_have_run", true), ("not_run", false)];
+    for (verdict, is_answer) in cases {
+        let listening = Listening::bind("127.0.0.1:0", move |request| {
+            let refusal = Error::not_run(ErrorKind::Overloaded, "full");
+            match is_answer {
+                true => json(request, 200, &"done", &[(VERDICT_HEADER, verdict)]),
+                false => error(request, &refusal, &[(VERDICT_HEADER, verdict)]),
+            }
+        });
+        let listening = listening.expect("a free port");
+        let mut world = World::open(true);
+        let address = Address::from(listening.address().to_string().as_str());
+        let port = HttpService::open(world.bridge(1), address);
+        let answer = world.ask(|core, ret| port.call(core, service_call(), ret));
+        match answer {
+            Ok(answer) => assert_eq!((is_answer, answer.status), (true, 200), "{verdict}"),
+            Err(error) => {
+                assert_eq!(
+                    (is_answer, error.verdict),
+                    (false, Verdict::NotRun),
+                    "{verdict}"
+                );
+            }
+        }
+    }
+}
+
+fn service_call() -> ServiceCall {
+    ServiceCall {
+        request: request(1),
+        idempotency_key: None,
+        method: "POST".into(),
+        path: "/notices".into(),
+        content_type: None,
+        body: Vec::new(),
+        timeout_ms: SpanMs(5_000),
+    }
+}
--- a/crates/upstreams/src/http/service/mod.rs
+++ b/crates/upstreams/src/http/service/mod.rs
@@ -15,7 +15,8 @@
 /// The header with the caller's idempotency key.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "Idempotency-Key";
 
-/// The header by which a service says, with `not_run`, that it refused a call without effect.
+/// The header by which a service says, with `not_run`, that it refused a call without effect; with
+/// anything else the answer is handed on like one without it.
 pub const VERDICT_HEADER: &str = "X-Verdict";
 
 /// Where a service tells whether it takes work.
@@ -81,7 +82,8 @@
     let header = answer.headers().get("Content-Type");
     let content_type = header.and_then(|value| value.to_str().ok()).map(Arc::from);
     let status = answer.status().as_u16();
-    let refused = answer.headers().get(VERDICT_HEADER).is_some();
+    let verdict = answer.headers().get(VERDICT_HEADER);
+    let refused = verdict.is_some_and(|verdict| verdict == Verdict::NotRun.as_str());
     let body = read_body(&mut answer)?;
     if refused {
         return Err(refusal(status, &body));
--- a/crates/upstreams/src/service/mod.rs
+++ b/crates/upstreams/src/service/mod.rs
@@ -36,7 +36,8 @@
 
 /// One replica of a plain service.
 pub trait ServicePort {
-    /// Makes the call; `NotRun` only where the connection was refused before anything was sent.
+    /// Makes the call; `NotRun` only where the connection was refused before anything was sent, or
+    /// where the service itself said so.
     fn call(&self, core: &mut Core, call: ServiceCall, ret: Ret<Result<ServiceAnswer, Error>>);
 
     /// Probes whether the replica takes work.
