Stand-ins: rows of the engine model get names; members: invariants at the head

Reservations, exports and loads with their instant are Timed, entries of the cache's log are Logged; no behaviour is changed, the stand-ins' tests pass.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -2,6 +2,10 @@
 //! directory stream of the log, probes of peers and the upstreams' own refusals.
 //!
 //! Terms: the *directory* is the reduced state of the list; *evidence* is one source's word.
+//!
+//! Invariants: a node's silence takes it out of the live ones and proves nothing; an entry is gone
+//! only once several lists in a row lack it, or the directory's writer says so; of the list's word
+//! and an upstream's own, the one that it leaves counts.
 
 pub mod actor;
 pub mod directory;
--- a/crates/stand-ins/src/engine/model/cache/mod.rs
+++ b/crates/stand-ins/src/engine/model/cache/mod.rs
@@ -33,10 +33,18 @@
     last_use: u64,
 }
 
-/// The changes of the cache, with their positions.
+/// A change of the cache with its position.
+#[derive(Debug)]
+struct Logged {
+    position: u64,
+    at_us: u64,
+    event: CacheEvent,
+}
+
+/// The changes of the cache, in order.
 #[derive(Debug, Default)]
 struct CacheLog {
-    events: VecDeque<(u64, u64, CacheEvent)>,
+    events: VecDeque<Logged>,
     next: u64,
 }
 
@@ -140,7 +148,11 @@
             tokens,
             stored,
         };
-        self.events.push_back((self.next, now_us, event));
+        self.events.push_back(Logged {
+            position: self.next,
+            at_us: now_us,
+            event,
+        });
         self.next += 1;
         if self.events.len() > KEPT_EVENTS {
             self.events.pop_front();
@@ -148,7 +160,10 @@
     }
 
     fn read(&self, from: u64, until_us: u64, seed: u64, loss_per_mille: u64) -> CacheEvents {
-        let first = self.events.front().map_or(self.next, |event| event.0);
+        let first = self
+            .events
+            .front()
+            .map_or(self.next, |logged| logged.position);
         let mut answer = CacheEvents {
             next: from.clamp(first, self.next),
             gap: from < first || from > self.next,
@@ -156,12 +171,12 @@
         };
         let skipped = (answer.next - first) as usize;
         let late = self.events.iter().skip(skipped);
-        for (position, _, event) in late.take_while(|event| event.1 <= until_us) {
-            answer.next = position + 1;
-            if mix(seed, *position) % 1000 < loss_per_mille {
+        for logged in late.take_while(|logged| logged.at_us <= until_us) {
+            answer.next = logged.position + 1;
+            if mix(seed, logged.position) % 1000 < loss_per_mille {
                 answer.gap = true;
             } else {
-                answer.events.push(*event);
+                answer.events.push(logged.event);
             }
         }
         answer
--- a/crates/stand-ins/src/engine/model/holds/mod.rs
+++ b/crates/stand-ins/src/engine/model/holds/mod.rs
@@ -3,7 +3,7 @@
 //! Invariants: a reservation is granted whole or not at all; every hold has an owner and an
 //! expiry, and only its owner can renew, release or reclaim it.
 
-use super::{Due, EngineModel};
+use super::{Due, EngineModel, Timed};
 use bluebell_base::prelude::*;
 use bluebell_upstreams::prompt::PrefixHash;
 use bluebell_upstreams::{Hold, HoldKind, Reserve};
@@ -42,11 +42,11 @@
             return Ok(());
         }
         let held_tokens = match self.reservations.get(&call.reservation) {
-            Some((reserve, _)) if reserve.owner != call.owner => {
+            Some(reserved) if reserved.what.owner != call.owner => {
                 let text = "another owner has the reservation";
                 return Err(Error::not_run(ErrorKind::Conflict, text));
             }
-            Some((reserve, _)) => reserve.kv_tokens.0,
+            Some(reserved) => reserved.what.kv_tokens.0,
             None => 0,
         };
         if call.kv_tokens.0 > self.free_tokens() + held_tokens {
@@ -57,7 +57,8 @@
         self.hold(call.kv_tokens.0, now_us);
         let due_us = now_us.saturating_add(call.hold_ms.0.saturating_mul(1000));
         let reservation = call.reservation;
-        self.reservations.insert(reservation, (call, due_us));
+        let reserved = Timed { what: call, due_us };
+        self.reservations.insert(reservation, reserved);
         self.due.insert((due_us, Due::Reservation(reservation)));
         self.snapshot(now_us);
         Ok(())
@@ -74,7 +75,7 @@
         owner: Incarnation,
     ) -> Result<(), Error> {
         match self.reservations.get(&reservation) {
-            Some((reserve, _)) if reserve.owner != owner => {
+            Some(reserved) if reserved.what.owner != owner => {
                 let text = "another owner has the reservation";
                 return Err(Error::not_run(ErrorKind::Conflict, text));
             }
@@ -97,21 +98,21 @@
             kv_tokens: Tokens(stream.need_tokens),
             expires_ms: left_ms(stream.due_us(remember_us)),
         });
-        let reservations = self.reservations.values().map(|(reserve, due_us)| Hold {
+        let reservations = self.reservations.values().map(|row| Hold {
             kind: HoldKind::Reservation,
-            request: reserve.request,
-            reservation: Some(reserve.reservation),
-            owner: reserve.owner,
-            kv_tokens: reserve.kv_tokens,
-            expires_ms: left_ms(*due_us),
+            request: row.what.request,
+            reservation: Some(row.what.reservation),
+            owner: row.what.owner,
+            kv_tokens: row.what.kv_tokens,
+            expires_ms: left_ms(row.due_us),
         });
-        let exports = self.exports.values().map(|(export, due_us)| Hold {
+        let exports = self.exports.values().map(|row| Hold {
             kind: HoldKind::Export,
-            request: export.request,
+            request: row.what.request,
             reservation: None,
-            owner: export.owner,
-            kv_tokens: export.tokens,
-            expires_ms: left_ms(*due_us),
+            owner: row.what.owner,
+            kv_tokens: row.what.tokens,
+            expires_ms: left_ms(row.due_us),
         });
         streams.chain(reservations).chain(exports).collect()
     }
@@ -144,7 +145,8 @@
         self.drop_export(request, now_us);
         self.hold(tokens.0, now_us);
         let due_us = now_us + EXPORT_HOLD_US;
-        self.exports.insert(request, (export.clone(), due_us));
+        let what = export.clone();
+        self.exports.insert(request, Timed { what, due_us });
         self.due.insert((due_us, Due::Export(request)));
         Ok(export)
     }
@@ -181,14 +183,14 @@
     }
 
     pub(super) fn reservation_due(&mut self, reservation: ReservationId, now_us: u64) {
-        let due_us = self.reservations.get(&reservation).map(|row| row.1);
+        let due_us = self.reservations.get(&reservation).map(|row| row.due_us);
         if due_us.is_some_and(|due_us| due_us <= now_us) {
             self.drop_reservation(reservation, now_us);
         }
     }
 
     pub(super) fn export_due(&mut self, request: RequestId, now_us: u64) {
-        let due_us = self.exports.get(&request).map(|row| row.1);
+        let due_us = self.exports.get(&request).map(|row| row.due_us);
         if due_us.is_some_and(|due_us| due_us <= now_us) {
             self.drop_export(request, now_us);
         }
@@ -213,16 +215,16 @@
     }
 
     fn drop_reservation(&mut self, reservation: ReservationId, now_us: u64) {
-        if let Some((reserve, _)) = self.reservations.remove(&reservation) {
-            self.free(reserve.kv_tokens.0);
+        if let Some(reserved) = self.reservations.remove(&reservation) {
+            self.free(reserved.what.kv_tokens.0);
             self.start_waiting(now_us);
             self.begin_step(now_us);
         }
     }
 
     fn drop_export(&mut self, request: RequestId, now_us: u64) {
-        if let Some((export, _)) = self.exports.remove(&request) {
-            self.free(export.tokens.0);
+        if let Some(export) = self.exports.remove(&request) {
+            self.free(export.what.tokens.0);
             self.start_waiting(now_us);
             self.begin_step(now_us);
         }
--- a/crates/stand-ins/src/engine/model/life/mod.rs
+++ b/crates/stand-ins/src/engine/model/life/mod.rs
@@ -199,8 +199,8 @@
 
     fn reserved_tokens(&self, call: &ModelCall) -> u64 {
         let own = call.group.and_then(|id| self.reservations.get(&id));
-        own.filter(|(reserve, _)| reserve.request == call.request)
-            .map_or(0, |(reserve, _)| reserve.kv_tokens.0)
+        own.filter(|reserved| reserved.what.request == call.request)
+            .map_or(0, |reserved| reserved.what.kv_tokens.0)
     }
 
     fn start(&mut self, key: StreamKey, now_us: u64) {
--- a/crates/stand-ins/src/engine/model/mod.rs
+++ b/crates/stand-ins/src/engine/model/mod.rs
@@ -39,8 +39,8 @@
     waiting: Vec<StreamKey>,
     running: Vec<StreamKey>,
     tombstones: HashMap<RequestId, AttemptNo>,
-    reservations: BTreeMap<ReservationId, (Reserve, u64)>,
-    exports: BTreeMap<RequestId, (ExportedKv, u64)>,
+    reservations: BTreeMap<ReservationId, Timed<Reserve>>,
+    exports: BTreeMap<RequestId, Timed<ExportedKv>>,
     cache: PrefixCache,
     held_tokens: u64,
     step: Step,
@@ -59,12 +59,19 @@
 #[derive(Debug)]
 struct Served {
     models: Vec<LoadedModel>,
-    loading: Vec<(LoadedModel, u64)>,
+    loading: Vec<Timed<LoadedModel>>,
     any_model: bool,
     role: Role,
     fencing: Fencing,
 }
 
+/// Something with the instant at which it ends or is done.
+#[derive(Clone, Debug)]
+struct Timed<T> {
+    what: T,
+    due_us: u64,
+}
+
 /// Something that happens by time alone; looked up again when it is due, as it may have moved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
--- a/crates/stand-ins/src/engine/model/orders/mod.rs
+++ b/crates/stand-ins/src/engine/model/orders/mod.rs
@@ -3,7 +3,7 @@
 //! Invariants: an engine that checks fencing numbers never obeys one older than the newest seen;
 //! a version being loaded is served only once it is whole.
 
-use super::{Due, EngineModel};
+use super::{Due, EngineModel, Timed};
 use bluebell_base::prelude::*;
 use bluebell_upstreams::engine::LoadedModel;
 use bluebell_upstreams::{EngineOrder, OrderAnswer};
@@ -34,7 +34,8 @@
     /// Serves the versions whose weights are here by now.
     pub(super) fn finish_loading(&mut self, now_us: u64) {
         let served = &mut self.served;
-        for (loaded, _) in served.loading.extract_if(.., |row| row.1 <= now_us) {
+        let here = |loading: &mut Timed<LoadedModel>| loading.due_us <= now_us;
+        for Timed { what: loaded, .. } in served.loading.extract_if(.., here) {
             served.models.retain(|row| row.model != loaded.model);
             served.models.push(loaded);
         }
@@ -57,16 +58,17 @@
 
     fn begin_loading(&mut self, wanted: LoadedModel, now_us: u64) {
         let served = &mut self.served;
-        let loading = served.loading.iter().any(|row| row.0 == wanted);
+        let loading = served.loading.iter().any(|row| row.what == wanted);
         if loading || served.models.contains(&wanted) {
             return;
         }
         // A later order for the same model replaces the one being loaded.
-        served.loading.retain(|row| row.0.model != wanted.model);
+        served.loading.retain(|row| row.what.model != wanted.model);
         let rate = self.settings.weight_bytes_per_second.0.max(1.0);
         let seconds = self.settings.model_bytes.0 as f64 / rate;
         let due_us = now_us + (seconds * 1e6) as u64;
-        served.loading.push((wanted, due_us));
+        let what = wanted;
+        served.loading.push(Timed { what, due_us });
         self.due.insert((due_us, Due::Loaded));
     }
 
--- a/crates/stand-ins/src/engine/model/report/mod.rs
+++ b/crates/stand-ins/src/engine/model/report/mod.rs
@@ -67,7 +67,7 @@
         let reserved = self
             .reservations
             .values()
-            .map(|(reserve, _)| reserve.kv_tokens);
+            .map(|reserved| reserved.what.kv_tokens);
         LoadReport {
             prefill_backlog_tokens: Tokens(backlog.sum()),
             decoding: decoding as u32,
--- a/crates/stand-ins/src/engine/model/verify/mod.rs
+++ b/crates/stand-ins/src/engine/model/verify/mod.rs
@@ -17,8 +17,8 @@
         let running = self.streams.iter().filter(|(_, stream)| stream.runs());
         let streams: u64 = running.map(|(_, stream)| stream.need_tokens).sum();
         let rows = self.reservations.values();
-        let reserved: u64 = rows.map(|(reserve, _)| reserve.kv_tokens.0).sum();
-        let exported: u64 = self.exports.values().map(|row| row.0.tokens.0).sum();
+        let reserved: u64 = rows.map(|row| row.what.kv_tokens.0).sum();
+        let exported: u64 = self.exports.values().map(|row| row.what.tokens.0).sum();
         let held = streams + reserved + exported;
         check(held == self.held_tokens, || {
             format!("{held} tokens are held, {} counted", self.held_tokens)
