Node: ready once an upstream is known; a planned stop goes on taking work until the balancer has noticed

Cause, found in trials with separate processes: a node started while the platform is down got the configuration from a peer and was ready, but refused every completion for want of an engine; and an idle node ended 1 ms after SIGTERM, so that the balancer's callers met a closed port.

--- a/crates/node/src/hub/admin.rs
+++ b/crates/node/src/hub/admin.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    fn ready(&self) -> Result<(), Error> {
+    pub(super) fn ready(&self) -> Result<(), Error> {
         let not_ready = |why: &str| Err(Error::not_run(ErrorKind::Unavailable, why));
         if self.stopping {
             return not_ready("the node is draining");
@@ -63,11 +63,16 @@
         if self.parts.card.config == ConfigVersion(0) {
             return not_ready("no configuration is in force yet");
         }
+        if !self.knows_upstream {
+            return not_ready("no upstream is known yet");
+        }
         Ok(())
     }
 
     fn metrics_text(&mut self) -> Result<Arc<str>, Error> {
         self.count_peer_bytes();
+        let in_flight = self.parts.callers.calls_in_progress();
+        self.parts.metrics.in_flight(in_flight);
         let text = self.parts.metrics.render();
         let text = text.map_err(|e| Error::not_run(ErrorKind::Internal, e.to_string()))?;
         Ok(text.into())
--- a/crates/node/src/hub/agreed.rs
+++ b/crates/node/src/hub/agreed.rs
@@ -25,8 +25,8 @@
         parts.metrics.config_version(version);
         parts.requests.set_config(version, Arc::clone(&config));
         parts.callers.set_config(Arc::clone(&config));
-        parts.callers.set_ready(!self.stopping);
         call!([parts.members], config_changed(version));
+        self.tell_ready();
     }
 
     fn on_holder(&mut self, cx: CX![], lease: Lease) {
--- a/crates/node/src/hub/drain.rs
+++ b/crates/node/src/hub/drain.rs
@@ -19,18 +19,30 @@
         if self.stopping {
             return;
         }
-        log::info!("draining: no new work from now on");
+        log::info!("draining: not ready from now on");
         self.stopping = true;
         self.parts.card.leaving = true;
         self.parts.callers.set_ready(false);
         call!([self.parts.members], leave());
-        let ret = ret_to!([cx], on_requests_done() as (()));
-        self.parts.requests.drain(ret);
+        let noticed = fwd_to!([cx], on_noticed() as (MonoMs));
+        let notice_ms = self.parts.settings.drain_notice_ms;
+        self.parts.timers.subscribe_in(cx, notice_ms, noticed);
         let limit = fwd_to!([cx], on_drain_limit() as (MonoMs));
         let limit_ms = self.parts.settings.drain_limit_ms;
         self.parts.timers.subscribe_in(cx, limit_ms, limit);
     }
 
+    /// Takes no new work any more.
+    ///
+    /// Guards against a balancer that has not noticed yet: it goes on sending callers here until
+    /// its next look at `/readyz`. Until the notice has passed they are served as ever; without
+    /// it an idle node would be gone at once and they would meet a closed port.
+    fn on_noticed(&mut self, cx: CX![], _now_ms: MonoMs) {
+        log::info!("draining: no new work from now on");
+        let ret = ret_to!([cx], on_requests_done() as (()));
+        self.parts.requests.drain(ret);
+    }
+
     fn on_requests_done(&mut self, cx: CX![], _done: Option<()>) {
         log::info!("draining: nothing in flight any more, duties are handed over");
         let limit = fwd_to!([cx], on_hand_over_limit() as (MonoMs));
--- a/crates/node/src/hub/fleet.rs
+++ b/crates/node/src/hub/fleet.rs
@@ -124,6 +124,8 @@
         let service = ServiceName(entry.deployment.0.clone());
         let port = HttpService::open(self.parts.services.clone(), entry.address);
         self.parts.requests.service_live(service, name, port);
+        self.knows_upstream = true;
+        self.tell_ready();
     }
 
     fn open_engine(&mut self, cx: CX![], name: UpstreamName, entry: VmEntry) {
@@ -190,6 +192,8 @@
         }
         engine.announced = true;
         let (card, port) = (engine.card(), Rc::clone(&engine.port));
+        self.knows_upstream = true;
+        self.tell_ready();
         self.parts.requests.engine_live(card, port);
     }
 
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -10,7 +10,6 @@
 mod drain;
 mod fleet;
 mod inbound;
-mod meter;
 mod seed;
 
 use crate::ports::lookup::Roll;
@@ -26,7 +25,6 @@
 use bluebell_telemetry::Metrics;
 use bluebell_timers::Timers;
 use fleet::EngineTable;
-use meter::Meter;
 use stakker::{ActorOwn, CX, Core, actor, ret_nop};
 use std::rc::Rc;
 
@@ -67,8 +65,8 @@
 pub struct Hub {
     parts: HubParts,
     engines: EngineTable,
-    meter: Meter,
     stopping: bool,
+    knows_upstream: bool,
     flushing: bool,
     /// The bytes of node-to-node traffic that the metrics have already.
     peer_bytes: Bytes,
@@ -84,17 +82,25 @@
         let mut hub = Self {
             parts,
             engines: EngineTable::default(),
-            meter: Meter::default(),
             stopping: false,
+            knows_upstream: false,
             flushing: false,
             peer_bytes: Bytes::ZERO,
         };
         hub.poll_next(cx);
         hub.seed_later(cx);
-        hub.read_meters(cx);
         Some(hub)
     }
 
+    /// Tells the balancer whether to send callers here.
+    ///
+    /// Guards against a node started while the platform is down: peers give it the configuration
+    /// but nobody the upstreams, and all calls that the balancer sent it would be refused while
+    /// other nodes could serve them. It is ready once it knew one upstream.
+    fn tell_ready(&self) {
+        self.parts.callers.set_ready(self.ready().is_ok());
+    }
+
     /// What this node says of itself now.
     pub(crate) fn card(&self) -> NodeCard {
         self.parts.card.clone()
--- a/crates/node/tests/sockets/support/mod.rs
+++ b/crates/node/tests/sockets/support/mod.rs
@@ -252,6 +252,7 @@
         ["--peers-address", "127.0.0.1:0"],
         ["--fleet-secret", "a-fleet-secret-for-tests"],
         ["--admin-credential", "admin-credential"],
+        ["--drain-notice-ms", "300"],
         ["--platform-address", platform.as_str()],
         ["--seed-config", seed],
     ];
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -70,6 +70,8 @@
     log_retention_ms: SpanMs, "log-retention-ms", "BLUEBELL_LOG_RETENTION_MS", "ms", Default("86400000");
     /// A configuration file that is published where the log holds none yet.
     seed_config: Option<PathBuf>, "seed-config", "BLUEBELL_SEED_CONFIG", "path", Unset;
+    /// How long a planned stop goes on taking work after it is not ready, for the balancer to notice.
+    drain_notice_ms: SpanMs, "drain-notice-ms", "BLUEBELL_DRAIN_NOTICE_MS", "ms", Default("2000");
     /// How long a planned stop waits for running work before the process exits all the same.
     drain_limit_ms: SpanMs, "drain-limit-ms", "BLUEBELL_DRAIN_LIMIT_MS", "ms", Default("300000");
 }
