--- a/crates/entry/src/callers/deliver.rs
+++ b/crates/entry/src/callers/deliver.rs
@@ -138,19 +138,17 @@
     pub(crate) fn whole(mut self, mut outlet: Outlet, subject: &Subject) -> Delivered {
         let mut answer_text = String::new();
         loop {
-            match self.next(self.interim_of(&outlet)) {
-                Next::Silence => {
-                    if outlet.interim().is_err() {
-                        return Delivered::CallerGone;
-                    }
-                }
-                Next::Event(CallerEvent::Admitted { request }) => self.admitted(request),
-                Next::Event(CallerEvent::Token { text, .. }) => answer_text.push_str(&text),
-                Next::Event(CallerEvent::Finished {
+            let Some(event) = self.next_of_whole(&mut outlet) else {
+                return Delivered::CallerGone;
+            };
+            match event {
+                CallerEvent::Admitted { request } => self.admitted(request),
+                CallerEvent::Token { text, .. } => answer_text.push_str(&text),
+                CallerEvent::Finished {
                     reason,
                     prompt_tokens,
                     answer_tokens,
-                }) => {
+                } => {
                     let end = End {
                         reason,
                         prompt_tokens,
@@ -160,10 +158,10 @@
                     let response = answer::json(200, &body, &self.request);
                     return outlet.respond(response).into();
                 }
-                Next::Event(CallerEvent::Service { .. }) => {
+                CallerEvent::Service { .. } => {
                     return self.refuse(outlet, None, crossed());
                 }
-                Next::Event(CallerEvent::Failed { request, error }) => {
+                CallerEvent::Failed { request, error } => {
                     return self.refuse(outlet, request, error);
                 }
             }
@@ -173,18 +171,16 @@
     /// Delivers a plain service's answer.
     pub(crate) fn service(mut self, mut outlet: Outlet) -> Delivered {
         loop {
-            match self.next(self.interim_of(&outlet)) {
-                Next::Silence => {
-                    if outlet.interim().is_err() {
-                        return Delivered::CallerGone;
-                    }
-                }
-                Next::Event(CallerEvent::Admitted { request }) => self.admitted(request),
-                Next::Event(CallerEvent::Service {
+            let Some(event) = self.next_of_whole(&mut outlet) else {
+                return Delivered::CallerGone;
+            };
+            match event {
+                CallerEvent::Admitted { request } => self.admitted(request),
+                CallerEvent::Service {
                     status,
                     content_type,
                     body,
-                }) => {
+                } => {
                     if !FINAL_STATUS.contains(&status) {
                         return self.refuse(outlet, None, not_final(status));
                     }
@@ -192,18 +188,26 @@
                     let response = answer::whole(status, media_type, body, &self.request);
                     return outlet.respond(response).into();
                 }
-                Next::Event(CallerEvent::Failed { request, error }) => {
+                CallerEvent::Failed { request, error } => {
                     return self.refuse(outlet, request, error);
                 }
-                Next::Event(CallerEvent::Token { .. } | CallerEvent::Finished { .. }) => {
+                CallerEvent::Token { .. } | CallerEvent::Finished { .. } => {
                     return self.refuse(outlet, None, crossed());
                 }
             }
         }
     }
 
-    fn interim_of(&self, outlet: &Outlet) -> Option<Duration> {
-        self.interim.filter(|_| outlet.takes_chunks())
+    /// The next event for a caller that waits for a whole answer and is sent interim responses
+    /// through the silence before it; none once the caller is gone.
+    fn next_of_whole(&self, outlet: &mut Outlet) -> Option<CallerEvent> {
+        let silence = self.interim.filter(|_| outlet.takes_chunks());
+        loop {
+            match self.next(silence) {
+                Next::Silence => outlet.interim().ok()?,
+                Next::Event(event) => return Some(event),
+            }
+        }
     }
 
     fn admitted(&mut self, request: RequestId) {
--- a/crates/entry/src/http/listener.rs
+++ b/crates/entry/src/http/listener.rs
@@ -18,6 +18,15 @@
 /// How many connections may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
+/// How long a connection is silent before the system probes it.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(30);
+
+/// The time between two probes of a silent connection.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// How many probes may go unanswered.
+const KEEPALIVE_PROBES: u32 = 3;
+
 /// Handles a request on a worker thread.
 pub(crate) type Handler = Arc<dyn Fn(Request) + Send + Sync>;
 
@@ -112,12 +121,12 @@
     options.set_write_timeout(Some(write_timeout_ms.into()))
 }
 
-/// Probes after half a minute of silence; a peer that answers none is given up after another.
+/// A connection that answers no probe is given up a minute after its last byte.
 fn keepalive() -> TcpKeepalive {
     TcpKeepalive::new()
-        .with_time(Duration::from_secs(30))
-        .with_interval(Duration::from_secs(10))
-        .with_retries(3)
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES)
 }
 
 impl Shared {
