--- a/crates/node/src/hub/admin.rs
+++ b/crates/node/src/hub/admin.rs
@@ -90,7 +90,7 @@
     fn fleet_text(&self, members: MembersDump) -> Result<Arc<str>, Error> {
         let view = FleetView {
             this: self.card(),
-            nodes: self.parts.roll.borrow().clone(),
+            nodes: self.parts.live_nodes.borrow().clone(),
             upstreams: upstreams(members),
         };
         let text = serde_json::to_string_pretty(&view);
@@ -102,7 +102,7 @@
     fn dump(&mut self, cx: CX![], reply: Reply<Arc<str>>) {
         let mut dump = StateDump::new();
         dump.section("node", &self.card());
-        dump.section("nodes", &*self.parts.roll.borrow());
+        dump.section("nodes", &*self.parts.live_nodes.borrow());
         dump.section("engines", &self.engine_dump());
         let ret = ret_some_to!([cx], dump_requests(dump, reply) as (ControlDump));
         call!([self.parts.control], dump(ret));
--- a/crates/node/src/hub/fleet.rs
+++ b/crates/node/src/hub/fleet.rs
@@ -20,12 +20,11 @@
 
 /// The pause between two polls of engines.
 const POLL_PAUSE_MS: SpanMs = SpanMs(150);
-/// Of so many turns of an engine one asks for its state, one for its cache events, the rest for
-/// its load.
-const TURNS: u64 = 8;
-/// Which turn asks for the models served.
+/// Every so many turns of an engine its state is asked for too.
+const STATE_TURNS: u64 = 8;
+/// Which of those turns asks for the state.
 const STATE_TURN: u64 = 7;
-/// Every how many turns cache events are asked for.
+/// Every so many turns of an engine its cache events are asked for; in all others its load.
 const CACHE_TURNS: u64 = 2;
 
 /// The engines this node knows, in the order of polling.
@@ -101,7 +100,7 @@
             MemberEvent::UpstreamLeaving(name) => self.on_upstream_leaving(cx, name),
             MemberEvent::UpstreamGone(name) => self.on_upstream_gone(cx, name),
             MemberEvent::Nodes(nodes) => {
-                *self.parts.roll.borrow_mut() = nodes.clone();
+                *self.parts.live_nodes.borrow_mut() = nodes.clone();
                 call!([self.parts.control], nodes_changed(nodes));
             }
             MemberEvent::NodeReplaced { dead } => {
@@ -205,7 +204,7 @@
         let engine = &mut self.engines.engines[index];
         engine.turn += 1;
         let (turn, name) = (engine.turn, engine.name.clone());
-        if turn % TURNS == STATE_TURN || !engine.is_known() {
+        if turn % STATE_TURNS == STATE_TURN || !engine.is_known() {
             self.ask_state(cx, &name);
         }
         if turn.is_multiple_of(CACHE_TURNS) {
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -1,7 +1,8 @@
 //! The hub: the actor that passes each part's events to the parts that need them.
 //!
-//! Terms: the *roll* is the list of live nodes' cards; a *poll* asks one engine for its load or
-//! cache events, at a fixed rate for the node, whatever the number of engines.
+//! Terms: the *live nodes* are the nodes' cards as membership last told them; a *poll* asks one
+//! engine for its load or cache events, at a fixed rate for the node, whatever the number of
+//! engines.
 //!
 //! Invariants: the hub decides nothing about requests; it holds no state of theirs.
 
@@ -12,7 +13,7 @@
 mod inbound;
 mod seed;
 
-use crate::ports::lookup::Roll;
+use crate::ports::lookup::LiveNodes;
 use bluebell_base::prelude::*;
 use bluebell_bridge::Bridge;
 use bluebell_claims::ClaimsHandle;
@@ -51,7 +52,7 @@
     /// The counts of node-to-node traffic.
     pub peer_stats: Arc<PeerStats>,
     /// The live nodes.
-    pub roll: Roll,
+    pub live_nodes: LiveNodes,
     /// I/O threads for streams from engines.
     pub streams: Bridge,
     /// I/O threads for calls to plain services, apart from the short calls, which a service that
--- a/crates/node/src/launch/wiring.rs
+++ b/crates/node/src/launch/wiring.rs
@@ -2,7 +2,7 @@
 
 use super::{LaunchError, NodeAddresses};
 use crate::hub::{Hub, HubParts};
-use crate::ports::lookup::{PeerLookup, Roll};
+use crate::ports::lookup::{LiveNodes, PeerLookup};
 use crate::ports::observer::NodeObserver;
 use bluebell_base::prelude::*;
 use bluebell_bridge::{Bridge, Inbox, Link};
@@ -60,7 +60,7 @@
     metrics: Arc<Metrics>,
     incarnation: Incarnation,
     seed: u64,
-    roll: Roll,
+    live_nodes: LiveNodes,
 }
 
 /// The ports to the platform and to other nodes.
@@ -105,7 +105,7 @@
             callers,
             metrics: base.metrics,
             peer_stats: runtime.stats(),
-            roll: base.roll,
+            live_nodes: base.live_nodes,
             streams: base.streams,
             services: base.services,
             calls: base.calls,
@@ -178,7 +178,7 @@
             metrics: Arc::new(metrics),
             incarnation: Incarnation(random.random()),
             seed: random.random(),
-            roll: Roll::default(),
+            live_nodes: LiveNodes::default(),
             settings: Rc::new(settings),
         })
     }
@@ -341,7 +341,7 @@
             claims: Rc::new(claims.clone()),
             policy,
             observer: NodeObserver::open(Arc::clone(&self.metrics), refused),
-            lookup: PeerLookup::open(Rc::clone(&outside.peers), Rc::clone(&self.roll)),
+            lookup: PeerLookup::open(Rc::clone(&outside.peers), Rc::clone(&self.live_nodes)),
             seed: self.seed,
         };
         Requests::spawn(core, settings, ports)
--- a/crates/node/src/ports/lookup.rs
+++ b/crates/node/src/ports/lookup.rs
@@ -1,6 +1,6 @@
 //! Looking a request up at the node that admitted it.
 //!
-//! Terms: the *roll* is the list of live nodes as membership last told it.
+//! Terms: the *live nodes* are the nodes' cards as membership last told them.
 
 use bluebell_base::prelude::*;
 use bluebell_peers::{NodeCard, PeerAnswer, PeerCall, PeerPort, RequestReport};
@@ -10,18 +10,18 @@
 use std::rc::Rc;
 
 /// The live nodes, shared between the hub, which writes it, and lookups.
-pub type Roll = Rc<RefCell<Vec<NodeCard>>>;
+pub type LiveNodes = Rc<RefCell<Vec<NodeCard>>>;
 
 /// Finds the node by the incarnation in the request's id and asks it.
 pub struct PeerLookup {
     peers: Rc<dyn PeerPort>,
-    roll: Roll,
+    live_nodes: LiveNodes,
 }
 
 impl PeerLookup {
-    /// Opens the lookup over the roll.
-    pub fn open(peers: Rc<dyn PeerPort>, roll: Roll) -> Rc<dyn RequestLookup> {
-        Rc::new(Self { peers, roll })
+    /// Opens the lookup over the live nodes.
+    pub fn open(peers: Rc<dyn PeerPort>, live_nodes: LiveNodes) -> Rc<dyn RequestLookup> {
+        Rc::new(Self { peers, live_nodes })
     }
 }
 
@@ -33,8 +33,8 @@
         ret: Ret<Result<Option<RequestReport>, Error>>,
     ) {
         let address = {
-            let roll = self.roll.borrow();
-            let card = roll
+            let live_nodes = self.live_nodes.borrow();
+            let card = live_nodes
                 .iter()
                 .find(|card| card.incarnation == request.incarnation);
             card.map(|card| card.address.clone())
