--- a/crates/control/src/leases/holder.rs
+++ b/crates/control/src/leases/holder.rs
@@ -8,7 +8,7 @@
 use crate::reduce::Grant;
 use crate::{Duty, Lease};
 use bluebell_base::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Own records that may be on their way at once; older ones are forgotten, which only shortens
 /// validity.
@@ -43,7 +43,7 @@
     held: BTreeMap<Duty, HeldDuty>,
     given_up: BTreeMap<Duty, Fencing>,
     sent: BTreeMap<OperationId, MonoMs>,
-    sent_order: std::collections::VecDeque<OperationId>,
+    sent_order: VecDeque<OperationId>,
 }
 
 impl Holder {
@@ -55,7 +55,7 @@
             held: BTreeMap::new(),
             given_up: BTreeMap::new(),
             sent: BTreeMap::new(),
-            sent_order: Default::default(),
+            sent_order: VecDeque::new(),
         }
     }
 
@@ -81,14 +81,7 @@
         if grant.holder != Some(self.me) {
             return self.drop_duty(duty);
         }
-        // A renewal that was under way when this node decided to give the duty back may be read
-        // before the release is, which may still be on its way for any time. Once that lands,
-        // others take the duty at once; this node must not have gone back to holding it.
-        if self
-            .given_up
-            .get(&duty)
-            .is_some_and(|given_up| grant.fencing <= *given_up)
-        {
+        if self.is_given_up(duty, grant.fencing) {
             return None;
         }
         // A record that this process does not remember sending gives no validity: it may have
@@ -113,6 +106,16 @@
         valid.then_some(Change::Held { lease, until_ms })
     }
 
+    /// Whether this node decided to give the duty back under that fencing number.
+    ///
+    /// A renewal that was under way then may be read before the release is, which may still be on
+    /// its way for any time. Once that lands, others take the duty at once; this node must not
+    /// have gone back to holding it.
+    fn is_given_up(&self, duty: Duty, fencing: Fencing) -> bool {
+        let given_up = self.given_up.get(&duty);
+        given_up.is_some_and(|given_up| fencing <= *given_up)
+    }
+
     /// This node is about to release the duty: it is never held again under that fencing number.
     pub fn give_up(&mut self, duty: Duty) -> Option<Change> {
         if let Some(held) = self.held.get(&duty) {
--- a/crates/members/src/listing/mod.rs
+++ b/crates/members/src/listing/mod.rs
@@ -16,7 +16,7 @@
 use bluebell_base::prelude::*;
 use bluebell_platform::VmEntry;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How much longer an absence has to last where more than half of the entries are missing.
 const MASS_FACTOR: u32 = 20;
@@ -71,7 +71,7 @@
     /// What a fetched list changes, absences confirmed; the listing itself is not changed.
     pub fn compare(&mut self, fetched: &[VmEntry], confirmations: u32) -> Vec<ListChange> {
         let mut changes: Vec<ListChange> = Vec::new();
-        let mut present = std::collections::BTreeSet::new();
+        let mut present = BTreeSet::new();
         for entry in fetched {
             // The first of two entries of one name counts, so that both don't alternate.
             if present.insert(&entry.name) && self.entries.get(&entry.name) != Some(entry) {
@@ -100,7 +100,7 @@
 
     /// What makes this list equal to `entries`, with no absence to be confirmed.
     pub fn replace(&self, entries: Vec<VmEntry>) -> Vec<ListChange> {
-        let kept: std::collections::BTreeSet<&VmName> = entries.iter().map(|e| &e.name).collect();
+        let kept: BTreeSet<&VmName> = entries.iter().map(|e| &e.name).collect();
         let gone = self.entries.keys().filter(|name| !kept.contains(name));
         let gone = gone.map(|name| ListChange::Gone { name: name.clone() });
         let mut changes: Vec<ListChange> = gone.collect();
--- a/crates/platform/tests/actors/appender.rs
+++ b/crates/platform/tests/actors/appender.rs
@@ -167,6 +167,9 @@
     assert_eq!(bench.stats().may_have_run, 1);
 }
 
+/// The log takes fewer appends than all nodes together send, and refuses one with a time to come
+/// back. Only the callers of that append are told "not run"; those who hand in meanwhile wait out
+/// the time, instead of being refused in turn though the log is up.
 #[test]
 fn rate_refusal_of_the_log_pauses_but_keeps_those_who_wait() {
     let platform = PlatformSettings {
--- a/crates/platform/tests/actors/tail.rs
+++ b/crates/platform/tests/actors/tail.rs
@@ -89,6 +89,8 @@
     tail.verify();
 }
 
+/// The log answers no read, and a node's appends fail one after the other; each asks the tail to
+/// read at once. A read for each of them, from all nodes, would keep the log from coming back.
 #[test]
 fn poll_soon_does_not_break_the_backoff() {
     let mut world = world();
@@ -154,6 +156,8 @@
     );
 }
 
+/// A node starts to read when retention has taken every record and nothing new was written. With no
+/// record to read it must learn all the same that there were some, and not take itself for complete.
 #[test]
 fn expired_stream_still_names_its_gap() {
     let mut world = World::open(PlatformSettings {
--- a/crates/stand-ins/tests/engine_contract.rs
+++ b/crates/stand-ins/tests/engine_contract.rs
@@ -64,6 +64,8 @@
     assert_eq!(strange.count(), expected().len());
 }
 
+/// A node learns by a stream's last event whether it may try elsewhere. Whatever strikes the stream
+/// on its way, there is exactly one last event, and it never says less than what may have run.
 #[test]
 fn every_stream_has_one_truthful_end_under_each_fault() {
     let off = FaultSwitches::default;
@@ -182,6 +184,8 @@
     }
 }
 
+/// A connection breaks in the middle of an answer, which the engine goes on to compute. The node
+/// reads on behind the last event that it got, and its caller gets each token once.
 #[test]
 fn a_cut_stream_goes_on_behind_its_last_event() {
     for (kind, real) in KINDS {
@@ -235,6 +239,8 @@
     }
 }
 
+/// An engine's process is gone while the list still names it. No connection can be made, so that its
+/// calls are certain not to have run and are tried elsewhere at once.
 #[test]
 fn a_dead_engine_is_a_certain_not_run() {
     for (kind, real) in KINDS {
--- a/crates/stand-ins/tests/platform_contract/http_only.rs
+++ b/crates/stand-ins/tests/platform_contract/http_only.rs
@@ -47,6 +47,8 @@
     assert!(error.retry_after_ms.is_some());
 }
 
+/// A test stops the platform and expects refusals. Were the listener still open for a moment, a call
+/// would be taken into its backlog and reset: "may have run", now and then, for no fault of the code.
 #[test]
 fn stopped_server_refuses_connections() {
     let server = PlatformServer::bind("127.0.0.1:0", PlatformSettings::default()).unwrap();
--- a/crates/stand-ins/tests/service_contract.rs
+++ b/crates/stand-ins/tests/service_contract.rs
@@ -89,6 +89,8 @@
     effects: u64,
 }
 
+/// A caller publishes a notice and the service fails in one way or another. "Not run" may only be
+/// told where no notice stands: whoever trusts it publishes again, and the notice would stand twice.
 #[test]
 fn what_the_caller_is_told_fits_the_effects() {
     let off = FaultSwitches::default;
@@ -147,6 +149,8 @@
     }
 }
 
+/// A replica's VM is gone while the list still names it. Its calls must be certain not to have run,
+/// so that they are tried at another replica instead of being given up as unsure.
 #[test]
 fn a_service_that_is_gone_is_a_certain_not_run() {
     for (kind, real) in KINDS {
