--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod fleet;
 mod inbound;
+mod meter;
 mod seed;
 
 use crate::ports::lookup::Roll;
@@ -25,6 +26,7 @@
 use bluebell_telemetry::Metrics;
 use bluebell_timers::Timers;
 use fleet::EngineTable;
+use meter::Meter;
 use stakker::{ActorOwn, CX, Core, actor, ret_nop};
 use std::rc::Rc;
 
@@ -65,8 +67,11 @@
 pub struct Hub {
     parts: HubParts,
     engines: EngineTable,
+    meter: Meter,
     stopping: bool,
     flushing: bool,
+    /// The bytes of node-to-node traffic that the metrics have already.
+    peer_bytes: Bytes,
 }
 
 impl Hub {
@@ -79,11 +84,14 @@
         let mut hub = Self {
             parts,
             engines: EngineTable::default(),
+            meter: Meter::default(),
             stopping: false,
             flushing: false,
+            peer_bytes: Bytes::ZERO,
         };
         hub.poll_next(cx);
         hub.seed_later(cx);
+        hub.read_meters(cx);
         Some(hub)
     }
 
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -4,7 +4,7 @@
 use crate::print::help_text;
 use crate::resolve::{EnvVar, Parsed, Resolver, unknown_env};
 use crate::table::Fallback::{Default, Required, Unset};
-use crate::value::Secret;
+use crate::value::{AddressList, Secret};
 use argh::FromArgs;
 use bluebell_base::prelude::*;
 use bluebell_telemetry::{LogFormat, LogLevels};
@@ -36,6 +36,8 @@
     peers_address: Address, "peers-address", "BLUEBELL_PEERS_ADDRESS", "ip:port", Default("127.0.0.1:8082");
     /// Where other nodes reach this one, if not at the peers' address.
     peers_advertised: Option<Address>, "peers-advertised", "BLUEBELL_PEERS_ADVERTISED", "ip:port", Unset;
+    /// Where other nodes are reached at the start, before the platform's list of VMs is read.
+    peer_seeds: Option<AddressList>, "peer-seeds", "BLUEBELL_PEER_SEEDS", "ip:port,...", Unset;
     /// Where the platform's log, weight store and VM list are.
     platform_address: Address, "platform-address", "BLUEBELL_PLATFORM_ADDRESS", "ip:port", Required;
     /// The credential sent to the platform.
@@ -61,7 +63,7 @@
     /// Shards of the idempotency keys; the same on all nodes of the fleet.
     shards: u32, "shards", "BLUEBELL_SHARDS", "count", Default("16");
     /// How often the config stream of the log is read.
-    config_poll_ms: SpanMs, "config-poll-ms", "BLUEBELL_CONFIG_POLL_MS", "ms", Default("500");
+    config_poll_ms: SpanMs, "config-poll-ms", "BLUEBELL_CONFIG_POLL_MS", "ms", Default("1000");
     /// How often the platform's list of VMs is read by the node whose duty that is.
     vm_list_poll_ms: SpanMs, "vm-list-poll-ms", "BLUEBELL_VM_LIST_POLL_MS", "ms", Default("1000");
     /// How long the platform's log keeps records; the same on all nodes of the fleet.
@@ -72,8 +74,12 @@
     drain_limit_ms: SpanMs, "drain-limit-ms", "BLUEBELL_DRAIN_LIMIT_MS", "ms", Default("300000");
 }
 
-/// A lease shorter than this could not be renewed in time over a slow log.
-const MIN_LEASE_TTL: SpanMs = SpanMs(1_000);
+/// A lease shorter than this could not be read and renewed in time: control takes a margin of a
+/// second off, and reads leases once a second, four times a lease.
+const MIN_LEASE_TTL_MS: SpanMs = SpanMs(4_000);
+
+/// Reading the config stream less often would not bring changes into force within seconds.
+const MAX_CONFIG_POLL_MS: SpanMs = SpanMs(5_000);
 
 impl NodeSettings {
     /// Reads the settings from flags (without the program's name) and environment variables.
@@ -119,16 +125,17 @@
                 "--peers-advertised is needed where --peers-address is not one other nodes can call",
             );
         }
-        if self.lease_ttl_ms < MIN_LEASE_TTL {
+        if self.lease_ttl_ms < MIN_LEASE_TTL_MS {
             clash(&format!(
                 "--lease-ttl-ms must be at least {}",
-                MIN_LEASE_TTL.0
+                MIN_LEASE_TTL_MS.0
             ));
         }
-        if self.config_poll_ms >= self.lease_ttl_ms {
-            clash(
-                "--config-poll-ms must be less than --lease-ttl-ms: leases are read by that poll",
-            );
+        if self.config_poll_ms > MAX_CONFIG_POLL_MS {
+            clash(&format!(
+                "--config-poll-ms must be at most {}: changes shall be in force within seconds",
+                MAX_CONFIG_POLL_MS.0
+            ));
         }
         errors
     }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -55,7 +55,7 @@
 
 plain_values!(VmName, DomainName, RegionName, LogFormat, LogLevels);
 
-/// Reads sizes and counts, of which none may be zero.
+/// Reads sizes and counts, whose default is zero and of which none may be zero.
 macro_rules! positive_values {
     ($($type:ty),+) => {$(
         impl SettingValue for $type {
@@ -63,7 +63,7 @@
                 let value: Self = text
                     .parse()
                     .map_err(|_| format!("{text:?} is not a whole number"))?;
-                if value == Self::from_zero() {
+                if value == Self::default() {
                     return Err("must be more than 0".into());
                 }
                 Ok(value)
@@ -76,30 +76,6 @@
     )+};
 }
 
-/// Zero of a type; lets one macro serve sizes and plain counts.
-trait FromZero {
-    /// Zero.
-    fn from_zero() -> Self;
-}
-
-impl FromZero for SpanMs {
-    fn from_zero() -> Self {
-        Self::ZERO
-    }
-}
-
-impl FromZero for Bytes {
-    fn from_zero() -> Self {
-        Self::ZERO
-    }
-}
-
-impl FromZero for u32 {
-    fn from_zero() -> Self {
-        0
-    }
-}
-
 positive_values!(SpanMs, Bytes, u32);
 
 impl SettingValue for Address {
@@ -116,6 +92,30 @@
     }
 }
 
+/// Addresses separated by commas, in the order given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AddressList(Vec<Address>);
+
+impl AddressList {
+    /// The addresses; at least one.
+    pub fn as_slice(&self) -> &[Address] {
+        &self.0
+    }
+}
+
+impl SettingValue for AddressList {
+    fn read(text: &str) -> Result<Self, String> {
+        let addresses: Result<Vec<_>, _> =
+            text.split(',').map(str::trim).map(Address::read).collect();
+        addresses.map(Self)
+    }
+
+    fn show(&self) -> String {
+        let texts: Vec<&str> = self.0.iter().map(Address::as_str).collect();
+        texts.join(",")
+    }
+}
+
 impl SettingValue for PathBuf {
     fn read(text: &str) -> Result<Self, String> {
         if text.is_empty() {
