--- a/crates/node/src/launch/wiring.rs
+++ b/crates/node/src/launch/wiring.rs
@@ -89,11 +89,7 @@
         let callers = base.bind_callers(&requests)?;
         let admin = base.bind_admin(&late)?;
 
-        let addresses = NodeAddresses {
-            callers: Address(callers.address().to_string().into()),
-            admin: Address(admin.address().to_string().into()),
-            peers: peer_server.address().clone(),
-        };
+        let addresses = addresses(&callers, &admin, &peer_server);
         let parts = HubParts {
             settings: base.settings,
             timers: base.timers,
@@ -110,9 +106,7 @@
             services: base.services,
             calls: base.calls,
         };
-        let hub = Rc::new(Hub::spawn(stakker, parts));
-        late.set(Rc::clone(&hub));
-        HUB.set(Some(hub));
+        spawn_hub(stakker, parts, &late);
         Ok(Self {
             inbox,
             addresses,
@@ -138,6 +132,21 @@
     }
 }
 
+fn addresses(callers: &Callers, admin: &Admin, peers: &PeerServer) -> NodeAddresses {
+    NodeAddresses {
+        callers: Address(callers.address().to_string().into()),
+        admin: Address(admin.address().to_string().into()),
+        peers: peers.address().clone(),
+    }
+}
+
+/// Spawns the hub and makes it known to the parts that call it and to the stop.
+fn spawn_hub(core: &mut Core, parts: HubParts, late: &LateHub) {
+    let hub = Rc::new(Hub::spawn(core, parts));
+    late.set(Rc::clone(&hub));
+    HUB.set(Some(hub));
+}
+
 /// The hub's place in `Fwd`s that are made before the hub, since it needs the parts they go to.
 #[derive(Clone, Default)]
 struct LateHub {
