--- a/crates/node/tests/sockets/path.rs
+++ b/crates/node/tests/sockets/path.rs
@@ -94,3 +94,21 @@
     wait_for("further probes to be added", || bytes() > before);
     fleet.stop();
 }
+
+/// Nodes that start while the platform's list names none of them stand alone, though their
+/// settings name a node that could tell them of the others.
+#[test]
+fn nodes_that_no_list_names_meet_by_seeds() {
+    let mut fleet = Fleet::start(0, 1);
+    fleet.start_unlisted(&[]);
+    let seed = fleet.nodes[0].addresses().peers.clone();
+    fleet.start_unlisted(&[&seed]);
+    for (index, other) in [(0, "node-1"), (1, "node-0")] {
+        wait_for("the other node to be known", || {
+            let view = fleet.admin(index, "/admin/fleet");
+            let nodes = view["nodes"].as_array().expect("a list of nodes");
+            nodes.iter().any(|card| card["name"] == other)
+        });
+    }
+    fleet.stop();
+}
--- a/crates/node/tests/sockets/support/mod.rs
+++ b/crates/node/tests/sockets/support/mod.rs
@@ -3,7 +3,7 @@
 use bluebell_base::prelude::*;
 use bluebell_node::Node;
 use bluebell_platform::{VmEntry, VmRole, VmState};
-use bluebell_settings::{EnvVar, NodeSettings, Parsed};
+use bluebell_settings::{AddressList, EnvVar, NodeSettings, Parsed, SettingValue};
 use bluebell_stand_ins::engine::{EngineServer, EngineSettings, ServerOptions};
 use bluebell_stand_ins::faults::FaultSwitches;
 use bluebell_stand_ins::platform::{PlatformServer, PlatformSettings, VmChange};
@@ -93,6 +93,15 @@
         self.nodes.push(node);
     }
 
+    /// Starts a node that no list of VMs names, with seed addresses.
+    pub fn start_unlisted(&mut self, seeds: &[&Address]) {
+        let seeds: Vec<&str> = seeds.iter().map(|seed| seed.as_str()).collect();
+        let mut settings = settings(self.nodes.len(), &self.platform);
+        settings.peer_seeds =
+            (!seeds.is_empty()).then(|| AddressList::read(&seeds.join(",")).expect("addresses"));
+        self.nodes.push(Node::spawn(settings).expect("node starts"));
+    }
+
     /// Waits until the node takes calls and knows an engine.
     pub fn wait_ready(&self, index: usize) {
         let url = self.url(index, "/readyz");
