--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -115,16 +115,11 @@
     }
 
     fn grant(&mut self, cx: CX![], report: RequestReport, wish: Wish) {
-        if let Wish::Report(reply) = wish {
-            return reply(Ok(report));
-        }
-        let ended = report.state.is_ended();
-        if matches!(wish, Wish::Cancel(_)) && ended {
-            if let Wish::Cancel(reply) = wish {
-                reply(Ok(report));
-            }
-            return;
-        }
+        let wish = match wish {
+            Wish::Report(reply) => return reply(Ok(report)),
+            Wish::Cancel(reply) if report.state.is_ended() => return reply(Ok(report)),
+            wish => wish,
+        };
         let Some(upstream) = report.upstream.clone() else {
             let message = "the request hasn't reached an engine; its own node has it";
             let error = Error::may_have_run(ErrorKind::Unavailable, message);
--- a/crates/requests/src/actor/inspect.rs
+++ b/crates/requests/src/actor/inspect.rs
@@ -20,12 +20,16 @@
         request: RequestId,
         ret: Ret<Option<RequestReport>>,
     ) {
+        ret.ret(self.known_report(request));
+    }
+
+    /// What is known here of a request, live or ended.
+    pub(super) fn known_report(&self, request: RequestId) -> Option<RequestReport> {
         let live = self.table.find(request).and_then(|id| self.table.get(id));
-        let report = match live {
+        match live {
             Some(life) => Some(life.report(&self.fleet)),
             None => self.ring.get(request).map(|f| f.report.clone()),
-        };
-        ret.ret(report);
+        }
     }
 
     pub(super) fn dump(&mut self, cx: CX![], ret: Ret<Arc<str>>) {
--- a/crates/requests/src/actor/readers.rs
+++ b/crates/requests/src/actor/readers.rs
@@ -112,12 +112,7 @@
         request: RequestId,
         reply: CancelReply,
     ) {
-        let live = self.table.find(request).and_then(|id| self.table.get(id));
-        let report = match live {
-            Some(life) => Some(life.report(&self.fleet)),
-            None => self.ring.get(request).map(|f| f.report.clone()),
-        };
-        match report {
+        match self.known_report(request) {
             Some(report) if report.account == account => reply(Ok(report)),
             Some(_) => reply(Err(not_found())),
             None if request.incarnation == self.incarnation => reply(Err(not_found())),
