--- a/crates/claims/src/router/mod.rs
+++ b/crates/claims/src/router/mod.rs
@@ -105,6 +105,22 @@
             }
             return;
         }
+        let held = self.begin_tenure(cx, shard, fencing, until_ms);
+        if let Some(slot) = self.shards.get_mut(shard.index()) {
+            slot.held = Some(held);
+            slot.ownerless_ms = None;
+        }
+        self.ask_new_owner(cx, shard);
+    }
+
+    /// Starts an owner for a lease that is new here.
+    fn begin_tenure(
+        &mut self,
+        cx: CX![],
+        shard: ShardId,
+        fencing: Fencing,
+        until_ms: MonoMs,
+    ) -> Held {
         let report = Rc::new(RefCell::new(ShardReport::default()));
         self.rounds += 1;
         let epoch = Epoch {
@@ -125,13 +141,11 @@
             Owner::init(parts, tenure, own_report, ended),
             ret_nop!()
         );
-        slot.held = Some(Held {
+        Held {
             epoch,
             actor,
             report,
-        });
-        slot.ownerless_ms = None;
-        self.ask_new_owner(cx, shard);
+        }
     }
 
     /// Until when claims of a shard without an owner may wait for one.
--- a/crates/requests/src/actor/foreign.rs
+++ b/crates/requests/src/actor/foreign.rs
@@ -11,7 +11,7 @@
 use super::readers::{not_found, refuse};
 use crate::budget::PayerId;
 use crate::cursor::Cursor;
-use crate::life::{Answer, Life, LinkNo, Mode, Phase, Reader, Run, Work};
+use crate::life::{Answer, Life, LinkNo, Phase, Reader, Run, Work};
 use crate::table::EntryId;
 use crate::waits::{Wait, WaitId, Wish};
 use bluebell_base::prelude::*;
@@ -201,19 +201,7 @@
             Wish::Report(_) | Wish::Cancel(_) => 0,
         };
         let payer = PayerId(self.payers.intern(&stream.account));
-        let answer = Answer {
-            class: ClassName::from(ADOPTED),
-            model: ModelName::from(ADOPTED),
-            prompt: None,
-            prompt_bytes: Bytes::ZERO,
-            prompt_tokens: None,
-            max_tokens: Tokens::ZERO,
-            job: None,
-            base,
-            tokens: Vec::new(),
-            last_token_ms: None,
-        };
-        let work = Work::Answer(Box::new(answer));
+        let work = Work::Answer(Box::new(adopted_answer(base)));
         let mut life = new_life(stream.request, stream.account, payer, work, now_ms);
         life.deadline_ms = now_ms + self.longest_end_ms();
         life.admitted = true;
@@ -226,23 +214,8 @@
             until_ms: life.deadline_ms,
         };
         life.sent_to = Some(upstream);
-        life.phase = Phase::Running(Run {
-            upstream,
-            group: None,
-            first_link: LinkNo(1),
-            generated: None,
-            first_seq: base,
-            stream: LinkNo(0),
-            open: false,
-            heard: false,
-            accepted: true,
-            mode: Mode::Reading,
-            heard_ms: now_ms,
-            quiet_ms: self.settings.adopted_stall_ms(),
-            breaks: 0,
-            peer_asked: false,
-            tries: 0,
-        });
+        let quiet_ms = self.settings.adopted_stall_ms();
+        life.phase = Phase::Running(Run::adopted(upstream, base, now_ms, quiet_ms));
         life
     }
 
@@ -254,6 +227,22 @@
     }
 }
 
+/// An answer of which this node knows nothing but where it is read from.
+fn adopted_answer(base: u64) -> Answer {
+    Answer {
+        class: ClassName::from(ADOPTED),
+        model: ModelName::from(ADOPTED),
+        prompt: None,
+        prompt_bytes: Bytes::ZERO,
+        prompt_tokens: None,
+        max_tokens: Tokens::ZERO,
+        job: None,
+        base,
+        tokens: Vec::new(),
+        last_token_ms: None,
+    }
+}
+
 /// Tells a waiting caller that it does not get what it wished for.
 fn deny(wait: Wait, error: Error) {
     match wait.wish {
--- a/crates/requests/src/life/run.rs
+++ b/crates/requests/src/life/run.rs
@@ -111,4 +111,26 @@
             tries: 0,
         }
     }
+
+    /// A run that another node began, before its stream is resumed here; its engine is asked after
+    /// `quiet_ms` of silence.
+    pub fn adopted(upstream: UpstreamId, first_seq: u64, now_ms: MonoMs, quiet_ms: SpanMs) -> Self {
+        Self {
+            upstream,
+            group: None,
+            first_link: LinkNo(1),
+            generated: None,
+            first_seq,
+            stream: LinkNo(0),
+            open: false,
+            heard: false,
+            accepted: true,
+            mode: Mode::Reading,
+            heard_ms: now_ms,
+            quiet_ms,
+            breaks: 0,
+            peer_asked: false,
+            tries: 0,
+        }
+    }
 }
