--- a/crates/requests/src/actor/arrivals.rs
+++ b/crates/requests/src/actor/arrivals.rs
@@ -118,36 +118,14 @@
 
     fn completion_life(&mut self, call: Completion, now_ms: MonoMs) -> Result<Life, Refused> {
         let config = self.open_config(call.prompt.len())?;
-        let (class_id, class) = config
-            .class(&call.class)
-            .ok_or_else(|| unknown(format!("no class of work is named {}", call.class)))?;
-        if !config.models.iter().any(|model| model.name == call.model) {
-            return Err(unknown(format!("no model is named {}", call.model)));
-        }
-        let account_id = known_account(&config, &call.account)?;
-        let request = self.next_request();
         let prompt_bytes = Bytes(call.prompt.len() as u64);
-        let prompt_tokens = self.lengths.estimate(&call.model, prompt_bytes);
-        let end_ms = call.deadline_ms.unwrap_or(class.end_ms).min(class.end_ms);
         let max_tokens = call.max_tokens.min(config.limits.answer_tokens);
-        let claim = match class.idempotent {
+        let job = self.job(&config, &call, max_tokens, now_ms)?;
+        let (request, repeatable, deadline_ms) = (job.request, job.idempotent, job.deadline_ms);
+        let claim = match repeatable {
             true => None,
             false => completion_claim(request, &call, max_tokens),
         };
-        let job = Job {
-            request,
-            account: account_id,
-            class: class_id,
-            model: ModelId(self.models.intern(&call.model)),
-            prompt_tokens,
-            max_tokens,
-            prefixes: prefixes(&call.prompt),
-            arrived_ms: now_ms,
-            first_token_due_ms: now_ms + class.first_token_ms(prompt_tokens),
-            deadline_ms: now_ms + end_ms,
-            idempotent: class.idempotent,
-            avoid: Vec::new(),
-        };
         let answer = Answer {
             class: call.class,
             model: call.model,
@@ -163,12 +141,46 @@
         let work = Work::Answer(Box::new(answer));
         let payer = PayerId(self.payers.intern(&call.account));
         let mut life = new_life(request, call.account, payer, work, now_ms);
-        life.deadline_ms = now_ms + end_ms;
-        life.repeatable = class.idempotent;
+        life.deadline_ms = deadline_ms;
+        life.repeatable = repeatable;
         life.claim = claim;
         Ok(life)
     }
 
+    /// What the policy is told of a call.
+    fn job(
+        &mut self,
+        config: &FleetConfig,
+        call: &Completion,
+        max_tokens: Tokens,
+        now_ms: MonoMs,
+    ) -> Result<Job, Refused> {
+        let (class_id, class) = config
+            .class(&call.class)
+            .ok_or_else(|| unknown(format!("no class of work is named {}", call.class)))?;
+        if !config.models.iter().any(|model| model.name == call.model) {
+            return Err(unknown(format!("no model is named {}", call.model)));
+        }
+        let account = known_account(config, &call.account)?;
+        let prompt_bytes = Bytes(call.prompt.len() as u64);
+        let prompt_tokens = self.lengths.estimate(&call.model, prompt_bytes);
+        let end_ms = call.deadline_ms.unwrap_or(class.end_ms).min(class.end_ms);
+        Ok(Job {
+            request: self.next_request(),
+            account,
+            class: class_id,
+            model: ModelId(self.models.intern(&call.model)),
+            prompt_tokens,
+            max_tokens,
+            prefixes: prefixes(&call.prompt),
+            arrived_ms: now_ms,
+            first_token_due_ms: now_ms + class.first_token_ms(prompt_tokens),
+            deadline_ms: now_ms + end_ms,
+            idempotent: class.idempotent,
+            avoid: Vec::new(),
+        })
+    }
+
     fn service_life(&mut self, call: ServiceRequest, now_ms: MonoMs) -> Result<Life, Refused> {
         let config = self.open_config(call.body.len())?;
         let service = config.services.iter().find(|s| s.name == call.service);
