--- a/crates/node/tests/sockets/main.rs
+++ b/crates/node/tests/sockets/main.rs
@@ -2,5 +2,6 @@
 
 mod leaving;
 mod path;
+mod ready;
 mod streams;
 mod support;
--- a/crates/node/tests/sockets/support/mod.rs
+++ b/crates/node/tests/sockets/support/mod.rs
@@ -29,12 +29,31 @@
 impl Fleet {
     /// Starts a fleet and waits until every node is ready.
     pub fn start(nodes: usize, engines: usize) -> Self {
+        let mut fleet = Self::surroundings(engines);
+        fleet.list_upstreams();
+        for index in 0..nodes {
+            fleet.start_node(index);
+        }
+        for index in 0..nodes {
+            fleet.wait_ready(index);
+        }
+        fleet
+    }
+
+    /// Starts one node whose platform lists no upstream, and waits for nothing.
+    pub fn start_unready() -> Self {
+        let mut fleet = Self::surroundings(0);
+        fleet.start_node(0);
+        fleet
+    }
+
+    fn surroundings(engines: usize) -> Self {
         let settings = PlatformSettings {
             vm_lag_ms: SpanMs(0),
             ..PlatformSettings::default()
         };
         let platform = PlatformServer::bind("127.0.0.1:0", settings).expect("platform binds");
-        let mut fleet = Self {
+        Self {
             nodes: Vec::new(),
             engines: (0..engines).map(|_| engine()).collect(),
             service: ServiceServer::bind(
@@ -45,15 +64,7 @@
             .expect("service binds"),
             platform,
             agent: agent(),
-        };
-        fleet.list_upstreams();
-        for index in 0..nodes {
-            fleet.start_node(index);
         }
-        for index in 0..nodes {
-            fleet.wait_ready(index);
-        }
-        fleet
     }
 
     fn list_upstreams(&self) {
