--- /dev/null
+++ b/crates/fleet/src/engine/mod.rs
@@ -0,0 +1,55 @@
+//! What an engine's work costs: the time to read a prompt and the time of a pass of writing.
+//!
+//! Terms: a *step* writes one token for each writer; a *pass* with writers runs `stride` steps, each
+//! of which may also read a *chunk* of waiting prompts; a *pair* is a token and an earlier one.
+//!
+//! Invariants: costs grow with tokens, and are finite for the values that a configuration may hold.
+
+use bluebell_base::prelude::*;
+
+/// The figures of one service's engines, as the operators' configuration gives them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSpec {
+    /// The most requests that run at once.
+    pub slots: u32,
+    /// Memory, in tokens.
+    pub memory_tokens: Tokens,
+    /// The base time of a step.
+    pub step_ms: f64,
+    /// What each writer adds to a step.
+    pub per_writer_ms: f64,
+    /// What 1,000 tokens of a writer's context add to a step.
+    pub per_context_k_ms: f64,
+    /// How many prompt tokens are read in a second, pairs aside.
+    pub read_per_s: f64,
+    /// What a million pairs add to reading.
+    pub pairs_per_m_ms: f64,
+    /// The most prompt tokens that one step reads.
+    pub chunk_tokens: Tokens,
+    /// The steps of a pass that has writers.
+    pub stride: u32,
+    /// What reading in parts adds to each of the writer's steps.
+    pub hop_ms: f64,
+}
+
+impl EngineSpec {
+    /// The time that reading a prompt takes one engine that does nothing else.
+    pub fn read_ms(&self, prompt_tokens: Tokens) -> f64 {
+        let tokens = prompt_tokens.0 as f64;
+        let pairs_m = tokens * tokens / 2.0 / 1e6;
+        tokens * 1000.0 / self.read_per_s.max(1.0) + pairs_m * self.pairs_per_m_ms
+    }
+
+    /// The time of a pass without reading.
+    pub fn pass_ms(&self, writers: u32, context_tokens: Tokens) -> f64 {
+        let step_ms = self.step_ms
+            + self.per_writer_ms * f64::from(writers)
+            + self.per_context_k_ms * context_tokens.0 as f64 / 1000.0;
+        step_ms * f64::from(self.stride.max(1))
+    }
+
+    /// The most prompt tokens that one pass with writers reads.
+    pub fn pass_tokens(&self) -> Tokens {
+        Tokens(self.chunk_tokens.0.max(1) * u64::from(self.stride.max(1)))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,34 @@
+//! Decisions over a fleet of replicas that many equal nodes share: which replica takes a request,
+//! when a request is turned away, and when a broken try may be repeated.
+//!
+//! Terms:
+//! - a *replica* is one running copy of a service; an *engine* is a replica that reads prompts and
+//!   writes tokens, a *plain* replica answers whole calls;
+//! - *reading* a prompt ends with its first token, *writing* follows; writers of one engine advance
+//!   together in *passes*, and whatever is read in a pass delays all of its writers;
+//! - the *ledger* holds all work in flight, of this node and, as far as they told, of its peers.
+//!
+//! Invariants: nothing here does I/O or reads a clock; every instant comes in as [`MonoMs`].
+//!
+//! [`MonoMs`]: bluebell_base::prelude::MonoMs
+
+pub mod budget;
+pub mod engine;
+pub mod ledger;
+pub mod placement;
+pub mod replicas;
+pub mod serving;
+
+/// What users of this package import.
+pub mod prelude {
+    pub use crate::budget::{RetryBudget, RetryLimits};
+    pub use crate::engine::EngineSpec;
+    pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
+    pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
+    pub use crate::replicas::{
+        Replica, ReplicaChange, ReplicaKey, ReplicaState, ReplicaTable, Symptom,
+    };
+    pub use crate::serving::{
+        Account, ClientLimits, Route, RouteKind, RouteLookup, Service, ServingConfig, Split,
+    };
+}
--- /dev/null
+++ b/crates/fleet/src/placement/mod.rs
@@ -0,0 +1,80 @@
+//! Where a request runs: the engine that writes it and those that help to read it, or the replica
+//! that answers a plain call.
+//!
+//! Load pattern: for some ten seconds long prompts take most of the fleet, then short ones come at
+//! several times their usual rate. A long prompt read next to short writers makes all of them
+//! pause; kept apart by a fixed border, one of the two phases has too few engines.
+//!
+//! Reason for the limits: all nodes know the engines in one shared order. Short work is drawn to
+//! its front and long work to its back, and each looks only at what it would do to the work that is
+//! there. So the border moves with demand, and nobody has to agree on it.
+//!
+//! Invariants: a decision depends only on its arguments.
+
+mod cost;
+mod plain;
+mod search;
+
+pub use plain::{PlainCandidate, place_plain};
+pub use search::place_engine;
+
+use bluebell_base::prelude::*;
+
+use crate::ledger::Load;
+use crate::replicas::ReplicaKey;
+
+/// What a request needs of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// The length of its prompt.
+    pub prompt_tokens: Tokens,
+    /// The most tokens of its answer.
+    pub answer_tokens: Tokens,
+    /// The longest pause between its events that is on time.
+    pub gap_ms: SpanMs,
+    /// The time left to a first event that is on time.
+    pub target_left_ms: f64,
+    /// The time left to its deadline.
+    pub deadline_left_ms: f64,
+}
+
+/// An engine that may take work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Which one.
+    pub key: ReplicaKey,
+    /// What it has to do.
+    pub load: Load,
+    /// How much longer its work takes than reckoned; at least 1.
+    pub pace: f64,
+}
+
+/// Where a request runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// The engine that writes.
+    pub first: ReplicaKey,
+    /// Those that read parts of the prompt beside it.
+    pub helpers: Vec<ReplicaKey>,
+    /// What each of them reads, as time.
+    pub part_ms: f64,
+    /// When the first event is expected, from now.
+    pub first_event_ms: f64,
+}
+
+/// Why a request isn't placed; in every case it has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// No replica of the service takes work.
+    #[error("no replica takes work")]
+    NoReplica,
+    /// The prompt is longer than any engine's memory.
+    #[error("the prompt is longer than an engine's memory")]
+    TooLong,
+    /// Serving it would cost others more than it gains.
+    #[error("the engines are full")]
+    Overloaded {
+        /// When coming back may help.
+        retry_after_ms: SpanMs,
+    },
+}
--- /dev/null
+++ b/crates/fleet/src/placement/plain.rs
@@ -0,0 +1,36 @@
+//! The replica for a plain call.
+//!
+//! Load pattern: calls are short and few against the replicas' slots; what hurts is a replica that
+//! is slow or away.
+//!
+//! Reason for the limits: a node knows its own calls only. Even spread over the trusted replicas is
+//! enough, and the nearest failure domain wins a tie.
+
+use bluebell_base::prelude::*;
+
+use crate::replicas::ReplicaKey;
+
+/// A replica that may take a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlainCandidate {
+    /// Which one.
+    pub key: ReplicaKey,
+    /// This node's calls that it has in hand.
+    pub calls: u32,
+    /// Whether it is in this node's failure domain.
+    pub near: bool,
+    /// How much longer its work takes than usual; at least 1.
+    pub pace: f64,
+}
+
+/// Picks the replica with the fewest calls for its pace; ties go to the nearer, then by `draw`.
+pub fn place_plain(candidates: &[PlainCandidate], draw: u32) -> Option<ReplicaKey> {
+    let load =
+        |c: &PlainCandidate| f64::from(c.calls + 1) * c.pace - f64::from(u8::from(c.near)) * 0.5;
+    let least = candidates.iter().map(load).fold(f64::INFINITY, f64::min);
+    let tied: Vec<&PlainCandidate> = candidates.iter().filter(|c| load(c) <= least).collect();
+    match tied.is_empty() {
+        true => None,
+        false => Some(tied[draw as usize % tied.len()].key),
+    }
+}
--- /dev/null
+++ b/crates/front/src/call/admit.rs
@@ -0,0 +1,134 @@
+//! Admission: the request's head, its route, its account and its body.
+
+use super::Call;
+use super::answers::{self, Answer};
+use crate::node::Node;
+use crate::outside::CallHead;
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use bytes::Bytes as Buffer;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use hyper::{Request, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// When a caller of a node that knows no configuration yet is asked back: by then the node knows
+/// one, or the balancer prefers another node.
+const UNKNOWING_RETRY_MS: SpanMs = SpanMs(500);
+
+/// The time allowed where neither the caller nor the route says one.
+const LONGEST_MS: SpanMs = SpanMs(600_000);
+
+struct Admitted {
+    route: Arc<Route>,
+    service: Arc<Service>,
+    account: Option<Arc<Account>>,
+    body_bytes: Bytes,
+}
+
+/// Admits a request, or says why not.
+pub async fn admit(node: Rc<Node>, request: Request<Incoming>) -> Result<Call, Answer> {
+    let arrived_ms = node.now_ms();
+    let (parts, body) = request.into_parts();
+    let head = match node.outside.dialect.call_head(&parts.headers) {
+        Ok(head) => head,
+        Err(error) => {
+            let status = StatusCode::BAD_REQUEST;
+            let why = error.to_string();
+            return Err(answers::rejected(&node, &"".into(), status, &why));
+        }
+    };
+    let admitted = look_up(&node, &head, &parts)?;
+    let allowed_ms = head.deadline_ms.unwrap_or(LONGEST_MS);
+    let timeout_ms = admitted.route.timeout_ms.min(allowed_ms);
+    let deadline_ms = arrived_ms + timeout_ms;
+    let body = read_body(&node, &head, body, admitted.body_bytes, timeout_ms).await?;
+    let now_ms = node.now_ms();
+    node.with(|state| state.budget.on_request(&admitted.service.name, now_ms));
+    Ok(Call {
+        node,
+        head,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        route: admitted.route,
+        service: admitted.service,
+        account: admitted.account,
+        arrived_ms,
+        deadline_ms,
+    })
+}
+
+fn look_up(node: &Node, head: &CallHead, parts: &Parts) -> Result<Admitted, Answer> {
+    let reject = |status, why| Err(answers::rejected(node, &head.request, status, why));
+    let Some(config) = node.with(|state| state.config.clone()) else {
+        let why = "no configuration is known yet";
+        return Err(answers::refused(
+            node,
+            &head.request,
+            why,
+            UNKNOWING_RETRY_MS,
+        ));
+    };
+    let host = parts
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok());
+    let host = parts.uri.host().or(host).unwrap_or_default();
+    let RouteLookup::Found(route) = config.route(host, parts.uri.path()) else {
+        return reject(StatusCode::NOT_FOUND, "no route answers to host and path");
+    };
+    let account = match config.keyed() && !route.public {
+        false => None,
+        true => {
+            let account = head.key.as_ref().and_then(|key| config.account(key));
+            let Some(account) = account else {
+                return reject(StatusCode::UNAUTHORIZED, "the key is unknown");
+            };
+            Some(account.clone())
+        }
+    };
+    let service = route.service(rand::random());
+    let Some(service) = service.and_then(|name| config.service(name)).cloned() else {
+        let why = "the route's service is not configured";
+        return Err(answers::refused(
+            node,
+            &head.request,
+            why,
+            UNKNOWING_RETRY_MS,
+        ));
+    };
+    Ok(Admitted {
+        route,
+        service,
+        account,
+        body_bytes: config.limits().body_bytes,
+    })
+}
+
+async fn read_body(
+    node: &Node,
+    head: &CallHead,
+    body: Incoming,
+    limit: Bytes,
+    timeout_ms: SpanMs,
+) -> Result<Buffer, Answer> {
+    let limited = Limited::new(body, limit.0 as usize);
+    match tokio::time::timeout(Duration::from(timeout_ms), limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(_)) => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            let why = "the body is too large or broke off";
+            Err(answers::rejected(node, &head.request, status, why))
+        }
+        Err(_) => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            let why = "the body didn't arrive in time";
+            Err(answers::rejected(node, &head.request, status, why))
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/call/answers.rs
@@ -0,0 +1,69 @@
+//! The node's own answers.
+//!
+//! Invariants: 503 and 429 say that the request has not run; 502 and 504 leave it open.
+
+use super::body::FrontBody;
+use crate::journal::Event;
+use crate::node::Node;
+use bluebell_base::prelude::*;
+use bytes::Bytes as Buffer;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// An answer to a caller.
+pub type Answer = Response<FrontBody>;
+
+fn own(node: &Node, request: &str, status: StatusCode, verdict: &str, why: &str) -> Answer {
+    let text = serde_json::json!({ "verdict": verdict, "error": why }).to_string();
+    let mut answer = Response::new(FrontBody::Whole(Some(Buffer::from(text))));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = node.outside.dialect.own_headers(request);
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
+
+/// The request has not run, and may come back after `retry_after_ms`.
+pub fn refused(node: &Node, request: &Arc<str>, why: &str, retry_after_ms: SpanMs) -> Answer {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    node.journal.tell(&Event::Refused {
+        request: request.clone(),
+        status: status.as_u16(),
+        why: why.into(),
+        retry_after_ms,
+    });
+    let mut answer = own(node, request, status, "not_run", why);
+    let seconds = format!("{:.3}", retry_after_ms.0 as f64 / 1000.0);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// The request can't be served as it is; it has not run.
+pub fn rejected(node: &Node, request: &Arc<str>, status: StatusCode, why: &str) -> Answer {
+    node.journal.tell(&Event::Refused {
+        request: request.clone(),
+        status: status.as_u16(),
+        why: why.into(),
+        retry_after_ms: SpanMs::ZERO,
+    });
+    own(node, request, status, "not_run", why)
+}
+
+/// The request may have run.
+pub fn failed(
+    node: &Node,
+    request: &Arc<str>,
+    status: StatusCode,
+    why: &str,
+    age_ms: SpanMs,
+) -> Answer {
+    node.journal.tell(&Event::Failed {
+        request: request.clone(),
+        status: status.as_u16(),
+        why: why.into(),
+        age_ms,
+    });
+    own(node, request, status, "may_have_run", why)
+}
--- /dev/null
+++ b/crates/front/src/call/choose.rs
@@ -0,0 +1,124 @@
+//! Choosing the replica for a try, from what the node believes.
+
+use super::Call;
+use super::held::Held;
+use bluebell_base::prelude::*;
+use bluebell_fleet::placement::{Candidate, PlainCandidate};
+use bluebell_fleet::prelude::*;
+use std::net::SocketAddr;
+
+/// A replica that was chosen, with the hold on it.
+pub(super) struct Chosen {
+    pub key: ReplicaKey,
+    pub replica: Arc<Replica>,
+    pub helpers: Vec<SocketAddr>,
+    /// When the first event, or the answer, is expected, from now.
+    pub expected_ms: f64,
+    pub held: Held,
+}
+
+/// Chooses a replica that isn't in `avoid`.
+pub(super) fn choose(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
+    match &call.service.engine {
+        Some(spec) => choose_engine(call, spec, avoid),
+        None => choose_plain(call, avoid),
+    }
+}
+
+/// The replicas that take work and are trusted; where none is trusted, those that are not.
+fn takers<'a>(
+    state: &'a crate::node::State,
+    call: &'a Call,
+    avoid: &[ReplicaKey],
+    now_ms: MonoMs,
+) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
+    let mut ready = state.replicas.ready(&call.service.name);
+    ready.retain(|(key, _, _)| !avoid.contains(key));
+    let trusted = ready.iter().any(|(_, _, health)| health.admits(now_ms));
+    ready.retain(|(_, _, health)| !trusted || health.admits(now_ms));
+    ready
+}
+
+use bluebell_fleet::replicas::Health;
+
+fn choose_engine(call: &Call, spec: &EngineSpec, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
+    let node = &call.node;
+    let now_ms = node.now_ms();
+    let demand = demand(call, now_ms);
+    let (placement, replica, helpers) = node.with(|state| {
+        let mut loads = state.ledger.loads(now_ms);
+        let takers = takers(state, call, avoid, now_ms);
+        let candidates: Vec<Candidate> = takers
+            .iter()
+            .map(|(key, _, health)| Candidate {
+                key: *key,
+                load: loads.remove(key).unwrap_or_default(),
+                pace: health.pace(),
+            })
+            .collect();
+        let placement = place_engine(spec, &candidates, &demand)?;
+        let find = |key| state.replicas.get(key).ok_or(Refusal::NoReplica).cloned();
+        let replica = find(placement.first)?;
+        let helpers = placement.helpers.iter().map(|key| find(*key));
+        let helpers: Result<Vec<_>, _> = helpers.map(|r| r.map(|r| r.address)).collect();
+        Ok((placement, replica, helpers?))
+    })?;
+    let work = Work {
+        first: placement.first,
+        helpers: placement.helpers,
+        stage: Stage::Reading,
+        placed_ms: now_ms,
+        prompt_tokens: demand.prompt_tokens,
+        part_ms: placement.part_ms,
+        gap_ms: demand.gap_ms,
+    };
+    Ok(Chosen {
+        key: placement.first,
+        replica,
+        helpers,
+        expected_ms: placement.first_event_ms,
+        held: Held::work(node, placement.first, work),
+    })
+}
+
+fn demand(call: &Call, now_ms: MonoMs) -> Demand {
+    let gap_ms = match call.route.kind {
+        RouteKind::Stream { gap_ms, .. } => gap_ms,
+        RouteKind::Idempotent | RouteKind::AtMostOnce => call.route.target_ms,
+    };
+    let target_at_ms = call.arrived_ms + call.route.target_ms;
+    Demand {
+        prompt_tokens: call.head.prompt_tokens.unwrap_or_default(),
+        answer_tokens: call.head.answer_tokens,
+        gap_ms,
+        target_left_ms: target_at_ms.since(now_ms).0 as f64,
+        deadline_left_ms: call.deadline_ms.since(now_ms).0 as f64,
+    }
+}
+
+fn choose_plain(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
+    let node = &call.node;
+    let now_ms = node.now_ms();
+    let (key, replica) = node.with(|state| {
+        let takers = takers(state, call, avoid, now_ms);
+        let candidates: Vec<PlainCandidate> = takers
+            .iter()
+            .map(|(key, replica, health)| PlainCandidate {
+                key: *key,
+                calls: state.calls.get(key).copied().unwrap_or(0),
+                near: replica.domain == node.settings.domain,
+                pace: health.pace(),
+            })
+            .collect();
+        let key = place_plain(&candidates, rand::random()).ok_or(Refusal::NoReplica)?;
+        let replica = state.replicas.get(key).ok_or(Refusal::NoReplica)?;
+        Ok((key, replica.clone()))
+    })?;
+    Ok(Chosen {
+        key,
+        replica,
+        helpers: Vec::new(),
+        expected_ms: call.route.target_ms.0 as f64 / 2.0,
+        held: Held::call(node, key),
+    })
+}
--- /dev/null
+++ b/crates/front/src/call/held.rs
@@ -0,0 +1,116 @@
+//! What a request holds, released when its future is dropped.
+
+use super::Call;
+use crate::journal::Event;
+use crate::node::Node;
+use bluebell_fleet::prelude::*;
+use std::rc::Rc;
+
+/// What a try holds at a replica.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Holding {
+    /// Work on engines.
+    Work(WorkId),
+    /// A call at a plain replica.
+    Call(ReplicaKey),
+}
+
+/// The hold of one try. Dropping it releases the hold and tells the peers.
+pub(super) struct Held {
+    node: Rc<Node>,
+    holding: Holding,
+    on_trial: Option<ReplicaKey>,
+    stage: Stage,
+}
+
+impl Held {
+    /// Notes the hold of work that was placed.
+    pub fn work(node: &Rc<Node>, key: ReplicaKey, work: Work) -> Self {
+        let id = node.next_work();
+        node.outbox.placed(id.sequence, &work, node.now_ms());
+        node.with(|state| state.ledger.put(id, work));
+        Self::begin(node, key, Holding::Work(id))
+    }
+
+    /// Notes the hold of a call at a plain replica.
+    pub fn call(node: &Rc<Node>, key: ReplicaKey) -> Self {
+        node.with(|state| *state.calls.entry(key).or_default() += 1);
+        Self::begin(node, key, Holding::Call(key))
+    }
+
+    fn begin(node: &Rc<Node>, key: ReplicaKey, holding: Holding) -> Self {
+        let on_trial = node.with(|state| {
+            let health = state.replicas.health_mut(key);
+            health.is_some_and(|health| health.begin())
+        });
+        Self {
+            node: node.clone(),
+            holding,
+            on_trial: on_trial.then_some(key),
+            stage: Stage::Reading,
+        }
+    }
+
+    /// Events arrive, all on time so far or not.
+    pub fn set_stage(&mut self, stage: Stage) {
+        if stage == self.stage || self.stage == Stage::Late {
+            return;
+        }
+        self.stage = stage;
+        if let Holding::Work(id) = self.holding {
+            self.node.with(|state| state.ledger.set_stage(id, stage));
+            self.node.outbox.stage(id.sequence, stage);
+        }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.node.with(|state| {
+            if let Some(health) = self.on_trial.and_then(|key| state.replicas.health_mut(key)) {
+                health.end_trial();
+            }
+            match self.holding {
+                Holding::Work(id) => state.ledger.remove(id),
+                Holding::Call(key) => {
+                    if let Some(calls) = state.calls.get_mut(&key) {
+                        *calls = calls.saturating_sub(1);
+                    }
+                }
+            }
+        });
+        if let Holding::Work(id) = self.holding {
+            self.node.outbox.ended(id.sequence);
+        }
+    }
+}
+
+/// Tells when a caller left before its request was answered.
+pub(super) struct CallWatch {
+    call: Rc<Call>,
+    answered: bool,
+}
+
+impl CallWatch {
+    pub fn begin(call: Rc<Call>) -> Self {
+        Self {
+            call,
+            answered: false,
+        }
+    }
+
+    pub fn answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for CallWatch {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.call.node.journal.tell(&Event::Cancelled {
+                request: self.call.head.request.clone(),
+                age_ms: self.call.age_ms(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/call/mod.rs
@@ -0,0 +1,75 @@
+//! The life of a request: admission, tries at replicas, the answer.
+//!
+//! Terms: a *try* goes to one replica; a request is *answered* once its first byte is on its way.
+//!
+//! Invariants: a request that isn't repeatable is tried again only after a try that certainly didn't
+//! run; an answer with a promise that nothing ran is given only where no try may have run; an answer
+//! that broke off never ends as if it were complete.
+
+mod admit;
+mod answers;
+mod body;
+mod choose;
+mod events;
+mod held;
+mod plain;
+mod pump;
+mod stream;
+mod tries;
+
+pub use answers::Answer;
+pub use body::FrontBody;
+pub use events::EventSplitter;
+
+use crate::node::Node;
+use crate::outside::CallHead;
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use bytes::Bytes as Buffer;
+use held::CallWatch;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Uri};
+use std::rc::Rc;
+
+/// A request that was admitted, with all that its tries need.
+pub(crate) struct Call {
+    pub node: Rc<Node>,
+    pub head: CallHead,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Buffer,
+    pub route: Arc<Route>,
+    pub service: Arc<Service>,
+    pub account: Option<Arc<Account>>,
+    pub arrived_ms: MonoMs,
+    /// When the caller, or the operators, stop waiting.
+    pub deadline_ms: MonoMs,
+}
+
+impl Call {
+    /// How long ago it arrived.
+    pub fn age_ms(&self) -> SpanMs {
+        self.node.now_ms().since(self.arrived_ms)
+    }
+
+    /// The time left to its deadline.
+    pub fn left_ms(&self) -> SpanMs {
+        self.deadline_ms.since(self.node.now_ms())
+    }
+}
+
+/// Serves one request of a caller.
+pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    let call = match admit::admit(node, request).await {
+        Ok(call) => Rc::new(call),
+        Err(answer) => return answer,
+    };
+    let mut watch = CallWatch::begin(call.clone());
+    let answer = match call.route.kind {
+        RouteKind::Stream { .. } => stream::serve(&call).await,
+        RouteKind::Idempotent | RouteKind::AtMostOnce => plain::serve(&call).await,
+    };
+    watch.answered();
+    answer
+}
--- /dev/null
+++ b/crates/front/src/call/plain.rs
@@ -0,0 +1,161 @@
+//! Requests with one whole answer.
+
+use super::Call;
+use super::answers::{self, Answer};
+use super::body::FrontBody;
+use super::choose::{Chosen, choose};
+use super::tries::{self, Reply, TryError, may_try_again, note_failure, note_symptom};
+use crate::journal::Event;
+use bluebell_base::prelude::*;
+use bluebell_fleet::placement::Refusal;
+use bluebell_fleet::prelude::*;
+use bytes::Bytes as Buffer;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The largest answer that is taken whole; the users' plain answers are a few KB.
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// How many targets a try of a repeatable request may take before another replica is asked.
+const SILENT_TARGETS: u64 = 2;
+
+/// How many replicas that can't be reached are tried at most.
+const UNREACHED_TRIES: u32 = 4;
+
+/// Serves a request with one whole answer.
+pub(super) async fn serve(call: &Rc<Call>) -> Answer {
+    let mut avoid: Vec<ReplicaKey> = Vec::new();
+    let mut arrived_tries = 0;
+    let mut ran = Verdict::NotRun;
+    loop {
+        let chosen = match choose(call, &avoid) {
+            Ok(chosen) => chosen,
+            Err(refusal) => return give_up(call, ran, &refusal),
+        };
+        avoid.push(chosen.key);
+        let attempt = avoid.len() as u32;
+        let error = match try_once(call, &chosen, attempt).await {
+            Ok(Whole { reply, body }) => {
+                let repeat = reply.status().is_server_error() && call.route.kind.repeatable();
+                if !repeat {
+                    return pass_on(call, &chosen, attempt, reply, body);
+                }
+                let why = format!("the replica failed with status {}", reply.status());
+                let error = TryError::new(&why, Verdict::Ran, Symptom::Failed);
+                if !may_try_again(call, arrived_tries + 1, &error) {
+                    return pass_on(call, &chosen, attempt, reply, body);
+                }
+                arrived_tries += 1;
+                note_failure(call, &chosen, attempt, &error);
+                ran = Verdict::Ran;
+                continue;
+            }
+            Err(error) => error,
+        };
+        note_failure(call, &chosen, attempt, &error);
+        drop(chosen);
+        arrived_tries += u32::from(error.arrived);
+        if error.ran != Verdict::NotRun {
+            ran = Verdict::MayHaveRun;
+        }
+        if attempt > UNREACHED_TRIES || !may_try_again(call, arrived_tries, &error) {
+            return end(call, ran, &error.why);
+        }
+    }
+}
+
+struct Whole {
+    reply: Response<()>,
+    body: Buffer,
+}
+
+/// One try, with its whole answer.
+async fn try_once(call: &Call, chosen: &Chosen, attempt: u32) -> Result<Whole, TryError> {
+    let left_ms = call.left_ms();
+    let mut limit_ms = left_ms;
+    if call.route.kind.repeatable() && attempt < call.route.max_attempts {
+        let silent_ms = SpanMs(call.route.target_ms.0 * SILENT_TARGETS);
+        limit_ms = silent_ms.min(SpanMs(left_ms.0 / 2));
+    }
+    let exchange = async {
+        let Reply { answer, head, link } = tries::send(call, chosen, attempt, None).await?;
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| {
+            let why = format!("the answer broke off: {error}");
+            TryError::new(&why, Verdict::Ran, Symptom::Failed)
+        })?;
+        call.node.pool.give_back(link, head.keep_alive_ms);
+        Ok(Whole {
+            reply: Response::from_parts(parts, ()),
+            body: body.to_bytes(),
+        })
+    };
+    match tokio::time::timeout(Duration::from(limit_ms), exchange).await {
+        Ok(result) => result,
+        Err(_) => {
+            let why = "the replica is silent";
+            Err(TryError::new(why, Verdict::MayHaveRun, Symptom::Silent))
+        }
+    }
+}
+
+fn pass_on(
+    call: &Call,
+    chosen: &Chosen,
+    attempts: u32,
+    reply: Response<()>,
+    body: Buffer,
+) -> Answer {
+    let symptom = match reply.status().is_server_error() {
+        true => Symptom::Failed,
+        false => Symptom::Good,
+    };
+    note_symptom(call, chosen.key, symptom, reply.status().as_str());
+    let age_ms = call.age_ms();
+    call.node.journal.tell(&Event::Answered {
+        request: call.head.request.clone(),
+        status: reply.status().as_u16(),
+        attempts,
+        first_ms: age_ms,
+        end_ms: age_ms,
+        longest_pause_ms: SpanMs::ZERO,
+    });
+    let mut answer = Response::new(FrontBody::Whole(Some(body)));
+    *answer.status_mut() = reply.status();
+    *answer.headers_mut() = call.node.outside.dialect.answer_headers(reply.headers());
+    answer
+}
+
+/// No replica takes the request.
+pub(super) fn give_up(call: &Call, ran: Verdict, refusal: &Refusal) -> Answer {
+    let retry_after_ms = match refusal {
+        Refusal::Overloaded { retry_after_ms } => *retry_after_ms,
+        Refusal::NoReplica | Refusal::TooLong => NOBODY_RETRY_MS,
+    };
+    let why = refusal.to_string();
+    match ran {
+        Verdict::NotRun => answers::refused(&call.node, &call.head.request, &why, retry_after_ms),
+        _ => end(call, ran, &why),
+    }
+}
+
+/// When a caller is asked back that found no replica: restarts take a few seconds, and another node
+/// may know one.
+const NOBODY_RETRY_MS: SpanMs = SpanMs(300);
+
+/// Nothing more can be done for the request.
+pub(super) fn end(call: &Call, ran: Verdict, why: &str) -> Answer {
+    let node = &call.node;
+    let request = &call.head.request;
+    if ran == Verdict::NotRun {
+        return answers::refused(node, request, why, NOBODY_RETRY_MS);
+    }
+    let status = match call.left_ms() {
+        SpanMs::ZERO => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    answers::failed(node, request, status, why, call.age_ms())
+}
--- /dev/null
+++ b/crates/front/src/call/stream.rs
@@ -0,0 +1,142 @@
+//! Streams of events, up to their first event.
+
+use super::Call;
+use super::answers::Answer;
+use super::body::FrontBody;
+use super::choose::{Chosen, choose};
+use super::events::EventSplitter;
+use super::plain::{end, give_up};
+use super::pump::{Pump, Source};
+use super::tries::{self, Reply, TryError, may_try_again, note_failure, note_symptom};
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How much longer than expected an engine may be silent before another is asked: predictions of
+/// busy engines are off by up to this factor.
+const SILENT_FACTOR: f64 = 2.5;
+
+/// The shortest silence that counts: engines stall for this long when a helper is gone, and say so
+/// then.
+const SILENT_LEAST_MS: f64 = 1_700.0;
+
+/// How many replicas that can't be reached are tried at most.
+const UNREACHED_TRIES: u32 = 6;
+
+/// Serves a request whose answer is a stream.
+pub(super) async fn serve(call: &Rc<Call>) -> Answer {
+    let mut avoid: Vec<ReplicaKey> = Vec::new();
+    let mut arrived_tries = 0;
+    let mut ran = Verdict::NotRun;
+    loop {
+        let chosen = match choose(call, &avoid) {
+            Ok(chosen) => chosen,
+            Err(refusal) => return give_up(call, ran, &refusal),
+        };
+        avoid.push(chosen.key);
+        let attempt = avoid.len() as u32;
+        let error = match first_event(call, &chosen, attempt, arrived_tries, None).await {
+            Ok(begun) => return begun.answer(call, chosen, arrived_tries + 1),
+            Err(error) => error,
+        };
+        note_failure(call, &chosen, attempt, &error);
+        drop(chosen);
+        arrived_tries += u32::from(error.arrived);
+        if error.ran != Verdict::NotRun {
+            ran = Verdict::MayHaveRun;
+        }
+        if attempt > UNREACHED_TRIES || !may_try_again(call, arrived_tries, &error) {
+            return end(call, ran, &error.why);
+        }
+    }
+}
+
+/// A stream whose first event is there.
+pub(super) struct Begun {
+    pub reply: Response<()>,
+    pub source: Source,
+    pub first: super::events::Events,
+}
+
+/// One try, up to its first event.
+///
+/// The head is held back until then: a replica that fails between the two can still be replaced.
+pub(super) async fn first_event(
+    call: &Call,
+    chosen: &Chosen,
+    attempt: u32,
+    arrived_tries: u32,
+    last_event: Option<&str>,
+) -> Result<Begun, TryError> {
+    let left_ms = call.left_ms();
+    let others = call.route.kind.repeatable() && arrived_tries + 1 < call.route.max_attempts;
+    let silent_ms = (chosen.expected_ms * SILENT_FACTOR).max(SILENT_LEAST_MS);
+    let limit_ms = match others {
+        true => SpanMs(silent_ms as u64).min(left_ms),
+        false => left_ms,
+    };
+    let begin = async {
+        let reply = tries::send(call, chosen, attempt, last_event).await?;
+        begin_stream(call, reply).await
+    };
+    match tokio::time::timeout(Duration::from(limit_ms), begin).await {
+        Ok(result) => result,
+        Err(_) => {
+            let why = "the engine is silent";
+            Err(TryError::new(why, Verdict::MayHaveRun, Symptom::Silent))
+        }
+    }
+}
+
+async fn begin_stream(call: &Call, reply: Reply) -> Result<Begun, TryError> {
+    let Reply { answer, head, link } = reply;
+    let (parts, mut body) = answer.into_parts();
+    if parts.status != StatusCode::OK {
+        let why = format!("the engine failed with status {}", parts.status);
+        return Err(TryError::new(&why, Verdict::Ran, Symptom::Failed));
+    }
+    let mut splitter = EventSplitter::default();
+    let broken = |why: &str| TryError::new(why, Verdict::MayHaveRun, Symptom::Failed);
+    let first = loop {
+        let Some(frame) = body.frame().await else {
+            return Err(broken("the stream ended before its first event"));
+        };
+        let frame = frame.map_err(|error| broken(&error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if let Some(events) = splitter.push(&data) {
+            break events;
+        }
+    };
+    Ok(Begun {
+        reply: Response::from_parts(parts, ()),
+        source: Source {
+            body,
+            splitter,
+            link,
+            keep_alive_ms: head.keep_alive_ms,
+        },
+        first,
+    })
+}
+
+impl Begun {
+    /// The answer to the caller; its rest is pumped by a task of its own.
+    fn answer(self, call: &Rc<Call>, chosen: Chosen, tries: u32) -> Answer {
+        note_symptom(call, chosen.key, Symptom::Good, "");
+        let headers = call
+            .node
+            .outside
+            .dialect
+            .answer_headers(self.reply.headers());
+        let pieces = Pump::spawn(call.clone(), chosen, tries, self.source, self.first);
+        let mut answer = Response::new(FrontBody::Pieces(pieces));
+        *answer.status_mut() = self.reply.status();
+        *answer.headers_mut() = headers;
+        answer
+    }
+}
--- /dev/null
+++ b/crates/front/src/call/tries.rs
@@ -0,0 +1,242 @@
+//! One try: sending a request to a replica and judging the head of its answer.
+
+use super::Call;
+use super::choose::Chosen;
+use crate::http::{Exchange, Freshness, Link, SendError};
+use crate::journal::Event;
+use crate::outside::{AnswerHead, Send};
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use bytes::Bytes as Buffer;
+use http_body_util::Full;
+use hyper::{Request, StatusCode, Version};
+
+/// How long after a mixed-up answer a replica gets work that may run only once on new connections
+/// only: a late answer can't come on one that had no request before.
+const GARBLED_MS: SpanMs = SpanMs(10_000);
+
+/// A try that failed.
+#[derive(Clone, Debug)]
+pub(super) struct TryError {
+    /// What happened.
+    pub why: Arc<str>,
+    /// Whether the request may have run.
+    pub ran: Verdict,
+    /// Whether the replica got the request, so that the try counts.
+    pub arrived: bool,
+    /// What it says of the replica.
+    pub symptom: Symptom,
+    /// The replica at fault, where it isn't the one that was asked.
+    pub fault_at: Option<Arc<str>>,
+}
+
+impl TryError {
+    pub fn new(why: &str, ran: Verdict, symptom: Symptom) -> Self {
+        Self {
+            why: why.into(),
+            ran,
+            arrived: true,
+            symptom,
+            fault_at: None,
+        }
+    }
+}
+
+/// A replica's answer that is to be passed on.
+pub(super) struct Reply {
+    pub answer: Exchange,
+    pub head: AnswerHead,
+    pub link: Link,
+}
+
+/// Sends the request to the chosen replica; returns its answer, also where that is a failure that
+/// it reports itself.
+pub(super) async fn send(
+    call: &Call,
+    chosen: &Chosen,
+    attempt: u32,
+    last_event: Option<&str>,
+) -> Result<Reply, TryError> {
+    call.node.journal.tell(&Event::Placed {
+        request: call.head.request.clone(),
+        attempt,
+        instance: chosen.replica.instance.clone(),
+        helpers: chosen.helpers.len(),
+        expected_first_ms: chosen.expected_ms as u64,
+        age_ms: call.age_ms(),
+    });
+    let mut freshness = freshness(call, chosen);
+    loop {
+        let link = call.node.pool.lease(chosen.replica.address, freshness);
+        let mut link = match link.await {
+            Ok(link) => link,
+            Err(error) => return Err(never_arrived(&error)),
+        };
+        match link.send(request(call, chosen, last_event)).await {
+            Ok(answer) => return judge(call, answer, link),
+            Err(SendError::Unsent | SendError::Connect(_)) if link.reused => {
+                freshness = Freshness::New;
+            }
+            Err(SendError::Broken(why)) => {
+                let ran = Verdict::MayHaveRun;
+                return Err(TryError::new(&why, ran, Symptom::Unreachable));
+            }
+            Err(error) => return Err(never_arrived(&error)),
+        }
+    }
+}
+
+fn never_arrived(error: &SendError) -> TryError {
+    TryError {
+        arrived: false,
+        ..TryError::new(&error.to_string(), Verdict::NotRun, Symptom::Unreachable)
+    }
+}
+
+fn freshness(call: &Call, chosen: &Chosen) -> Freshness {
+    if call.route.kind.repeatable() {
+        return Freshness::Kept;
+    }
+    let now_ms = call.node.now_ms();
+    let garbled = call.node.with(|state| {
+        let health = state.replicas.health(chosen.key);
+        health.is_some_and(|h| h.garbled_within(GARBLED_MS, now_ms))
+    });
+    match garbled {
+        true => Freshness::New,
+        false => Freshness::Recent,
+    }
+}
+
+fn request(call: &Call, chosen: &Chosen, last_event: Option<&str>) -> Request<Full<Buffer>> {
+    let send = Send {
+        deadline_ms: call.left_ms(),
+        instance: &chosen.replica.instance,
+        account: call.account.as_ref().map(|account| &account.name),
+        helpers: &chosen.helpers,
+        last_event,
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = call.node.outside.dialect.send_headers(&call.headers, &send);
+    request
+}
+
+/// Judges an answer's head: whether it is the replica's answer to this request.
+fn judge(call: &Call, answer: Exchange, link: Link) -> Result<Reply, TryError> {
+    let status = answer.status();
+    let dialect = &call.node.outside.dialect;
+    let head = dialect.answer_head(&call.head.request, status.as_u16(), answer.headers());
+    if head.stranger {
+        let why = "another replica has the address";
+        return Err(TryError::new(why, Verdict::NotRun, Symptom::Unreachable));
+    }
+    if head.not_run {
+        return Err(TryError {
+            fault_at: head.fault_at.clone(),
+            ..TryError::new("the replica is full", Verdict::NotRun, Symptom::Full)
+        });
+    }
+    if !head.answers {
+        let why = "the answer belongs to another request";
+        return Err(TryError::new(why, Verdict::MayHaveRun, Symptom::Garbled));
+    }
+    if !head.signed || head.encoded {
+        let why = format!("the answer with status {status} isn't the replica's own");
+        return Err(TryError::new(&why, Verdict::MayHaveRun, Symptom::Failed));
+    }
+    if promises_not_run(status) {
+        // The replica doesn't say that it didn't run the request, and the status would.
+        let why = format!("the replica failed with status {status}");
+        return Err(TryError::new(&why, Verdict::MayHaveRun, Symptom::Failed));
+    }
+    Ok(Reply { answer, head, link })
+}
+
+/// Whether callers take this status for a promise that nothing ran.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+/// Takes down what a try says of its replica, and tells the peers where it is doubted.
+pub(super) fn note_symptom(call: &Call, key: ReplicaKey, symptom: Symptom, why: &str) {
+    let node = &call.node;
+    let now_ms = node.now_ms();
+    let doubted = node.with(|state| {
+        let instance = state.replicas.get(key)?.instance.clone();
+        let health = state.replicas.health_mut(key)?;
+        health.on_symptom(symptom, now_ms).then_some(instance)
+    });
+    if let Some(instance) = doubted {
+        node.outbox.doubted(key, DOUBT_TOLD_MS);
+        node.journal.tell(&Event::ReplicaDoubted {
+            instance,
+            why: why.into(),
+        });
+    }
+}
+
+/// How long peers doubt a replica that this node doubts: the first pause of its own.
+const DOUBT_TOLD_MS: SpanMs = SpanMs(1_000);
+
+/// Takes down a failed try.
+pub(super) fn note_failure(call: &Call, chosen: &Chosen, attempt: u32, error: &TryError) {
+    call.node.journal.tell(&Event::TryFailed {
+        request: call.head.request.clone(),
+        attempt,
+        instance: chosen.replica.instance.clone(),
+        why: error.why.clone(),
+        ran: error.ran,
+        age_ms: call.age_ms(),
+    });
+    match &error.fault_at {
+        Some(fault_at) => {
+            let key = helper_at(call, fault_at);
+            if let Some(key) = key {
+                note_symptom(call, key, Symptom::Unreachable, &error.why);
+            }
+        }
+        None => note_symptom(call, chosen.key, error.symptom, &error.why),
+    }
+}
+
+/// The replica that another names by its instance or its address.
+fn helper_at(call: &Call, fault_at: &str) -> Option<ReplicaKey> {
+    call.node.with(|state| {
+        let ready = state.replicas.ready(&call.service.name);
+        let named = |r: &Replica| &*r.instance == fault_at || r.address.to_string() == fault_at;
+        let found = ready.iter().find(|(_, replica, _)| named(replica));
+        found.map(|(key, _, _)| *key)
+    })
+}
+
+/// Whether a failed request may go to another replica: the caller's limits, then the budget.
+pub(super) fn may_try_again(call: &Call, arrived_tries: u32, error: &TryError) -> bool {
+    if error.ran != Verdict::NotRun && !call.route.kind.repeatable() {
+        return false;
+    }
+    if call.left_ms() == SpanMs::ZERO || arrived_tries >= call.route.max_attempts {
+        return false;
+    }
+    if !error.arrived {
+        return true;
+    }
+    let node = &call.node;
+    let nodes = node.node_count();
+    let now_ms = node.now_ms();
+    let taken = node.with(|state| state.budget.take(&call.service.name, nodes, now_ms));
+    if !taken {
+        node.journal.tell(&Event::BudgetSpent {
+            request: call.head.request.clone(),
+        });
+    }
+    taken
+}
--- /dev/null
+++ b/crates/front/src/journal/event.rs
@@ -0,0 +1,102 @@
+//! The events that the log of decisions knows.
+
+use bluebell_base::prelude::*;
+use serde::Serialize;
+use std::net::SocketAddr;
+
+/// One line of the log.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Event {
+    /// The process serves.
+    Started {
+        callers: SocketAddr,
+        incarnation: u64,
+    },
+    /// The process was told to read its settings again.
+    Reloaded,
+    /// A planned stop began.
+    Stopping { connections: usize },
+    /// The process ends.
+    Stopped { connections: usize },
+    /// A configuration is in force.
+    ConfigInForce {
+        version: ConfigVersion,
+        routes: usize,
+        replaced: Option<ConfigVersion>,
+    },
+    /// The directory can't be read.
+    DirectoryLost { what: Arc<str>, reason: Arc<str> },
+    /// The directory is read again.
+    DirectoryFound { what: Arc<str>, away_ms: SpanMs },
+    /// A replica is known now.
+    ReplicaFound {
+        instance: Arc<str>,
+        address: SocketAddr,
+    },
+    /// A replica takes no new work.
+    ReplicaLeaving { instance: Arc<str> },
+    /// A replica's entry lapsed while the directory was away.
+    ReplicaLapsed { instance: Arc<str> },
+    /// A replica is gone.
+    ReplicaGone { instance: Arc<str> },
+    /// A replica gets no work for a while.
+    ReplicaDoubted { instance: Arc<str>, why: Arc<str> },
+    /// A peer is known now.
+    PeerFound { incarnation: u64 },
+    /// A peer is silent.
+    PeerLost { incarnation: u64, silent_ms: SpanMs },
+    /// A request was turned away; it has not run.
+    Refused {
+        request: Arc<str>,
+        status: u16,
+        why: Arc<str>,
+        retry_after_ms: SpanMs,
+    },
+    /// A request was sent to a replica.
+    Placed {
+        request: Arc<str>,
+        attempt: u32,
+        instance: Arc<str>,
+        helpers: usize,
+        expected_first_ms: u64,
+        age_ms: SpanMs,
+    },
+    /// A try failed.
+    TryFailed {
+        request: Arc<str>,
+        attempt: u32,
+        instance: Arc<str>,
+        why: Arc<str>,
+        ran: Verdict,
+        age_ms: SpanMs,
+    },
+    /// A request got no second try because the budget is spent.
+    BudgetSpent { request: Arc<str> },
+    /// A stream goes on at another replica.
+    Resumed {
+        request: Arc<str>,
+        last_event: Option<Arc<str>>,
+    },
+    /// A request was answered.
+    Answered {
+        request: Arc<str>,
+        status: u16,
+        attempts: u32,
+        first_ms: SpanMs,
+        end_ms: SpanMs,
+        longest_pause_ms: SpanMs,
+    },
+    /// A request failed after it may have run.
+    Failed {
+        request: Arc<str>,
+        status: u16,
+        why: Arc<str>,
+        age_ms: SpanMs,
+    },
+    /// The caller left.
+    Cancelled { request: Arc<str>, age_ms: SpanMs },
+    /// Lines that didn't fit the buffer.
+    LinesDropped { count: u64 },
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,30 @@
+//! The node's serving path on one thread: callers' connections, calls to replicas, and the news
+//! that nodes tell each other.
+//!
+//! Terms:
+//! - *outside* is the platform that the node runs on, reached through the trait objects of
+//!   [`outside`], whose implementation alone knows the platform's names;
+//! - a *try* is one send of a request to one replica (with its helpers);
+//! - *news* is what a node tells its peers of the work that it has placed.
+//!
+//! Invariants: everything runs on one thread; what a try holds is released when its future is
+//! dropped, so a caller's hang-up ends all work for it; an answer is told to have not run only where
+//! no replica can have started it.
+
+pub mod call;
+pub mod http;
+pub mod journal;
+pub mod news;
+pub mod node;
+pub mod outside;
+pub mod watch;
+
+/// What users of this package import.
+pub mod prelude {
+    pub use crate::journal::{Event, Journal};
+    pub use crate::node::{FrontError, FrontHandle, FrontSettings};
+    pub use crate::outside::{
+        AnswerHead, CallHead, CallHeadError, ConfigNews, Cursor, Dialect, Directory,
+        DirectoryError, NodeEntry, Outside, PendingRead, ReplicaNews, Send,
+    };
+}
--- /dev/null
+++ b/crates/front/src/news/message.rs
@@ -0,0 +1,144 @@
+//! The datagrams, encoded by `postcard`.
+
+use super::DATAGRAM_BYTES;
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// The version of the format; datagrams of another are ignored, so that nodes of two releases can
+/// run beside each other.
+const FORMAT: u8 = 1;
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct Datagram {
+    format: u8,
+    /// The run of the node that sends it.
+    pub owner: u64,
+    /// What it tells.
+    pub news: Vec<News>,
+}
+
+/// One piece of news.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) enum News {
+    /// Work was placed.
+    Placed(WorkNews),
+    /// Work got further.
+    Stage { sequence: u32, late: bool },
+    /// Work has ended.
+    Ended { sequence: u32 },
+    /// All work from `from` to `to` is in `works`.
+    Digest {
+        from: u32,
+        to: u32,
+        works: Vec<WorkNews>,
+    },
+    /// A replica failed and is doubted for so long.
+    Doubted { replica: u32, for_ms: u32 },
+    /// The sender has seen this version of the configuration.
+    Config { version: u64 },
+}
+
+/// Work, as peers need to know it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct WorkNews {
+    pub sequence: u32,
+    first: u32,
+    helpers: Vec<u32>,
+    stage: u8,
+    age_ms: u32,
+    prompt_tokens: u32,
+    part_ms: f32,
+    gap_ms: u32,
+}
+
+impl WorkNews {
+    /// Describes own work.
+    pub fn of(sequence: u32, work: &Work, now_ms: MonoMs) -> Self {
+        Self {
+            sequence,
+            first: work.first.0,
+            helpers: work.helpers.iter().map(|key| key.0).collect(),
+            stage: match work.stage {
+                Stage::Reading => 0,
+                Stage::Writing => 1,
+                Stage::Late => 2,
+            },
+            age_ms: now_ms.since(work.placed_ms).0 as u32,
+            prompt_tokens: work.prompt_tokens.0 as u32,
+            part_ms: work.part_ms as f32,
+            gap_ms: work.gap_ms.0 as u32,
+        }
+    }
+
+    /// The work, by this node's clock.
+    pub fn work(&self, now_ms: MonoMs) -> Work {
+        Work {
+            first: ReplicaKey(self.first),
+            helpers: self.helpers.iter().map(|key| ReplicaKey(*key)).collect(),
+            stage: match self.stage {
+                0 => Stage::Reading,
+                1 => Stage::Writing,
+                _ => Stage::Late,
+            },
+            placed_ms: now_ms - SpanMs(u64::from(self.age_ms)),
+            prompt_tokens: Tokens(u64::from(self.prompt_tokens)),
+            part_ms: f64::from(self.part_ms.max(0.0)),
+            gap_ms: SpanMs(u64::from(self.gap_ms)),
+        }
+    }
+}
+
+impl Datagram {
+    /// Reads a datagram; none where it isn't one of this format.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let datagram: Self = postcard::from_bytes(bytes).ok()?;
+        (datagram.format == FORMAT).then_some(datagram)
+    }
+
+    fn encode(owner: OwnerId, news: Vec<News>) -> Vec<u8> {
+        let datagram = Self {
+            format: FORMAT,
+            owner: owner.0,
+            news,
+        };
+        postcard::to_allocvec(&datagram).expect("plain data can be encoded")
+    }
+}
+
+/// Packs news into as few datagrams as fit.
+pub(super) fn pack(owner: OwnerId, news: Vec<News>) -> Vec<Vec<u8>> {
+    let whole = Datagram::encode(owner, news.clone());
+    if whole.len() <= DATAGRAM_BYTES || news.len() < 2 {
+        return vec![whole];
+    }
+    let mut left = news;
+    let right = left.split_off(left.len() / 2);
+    let mut packed = pack(owner, left);
+    packed.extend(pack(owner, right));
+    packed
+}
+
+/// How many pieces of work a digest holds at most: each takes up to 100 bytes with all helpers.
+const DIGEST_WORKS: usize = 12;
+
+/// Makes the digest of all own work, in parts that fit a datagram each.
+pub(super) fn digest(mut works: Vec<WorkNews>) -> Vec<News> {
+    works.sort_unstable_by_key(|work| work.sequence);
+    let mut parts: Vec<News> = Vec::new();
+    let mut from = 0;
+    while works.len() > DIGEST_WORKS {
+        let rest = works.split_off(DIGEST_WORKS);
+        let to = rest[0].sequence - 1;
+        parts.push(News::Digest { from, to, works });
+        from = to + 1;
+        works = rest;
+    }
+    parts.push(News::Digest {
+        from,
+        to: u32::MAX,
+        works,
+    });
+    parts
+}
--- /dev/null
+++ b/crates/front/src/news/mod.rs
@@ -0,0 +1,39 @@
+//! What nodes tell each other: the work that each has placed on engines, so that all place theirs
+//! around it.
+//!
+//! Terms: *news* is one change; a *digest* lists all of a node's work, so that lost news is made up
+//! for; a *peer* is a node that was heard of.
+//!
+//! Invariants: news is advice only, and a node that hears nobody serves all the same; a datagram
+//! that can't be read changes nothing.
+//!
+//! Load pattern: a burst of requests arrives at all nodes at once; a node that doesn't know what the
+//! others have just placed sends its own to the same engines. So news goes out at once, gathered
+//! over [`GATHER_MS`] only.
+
+mod message;
+mod outbox;
+mod receive;
+mod send;
+
+pub use outbox::Outbox;
+pub use receive::receive;
+pub use send::send;
+
+use bluebell_base::prelude::*;
+
+/// How long news is gathered into one datagram. Peers are a few ms apart, so less would hardly make
+/// it fresher.
+const GATHER_MS: SpanMs = SpanMs(2);
+
+/// How often a digest goes out, news or not. It is the longest that lost news misleads a peer.
+const DIGEST_EVERY_MS: SpanMs = SpanMs(500);
+
+/// How long a silent peer counts as there: five digests, of which some may be lost.
+const PEER_SILENT_MS: SpanMs = SpanMs(2_500);
+
+/// How long a silent peer still gets digests, so that a cut that heals is noticed on both sides.
+const PEER_FORGOTTEN_MS: SpanMs = SpanMs(60_000);
+
+/// The largest datagram that passes links unbroken.
+const DATAGRAM_BYTES: usize = 1_350;
--- /dev/null
+++ b/crates/front/src/news/outbox.rs
@@ -0,0 +1,129 @@
+//! News that waits to be sent, and the peers that get it.
+
+use super::message::News;
+use super::{PEER_FORGOTTEN_MS, PEER_SILENT_MS};
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use rustc_hash::FxHashMap;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use tokio::sync::Notify;
+
+/// A peer.
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    address: SocketAddr,
+    heard_ms: MonoMs,
+    there: bool,
+}
+
+/// What a change in the peers was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PeerEvent {
+    /// Wasn't known or was silent.
+    Found,
+    /// Was there already.
+    Known,
+}
+
+/// News that waits, and the peers.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    waiting: RefCell<Vec<News>>,
+    peers: RefCell<FxHashMap<OwnerId, Peer>>,
+    pub(super) filled: Notify,
+}
+
+impl Outbox {
+    fn push(&self, news: News) {
+        self.waiting.borrow_mut().push(news);
+        self.filled.notify_one();
+    }
+
+    /// Tells that work was placed.
+    pub fn placed(&self, sequence: u32, work: &Work, now_ms: MonoMs) {
+        let news = super::message::WorkNews::of(sequence, work, now_ms);
+        self.push(News::Placed(news));
+    }
+
+    /// Tells that work writes, on time or late.
+    pub fn stage(&self, sequence: u32, stage: Stage) {
+        let late = stage == Stage::Late;
+        self.push(News::Stage { sequence, late });
+    }
+
+    /// Tells that work has ended.
+    pub fn ended(&self, sequence: u32) {
+        self.push(News::Ended { sequence });
+    }
+
+    /// Tells that a replica is doubted.
+    pub fn doubted(&self, key: ReplicaKey, for_ms: SpanMs) {
+        self.push(News::Doubted {
+            replica: key.0,
+            for_ms: for_ms.0 as u32,
+        });
+    }
+
+    /// Tells which configuration is known.
+    pub fn config(&self, version: ConfigVersion) {
+        self.push(News::Config { version: version.0 });
+    }
+
+    /// Takes what waits.
+    pub(super) fn take(&self) -> Vec<News> {
+        std::mem::take(&mut self.waiting.borrow_mut())
+    }
+
+    /// Where news goes.
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.borrow().values().map(|p| p.address).collect()
+    }
+
+    /// A peer was heard, or its announcement read at `heard_ms`.
+    pub(super) fn heard(&self, owner: OwnerId, address: SocketAddr, now_ms: MonoMs) -> PeerEvent {
+        let mut peers = self.peers.borrow_mut();
+        let known = peers.get(&owner).is_some_and(|peer| peer.there);
+        let peer = Peer {
+            address,
+            heard_ms: now_ms,
+            there: true,
+        };
+        peers.insert(owner, peer);
+        match known {
+            true => PeerEvent::Known,
+            false => PeerEvent::Found,
+        }
+    }
+
+    /// A node's announcement was read; it counts as there only once it is heard.
+    pub fn announced(&self, owner: OwnerId, address: SocketAddr, now_ms: MonoMs) {
+        let mut peers = self.peers.borrow_mut();
+        peers.entry(owner).or_insert(Peer {
+            address,
+            heard_ms: now_ms,
+            there: false,
+        });
+    }
+
+    /// Marks silent peers, and forgets those silent for long; returns the newly silent.
+    pub(super) fn expire(&self, now_ms: MonoMs) -> Vec<(OwnerId, SpanMs)> {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|_, peer| now_ms.since(peer.heard_ms) < PEER_FORGOTTEN_MS);
+        let mut lost = Vec::new();
+        for (owner, peer) in peers.iter_mut() {
+            let silent_ms = now_ms.since(peer.heard_ms);
+            if peer.there && silent_ms > PEER_SILENT_MS {
+                peer.there = false;
+                lost.push((*owner, silent_ms));
+            }
+        }
+        lost
+    }
+
+    /// How many peers are known, there or not: those that were cut off take their part of shared
+    /// limits as well.
+    pub fn peer_count(&self) -> usize {
+        self.peers.borrow().len()
+    }
+}
--- /dev/null
+++ b/crates/front/src/news/receive.rs
@@ -0,0 +1,95 @@
+//! Taking news in.
+
+use super::message::{Datagram, News, WorkNews};
+use super::outbox::PeerEvent;
+use crate::journal::Event;
+use crate::node::Node;
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// The largest datagram that is read; longer ones are cut and then can't be read.
+const LARGEST_BYTES: usize = 2_048;
+
+/// The pause after an error of receiving, which stems from an earlier send to a port that is closed.
+const ERROR_PAUSE_MS: SpanMs = SpanMs(1);
+
+/// The longest time that a peer's doubt counts.
+const LONGEST_DOUBT_MS: u32 = 8_000;
+
+/// Takes news in until the process ends.
+pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; LARGEST_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => {
+                let Some(datagram) = Datagram::decode(&buffer[..length]) else {
+                    log::debug!("a datagram from {from} can't be read");
+                    continue;
+                };
+                take_in(&node, datagram, from);
+            }
+            Err(error) => {
+                log::trace!("can't receive news: {error}");
+                tokio::time::sleep(Duration::from(ERROR_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+fn take_in(node: &Node, datagram: Datagram, from: std::net::SocketAddr) {
+    let owner = OwnerId(datagram.owner);
+    if owner == node.owner {
+        return;
+    }
+    let now_ms = node.now_ms();
+    if node.outbox.heard(owner, from, now_ms) == PeerEvent::Found {
+        node.journal.tell(&Event::PeerFound {
+            incarnation: owner.0,
+        });
+    }
+    for news in datagram.news {
+        apply(node, owner, news, now_ms);
+    }
+}
+
+fn apply(node: &Node, owner: OwnerId, news: News, now_ms: MonoMs) {
+    let id = |sequence| WorkId { owner, sequence };
+    node.with(|state| match news {
+        News::Placed(work) => state.ledger.put(id(work.sequence), work.work(now_ms)),
+        News::Stage { sequence, late } => {
+            let stage = if late { Stage::Late } else { Stage::Writing };
+            state.ledger.set_stage(id(sequence), stage);
+        }
+        News::Ended { sequence } => state.ledger.remove(id(sequence)),
+        News::Digest { from, to, works } => apply_digest(state, owner, (from, to), &works, now_ms),
+        News::Doubted { replica, for_ms } => {
+            let until_ms = now_ms + SpanMs(u64::from(for_ms.min(LONGEST_DOUBT_MS)));
+            if let Some(health) = state.replicas.health_mut(ReplicaKey(replica)) {
+                health.on_peer_doubt(until_ms);
+            }
+        }
+        News::Config { .. } => {}
+    });
+}
+
+fn apply_digest(
+    state: &mut crate::node::State,
+    owner: OwnerId,
+    (from, to): (u32, u32),
+    works: &[WorkNews],
+    now_ms: MonoMs,
+) {
+    state.ledger.retain_owner(owner, |sequence| {
+        let covered = (from..=to).contains(&sequence);
+        !covered || works.iter().any(|work| work.sequence == sequence)
+    });
+    for work in works {
+        let sequence = work.sequence;
+        state
+            .ledger
+            .put(WorkId { owner, sequence }, work.work(now_ms));
+    }
+}
--- /dev/null
+++ b/crates/front/src/news/send.rs
@@ -0,0 +1,72 @@
+//! Sending news.
+
+use super::message::{News, WorkNews, digest, pack};
+use super::{DIGEST_EVERY_MS, GATHER_MS};
+use crate::journal::Event;
+use crate::node::Node;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+/// Sends news as it comes, and a digest from time to time.
+pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut digest_at = Instant::now();
+    loop {
+        tokio::select! {
+            () = node.outbox.filled.notified() => {
+                tokio::time::sleep(Duration::from(GATHER_MS)).await;
+            }
+            () = tokio::time::sleep_until(digest_at) => {
+                digest_at = Instant::now() + Duration::from(DIGEST_EVERY_MS);
+                drop_silent(&node);
+                send_to_all(&node, &socket, own_digest(&node));
+            }
+        }
+        let news = node.outbox.take();
+        if !news.is_empty() {
+            send_to_all(&node, &socket, news);
+        }
+    }
+}
+
+fn own_digest(node: &Node) -> Vec<News> {
+    let now_ms = node.now_ms();
+    let (works, version) = node.with(|state| {
+        let own = state.ledger.of_owner(node.owner);
+        let works = own.map(|(sequence, work)| WorkNews::of(sequence, work, now_ms));
+        let version = state.config.as_ref().map(|c| c.version());
+        (works.collect(), version)
+    });
+    let mut news = digest(works);
+    if let Some(version) = version {
+        news.push(News::Config { version: version.0 });
+    }
+    news
+}
+
+/// Datagrams are sent without waiting: one that finds the link full is late news.
+fn send_to_all(node: &Node, socket: &UdpSocket, news: Vec<News>) {
+    let addresses = node.outbox.addresses();
+    if addresses.is_empty() {
+        return;
+    }
+    for datagram in pack(node.owner, news) {
+        for address in &addresses {
+            if let Err(error) = socket.try_send_to(&datagram, *address) {
+                log::trace!("news for {address} is dropped: {error}");
+            }
+        }
+    }
+}
+
+fn drop_silent(node: &Node) {
+    let lost = node.outbox.expire(node.now_ms());
+    for (owner, silent_ms) in lost {
+        node.with(|state| state.ledger.remove_owner(owner));
+        node.journal.tell(&Event::PeerLost {
+            incarnation: owner.0,
+            silent_ms,
+        });
+    }
+}
--- /dev/null
+++ b/crates/front/src/node/listen.rs
@@ -0,0 +1,152 @@
+//! Accepting callers' connections and the balancer's questions.
+//!
+//! Invariants: a connection is closed only between two answers, but for one whose caller is gone;
+//! an error of accepting never ends the listener.
+
+use super::{Node, run};
+use crate::call::{self, Answer};
+use bluebell_base::prelude::*;
+use bytes::Bytes as Buffer;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+
+/// The pause after an error of accepting, such as too many open files: the cause passes as
+/// connections close, and accepting at once would spin.
+const ACCEPT_PAUSE_MS: SpanMs = SpanMs(20);
+
+/// The largest head before a configuration says otherwise.
+const HEAD_BYTES: usize = 16 * 1024;
+
+/// The smallest buffer that the HTTP library allows.
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
+
+/// How long an idle connection is kept before a configuration says otherwise.
+const IDLE_MS: SpanMs = SpanMs(15_000);
+
+/// How much longer than the operators' limit an idle connection is kept, so that a caller that
+/// reuses it at the last moment doesn't meet a close.
+const IDLE_MARGIN_MS: SpanMs = SpanMs(3_000);
+
+/// Counts a connection for as long as it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(connections: Rc<Cell<usize>>) -> Self {
+        connections.set(connections.get() + 1);
+        Self(connections)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves callers until the process ends.
+pub async fn serve_callers(node: Rc<Node>, listener: TcpListener, connections: Rc<Cell<usize>>) {
+    loop {
+        let stream = accept(&listener).await;
+        let counted = Counted::new(connections.clone());
+        let node = node.clone();
+        spawn_local(async move {
+            serve_connection(node, stream).await;
+            drop(counted);
+        });
+    }
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = stream.set_nodelay(true) {
+                    log::debug!("a new connection is gone already: {error}");
+                    continue;
+                }
+                return stream;
+            }
+            Err(error) => {
+                log::warn!("can't accept a connection: {error}");
+                tokio::time::sleep(Duration::from(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+    let limits = node.with(|state| state.config.as_ref().map(|c| c.limits()));
+    let head_bytes = limits.map_or(HEAD_BYTES, |l| l.head_bytes.0 as usize);
+    let idle_ms = limits.map_or(IDLE_MS, |l| l.idle_timeout_ms) + IDLE_MARGIN_MS;
+    let mut stop = node.stop_signal();
+    let service = service_fn(move |request| {
+        let node = node.clone();
+        async move { Ok::<Answer, Infallible>(call::serve(node, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .auto_date_header(false)
+        .max_buf_size(head_bytes.max(LEAST_HEAD_BYTES))
+        .timer(TokioTimer::new())
+        .header_read_timeout(Some(Duration::from(idle_ms)));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let stopped = async move {
+        // An error means that the node is gone, which ends this task as well.
+        let _ = stop.wait_for(|stopping| *stopping).await;
+        tokio::time::sleep(Duration::from(run::notice_ms())).await;
+    };
+    tokio::pin!(stopped);
+    tokio::select! {
+        result = connection.as_mut() => return note_end(result),
+        () = &mut stopped => connection.as_mut().graceful_shutdown(),
+    }
+    note_end(connection.await);
+}
+
+fn note_end(result: Result<(), hyper::Error>) {
+    if let Err(error) = result {
+        log::trace!("a caller's connection ended: {error}");
+    }
+}
+
+/// Answers the balancer until the process ends.
+pub async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let node = node.clone();
+        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+            let node = node.clone();
+            async move { Ok::<_, Infallible>(ready_answer(&node, request.uri().path())) }
+        });
+        spawn_local(async move {
+            let mut builder = http1::Builder::new();
+            builder.auto_date_header(false);
+            note_end(
+                builder
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await,
+            );
+        });
+    }
+}
+
+fn ready_answer(node: &Node, path: &str) -> Response<Full<Buffer>> {
+    let status = match (path == node.outside.dialect.ready_path(), node.is_ready()) {
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        (false, _) => StatusCode::NOT_FOUND,
+    };
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/front/src/node/mod.rs
@@ -0,0 +1,12 @@
+//! One node: its state, its listeners and its planned stop.
+//!
+//! Invariants: `Node`'s state is borrowed only between two awaits, never across one.
+
+mod clock;
+mod listen;
+mod run;
+mod state;
+
+pub use clock::Clock;
+pub use run::{FrontError, FrontHandle, FrontSettings};
+pub use state::{Node, State};
--- /dev/null
+++ b/crates/front/src/node/run.rs
@@ -0,0 +1,193 @@
+//! Starting a node, and its planned stop.
+
+use super::{Node, listen};
+use crate::journal::{Event, Journal, JournalWriter};
+use crate::outside::Outside;
+use crate::{news, watch};
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::spawn_local;
+
+/// How long a stopping node leaves idle connections open: the balancer notices after two of its
+/// questions, one a second, and callers must not meet a close meanwhile.
+const NOTICE_MS: SpanMs = SpanMs(2_500);
+
+/// How much earlier than the end of its grace a stopping node ends by itself.
+const GRACE_MARGIN_MS: SpanMs = SpanMs(300);
+
+/// How often a stopping node looks whether its last connection is gone.
+const STOP_POLL_MS: SpanMs = SpanMs(50);
+
+/// How often kept connections and old work are looked through.
+const EXPIRE_EVERY_MS: SpanMs = SpanMs(500);
+
+/// How long work may be in flight before it is taken for forgotten: the longest that callers wait,
+/// and more.
+const WORK_EXPIRES_MS: SpanMs = SpanMs(60_000);
+
+/// The settings of a node's serving path.
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    /// The node's name.
+    pub name: VmName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the node is ready.
+    pub ready: SocketAddr,
+    /// Where peers send their news.
+    pub news: SocketAddr,
+    /// The limits of retries, for all nodes together.
+    pub retry_limits: RetryLimits,
+    /// How long a stopping node may take.
+    pub grace_ms: SpanMs,
+}
+
+/// Why a node can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum FrontError {
+    /// An address can't be bound.
+    #[error("can't listen at {address}: {reason}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        reason: Arc<str>,
+    },
+    /// Signals can't be received.
+    #[error("can't receive signals: {0}")]
+    Signals(Arc<str>),
+}
+
+/// A running node.
+pub struct FrontHandle {
+    node: Rc<Node>,
+    connections: Rc<Cell<usize>>,
+    writer: JournalWriter,
+}
+
+impl FrontHandle {
+    /// Binds the addresses and starts the tasks, on the current local task set.
+    pub async fn spawn(settings: FrontSettings, outside: Outside) -> Result<Self, FrontError> {
+        let callers = bind_tcp(settings.callers).await?;
+        let ready = bind_tcp(settings.ready).await?;
+        let news = UdpSocket::bind(settings.news)
+            .await
+            .map_err(|error| cannot_bind(settings.news, &error))?;
+        let (journal, writer) = Journal::open(settings.name.clone());
+        let node = Node::open(settings, outside, journal);
+        node.journal.tell(&Event::Started {
+            callers: node.settings.callers,
+            incarnation: node.owner.0,
+        });
+        let connections = Rc::new(Cell::new(0));
+        spawn_local(listen::serve_callers(
+            node.clone(),
+            callers,
+            connections.clone(),
+        ));
+        spawn_local(listen::serve_ready(node.clone(), ready));
+        let news = Rc::new(news);
+        spawn_local(news::receive(node.clone(), news.clone()));
+        spawn_local(news::send(node.clone(), news));
+        spawn_local(watch::watch_config(node.clone()));
+        spawn_local(watch::watch_replicas(node.clone()));
+        spawn_local(watch::watch_nodes(node.clone()));
+        spawn_local(expire(node.clone()));
+        Ok(Self {
+            node,
+            connections,
+            writer,
+        })
+    }
+
+    /// Runs until a planned stop has ended.
+    pub async fn run(self) -> Result<(), FrontError> {
+        let receive = |kind| signal(kind).map_err(|e| FrontError::Signals(e.to_string().into()));
+        let mut terminate = receive(SignalKind::terminate())?;
+        let mut interrupt = receive(SignalKind::interrupt())?;
+        let mut reload = receive(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = reload.recv() => self.node.journal.tell(&Event::Reloaded),
+            }
+        }
+        self.stop().await;
+        Ok(())
+    }
+
+    async fn stop(self) {
+        let node = &self.node;
+        let began_ms = node.now_ms();
+        let open = self.connections.get();
+        node.journal.tell(&Event::Stopping { connections: open });
+        node.begin_stop();
+        let last_ms = began_ms + node.settings.grace_ms - GRACE_MARGIN_MS;
+        let noticed_ms = began_ms + NOTICE_MS;
+        loop {
+            let now_ms = node.now_ms();
+            let idle = self.connections.get() == 0 && now_ms >= noticed_ms;
+            if idle || now_ms >= last_ms {
+                break;
+            }
+            tokio::time::sleep(Duration::from(STOP_POLL_MS)).await;
+        }
+        let open = self.connections.get();
+        node.journal.tell(&Event::Stopped { connections: open });
+        node.journal.flush();
+        self.writer.close();
+    }
+}
+
+/// The longest queue of new connections, for bursts of callers that all come back at once.
+const BACKLOG: u32 = 1024;
+
+async fn bind_tcp(address: SocketAddr) -> Result<TcpListener, FrontError> {
+    let bind = || {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bind().map_err(|error| cannot_bind(address, &error))
+}
+
+fn cannot_bind(address: SocketAddr, error: &std::io::Error) -> FrontError {
+    FrontError::Bind {
+        address,
+        reason: error.to_string().into(),
+    }
+}
+
+/// Closes connections that were kept for too long and forgets work that nobody ended.
+async fn expire(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(Duration::from(EXPIRE_EVERY_MS)).await;
+        node.pool.expire();
+        node.journal.flush();
+        let now_ms = node.now_ms();
+        let dropped = node.with(|state| {
+            state.ledger.expire(now_ms - WORK_EXPIRES_MS);
+            state.replicas.expire(now_ms)
+        });
+        for replica in dropped {
+            node.journal.tell(&Event::ReplicaGone {
+                instance: replica.instance.clone(),
+            });
+        }
+    }
+}
+
+/// How long a stopping node leaves idle connections open.
+pub(crate) const fn notice_ms() -> SpanMs {
+    NOTICE_MS
+}
--- /dev/null
+++ b/crates/front/src/node/state.rs
@@ -0,0 +1,128 @@
+//! What a node believes, and the parts that its tasks share.
+
+use super::{Clock, FrontSettings};
+use crate::http::Pool;
+use crate::journal::Journal;
+use crate::news::Outbox;
+use crate::outside::Outside;
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::watch;
+
+/// What the node believes.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration in force; none before the first.
+    pub config: Option<Rc<ServingConfig>>,
+    /// The replicas.
+    pub replicas: ReplicaTable,
+    /// All work in flight on engines.
+    pub ledger: Ledger,
+    /// This node's calls in hand, by plain replica.
+    pub calls: FxHashMap<ReplicaKey, u32>,
+    /// This node's share of the retry budget.
+    pub budget: RetryBudget,
+}
+
+/// A node's state, and what its tasks share.
+pub struct Node {
+    /// Its settings.
+    pub settings: FrontSettings,
+    /// This run of it.
+    pub owner: OwnerId,
+    /// Its clock.
+    pub clock: Clock,
+    /// The platform.
+    pub outside: Outside,
+    /// Kept connections to replicas.
+    pub pool: Rc<Pool>,
+    /// News for its peers.
+    pub outbox: Outbox,
+    /// Its log of decisions.
+    pub journal: Journal,
+    state: RefCell<State>,
+    sequence: Cell<u32>,
+    stopping: watch::Sender<bool>,
+    replicas_read: Cell<bool>,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn open(settings: FrontSettings, outside: Outside, journal: Journal) -> Rc<Self> {
+        let clock = Clock::open();
+        let state = State {
+            config: None,
+            replicas: ReplicaTable::default(),
+            ledger: Ledger::default(),
+            calls: FxHashMap::default(),
+            budget: RetryBudget::new(settings.retry_limits),
+        };
+        Rc::new(Self {
+            owner: OwnerId(rand::random()),
+            clock,
+            outside,
+            pool: Pool::open(clock),
+            outbox: Outbox::default(),
+            journal,
+            state: RefCell::new(state),
+            sequence: Cell::new(0),
+            stopping: watch::Sender::new(false),
+            replicas_read: Cell::new(false),
+            settings,
+        })
+    }
+
+    /// The instant now.
+    pub fn now_ms(&self) -> MonoMs {
+        self.clock.now_ms()
+    }
+
+    /// Looks at or changes what the node believes.
+    pub fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        change(&mut self.state.borrow_mut())
+    }
+
+    /// A number for a new piece of work.
+    pub fn next_work(&self) -> WorkId {
+        let sequence = self.sequence.get().wrapping_add(1);
+        self.sequence.set(sequence);
+        WorkId {
+            owner: self.owner,
+            sequence,
+        }
+    }
+
+    /// The list of replicas has been read.
+    pub fn on_replicas_read(&self) {
+        self.replicas_read.set(true);
+    }
+
+    /// Whether the node wants new connections.
+    pub fn is_ready(&self) -> bool {
+        let known = self.with(|state| state.config.is_some());
+        known && self.replicas_read.get() && !self.is_stopping()
+    }
+
+    /// Whether a planned stop is under way.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// Tells of a planned stop.
+    pub fn stop_signal(&self) -> watch::Receiver<bool> {
+        self.stopping.subscribe()
+    }
+
+    /// How many nodes share the fleet, this one included.
+    pub fn node_count(&self) -> usize {
+        self.outbox.peer_count() + 1
+    }
+}
--- /dev/null
+++ b/crates/front/src/outside/mod.rs
@@ -0,0 +1,164 @@
+//! What the node needs of the platform that it runs on.
+//!
+//! Terms: the *directory* holds the operators' configuration, the list of replicas and the list of
+//! nodes; a *cursor* is a place in the directory's history; the *dialect* is how callers and
+//! replicas name things in heads.
+//!
+//! Invariants: an implementation translates and calls; it decides nothing and keeps no state that a
+//! restart would miss.
+
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use hyper::HeaderMap;
+use serde::{Deserialize, Serialize};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+/// A read of the directory that is under way.
+pub type PendingRead<'a, T> = Pin<Box<dyn Future<Output = Result<T, DirectoryError>> + 'a>>;
+
+/// A place in the directory's history.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cursor(pub u64);
+
+/// Why the directory gave no news.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum DirectoryError {
+    /// It didn't answer in time, or can't be reached.
+    #[error("the directory can't be reached: {0}")]
+    Unreachable(Arc<str>),
+    /// It turned the call away.
+    #[error("the directory refused with status {0}")]
+    Refused(u16),
+    /// Its answer can't be read.
+    #[error("the directory's answer can't be read: {0}")]
+    Malformed(Arc<str>),
+}
+
+/// What is new of the configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigNews {
+    /// Where to read on.
+    pub cursor: Cursor,
+    /// The newest configuration, where there is a new one.
+    pub config: Option<Rc<ServingConfig>>,
+}
+
+/// What is new of the replicas.
+#[derive(Clone, Debug)]
+pub struct ReplicaNews {
+    /// Where to read on.
+    pub cursor: Cursor,
+    /// Changes in the order in which they happened.
+    pub changes: Vec<ReplicaChange>,
+    /// Whether `changes` lists everything that there is, so that what it misses is gone.
+    pub whole: bool,
+}
+
+/// A node, as nodes announce themselves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeEntry {
+    /// One run of the node's process.
+    pub incarnation: Incarnation,
+    /// Where it takes its peers' news.
+    pub address: SocketAddr,
+}
+
+/// The platform's directory.
+pub trait Directory {
+    /// The configuration after `cursor`; waits up to `wait_ms` for a new one.
+    fn read_config(&self, cursor: Option<Cursor>, wait_ms: SpanMs) -> PendingRead<'_, ConfigNews>;
+    /// Changes of replicas after `cursor`, without waiting.
+    fn read_replicas(&self, cursor: Option<Cursor>) -> PendingRead<'_, ReplicaNews>;
+    /// The nodes that announced themselves and didn't withdraw.
+    fn read_nodes(&self) -> PendingRead<'_, Vec<NodeEntry>>;
+    /// Announces this node.
+    fn announce(&self, node: NodeEntry) -> PendingRead<'_, ()>;
+}
+
+/// What a caller's head says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallHead {
+    /// The caller's id of this try of its own.
+    pub request: Arc<str>,
+    /// How long the caller waits.
+    pub deadline_ms: Option<SpanMs>,
+    /// The caller's key.
+    pub key: Option<Arc<str>>,
+    /// The length of the prompt, where the request has one.
+    pub prompt_tokens: Option<Tokens>,
+    /// The most tokens of the answer.
+    pub answer_tokens: Tokens,
+}
+
+/// A head that can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallHeadError {
+    /// It has no id.
+    #[error("the request has no id")]
+    NoRequestId,
+    /// One of its numbers can't be read.
+    #[error("a number in the request's head can't be read")]
+    BadNumber,
+}
+
+/// What the node adds to a head that it sends on.
+#[derive(Clone, Debug)]
+pub struct Send<'a> {
+    /// The time left.
+    pub deadline_ms: SpanMs,
+    /// The run of the replica that is meant.
+    pub instance: &'a str,
+    /// The caller's account.
+    pub account: Option<&'a AccountName>,
+    /// The replicas that help to read the prompt.
+    pub helpers: &'a [SocketAddr],
+    /// The last event that the caller has, where this try goes on from it.
+    pub last_event: Option<&'a str>,
+}
+
+/// What a replica's head says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AnswerHead {
+    /// Whether it answers this request.
+    pub answers: bool,
+    /// Whether it carries the replica's signature.
+    pub signed: bool,
+    /// Whether the replica states that it didn't run the request.
+    pub not_run: bool,
+    /// Whether another run of a replica has the address.
+    pub stranger: bool,
+    /// Whether its body is encoded, so that it isn't the replica's own.
+    pub encoded: bool,
+    /// How long the replica keeps the connection, where it says so.
+    pub keep_alive_ms: Option<SpanMs>,
+    /// The replica at fault, by instance or address, where it isn't the one that answers.
+    pub fault_at: Option<Arc<str>>,
+}
+
+/// How callers and replicas name things.
+pub trait Dialect {
+    /// Reads a caller's head.
+    fn call_head(&self, headers: &HeaderMap) -> Result<CallHead, CallHeadError>;
+    /// The head to send to a replica.
+    fn send_headers(&self, headers: &HeaderMap, send: &Send<'_>) -> HeaderMap;
+    /// Reads a replica's head, the answer to `request`.
+    fn answer_head(&self, request: &str, status: u16, headers: &HeaderMap) -> AnswerHead;
+    /// The headers of a replica's answer that the caller gets.
+    fn answer_headers(&self, headers: &HeaderMap) -> HeaderMap;
+    /// The headers of an answer of the node's own to `request`.
+    fn own_headers(&self, request: &str) -> HeaderMap;
+    /// The path on which the balancer asks whether the node takes new connections.
+    fn ready_path(&self) -> &str;
+}
+
+/// The platform.
+#[derive(Clone)]
+pub struct Outside {
+    /// Its directory.
+    pub directory: Rc<dyn Directory>,
+    /// Its words.
+    pub dialect: Rc<dyn Dialect>,
+}
--- /dev/null
+++ b/crates/front/src/watch/mod.rs
@@ -0,0 +1,13 @@
+//! Watching the directory: the configuration, the replicas and the nodes.
+//!
+//! Invariants: a configuration older than the one in force is never taken; an error of the directory
+//! changes nothing but the trust in lapsed entries.
+
+mod config;
+mod nodes;
+mod replicas;
+mod retry;
+
+pub use config::watch_config;
+pub use nodes::watch_nodes;
+pub use replicas::watch_replicas;
--- /dev/null
+++ b/crates/front/src/watch/nodes.rs
@@ -0,0 +1,50 @@
+//! The nodes that announced themselves.
+
+use super::retry::Backoff;
+use crate::node::Node;
+use crate::outside::NodeEntry;
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use rand::Rng;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The first look at the list after the own announcement: nodes that started together have all
+/// announced themselves by then.
+const FIRST_MS: u64 = 1_500;
+
+/// How often the list is read after that. A node that starts tells all others of itself, so this
+/// only makes up for news lost on both ways.
+const EVERY_MS: u64 = 20_000;
+
+/// Announces this node and watches the others until the process ends.
+pub async fn watch_nodes(node: Rc<Node>) {
+    let mut backoff = Backoff::new("nodes");
+    let own = NodeEntry {
+        incarnation: Incarnation(node.owner.0),
+        address: node.settings.news,
+    };
+    while let Err(error) = node.outside.directory.announce(own.clone()).await {
+        backoff.failed(&node, &error).await;
+    }
+    loop {
+        match node.outside.directory.read_nodes().await {
+            Ok(nodes) => {
+                backoff.succeeded(&node);
+                let now_ms = node.now_ms();
+                for entry in nodes.iter().filter(|entry| **entry != own) {
+                    let owner = OwnerId(entry.incarnation.0);
+                    node.outbox.announced(owner, entry.address, now_ms);
+                }
+            }
+            Err(error) => {
+                backoff.failed(&node, &error).await;
+                continue;
+            }
+        }
+        let first = node.outbox.peer_count() == 0;
+        let every_ms = if first { FIRST_MS } else { EVERY_MS };
+        let spread_ms = rand::rng().random_range(0..=every_ms / 4);
+        tokio::time::sleep(Duration::from_millis(every_ms + spread_ms)).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,108 @@
+//! The node on the users' platform: settings from the file that the platform hands it, one thread
+//! that serves.
+
+use bluebell_adapter::{PlatformSettings, SETTINGS_PATH_VARIABLE};
+use bluebell_front::prelude::*;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+/// The exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+
+const HELP: &str = "\
+usage: bluebellpond front [--settings FILE] [--check]
+
+Serves on the users' platform.
+
+  --settings FILE  the platform's settings file; without it, BLUEBELLPOND_BOOT names it
+  --check          check the settings and end
+";
+
+struct Flags {
+    settings: Option<PathBuf>,
+    check: bool,
+    help: bool,
+}
+
+/// Runs until a planned stop has ended.
+pub fn run(args: &[&str]) -> ExitCode {
+    let flags = match flags(args) {
+        Ok(flags) => flags,
+        Err(error) => return settings_fault(&error),
+    };
+    if flags.help {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let named = std::env::var_os(SETTINGS_PATH_VARIABLE).map(PathBuf::from);
+    let Some(path) = flags.settings.or(named) else {
+        return settings_fault(&format!(
+            "no settings file: give --settings or set {SETTINGS_PATH_VARIABLE}"
+        ));
+    };
+    let settings = match PlatformSettings::read(&path) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            for error in &errors {
+                eprintln!("bluebellpond: {}: {error}", path.display());
+            }
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if flags.check {
+        println!("{settings:#?}");
+        return ExitCode::SUCCESS;
+    }
+    serve(settings)
+}
+
+fn flags(args: &[&str]) -> Result<Flags, String> {
+    let mut flags = Flags {
+        settings: None,
+        check: false,
+        help: false,
+    };
+    let mut args = args.iter();
+    while let Some(arg) = args.next() {
+        match *arg {
+            "--check" => flags.check = true,
+            "--help" => flags.help = true,
+            "--settings" => {
+                let path = args.next().ok_or("--settings needs a file")?;
+                flags.settings = Some(PathBuf::from(path));
+            }
+            other => return Err(format!("unknown argument {other:?}; see --help")),
+        }
+    }
+    Ok(flags)
+}
+
+fn settings_fault(error: &str) -> ExitCode {
+    eprintln!("bluebellpond: {error}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn serve(settings: PlatformSettings) -> ExitCode {
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return start_fault(&error),
+    };
+    let served = LocalSet::new().block_on(&runtime, async {
+        let outside = bluebell_adapter::open(settings.store, &settings.front.name);
+        FrontHandle::spawn(settings.front, outside)
+            .await?
+            .run()
+            .await
+    });
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => start_fault(&error),
+    }
+}
+
+fn start_fault(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("bluebellpond: can't start: {error}");
+    ExitCode::FAILURE
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,6 +3,8 @@
 //! Once it listens it prints one line of JSON with its addresses to standard output, which is
 //! where a script learns the ports that the system picked; all else goes to standard error.
 
+mod front;
+
 use bluebell_node::{Node, NodeAddresses};
 use bluebell_settings::{EnvVar, NodeSettings, Parsed, effective_text};
 use bluebell_telemetry::open_logs;
@@ -13,9 +15,15 @@
 /// The exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
 
+/// The first argument that makes the node serve on the users' platform.
+const FRONT: &str = "front";
+
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    if args.first() == Some(&FRONT) {
+        return front::run(&args[1..]);
+    }
     let env = EnvVar::of_process();
     match NodeSettings::from_args_and_env(&args, &env) {
         Ok(Parsed::Run {
