Fleet: a single removal after an outage of the directory counts at once

Cause: every removal within two seconds of the directory's return was taken for a lapse, so a node that alone had been turned away kept sending to a replica that had left (DRAIN, 3,009 ms after its notice). Ruled out: a late read (the entry was read 0.5 s after the notice). Conclusion: lapsed replicas are used only where they outnumber the listed ones of their service.

--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -233,15 +233,21 @@
         &'a self,
         service: &'a ServiceName,
     ) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
-        let mut ready: Vec<_> = self
-            .rows
-            .iter()
-            .filter(|(_, row)| row.replica.state == ReplicaState::Ready)
-            .filter(|(_, row)| row.replica.service == *service)
-            .map(|(key, row)| (*key, &row.replica, &row.health))
-            .collect();
-        ready.sort_unstable_by_key(|(key, _, _)| *key);
-        ready
+        let rows = self.rows.iter().filter(|(_, row)| {
+            row.replica.state == ReplicaState::Ready && row.replica.service == *service
+        });
+        let (lapsed, listed): (Vec<_>, Vec<_>) =
+            rows.partition(|(_, row)| row.lapsed_at_ms.is_some());
+        // Entries that lapse because the directory was away lapse together. A few that are missing
+        // are replicas that left: work sent to them would reach them after their last moment.
+        let mut ready = listed;
+        if lapsed.len() > ready.len() {
+            ready.extend(lapsed);
+        }
+        ready.sort_unstable_by_key(|(key, _)| **key);
+        let seen = ready.into_iter();
+        seen.map(|(key, row)| (*key, &row.replica, &row.health))
+            .collect()
     }
 
     /// How many replicas are known.
