--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod replicas;
 pub mod serving;
+pub mod stopping;
 
 /// What users of this package import.
 pub mod prelude {
@@ -31,4 +32,5 @@
     pub use crate::serving::{
         Account, ClientLimits, Route, RouteKind, RouteLookup, Service, ServingConfig, Split,
     };
+    pub use crate::stopping::StopPlan;
 }
--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -45,6 +45,9 @@
     let allowed_ms = head.deadline_ms.unwrap_or(LONGEST_MS);
     let timeout_ms = admitted.route.timeout_ms.min(allowed_ms);
     let deadline_ms = arrived_ms + timeout_ms;
+    if !node.takes(deadline_ms) {
+        return Err(answers::leaving(&node, &head.request));
+    }
     let body = read_body(&node, &head, body, admitted.body_bytes, timeout_ms).await?;
     let now_ms = node.now_ms();
     node.with(|state| state.budget.on_request(&admitted.service.name, now_ms));
--- a/crates/front/src/call/answers.rs
+++ b/crates/front/src/call/answers.rs
@@ -7,7 +7,7 @@
 use crate::node::Node;
 use bluebell_base::prelude::*;
 use bytes::Bytes as Buffer;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 /// An answer to a caller.
@@ -40,6 +40,14 @@
     answer
 }
 
+/// The node is leaving; the request has not run, and another node takes it at once.
+pub fn leaving(node: &Node, request: &Arc<str>) -> Answer {
+    let mut answer = refused(node, request, "the node is leaving", SpanMs::ZERO);
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(CONNECTION, close);
+    answer
+}
+
 /// The request can't be served as it is; it has not run.
 pub fn rejected(node: &Node, request: &Arc<str>, status: StatusCode, why: &str) -> Answer {
     node.journal.tell(&Event::Refused {
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -80,7 +80,7 @@
     };
     let begin = async {
         let reply = tries::send(call, chosen, attempt, last_event).await?;
-        begin_stream(call, reply).await
+        begin_stream(reply).await
     };
     match tokio::time::timeout(Duration::from(limit_ms), begin).await {
         Ok(result) => result,
@@ -91,7 +91,7 @@
     }
 }
 
-async fn begin_stream(call: &Call, reply: Reply) -> Result<Begun, TryError> {
+async fn begin_stream(reply: Reply) -> Result<Begun, TryError> {
     let Reply { answer, head, link } = reply;
     let (parts, mut body) = answer.into_parts();
     if parts.status != StatusCode::OK {
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -3,7 +3,7 @@
 //! Invariants: a connection is closed only between two answers, but for one whose caller is gone;
 //! an error of accepting never ends the listener.
 
-use super::{Node, run};
+use super::Node;
 use crate::call::{self, Answer};
 use bluebell_base::prelude::*;
 use bytes::Bytes as Buffer;
@@ -87,7 +87,7 @@
     let limits = node.with(|state| state.config.as_ref().map(|c| c.limits()));
     let head_bytes = limits.map_or(HEAD_BYTES, |l| l.head_bytes.0 as usize);
     let idle_ms = limits.map_or(IDLE_MS, |l| l.idle_timeout_ms) + IDLE_MARGIN_MS;
-    let mut stop = node.stop_signal();
+    let stop = noticed_stop(node.clone());
     let service = service_fn(move |request| {
         let node = node.clone();
         async move { Ok::<Answer, Infallible>(call::serve(node, request).await) }
@@ -100,19 +100,28 @@
         .header_read_timeout(Some(Duration::from(idle_ms)));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let stopped = async move {
-        // An error means that the node is gone, which ends this task as well.
-        let _ = stop.wait_for(|stopping| *stopping).await;
-        tokio::time::sleep(Duration::from(run::notice_ms())).await;
-    };
-    tokio::pin!(stopped);
+    tokio::pin!(stop);
     tokio::select! {
         result = connection.as_mut() => return note_end(result),
-        () = &mut stopped => connection.as_mut().graceful_shutdown(),
+        () = &mut stop => connection.as_mut().graceful_shutdown(),
     }
     note_end(connection.await);
 }
 
+/// Waits for a planned stop that the balancer has noticed.
+async fn noticed_stop(node: Rc<Node>) {
+    let mut signal = node.stop_signal();
+    let plan = match signal.wait_for(Option::is_some).await {
+        Ok(plan) => *plan,
+        // The node is gone, which ends its connections as well.
+        Err(_) => None,
+    };
+    if let Some(plan) = plan {
+        let wait_ms = plan.noticed_ms().since(node.now_ms());
+        tokio::time::sleep(Duration::from(wait_ms)).await;
+    }
+}
+
 fn note_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::trace!("a caller's connection ended: {error}");
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -14,13 +14,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::spawn_local;
 
-/// How long a stopping node leaves idle connections open: the balancer notices after two of its
-/// questions, one a second, and callers must not meet a close meanwhile.
-const NOTICE_MS: SpanMs = SpanMs(2_500);
-
-/// How much earlier than the end of its grace a stopping node ends by itself.
-const GRACE_MARGIN_MS: SpanMs = SpanMs(300);
-
 /// How often a stopping node looks whether its last connection is gone.
 const STOP_POLL_MS: SpanMs = SpanMs(50);
 
@@ -127,16 +120,13 @@
 
     async fn stop(self) {
         let node = &self.node;
-        let began_ms = node.now_ms();
         let open = self.connections.get();
         node.journal.tell(&Event::Stopping { connections: open });
-        node.begin_stop();
-        let last_ms = began_ms + node.settings.grace_ms - GRACE_MARGIN_MS;
-        let noticed_ms = began_ms + NOTICE_MS;
+        let plan = node.begin_stop();
         loop {
             let now_ms = node.now_ms();
-            let idle = self.connections.get() == 0 && now_ms >= noticed_ms;
-            if idle || now_ms >= last_ms {
+            let idle = self.connections.get() == 0 && now_ms >= plan.noticed_ms();
+            if idle || now_ms >= plan.end_ms() {
                 break;
             }
             tokio::time::sleep(Duration::from(STOP_POLL_MS)).await;
@@ -186,8 +176,3 @@
         }
     }
 }
-
-/// How long a stopping node leaves idle connections open.
-pub(crate) const fn notice_ms() -> SpanMs {
-    NOTICE_MS
-}
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -45,7 +45,7 @@
     pub journal: Journal,
     state: RefCell<State>,
     sequence: Cell<u32>,
-    stopping: watch::Sender<bool>,
+    stopping: watch::Sender<Option<StopPlan>>,
     replicas_read: Cell<bool>,
 }
 
@@ -69,7 +69,7 @@
             journal,
             state: RefCell::new(state),
             sequence: Cell::new(0),
-            stopping: watch::Sender::new(false),
+            stopping: watch::Sender::new(None),
             replicas_read: Cell::new(false),
             settings,
         })
@@ -108,19 +108,28 @@
 
     /// Whether a planned stop is under way.
     pub fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        self.stopping.borrow().is_some()
     }
 
     /// Begins a planned stop.
-    pub fn begin_stop(&self) {
-        self.stopping.send_replace(true);
+    pub fn begin_stop(&self) -> StopPlan {
+        let plan = StopPlan::begin(self.now_ms(), self.settings.grace_ms);
+        self.stopping.send_replace(Some(plan));
+        plan
     }
 
     /// Tells of a planned stop.
-    pub fn stop_signal(&self) -> watch::Receiver<bool> {
+    pub fn stop_signal(&self) -> watch::Receiver<Option<StopPlan>> {
         self.stopping.subscribe()
     }
 
+    /// Whether a request that may last until `deadline_ms` is taken.
+    pub fn takes(&self, deadline_ms: MonoMs) -> bool {
+        let now_ms = self.now_ms();
+        let plan = *self.stopping.borrow();
+        plan.is_none_or(|plan| plan.takes(deadline_ms, now_ms))
+    }
+
     /// How many nodes share the fleet, this one included.
     pub fn node_count(&self) -> usize {
         self.outbox.peer_count() + 1
