Placement: shared parts are read first, the newest before older ones; requests wait at the node

Cause: the ledger took reading for first come, first served. So narrow reads were pushed back again and again by later ones (expected 982 ms, taken 3,520 ms).

--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -6,6 +6,10 @@
 //! Invariants: an owner's work is changed by its own news only; work that its owner stopped telling
 //! of expires.
 
+mod queue;
+
+pub use queue::{Part, ReadQueue};
+
 use bluebell_base::prelude::*;
 use rustc_hash::FxHashMap;
 
@@ -53,6 +57,8 @@
     pub part_ms: f64,
     /// The longest pause between its events that is on time.
     pub gap_ms: SpanMs,
+    /// Until when its first event is on time.
+    pub due_ms: MonoMs,
 }
 
 /// What one engine has to do.
@@ -68,6 +74,26 @@
     pub tolerances: Vec<Tolerance>,
 }
 
+/// A request whose prompt is being read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reader {
+    /// When each of its engines has read its part, from now.
+    pub ends: Vec<(ReplicaKey, f64)>,
+    /// Until when its first event is on time, from now.
+    pub due_ms: f64,
+    /// What its lateness counts.
+    pub weight: f64,
+}
+
+/// What all engines have to do at one moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Loads {
+    /// By engine; one without work is missing.
+    pub engines: FxHashMap<ReplicaKey, Load>,
+    /// All requests whose prompts are being read.
+    pub readers: Vec<Reader>,
+}
+
 /// A writer that a long pass would make late.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tolerance {
@@ -89,16 +115,54 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     works: FxHashMap<WorkId, Work>,
+    queues: FxHashMap<ReplicaKey, ReadQueue>,
 }
 
 impl Ledger {
-    /// Adds or replaces work.
-    pub fn put(&mut self, id: WorkId, work: Work) {
+    /// Adds work, or takes in how far known work is.
+    pub fn put(&mut self, id: WorkId, work: Work, now_ms: MonoMs) {
+        if self.works.contains_key(&id) {
+            self.set_stage(id, work.stage);
+            return;
+        }
+        if work.stage == Stage::Reading {
+            self.enqueue(id, &work, now_ms);
+        }
         self.works.insert(id, work);
     }
 
+    fn enqueue(&mut self, id: WorkId, work: &Work, now_ms: MonoMs) {
+        let shared = !work.helpers.is_empty();
+        let part = Part {
+            work: id,
+            left_ms: work.part_ms,
+        };
+        for key in std::iter::once(&work.first).chain(&work.helpers) {
+            let queue = self.queues.entry(*key).or_default();
+            queue.advance(now_ms);
+            queue.put(part, shared);
+        }
+    }
+
+    fn dequeue(&mut self, id: WorkId) {
+        let Some(work) = self.works.get(&id) else {
+            return;
+        };
+        if work.stage != Stage::Reading {
+            return;
+        }
+        for key in std::iter::once(&work.first).chain(&work.helpers) {
+            if let Some(queue) = self.queues.get_mut(key) {
+                queue.remove(id);
+            }
+        }
+    }
+
     /// Notes how far work is; unknown work is left unknown.
     pub fn set_stage(&mut self, id: WorkId, stage: Stage) {
+        if stage != Stage::Reading {
+            self.dequeue(id);
+        }
         if let Some(work) = self.works.get_mut(&id) {
             work.stage = stage;
         }
@@ -106,23 +170,35 @@
 
     /// Removes work.
     pub fn remove(&mut self, id: WorkId) {
+        self.dequeue(id);
         self.works.remove(&id);
     }
 
     /// Removes all work of an owner.
     pub fn remove_owner(&mut self, owner: OwnerId) {
-        self.works.retain(|id, _| id.owner != owner);
+        self.retain_owner(owner, |_| false);
     }
 
     /// Keeps only the work of `owner` that `keeps` lists.
     pub fn retain_owner(&mut self, owner: OwnerId, keeps: impl Fn(u32) -> bool) {
-        self.works
-            .retain(|id, _| id.owner != owner || keeps(id.sequence));
+        let own = self.works.keys().filter(|id| id.owner == owner);
+        let gone: Vec<WorkId> = own.filter(|id| !keeps(id.sequence)).copied().collect();
+        for id in gone {
+            self.remove(id);
+        }
     }
 
     /// Removes work placed before `before_ms`.
     pub fn expire(&mut self, before_ms: MonoMs) {
-        self.works.retain(|_, work| work.placed_ms >= before_ms);
+        let old = self
+            .works
+            .iter()
+            .filter(|(_, work)| work.placed_ms < before_ms);
+        let old: Vec<WorkId> = old.map(|(id, _)| *id).collect();
+        for id in old {
+            self.remove(id);
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
     }
 
     /// The work of one owner.
@@ -142,43 +218,47 @@
     }
 
     /// What each engine has to do at `now_ms`.
-    ///
-    /// Prompts are taken to be read one after the other in the order in which they were placed; a
-    /// prompt whose reading should be over, while no event has come, is taken to end now.
-    pub fn loads(&self, now_ms: MonoMs) -> FxHashMap<ReplicaKey, Load> {
-        let mut loads: FxHashMap<ReplicaKey, Load> = FxHashMap::default();
-        let mut reading: Vec<&Work> = Vec::new();
+    pub fn loads(&mut self, now_ms: MonoMs) -> Loads {
+        let mut loads = Loads::default();
         for work in self.works.values() {
-            let load = loads.entry(work.first).or_default();
-            load.writers += 1;
-            load.context_tokens.0 += work.prompt_tokens.0;
-            if work.stage != Stage::Late {
-                load.tolerances.push(Tolerance {
-                    gap_ms: work.gap_ms.0 as f64,
-                    weight: weight(work.prompt_tokens),
-                });
-            }
-            if work.stage == Stage::Reading {
-                reading.push(work);
-            }
+            let load = loads.engines.entry(work.first).or_default();
+            load.add_writer(work);
         }
-        reading.sort_unstable_by_key(|work| work.placed_ms);
-        let mut free_at: FxHashMap<ReplicaKey, f64> = FxHashMap::default();
-        for work in reading {
-            for key in std::iter::once(&work.first).chain(&work.helpers) {
-                let at = free_at.entry(*key).or_default();
-                *at = at.max(work.placed_ms.0 as f64) + work.part_ms;
+        let mut ends: FxHashMap<WorkId, Vec<(ReplicaKey, f64)>> = FxHashMap::default();
+        for (key, queue) in &mut self.queues {
+            queue.advance(now_ms);
+            let load = loads.engines.entry(*key).or_default();
+            load.backlog_ms = queue.backlog_ms();
+            for (id, end_ms) in queue.ends() {
+                ends.entry(id).or_default().push((*key, end_ms));
             }
         }
-        for (key, at) in free_at {
-            let load = loads.entry(key).or_default();
-            load.backlog_ms = (at - now_ms.0 as f64).max(0.0);
+        for (id, ends) in ends {
+            let Some(work) = self.works.get(&id) else {
+                continue;
+            };
+            loads.readers.push(Reader {
+                ends,
+                due_ms: work.due_ms.0 as f64 - now_ms.0 as f64,
+                weight: weight(work.prompt_tokens),
+            });
         }
         loads
     }
 }
 
 impl Load {
+    fn add_writer(&mut self, work: &Work) {
+        self.writers += 1;
+        self.context_tokens.0 += work.prompt_tokens.0;
+        if work.stage != Stage::Late {
+            self.tolerances.push(Tolerance {
+                gap_ms: work.gap_ms.0 as f64,
+                weight: weight(work.prompt_tokens),
+            });
+        }
+    }
+
     /// The time of a pass that also reads for `reading_ms`.
     pub fn pass_ms(&self, spec: &EngineSpec, reading_ms: f64) -> f64 {
         spec.pass_ms(self.writers, self.context_tokens) + reading_ms
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod budget;
 pub mod engine;
 pub mod ledger;
+pub mod patience;
 pub mod placement;
 pub mod replicas;
 pub mod serving;
@@ -25,6 +26,7 @@
     pub use crate::budget::{RetryBudget, RetryLimits};
     pub use crate::engine::EngineSpec;
     pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
+    pub use crate::patience::Patience;
     pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
     pub use crate::replicas::{
         Replica, ReplicaChange, ReplicaKey, ReplicaState, ReplicaTable, Symptom,
--- a/crates/fleet/src/placement/cost.rs
+++ b/crates/fleet/src/placement/cost.rs
@@ -4,7 +4,8 @@
 //! with lateness.
 
 use crate::engine::EngineSpec;
-use crate::ledger::Load;
+use crate::ledger::{Load, Reader};
+use crate::replicas::ReplicaKey;
 
 /// The part of an answer's use that is lost when it is late. The users value late answers at about
 /// a quarter of those on time.
@@ -28,7 +29,7 @@
     if first_event_ms >= deadline_left_ms {
         return 1.0;
     }
-    LATE_LOSS * risk(first_event_ms / target_left_ms.max(1.0), FIRST_RISK_FROM)
+    first_loss(first_event_ms, target_left_ms)
 }
 
 /// The part of a writer's weight that passes of `pass_ms` put at risk.
@@ -45,3 +46,22 @@
         .map(|t| t.weight * (pause_loss(after_ms, t.gap_ms) - pause_loss(before_ms, t.gap_ms)))
         .sum()
 }
+
+/// What a part of `part_ms` at the engines for which `takes` holds costs a request whose prompt is
+/// being read: such a part is read before its own.
+pub fn delay(reader: &Reader, part_ms: f64, takes: impl Fn(ReplicaKey) -> bool) -> f64 {
+    let before = reader.ends.iter().map(|(_, end_ms)| *end_ms);
+    let after = reader.ends.iter().map(|(key, end_ms)| match takes(*key) {
+        true => end_ms + part_ms,
+        false => *end_ms,
+    });
+    let before_ms = before.fold(0.0, f64::max);
+    let after_ms = after.fold(0.0, f64::max);
+    let loss = first_loss(after_ms, reader.due_ms) - first_loss(before_ms, reader.due_ms);
+    reader.weight * loss
+}
+
+/// The part of a request's weight that a first event after `first_ms` puts at risk.
+fn first_loss(first_ms: f64, due_ms: f64) -> f64 {
+    LATE_LOSS * risk(first_ms / due_ms.max(1.0), FIRST_RISK_FROM)
+}
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -13,14 +13,16 @@
 
 mod cost;
 mod plain;
+mod price;
 mod search;
 
 pub use plain::{PlainCandidate, place_plain};
+pub use price::Prices;
 pub use search::place_engine;
 
 use bluebell_base::prelude::*;
 
-use crate::ledger::Load;
+use crate::ledger::{Load, Reader};
 use crate::replicas::ReplicaKey;
 
 /// What a request needs of an engine.
@@ -36,6 +38,11 @@
     pub target_left_ms: f64,
     /// The time left to its deadline.
     pub deadline_left_ms: f64,
+    /// The part of its weight that its placement may cost: it rises from little to all of it while
+    /// the request waits, so that a request with time to spare lets others end first.
+    pub readiness: f64,
+    /// Whether it has waited for as long as it may, and is placed whatever others lose.
+    pub pressing: bool,
 }
 
 /// An engine that may take work.
@@ -49,6 +56,15 @@
     pub pace: f64,
 }
 
+/// What a decision looks at.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Fleet {
+    /// The engines that may take work, in the order that all nodes share.
+    pub candidates: Vec<Candidate>,
+    /// The requests whose prompts are being read.
+    pub readers: Vec<Reader>,
+}
+
 /// Where a request runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -60,6 +76,10 @@
     pub part_ms: f64,
     /// When the first event is expected, from now.
     pub first_event_ms: f64,
+    /// What the writing engine had in hand: writers, and prompts to read as time.
+    pub writers: u32,
+    /// See `writers`.
+    pub backlog_ms: f64,
 }
 
 /// Why a request isn't placed; in every case it has not run.
--- a/crates/fleet/src/placement/plain.rs
+++ b/crates/fleet/src/placement/plain.rs
@@ -6,7 +6,6 @@
 //! Reason for the limits: a node knows its own calls only. Even spread over the trusted replicas is
 //! enough, and the nearest failure domain wins a tie.
 
-
 use crate::replicas::ReplicaKey;
 
 /// A replica that may take a call.
--- /dev/null
+++ b/crates/fleet/src/placement/price.rs
@@ -0,0 +1,61 @@
+//! What engine time and slots cost when others wait for them.
+//!
+//! Load pattern: for ten seconds long prompts ask for all the reading that the engines can do, and
+//! then short ones for all their slots. Whatever is placed first comes first, so prompts that cost
+//! much and gain little make many others late.
+//!
+//! Reason for the limits: a price that rises with the backlog turns away, at each level of load,
+//! what gains least for the engine time that it takes. Nobody has to know the load of the day.
+//!
+//! Invariants: prices are never negative, and nothing costs anything while engines are idle.
+
+use super::Candidate;
+use crate::engine::EngineSpec;
+
+/// The mean backlog of the engines from which reading has a price: about what one prompt of medium
+/// length leaves.
+const BACKLOG_FREE_MS: f64 = 250.0;
+
+/// The mean backlog at which reading costs the most: half of what the longest prompts may wait.
+const BACKLOG_FULL_MS: f64 = 1_500.0;
+
+/// The highest price of a ms of reading, in units of weight: that of a prompt of some 100,000
+/// tokens, so that at full backlog longer ones wait.
+const READ_PRICE: f64 = 0.022;
+
+/// The share of slots taken from which a slot has a price.
+const SLOTS_FREE: f64 = 0.75;
+
+/// The share of slots taken at which a slot costs the most.
+const SLOTS_FULL: f64 = 0.97;
+
+/// The highest price of a slot, as a part of the request's own weight: what is late anyway then
+/// waits, and what is still on time goes first.
+const SLOT_PRICE: f64 = 0.6;
+
+/// The prices at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Prices {
+    /// Of a ms of reading, in units of weight.
+    pub read_ms: f64,
+    /// Of a slot, as a part of the request's weight.
+    pub slot: f64,
+}
+
+fn ramp(value: f64, from: f64, to: f64) -> f64 {
+    ((value - from) / (to - from)).clamp(0.0, 1.0)
+}
+
+impl Prices {
+    /// The prices that the load of `candidates` makes.
+    pub fn of(spec: &EngineSpec, candidates: &[Candidate]) -> Self {
+        let count = candidates.len().max(1) as f64;
+        let backlog_ms: f64 = candidates.iter().map(|c| c.load.backlog_ms).sum();
+        let writers: u32 = candidates.iter().map(|c| c.load.writers).sum();
+        let taken = f64::from(writers) / (count * f64::from(spec.slots.max(1)));
+        Self {
+            read_ms: READ_PRICE * ramp(backlog_ms / count, BACKLOG_FREE_MS, BACKLOG_FULL_MS),
+            slot: SLOT_PRICE * ramp(taken, SLOTS_FREE, SLOTS_FULL),
+        }
+    }
+}
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -1,15 +1,19 @@
 //! The search for the cheapest placement of a prompt, alone or in parts.
 //!
-//! Invariants: helpers never include the first engine; no placement needs more memory at the first
-//! engine than it has.
+//! Terms: a prompt is *long* where reading it alone would take longer than a pass; the *order* is
+//! the one that all nodes share. Short prompts are drawn to its front, long ones to its back.
+//!
+//! Invariants: helpers never include the engine that writes; no placement needs more memory there
+//! than it has.
 
-use super::cost::{hurt, lateness, pause_loss};
-use super::{Candidate, Demand, Placement, Refusal};
+use super::cost::{delay, hurt, lateness, pause_loss};
+use super::{Candidate, Demand, Fleet, Placement, Prices, Refusal};
 use crate::engine::EngineSpec;
-use crate::ledger::weight;
+use crate::ledger::{Load, weight};
+use crate::replicas::ReplicaKey;
 use bluebell_base::prelude::*;
 
-/// The widths that are tried, the first engine included: an engine takes at most 16 helpers.
+/// The widths that are tried, the writing engine included: an engine takes at most 16 helpers.
 const WIDTHS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, 17];
 
 /// Prompts whose reading takes less than this are read alone: in parts they would gain less than a
@@ -17,160 +21,227 @@
 const ALONE_MS: f64 = 90.0;
 
 /// How much the shared order counts, as a part of the request's weight. It only has to decide
-/// between engines that serve equally well.
-const ORDER_WEIGHT: f64 = 0.04;
+/// between engines that serve about equally well.
+const ORDER_WEIGHT: f64 = 0.08;
+
+/// How much the time to the end of the own part counts, as a part of the request's weight, at its
+/// whole target.
+const WAITING_WEIGHT: f64 = 0.05;
+
+/// What each writer of an engine counts against its helping, as a part of the request's weight.
+const WRITER_WEIGHT: f64 = 0.002;
 
 /// What one more engine costs, as a part of the request's weight: each is one more that may fail
 /// before the prompt is read.
-const WIDTH_WEIGHT: f64 = 0.004;
+const WIDTH_WEIGHT: f64 = 0.002;
+
+/// The slots of an engine that are left free while others have more: nodes place at the same moment
+/// and learn of each other's work some ms later, and what finds no slot waits for one to end.
+const SPARE_SLOTS: u32 = 2;
 
-/// How much of a prompt's own writing pauses count: the backlog it meets passes before most events.
+/// What a spare slot costs, as a part of the request's weight.
+const SPARE_WEIGHT: f64 = 0.15;
+
+/// How many requests more than its slots an engine gets: it keeps a queue of its own.
+const QUEUED: u32 = 2;
+
+/// How much of a request's own pauses count: the backlog it meets passes before most events.
 const OWN_PAUSE_PART: f64 = 0.3;
 
 /// The shortest and longest time after which a refused caller is asked back.
 const RETRY_AFTER_MS: (f64, f64) = (200.0, 2_000.0);
 
-struct Scored<'a> {
-    candidate: &'a Candidate,
-    /// How much less fit than others it is, for this request.
-    rank: f64,
-    /// What a part there costs the writers.
-    hurt: f64,
-    /// When it has read the part.
-    done_ms: f64,
+/// What all widths of one search share.
+struct Search<'a> {
+    spec: &'a EngineSpec,
+    fleet: &'a Fleet,
+    demand: &'a Demand,
+    read_ms: f64,
+    own_weight: f64,
 }
 
-/// Finds the cheapest placement; `candidates` stand in the order that all nodes share.
+/// Finds the cheapest placement; the candidates stand in the order that all nodes share.
 pub fn place_engine(
     spec: &EngineSpec,
-    candidates: &[Candidate],
+    fleet: &Fleet,
     demand: &Demand,
 ) -> Result<Placement, Refusal> {
-    if candidates.is_empty() {
+    if fleet.candidates.is_empty() {
         return Err(Refusal::NoReplica);
     }
-    let needed = demand.prompt_tokens.0 + demand.answer_tokens.0;
     if demand.prompt_tokens.0 >= spec.memory_tokens.0 {
         return Err(Refusal::TooLong);
     }
-    let read_ms = spec.read_ms(demand.prompt_tokens);
-    let own_weight = weight(demand.prompt_tokens);
-    let mut best: Option<(f64, Placement)> = None;
-    for width in WIDTHS {
-        if width > candidates.len() || (width > 1 && read_ms < ALONE_MS) {
-            break;
-        }
-        let Some((cost, placement)) =
-            place_at_width(spec, candidates, demand, width, read_ms, needed)
-        else {
-            continue;
-        };
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            best = Some((cost, placement));
-        }
-    }
-    let Some((cost, placement)) = best else {
-        return Err(overloaded(candidates));
+    let search = Search {
+        spec,
+        fleet,
+        demand,
+        read_ms: spec.read_ms(demand.prompt_tokens),
+        own_weight: weight(demand.prompt_tokens),
+    };
+    let Some((cost, placement)) = search.best() else {
+        return Err(search.overloaded());
     };
-    if cost > own_weight {
-        return Err(overloaded(candidates));
+    if !demand.pressing && cost + search.price() > search.own_weight * demand.readiness {
+        return Err(search.overloaded());
     }
     Ok(placement)
 }
 
-fn overloaded(candidates: &[Candidate]) -> Refusal {
-    let least_ms = candidates
-        .iter()
-        .map(|c| c.load.backlog_ms)
-        .fold(f64::INFINITY, f64::min);
-    let (shortest, longest) = RETRY_AFTER_MS;
-    Refusal::Overloaded {
-        retry_after_ms: SpanMs(least_ms.clamp(shortest, longest) as u64),
+impl Search<'_> {
+    fn is_long(&self) -> bool {
+        self.read_ms >= ALONE_MS
     }
-}
 
-fn place_at_width(
-    spec: &EngineSpec,
-    candidates: &[Candidate],
-    demand: &Demand,
-    width: usize,
-    read_ms: f64,
-    needed: u64,
-) -> Option<(f64, Placement)> {
-    let part_ms = read_ms / width as f64;
-    let own_weight = weight(demand.prompt_tokens);
-    let mut scored = score(spec, candidates, demand, part_ms, read_ms >= ALONE_MS);
-    scored.sort_unstable_by(|a, b| a.rank.total_cmp(&b.rank));
-    let first_at = scored.iter().position(|s| {
-        let load = &s.candidate.load;
-        load.writers < spec.slots && load.context_tokens.0 + needed <= spec.memory_tokens.0
-    })?;
-    let first = scored.remove(first_at);
-    let helpers = &scored[..width - 1];
-    let done_ms = helpers
-        .iter()
-        .map(|s| s.done_ms)
-        .fold(first.done_ms, f64::max);
-    let load = &first.candidate.load;
-    let own_pass_ms = load.pass_ms(spec, 0.0) * first.candidate.pace;
-    let passes = (demand.prompt_tokens.0 / width as u64) / spec.pass_tokens().0.max(1);
-    let writes = load.writers > 0;
-    let passing_ms = match writes {
-        true => own_pass_ms * (0.5 + passes as f64),
-        false => 0.0,
-    };
-    let first_event_ms = done_ms + passing_ms + own_pass_ms;
-    let mut cost = own_weight
-        * lateness(
+    fn best(&self) -> Option<(f64, Placement)> {
+        let widest = match self.is_long() {
+            true => self.fleet.candidates.len(),
+            false => 1,
+        };
+        let widths = WIDTHS.into_iter().filter(|width| *width <= widest);
+        let placed = widths.filter_map(|width| self.at_width(width));
+        placed.min_by(|(a, _), (b, _)| a.total_cmp(b))
+    }
+
+    fn price(&self) -> f64 {
+        let prices = Prices::of(self.spec, &self.fleet.candidates);
+        prices.read_ms * self.read_ms + prices.slot * self.own_weight
+    }
+
+    fn overloaded(&self) -> Refusal {
+        let backlogs = self.fleet.candidates.iter().map(|c| c.load.backlog_ms);
+        let least_ms = backlogs.fold(f64::INFINITY, f64::min);
+        let (shortest, longest) = RETRY_AFTER_MS;
+        Refusal::Overloaded {
+            retry_after_ms: SpanMs(least_ms.clamp(shortest, longest) as u64),
+        }
+    }
+
+    fn late(&self, first_event_ms: f64) -> f64 {
+        let demand = self.demand;
+        self.own_weight
+            * lateness(
+                first_event_ms,
+                demand.target_left_ms,
+                demand.deadline_left_ms,
+            )
+    }
+
+    fn at_width(&self, width: usize) -> Option<(f64, Placement)> {
+        let part_ms = self.read_ms / width as f64;
+        let shared = width > 1;
+        let (writer_cost, writer) = self.writer(part_ms, shared)?;
+        let helpers = self.helpers(part_ms, width - 1, writer.key);
+        let keys: Vec<ReplicaKey> = helpers.iter().map(|c| c.key).collect();
+        let first_event_ms = helpers
+            .iter()
+            .map(|c| self.read_by_ms(c, part_ms, true))
+            .fold(self.read_by_ms(writer, part_ms, shared), f64::max);
+        let helping: f64 = helpers
+            .iter()
+            .map(|c| hurt(self.spec, &c.load, part_ms, c.pace))
+            .sum();
+        let delays = match shared {
+            true => self.delays(part_ms, |key| key == writer.key || keys.contains(&key)),
+            false => 0.0,
+        };
+        let width_cost = self.own_weight * WIDTH_WEIGHT * width as f64;
+        let cost = writer_cost + helping + delays + width_cost + self.late(first_event_ms);
+        let placement = Placement {
+            first: writer.key,
+            helpers: keys,
+            part_ms,
             first_event_ms,
-            demand.target_left_ms,
-            demand.deadline_left_ms,
-        )
-        + own_weight * WIDTH_WEIGHT * width as f64;
-    let reading_ms = load.backlog_ms * OWN_PAUSE_PART;
-    cost += own_weight * pause_loss(own_pass_ms + reading_ms, demand.gap_ms.0 as f64);
-    cost += std::iter::once(&first)
-        .chain(helpers)
-        .map(|s| s.hurt)
-        .sum::<f64>();
-    let placement = Placement {
-        first: first.candidate.key,
-        helpers: helpers.iter().map(|s| s.candidate.key).collect(),
-        part_ms,
-        first_event_ms,
-    };
-    Some((cost, placement))
-}
+            writers: writer.load.writers,
+            backlog_ms: writer.load.backlog_ms,
+        };
+        Some((cost, placement))
+    }
 
-/// Scores each engine by what reading a part there costs its writers, by when it is done, and by
-/// its place in the shared order.
-fn score<'a>(
-    spec: &EngineSpec,
-    candidates: &'a [Candidate],
-    demand: &Demand,
-    part_ms: f64,
-    long: bool,
-) -> Vec<Scored<'a>> {
-    let own_weight = weight(demand.prompt_tokens);
-    let last = candidates.len().max(2) - 1;
-    let score_one = |(at, candidate): (usize, &'a Candidate)| {
-        let pace = candidate.pace;
+    /// What parts at the engines for which `takes` holds cost the prompts that are being read.
+    fn delays(&self, part_ms: f64, takes: impl Fn(ReplicaKey) -> bool) -> f64 {
+        let readers = self.fleet.readers.iter();
+        readers.map(|r| delay(r, part_ms, &takes)).sum()
+    }
+
+    /// When an engine has read the part: a shared part goes ahead of what waits there, the prompt
+    /// of one engine goes behind it. Writers add their passes.
+    fn read_by_ms(&self, candidate: &Candidate, part_ms: f64, shared: bool) -> f64 {
         let load = &candidate.load;
-        let done_ms = load.backlog_ms + part_ms * pace;
-        let place = at as f64 / last as f64;
-        let order = if long { 1.0 - place } else { place };
-        let crowding = f64::from(load.writers) / f64::from(spec.slots.max(1));
-        let full = if crowding >= 1.0 { 0.5 } else { 0.0 };
-        let late = lateness(done_ms, demand.target_left_ms, demand.deadline_left_ms);
-        let waiting = done_ms / demand.target_left_ms.max(1.0) * ORDER_WEIGHT;
-        let hurt = hurt(spec, load, part_ms, pace);
-        let rank = hurt + own_weight * (late + ORDER_WEIGHT * order + waiting + full);
-        Scored {
-            candidate,
-            rank,
-            hurt,
-            done_ms,
+        let waiting_ms = if shared { 0.0 } else { load.backlog_ms };
+        let reading_ms = waiting_ms + part_ms * candidate.pace;
+        if load.writers == 0 {
+            return reading_ms;
         }
-    };
-    candidates.iter().enumerate().map(score_one).collect()
+        let pass_ms = load.pass_ms(self.spec, 0.0) * candidate.pace;
+        let tokens = part_ms / self.read_ms.max(1.0) * self.demand.prompt_tokens.0 as f64;
+        let passes = (tokens / self.spec.pass_tokens().0.max(1) as f64).floor();
+        reading_ms + pass_ms * (0.5 + passes) + self.queue_ms(load, pass_ms)
+    }
+
+    /// How long a request waits for a slot: writers end one after the other, each after as many
+    /// passes as its answer has tokens for.
+    fn queue_ms(&self, load: &Load, pass_ms: f64) -> f64 {
+        let slots = self.spec.slots.max(1);
+        let ahead = (load.writers + 1).saturating_sub(slots);
+        let stride = f64::from(self.spec.stride.max(1));
+        let passes = self.demand.answer_tokens.0 as f64 / stride;
+        f64::from(ahead) * passes * pass_ms / f64::from(slots)
+    }
+
+    /// The engine that writes, with what that costs beside delays and the request's own lateness.
+    fn writer(&self, part_ms: f64, shared: bool) -> Option<(f64, &Candidate)> {
+        let candidates = &self.fleet.candidates;
+        let last = candidates.len().max(2) - 1;
+        let needed = self.demand.prompt_tokens.0 + self.demand.answer_tokens.0;
+        let fits = |c: &Candidate| {
+            c.load.writers < self.spec.slots + QUEUED
+                && c.load.context_tokens.0 + needed <= self.spec.memory_tokens.0
+        };
+        let cost = |at: usize, candidate: &Candidate| {
+            let load = &candidate.load;
+            let place = at as f64 / last as f64;
+            let order = if self.is_long() { 1.0 - place } else { place };
+            let crowding = (load.writers + 1 + SPARE_SLOTS).saturating_sub(self.spec.slots);
+            let pass_ms = load.pass_ms(self.spec, load.backlog_ms * OWN_PAUSE_PART);
+            let pause = pause_loss(pass_ms * candidate.pace, self.demand.gap_ms.0 as f64);
+            let parts = order * ORDER_WEIGHT + f64::from(crowding) * SPARE_WEIGHT + pause;
+            hurt(self.spec, load, part_ms, candidate.pace) + self.own_weight * parts
+        };
+        let rank = |at: usize, candidate: &Candidate| {
+            cost(at, candidate) + self.waiting(candidate, part_ms, shared)
+        };
+        let fitting = candidates.iter().enumerate().filter(|(_, c)| fits(c));
+        let best = fitting.min_by(|(a, x), (b, y)| rank(*a, x).total_cmp(&rank(*b, y)));
+        best.map(|(at, candidate)| (cost(at, candidate), candidate))
+    }
+
+    /// What the time until the engine has read the part counts between engines.
+    fn waiting(&self, candidate: &Candidate, part_ms: f64, shared: bool) -> f64 {
+        let done_ms = self.read_by_ms(candidate, part_ms, shared);
+        let share = done_ms / self.demand.target_left_ms.max(1.0);
+        let backlog = candidate.load.backlog_ms / self.demand.target_left_ms.max(1.0);
+        let waiting = WAITING_WEIGHT * (share.min(4.0) + backlog.min(4.0));
+        let delays = match shared {
+            true => self.delays(part_ms, |key| key == candidate.key),
+            false => 0.0,
+        };
+        self.own_weight * waiting + self.late(done_ms) + delays
+    }
+
+    /// The engines that help.
+    fn helpers(&self, part_ms: f64, count: usize, writer: ReplicaKey) -> Vec<&Candidate> {
+        if count == 0 {
+            return Vec::new();
+        }
+        let rank = |c: &Candidate| {
+            let writers = f64::from(c.load.writers) * WRITER_WEIGHT * self.own_weight;
+            hurt(self.spec, &c.load, part_ms, c.pace) + writers + self.waiting(c, part_ms, true)
+        };
+        let others = self.fleet.candidates.iter().filter(|c| c.key != writer);
+        let mut ranked: Vec<(f64, &Candidate)> = others.map(|c| (rank(c), c)).collect();
+        ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, c)| c).collect()
+    }
 }
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -26,7 +26,8 @@
 ///
 /// Four bytes keep what nodes tell each other short. Among 1,800 replicas two share a key with a
 /// chance of 4 in 10,000; both would then count as one load, which is wrong and harmless.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize)]
+#[serde(into = "String")]
 pub struct ReplicaKey(pub u32);
 
 impl ReplicaKey {
@@ -39,6 +40,12 @@
     }
 }
 
+impl From<ReplicaKey> for String {
+    fn from(key: ReplicaKey) -> Self {
+        key.to_string()
+    }
+}
+
 impl fmt::Display for ReplicaKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "rep{:08x}", self.0)
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -3,9 +3,11 @@
 use super::Call;
 use super::held::Held;
 use bluebell_base::prelude::*;
-use bluebell_fleet::placement::{Candidate, PlainCandidate};
+use bluebell_fleet::placement::{Candidate, Fleet, PlainCandidate};
 use bluebell_fleet::prelude::*;
+use bluebell_fleet::replicas::Health;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A replica that was chosen, with the hold on it.
 pub(super) struct Chosen {
@@ -14,13 +16,40 @@
     pub helpers: Vec<SocketAddr>,
     /// When the first event, or the answer, is expected, from now.
     pub expected_ms: f64,
+    /// Why there: none for a plain replica.
+    pub placement: Option<Placement>,
     pub held: Held,
 }
 
+/// How often a request that waits at the node looks for a place. Work ends on some engine of a busy
+/// fleet about as often.
+const LOOK_EVERY_MS: SpanMs = SpanMs(40);
+
 /// Chooses a replica that isn't in `avoid`.
 pub(super) fn choose(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
+    choose_now(call, avoid, false)
+}
+
+/// Chooses a replica that isn't in `avoid`; waits for one for as long as that may help.
+pub(super) async fn choose_waiting(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
+    let patience = call.patience();
+    loop {
+        let waited_ms = call.age_ms();
+        let over = waited_ms >= patience.longest_ms;
+        let refusal = match choose_now(call, avoid, over && patience.placed_at_last) {
+            Err(refusal @ Refusal::Overloaded { .. }) if !over => refusal,
+            result => return result,
+        };
+        if call.left_ms() <= LOOK_EVERY_MS {
+            return Err(refusal);
+        }
+        tokio::time::sleep(Duration::from(LOOK_EVERY_MS)).await;
+    }
+}
+
+fn choose_now(call: &Call, avoid: &[ReplicaKey], pressing: bool) -> Result<Chosen, Refusal> {
     match &call.service.engine {
-        Some(spec) => choose_engine(call, spec, avoid),
+        Some(spec) => choose_engine(call, spec, avoid, pressing),
         None => choose_plain(call, avoid),
     }
 }
@@ -39,24 +68,31 @@
     ready
 }
 
-use bluebell_fleet::replicas::Health;
-
-fn choose_engine(call: &Call, spec: &EngineSpec, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
+fn choose_engine(
+    call: &Call,
+    spec: &EngineSpec,
+    avoid: &[ReplicaKey],
+    pressing: bool,
+) -> Result<Chosen, Refusal> {
     let node = &call.node;
     let now_ms = node.now_ms();
-    let demand = demand(call, now_ms);
+    let demand = demand(call, now_ms, pressing);
     let (placement, replica, helpers) = node.with(|state| {
         let mut loads = state.ledger.loads(now_ms);
         let takers = takers(state, call, avoid, now_ms);
-        let candidates: Vec<Candidate> = takers
+        let candidates = takers
             .iter()
             .map(|(key, _, health)| Candidate {
                 key: *key,
-                load: loads.remove(key).unwrap_or_default(),
+                load: loads.engines.remove(key).unwrap_or_default(),
                 pace: health.pace(),
             })
             .collect();
-        let placement = place_engine(spec, &candidates, &demand)?;
+        let fleet = Fleet {
+            candidates,
+            readers: loads.readers,
+        };
+        let placement = place_engine(spec, &fleet, &demand)?;
         let find = |key| state.replicas.get(key).ok_or(Refusal::NoReplica).cloned();
         let replica = find(placement.first)?;
         let helpers = placement.helpers.iter().map(|key| find(*key));
@@ -65,12 +101,13 @@
     })?;
     let work = Work {
         first: placement.first,
-        helpers: placement.helpers,
+        helpers: placement.helpers.clone(),
         stage: Stage::Reading,
         placed_ms: now_ms,
         prompt_tokens: demand.prompt_tokens,
         part_ms: placement.part_ms,
         gap_ms: demand.gap_ms,
+        due_ms: call.arrived_ms + call.route.target_ms,
     };
     Ok(Chosen {
         key: placement.first,
@@ -78,10 +115,11 @@
         helpers,
         expected_ms: placement.first_event_ms,
         held: Held::work(node, placement.first, work),
+        placement: Some(placement),
     })
 }
 
-fn demand(call: &Call, now_ms: MonoMs) -> Demand {
+fn demand(call: &Call, now_ms: MonoMs, pressing: bool) -> Demand {
     let gap_ms = match call.route.kind {
         RouteKind::Stream { gap_ms, .. } => gap_ms,
         RouteKind::Idempotent | RouteKind::AtMostOnce => call.route.target_ms,
@@ -93,6 +131,8 @@
         gap_ms,
         target_left_ms: target_at_ms.since(now_ms).0 as f64,
         deadline_left_ms: call.deadline_ms.since(now_ms).0 as f64,
+        readiness: Patience::readiness(call.age_ms(), call.route.target_ms),
+        pressing,
     }
 }
 
@@ -119,6 +159,7 @@
         replica,
         helpers: Vec::new(),
         expected_ms: call.route.target_ms.0 as f64 / 2.0,
+        placement: None,
         held: Held::call(node, key),
     })
 }
--- a/crates/front/src/call/held.rs
+++ b/crates/front/src/call/held.rs
@@ -28,7 +28,8 @@
     pub fn work(node: &Rc<Node>, key: ReplicaKey, work: Work) -> Self {
         let id = node.next_work();
         node.outbox.placed(id.sequence, &work, node.now_ms());
-        node.with(|state| state.ledger.put(id, work));
+        let now_ms = node.now_ms();
+        node.with(|state| state.ledger.put(id, work, now_ms));
         Self::begin(node, key, Holding::Work(id))
     }
 
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -53,6 +53,15 @@
         self.node.now_ms().since(self.arrived_ms)
     }
 
+    /// How long it may wait at the node for a place.
+    pub fn patience(&self) -> Patience {
+        let gap_ms = match self.route.kind {
+            RouteKind::Stream { gap_ms, .. } => gap_ms,
+            RouteKind::Idempotent | RouteKind::AtMostOnce => SpanMs::ZERO,
+        };
+        Patience::of(self.route.target_ms, gap_ms)
+    }
+
     /// The time left to its deadline.
     pub fn left_ms(&self) -> SpanMs {
         self.deadline_ms.since(self.node.now_ms())
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -3,7 +3,7 @@
 use super::Call;
 use super::answers::Answer;
 use super::body::FrontBody;
-use super::choose::{Chosen, choose};
+use super::choose::{Chosen, choose_waiting};
 use super::events::EventSplitter;
 use super::plain::{end, give_up};
 use super::pump::{Pump, Source};
@@ -17,10 +17,9 @@
 
 /// How much longer than expected an engine may be silent before another is asked: predictions of
 /// busy engines are off by up to this factor.
-const SILENT_FACTOR: f64 = 2.5;
+const SILENT_FACTOR: f64 = 2.0;
 
-/// The shortest silence that counts: engines stall for this long when a helper is gone, and say so
-/// then.
+/// What is added to it: engines stall for this long when a helper is gone, and say so then.
 const SILENT_LEAST_MS: f64 = 1_700.0;
 
 /// How many replicas that can't be reached are tried at most.
@@ -32,7 +31,7 @@
     let mut arrived_tries = 0;
     let mut ran = Verdict::NotRun;
     loop {
-        let chosen = match choose(call, &avoid) {
+        let chosen = match choose_waiting(call, &avoid).await {
             Ok(chosen) => chosen,
             Err(refusal) => return give_up(call, ran, &refusal),
         };
@@ -73,7 +72,7 @@
 ) -> Result<Begun, TryError> {
     let left_ms = call.left_ms();
     let others = call.route.kind.repeatable() && arrived_tries + 1 < call.route.max_attempts;
-    let silent_ms = (chosen.expected_ms * SILENT_FACTOR).max(SILENT_LEAST_MS);
+    let silent_ms = chosen.expected_ms * SILENT_FACTOR + SILENT_LEAST_MS;
     let limit_ms = match others {
         true => SpanMs(silent_ms as u64).min(left_ms),
         false => left_ms,
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -57,14 +57,7 @@
     attempt: u32,
     last_event: Option<&str>,
 ) -> Result<Reply, TryError> {
-    call.node.journal.tell(&Event::Placed {
-        request: call.head.request.clone(),
-        attempt,
-        instance: chosen.replica.instance.clone(),
-        helpers: chosen.helpers.len(),
-        expected_first_ms: chosen.expected_ms as u64,
-        age_ms: call.age_ms(),
-    });
+    tell_placed(call, chosen, attempt);
     let mut freshness = freshness(call, chosen);
     loop {
         let link = call.node.pool.lease(chosen.replica.address, freshness);
@@ -86,6 +79,22 @@
     }
 }
 
+fn tell_placed(call: &Call, chosen: &Chosen, attempt: u32) {
+    let placement = chosen.placement.as_ref();
+    call.node.journal.tell(&Event::Placed {
+        request: call.head.request.clone(),
+        attempt,
+        instance: chosen.replica.instance.clone(),
+        helpers: placement.map(|p| p.helpers.clone()).unwrap_or_default(),
+        writers: placement.map_or(0, |p| p.writers),
+        backlog_ms: placement.map_or(0, |p| p.backlog_ms as u64),
+        prompt_tokens: call.head.prompt_tokens.unwrap_or_default(),
+        part_ms: placement.map_or(0, |p| p.part_ms as u64),
+        expected_first_ms: chosen.expected_ms as u64,
+        age_ms: call.age_ms(),
+    });
+}
+
 fn never_arrived(error: &SendError) -> TryError {
     TryError {
         arrived: false,
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -1,6 +1,7 @@
 //! The events that the log of decisions knows.
 
 use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
 use serde::Serialize;
 use std::net::SocketAddr;
 
@@ -33,6 +34,7 @@
     /// A replica is known now.
     ReplicaFound {
         instance: Arc<str>,
+        key: ReplicaKey,
         address: SocketAddr,
     },
     /// A replica takes no new work.
@@ -59,7 +61,12 @@
         request: Arc<str>,
         attempt: u32,
         instance: Arc<str>,
-        helpers: usize,
+        helpers: Vec<ReplicaKey>,
+        /// What the engine had in hand, as this node knew it.
+        writers: u32,
+        backlog_ms: u64,
+        prompt_tokens: Tokens,
+        part_ms: u64,
         expected_first_ms: u64,
         age_ms: SpanMs,
     },
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -51,6 +51,8 @@
     prompt_tokens: u32,
     part_ms: f32,
     gap_ms: u32,
+    /// From when the news was sent; below 0 where it is late.
+    due_in_ms: i32,
 }
 
 impl WorkNews {
@@ -69,6 +71,7 @@
             prompt_tokens: work.prompt_tokens.0 as u32,
             part_ms: work.part_ms as f32,
             gap_ms: work.gap_ms.0 as u32,
+            due_in_ms: (work.due_ms.0 as i64 - now_ms.0 as i64) as i32,
         }
     }
 
@@ -86,6 +89,7 @@
             prompt_tokens: Tokens(u64::from(self.prompt_tokens)),
             part_ms: f64::from(self.part_ms.max(0.0)),
             gap_ms: SpanMs(u64::from(self.gap_ms)),
+            due_ms: MonoMs(now_ms.0.saturating_add_signed(i64::from(self.due_in_ms))),
         }
     }
 }
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -58,7 +58,9 @@
 fn apply(node: &Node, owner: OwnerId, news: News, now_ms: MonoMs) {
     let id = |sequence| WorkId { owner, sequence };
     node.with(|state| match news {
-        News::Placed(work) => state.ledger.put(id(work.sequence), work.work(now_ms)),
+        News::Placed(work) => state
+            .ledger
+            .put(id(work.sequence), work.work(now_ms), now_ms),
         News::Stage { sequence, late } => {
             let stage = if late { Stage::Late } else { Stage::Writing };
             state.ledger.set_stage(id(sequence), stage);
@@ -90,6 +92,6 @@
         let sequence = work.sequence;
         state
             .ledger
-            .put(WorkId { owner, sequence }, work.work(now_ms));
+            .put(WorkId { owner, sequence }, work.work(now_ms), now_ms);
     }
 }
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -49,7 +49,11 @@
         let event = match node.with(|state| state.replicas.apply(change, now_ms)) {
             TableEvent::Unchanged => continue,
             TableEvent::Found => match address {
-                Some(address) => Event::ReplicaFound { instance, address },
+                Some(address) => Event::ReplicaFound {
+                    key: ReplicaKey::of(&instance),
+                    instance,
+                    address,
+                },
                 None => continue,
             },
             TableEvent::Leaving => Event::ReplicaLeaving { instance },
