Placement: prompts read within a pause are written among short ones; time to spare lets others end

Cause: prompts of 13,000 to 24,000 tokens were drawn to the engines of the long ones and paused there; a prompt read beside writers waits for the end of its pass, which the estimate left out.

--- a/crates/fleet/src/patience/mod.rs
+++ b/crates/fleet/src/patience/mod.rs
@@ -30,7 +30,7 @@
 
 /// The share of the target after which it may cost all of the request's weight; what is left is for
 /// reading the prompt.
-const FULL_AT_SHARE: f64 = 0.3;
+const FULL_AT_SHARE: f64 = 0.6;
 
 /// How long a request waits, and what then becomes of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -176,7 +176,7 @@
         let pass_ms = load.pass_ms(self.spec, 0.0) * candidate.pace;
         let tokens = part_ms / self.read_ms.max(1.0) * self.demand.prompt_tokens.0 as f64;
         let passes = (tokens / self.spec.pass_tokens().0.max(1) as f64).floor();
-        reading_ms + pass_ms * (0.5 + passes) + self.queue_ms(load, pass_ms)
+        reading_ms + pass_ms * (1.5 + passes) + self.queue_ms(load, pass_ms)
     }
 
     /// How long a request waits for a slot: writers end one after the other, each after as many
@@ -201,7 +201,7 @@
         let cost = |at: usize, candidate: &Candidate| {
             let load = &candidate.load;
             let place = at as f64 / last as f64;
-            let order = if self.is_long() { 1.0 - place } else { place };
+            let order = if self.read_ms > self.demand.gap_ms.0 as f64 { 1.0 - place } else { place };
             let crowding = (load.writers + 1 + SPARE_SLOTS).saturating_sub(self.spec.slots);
             let pass_ms = load.pass_ms(self.spec, load.backlog_ms * OWN_PAUSE_PART);
             let pause = pause_loss(pass_ms * candidate.pace, self.demand.gap_ms.0 as f64);
