Placement: memory set aside for prompts beyond one engine; reading has a price where engines are busy

Cause: prompts over an engine's memory were refused at once, also on idle engines; requests that waited for their whole patience were then placed where their callers had given up before the first event.

--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -12,6 +12,7 @@
 
 use bluebell_base::prelude::*;
 use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 
 use crate::engine::EngineSpec;
 use crate::replicas::ReplicaKey;
@@ -47,6 +48,8 @@
     pub first: ReplicaKey,
     /// The engines that read parts of its prompt beside the first.
     pub helpers: Vec<ReplicaKey>,
+    /// The memory that is set aside for its prompt beside that of the engine that writes it.
+    pub memory: Vec<(ReplicaKey, Tokens)>,
     /// How far it is.
     pub stage: Stage,
     /// When it was placed, by this node's clock.
@@ -68,6 +71,8 @@
     pub writers: u32,
     /// The length of the prompts of that work.
     pub context_tokens: Tokens,
+    /// The memory that its own work and what is set aside for others' take.
+    pub memory_tokens: Tokens,
     /// What it has still to read, as time.
     pub backlog_ms: f64,
     /// The tolerance and the weight of each writer that has been on time so far.
@@ -92,6 +97,8 @@
     pub engines: FxHashMap<ReplicaKey, Load>,
     /// All requests whose prompts are being read.
     pub readers: Vec<Reader>,
+    /// How many engines the reading that was placed lately keeps busy.
+    pub reading_engines: f64,
 }
 
 /// A writer that a long pass would make late.
@@ -116,8 +123,14 @@
 pub struct Ledger {
     works: FxHashMap<WorkId, Work>,
     queues: FxHashMap<ReplicaKey, ReadQueue>,
+    /// What was placed lately: when, and the engine time that its reading takes.
+    placed: VecDeque<(MonoMs, f64)>,
 }
 
+/// The span over which the reading that was placed is counted: about as long as a long prompt is in
+/// hand.
+const LATELY_MS: SpanMs = SpanMs(4_000);
+
 impl Ledger {
     /// Adds work, or takes in how far known work is.
     pub fn put(&mut self, id: WorkId, work: Work, now_ms: MonoMs) {
@@ -127,6 +140,9 @@
         }
         if work.stage == Stage::Reading {
             self.enqueue(id, &work, now_ms);
+            let engines = 1 + work.helpers.len();
+            self.placed
+                .push_back((now_ms, work.part_ms * engines as f64));
         }
         self.works.insert(id, work);
     }
@@ -219,10 +235,25 @@
 
     /// What each engine has to do at `now_ms`.
     pub fn loads(&mut self, now_ms: MonoMs) -> Loads {
-        let mut loads = Loads::default();
+        while self
+            .placed
+            .front()
+            .is_some_and(|(at_ms, _)| now_ms.since(*at_ms) > LATELY_MS)
+        {
+            self.placed.pop_front();
+        }
+        let placed_ms: f64 = self.placed.iter().map(|(_, ms)| ms).sum();
+        let mut loads = Loads {
+            reading_engines: placed_ms / LATELY_MS.0 as f64,
+            ..Loads::default()
+        };
         for work in self.works.values() {
             let load = loads.engines.entry(work.first).or_default();
             load.add_writer(work);
+            for (key, tokens) in &work.memory {
+                let load = loads.engines.entry(*key).or_default();
+                load.memory_tokens.0 += tokens.0;
+            }
         }
         let mut ends: FxHashMap<WorkId, Vec<(ReplicaKey, f64)>> = FxHashMap::default();
         for (key, queue) in &mut self.queues {
@@ -251,6 +282,8 @@
     fn add_writer(&mut self, work: &Work) {
         self.writers += 1;
         self.context_tokens.0 += work.prompt_tokens.0;
+        let elsewhere: u64 = work.memory.iter().map(|(_, tokens)| tokens.0).sum();
+        self.memory_tokens.0 += work.prompt_tokens.0.saturating_sub(elsewhere);
         if work.stage != Stage::Late {
             self.tolerances.push(Tolerance {
                 gap_ms: work.gap_ms.0 as f64,
--- a/crates/fleet/src/patience/mod.rs
+++ b/crates/fleet/src/patience/mod.rs
@@ -18,12 +18,13 @@
 /// Callers wait for so many of the longest pauses.
 const PAUSES: u64 = 8;
 
-/// The part of the caller's wait that is spent at the node; the rest is for reading the prompt.
-const WAITING_PART: f64 = 0.4;
+/// The part of the target that a request waits at the node: the rest is for reading its prompt. One
+/// that is late already waits no longer either, since its caller may give up.
+const WAITING_PART: f64 = 0.7;
 
-/// The caller's wait from which a request is placed at last, late rather than not at all: it has
-/// then waited so long that coming back would be too late for it.
-const PLACED_AT_LAST_MS: SpanMs = SpanMs(4_000);
+/// The shortest wait at the node, for requests whose target is so short that they wait for the end
+/// of some writer, not of some reading.
+const LEAST_WAIT_MS: SpanMs = SpanMs(500);
 
 /// What a request's placement may cost at first.
 const FIRST_READINESS: f64 = 0.25;
@@ -32,13 +33,13 @@
 /// reading the prompt.
 const FULL_AT_SHARE: f64 = 0.6;
 
-/// How long a request waits, and what then becomes of it.
+/// How long a request waits, and for how long its caller does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Patience {
     /// The longest wait at the node.
     pub longest_ms: SpanMs,
-    /// Whether it is placed after that whatever others lose; else it is refused.
-    pub placed_at_last: bool,
+    /// How long the caller waits for a first event.
+    pub silence_ms: SpanMs,
 }
 
 impl Patience {
@@ -46,10 +47,9 @@
     pub fn of(target_ms: SpanMs, gap_ms: SpanMs) -> Self {
         let targets_ms = SpanMs(target_ms.0 * TARGETS);
         let pauses_ms = SpanMs(gap_ms.0 * PAUSES);
-        let silence_ms = LEAST_SILENCE_MS.max(targets_ms).max(pauses_ms);
         Self {
-            longest_ms: silence_ms.mul_f64(WAITING_PART),
-            placed_at_last: silence_ms >= PLACED_AT_LAST_MS,
+            longest_ms: target_ms.mul_f64(WAITING_PART).max(LEAST_WAIT_MS),
+            silence_ms: LEAST_SILENCE_MS.max(targets_ms).max(pauses_ms),
         }
     }
 
--- a/crates/fleet/src/placement/cost.rs
+++ b/crates/fleet/src/placement/cost.rs
@@ -3,6 +3,7 @@
 //! Invariants: costs are in units of [`weight`](crate::ledger::weight), never negative, and grow
 //! with lateness.
 
+use super::Demand;
 use crate::engine::EngineSpec;
 use crate::ledger::{Load, Reader};
 use crate::replicas::ReplicaKey;
@@ -23,13 +24,20 @@
     ((share - from) / (1.0 - from)).clamp(0.0, 1.0)
 }
 
-/// What the request itself loses when its first event comes after `first_event_ms`, as a part of
-/// its weight.
-pub fn lateness(first_event_ms: f64, target_left_ms: f64, deadline_left_ms: f64) -> f64 {
-    if first_event_ms >= deadline_left_ms {
+/// What the request itself loses when its first event comes after `first_event_ms` and its last
+/// `writing_ms` later, as a part of its weight.
+///
+/// A late answer still counts something, and the less the nearer it is to the moment at which the
+/// caller gives up.
+pub fn lateness(first_event_ms: f64, writing_ms: f64, demand: &Demand) -> f64 {
+    if first_event_ms >= demand.silence_left_ms
+        || first_event_ms + writing_ms >= demand.deadline_left_ms
+    {
         return 1.0;
     }
-    first_loss(first_event_ms, target_left_ms)
+    let due_ms = demand.target_left_ms.max(1.0);
+    let overdue = (first_event_ms - due_ms) / (demand.silence_left_ms - due_ms).max(1.0);
+    first_loss(first_event_ms, due_ms) + (1.0 - LATE_LOSS) * overdue.clamp(0.0, 1.0)
 }
 
 /// The part of a writer's weight that passes of `pass_ms` put at risk.
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -12,6 +12,7 @@
 //! Invariants: a decision depends only on its arguments.
 
 mod cost;
+mod memory;
 mod plain;
 mod price;
 mod search;
@@ -36,6 +37,8 @@
     pub gap_ms: SpanMs,
     /// The time left to a first event that is on time.
     pub target_left_ms: f64,
+    /// The time left until its caller gives up waiting for a first event.
+    pub silence_left_ms: f64,
     /// The time left to its deadline.
     pub deadline_left_ms: f64,
     /// The part of its weight that its placement may cost: it rises from little to all of it while
@@ -63,6 +66,8 @@
     pub candidates: Vec<Candidate>,
     /// The requests whose prompts are being read.
     pub readers: Vec<Reader>,
+    /// How many engines the reading that was placed lately keeps busy.
+    pub reading_engines: f64,
 }
 
 /// Where a request runs.
@@ -72,6 +77,8 @@
     pub first: ReplicaKey,
     /// Those that read parts of the prompt beside it.
     pub helpers: Vec<ReplicaKey>,
+    /// The memory to set aside at helpers for what the engine that writes can't hold.
+    pub memory: Vec<(ReplicaKey, Tokens)>,
     /// What each of them reads, as time.
     pub part_ms: f64,
     /// When the first event is expected, from now.
@@ -88,8 +95,8 @@
     /// No replica of the service takes work.
     #[error("no replica takes work")]
     NoReplica,
-    /// The prompt is longer than any engine's memory.
-    #[error("the prompt is longer than an engine's memory")]
+    /// The prompt is longer than all memory that can be set aside for one.
+    #[error("the prompt is longer than the engines' memory")]
     TooLong,
     /// Serving it would cost others more than it gains.
     #[error("the engines are full")]
--- a/crates/fleet/src/placement/price.rs
+++ b/crates/fleet/src/placement/price.rs
@@ -9,7 +9,7 @@
 //!
 //! Invariants: prices are never negative, and nothing costs anything while engines are idle.
 
-use super::Candidate;
+use super::Fleet;
 use crate::engine::EngineSpec;
 
 /// The mean backlog of the engines from which reading has a price: about what one prompt of medium
@@ -23,6 +23,17 @@
 /// tokens, so that at full backlog longer ones wait.
 const READ_PRICE: f64 = 0.022;
 
+/// The share of the engines' time that was asked for lately from which reading has a price even
+/// where nothing waits: what is placed now is in the way of what comes next.
+const BUSY_FREE: f64 = 0.3;
+
+/// The share at which that price is highest.
+const BUSY_FULL: f64 = 0.9;
+
+/// The highest price of a ms of reading for that reason, in units of weight: that of a prompt of
+/// some 300,000 tokens.
+const BUSY_PRICE: f64 = 0.008;
+
 /// The share of slots taken from which a slot has a price.
 const SLOTS_FREE: f64 = 0.75;
 
@@ -47,14 +58,17 @@
 }
 
 impl Prices {
-    /// The prices that the load of `candidates` makes.
-    pub fn of(spec: &EngineSpec, candidates: &[Candidate]) -> Self {
+    /// The prices that the load of the fleet makes.
+    pub fn of(spec: &EngineSpec, fleet: &Fleet) -> Self {
+        let candidates = &fleet.candidates;
         let count = candidates.len().max(1) as f64;
         let backlog_ms: f64 = candidates.iter().map(|c| c.load.backlog_ms).sum();
         let writers: u32 = candidates.iter().map(|c| c.load.writers).sum();
         let taken = f64::from(writers) / (count * f64::from(spec.slots.max(1)));
+        let waiting = READ_PRICE * ramp(backlog_ms / count, BACKLOG_FREE_MS, BACKLOG_FULL_MS);
+        let busy = BUSY_PRICE * ramp(fleet.reading_engines / count, BUSY_FREE, BUSY_FULL);
         Self {
-            read_ms: READ_PRICE * ramp(backlog_ms / count, BACKLOG_FREE_MS, BACKLOG_FULL_MS),
+            read_ms: waiting.max(busy),
             slot: SLOT_PRICE * ramp(taken, SLOTS_FREE, SLOTS_FULL),
         }
     }
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -7,14 +7,17 @@
 //! than it has.
 
 use super::cost::{delay, hurt, lateness, pause_loss};
-use super::{Candidate, Demand, Fleet, Placement, Prices, Refusal};
+use super::{Candidate, Demand, Fleet, Placement, Prices, Refusal, memory};
 use crate::engine::EngineSpec;
 use crate::ledger::{Load, weight};
 use crate::replicas::ReplicaKey;
 use bluebell_base::prelude::*;
 
 /// The widths that are tried, the writing engine included: an engine takes at most 16 helpers.
-const WIDTHS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, 17];
+const WIDTHS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, WIDEST];
+
+/// The most engines that read one prompt.
+const WIDEST: usize = 17;
 
 /// Prompts whose reading takes less than this are read alone: in parts they would gain less than a
 /// pass.
@@ -42,12 +45,24 @@
 /// What a spare slot costs, as a part of the request's weight.
 const SPARE_WEIGHT: f64 = 0.15;
 
+/// What memory set aside elsewhere counts against an engine as the one that writes, as a part of the
+/// request's weight: each piece is one more that may be refused or lost.
+const ELSEWHERE_WEIGHT: f64 = 0.2;
+
 /// How many requests more than its slots an engine gets: it keeps a queue of its own.
 const QUEUED: u32 = 2;
 
 /// How much of a request's own pauses count: the backlog it meets passes before most events.
 const OWN_PAUSE_PART: f64 = 0.3;
 
+/// The part of the price that a request pays once it has waited for as long as it may: late is
+/// better than not at all, where it doesn't make others late.
+const PRESSING_PRICE: f64 = 0.3;
+
+/// The part of its longest answer that a request is taken to write: callers ask for more than they
+/// mostly get.
+const WRITTEN_PART: f64 = 0.6;
+
 /// The shortest and longest time after which a refused caller is asked back.
 const RETRY_AFTER_MS: (f64, f64) = (200.0, 2_000.0);
 
@@ -69,7 +84,8 @@
     if fleet.candidates.is_empty() {
         return Err(Refusal::NoReplica);
     }
-    if demand.prompt_tokens.0 >= spec.memory_tokens.0 {
+    let engines = fleet.candidates.len().min(WIDEST);
+    if memory::needed(demand).0 > memory::usable(spec).0 * engines as u64 {
         return Err(Refusal::TooLong);
     }
     let search = Search {
@@ -82,7 +98,12 @@
     let Some((cost, placement)) = search.best() else {
         return Err(search.overloaded());
     };
-    if !demand.pressing && cost + search.price() > search.own_weight * demand.readiness {
+    let allowed = search.own_weight * demand.readiness;
+    let price = match demand.pressing {
+        true => search.price() * PRESSING_PRICE,
+        false => search.price(),
+    };
+    if cost + price > allowed {
         return Err(search.overloaded());
     }
     Ok(placement)
@@ -93,6 +114,11 @@
         self.read_ms >= ALONE_MS
     }
 
+    /// Whether no engine can hold it alone, so that memory is set aside at helpers.
+    fn is_huge(&self) -> bool {
+        memory::needed(self.demand) > memory::usable(self.spec)
+    }
+
     fn best(&self) -> Option<(f64, Placement)> {
         let widest = match self.is_long() {
             true => self.fleet.candidates.len(),
@@ -104,7 +130,7 @@
     }
 
     fn price(&self) -> f64 {
-        let prices = Prices::of(self.spec, &self.fleet.candidates);
+        let prices = Prices::of(self.spec, self.fleet);
         prices.read_ms * self.read_ms + prices.slot * self.own_weight
     }
 
@@ -118,13 +144,10 @@
     }
 
     fn late(&self, first_event_ms: f64) -> f64 {
-        let demand = self.demand;
-        self.own_weight
-            * lateness(
-                first_event_ms,
-                demand.target_left_ms,
-                demand.deadline_left_ms,
-            )
+        let stride = f64::from(self.spec.stride.max(1));
+        let passes = self.demand.answer_tokens.0 as f64 * WRITTEN_PART / stride;
+        let writing_ms = passes * self.spec.pass_ms(1, self.demand.prompt_tokens);
+        self.own_weight * lateness(first_event_ms, writing_ms, self.demand)
     }
 
     fn at_width(&self, width: usize) -> Option<(f64, Placement)> {
@@ -132,6 +155,7 @@
         let shared = width > 1;
         let (writer_cost, writer) = self.writer(part_ms, shared)?;
         let helpers = self.helpers(part_ms, width - 1, writer.key);
+        let memory = memory::set_aside(self.spec, self.demand, writer, &helpers)?;
         let keys: Vec<ReplicaKey> = helpers.iter().map(|c| c.key).collect();
         let first_event_ms = helpers
             .iter()
@@ -150,6 +174,7 @@
         let placement = Placement {
             first: writer.key,
             helpers: keys,
+            memory,
             part_ms,
             first_event_ms,
             writers: writer.load.writers,
@@ -193,19 +218,30 @@
     fn writer(&self, part_ms: f64, shared: bool) -> Option<(f64, &Candidate)> {
         let candidates = &self.fleet.candidates;
         let last = candidates.len().max(2) - 1;
-        let needed = self.demand.prompt_tokens.0 + self.demand.answer_tokens.0;
+        let needed = memory::needed(self.demand);
         let fits = |c: &Candidate| {
-            c.load.writers < self.spec.slots + QUEUED
-                && c.load.context_tokens.0 + needed <= self.spec.memory_tokens.0
+            let free = memory::free(self.spec, c);
+            c.load.writers < self.spec.slots + QUEUED && (free >= needed || self.is_huge())
         };
         let cost = |at: usize, candidate: &Candidate| {
             let load = &candidate.load;
             let place = at as f64 / last as f64;
-            let order = if self.read_ms > self.demand.gap_ms.0 as f64 { 1.0 - place } else { place };
+            let order = if self.read_ms > self.demand.gap_ms.0 as f64 {
+                1.0 - place
+            } else {
+                place
+            };
             let crowding = (load.writers + 1 + SPARE_SLOTS).saturating_sub(self.spec.slots);
             let pass_ms = load.pass_ms(self.spec, load.backlog_ms * OWN_PAUSE_PART);
             let pause = pause_loss(pass_ms * candidate.pace, self.demand.gap_ms.0 as f64);
-            let parts = order * ORDER_WEIGHT + f64::from(crowding) * SPARE_WEIGHT + pause;
+            let elsewhere = match self.is_huge() {
+                true => 1.0 - memory::free(self.spec, candidate).0 as f64 / needed.0.max(1) as f64,
+                false => 0.0,
+            };
+            let parts = order * ORDER_WEIGHT
+                + f64::from(crowding) * SPARE_WEIGHT
+                + elsewhere.max(0.0) * ELSEWHERE_WEIGHT
+                + pause;
             hurt(self.spec, load, part_ms, candidate.pace) + self.own_weight * parts
         };
         let rank = |at: usize, candidate: &Candidate| {
@@ -236,7 +272,13 @@
         }
         let rank = |c: &Candidate| {
             let writers = f64::from(c.load.writers) * WRITER_WEIGHT * self.own_weight;
-            hurt(self.spec, &c.load, part_ms, c.pace) + writers + self.waiting(c, part_ms, true)
+            let memory = match self.is_huge() {
+                true => c.load.memory_tokens.0 as f64 / self.spec.memory_tokens.0.max(1) as f64,
+                false => 0.0,
+            };
+            let memory = memory * ELSEWHERE_WEIGHT * self.own_weight;
+            let hurt = hurt(self.spec, &c.load, part_ms, c.pace);
+            hurt + writers + memory + self.waiting(c, part_ms, true)
         };
         let others = self.fleet.candidates.iter().filter(|c| c.key != writer);
         let mut ranked: Vec<(f64, &Candidate)> = others.map(|c| (rank(c), c)).collect();
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -2,6 +2,8 @@
 
 use super::Call;
 use super::held::Held;
+use super::reserve::Reserved;
+use crate::outside::Helper;
 use bluebell_base::prelude::*;
 use bluebell_fleet::placement::{Candidate, Fleet, PlainCandidate};
 use bluebell_fleet::prelude::*;
@@ -13,7 +15,11 @@
 pub(super) struct Chosen {
     pub key: ReplicaKey,
     pub replica: Arc<Replica>,
-    pub helpers: Vec<SocketAddr>,
+    pub helpers: Vec<Helper>,
+    /// The memory that is to be set aside at helpers, by address.
+    pub memory: Vec<(SocketAddr, Tokens)>,
+    /// The memory that was set aside.
+    pub reserved: Option<Reserved>,
     /// When the first event, or the answer, is expected, from now.
     pub expected_ms: f64,
     /// Why there: none for a plain replica.
@@ -36,7 +42,7 @@
     loop {
         let waited_ms = call.age_ms();
         let over = waited_ms >= patience.longest_ms;
-        let refusal = match choose_now(call, avoid, over && patience.placed_at_last) {
+        let refusal = match choose_now(call, avoid, over) {
             Err(refusal @ Refusal::Overloaded { .. }) if !over => refusal,
             result => return result,
         };
@@ -77,7 +83,7 @@
     let node = &call.node;
     let now_ms = node.now_ms();
     let demand = demand(call, now_ms, pressing);
-    let (placement, replica, helpers) = node.with(|state| {
+    let (placement, replica, helpers, memory) = node.with(|state| {
         let mut loads = state.ledger.loads(now_ms);
         let takers = takers(state, call, avoid, now_ms);
         let candidates = takers
@@ -91,17 +97,32 @@
         let fleet = Fleet {
             candidates,
             readers: loads.readers,
+            reading_engines: loads.reading_engines,
         };
         let placement = place_engine(spec, &fleet, &demand)?;
         let find = |key| state.replicas.get(key).ok_or(Refusal::NoReplica).cloned();
         let replica = find(placement.first)?;
-        let helpers = placement.helpers.iter().map(|key| find(*key));
-        let helpers: Result<Vec<_>, _> = helpers.map(|r| r.map(|r| r.address)).collect();
-        Ok((placement, replica, helpers?))
+        let address = |key| find(key).map(|replica| replica.address);
+        let helpers: Result<Vec<Helper>, Refusal> = placement
+            .helpers
+            .iter()
+            .map(|key| {
+                Ok(Helper {
+                    address: address(*key)?,
+                    reservation: None,
+                })
+            })
+            .collect();
+        let memory = placement.memory.iter();
+        let memory: Result<Vec<_>, Refusal> = memory
+            .map(|(key, tokens)| Ok((address(*key)?, *tokens)))
+            .collect();
+        Ok((placement, replica, helpers?, memory?))
     })?;
     let work = Work {
         first: placement.first,
         helpers: placement.helpers.clone(),
+        memory: placement.memory.clone(),
         stage: Stage::Reading,
         placed_ms: now_ms,
         prompt_tokens: demand.prompt_tokens,
@@ -113,6 +134,8 @@
         key: placement.first,
         replica,
         helpers,
+        memory,
+        reserved: None,
         expected_ms: placement.first_event_ms,
         held: Held::work(node, placement.first, work),
         placement: Some(placement),
@@ -130,6 +153,9 @@
         answer_tokens: call.head.answer_tokens,
         gap_ms,
         target_left_ms: target_at_ms.since(now_ms).0 as f64,
+        silence_left_ms: (call.arrived_ms + call.patience().silence_ms)
+            .since(now_ms)
+            .0 as f64,
         deadline_left_ms: call.deadline_ms.since(now_ms).0 as f64,
         readiness: Patience::readiness(call.age_ms(), call.route.target_ms),
         pressing,
@@ -158,6 +184,8 @@
         key,
         replica,
         helpers: Vec::new(),
+        memory: Vec::new(),
+        reserved: None,
         expected_ms: call.route.target_ms.0 as f64 / 2.0,
         placement: None,
         held: Held::call(node, key),
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -14,6 +14,7 @@
 mod held;
 mod plain;
 mod pump;
+mod reserve;
 mod stream;
 mod tries;
 
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -211,7 +211,7 @@
             let last_id = self.last_id.clone();
             let begin = first_event(
                 &self.call,
-                &self.chosen,
+                &mut self.chosen,
                 self.tries + 1,
                 self.tries,
                 last_id.as_deref(),
--- /dev/null
+++ b/crates/front/src/call/reserve.rs
@@ -0,0 +1,139 @@
+//! Memory that engines set aside for a prompt that none of them can hold alone.
+//!
+//! Invariants: memory is renewed only while the request lives, and released when it ends; where the
+//! node dies, the engines free it once the hold has run out. A name is never used for two requests,
+//! so an order that is carried out late can't touch another's memory.
+
+use super::Call;
+use super::choose::Chosen;
+use super::tries::TryError;
+use crate::http::Freshness;
+use crate::node::Node;
+use crate::outside::{MemoryAnswer, MemoryOrder};
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use http_body_util::BodyExt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{AbortHandle, spawn_local};
+
+/// How long memory is held from an order's arrival. Engines must not hold it for four seconds after
+/// its request has ended, nor for nine without one: that bounds what a dead node leaves behind.
+const HOLD_MS: SpanMs = SpanMs(3_500);
+
+/// How often it is renewed: one renewal may be lost, and the next still comes in time.
+const RENEW_MS: SpanMs = SpanMs(1_400);
+
+/// How long an order may take. Engines answer at once, or not at all.
+const ORDER_MS: SpanMs = SpanMs(500);
+
+/// One engine's memory.
+#[derive(Clone, Debug)]
+struct Piece {
+    address: SocketAddr,
+    name: Arc<str>,
+    tokens: Tokens,
+}
+
+/// The memory of one try; dropping it releases all.
+pub(super) struct Reserved {
+    node: Rc<Node>,
+    pieces: Vec<Piece>,
+    renewal: Option<AbortHandle>,
+}
+
+impl Reserved {
+    /// Sets aside what the placement needs, and names it in the helpers' entries.
+    pub async fn open(call: &Call, chosen: &mut Chosen) -> Result<Self, TryError> {
+        let mut reserved = Self {
+            node: call.node.clone(),
+            pieces: Vec::new(),
+            renewal: None,
+        };
+        for (address, tokens) in chosen.memory.clone() {
+            let piece = Piece {
+                address,
+                name: format!("{:016x}", rand::random::<u64>()).into(),
+                tokens,
+            };
+            // Noted first: an order without an answer may still be carried out.
+            reserved.pieces.push(piece.clone());
+            piece.reserve(&call.node).await?;
+            let helper = chosen.helpers.iter_mut().find(|h| h.address == address);
+            if let Some(helper) = helper {
+                helper.reservation = Some(piece.name);
+            }
+        }
+        if !reserved.pieces.is_empty() {
+            let renewal = renew(call.node.clone(), reserved.pieces.clone());
+            reserved.renewal = Some(spawn_local(renewal).abort_handle());
+        }
+        Ok(reserved)
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        if let Some(renewal) = &self.renewal {
+            renewal.abort();
+        }
+        for piece in self.pieces.drain(..) {
+            spawn_local(release(self.node.clone(), piece));
+        }
+    }
+}
+
+impl Piece {
+    async fn reserve(&self, node: &Rc<Node>) -> Result<(), TryError> {
+        let order = MemoryOrder::Reserve {
+            name: self.name.clone(),
+            tokens: self.tokens,
+            hold_ms: HOLD_MS,
+        };
+        let why = match send(node, self.address, &order).await {
+            Some(MemoryAnswer::Done) => return Ok(()),
+            Some(MemoryAnswer::Full) => "the memory at a helper isn't free",
+            Some(MemoryAnswer::Refused) => "a helper refused to set memory aside",
+            None => "a helper didn't answer the order to set memory aside",
+        };
+        Err(TryError {
+            arrived: false,
+            ..TryError::new(why, Verdict::NotRun, Symptom::Full)
+        })
+    }
+}
+
+async fn renew(node: Rc<Node>, pieces: Vec<Piece>) {
+    loop {
+        tokio::time::sleep(Duration::from(RENEW_MS)).await;
+        for piece in &pieces {
+            if let Err(error) = piece.reserve(&node).await {
+                log::warn!("memory {} isn't renewed: {}", piece.name, error.why);
+            }
+        }
+    }
+}
+
+async fn release(node: Rc<Node>, piece: Piece) {
+    let name = piece.name.clone();
+    let order = MemoryOrder::Release { name };
+    if send(&node, piece.address, &order).await != Some(MemoryAnswer::Done) {
+        log::info!("memory {} runs out by itself: not released", piece.name);
+    }
+}
+
+/// Sends an order; none where it isn't answered.
+async fn send(node: &Rc<Node>, address: SocketAddr, order: &MemoryOrder) -> Option<MemoryAnswer> {
+    let exchange = async {
+        let mut link = node.pool.lease(address, Freshness::Recent).await.ok()?;
+        let request = node.outside.dialect.memory_order(address, order);
+        let answer = link.send(request).await.ok()?;
+        let status = answer.status().as_u16();
+        answer.into_body().collect().await.ok()?;
+        node.pool.give_back(link, None);
+        Some(node.outside.dialect.memory_answer(status))
+    };
+    let answer = tokio::time::timeout(Duration::from(ORDER_MS), exchange).await;
+    answer.ok().flatten()
+}
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -7,6 +7,7 @@
 use super::events::EventSplitter;
 use super::plain::{end, give_up};
 use super::pump::{Pump, Source};
+use super::reserve::Reserved;
 use super::tries::{self, Reply, TryError, may_try_again, note_failure, note_symptom};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
@@ -31,13 +32,13 @@
     let mut arrived_tries = 0;
     let mut ran = Verdict::NotRun;
     loop {
-        let chosen = match choose_waiting(call, &avoid).await {
+        let mut chosen = match choose_waiting(call, &avoid).await {
             Ok(chosen) => chosen,
             Err(refusal) => return give_up(call, ran, &refusal),
         };
         avoid.push(chosen.key);
         let attempt = avoid.len() as u32;
-        let error = match first_event(call, &chosen, attempt, arrived_tries, None).await {
+        let error = match first_event(call, &mut chosen, attempt, arrived_tries, None).await {
             Ok(begun) => return begun.answer(call, chosen, arrived_tries + 1),
             Err(error) => error,
         };
@@ -65,7 +66,7 @@
 /// The head is held back until then: a replica that fails between the two can still be replaced.
 pub(super) async fn first_event(
     call: &Call,
-    chosen: &Chosen,
+    chosen: &mut Chosen,
     attempt: u32,
     arrived_tries: u32,
     last_event: Option<&str>,
@@ -78,6 +79,7 @@
         false => left_ms,
     };
     let begin = async {
+        chosen.reserved = Some(Reserved::open(call, chosen).await?);
         let reply = tries::send(call, chosen, attempt, last_event).await?;
         begin_stream(reply).await
     };
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,6 +25,7 @@
     pub use crate::node::{FrontError, FrontHandle, FrontSettings};
     pub use crate::outside::{
         AnswerHead, CallHead, CallHeadError, ConfigNews, Cursor, Dialect, Directory,
-        DirectoryError, NodeEntry, Outside, PendingRead, ReplicaNews, Send,
+        DirectoryError, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside, PendingRead,
+        ReplicaNews, Send,
     };
 }
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -46,6 +46,7 @@
     pub sequence: u32,
     first: u32,
     helpers: Vec<u32>,
+    memory: Vec<(u32, u32)>,
     stage: u8,
     age_ms: u32,
     prompt_tokens: u32,
@@ -62,6 +63,11 @@
             sequence,
             first: work.first.0,
             helpers: work.helpers.iter().map(|key| key.0).collect(),
+            memory: work
+                .memory
+                .iter()
+                .map(|(key, t)| (key.0, t.0 as u32))
+                .collect(),
             stage: match work.stage {
                 Stage::Reading => 0,
                 Stage::Writing => 1,
@@ -80,6 +86,11 @@
         Work {
             first: ReplicaKey(self.first),
             helpers: self.helpers.iter().map(|key| ReplicaKey(*key)).collect(),
+            memory: self
+                .memory
+                .iter()
+                .map(|(key, tokens)| (ReplicaKey(*key), Tokens(u64::from(*tokens))))
+                .collect(),
             stage: match self.stage {
                 0 => Stage::Reading,
                 1 => Stage::Writing,
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -9,7 +9,9 @@
 
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
-use hyper::HeaderMap;
+use bytes::Bytes as Buffer;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request};
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -104,6 +106,45 @@
     BadNumber,
 }
 
+/// A replica that helps to read a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Helper {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// The memory that is set aside there, by its name; none where it only reads.
+    pub reservation: Option<Arc<str>>,
+}
+
+/// An order about memory that an engine sets aside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemoryOrder {
+    /// Set memory aside, or keep it aside for longer.
+    Reserve {
+        /// Its name.
+        name: Arc<str>,
+        /// How much.
+        tokens: Tokens,
+        /// For how long from the order's arrival.
+        hold_ms: SpanMs,
+    },
+    /// Free it.
+    Release {
+        /// Its name.
+        name: Arc<str>,
+    },
+}
+
+/// An engine's answer to an order about memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemoryAnswer {
+    /// It is done.
+    Done,
+    /// The memory isn't free.
+    Full,
+    /// The order can't be carried out.
+    Refused,
+}
+
 /// What the node adds to a head that it sends on.
 #[derive(Clone, Debug)]
 pub struct Send<'a> {
@@ -114,7 +155,7 @@
     /// The caller's account.
     pub account: Option<&'a AccountName>,
     /// The replicas that help to read the prompt.
-    pub helpers: &'a [SocketAddr],
+    pub helpers: &'a [Helper],
     /// The last event that the caller has, where this try goes on from it.
     pub last_event: Option<&'a str>,
 }
@@ -150,6 +191,10 @@
     fn answer_headers(&self, headers: &HeaderMap) -> HeaderMap;
     /// The headers of an answer of the node's own to `request`.
     fn own_headers(&self, request: &str) -> HeaderMap;
+    /// An order to an engine about memory.
+    fn memory_order(&self, address: SocketAddr, order: &MemoryOrder) -> Request<Full<Buffer>>;
+    /// What an engine's answer to such an order says.
+    fn memory_answer(&self, status: u16) -> MemoryAnswer;
     /// The path on which the balancer asks whether the node takes new connections.
     fn ready_path(&self) -> &str;
 }
