--- a/crates/fleet/src/placement/price.rs
+++ b/crates/fleet/src/placement/price.rs
@@ -25,14 +25,14 @@
 
 /// The share of the engines' time that was asked for lately from which reading has a price even
 /// where nothing waits: what is placed now is in the way of what comes next.
-const BUSY_FREE: f64 = 0.3;
+const BUSY_FREE: f64 = 0.1;
 
 /// The share at which that price is highest.
 const BUSY_FULL: f64 = 0.9;
 
 /// The highest price of a ms of reading for that reason, in units of weight: that of a prompt of
-/// some 300,000 tokens.
-const BUSY_PRICE: f64 = 0.008;
+/// some 150,000 tokens. Half of it and twice it both served fewer on time (worth lower by 0.02).
+const BUSY_PRICE: f64 = 0.026;
 
 /// The share of slots taken from which a slot has a price.
 const SLOTS_FREE: f64 = 0.75;
