--- a/crates/fleet/src/placement/price.rs
+++ b/crates/fleet/src/placement/price.rs
@@ -32,7 +32,7 @@
 
 /// The highest price of a ms of reading for that reason, in units of weight: that of a prompt of
 /// some 150,000 tokens. Half of it and twice it both served fewer on time (worth lower by 0.02).
-const BUSY_PRICE: f64 = 0.026;
+const BUSY_PRICE: f64 = 0.015;
 
 /// The share of slots taken from which a slot has a price.
 const SLOTS_FREE: f64 = 0.75;
