--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -19,7 +19,11 @@
 /// The most engines that read one prompt.
 const WIDEST: usize = 17;
 
-/// Prompts whose reading takes less than this are read alone: in parts they would gain less than a
+/// The most engines that read a short prompt. In parts it gains little time, but a shared part goes
+/// ahead of the long prompts that an engine still reads, which a whole prompt waits for.
+const SHORT_WIDEST: usize = 2;
+
+/// Prompts whose reading takes less than this are short: in more parts they would gain less than a
 /// pass.
 const ALONE_MS: f64 = 90.0;
 
@@ -122,7 +126,7 @@
     fn best(&self) -> Option<(f64, Placement)> {
         let widest = match self.is_long() {
             true => self.fleet.candidates.len(),
-            false => 1,
+            false => SHORT_WIDEST.min(self.fleet.candidates.len()),
         };
         let widths = WIDTHS.into_iter().filter(|width| *width <= widest);
         let placed = widths.filter_map(|width| self.at_width(width));
--- /dev/null
+++ b/crates/fleet/tests/placement.rs
@@ -0,0 +1,255 @@
+//! Where prompts run, under the loads that hurt.
+
+use bluebell_base::prelude::*;
+use bluebell_fleet::ledger::Loads;
+use bluebell_fleet::placement::{Candidate, Fleet, Prices};
+use bluebell_fleet::prelude::*;
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 16,
+        memory_tokens: Tokens(405_000),
+        step_ms: 1.31,
+        per_writer_ms: 0.000917,
+        per_context_k_ms: 0.00213,
+        read_per_s: 154_000.0,
+        pairs_per_m_ms: 0.162,
+        chunk_tokens: Tokens(2_048),
+        stride: 34,
+        hop_ms: 0.1,
+    }
+}
+
+fn key(number: u32) -> ReplicaKey {
+    ReplicaKey(number)
+}
+
+/// A request with the target, pause and patience of its length.
+fn demand(prompt_tokens: u64) -> Demand {
+    let (target_ms, gap_ms) = match prompt_tokens {
+        0..24_000 => (300, 250),
+        24_000..110_000 => (1_500, 600),
+        _ => (3_000, 1_000),
+    };
+    let patience = Patience::of(SpanMs(target_ms), SpanMs(gap_ms));
+    Demand {
+        prompt_tokens: Tokens(prompt_tokens),
+        answer_tokens: Tokens(1_300),
+        gap_ms: SpanMs(gap_ms),
+        target_left_ms: target_ms as f64,
+        silence_left_ms: patience.silence_ms.0 as f64,
+        deadline_left_ms: 15_000.0,
+        readiness: 1.0,
+        pressing: false,
+    }
+}
+
+/// A fleet of engines and the work on it.
+struct World {
+    ledger: Ledger,
+    engines: u32,
+    now_ms: MonoMs,
+    placed: u32,
+}
+
+impl World {
+    fn new(engines: u32) -> Self {
+        Self {
+            ledger: Ledger::default(),
+            engines,
+            now_ms: MonoMs(100_000),
+            placed: 0,
+        }
+    }
+
+    fn fleet(&mut self) -> Fleet {
+        let Loads {
+            mut engines,
+            readers,
+            reading_engines,
+        } = self.ledger.loads(self.now_ms);
+        let candidates = (0..self.engines).map(|number| Candidate {
+            key: key(number),
+            load: engines.remove(&key(number)).unwrap_or_default(),
+            pace: 1.0,
+        });
+        Fleet {
+            candidates: candidates.collect(),
+            readers,
+            reading_engines,
+        }
+    }
+
+    fn place(&mut self, demand: &Demand) -> Result<(WorkId, Placement), Refusal> {
+        let fleet = self.fleet();
+        let placement = place_engine(&spec(), &fleet, demand)?;
+        self.placed += 1;
+        let id = WorkId {
+            owner: OwnerId(1),
+            sequence: self.placed,
+        };
+        let work = Work {
+            first: placement.first,
+            helpers: placement.helpers.clone(),
+            memory: placement.memory.clone(),
+            stage: Stage::Reading,
+            placed_ms: self.now_ms,
+            prompt_tokens: demand.prompt_tokens,
+            part_ms: placement.part_ms,
+            gap_ms: demand.gap_ms,
+            due_ms: self.now_ms + SpanMs(demand.target_left_ms as u64),
+        };
+        self.ledger.put(id, work, self.now_ms);
+        Ok((id, placement))
+    }
+
+    fn writes(&mut self, demand: &Demand) -> Placement {
+        let (id, placement) = self.place(demand).expect("there is room");
+        self.ledger.set_stage(id, Stage::Writing);
+        placement
+    }
+}
+
+/// A long prompt misses its target on an idle fleet: one engine needs 3.9 s to read it, and 3 s are
+/// allowed. Read by several engines it is on time.
+#[test]
+fn a_long_prompt_is_read_by_as_many_engines_as_its_target_needs() {
+    let mut world = World::new(23);
+    let (_, placement) = world.place(&demand(182_000)).expect("the fleet is idle");
+    assert!(!placement.helpers.is_empty());
+    assert!(placement.first_event_ms < 1_600.0, "{placement:?}");
+    assert!(!placement.helpers.contains(&placement.first));
+}
+
+/// A short prompt gains nothing from helpers.
+#[test]
+fn a_short_prompt_is_read_alone() {
+    let mut world = World::new(23);
+    let placement = world.writes(&demand(5_000));
+    assert!(placement.helpers.is_empty());
+}
+
+/// Callers of short drafts see a second of silence in the middle. A long prompt was read on the
+/// engine that wrote their drafts while other engines were idle, and an engine reads within the
+/// passes in which it writes. Short work is kept together, and long work is read beside it.
+#[test]
+fn short_work_is_packed_and_long_work_is_read_elsewhere() {
+    let mut world = World::new(23);
+    let mut fronts: Vec<ReplicaKey> = (0..24)
+        .map(|_| world.writes(&demand(5_000)).first)
+        .collect();
+    fronts.sort_unstable();
+    fronts.dedup();
+    assert!(
+        fronts.len() <= 6,
+        "24 short requests are on {} engines",
+        fronts.len()
+    );
+    let (_, long) = world.place(&demand(182_000)).expect("17 engines are idle");
+    assert!(!fronts.contains(&long.first));
+    let hurt = long
+        .helpers
+        .iter()
+        .filter(|key| fronts.contains(key))
+        .count();
+    assert_eq!(hurt, 0, "{long:?}");
+}
+
+/// A long prompt arrives that was expected to be read after a second and waits for four. Its engine
+/// read later ones first: a shared part goes ahead of all that waits. So a prompt that would push
+/// another past its target waits at the node or takes other engines.
+#[test]
+fn a_prompt_that_would_make_another_late_takes_other_engines() {
+    let mut world = World::new(6);
+    let mut urgent = demand(182_000);
+    urgent.target_left_ms = 1_400.0;
+    let (_, first) = world.place(&urgent).expect("the fleet is idle");
+    world.now_ms = world.now_ms + SpanMs(100);
+    let busy: Vec<ReplicaKey> = first.helpers.iter().copied().chain([first.first]).collect();
+    let mut patient = demand(182_000);
+    patient.readiness = 0.25;
+    match world.place(&patient) {
+        Err(Refusal::Overloaded { .. }) => {}
+        Ok((_, second)) => {
+            let shared = second.helpers.iter().chain([&second.first]);
+            let delayed = shared.filter(|key| busy.contains(key)).count();
+            assert_eq!(delayed, 0, "{first:?} then {second:?}");
+        }
+        Err(other) => panic!("{other}"),
+    }
+}
+
+/// In a peak of short requests every engine has its slots taken, and what is sent on waits behind
+/// others until it is late, and makes the next late. What can't be on time waits at the node.
+#[test]
+fn with_all_slots_taken_late_requests_wait() {
+    let mut world = World::new(4);
+    for _ in 0..64 {
+        world.writes(&demand(5_000));
+    }
+    let mut late = demand(5_000);
+    late.target_left_ms = 0.0;
+    let refusal = world.place(&late).expect_err("no slot is free");
+    assert!(matches!(refusal, Refusal::Overloaded { .. }));
+}
+
+/// A prompt longer than an engine's memory was refused on an idle fleet. Memory is set aside at
+/// helpers, enough for all of it.
+#[test]
+fn a_prompt_beyond_one_engine_gets_memory_at_helpers() {
+    let mut world = World::new(23);
+    let (_, placement) = world.place(&demand(600_000)).expect("the fleet is idle");
+    let aside: u64 = placement.memory.iter().map(|(_, tokens)| tokens.0).sum();
+    assert!(aside + 405_000 >= 601_300, "{placement:?}");
+    for (key, tokens) in &placement.memory {
+        assert!(placement.helpers.contains(key));
+        assert!(tokens.0 <= 405_000);
+    }
+}
+
+/// Two prompts of 210,000 tokens are placed; an engine holds one. The second would be put back in
+/// the middle of its stream.
+#[test]
+fn memory_that_is_taken_is_not_given_twice() {
+    let mut world = World::new(2);
+    let mut long = demand(210_000);
+    long.pressing = true;
+    let first = world.writes(&long);
+    world.now_ms = world.now_ms + SpanMs(5_000);
+    let second = world.writes(&long);
+    assert_ne!(first.first, second.first);
+}
+
+/// A prompt that no fleet of this size can hold is told so, instead of being asked back for ever.
+#[test]
+fn a_prompt_beyond_all_memory_is_too_long() {
+    let mut world = World::new(2);
+    let refusal = world.place(&demand(900_000)).expect_err("it can't be held");
+    assert_eq!(refusal, Refusal::TooLong);
+}
+
+/// Nothing has a price on an idle fleet, and reading has one on a busy one, so that the prompts
+/// that gain least for their engine time wait first.
+#[test]
+fn reading_has_a_price_only_where_engines_are_busy() {
+    let mut world = World::new(8);
+    assert_eq!(Prices::of(&spec(), &world.fleet()), Prices::default());
+    while world.place(&demand(150_000)).is_ok() {
+        world.now_ms = world.now_ms + SpanMs(50);
+    }
+    assert!(Prices::of(&spec(), &world.fleet()).read_ms > 0.0);
+    assert!(
+        world.place(&demand(5_000)).is_ok(),
+        "short prompts still go"
+    );
+}
+
+/// No replica is there at all.
+#[test]
+fn without_engines_the_refusal_says_so() {
+    let mut world = World::new(0);
+    assert_eq!(
+        world.place(&demand(5_000)).expect_err("none"),
+        Refusal::NoReplica
+    );
+}
