Placement: what arrives beside writers is expected at the end of its own pass

Cause: late short drafts in the first second of a peak: engines that had just been empty got a dozen prompts within one pass, and the estimate left out what is read in it (expected 77 ms, taken 673 ms).

--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -194,18 +194,25 @@
     }
 
     /// When an engine has read the part: a shared part goes ahead of what waits there, the prompt
-    /// of one engine goes behind it. Writers add their passes.
+    /// of one engine goes behind it.
+    ///
+    /// An engine that writes goes by passes: what arrives waits for the end of the one under way,
+    /// and its first event comes at the end of its own, after all that is read in that.
     fn read_by_ms(&self, candidate: &Candidate, part_ms: f64, shared: bool) -> f64 {
         let load = &candidate.load;
-        let waiting_ms = if shared { 0.0 } else { load.backlog_ms };
-        let reading_ms = waiting_ms + part_ms * candidate.pace;
+        let own_ms = part_ms * candidate.pace;
         if load.writers == 0 {
-            return reading_ms;
+            let waiting_ms = if shared { 0.0 } else { load.backlog_ms };
+            return waiting_ms + own_ms;
         }
         let pass_ms = load.pass_ms(self.spec, 0.0) * candidate.pace;
+        let pass_tokens = self.spec.pass_tokens().0.max(1) as f64;
+        let beside_ms = load.backlog_ms.min(pass_tokens * 1000.0 / self.spec.read_per_s.max(1.0));
+        let waiting_ms = if shared { beside_ms } else { load.backlog_ms };
         let tokens = part_ms / self.read_ms.max(1.0) * self.demand.prompt_tokens.0 as f64;
-        let passes = (tokens / self.spec.pass_tokens().0.max(1) as f64).floor();
-        reading_ms + pass_ms * (1.5 + passes) + self.queue_ms(load, pass_ms)
+        let passes = 1.0 + (tokens / pass_tokens).floor();
+        let under_way_ms = (pass_ms + beside_ms) / 2.0;
+        under_way_ms + waiting_ms + own_ms + passes * pass_ms + self.queue_ms(load, pass_ms)
     }
 
     /// How long a request waits for a slot: writers end one after the other, each after as many
