--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -35,7 +35,9 @@
     pub answer_tokens: Tokens,
     /// The longest pause between its events that is on time.
     pub gap_ms: SpanMs,
-    /// The time left to a first event that is on time.
+    /// The time within which a first event is on time.
+    pub target_ms: f64,
+    /// The time left of it.
     pub target_left_ms: f64,
     /// The time left until its caller gives up waiting for a first event.
     pub silence_left_ms: f64,
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -67,8 +67,12 @@
 /// mostly get.
 const WRITTEN_PART: f64 = 0.6;
 
-/// The shortest and longest time after which a refused caller is asked back.
-const RETRY_AFTER_MS: (f64, f64) = (200.0, 2_000.0);
+/// The part of its target after which a refused caller is asked back: what it waits for, the end of
+/// reading or of writing, takes about as long as the target of its length.
+const RETRY_AFTER_PART: f64 = 1.0;
+
+/// The shortest time after which a refused caller is asked back.
+const LEAST_RETRY_AFTER_MS: f64 = 300.0;
 
 /// What all widths of one search share.
 struct Search<'a> {
@@ -139,11 +143,9 @@
     }
 
     fn overloaded(&self) -> Refusal {
-        let backlogs = self.fleet.candidates.iter().map(|c| c.load.backlog_ms);
-        let least_ms = backlogs.fold(f64::INFINITY, f64::min);
-        let (shortest, longest) = RETRY_AFTER_MS;
+        let after_ms = self.demand.target_ms * RETRY_AFTER_PART;
         Refusal::Overloaded {
-            retry_after_ms: SpanMs(least_ms.clamp(shortest, longest) as u64),
+            retry_after_ms: SpanMs(after_ms.max(LEAST_RETRY_AFTER_MS) as u64),
         }
     }
 
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -36,6 +36,7 @@
         prompt_tokens: Tokens(prompt_tokens),
         answer_tokens: Tokens(1_300),
         gap_ms: SpanMs(gap_ms),
+        target_ms: target_ms as f64,
         target_left_ms: target_ms as f64,
         silence_left_ms: patience.silence_ms.0 as f64,
         deadline_left_ms: 15_000.0,
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -152,6 +152,7 @@
         prompt_tokens: call.head.prompt_tokens.unwrap_or_default(),
         answer_tokens: call.head.answer_tokens,
         gap_ms,
+        target_ms: call.route.target_ms.0 as f64,
         target_left_ms: target_at_ms.since(now_ms).0 as f64,
         silence_left_ms: (call.arrived_ms + call.patience().silence_ms)
             .since(now_ms)
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -136,12 +136,17 @@
         Refusal::NoReplica | Refusal::TooLong => NOBODY_RETRY_MS,
     };
     let why = refusal.to_string();
+    let retry_after_ms = retry_after_ms.mul_f64(rand::random_range(1.0..RETRY_SPREAD));
     match ran {
         Verdict::NotRun => answers::refused(&call.node, &call.head.request, &why, retry_after_ms),
         _ => end(call, ran, &why),
     }
 }
 
+/// The factor up to which the time is drawn after which callers are asked back: those who were
+/// refused in one peak must not come back as another.
+const RETRY_SPREAD: f64 = 1.5;
+
 /// When a caller is asked back that found no replica: restarts take a few seconds, and another node
 /// may know one.
 const NOBODY_RETRY_MS: SpanMs = SpanMs(300);
