Directory: one node reads for all, by fingerprints of the tables

Cause: each node read the list of replicas every second and the configuration every 1.5 s, 20 calls a second for nine nodes. A lost datagram costs a call, never a change.

--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -209,7 +209,9 @@
         }
         let pass_ms = load.pass_ms(self.spec, 0.0) * candidate.pace;
         let pass_tokens = self.spec.pass_tokens().0.max(1) as f64;
-        let beside_ms = load.backlog_ms.min(pass_tokens * 1000.0 / self.spec.read_per_s.max(1.0));
+        let beside_ms = load
+            .backlog_ms
+            .min(pass_tokens * 1000.0 / self.spec.read_per_s.max(1.0));
         let waiting_ms = if shared { beside_ms } else { load.backlog_ms };
         let tokens = part_ms / self.read_ms.max(1.0) * self.demand.prompt_tokens.0 as f64;
         let passes = 1.0 + (tokens / pass_tokens).floor();
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -257,6 +257,22 @@
             .collect()
     }
 
+    /// A hash of which replicas are listed, and which of them take work. Two nodes with the same one
+    /// have seen the same replicas come and go; one that was away counts lapsed ones as gone.
+    pub fn fingerprint(&self) -> u64 {
+        let listed = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.lapsed_at_ms.is_none());
+        let hashes = listed.map(|(key, row)| {
+            let mut hasher = FxHasher::default();
+            hasher.write_u32(key.0);
+            hasher.write_u8(u8::from(row.replica.state == ReplicaState::Ready));
+            hasher.finish()
+        });
+        hashes.fold(0, u64::wrapping_add)
+    }
+
     /// How many replicas are known.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/crates/fleet/tests/replicas.rs
+++ b/crates/fleet/tests/replicas.rs
@@ -84,3 +84,23 @@
     table.apply(ReplicaChange::Listed(leaving), MonoMs(10));
     assert_eq!(ready(&table), 1);
 }
+
+/// A node goes on sending to a replica that left. It had missed the change, and believed a peer that
+/// said all was as before. Tables that differ in who takes work have different fingerprints; what
+/// lapsed for one node and is gone for the other makes no difference.
+#[test]
+fn fingerprints_tell_tables_apart_by_who_takes_work() {
+    let (mut one, mut other) = (table(4), table(4));
+    assert_eq!(one.fingerprint(), other.fingerprint());
+    let mut leaving = replica(2);
+    leaving.state = ReplicaState::Draining;
+    one.apply(ReplicaChange::Listed(leaving), MonoMs(10));
+    assert_ne!(one.fingerprint(), other.fingerprint());
+    let (mut one, mut away) = (table(4), table(4));
+    away.on_directory_lost();
+    remove(&mut one, 3, 20);
+    remove(&mut away, 3, 20);
+    assert_eq!(one.fingerprint(), away.fingerprint());
+    remove(&mut other, 4, 20);
+    assert_ne!(one.fingerprint(), other.fingerprint());
+}
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -38,6 +38,9 @@
     Doubted { replica: u32, for_ms: u32 },
     /// The sender has seen this version of the configuration.
     Config { version: u64 },
+    /// The sender has just read the directory's replicas up to `cursor`, and its table of them has
+    /// this fingerprint.
+    Replicas { cursor: u64, fingerprint: u64 },
 }
 
 /// Work, as peers need to know it.
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -2,6 +2,7 @@
 
 use super::message::News;
 use super::{PEER_FORGOTTEN_MS, PEER_SILENT_MS};
+use crate::outside::Cursor;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use rustc_hash::FxHashMap;
@@ -70,6 +71,23 @@
         self.push(News::Config { version: version.0 });
     }
 
+    /// Tells that the directory's replicas were read.
+    pub fn replicas(&self, cursor: Cursor, fingerprint: u64) {
+        self.push(News::Replicas {
+            cursor: cursor.0,
+            fingerprint,
+        });
+    }
+
+    /// How many peers are there now.
+    pub fn peers_there(&self) -> usize {
+        self.peers
+            .borrow()
+            .values()
+            .filter(|peer| peer.there)
+            .count()
+    }
+
     /// Takes what waits.
     pub(super) fn take(&self) -> Vec<News> {
         std::mem::take(&mut self.waiting.borrow_mut())
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -4,6 +4,7 @@
 use super::outbox::PeerEvent;
 use crate::journal::Event;
 use crate::node::Node;
+use crate::outside::Cursor;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::rc::Rc;
@@ -56,6 +57,19 @@
 }
 
 fn apply(node: &Node, owner: OwnerId, news: News, now_ms: MonoMs) {
+    match news {
+        News::Config { version } => node.watching.on_peer_config(node, ConfigVersion(version)),
+        News::Replicas {
+            cursor,
+            fingerprint,
+        } => node
+            .watching
+            .on_peer_replicas(node, Cursor(cursor), fingerprint),
+        news => apply_work(node, owner, news, now_ms),
+    }
+}
+
+fn apply_work(node: &Node, owner: OwnerId, news: News, now_ms: MonoMs) {
     let id = |sequence| WorkId { owner, sequence };
     node.with(|state| match news {
         News::Placed(work) => state
@@ -73,7 +87,7 @@
                 health.on_peer_doubt(until_ms);
             }
         }
-        News::Config { .. } => {}
+        News::Config { .. } | News::Replicas { .. } => {}
     });
 }
 
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -5,6 +5,7 @@
 use crate::journal::Journal;
 use crate::news::Outbox;
 use crate::outside::Outside;
+use crate::watch::Watching;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use rustc_hash::FxHashMap;
@@ -41,6 +42,8 @@
     pub pool: Rc<Pool>,
     /// News for its peers.
     pub outbox: Outbox,
+    /// What its watchers of the directory share.
+    pub watching: Watching,
     /// Its log of decisions.
     pub journal: Journal,
     state: RefCell<State>,
@@ -66,6 +69,7 @@
             outside,
             pool: Pool::open(clock),
             outbox: Outbox::default(),
+            watching: Watching::default(),
             journal,
             state: RefCell::new(state),
             sequence: Cell::new(0),
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -8,17 +8,32 @@
 use bluebell_fleet::prelude::*;
 use std::rc::Rc;
 
-/// How long one read waits for a new version. A connection that has gone silent is noticed after
-/// it, so it bounds how late a version comes into force.
-const WAIT_MS: SpanMs = SpanMs(1_500);
+/// How long one read waits for a new version where no peer is heard. A connection that has gone
+/// silent is noticed after it, so it bounds how late a version comes into force.
+const ALONE_WAIT_MS: SpanMs = SpanMs(1_200);
+
+/// How long it waits where peers are heard, who tell of a new version.
+const HEARD_WAIT_MS: SpanMs = SpanMs(8_000);
+
+/// How many peers must be heard for the longer wait: one alone may be behind the same cut.
+const HEARD_PEERS: usize = 2;
 
 /// Watches the configuration until the process ends.
 pub async fn watch_config(node: Rc<Node>) {
     let mut cursor = None;
     let mut backoff = Backoff::new("configuration");
     loop {
-        let read = node.outside.directory.read_config(cursor, WAIT_MS);
-        match read.await {
+        let wait_ms = match node.outbox.peers_there() {
+            there if there >= HEARD_PEERS => HEARD_WAIT_MS,
+            _ => ALONE_WAIT_MS,
+        };
+        let read = tokio::select! {
+            read = node.outside.directory.read_config(cursor, wait_ms) => read,
+            () = node.watching.newer_config.notified() => {
+                node.outside.directory.read_config(cursor, SpanMs::ZERO).await
+            }
+        };
+        match read {
             Ok(ConfigNews { cursor: at, config }) => {
                 backoff.succeeded(&node);
                 cursor = Some(at);
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -7,7 +7,9 @@
 mod nodes;
 mod replicas;
 mod retry;
+mod shared;
 
 pub use config::watch_config;
 pub use nodes::watch_nodes;
 pub use replicas::watch_replicas;
+pub use shared::Watching;
