Metrics and the way from a request's id to its cause; the rest of a stream is placed wherever it fits

Cause: a stream whose engine fell silent was refused a place like a new request, and broke off midway.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -44,10 +44,24 @@
     Capacity(Capacity),
     /// The whole system in one process.
     Demo(Demo),
+    /// What became of a request.
+    Explain(Explain),
     /// Stand-ins.
     StandIn(StandIn),
 }
 
+/// Show what became of a request: its lines from nodes' logs, in order, and what they mean.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// the request's id
+    #[argh(positional)]
+    pub request: String,
+    /// the nodes' logs
+    #[argh(positional)]
+    pub files: Vec<String>,
+}
+
 /// Check, publish and show the operators' configuration.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "config")]
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod config;
 mod demo;
+mod explain;
 mod load;
 mod node;
 mod stand_in;
@@ -22,6 +23,7 @@
         Command::Bench(args) => bench::run(args, ctl.json),
         Command::Capacity(args) => capacity::run(args, ctl.json),
         Command::Demo(args) => demo::run(args, ctl.json),
+        Command::Explain(args) => explain::run(args),
         Command::StandIn(stand_in) => stand_in::run(&stand_in.kind, ctl.json),
     }
 }
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -95,7 +95,7 @@
 }
 
 /// Every command, in the order of the page.
-const COMMANDS: [&[&str]; 18] = [
+const COMMANDS: [&[&str]; 19] = [
     &[],
     &["config"],
     &["config", "check"],
@@ -108,6 +108,7 @@
     &["load"],
     &["bench"],
     &["demo"],
+    &["explain"],
     &["stand-in"],
     &["stand-in", "engine"],
     &["stand-in", "service"],
@@ -307,3 +308,31 @@
         }
     }
 }
+
+/// Someone on call has three nodes' logs and a request's id: the lines come in order, with what they
+/// mean; a request that isn't there is a failure, not silence.
+#[test]
+fn a_request_is_explained_from_logs() {
+    let path = std::env::temp_dir().join(format!("bluebell-explain-{}", std::process::id()));
+    let log = concat!(
+        r#"1.5 front-b {"time_ms":120,"node":"b","event":"failed","request":"r1","status":502,"why":"the connection failed: reset","age_ms":20}"#,
+        "\n",
+        r#"{"time_ms":100,"node":"b","event":"placed","request":"r1","attempt":1,"instance":"i-1"}"#,
+        "\n",
+        r#"{"time_ms":101,"node":"b","event":"placed","request":"r2","attempt":1,"instance":"i-1"}"#,
+        "\nnothing of ours r1\n",
+    );
+    std::fs::write(&path, log).expect("a file");
+    let file = path.to_str().expect("a path");
+    let output = ctl(&["explain", "r1", file]);
+    let missing = ctl(&["explain", "r9", file]);
+    std::fs::remove_file(&path).expect("it is there");
+    expect_test::expect![[r#"
+        +0 ms  b  placed attempt=1 instance="i-1"
+        +20 ms  b  failed age_ms=20 status=502 why="the connection failed: reset"
+
+        Failed after 1 tries, and may have run: the connection failed: reset.
+    "#]]
+    .assert_eq(&text(&output.stdout));
+    assert_eq!(missing.status.code(), Some(1));
+}
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -46,6 +46,9 @@
     /// The part of its weight that its placement may cost: it rises from little to all of it while
     /// the request waits, so that a request with time to spare lets others end first.
     pub readiness: f64,
+    /// Whether its caller has a part of the answer. It is then placed wherever it fits: a stream
+    /// that breaks off midway is worse for its caller than one that is late for others.
+    pub begun: bool,
     /// Whether it has waited for as long as it may, and is placed whatever others lose.
     pub pressing: bool,
 }
@@ -101,8 +104,11 @@
     #[error("the prompt is longer than the engines' memory")]
     TooLong,
     /// Serving it would cost others more than it gains.
-    #[error("the engines are full")]
+    #[error("the engines are full: the best place costs {cost_pct} % of what it gains")]
     Overloaded {
+        /// What the cheapest placement would cost others and itself, prices included, in hundredths
+        /// of the request's weight.
+        cost_pct: u32,
         /// When coming back may help.
         retry_after_ms: SpanMs,
     },
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -104,15 +104,15 @@
         own_weight: weight(demand.prompt_tokens),
     };
     let Some((cost, placement)) = search.best() else {
-        return Err(search.overloaded());
+        return Err(search.overloaded(f64::INFINITY));
     };
     let allowed = search.own_weight * demand.readiness;
     let price = match demand.pressing {
         true => search.price() * PRESSING_PRICE,
         false => search.price(),
     };
-    if cost + price > allowed {
-        return Err(search.overloaded());
+    if !demand.begun && cost + price > allowed {
+        return Err(search.overloaded(cost + price));
     }
     Ok(placement)
 }
@@ -142,9 +142,10 @@
         prices.read_ms * self.read_ms + prices.slot * self.own_weight
     }
 
-    fn overloaded(&self) -> Refusal {
+    fn overloaded(&self, cost: f64) -> Refusal {
         let after_ms = self.demand.target_ms * RETRY_AFTER_PART;
         Refusal::Overloaded {
+            cost_pct: (cost / self.own_weight * 100.0) as u32,
             retry_after_ms: SpanMs(after_ms.max(LEAST_RETRY_AFTER_MS) as u64),
         }
     }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -41,6 +41,7 @@
         silence_left_ms: patience.silence_ms.0 as f64,
         deadline_left_ms: 15_000.0,
         readiness: 1.0,
+        begun: false,
         pressing: false,
     }
 }
@@ -254,3 +255,18 @@
         Refusal::NoReplica
     );
 }
+
+/// A draft breaks off midway although engines have free slots. Its engine fell silent, and the rest
+/// of it was refused a place like a new request that would be late anyway.
+#[test]
+fn the_rest_of_a_stream_is_placed_wherever_it_fits() {
+    let mut world = World::new(4);
+    for _ in 0..62 {
+        world.writes(&demand(5_000));
+    }
+    let mut rest = demand(5_000);
+    rest.target_left_ms = 0.0;
+    assert!(world.place(&rest).is_err(), "a new one waits");
+    rest.begun = true;
+    assert!(world.place(&rest).is_ok());
+}
--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -46,7 +46,7 @@
     let timeout_ms = admitted.route.timeout_ms.min(allowed_ms);
     let deadline_ms = arrived_ms + timeout_ms;
     if !node.takes(deadline_ms) {
-        return Err(answers::leaving(&node, &head.request));
+        return Err(answers::leaving(&node, &head));
     }
     let body = read_body(&node, &head, body, admitted.body_bytes, timeout_ms).await?;
     let now_ms = node.now_ms();
@@ -72,8 +72,9 @@
         let why = "no configuration is known yet";
         return Err(answers::refused(
             node,
-            &head.request,
+            head,
             why,
+            SpanMs::ZERO,
             UNKNOWING_RETRY_MS,
         ));
     };
@@ -100,8 +101,9 @@
         let why = "the route's service is not configured";
         return Err(answers::refused(
             node,
-            &head.request,
+            head,
             why,
+            SpanMs::ZERO,
             UNKNOWING_RETRY_MS,
         ));
     };
--- a/crates/front/src/call/answers.rs
+++ b/crates/front/src/call/answers.rs
@@ -5,6 +5,7 @@
 use super::body::FrontBody;
 use crate::journal::Event;
 use crate::node::Node;
+use crate::outside::CallHead;
 use bluebell_base::prelude::*;
 use bytes::Bytes as Buffer;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -23,16 +24,24 @@
     answer
 }
 
-/// The request has not run, and may come back after `retry_after_ms`.
-pub fn refused(node: &Node, request: &Arc<str>, why: &str, retry_after_ms: SpanMs) -> Answer {
+/// The request has not run, and may come back after `retry_after_ms`; it waited for `age_ms`.
+pub fn refused(
+    node: &Node,
+    head: &CallHead,
+    why: &str,
+    age_ms: SpanMs,
+    retry_after_ms: SpanMs,
+) -> Answer {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     node.journal.tell(&Event::Refused {
-        request: request.clone(),
+        request: head.request.clone(),
         status: status.as_u16(),
         why: why.into(),
+        prompt_tokens: head.prompt_tokens.unwrap_or_default(),
+        age_ms,
         retry_after_ms,
     });
-    let mut answer = own(node, request, status, "not_run", why);
+    let mut answer = own(node, &head.request, status, "not_run", why);
     let seconds = format!("{:.3}", retry_after_ms.0 as f64 / 1000.0);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         answer.headers_mut().insert(RETRY_AFTER, value);
@@ -41,8 +50,9 @@
 }
 
 /// The node is leaving; the request has not run, and another node takes it at once.
-pub fn leaving(node: &Node, request: &Arc<str>) -> Answer {
-    let mut answer = refused(node, request, "the node is leaving", SpanMs::ZERO);
+pub fn leaving(node: &Node, head: &CallHead) -> Answer {
+    let why = "the node is leaving";
+    let mut answer = refused(node, head, why, SpanMs::ZERO, SpanMs::ZERO);
     let close = HeaderValue::from_static("close");
     answer.headers_mut().insert(CONNECTION, close);
     answer
@@ -54,6 +64,8 @@
         request: request.clone(),
         status: status.as_u16(),
         why: why.into(),
+        prompt_tokens: Tokens::ZERO,
+        age_ms: SpanMs::ZERO,
         retry_after_ms: SpanMs::ZERO,
     });
     own(node, request, status, "not_run", why)
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -31,9 +31,25 @@
 /// fleet about as often.
 const LOOK_EVERY_MS: SpanMs = SpanMs(40);
 
-/// Chooses a replica that isn't in `avoid`.
+/// How much a request that looks for a place presses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pressing {
+    /// It may wait.
+    No,
+    /// It has waited for as long as it may.
+    Waited,
+    /// Its caller has a part of the answer.
+    Begun,
+}
+
+/// Chooses a replica that isn't in `avoid` for a plain call.
 pub(super) fn choose(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
-    choose_now(call, avoid, false)
+    choose_now(call, avoid, Pressing::No)
+}
+
+/// Chooses a replica that isn't in `avoid` for the rest of a stream.
+pub(super) fn choose_for_rest(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
+    choose_now(call, avoid, Pressing::Begun)
 }
 
 /// Chooses a replica that isn't in `avoid`; waits for one for as long as that may help.
@@ -42,7 +58,8 @@
     loop {
         let waited_ms = call.age_ms();
         let over = waited_ms >= patience.longest_ms;
-        let refusal = match choose_now(call, avoid, over) {
+        let pressing = if over { Pressing::Waited } else { Pressing::No };
+        let refusal = match choose_now(call, avoid, pressing) {
             Err(refusal @ Refusal::Overloaded { .. }) if !over => refusal,
             result => return result,
         };
@@ -53,7 +70,7 @@
     }
 }
 
-fn choose_now(call: &Call, avoid: &[ReplicaKey], pressing: bool) -> Result<Chosen, Refusal> {
+fn choose_now(call: &Call, avoid: &[ReplicaKey], pressing: Pressing) -> Result<Chosen, Refusal> {
     match &call.service.engine {
         Some(spec) => choose_engine(call, spec, avoid, pressing),
         None => choose_plain(call, avoid),
@@ -78,7 +95,7 @@
     call: &Call,
     spec: &EngineSpec,
     avoid: &[ReplicaKey],
-    pressing: bool,
+    pressing: Pressing,
 ) -> Result<Chosen, Refusal> {
     let node = &call.node;
     let now_ms = node.now_ms();
@@ -142,7 +159,7 @@
     })
 }
 
-fn demand(call: &Call, now_ms: MonoMs, pressing: bool) -> Demand {
+fn demand(call: &Call, now_ms: MonoMs, pressing: Pressing) -> Demand {
     let gap_ms = match call.route.kind {
         RouteKind::Stream { gap_ms, .. } => gap_ms,
         RouteKind::Idempotent | RouteKind::AtMostOnce => call.route.target_ms,
@@ -159,7 +176,8 @@
             .0 as f64,
         deadline_left_ms: call.deadline_ms.since(now_ms).0 as f64,
         readiness: Patience::readiness(call.age_ms(), call.route.target_ms),
-        pressing,
+        begun: pressing == Pressing::Begun,
+        pressing: pressing != Pressing::No,
     }
 }
 
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -119,6 +119,7 @@
         request: call.head.request.clone(),
         status: reply.status().as_u16(),
         attempts,
+        prompt_tokens: Tokens::ZERO,
         first_ms: age_ms,
         end_ms: age_ms,
         longest_pause_ms: SpanMs::ZERO,
@@ -132,13 +133,15 @@
 /// No replica takes the request.
 pub(super) fn give_up(call: &Call, ran: Verdict, refusal: &Refusal) -> Answer {
     let retry_after_ms = match refusal {
-        Refusal::Overloaded { retry_after_ms } => *retry_after_ms,
+        Refusal::Overloaded { retry_after_ms, .. } => *retry_after_ms,
         Refusal::NoReplica | Refusal::TooLong => NOBODY_RETRY_MS,
     };
     let why = refusal.to_string();
     let retry_after_ms = retry_after_ms.mul_f64(rand::random_range(1.0..RETRY_SPREAD));
     match ran {
-        Verdict::NotRun => answers::refused(&call.node, &call.head.request, &why, retry_after_ms),
+        Verdict::NotRun => {
+            answers::refused(&call.node, &call.head, &why, call.age_ms(), retry_after_ms)
+        }
         _ => end(call, ran, &why),
     }
 }
@@ -156,7 +159,7 @@
     let node = &call.node;
     let request = &call.head.request;
     if ran == Verdict::NotRun {
-        return answers::refused(node, request, why, NOBODY_RETRY_MS);
+        return answers::refused(node, &call.head, why, call.age_ms(), NOBODY_RETRY_MS);
     }
     let status = match call.left_ms() {
         SpanMs::ZERO => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -5,7 +5,7 @@
 
 use super::Call;
 use super::body::BrokenOff;
-use super::choose::{Chosen, choose};
+use super::choose::{Chosen, choose_for_rest};
 use super::events::{EventSplitter, Events};
 use super::stream::{Begun, first_event};
 use super::tries::{TryError, may_try_again, note_failure};
@@ -195,7 +195,7 @@
                 self.break_off(&error.why).await;
                 return None;
             }
-            let chosen = match choose(&self.call, &avoid) {
+            let chosen = match choose_for_rest(&self.call, &avoid) {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
                     self.break_off(&refusal.to_string()).await;
@@ -253,6 +253,7 @@
             request: self.call.head.request.clone(),
             status,
             attempts: self.tries,
+            prompt_tokens: self.call.head.prompt_tokens.unwrap_or_default(),
             first_ms: self.first_ms,
             end_ms: self.call.age_ms(),
             longest_pause_ms: self.longest_pause_ms,
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -54,6 +54,8 @@
         request: Arc<str>,
         status: u16,
         why: Arc<str>,
+        prompt_tokens: Tokens,
+        age_ms: SpanMs,
         retry_after_ms: SpanMs,
     },
     /// A request was sent to a replica.
@@ -91,6 +93,7 @@
         request: Arc<str>,
         status: u16,
         attempts: u32,
+        prompt_tokens: Tokens,
         first_ms: SpanMs,
         end_ms: SpanMs,
         longest_pause_ms: SpanMs,
--- a/crates/front/src/journal/writer.rs
+++ b/crates/front/src/journal/writer.rs
@@ -1,6 +1,7 @@
 //! The buffer between the node and its standard output.
 
 use super::Event;
+use crate::metrics::Metrics;
 use bluebell_base::prelude::*;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use serde::Serialize;
@@ -35,6 +36,7 @@
     gathered: RefCell<Vec<u8>>,
     blocks: Sender<Vec<u8>>,
     dropped: Cell<u64>,
+    metrics: Metrics,
 }
 
 /// Writes them out.
@@ -47,7 +49,7 @@
 
 impl Journal {
     /// Opens the log; lines go to standard output from a thread of their own.
-    pub fn open(node: VmName) -> (Self, JournalWriter) {
+    pub fn open(node: VmName, metrics: Metrics) -> (Self, JournalWriter) {
         let (blocks, taken) = bounded::<Vec<u8>>(BLOCKS);
         let (end, done) = bounded(1);
         let thread = std::thread::spawn(move || {
@@ -60,6 +62,7 @@
             gathered: RefCell::default(),
             blocks: blocks.clone(),
             dropped: Cell::new(0),
+            metrics,
         };
         let writer = JournalWriter {
             thread,
@@ -69,8 +72,14 @@
         (journal, writer)
     }
 
+    /// The counters and histograms that the events feed.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Takes an event in.
     pub fn tell(&self, event: &Event) {
+        self.metrics.observe(event);
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let line = Line {
             // A clock set before 1970 shows as 0; the order of lines still holds.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod call;
 pub mod http;
 pub mod journal;
+pub mod metrics;
 pub mod news;
 pub mod node;
 pub mod outside;
--- /dev/null
+++ b/crates/front/src/metrics/mod.rs
@@ -0,0 +1,226 @@
+//! Counters and latency histograms of the serving path, taken from the log's events so that both
+//! tell the same.
+//!
+//! Invariants: labels come from closed sets, so the number of series is bounded; no request, key or
+//! account is a label.
+
+mod serve;
+
+pub use serve::serve_metrics;
+
+use crate::journal::Event;
+use bluebell_base::prelude::*;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Bucket bounds of times to first events and ends, in milliseconds: the users' targets and what
+/// lies around them.
+const TIME_BOUNDS_MS: [f64; 14] = [
+    10.0, 25.0, 50.0, 100.0, 200.0, 300.0, 600.0, 1_000.0, 1_500.0, 2_000.0, 3_000.0, 5_000.0,
+    10_000.0, 20_000.0,
+];
+
+/// Bucket bounds of pauses between events, in milliseconds.
+const PAUSE_BOUNDS_MS: [f64; 9] = [
+    50.0, 100.0, 150.0, 200.0, 250.0, 600.0, 1_000.0, 2_000.0, 5_000.0,
+];
+
+/// Why the metrics can't be opened or shown.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics: {0}")]
+pub struct MetricsError(Arc<str>);
+
+/// The metrics of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Kept because dropping it stops the collection.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    tries: Counter<u64>,
+    failed_tries: Counter<u64>,
+    budget_spent: Counter<u64>,
+    placements: Counter<u64>,
+    dependency_losses: Counter<u64>,
+    lines_dropped: Counter<u64>,
+    config_version: Gauge<u64>,
+    waited_ms: Histogram<f64>,
+    first_ms: Histogram<f64>,
+    end_ms: Histogram<f64>,
+    pause_ms: Histogram<f64>,
+}
+
+fn counter(meter: &Meter, name: &'static str, help: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(help).build()
+}
+
+fn times(meter: &Meter, name: &'static str, help: &'static str, bounds: &[f64]) -> Histogram<f64> {
+    let histogram = meter.f64_histogram(name).with_description(help);
+    histogram.with_boundaries(bounds.to_vec()).build()
+}
+
+fn label(name: &'static str, value: &'static str) -> [KeyValue; 1] {
+    [KeyValue::new(name, value)]
+}
+
+impl Metrics {
+    /// Opens metrics in a registry of their own.
+    ///
+    /// # Errors
+    /// [`MetricsError`] where the exporter can't be set up.
+    pub fn open() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .map_err(|error| MetricsError(error.to_string().into()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let m = provider.meter("bluebellpond");
+        let c = |name, help| counter(&m, name, help);
+        let h = |name, help, bounds| times(&m, name, help, bounds);
+        Ok(Self {
+            requests: c("bluebell_requests", "Requests by outcome."),
+            tries: c(
+                "bluebell_tries",
+                "Requests sent to replicas: first or again.",
+            ),
+            failed_tries: c(
+                "bluebell_failed_tries",
+                "Tries that failed, by what they left open.",
+            ),
+            budget_spent: c(
+                "bluebell_budget_spent",
+                "Second tries that the budget refused.",
+            ),
+            placements: c(
+                "bluebell_placements",
+                "Prompts by how they are read: alone or shared.",
+            ),
+            dependency_losses: c(
+                "bluebell_dependency_losses",
+                "Losses by kind of dependency.",
+            ),
+            lines_dropped: c(
+                "bluebell_log_lines_dropped",
+                "Log lines that nobody read in time.",
+            ),
+            config_version: m
+                .u64_gauge("bluebell_config_version")
+                .with_description("Version of the configuration in force.")
+                .build(),
+            waited_ms: h(
+                "bluebell_waited_ms",
+                "Time from arrival to the first try, in milliseconds.",
+                &TIME_BOUNDS_MS,
+            ),
+            first_ms: h(
+                "bluebell_first_event_ms",
+                "Time from arrival to the first event or the answer, in milliseconds.",
+                &TIME_BOUNDS_MS,
+            ),
+            end_ms: h(
+                "bluebell_end_ms",
+                "Time from arrival to the end of the answer, in milliseconds.",
+                &TIME_BOUNDS_MS,
+            ),
+            pause_ms: h(
+                "bluebell_longest_pause_ms",
+                "Longest pause between two events of an answer, in milliseconds.",
+                &PAUSE_BOUNDS_MS,
+            ),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// The metrics as text.
+    ///
+    /// # Errors
+    /// [`MetricsError`] where they can't be written.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .map_err(|error| MetricsError(error.to_string().into()))
+    }
+
+    /// Takes an event in.
+    pub fn observe(&self, event: &Event) {
+        match event {
+            Event::Answered { .. } => self.observe_answer(event),
+            Event::Refused { .. } => self.requests.add(1, &label("outcome", "refused")),
+            Event::Failed { .. } => self.requests.add(1, &label("outcome", "failed")),
+            Event::Cancelled { .. } => self.requests.add(1, &label("outcome", "cancelled")),
+            Event::Placed { .. } => self.observe_try(event),
+            Event::TryFailed { ran, .. } => {
+                self.failed_tries.add(1, &label("verdict", ran.as_str()));
+            }
+            Event::BudgetSpent { .. } => self.budget_spent.add(1, &[]),
+            Event::ConfigInForce { version, .. } => self.config_version.record(version.0, &[]),
+            Event::DirectoryLost { .. } => self.lost("directory"),
+            Event::ReplicaDoubted { .. } => self.lost("replica"),
+            Event::PeerLost { .. } => self.lost("peer"),
+            Event::LinesDropped { count } => self.lines_dropped.add(*count, &[]),
+            _ => {}
+        }
+    }
+
+    fn lost(&self, dependency: &'static str) {
+        self.dependency_losses
+            .add(1, &label("dependency", dependency));
+    }
+
+    fn observe_try(&self, event: &Event) {
+        let Event::Placed {
+            attempt,
+            helpers,
+            prompt_tokens,
+            age_ms,
+            ..
+        } = event
+        else {
+            return;
+        };
+        if *attempt > 1 {
+            self.tries.add(1, &label("try", "again"));
+            return;
+        }
+        self.tries.add(1, &label("try", "first"));
+        self.waited_ms.record(age_ms.0 as f64, &[]);
+        if *prompt_tokens > Tokens::ZERO {
+            let read = if helpers.is_empty() {
+                "alone"
+            } else {
+                "shared"
+            };
+            self.placements.add(1, &label("read", read));
+        }
+    }
+
+    fn observe_answer(&self, event: &Event) {
+        let Event::Answered {
+            prompt_tokens,
+            first_ms,
+            end_ms,
+            longest_pause_ms,
+            ..
+        } = event
+        else {
+            return;
+        };
+        self.requests.add(1, &label("outcome", "answered"));
+        let band = match *prompt_tokens {
+            Tokens::ZERO => "none",
+            tokens => LengthBand::of(tokens).as_str(),
+        };
+        let band = label("prompt", band);
+        self.first_ms.record(first_ms.0 as f64, &band);
+        self.end_ms.record(end_ms.0 as f64, &band);
+        if *prompt_tokens > Tokens::ZERO {
+            self.pause_ms.record(longest_pause_ms.0 as f64, &band);
+        }
+    }
+}
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -65,7 +65,8 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+/// Accepts a connection; errors are waited out.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -122,7 +123,8 @@
     }
 }
 
-fn note_end(result: Result<(), hyper::Error>) {
+/// Notes how a connection ended.
+pub(crate) fn note_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::trace!("a caller's connection ended: {error}");
     }
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -2,6 +2,7 @@
 
 use super::{Node, listen};
 use crate::journal::{Event, Journal, JournalWriter};
+use crate::metrics::{Metrics, MetricsError, serve_metrics};
 use crate::outside::Outside;
 use crate::{news, watch};
 use bluebell_base::prelude::*;
@@ -37,6 +38,8 @@
     pub ready: SocketAddr,
     /// Where peers send their news.
     pub news: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
     /// The limits of retries, for all nodes together.
     pub retry_limits: RetryLimits,
     /// How long a stopping node may take.
@@ -54,6 +57,9 @@
         /// What the system said.
         reason: Arc<str>,
     },
+    /// The metrics can't be opened.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
     /// Signals can't be received.
     #[error("can't receive signals: {0}")]
     Signals(Arc<str>),
@@ -68,13 +74,16 @@
 
 impl FrontHandle {
     /// Binds the addresses and starts the tasks, on the current local task set.
-    pub async fn spawn(settings: FrontSettings, outside: Outside) -> Result<Self, FrontError> {
-        let callers = bind_tcp(settings.callers).await?;
-        let ready = bind_tcp(settings.ready).await?;
+    pub async fn spawn(mut settings: FrontSettings, outside: Outside) -> Result<Self, FrontError> {
+        let callers = bind_tcp(&mut settings.callers)?;
+        let ready = bind_tcp(&mut settings.ready)?;
+        let metrics = bind_tcp(&mut settings.metrics)?;
         let news = UdpSocket::bind(settings.news)
             .await
             .map_err(|error| cannot_bind(settings.news, &error))?;
-        let (journal, writer) = Journal::open(settings.name.clone());
+        let bound = news.local_addr();
+        settings.news = bound.map_err(|error| cannot_bind(settings.news, &error))?;
+        let (journal, writer) = Journal::open(settings.name.clone(), Metrics::open()?);
         let node = Node::open(settings, outside, journal);
         node.journal.tell(&Event::Started {
             callers: node.settings.callers,
@@ -87,6 +96,7 @@
             connections.clone(),
         ));
         spawn_local(listen::serve_ready(node.clone(), ready));
+        spawn_local(serve_metrics(node.clone(), metrics));
         let news = Rc::new(news);
         spawn_local(news::receive(node.clone(), news.clone()));
         spawn_local(news::send(node.clone(), news));
@@ -101,6 +111,11 @@
         })
     }
 
+    /// The settings, with the ports that the system picked.
+    pub fn settings(&self) -> &FrontSettings {
+        &self.node.settings
+    }
+
     /// Runs until a planned stop has ended.
     pub async fn run(self) -> Result<(), FrontError> {
         let receive = |kind| signal(kind).map_err(|e| FrontError::Signals(e.to_string().into()));
@@ -141,14 +156,18 @@
 /// The longest queue of new connections, for bursts of callers that all come back at once.
 const BACKLOG: u32 = 1024;
 
-async fn bind_tcp(address: SocketAddr) -> Result<TcpListener, FrontError> {
+/// Listens at `address`, and notes the port where the system picked it.
+fn bind_tcp(address: &mut SocketAddr) -> Result<TcpListener, FrontError> {
     let bind = || {
         let socket = tokio::net::TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
+        socket.bind(*address)?;
+        let listener = socket.listen(BACKLOG)?;
+        Ok((listener.local_addr()?, listener))
     };
-    bind().map_err(|error| cannot_bind(address, &error))
+    let (bound, listener) = bind().map_err(|error| cannot_bind(*address, &error))?;
+    *address = bound;
+    Ok(listener)
 }
 
 fn cannot_bind(address: SocketAddr, error: &std::io::Error) -> FrontError {
