Trust: a replica without time to answer is not doubted

Cause: callers that leave a few ms made sound replicas look silent, and each was taken out for a second.

--- a/crates/fleet/src/replicas/health.rs
+++ b/crates/fleet/src/replicas/health.rs
@@ -42,6 +42,21 @@
     Full,
     /// Its answer wasn't the answer to the request.
     Garbled,
+    /// It had no time to show anything.
+    Unjudged,
+}
+
+impl Symptom {
+    /// What a silence of `waited_ms` says of a replica that was expected to answer after
+    /// `expected_ms`. Some callers leave so little time that no replica could answer: doubting it
+    /// for that took sound ones out for seconds (15 of 100 calls of a service with three replicas
+    /// on a calm day).
+    pub fn of_silence(waited_ms: SpanMs, expected_ms: SpanMs) -> Self {
+        match waited_ms >= expected_ms {
+            true => Symptom::Silent,
+            false => Symptom::Unjudged,
+        }
+    }
 }
 
 /// The trust in one replica.
@@ -95,7 +110,7 @@
                 self.garbled_at_ms = Some(now_ms);
                 false
             }
-            Symptom::Full => false,
+            Symptom::Full | Symptom::Unjudged => false,
         }
     }
 
--- a/crates/fleet/tests/budget.rs
+++ b/crates/fleet/tests/budget.rs
@@ -81,3 +81,15 @@
     assert!(!fails(7));
     assert!(fails(2));
 }
+
+/// Calls fail because all replicas of a service are doubted, and all are sound. Some callers had left
+/// them 40 ms, and each such silence took a replica out for a second.
+#[test]
+fn a_replica_without_time_to_answer_is_not_doubted() {
+    let mut health = Health::default();
+    let symptom = Symptom::of_silence(SpanMs(40), SpanMs(100));
+    assert!(!health.on_symptom(symptom, MonoMs(1_000)));
+    assert!(health.admits(MonoMs(1_001)));
+    let symptom = Symptom::of_silence(SpanMs(200), SpanMs(100));
+    assert!(health.on_symptom(symptom, MonoMs(1_002)));
+}
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -97,7 +97,8 @@
         Ok(result) => result,
         Err(_) => {
             let why = "the replica is silent";
-            Err(TryError::new(why, Verdict::MayHaveRun, Symptom::Silent))
+            let symptom = Symptom::of_silence(limit_ms, call.route.target_ms);
+            Err(TryError::new(why, Verdict::MayHaveRun, symptom))
         }
     }
 }
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -23,6 +23,9 @@
 /// What is added to it: engines stall for this long when a helper is gone, and say so then.
 const SILENT_LEAST_MS: f64 = 1_700.0;
 
+/// The shortest silence of an engine that says anything of it: a pass with reading may take as long.
+const LONG_SILENCE_MS: u64 = 1_000;
+
 /// How many replicas that can't be reached are tried at most.
 const UNREACHED_TRIES: u32 = 6;
 
@@ -87,7 +90,9 @@
         Ok(result) => result,
         Err(_) => {
             let why = "the engine is silent";
-            Err(TryError::new(why, Verdict::MayHaveRun, Symptom::Silent))
+            let expected_ms = SpanMs(chosen.expected_ms as u64).max(SpanMs(LONG_SILENCE_MS));
+            let symptom = Symptom::of_silence(limit_ms, expected_ms);
+            Err(TryError::new(why, Verdict::MayHaveRun, symptom))
         }
     }
 }
