--- a/crates/fleet/src/serving/mod.rs
+++ b/crates/fleet/src/serving/mod.rs
@@ -220,7 +220,7 @@
         if total == 0 {
             return self.splits.first().map(|s| &s.service);
         }
-        let mut point = u64::from(draw) * total >> 32;
+        let mut point = (u64::from(draw) * total) >> 32;
         for split in &self.splits {
             if point < u64::from(split.weight) {
                 return Some(&split.service);
--- /dev/null
+++ b/crates/requests/tests/links.rs
@@ -0,0 +1,113 @@
+//! Answers that come on a call that is no longer awaited.
+
+mod common;
+
+use bluebell_base::prelude::*;
+use bluebell_policy::{Kind, PolicySettings};
+use bluebell_requests::budget::{Budgets, PayerId};
+use bluebell_requests::call::CallerId;
+use bluebell_requests::cursor::Signer;
+use bluebell_requests::fleet::Fleet;
+use bluebell_requests::lengths::Lengths;
+use bluebell_requests::life::{
+    Context, Effect, Exchange, Life, LinkNo, Phase, Reader, Recalls, Work,
+};
+use bluebell_requests::{NoObserver, RequestsSettings};
+use bluebell_upstreams::{ServiceAnswer, ServiceCall};
+use common::{CONFIG, Told};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use std::sync::atomic::AtomicU64;
+
+const UPSTREAM: UpstreamId = UpstreamId(1);
+
+fn call(request: RequestId) -> ServiceCall {
+    ServiceCall {
+        request,
+        method: "GET".into(),
+        path: "/notices".into(),
+        content_type: None,
+        body: Vec::new(),
+        idempotency_key: None,
+        timeout_ms: SpanMs(1_000),
+    }
+}
+
+/// A call whose second try is under way.
+fn life_at_second_try(told: &Told) -> Life {
+    let request = RequestId {
+        incarnation: Incarnation(1),
+        sequence: 1,
+    };
+    let exchange = Exchange {
+        service: "board".into(),
+        call: call(request),
+        avoid: Vec::new(),
+    };
+    Life {
+        request,
+        account: "parish".into(),
+        payer: PayerId(0),
+        arrived_ms: MonoMs(0),
+        deadline_ms: MonoMs(5_000),
+        repeatable: true,
+        claim: None,
+        admitted: true,
+        phase: Phase::Exchanging { upstream: UPSTREAM },
+        reader: Reader::Attached {
+            caller: CallerId(1),
+            sink: Box::new(told.clone()),
+            from: 0,
+        },
+        attempt: AttemptNo(2),
+        earlier: Verdict::MayHaveRun,
+        present: Verdict::MayHaveRun,
+        link: LinkNo(2),
+        work: Work::Exchange(Box::new(exchange)),
+        sent_to: Some(UPSTREAM),
+        cancels: Vec::new(),
+        requeues: 0,
+        recalls: Recalls::default(),
+        ended: None,
+        alarm: None,
+    }
+}
+
+/// A caller gets the answer that its first try earned although the second is under way, and the
+/// second's is lost: the answers to two tries crossed. Only the answer on the link that is awaited
+/// ends the call.
+#[test]
+fn a_late_answer_of_an_earlier_try_is_dropped() {
+    let settings = RequestsSettings::default();
+    let config = bluebell_config::parse(CONFIG).expect("it is checked");
+    let mut policy = bluebell_policy::open(PolicySettings::of(Kind::LeastRequests), &config, 1);
+    let mut out: Vec<Effect> = Vec::new();
+    let mut context = Context {
+        now_ms: MonoMs(100),
+        owner: Incarnation(1),
+        settings: &settings,
+        policy: &mut *policy,
+        observer: &mut NoObserver,
+        budgets: &mut Budgets::new(&settings),
+        signer: &Signer::new(b"secret"),
+        fleet: &Fleet::default(),
+        lengths: &mut Lengths::default(),
+        rng: &mut ChaCha8Rng::seed_from_u64(1),
+        out: &mut out,
+    };
+    let told = Told::new(Arc::new(AtomicU64::new(0)));
+    let mut life = life_at_second_try(&told);
+    let answer = |status| {
+        Some(Ok(ServiceAnswer {
+            status,
+            content_type: None,
+            body: Vec::new(),
+        }))
+    };
+    life.on_exchanged(LinkNo(1), answer(500), &mut context);
+    assert!(!life.is_done(), "the awaited answer hasn't come");
+    assert!(told.all().is_empty(), "{}", told.brief());
+    life.on_exchanged(LinkNo(2), answer(200), &mut context);
+    assert!(life.is_done());
+    assert_eq!(told.all().len(), 1, "{}", told.brief());
+}
