--- a/crates/entry/src/http/oversize.rs
+++ b/crates/entry/src/http/oversize.rs
@@ -5,7 +5,7 @@
 //! undelivered length at once. A head that declares some terabytes makes that allocation fail,
 //! which aborts the process. Such a request is answered and then never dropped, so the allocation
 //! never happens. Its connection and its thread in the library stay behind until the process
-//! ends; the count is logged, and docs/OPERATING.md says how the balancer keeps such heads away.
+//! ends; the count is logged, and docs/OPERATIONS.md says how the balancer keeps such heads away.
 
 use crate::http::answer::{self, Refusal};
 use bluebell_base::prelude::*;
--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -29,6 +29,25 @@
     body_bytes: Bytes,
 }
 
+/// Why the configuration doesn't let a request in.
+enum Barred {
+    /// It never will as it is.
+    Rejected(StatusCode, &'static str),
+    /// This node doesn't know enough yet.
+    Unknowing(&'static str),
+}
+
+impl Barred {
+    fn answer(self, node: &Node, head: &CallHead) -> Answer {
+        match self {
+            Barred::Rejected(status, why) => answers::rejected(node, &head.request, status, why),
+            Barred::Unknowing(why) => {
+                answers::refused(node, head, why, SpanMs::ZERO, UNKNOWING_RETRY_MS)
+            }
+        }
+    }
+}
+
 /// Admits a request, or says why not.
 pub async fn admit(node: Rc<Node>, request: Request<Incoming>) -> Result<Call, Answer> {
     let arrived_ms = node.now_ms();
@@ -41,7 +60,10 @@
             return Err(answers::rejected(&node, &"".into(), status, &why));
         }
     };
-    let admitted = look_up(&node, &head, &parts)?;
+    let admitted = match look_up(&node, &head, &parts) {
+        Ok(admitted) => admitted,
+        Err(barred) => return Err(barred.answer(&node, &head)),
+    };
     let allowed_ms = head.deadline_ms.unwrap_or(LONGEST_MS);
     let timeout_ms = admitted.route.timeout_ms.min(allowed_ms);
     let deadline_ms = arrived_ms + timeout_ms;
@@ -66,17 +88,9 @@
     })
 }
 
-fn look_up(node: &Node, head: &CallHead, parts: &Parts) -> Result<Admitted, Answer> {
-    let reject = |status, why| Err(answers::rejected(node, &head.request, status, why));
+fn look_up(node: &Node, head: &CallHead, parts: &Parts) -> Result<Admitted, Barred> {
     let Some(config) = node.with(|state| state.config.clone()) else {
-        let why = "no configuration is known yet";
-        return Err(answers::refused(
-            node,
-            head,
-            why,
-            SpanMs::ZERO,
-            UNKNOWING_RETRY_MS,
-        ));
+        return Err(Barred::Unknowing("no configuration is known yet"));
     };
     let host = parts
         .headers
@@ -84,28 +98,13 @@
         .and_then(|value| value.to_str().ok());
     let host = parts.uri.host().or(host).unwrap_or_default();
     let RouteLookup::Found(route) = config.route(host, parts.uri.path()) else {
-        return reject(StatusCode::NOT_FOUND, "no route answers to host and path");
-    };
-    let account = match config.keyed() && !route.public {
-        false => None,
-        true => {
-            let account = head.key.as_ref().and_then(|key| config.account(key));
-            let Some(account) = account else {
-                return reject(StatusCode::UNAUTHORIZED, "the key is unknown");
-            };
-            Some(account.clone())
-        }
+        let why = "no route answers to host and path";
+        return Err(Barred::Rejected(StatusCode::NOT_FOUND, why));
     };
+    let account = account(&config, &route, head)?;
     let service = route.service(rand::random());
     let Some(service) = service.and_then(|name| config.service(name)).cloned() else {
-        let why = "the route's service is not configured";
-        return Err(answers::refused(
-            node,
-            head,
-            why,
-            SpanMs::ZERO,
-            UNKNOWING_RETRY_MS,
-        ));
+        return Err(Barred::Unknowing("the route's service is not configured"));
     };
     Ok(Admitted {
         route,
@@ -115,6 +114,20 @@
     })
 }
 
+/// The account that holds the caller's key; none where no key is needed.
+fn account(
+    config: &ServingConfig,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<Arc<Account>>, Barred> {
+    if !config.keyed() || route.public {
+        return Ok(None);
+    }
+    let account = head.key.as_ref().and_then(|key| config.account(key));
+    let unknown = Barred::Rejected(StatusCode::UNAUTHORIZED, "the key is unknown");
+    account.cloned().map(Some).ok_or(unknown)
+}
+
 async fn read_body(
     node: &Node,
     head: &CallHead,
