--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,7 +23,7 @@
 /// What users of this package import.
 pub mod prelude {
     pub use crate::journal::{Event, Journal};
-    pub use crate::node::{FrontError, FrontHandle, FrontSettings};
+    pub use crate::node::{FrontError, FrontHandle, FrontSettings, Stopper};
     pub use crate::outside::{
         AnswerHead, CallHead, CallHeadError, ConfigNews, Cursor, Dialect, Directory,
         DirectoryError, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside, PendingRead,
--- a/crates/front/src/node/mod.rs
+++ b/crates/front/src/node/mod.rs
@@ -9,5 +9,5 @@
 
 pub use clock::Clock;
 pub(crate) use listen::{accept, note_end};
-pub use run::{FrontError, FrontHandle, FrontSettings};
+pub use run::{FrontError, FrontHandle, FrontSettings, Stopper};
 pub use state::{Node, State};
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
 /// How often a stopping node looks whether its last connection is gone.
@@ -70,6 +71,18 @@
     node: Rc<Node>,
     connections: Rc<Cell<usize>>,
     writer: JournalWriter,
+    stop: Rc<Notify>,
+}
+
+/// Begins a node's planned stop.
+#[derive(Clone, Debug)]
+pub struct Stopper(Rc<Notify>);
+
+impl Stopper {
+    /// Begins the stop; a second time changes nothing.
+    pub fn stop(&self) {
+        self.0.notify_one();
+    }
 }
 
 impl FrontHandle {
@@ -108,6 +121,7 @@
             node,
             connections,
             writer,
+            stop: Rc::default(),
         })
     }
 
@@ -116,6 +130,11 @@
         &self.node.settings
     }
 
+    /// Begins the node's planned stop from elsewhere than a signal.
+    pub fn stopper(&self) -> Stopper {
+        Stopper(self.stop.clone())
+    }
+
     /// Runs until a planned stop has ended.
     pub async fn run(self) -> Result<(), FrontError> {
         let receive = |kind| signal(kind).map_err(|e| FrontError::Signals(e.to_string().into()));
@@ -126,6 +145,7 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
+                () = self.stop.notified() => break,
                 _ = reload.recv() => self.node.journal.tell(&Event::Reloaded),
             }
         }
