Placement: requests that wait look cheaper, and long ones less often

A request that waits looked at all engines at every width each 40 ms, about a ms of a core of which a small node has 0.12. A look whose price alone is too high ends at once.

--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -9,9 +9,10 @@
 use super::cost::{delay, hurt, lateness, pause_loss};
 use super::{Candidate, Demand, Fleet, Placement, Prices, Refusal, memory};
 use crate::engine::EngineSpec;
-use crate::ledger::{Load, weight};
+use crate::ledger::{Load, Reader, weight};
 use crate::replicas::ReplicaKey;
 use bluebell_base::prelude::*;
+use rustc_hash::FxHashMap;
 
 /// The widths that are tried, the writing engine included: an engine takes at most 16 helpers.
 const WIDTHS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, WIDEST];
@@ -81,6 +82,8 @@
     demand: &'a Demand,
     read_ms: f64,
     own_weight: f64,
+    /// The requests whose prompts an engine reads.
+    readers_at: FxHashMap<ReplicaKey, Vec<&'a Reader>>,
 }
 
 /// Finds the cheapest placement; the candidates stand in the order that all nodes share.
@@ -102,21 +105,36 @@
         demand,
         read_ms: spec.read_ms(demand.prompt_tokens),
         own_weight: weight(demand.prompt_tokens),
-    };
-    let Some((cost, placement)) = search.best() else {
-        return Err(search.overloaded(f64::INFINITY));
+        readers_at: readers_at(fleet),
     };
     let allowed = search.own_weight * demand.readiness;
     let price = match demand.pressing {
         true => search.price() * PRESSING_PRICE,
         false => search.price(),
     };
+    // Looking at all engines costs a small node a ms and more, and requests that wait look often.
+    if !demand.begun && price > allowed {
+        return Err(search.overloaded(price));
+    }
+    let Some((cost, placement)) = search.best() else {
+        return Err(search.overloaded(f64::INFINITY));
+    };
     if !demand.begun && cost + price > allowed {
         return Err(search.overloaded(cost + price));
     }
     Ok(placement)
 }
 
+fn readers_at(fleet: &Fleet) -> FxHashMap<ReplicaKey, Vec<&Reader>> {
+    let mut at: FxHashMap<ReplicaKey, Vec<&Reader>> = FxHashMap::default();
+    for reader in &fleet.readers {
+        for (key, _) in &reader.ends {
+            at.entry(*key).or_default().push(reader);
+        }
+    }
+    at
+}
+
 impl Search<'_> {
     fn is_long(&self) -> bool {
         self.read_ms >= ALONE_MS
@@ -196,6 +214,12 @@
         readers.map(|r| delay(r, part_ms, &takes)).sum()
     }
 
+    /// What a part at one engine costs the prompts that it reads.
+    fn delays_at(&self, part_ms: f64, key: ReplicaKey) -> f64 {
+        let readers = self.readers_at.get(&key).into_iter().flatten();
+        readers.map(|r| delay(r, part_ms, |at| at == key)).sum()
+    }
+
     /// When an engine has read the part: a shared part goes ahead of what waits there, the prompt
     /// of one engine goes behind it.
     ///
@@ -275,7 +299,7 @@
         let backlog = candidate.load.backlog_ms / self.demand.target_left_ms.max(1.0);
         let waiting = WAITING_WEIGHT * (share.min(4.0) + backlog.min(4.0));
         let delays = match shared {
-            true => self.delays(part_ms, |key| key == candidate.key),
+            true => self.delays_at(part_ms, candidate.key),
             false => 0.0,
         };
         self.own_weight * waiting + self.late(done_ms) + delays
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -27,10 +27,14 @@
     pub held: Held,
 }
 
-/// How often a request that waits at the node looks for a place. Work ends on some engine of a busy
-/// fleet about as often.
+/// The shortest time between two looks of a request that waits at the node for a place. Work ends on
+/// some engine of a busy fleet about as often.
 const LOOK_EVERY_MS: SpanMs = SpanMs(40);
 
+/// The looks that a request takes within its target: long prompts look at more ways to be placed,
+/// and a look of theirs costs a small node a ms.
+const LOOKS: u64 = 25;
+
 /// How much a request that looks for a place presses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Pressing {
@@ -55,6 +59,7 @@
 /// Chooses a replica that isn't in `avoid`; waits for one for as long as that may help.
 pub(super) async fn choose_waiting(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
     let patience = call.patience();
+    let look_ms = LOOK_EVERY_MS.max(SpanMs(call.route.target_ms.0 / LOOKS));
     loop {
         let waited_ms = call.age_ms();
         let over = waited_ms >= patience.longest_ms;
@@ -63,10 +68,10 @@
             Err(refusal @ Refusal::Overloaded { .. }) if !over => refusal,
             result => return result,
         };
-        if call.left_ms() <= LOOK_EVERY_MS {
+        if call.left_ms() <= look_ms {
             return Err(refusal);
         }
-        tokio::time::sleep(Duration::from(LOOK_EVERY_MS)).await;
+        tokio::time::sleep(Duration::from(look_ms)).await;
     }
 }
 
