--- a/crates/front/src/news/mod.rs
+++ b/crates/front/src/news/mod.rs
@@ -26,6 +26,10 @@
 /// it fresher.
 const GATHER_MS: SpanMs = SpanMs(2);
 
+/// How long news of work that got further is gathered: peers reckon with it until then, which spares
+/// an engine for a moment too long, and each datagram to sixty peers costs about a ms.
+const PATIENT_MS: SpanMs = SpanMs(60);
+
 /// How often a digest goes out, news or not. It is the longest that lost news misleads a peer.
 const DIGEST_EVERY_MS: SpanMs = SpanMs(500);
 
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -32,13 +32,21 @@
 pub struct Outbox {
     waiting: RefCell<Vec<News>>,
     peers: RefCell<FxHashMap<OwnerId, Peer>>,
-    pub(super) filled: Notify,
+    /// Something waits that peers must hear at once.
+    pub(super) urgent: Notify,
+    /// Something waits that may be gathered for longer.
+    pub(super) patient: Notify,
 }
 
 impl Outbox {
     fn push(&self, news: News) {
         self.waiting.borrow_mut().push(news);
-        self.filled.notify_one();
+        self.urgent.notify_one();
+    }
+
+    fn push_patient(&self, news: News) {
+        self.waiting.borrow_mut().push(news);
+        self.patient.notify_one();
     }
 
     /// Tells that work was placed.
@@ -50,12 +58,12 @@
     /// Tells that work writes, on time or late.
     pub fn stage(&self, sequence: u32, stage: Stage) {
         let late = stage == Stage::Late;
-        self.push(News::Stage { sequence, late });
+        self.push_patient(News::Stage { sequence, late });
     }
 
     /// Tells that work has ended.
     pub fn ended(&self, sequence: u32) {
-        self.push(News::Ended { sequence });
+        self.push_patient(News::Ended { sequence });
     }
 
     /// Tells that a replica is doubted.
--- a/crates/front/src/news/send.rs
+++ b/crates/front/src/news/send.rs
@@ -1,7 +1,7 @@
 //! Sending news.
 
 use super::message::{News, WorkNews, digest, pack};
-use super::{DIGEST_EVERY_MS, GATHER_MS};
+use super::{DIGEST_EVERY_MS, GATHER_MS, PATIENT_MS};
 use crate::journal::Event;
 use crate::node::Node;
 use std::rc::Rc;
@@ -14,9 +14,11 @@
     let mut digest_at = Instant::now();
     loop {
         tokio::select! {
-            () = node.outbox.filled.notified() => {
-                tokio::time::sleep(Duration::from(GATHER_MS)).await;
-            }
+            () = node.outbox.urgent.notified() => gather().await,
+            () = node.outbox.patient.notified() => tokio::select! {
+                () = node.outbox.urgent.notified() => gather().await,
+                () = tokio::time::sleep(Duration::from(PATIENT_MS)) => {}
+            },
             () = tokio::time::sleep_until(digest_at) => {
                 digest_at = Instant::now() + Duration::from(DIGEST_EVERY_MS);
                 drop_silent(&node);
@@ -30,6 +32,10 @@
     }
 }
 
+async fn gather() {
+    tokio::time::sleep(Duration::from(GATHER_MS)).await;
+}
+
 fn own_digest(node: &Node) -> Vec<News> {
     let now_ms = node.now_ms();
     let (works, version) = node.with(|state| {
