--- a/crates/base/src/text/mod.rs
+++ b/crates/base/src/text/mod.rs
@@ -16,9 +16,9 @@
     ClassName;
     /// A client account as operators name it.
     AccountName;
-    /// A failure domain, such as `galway-a`.
+    /// A failure domain, such as `north-a`.
     DomainName;
-    /// A region, such as `eire-west`.
+    /// A region, such as `north`.
     RegionName;
     /// A VM as the platform's list names it.
     VmName;
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -4,7 +4,7 @@
 use super::answers::{self, Answer};
 use super::body::FrontBody;
 use super::choose::{Chosen, choose};
-use super::tries::{self, Reply, TryError, may_try_again, note_failure, note_symptom};
+use super::tries::{self, Reply, Tries, TryError, note_symptom};
 use crate::journal::Event;
 use bluebell_base::prelude::*;
 use bluebell_fleet::placement::Refusal;
@@ -21,48 +21,29 @@
 /// How many targets a try of a repeatable request may take before another replica is asked.
 const SILENT_TARGETS: u64 = 2;
 
-/// How many replicas that can't be reached are tried at most.
-const UNREACHED_TRIES: u32 = 4;
-
 /// Serves a request with one whole answer.
 pub(super) async fn serve(call: &Rc<Call>) -> Answer {
-    let mut avoid: Vec<ReplicaKey> = Vec::new();
-    let mut arrived_tries = 0;
-    let mut ran = Verdict::NotRun;
+    let mut tries = Tries::default();
     loop {
-        let chosen = match choose(call, &avoid) {
+        let chosen = match choose(call, &tries.avoid) {
             Ok(chosen) => chosen,
-            Err(refusal) => return give_up(call, ran, &refusal),
+            Err(refusal) => return give_up(call, tries.verdict(), &refusal),
         };
-        avoid.push(chosen.key);
-        let attempt = avoid.len() as u32;
-        let error = match try_once(call, &chosen, attempt).await {
-            Ok(Whole { reply, body }) => {
-                let repeat = reply.status().is_server_error() && call.route.kind.repeatable();
-                if !repeat {
-                    return pass_on(call, &chosen, attempt, reply, body);
-                }
-                let why = format!("the replica failed with status {}", reply.status());
-                let error = TryError::new(&why, Verdict::Ran, Symptom::Failed);
-                if !may_try_again(call, arrived_tries + 1, &error) {
-                    return pass_on(call, &chosen, attempt, reply, body);
-                }
-                arrived_tries += 1;
-                note_failure(call, &chosen, attempt, &error);
-                ran = Verdict::Ran;
-                continue;
-            }
-            Err(error) => error,
+        let attempt = tries.begin(&chosen);
+        let (error, whole) = match try_once(call, &chosen, attempt).await {
+            Ok(whole) => match whole.failure(call) {
+                Some(error) => (error, Some(whole)),
+                None => return pass_on(call, &chosen, attempt, whole),
+            },
+            Err(error) => (error, None),
         };
-        note_failure(call, &chosen, attempt, &error);
-        drop(chosen);
-        arrived_tries += u32::from(error.arrived);
-        if error.ran != Verdict::NotRun {
-            ran = Verdict::MayHaveRun;
-        }
-        if attempt > UNREACHED_TRIES || !may_try_again(call, arrived_tries, &error) {
-            return end(call, ran, &error.why);
+        if tries.failed(call, &chosen, &error) {
+            continue;
         }
+        return match whole {
+            Some(whole) => pass_on(call, &chosen, attempt, whole),
+            None => end(call, tries.verdict(), &error.why),
+        };
     }
 }
 
@@ -71,6 +52,18 @@
     body: Buffer,
 }
 
+impl Whole {
+    /// The failure that a replica reports itself, where another replica may do better.
+    fn failure(&self, call: &Call) -> Option<TryError> {
+        let status = self.reply.status();
+        if !status.is_server_error() || !call.route.kind.repeatable() {
+            return None;
+        }
+        let why = format!("the replica failed with status {status}");
+        Some(TryError::new(&why, Verdict::Ran, Symptom::Failed))
+    }
+}
+
 /// One try, with its whole answer.
 async fn try_once(call: &Call, chosen: &Chosen, attempt: u32) -> Result<Whole, TryError> {
     let left_ms = call.left_ms();
@@ -103,18 +96,16 @@
     }
 }
 
-fn pass_on(
-    call: &Call,
-    chosen: &Chosen,
-    attempts: u32,
-    reply: Response<()>,
-    body: Buffer,
-) -> Answer {
-    let symptom = match reply.status().is_server_error() {
-        true => Symptom::Failed,
-        false => Symptom::Good,
-    };
-    note_symptom(call, chosen.key, symptom, reply.status().as_str());
+fn pass_on(call: &Call, chosen: &Chosen, attempts: u32, whole: Whole) -> Answer {
+    // A failure that let another replica be tried has been taken down already.
+    if whole.failure(call).is_none() {
+        let symptom = match whole.reply.status().is_server_error() {
+            true => Symptom::Failed,
+            false => Symptom::Good,
+        };
+        note_symptom(call, chosen.key, symptom, whole.reply.status().as_str());
+    }
+    let Whole { reply, body } = whole;
     let age_ms = call.age_ms();
     call.node.journal.tell(&Event::Answered {
         request: call.head.request.clone(),
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -8,7 +8,7 @@
 use super::plain::{end, give_up};
 use super::pump::{Pump, Source};
 use super::reserve::Reserved;
-use super::tries::{self, Reply, TryError, may_try_again, note_failure, note_symptom};
+use super::tries::{self, Reply, Tries, TryError, note_symptom};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use http_body_util::BodyExt;
@@ -26,33 +26,21 @@
 /// The shortest silence of an engine that says anything of it: a pass with reading may take as long.
 const LONG_SILENCE_MS: u64 = 1_000;
 
-/// How many replicas that can't be reached are tried at most.
-const UNREACHED_TRIES: u32 = 6;
-
 /// Serves a request whose answer is a stream.
 pub(super) async fn serve(call: &Rc<Call>) -> Answer {
-    let mut avoid: Vec<ReplicaKey> = Vec::new();
-    let mut arrived_tries = 0;
-    let mut ran = Verdict::NotRun;
+    let mut tries = Tries::default();
     loop {
-        let mut chosen = match choose_waiting(call, &avoid).await {
+        let mut chosen = match choose_waiting(call, &tries.avoid).await {
             Ok(chosen) => chosen,
-            Err(refusal) => return give_up(call, ran, &refusal),
+            Err(refusal) => return give_up(call, tries.verdict(), &refusal),
         };
-        avoid.push(chosen.key);
-        let attempt = avoid.len() as u32;
-        let error = match first_event(call, &mut chosen, attempt, arrived_tries, None).await {
-            Ok(begun) => return begun.answer(call, chosen, arrived_tries + 1),
+        let attempt = tries.begin(&chosen);
+        let error = match first_event(call, &mut chosen, attempt, tries.arrived, None).await {
+            Ok(begun) => return begun.answer(call, chosen, tries.arrived + 1),
             Err(error) => error,
         };
-        note_failure(call, &chosen, attempt, &error);
-        drop(chosen);
-        arrived_tries += u32::from(error.arrived);
-        if error.ran != Verdict::NotRun {
-            ran = Verdict::MayHaveRun;
-        }
-        if attempt > UNREACHED_TRIES || !may_try_again(call, arrived_tries, &error) {
-            return end(call, ran, &error.why);
+        if !tries.failed(call, &chosen, &error) {
+            return end(call, tries.verdict(), &error.why);
         }
     }
 }
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -227,6 +227,45 @@
     })
 }
 
+/// How many replicas are tried at most of which none can be reached: a fleet whose replicas were all
+/// replaced at once looks so until the directory tells of the new ones.
+const UNREACHED_TRIES: u32 = 6;
+
+/// What the tries of one request have come to so far.
+#[derive(Debug, Default)]
+pub(super) struct Tries {
+    /// The replicas that were chosen.
+    pub avoid: Vec<ReplicaKey>,
+    /// How many of them got the request.
+    pub arrived: u32,
+    /// Whether one of them may have run it.
+    pub ran: Option<Verdict>,
+}
+
+impl Tries {
+    /// A try begins; returns its number.
+    pub fn begin(&mut self, chosen: &Chosen) -> u32 {
+        self.avoid.push(chosen.key);
+        self.avoid.len() as u32
+    }
+
+    /// Takes a failure of the last try down; returns whether another may follow.
+    pub fn failed(&mut self, call: &Call, chosen: &Chosen, error: &TryError) -> bool {
+        let attempt = self.avoid.len() as u32;
+        note_failure(call, chosen, attempt, error);
+        self.arrived += u32::from(error.arrived);
+        if error.ran != Verdict::NotRun {
+            self.ran = Some(error.ran);
+        }
+        attempt <= UNREACHED_TRIES && may_try_again(call, self.arrived, error)
+    }
+
+    /// Whether the request may have run.
+    pub fn verdict(&self) -> Verdict {
+        self.ran.unwrap_or(Verdict::NotRun)
+    }
+}
+
 /// Whether a failed request may go to another replica: the caller's limits, then the budget.
 pub(super) fn may_try_again(call: &Call, arrived_tries: u32, error: &TryError) -> bool {
     if error.ran != Verdict::NotRun && !call.route.kind.repeatable() {
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -4,12 +4,10 @@
 //! Invariants: labels come from closed sets, so the number of series is bounded; no request, key or
 //! account is a label.
 
-mod serve;
-
-pub use serve::serve_metrics;
-
 use crate::journal::Event;
 use bluebell_base::prelude::*;
+pub use bluebell_telemetry::MetricsError;
+use bluebell_telemetry::metrics::{METER, open_registry};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -27,11 +25,6 @@
     50.0, 100.0, 150.0, 200.0, 250.0, 600.0, 1_000.0, 2_000.0, 5_000.0,
 ];
 
-/// Why the metrics can't be opened or shown.
-#[derive(Debug, thiserror::Error)]
-#[error("metrics: {0}")]
-pub struct MetricsError(Arc<str>);
-
 /// The metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -71,15 +64,8 @@
     /// # Errors
     /// [`MetricsError`] where the exporter can't be set up.
     pub fn open() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()
-            .map_err(|error| MetricsError(error.to_string().into()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let m = provider.meter("bluebellpond");
+        let (registry, provider) = open_registry()?;
+        let m = provider.meter(METER);
         let c = |name, help| counter(&m, name, help);
         let h = |name, help, bounds| times(&m, name, help, bounds);
         Ok(Self {
@@ -142,9 +128,8 @@
     /// # Errors
     /// [`MetricsError`] where they can't be written.
     pub fn render(&self) -> Result<String, MetricsError> {
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .map_err(|error| MetricsError(error.to_string().into()))
+        let text = TextEncoder::new().encode_to_string(&self.registry.gather());
+        text.map_err(MetricsError::from)
     }
 
     /// Takes an event in.
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -1,4 +1,4 @@
-//! Accepting callers' connections and the balancer's questions.
+//! Accepting callers' connections, and the pages of the node's own.
 //!
 //! Invariants: a connection is closed only between two answers, but for one whose caller is gone;
 //! an error of accepting never ends the listener.
@@ -36,6 +36,9 @@
 /// reuses it at the last moment doesn't meet a close.
 const IDLE_MARGIN_MS: SpanMs = SpanMs(3_000);
 
+/// Where the metrics are.
+const METRICS_PATH: &str = "/metrics";
+
 /// Counts a connection for as long as it lives.
 struct Counted(Rc<Cell<usize>>);
 
@@ -66,7 +69,7 @@
 }
 
 /// Accepts a connection; errors are waited out.
-pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -124,20 +127,25 @@
 }
 
 /// Notes how a connection ended.
-pub(crate) fn note_end(result: Result<(), hyper::Error>) {
+fn note_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::trace!("a caller's connection ended: {error}");
     }
 }
 
-/// Answers the balancer until the process ends.
-pub async fn serve_ready(node: Rc<Node>, listener: TcpListener) {
+/// What a page of the node's own answers to a path.
+pub(crate) type Page = fn(&Node, &str) -> (StatusCode, String);
+
+/// Serves a page of the node's own until the process ends.
+pub async fn serve_page(node: Rc<Node>, listener: TcpListener, page: Page) {
     loop {
         let stream = accept(&listener).await;
         let node = node.clone();
         let service = service_fn(move |request: Request<hyper::body::Incoming>| {
-            let node = node.clone();
-            async move { Ok::<_, Infallible>(ready_answer(&node, request.uri().path())) }
+            let (status, text) = page(&node, request.uri().path());
+            let mut answer = Response::new(Full::new(Buffer::from(text)));
+            *answer.status_mut() = status;
+            async move { Ok::<_, Infallible>(answer) }
         });
         spawn_local(async move {
             let mut builder = http1::Builder::new();
@@ -151,13 +159,21 @@
     }
 }
 
-fn ready_answer(node: &Node, path: &str) -> Response<Full<Buffer>> {
+/// What the balancer asks: whether the node wants new connections.
+pub fn ready_page(node: &Node, path: &str) -> (StatusCode, String) {
     let status = match (path == node.outside.dialect.ready_path(), node.is_ready()) {
         (true, true) => StatusCode::OK,
         (true, false) => StatusCode::SERVICE_UNAVAILABLE,
         (false, _) => StatusCode::NOT_FOUND,
     };
-    let mut answer = Response::new(Full::default());
-    *answer.status_mut() = status;
-    answer
+    (status, String::new())
+}
+
+/// What those on call read.
+pub fn metrics_page(node: &Node, path: &str) -> (StatusCode, String) {
+    match (path, node.journal.metrics().render()) {
+        (METRICS_PATH, Ok(text)) => (StatusCode::OK, text),
+        (METRICS_PATH, Err(error)) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    }
 }
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, listen};
 use crate::journal::{Event, Journal, JournalWriter};
-use crate::metrics::{Metrics, MetricsError, serve_metrics};
+use crate::metrics::{Metrics, MetricsError};
 use crate::outside::Outside;
 use crate::{news, watch};
 use bluebell_base::prelude::*;
@@ -108,8 +108,12 @@
             callers,
             connections.clone(),
         ));
-        spawn_local(listen::serve_ready(node.clone(), ready));
-        spawn_local(serve_metrics(node.clone(), metrics));
+        spawn_local(listen::serve_page(node.clone(), ready, listen::ready_page));
+        spawn_local(listen::serve_page(
+            node.clone(),
+            metrics,
+            listen::metrics_page,
+        ));
         let news = Rc::new(news);
         spawn_local(news::receive(node.clone(), news.clone()));
         spawn_local(news::send(node.clone(), news));
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -16,7 +16,7 @@
 
 Serves on the users' platform.
 
-  --settings FILE  the platform's settings file; without it, BLUEBELLPOND_BOOT names it
+  --settings FILE  the platform's settings file; without it, the variable named below
   --check          check the settings and end
 ";
 
@@ -33,7 +33,7 @@
         Err(error) => return settings_fault(&error),
     };
     if flags.help {
-        print!("{HELP}");
+        print!("{HELP}\n{SETTINGS_PATH_VARIABLE}  the path of the settings file\n");
         return ExitCode::SUCCESS;
     }
     let named = std::env::var_os(SETTINGS_PATH_VARIABLE).map(PathBuf::from);
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -17,7 +17,8 @@
 use std::sync::Arc;
 
 /// The packages whose short names may stand in a directive.
-const PACKAGES: [&str; 21] = [
+const PACKAGES: [&str; 24] = [
+    "adapter",
     "base",
     "bench",
     "bridge",
@@ -26,6 +27,8 @@
     "config",
     "control",
     "entry",
+    "fleet",
+    "front",
     "load",
     "members",
     "node",
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -25,6 +25,26 @@
     Render(#[from] prometheus::Error),
 }
 
+/// The name under which instruments are made.
+pub const METER: &str = "bluebellpond";
+
+/// Opens a registry, and the provider whose instruments it shows; dropping the provider ends their
+/// collection.
+///
+/// # Errors
+/// [`MetricsError::Exporter`] where the exporter can't be set up.
+pub fn open_registry() -> Result<(Registry, SdkMeterProvider), MetricsError> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .scope_info_enabled(false)
+        .without_target_info()
+        .build()
+        .map_err(|error| MetricsError::Exporter(error.to_string().into()))?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    Ok((registry, provider))
+}
+
 /// With whom control traffic is exchanged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Peer {
@@ -65,15 +85,8 @@
     /// # Errors
     /// [`MetricsError::Exporter`] where the exporter can't be set up.
     pub fn open() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()
-            .map_err(|error| MetricsError::Exporter(error.to_string().into()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("bluebellpond");
+        let (registry, provider) = open_registry()?;
+        let meter = provider.meter(METER);
         Ok(Self {
             times: Times::open(&meter),
             requests: RequestCounts::open(&meter),
