Tries: the refusal of an earlier request isn't taken for this one's

Cause: found by reading. A late 'not run' on a kept connection was believed before its id was looked at, so a request that was running would have been told not to run, and sent again. Test: 'the refusal of another request' in each_failure_of_a_replica_has_its_answer.

--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -138,6 +138,12 @@
     let status = answer.status();
     let dialect = &call.node.outside.dialect;
     let head = dialect.answer_head(&call.head.request, status.as_u16(), answer.headers());
+    if head.names_other {
+        // First of all: the refusal of an earlier request would else be taken for this one's, which
+        // may be running.
+        let why = "the answer belongs to another request";
+        return Err(TryError::new(why, Verdict::MayHaveRun, Symptom::Garbled));
+    }
     if head.stranger {
         let why = "another replica has the address";
         return Err(TryError::new(why, Verdict::NotRun, Symptom::Unreachable));
@@ -149,7 +155,7 @@
         });
     }
     if !head.answers {
-        let why = "the answer belongs to another request";
+        let why = "the answer names no request";
         return Err(TryError::new(why, Verdict::MayHaveRun, Symptom::Garbled));
     }
     if !head.signed || head.encoded {
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -163,8 +163,10 @@
 /// What a replica's head says.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AnswerHead {
-    /// Whether it answers this request.
+    /// Whether it answers this request by name.
     pub answers: bool,
+    /// Whether it names another request, so that nothing in it is about this one.
+    pub names_other: bool,
     /// Whether it carries the replica's signature.
     pub signed: bool,
     /// Whether the replica states that it didn't run the request.
