--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,6 +1,7 @@
 //! The node on the users' platform: settings from the file that the platform hands it, one thread
 //! that serves.
 
+use argh::FromArgs;
 use bluebell_adapter::{PlatformSettings, SETTINGS_PATH_VARIABLE};
 use bluebell_front::prelude::*;
 use std::path::PathBuf;
@@ -11,31 +12,27 @@
 /// The exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
 
-const HELP: &str = "\
-usage: bluebellpond front [--settings FILE] [--check]
-
-Serves on the users' platform.
-
-  --settings FILE  the platform's settings file; without it, the variable named below
-  --check          check the settings and end
-";
-
+/// Serve on the users' platform.
+#[derive(FromArgs)]
 struct Flags {
+    /// the platform's settings file (default: the one that the environment names)
+    #[argh(option)]
     settings: Option<PathBuf>,
+    /// check the settings, print them and end
+    #[argh(switch)]
     check: bool,
-    help: bool,
 }
 
 /// Runs until a planned stop has ended.
 pub fn run(args: &[&str]) -> ExitCode {
-    let flags = match flags(args) {
+    let flags = match Flags::from_args(&["bluebellpond", "front"], args) {
         Ok(flags) => flags,
-        Err(error) => return settings_fault(&error),
+        Err(exit) if exit.status.is_ok() => {
+            print!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => return settings_fault(exit.output.trim_end()),
     };
-    if flags.help {
-        print!("{HELP}\n{SETTINGS_PATH_VARIABLE}  the path of the settings file\n");
-        return ExitCode::SUCCESS;
-    }
     let named = std::env::var_os(SETTINGS_PATH_VARIABLE).map(PathBuf::from);
     let Some(path) = flags.settings.or(named) else {
         return settings_fault(&format!(
@@ -58,27 +55,6 @@
     serve(settings)
 }
 
-fn flags(args: &[&str]) -> Result<Flags, String> {
-    let mut flags = Flags {
-        settings: None,
-        check: false,
-        help: false,
-    };
-    let mut args = args.iter();
-    while let Some(arg) = args.next() {
-        match *arg {
-            "--check" => flags.check = true,
-            "--help" => flags.help = true,
-            "--settings" => {
-                let path = args.next().ok_or("--settings needs a file")?;
-                flags.settings = Some(PathBuf::from(path));
-            }
-            other => return Err(format!("unknown argument {other:?}; see --help")),
-        }
-    }
-    Ok(flags)
-}
-
 fn settings_fault(error: &str) -> ExitCode {
     eprintln!("bluebellpond: {error}");
     ExitCode::from(EXIT_SETTINGS)
--- /dev/null
+++ b/crates/node/tests/front.rs
@@ -0,0 +1,41 @@
+//! The program as the platform starts it.
+
+use std::process::{Command, Output};
+
+fn front(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_bluebellpond"))
+        .arg("front")
+        .args(args)
+        .env_clear()
+        .output()
+        .expect("it is built")
+}
+
+/// A node that was given bad settings ends with the code for that, and says all that is wrong, instead
+/// of starting and failing later.
+#[test]
+fn bad_settings_end_it_with_all_their_faults() {
+    let path = std::env::temp_dir().join(format!("bluebell-front-{}", std::process::id()));
+    let text = r#"{"nodeName":"n","ip":"127.0.0.1","zone":"a",
+        "listen":{"frontend":"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPortRange":[9,3],
+        "bounds":{"graceS":0,"retryWindowS":10},"platform":{"address":"127.0.0.1:9"}}"#;
+    std::fs::write(&path, text).expect("a file");
+    let output = front(&["--settings", path.to_str().expect("a path")]);
+    std::fs::remove_file(&path).expect("it is there");
+    assert_eq!(output.status.code(), Some(2));
+    let told = String::from_utf8(output.stderr).expect("text");
+    assert!(
+        told.contains("graceS") && told.contains("internalPortRange"),
+        "{told}"
+    );
+}
+
+/// Without a settings file, or with arguments that aren't known, it says so.
+#[test]
+fn missing_settings_and_unknown_arguments_are_told() {
+    let none = front(&[]);
+    assert_eq!(none.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&none.stderr).contains("settings file"));
+    assert_eq!(front(&["--wrong"]).status.code(), Some(2));
+    assert_eq!(front(&["--help"]).status.code(), Some(0));
+}
