--- a/crates/fleet/src/placement/cost.rs
+++ b/crates/fleet/src/placement/cost.rs
@@ -46,9 +46,9 @@
 }
 
 /// What reading `part_ms` more costs the writers of an engine.
-pub fn hurt(spec: &EngineSpec, load: &Load, part_ms: f64, pace: f64) -> f64 {
-    let before_ms = load.pass_ms(spec, load.backlog_ms) * pace;
-    let after_ms = load.pass_ms(spec, load.backlog_ms + part_ms) * pace;
+pub fn hurt(spec: &EngineSpec, load: &Load, part_ms: f64) -> f64 {
+    let before_ms = load.pass_ms(spec, load.backlog_ms);
+    let after_ms = load.pass_ms(spec, load.backlog_ms + part_ms);
     let tolerances = load.tolerances.iter();
     tolerances
         .map(|t| t.weight * (pause_loss(after_ms, t.gap_ms) - pause_loss(before_ms, t.gap_ms)))
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -60,8 +60,6 @@
     pub key: ReplicaKey,
     /// What it has to do.
     pub load: Load,
-    /// How much longer its work takes than reckoned; at least 1.
-    pub pace: f64,
 }
 
 /// What a decision looks at.
--- a/crates/fleet/src/placement/plain.rs
+++ b/crates/fleet/src/placement/plain.rs
@@ -17,14 +17,11 @@
     pub calls: u32,
     /// Whether it is in this node's failure domain.
     pub near: bool,
-    /// How much longer its work takes than usual; at least 1.
-    pub pace: f64,
 }
 
-/// Picks the replica with the fewest calls for its pace; ties go to the nearer, then by `draw`.
+/// Picks the replica with the fewest calls; ties go to the nearer, then by `draw`.
 pub fn place_plain(candidates: &[PlainCandidate], draw: u32) -> Option<ReplicaKey> {
-    let load =
-        |c: &PlainCandidate| f64::from(c.calls + 1) * c.pace - f64::from(u8::from(c.near)) * 0.5;
+    let load = |c: &PlainCandidate| f64::from(c.calls) - f64::from(u8::from(c.near)) * 0.5;
     let least = candidates.iter().map(load).fold(f64::INFINITY, f64::min);
     let tied: Vec<&PlainCandidate> = candidates.iter().filter(|c| load(c) <= least).collect();
     match tied.is_empty() {
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -188,7 +188,7 @@
             .fold(self.read_by_ms(writer, part_ms, shared), f64::max);
         let helping: f64 = helpers
             .iter()
-            .map(|c| hurt(self.spec, &c.load, part_ms, c.pace))
+            .map(|c| hurt(self.spec, &c.load, part_ms))
             .sum();
         let delays = match shared {
             true => self.delays(part_ms, |key| key == writer.key || keys.contains(&key)),
@@ -227,12 +227,11 @@
     /// and its first event comes at the end of its own, after all that is read in that.
     fn read_by_ms(&self, candidate: &Candidate, part_ms: f64, shared: bool) -> f64 {
         let load = &candidate.load;
-        let own_ms = part_ms * candidate.pace;
         if load.writers == 0 {
             let waiting_ms = if shared { 0.0 } else { load.backlog_ms };
-            return waiting_ms + own_ms;
+            return waiting_ms + part_ms;
         }
-        let pass_ms = load.pass_ms(self.spec, 0.0) * candidate.pace;
+        let pass_ms = load.pass_ms(self.spec, 0.0);
         let pass_tokens = self.spec.pass_tokens().0.max(1) as f64;
         let beside_ms = load
             .backlog_ms
@@ -241,7 +240,7 @@
         let tokens = part_ms / self.read_ms.max(1.0) * self.demand.prompt_tokens.0 as f64;
         let passes = 1.0 + (tokens / pass_tokens).floor();
         let under_way_ms = (pass_ms + beside_ms) / 2.0;
-        under_way_ms + waiting_ms + own_ms + passes * pass_ms + self.queue_ms(load, pass_ms)
+        under_way_ms + waiting_ms + part_ms + passes * pass_ms + self.queue_ms(load, pass_ms)
     }
 
     /// How long a request waits for a slot: writers end one after the other, each after as many
@@ -273,7 +272,7 @@
             };
             let crowding = (load.writers + 1 + SPARE_SLOTS).saturating_sub(self.spec.slots);
             let pass_ms = load.pass_ms(self.spec, load.backlog_ms * OWN_PAUSE_PART);
-            let pause = pause_loss(pass_ms * candidate.pace, self.demand.gap_ms.0 as f64);
+            let pause = pause_loss(pass_ms, self.demand.gap_ms.0 as f64);
             let elsewhere = match self.is_huge() {
                 true => 1.0 - memory::free(self.spec, candidate).0 as f64 / needed.0.max(1) as f64,
                 false => 0.0,
@@ -282,7 +281,7 @@
                 + f64::from(crowding) * SPARE_WEIGHT
                 + elsewhere.max(0.0) * ELSEWHERE_WEIGHT
                 + pause;
-            hurt(self.spec, load, part_ms, candidate.pace) + self.own_weight * parts
+            hurt(self.spec, load, part_ms) + self.own_weight * parts
         };
         let rank = |at: usize, candidate: &Candidate| {
             cost(at, candidate) + self.waiting(candidate, part_ms, shared)
@@ -317,7 +316,7 @@
                 false => 0.0,
             };
             let memory = memory * ELSEWHERE_WEIGHT * self.own_weight;
-            let hurt = hurt(self.spec, &c.load, part_ms, c.pace);
+            let hurt = hurt(self.spec, &c.load, part_ms);
             hurt + writers + memory + self.waiting(c, part_ms, true)
         };
         let others = self.fleet.candidates.iter().filter(|c| c.key != writer);
--- a/crates/fleet/src/replicas/health.rs
+++ b/crates/fleet/src/replicas/health.rs
@@ -24,9 +24,6 @@
 /// up to one call in seven by themselves.
 const DOUBTED_SHARE: f32 = 0.32;
 
-/// The weight of the newest reading in the pace.
-const PACE_WEIGHT: f32 = 0.3;
-
 /// What an answer, or its absence, says about a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Symptom {
@@ -66,7 +63,6 @@
     pause_ms: SpanMs,
     doubted_until_ms: Option<MonoMs>,
     on_trial: u32,
-    pace: f32,
     garbled_at_ms: Option<MonoMs>,
 }
 
@@ -77,7 +73,6 @@
             pause_ms: SpanMs::ZERO,
             doubted_until_ms: None,
             on_trial: 0,
-            pace: 1.0,
             garbled_at_ms: None,
         }
     }
@@ -162,17 +157,6 @@
         self.on_trial = self.on_trial.saturating_sub(1);
     }
 
-    /// A first event came after `took_ms` where `expected_ms` was expected.
-    pub fn on_pace(&mut self, took_ms: f64, expected_ms: f64) {
-        let ratio = (took_ms / expected_ms.max(1.0)).clamp(0.5, 8.0) as f32;
-        self.pace += (ratio - self.pace) * PACE_WEIGHT;
-    }
-
-    /// How much longer its work takes than reckoned; at least 1.
-    pub fn pace(&self) -> f64 {
-        f64::from(self.pace.max(1.0))
-    }
-
     /// Whether it mixed up answers within the last `span_ms`.
     pub fn garbled_within(&self, span_ms: SpanMs, now_ms: MonoMs) -> bool {
         self.garbled_at_ms
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -73,7 +73,6 @@
         let candidates = (0..self.engines).map(|number| Candidate {
             key: key(number),
             load: engines.remove(&key(number)).unwrap_or_default(),
-            pace: 1.0,
         });
         Fleet {
             candidates: candidates.collect(),
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -110,10 +110,9 @@
         let takers = takers(state, call, avoid, now_ms);
         let candidates = takers
             .iter()
-            .map(|(key, _, health)| Candidate {
+            .map(|(key, _, _)| Candidate {
                 key: *key,
                 load: loads.engines.remove(key).unwrap_or_default(),
-                pace: health.pace(),
             })
             .collect();
         let fleet = Fleet {
@@ -193,11 +192,10 @@
         let takers = takers(state, call, avoid, now_ms);
         let candidates: Vec<PlainCandidate> = takers
             .iter()
-            .map(|(key, replica, health)| PlainCandidate {
+            .map(|(key, replica, _)| PlainCandidate {
                 key: *key,
                 calls: state.calls.get(key).copied().unwrap_or(0),
                 near: replica.domain == node.settings.domain,
-                pace: health.pace(),
             })
             .collect();
         let key = place_plain(&candidates, rand::random()).ok_or(Refusal::NoReplica)?;
