Engine stand-in: a second export takes over the memory of the first

Dropping the first export let a waiting stream take its memory, and the second export held it once more: 480,001 of 480,000 tokens. Ruled out: the check for free memory, which counted rightly before the drop. Conclusion: mended at its cause.

--- a/crates/stand-ins/src/engine/model/holds/mod.rs
+++ b/crates/stand-ins/src/engine/model/holds/mod.rs
@@ -132,7 +132,9 @@
         };
         let prefixes = stream.call.prefixes[..covered].to_vec();
         let tokens = prefixes.last().map_or(Tokens::ZERO, |prefix| prefix.tokens);
-        if tokens.0 > self.free_tokens() {
+        let earlier = self.exports.get(&request);
+        let earlier_tokens = earlier.map_or(0, |row| row.what.tokens.0);
+        if tokens.0 > self.free_tokens() + earlier_tokens {
             let error = Error::not_run(ErrorKind::Overloaded, "no memory for the export");
             return Err(error.retry_after(RETRY_AFTER_MS));
         }
@@ -142,12 +144,19 @@
             prefixes,
             tokens,
         };
-        self.drop_export(request, now_us);
+        // The new export takes the earlier one's memory over before a waiting stream can: both would
+        // else hold it.
+        self.exports.remove(&request);
+        self.free(earlier_tokens);
         self.hold(tokens.0, now_us);
         let due_us = now_us + EXPORT_HOLD_US;
         let what = export.clone();
         self.exports.insert(request, Timed { what, due_us });
         self.due.insert((due_us, Due::Export(request)));
+        if earlier_tokens > tokens.0 {
+            self.start_waiting(now_us);
+            self.begin_step(now_us);
+        }
         Ok(export)
     }
 
--- a/crates/stand-ins/tests/engine_model.rs
+++ b/crates/stand-ins/tests/engine_model.rs
@@ -313,6 +313,37 @@
     }
 }
 
+/// An engine says that it holds more memory than it has. A stream's KV was exported a second time
+/// while a long prompt waited: dropping the first export let the long prompt take its memory, and
+/// the second export then took it once more.
+#[test]
+fn a_second_export_finds_its_memory_still_there() {
+    let generate = |sequence, prompt, max| Action::Generate {
+        sequence,
+        family: 1,
+        prompt,
+        max,
+        priority: 0,
+    };
+    let actions = [
+        generate(12, 51_200, 1),
+        generate(1, 166_773, 1),
+        generate(2, 118_171, 24),
+        generate(3, 428_774, 27),
+        Action::Wait(1_528_671),
+        Action::Export(12),
+        Action::Reserve(1, 4_930),
+        Action::Wait(8_846_414),
+        Action::Export(12),
+    ];
+    let mut model = EngineModel::new(EngineSettings::default(), 3);
+    let (mut now_us, mut events) = (0, Vec::new());
+    for action in &actions {
+        apply(&mut model, action, &mut now_us, &mut events);
+        assert_eq!(model.verify(), Ok(()), "{action:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(128))]
 
