--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -4,7 +4,7 @@
 use super::choose::Chosen;
 use crate::http::{Exchange, Freshness, Link, SendError};
 use crate::journal::Event;
-use crate::outside::{AnswerHead, Send};
+use crate::outside::{AnswerHead, Sending};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bytes::Bytes as Buffer;
@@ -118,7 +118,7 @@
 }
 
 fn request(call: &Call, chosen: &Chosen, last_event: Option<&str>) -> Request<Full<Buffer>> {
-    let send = Send {
+    let send = Sending {
         deadline_ms: call.left_ms(),
         instance: &chosen.replica.instance,
         account: call.account.as_ref().map(|account| &account.name),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,6 +27,6 @@
     pub use crate::outside::{
         AnswerHead, CallHead, CallHeadError, ConfigNews, Cursor, Dialect, Directory,
         DirectoryError, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside, PendingRead,
-        ReplicaNews, Send,
+        ReplicaNews, Sending,
     };
 }
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -147,7 +147,7 @@
 
 /// What the node adds to a head that it sends on.
 #[derive(Clone, Debug)]
-pub struct Send<'a> {
+pub struct Sending<'a> {
     /// The time left.
     pub deadline_ms: SpanMs,
     /// The run of the replica that is meant.
@@ -186,7 +186,7 @@
     /// Reads a caller's head.
     fn call_head(&self, headers: &HeaderMap) -> Result<CallHead, CallHeadError>;
     /// The head to send to a replica.
-    fn send_headers(&self, headers: &HeaderMap, send: &Send<'_>) -> HeaderMap;
+    fn send_headers(&self, headers: &HeaderMap, send: &Sending<'_>) -> HeaderMap;
     /// Reads a replica's head, the answer to `request`.
     fn answer_head(&self, request: &str, status: u16, headers: &HeaderMap) -> AnswerHead;
     /// The headers of a replica's answer that the caller gets.
