--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -112,8 +112,7 @@
 
 /// What a request counts against others. Operators set no weights: longer prompts are wanted more,
 /// but less than in proportion, so that no long prompt outweighs the many short ones in its way.
-/// The power is between the square root, at which long prompts of an overloaded fleet were turned
-/// away nearly all, and 1.
+/// Other powers were not tried.
 pub fn weight(prompt_tokens: Tokens) -> f64 {
     (prompt_tokens.0.max(1) as f64 / 1000.0).powf(0.75)
 }
--- a/crates/fleet/src/placement/cost.rs
+++ b/crates/fleet/src/placement/cost.rs
@@ -12,8 +12,8 @@
 /// a quarter of those on time.
 pub const LATE_LOSS: f64 = 0.75;
 
-/// The part of the time allowed from which a pause counts as at risk: predictions of a pass were
-/// off by up to a quarter.
+/// The part of the time allowed from which a pause counts as at risk; chosen, not
+/// measured.
 const RISK_FROM: f64 = 0.7;
 
 /// The share of a target from which a first event counts as at risk.
--- a/crates/fleet/src/placement/price.rs
+++ b/crates/fleet/src/placement/price.rs
@@ -31,8 +31,8 @@
 const BUSY_FULL: f64 = 0.9;
 
 /// The highest price of a ms of reading for that reason, in units of weight; the price grows with
-/// the square of the share. At three quarters of it prompts of some 200,000 tokens wait. A price
-/// that grows evenly gained 0.006 less of what callers ask for, one of 0.008 0.02 less.
+/// the square of the share. At three quarters of it prompts of some 200,000 tokens wait. An
+/// even price of 0.015 from 0.1 gave a mean worth lower by 0.006 on both deployments (six seeds).
 const BUSY_PRICE: f64 = 0.025;
 
 /// The share of slots taken from which a slot has a price.
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -112,7 +112,7 @@
         true => search.price() * PRESSING_PRICE,
         false => search.price(),
     };
-    // Looking at all engines costs a small node a ms and more, and requests that wait look often.
+    // Spares the search below, which requests that wait would else repeat at each look.
     if !demand.begun && price > allowed {
         return Err(search.overloaded(price));
     }
--- a/crates/fleet/src/replicas/health.rs
+++ b/crates/fleet/src/replicas/health.rs
@@ -10,8 +10,7 @@
 
 use bluebell_base::prelude::*;
 
-/// The first pause after a failure that says the replica is away. A replica that restarts needs
-/// about as long.
+/// The first pause after a failure that says the replica is away. Chosen, not measured.
 const FIRST_PAUSE_MS: SpanMs = SpanMs(1_000);
 
 /// The longest pause, which bounds how late a replica that came back gets work again.
@@ -46,8 +45,7 @@
 impl Symptom {
     /// What a silence of `waited_ms` says of a replica that was expected to answer after
     /// `expected_ms`. Some callers leave so little time that no replica could answer: doubting it
-    /// for that took sound ones out for seconds (15 of 100 calls of a service with three replicas
-    /// on a calm day).
+    /// for that took sound ones out for seconds.
     pub fn of_silence(waited_ms: SpanMs, expected_ms: SpanMs) -> Self {
         match waited_ms >= expected_ms {
             true => Symptom::Silent,
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -16,8 +16,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How much longer than expected an engine may be silent before another is asked: predictions of
-/// busy engines are off by up to this factor.
+/// How much longer than expected an engine may be silent before another is asked; chosen, not
+/// measured.
 const SILENT_FACTOR: f64 = 2.0;
 
 /// What is added to it: engines stall for this long when a helper is gone, and say so then.
--- a/crates/front/src/http/pool.rs
+++ b/crates/front/src/http/pool.rs
@@ -8,8 +8,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// How long a connection is kept where the other side doesn't say. Replicas that say so keep theirs
-/// for five seconds and more.
+/// How long a connection is kept where the other side doesn't say; chosen, not measured. A close that
+/// crosses a request shows as a failed try.
 const KEPT_MS: SpanMs = SpanMs(4_000);
 
 /// How much earlier than the other side a connection is given up, so that a request doesn't cross
--- a/crates/front/src/journal/writer.rs
+++ b/crates/front/src/journal/writer.rs
@@ -10,8 +10,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// How many lines are gathered before the writer is woken: waking it for each would double the
-/// cost of a line.
+/// How much is gathered before the writer is woken, since each wake-up is charged; chosen, not
+/// measured.
 const GATHER_BYTES: usize = 8 * 1024;
 
 /// How many gathered blocks wait for a standard output that nobody reads; with the block being
--- a/crates/front/src/news/mod.rs
+++ b/crates/front/src/news/mod.rs
@@ -27,7 +27,8 @@
 const GATHER_MS: SpanMs = SpanMs(2);
 
 /// How long news of work that got further is gathered: peers reckon with it until then, which spares
-/// an engine for a moment too long, and each datagram to sixty peers costs about a ms.
+/// an engine for a moment too long. On 60 small nodes it took late short drafts from 449 to 348 of
+/// 3,467 (one calm day, processor time charged).
 const PATIENT_MS: SpanMs = SpanMs(60);
 
 /// How often a digest goes out, news or not. It is the longest that lost news misleads a peer.
