Load: a run that is stopped early offers what it began; the rollout's test outlasts its rollout

Cause: rolling_replacement_cuts_no_request had a load of fixed length (100 at 6/s), so on a busy machine the three restarts outlasted it and the test failed before it reached the product's promises. A load that is stopped after the rollout named its whole schedule as offered. Ruled out: a longer fixed load, which a busier machine outlasts again. Test: a_run_that_is_stopped_offers_what_it_began fails without the change (offered 1,000,000 for 1); the rollout's test now needs at least as many requests (100) and none lost, and lasts until after the third restart.

--- a/crates/ctl/tests/processes.rs
+++ b/crates/ctl/tests/processes.rs
@@ -60,7 +60,8 @@
     let _alone = alone();
     let mut fleet = Fleet::start(FleetPlan::default());
     let runs = Runs::of(&fleet);
-    let run = spawn(light(mixed(&fleet, &runs, 100, 6.0)));
+    // More than can end before the rollout does, on however busy a machine: it is stopped after.
+    let run = spawn(light(mixed(&fleet, &runs, 10_000, 6.0)));
     wait_ended(&run, 10);
     for index in 0..3 {
         fleet.stop_node(index);
@@ -69,7 +70,9 @@
         // A rollout gives each node time to take its share before the next is stopped.
         std::thread::sleep(ROLLOUT_PAUSE);
     }
-    assert!(run.ended() < 100, "the load ended before the last node");
+    // The load goes on after the rollout, which so was under load from its begin to its end.
+    wait_ended(&run, (run.ended() + 10).max(100));
+    run.stop();
     let report = run.join();
     assert_true(&report);
     assert_eq!(report.resumes, 0, "{report}");
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -12,11 +12,11 @@
 use crate::plan::{LoadPlan, PlanError};
 use crate::prompt::PromptMaker;
 use crate::report::Report;
-use crate::schedule::{Planned, Schedule};
+use crate::schedule::{Kind, Planned, Schedule};
 use crate::tally::Tally;
 use crate::truth::{Untruths, compare};
 use bluebell_base::prelude::*;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -32,6 +32,7 @@
     shared: Shared,
     schedule: Schedule,
     next: AtomicUsize,
+    begun: AtomicU64,
     stopped: AtomicBool,
     tally: Mutex<Tally>,
 }
@@ -56,12 +57,23 @@
         while !self.is_stopped() {
             let left = at.saturating_duration_since(Instant::now());
             if left.is_zero() {
+                let through = u64::from(planned.kind != Kind::Direct);
+                self.begun.fetch_add(through, Ordering::Relaxed);
                 return Some(planned);
             }
             std::thread::sleep(left.min(MAX_NAP));
         }
         None
     }
+
+    /// How many requests were to be sent: those of the schedule, or those that began before an
+    /// early end.
+    fn offered(&self) -> u64 {
+        match self.is_stopped() {
+            true => self.begun.load(Ordering::Relaxed),
+            false => self.schedule.offered(),
+        }
+    }
 }
 
 /// A run under way.
@@ -89,6 +101,7 @@
         },
         schedule,
         next: AtomicUsize::new(0),
+        begun: AtomicU64::new(0),
         stopped: AtomicBool::new(false),
         tally: Mutex::new(Tally::new()),
     });
@@ -157,6 +170,7 @@
             }
         }
         let took_ms = SpanMs(self.state.shared.start.elapsed().as_millis() as u64);
+        let offered = self.state.offered();
         self.state.stopped.store(true, Ordering::Relaxed);
         self.watcher.thread().unpark();
         if self.watcher.join().is_err() {
@@ -167,7 +181,7 @@
         Report::of(
             &tally,
             plan.seed,
-            self.state.schedule.offered(),
+            offered,
             took_ms,
             plan.oracle.is_some(),
             untruths(plan, &tally),
--- a/crates/load/tests/answers.rs
+++ b/crates/load/tests/answers.rs
@@ -428,3 +428,26 @@
         "{end_ms} of {whole_ms} ms"
     );
 }
+
+/// A run is ended early, as an operator does by hand. Its report named all requests of the schedule
+/// as offered, so those that never began looked lost.
+#[test]
+fn a_run_that_is_stopped_offers_what_it_began() {
+    let server = Scripted::bind(vec![stream(&[0, 1, 2], DONE); 50]);
+    let mut plan = LoadPlan::new(
+        vec![server.address.clone()],
+        AccountKey::new("key"),
+        ClassName::from("draft"),
+    );
+    plan.requests = 1_000_000;
+    plan.rate = PerSecond(20.0);
+    let run = bluebell_load::spawn(plan).expect("a right plan");
+    while run.ended() == 0 {
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    run.stop();
+    let report = run.join();
+    server.stop();
+    assert!((1..=50).contains(&report.offered), "{report}");
+    assert_eq!(report.ended, report.offered, "{report}");
+}
