--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -46,10 +46,34 @@
     Demo(Demo),
     /// What became of a request.
     Explain(Explain),
+    /// The fault soak.
+    Soak(Soak),
     /// Stand-ins.
     StandIn(StandIn),
 }
 
+/// Run nodes as processes under random faults, and check what callers and replicas see.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct Soak {
+    /// the first seed (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// how many seeds are played, from the first on (default 1)
+    #[argh(option, default = "1")]
+    pub seeds: u64,
+    /// how many are played beside each other (default 1)
+    #[argh(option, default = "1")]
+    pub jobs: usize,
+    /// how long each lasts, in seconds, 14 at least (default 24)
+    #[argh(option, default = "24")]
+    pub seconds: u64,
+    /// where settings and logs of nodes are kept (default soak-logs under the system's folder for
+    /// temporary files)
+    #[argh(option)]
+    pub folder: Option<String>,
+}
+
 /// Show what became of a request: its lines from nodes' logs, in order, and what they mean.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod load;
 mod node;
+mod soak;
 mod stand_in;
 
 use crate::args::{Command, Ctl};
@@ -24,6 +25,7 @@
         Command::Capacity(args) => capacity::run(args, ctl.json),
         Command::Demo(args) => demo::run(args, ctl.json),
         Command::Explain(args) => explain::run(args),
+        Command::Soak(args) => soak::run(args),
         Command::StandIn(stand_in) => stand_in::run(&stand_in.kind, ctl.json),
     }
 }
