--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -109,6 +109,7 @@
     &["bench"],
     &["demo"],
     &["explain"],
+    &["soak"],
     &["stand-in"],
     &["stand-in", "engine"],
     &["stand-in", "service"],
