--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -95,7 +95,7 @@
 }
 
 /// Every command, in the order of the page.
-const COMMANDS: [&[&str]; 19] = [
+const COMMANDS: [&[&str]; 20] = [
     &[],
     &["config"],
     &["config", "check"],
