--- a/crates/ctl/src/commands/stand_in.rs
+++ b/crates/ctl/src/commands/stand_in.rs
@@ -109,20 +109,8 @@
         domain: args.domain.parse().map_err(CommandError::usage)?,
         state: VmState::Live,
     };
-    let started = Started {
-        stand_in: "engine",
-        name: Some(entry.name.as_str()),
-        address: &entry.address,
-    };
-    started.print(json)?;
-    let _registration = match &args.platform {
-        Some(platform) => {
-            let platform = address("--platform", platform)?;
-            Some(server.register(platform, entry, REGISTER_INTERVAL))
-        }
-        None => None,
-    };
-    wait_for_signal()
+    let register = |platform, entry| server.register(platform, entry, REGISTER_INTERVAL);
+    serve("engine", entry, args.platform.as_deref(), json, register)
 }
 
 fn service(args: &StandInService, json: bool) -> Result<(), CommandError> {
@@ -141,19 +129,26 @@
         domain: args.domain.parse().map_err(CommandError::usage)?,
         state: VmState::Live,
     };
+    let register = |platform, entry| server.register(platform, entry, REGISTER_INTERVAL);
+    serve("service", entry, args.platform.as_deref(), json, register)
+}
+
+/// Tells where a stand-in serves, registers it where there is a platform, and waits for its end.
+fn serve<R>(
+    stand_in: &'static str,
+    entry: VmEntry,
+    platform: Option<&str>,
+    json: bool,
+    register: impl FnOnce(Address, VmEntry) -> R,
+) -> Result<(), CommandError> {
     let started = Started {
-        stand_in: "service",
+        stand_in,
         name: Some(entry.name.as_str()),
         address: &entry.address,
     };
     started.print(json)?;
-    let _registration = match &args.platform {
-        Some(platform) => {
-            let platform = address("--platform", platform)?;
-            Some(server.register(platform, entry, REGISTER_INTERVAL))
-        }
-        None => None,
-    };
+    let platform = platform.map(|platform| address("--platform", platform));
+    let _registration = platform.transpose()?.map(|at| register(at, entry));
     wait_for_signal()
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod serving;
 pub mod silence;
 pub mod stopping;
+pub mod urgency;
 
 /// What users of this package import.
 pub mod prelude {
@@ -37,4 +38,5 @@
         Account, ClientLimits, Route, RouteKind, RouteLookup, Service, ServingConfig, Split,
     };
     pub use crate::stopping::StopPlan;
+    pub use crate::urgency::Urgency;
 }
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -63,6 +63,13 @@
         Patience::of(self.route.target_ms, gap_ms)
     }
 
+    /// How urgent it is: the account's rank goes before the route's.
+    pub fn urgency(&self) -> Urgency {
+        let account = self.account.as_ref().and_then(|account| account.priority);
+        let rank = account.unwrap_or(self.route.priority);
+        Urgency::of(rank, self.route.target_ms)
+    }
+
     /// The time left until its caller gives up waiting for a first event.
     pub fn silence_left_ms(&self) -> SpanMs {
         (self.arrived_ms + self.patience().silence_ms).since(self.node.now_ms())
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -151,6 +151,7 @@
         deadline_ms: call.left_ms(),
         instance: &chosen.replica.instance,
         account: call.account.as_ref().map(|account| &account.name),
+        urgency: call.urgency(),
         helpers: &chosen.helpers,
         last_event,
     };
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -154,6 +154,8 @@
     pub instance: &'a str,
     /// The caller's account.
     pub account: Option<&'a AccountName>,
+    /// How urgent it is beside others that wait at the replica.
+    pub urgency: Urgency,
     /// The replicas that help to read the prompt.
     pub helpers: &'a [Helper],
     /// The last event that the caller has, where this try goes on from it.
