--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -101,6 +101,12 @@
     /// The prompt is longer than all memory that can be set aside for one.
     #[error("the prompt is longer than the engines' memory")]
     TooLong,
+    /// No engine has a slot and the memory for it now; either comes free as answers end.
+    #[error("no engine has room for it now")]
+    NoRoom {
+        /// When coming back may help.
+        retry_after_ms: SpanMs,
+    },
     /// Serving it would cost others more than it gains.
     #[error("the engines are full: the best place costs {cost_pct} % of what it gains")]
     Overloaded {
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -117,7 +117,8 @@
         return Err(search.overloaded(price));
     }
     let Some((cost, placement)) = search.best() else {
-        return Err(search.overloaded(f64::INFINITY));
+        let retry_after_ms = search.retry_after_ms();
+        return Err(Refusal::NoRoom { retry_after_ms });
     };
     if !demand.begun && cost + price > allowed {
         return Err(search.overloaded(cost + price));
@@ -161,13 +162,17 @@
     }
 
     fn overloaded(&self, cost: f64) -> Refusal {
-        let after_ms = self.demand.target_ms * RETRY_AFTER_PART;
         Refusal::Overloaded {
             cost_pct: (cost / self.own_weight * 100.0) as u32,
-            retry_after_ms: SpanMs(after_ms.max(LEAST_RETRY_AFTER_MS) as u64),
+            retry_after_ms: self.retry_after_ms(),
         }
     }
 
+    fn retry_after_ms(&self) -> SpanMs {
+        let after_ms = self.demand.target_ms * RETRY_AFTER_PART;
+        SpanMs(after_ms.max(LEAST_RETRY_AFTER_MS) as u64)
+    }
+
     fn late(&self, first_event_ms: f64) -> f64 {
         let stride = f64::from(self.spec.stride.max(1));
         let passes = self.demand.answer_tokens.0 as f64 * WRITTEN_PART / stride;
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -79,6 +79,7 @@
 /// Whether a refusal may be gone before the request has waited for as long as it may.
 fn may_pass(refusal: &Refusal) -> bool {
     match refusal {
+        Refusal::NoRoom { .. } => true,
         Refusal::Overloaded { cost_pct, .. } => Patience::may_help(*cost_pct),
         Refusal::NoReplica | Refusal::TooLong => false,
     }
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -125,7 +125,9 @@
 /// No replica takes the request.
 pub(super) fn give_up(call: &Call, ran: Verdict, refusal: &Refusal) -> Answer {
     let retry_after_ms = match refusal {
-        Refusal::Overloaded { retry_after_ms, .. } => *retry_after_ms,
+        Refusal::Overloaded { retry_after_ms, .. } | Refusal::NoRoom { retry_after_ms } => {
+            *retry_after_ms
+        }
         Refusal::NoReplica | Refusal::TooLong => NOBODY_RETRY_MS,
     };
     let why = refusal.to_string();
