Trust: a kept connection that breaks doesn't doubt its replica at once

Replicas drop connections that rested, sooner than they say. Change: such a break counts as one failure; a new connection that fails still doubts at once. Ruled out: keeping connections for less time, since new ones are dear.

--- a/crates/fleet/src/reading/mod.rs
+++ b/crates/fleet/src/reading/mod.rs
@@ -8,7 +8,7 @@
 //! node begins a read every now and then, so each one's may stay open for longer the more there
 //! are. A node that hears nobody has to notice by itself.
 //!
-//! Invariants: a longer fleet never reads more often than a shorter one, for each node.
+//! Invariants: a node of a larger fleet never reads more often than one of a smaller.
 
 use bluebell_base::prelude::*;
 
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -100,8 +100,8 @@
                 freshness = Freshness::New;
             }
             Err(SendError::Broken(why)) => {
-                let ran = Verdict::MayHaveRun;
-                return Err(TryError::new(&why, ran, Symptom::Unreachable));
+                let symptom = of_broken(link.reused);
+                return Err(TryError::new(&why, Verdict::MayHaveRun, symptom));
             }
             Err(error) => return Err(never_arrived(&error)),
         }
@@ -124,6 +124,18 @@
     });
 }
 
+/// What a connection that broke under a request says of its replica.
+///
+/// Replicas drop connections that rested, sooner than they say, and whatever comes next is reset.
+/// Taken for an unreachable replica, that kept 49 sound replicas from all nodes for a second and
+/// more on one day. One that is really gone shows by the next connection to it.
+fn of_broken(reused: bool) -> Symptom {
+    match reused {
+        true => Symptom::Failed,
+        false => Symptom::Unreachable,
+    }
+}
+
 fn never_arrived(error: &SendError) -> TryError {
     TryError {
         arrived: false,
