Replicas: each start has a key of its own; entries of other writers name none

Now the start is part of a replica's key, tries at an earlier start end at once, earlier entries are ignored, and an entry that can't be read is told of once and changes nothing.

Ruled out: taking an unreadable entry for a removal (a spoiler would empty the fleet); the node's own clock as a judge of starts (it jumps).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,7 +32,8 @@
     pub use crate::patience::Patience;
     pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
     pub use crate::replicas::{
-        Fingerprint, Replica, ReplicaChange, ReplicaKey, ReplicaState, ReplicaTable, Symptom,
+        Fingerprint, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState, ReplicaTable,
+        Symptom,
     };
     pub use crate::serving::{
         Account, ClientLimits, Route, RouteKind, RouteLookup, Service, ServingConfig, Split,
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -4,16 +4,20 @@
 //! - a *listed* replica has an entry in the directory; a *lapsed* one lost its entry while the
 //!   directory was away, and is kept until the directory had time to hear of it again;
 //! - a *doubted* replica failed lately and gets no work until its pause is over, then one request
-//!   on *trial* at a time until an answer is good.
+//!   on *trial* at a time until an answer is good;
+//! - a replica that crashed may *start* again under its instance name: it then has nothing in hand,
+//!   and nothing that was believed of its earlier start holds. Each start has a key of its own, so
+//!   trust, work and memory of the earlier one are forgotten with its key.
 //!
-//! Invariants: a draining or removed replica gets no new work; two replicas never share an address.
+//! Invariants: a draining or removed replica gets no new work; two replicas of configured services
+//! never share an address; an entry of an earlier start changes nothing.
 
 mod health;
 
 pub use health::{Health, Symptom};
 
 use bluebell_base::prelude::*;
-use rustc_hash::{FxHashMap, FxHasher};
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::hash::Hasher;
@@ -23,7 +27,21 @@
 /// those that live within two seconds again.
 const RELIST_MS: SpanMs = SpanMs(2_000);
 
-/// A replica's key as all nodes know it: a hash of its instance name.
+/// How long a removed replica's start is remembered: an entry that was read before the removal
+/// travels between nodes for less.
+const REMOVED_REMEMBERED_MS: SpanMs = SpanMs(30_000);
+
+/// When a run of a replica began, in Unix ms by its own clock. It only orders the starts of one
+/// instance and is never compared with a node's clock, which may jump.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ReplicaStart(pub u64);
+
+impl ReplicaStart {
+    /// The replica doesn't say; any start that is told is later.
+    pub const UNTOLD: Self = Self(0);
+}
+
+/// A replica's key as all nodes know it: a hash of its instance name and its start.
 ///
 /// Four bytes keep what nodes tell each other short. Among 1,800 replicas two share a key with a
 /// chance of 4 in 10,000; both would then count as one load, which is wrong and harmless.
@@ -32,10 +50,11 @@
 pub struct ReplicaKey(pub u32);
 
 impl ReplicaKey {
-    /// The key of the replica that calls itself `instance`.
-    pub fn of(instance: &str) -> Self {
+    /// The key of the replica that calls itself `instance` and began at `started`.
+    pub fn of(instance: &str, started: ReplicaStart) -> Self {
         let mut hasher = FxHasher::default();
         hasher.write(instance.as_bytes());
+        hasher.write_u64(started.0);
         let hash = hasher.finish();
         Self((hash >> 32) as u32 ^ hash as u32)
     }
@@ -70,8 +89,10 @@
 /// A replica as the directory lists it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Replica {
-    /// The name of this run of it; a restarted replica has another.
+    /// Its name, which may outlast a restart.
     pub instance: Arc<str>,
+    /// When this run of it began.
+    pub started: ReplicaStart,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -91,6 +112,20 @@
     Listed(Replica),
     /// The entry of this instance is gone.
     Removed(Arc<str>),
+    /// The entry of this instance can't be read.
+    Unreadable {
+        /// The instance.
+        instance: Arc<str>,
+        /// What is wrong with the entry.
+        why: Arc<str>,
+    },
+}
+
+impl Replica {
+    /// Its key.
+    pub fn key(&self) -> ReplicaKey {
+        ReplicaKey::of(&self.instance, self.started)
+    }
 }
 
 /// What a change did to the table.
@@ -98,6 +133,10 @@
 pub enum TableEvent {
     /// A replica that wasn't known.
     Found,
+    /// A known replica has started again; what the earlier start had in hand is lost.
+    Restarted,
+    /// An entry that names no replica to use, seen for the first time.
+    Unusable,
     /// A known replica stopped taking work.
     Leaving,
     /// A replica's entry is gone.
@@ -119,6 +158,14 @@
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
     rows: FxHashMap<ReplicaKey, Row>,
+    /// The key of each known instance's latest start.
+    keys: FxHashMap<Arc<str>, ReplicaKey>,
+    /// The starts of instances that were removed lately, and when.
+    removed: FxHashMap<Arc<str>, (ReplicaStart, MonoMs)>,
+    /// The instances whose last entry was found unusable, so that each is told of once.
+    unusable: FxHashSet<Arc<str>>,
+    /// The services of the configuration; none before the first.
+    services: Option<FxHashSet<ServiceName>>,
     /// When the directory was last found back after it had been away.
     back_at_ms: Option<MonoMs>,
     away: bool,
@@ -144,41 +191,120 @@
         self.away || back.is_some_and(|at_ms| now_ms.since(at_ms) < RELIST_MS)
     }
 
+    /// The services that the configuration in force names. Entries of others are kept, since a later
+    /// configuration may name them, but take no place from a replica that is in use.
+    pub fn set_services(&mut self, services: impl Iterator<Item = ServiceName>) {
+        self.services = Some(services.collect());
+    }
+
+    fn is_configured(&self, service: &ServiceName) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(service))
+    }
+
     /// Takes a change in.
     pub fn apply(&mut self, change: ReplicaChange, now_ms: MonoMs) -> TableEvent {
         match change {
             ReplicaChange::Listed(replica) => self.list(replica),
             ReplicaChange::Removed(instance) => self.remove(&instance, now_ms),
+            ReplicaChange::Unreadable { instance, .. } => self.note_unusable(instance),
+        }
+    }
+
+    /// An entry that names no replica to use says nothing of one that an earlier entry of the same
+    /// instance named: that one is used until its own next entry, its removal or its answers say
+    /// otherwise. Taken for a removal, a writer that spoils entries would take the fleet out.
+    fn note_unusable(&mut self, instance: Arc<str>) -> TableEvent {
+        match self.unusable.insert(instance) {
+            true => TableEvent::Unusable,
+            false => TableEvent::Unchanged,
         }
     }
 
     fn list(&mut self, replica: Replica) -> TableEvent {
-        let key = ReplicaKey::of(&replica.instance);
-        if let Some(row) = self.rows.get_mut(&key) {
-            row.lapsed_at_ms = None;
-            let was = row.replica.state;
-            let is = replica.state;
-            if *row.replica != replica {
-                row.replica = Arc::new(replica);
+        let known = self.keys.get(&replica.instance).copied();
+        let row = known.and_then(|key| self.rows.get(&key));
+        if let Some(row) = row {
+            let usurps =
+                !self.is_configured(&replica.service) && self.is_configured(&row.replica.service);
+            if usurps {
+                return self.note_unusable(replica.instance);
             }
-            return match was == ReplicaState::Ready && is == ReplicaState::Draining {
-                true => TableEvent::Leaving,
-                false => TableEvent::Unchanged,
-            };
         }
-        let address = replica.address;
-        self.rows.retain(|_, row| row.replica.address != address);
+        let removed = self.removed.get(&replica.instance);
+        let latest = row
+            .map(|row| row.replica.started)
+            .max(removed.map(|(started, _)| *started));
+        if latest.is_some_and(|latest| replica.started < latest) {
+            return TableEvent::Unchanged;
+        }
+        self.unusable.remove(&replica.instance);
+        let key = replica.key();
+        match known {
+            Some(known) if known == key => self.update(key, replica),
+            Some(known) => {
+                self.rows.remove(&known);
+                self.insert(key, replica);
+                TableEvent::Restarted
+            }
+            None => {
+                self.insert(key, replica);
+                TableEvent::Found
+            }
+        }
+    }
+
+    fn update(&mut self, key: ReplicaKey, replica: Replica) -> TableEvent {
+        let Some(row) = self.rows.get_mut(&key) else {
+            return TableEvent::Unchanged;
+        };
+        row.lapsed_at_ms = None;
+        let was = row.replica.state;
+        let is = replica.state;
+        if *row.replica != replica {
+            row.replica = Arc::new(replica);
+        }
+        match was == ReplicaState::Ready && is == ReplicaState::Draining {
+            true => TableEvent::Leaving,
+            false => TableEvent::Unchanged,
+        }
+    }
+
+    fn insert(&mut self, key: ReplicaKey, replica: Replica) {
+        if self.is_configured(&replica.service) {
+            self.free_address(replica.address);
+        }
+        self.removed.remove(&replica.instance);
+        self.keys.insert(replica.instance.clone(), key);
         let row = Row {
             replica: Arc::new(replica),
             health: Health::default(),
             lapsed_at_ms: None,
         };
         self.rows.insert(key, row);
-        TableEvent::Found
+    }
+
+    /// Drops who was known at an address that another replica has now.
+    fn free_address(&mut self, address: SocketAddr) {
+        let there = self.rows.iter();
+        let there = there.filter(|(_, row)| row.replica.address == address);
+        let there: Vec<ReplicaKey> = there.map(|(key, _)| *key).collect();
+        for key in there {
+            self.drop_row(key);
+        }
+    }
+
+    fn drop_row(&mut self, key: ReplicaKey) -> Option<Row> {
+        let row = self.rows.remove(&key)?;
+        self.keys.remove(&row.replica.instance);
+        Some(row)
     }
 
     fn remove(&mut self, instance: &str, now_ms: MonoMs) -> TableEvent {
-        let key = ReplicaKey::of(instance);
+        self.unusable.remove(instance);
+        let Some(key) = self.keys.get(instance).copied() else {
+            return TableEvent::Unchanged;
+        };
         if self.settling(now_ms) {
             let Some(row) = self.rows.get_mut(&key) else {
                 return TableEvent::Unchanged;
@@ -186,8 +312,13 @@
             row.lapsed_at_ms.get_or_insert(now_ms);
             return TableEvent::Lapsed;
         }
-        match self.rows.remove(&key) {
-            Some(_) => TableEvent::Removed,
+        match self.drop_row(key) {
+            Some(row) => {
+                let replica = &row.replica;
+                let start = (replica.started, now_ms);
+                self.removed.insert(replica.instance.clone(), start);
+                TableEvent::Removed
+            }
             None => TableEvent::Unchanged,
         }
     }
@@ -195,13 +326,9 @@
     /// Keeps only `listed`, the whole directory as just read; lapses are judged as for
     /// [`ReplicaTable::apply`].
     pub fn retain_listed(&mut self, listed: &[Arc<str>], now_ms: MonoMs) {
-        let listed: Vec<ReplicaKey> = listed.iter().map(|i| ReplicaKey::of(i)).collect();
-        let gone: Vec<Arc<str>> = self
-            .rows
-            .iter()
-            .filter(|(key, _)| !listed.contains(key))
-            .map(|(_, row)| row.replica.instance.clone())
-            .collect();
+        let listed: FxHashSet<&Arc<str>> = listed.iter().collect();
+        let known = self.keys.keys();
+        let gone: Vec<Arc<str>> = known.filter(|i| !listed.contains(i)).cloned().collect();
         for instance in gone {
             self.remove(&instance, now_ms);
         }
@@ -209,22 +336,27 @@
 
     /// Drops lapsed replicas that the directory didn't list again; returns those dropped.
     pub fn expire(&mut self, now_ms: MonoMs) -> Vec<Arc<Replica>> {
+        self.removed
+            .retain(|_, (_, at_ms)| now_ms.since(*at_ms) < REMOVED_REMEMBERED_MS);
         if self.settling(now_ms) {
             return Vec::new();
         }
-        let mut dropped = Vec::new();
-        self.rows.retain(|_, row| {
-            if row.lapsed_at_ms.is_some() {
-                dropped.push(row.replica.clone());
-            }
-            row.lapsed_at_ms.is_none()
-        });
-        dropped
+        let lapsed = self.rows.iter();
+        let lapsed = lapsed.filter(|(_, row)| row.lapsed_at_ms.is_some());
+        let lapsed: Vec<ReplicaKey> = lapsed.map(|(key, _)| *key).collect();
+        let dropped = lapsed.into_iter().filter_map(|key| self.drop_row(key));
+        dropped.map(|row| row.replica).collect()
     }
 
     /// A replica that answered as another instance is gone from its address.
     pub fn on_stranger(&mut self, key: ReplicaKey) {
-        self.rows.remove(&key);
+        self.drop_row(key);
+    }
+
+    /// Whether a later start of this replica is known.
+    pub fn has_restarted(&self, replica: &Replica) -> bool {
+        let known = self.keys.get(&replica.instance);
+        known.is_some_and(|key| *key != replica.key())
     }
 
     /// The replica with this key.
@@ -258,6 +390,12 @@
         if lapsed.len() > ready.len() {
             ready.extend(lapsed);
         }
+        // Where replicas tell their starts, an entry without one wasn't written by a replica.
+        let untold = |row: &Row| row.replica.started == ReplicaStart::UNTOLD;
+        let strangers = ready.iter().filter(|(_, row)| untold(row)).count();
+        if strangers * 2 < ready.len() {
+            ready.retain(|(_, row)| !untold(row));
+        }
         ready.sort_unstable_by_key(|(key, _)| **key);
         let seen = ready.into_iter();
         seen.map(|(key, row)| (*key, &row.replica, &row.health))
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -86,6 +86,12 @@
             body: body.to_bytes(),
         })
     };
+    let exchange = async {
+        tokio::select! {
+            result = exchange => result,
+            error = tries::restarted(call, &chosen.replica, Verdict::MayHaveRun) => Err(error),
+        }
+    };
     match tokio::time::timeout(Duration::from(limit_ms), exchange).await {
         Ok(result) => result,
         Err(_) => {
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -8,7 +8,7 @@
 use super::choose::{Chosen, choose_for_rest};
 use super::events::{EventSplitter, Events};
 use super::stream::{Begun, first_event};
-use super::tries::{TryError, may_try_again, note_failure};
+use super::tries::{TryError, may_try_again, note_failure, restarted};
 use crate::http::Link;
 use crate::journal::Event;
 use bluebell_base::prelude::*;
@@ -113,6 +113,9 @@
             let frame = tokio::select! {
                 frame = source.body.frame() => frame,
                 () = self.out.closed() => return Stop::CallerGone,
+                error = restarted(&self.call, &self.chosen.replica, Verdict::Ran) => {
+                    return Stop::Broken(error);
+                }
                 () = self.silence() => {
                     let error = TryError::new(
                         "the engine fell silent",
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -65,6 +65,7 @@
     let sent_ms = call.node.now_ms();
     let expected_ms = chosen.expected_ms;
     let work = chosen.held.work_id();
+    let replica = chosen.replica.clone();
     let reading_left_ms = || {
         let now_ms = call.node.now_ms();
         work.and_then(|id| call.node.with(|s| s.ledger.reading_left_ms(id, now_ms)))
@@ -74,6 +75,12 @@
         let reply = tries::send(call, chosen, attempt, last_event).await?;
         begin_stream(reply).await
     };
+    let begin = async {
+        tokio::select! {
+            result = begin => result,
+            error = tries::restarted(call, &replica, Verdict::MayHaveRun) => Err(error),
+        }
+    };
     tokio::pin!(begin);
     loop {
         if let Ok(result) = tokio::time::timeout(Duration::from(limit_ms), &mut begin).await {
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -70,6 +70,16 @@
     }
 }
 
+/// Ends once the replica of a try has started again.
+///
+/// A replica that crashes behind a cut resets nothing, so the try would wait for as long as a silence
+/// may last, although what it asked for is lost. The directory names the new start within a second
+/// or so; the request may have run at the earlier one.
+pub(super) async fn restarted(call: &Call, replica: &Replica, ran: Verdict) -> TryError {
+    call.node.watching.restarted(&call.node, replica).await;
+    TryError::new("the replica has started again", ran, Symptom::Unjudged)
+}
+
 /// A replica's answer that is to be passed on.
 pub(super) struct Reply {
     pub answer: Exchange,
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -37,6 +37,14 @@
         key: ReplicaKey,
         address: SocketAddr,
     },
+    /// A replica has started again; what its earlier start had in hand is lost.
+    ReplicaRestarted {
+        instance: Arc<str>,
+        key: ReplicaKey,
+        started: ReplicaStart,
+    },
+    /// A directory entry names no replica to use.
+    EntryUnusable { instance: Arc<str>, why: Arc<str> },
     /// A replica takes no new work.
     ReplicaLeaving { instance: Arc<str> },
     /// A replica's entry lapsed while the directory was away.
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -8,7 +8,7 @@
 
 /// The version of the format; datagrams of another are ignored, so that nodes of two releases can
 /// run beside each other.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/front/src/news/replicas.rs
+++ b/crates/front/src/news/replicas.rs
@@ -22,6 +22,7 @@
     /// It is listed so.
     Listed {
         instance: Arc<str>,
+        started: ReplicaStart,
         service: Arc<str>,
         address: SocketAddr,
         domain: Arc<str>,
@@ -38,7 +39,7 @@
             cursor: told.cursor.0,
             before: told.before,
             after: told.after,
-            changes: told.changes.into_iter().map(Into::into).collect(),
+            changes: told.changes.into_iter().filter_map(change_news).collect(),
         }
     }
 }
@@ -54,19 +55,20 @@
     }
 }
 
-impl From<ReplicaChange> for ChangeNews {
-    fn from(change: ReplicaChange) -> Self {
-        match change {
-            ReplicaChange::Removed(instance) => Self::Removed(instance),
-            ReplicaChange::Listed(replica) => Self::Listed {
-                instance: replica.instance,
-                service: replica.service.0,
-                address: replica.address,
-                domain: replica.domain.0,
-                slots: replica.slots,
-                ready: replica.state == ReplicaState::Ready,
-            },
-        }
+/// What peers are told of a change; nothing of an entry that can't be read, which changes no table.
+fn change_news(change: ReplicaChange) -> Option<ChangeNews> {
+    match change {
+        ReplicaChange::Unreadable { .. } => None,
+        ReplicaChange::Removed(instance) => Some(ChangeNews::Removed(instance)),
+        ReplicaChange::Listed(replica) => Some(ChangeNews::Listed {
+            instance: replica.instance,
+            started: replica.started,
+            service: replica.service.0,
+            address: replica.address,
+            domain: replica.domain.0,
+            slots: replica.slots,
+            ready: replica.state == ReplicaState::Ready,
+        }),
     }
 }
 
@@ -76,6 +78,7 @@
             ChangeNews::Removed(instance) => Self::Removed(instance),
             ChangeNews::Listed {
                 instance,
+                started,
                 service,
                 address,
                 domain,
@@ -83,6 +86,7 @@
                 ready,
             } => Self::Listed(Replica {
                 instance,
+                started,
                 service: ServiceName(service),
                 address,
                 domain: DomainName(domain),
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -85,6 +85,8 @@
         if old.is_some_and(|old| old >= version) {
             return None;
         }
+        let services = config.services().map(|service| service.name.clone());
+        state.replicas.set_services(services);
         state.config = Some(config);
         Some(old)
     });
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -105,7 +105,12 @@
             continue;
         };
         node.journal.tell(&event);
-        mattered.push(change);
+        if seen != TableEvent::Unusable {
+            mattered.push(change);
+        }
+        if seen == TableEvent::Restarted {
+            node.watching.replica_restarted.notify_waiters();
+        }
     }
     mattered
 }
@@ -114,24 +119,43 @@
 fn event_of(seen: TableEvent, change: &ReplicaChange) -> Option<Event> {
     let instance = match change {
         ReplicaChange::Listed(replica) => replica.instance.clone(),
-        ReplicaChange::Removed(instance) => instance.clone(),
+        ReplicaChange::Removed(instance) | ReplicaChange::Unreadable { instance, .. } => {
+            instance.clone()
+        }
     };
     match (seen, change) {
         (TableEvent::Found, ReplicaChange::Listed(replica)) => Some(Event::ReplicaFound {
-            key: ReplicaKey::of(&instance),
+            key: replica.key(),
             instance,
             address: replica.address,
         }),
+        (TableEvent::Restarted, ReplicaChange::Listed(replica)) => Some(Event::ReplicaRestarted {
+            key: replica.key(),
+            instance,
+            started: replica.started,
+        }),
+        (TableEvent::Unusable, ReplicaChange::Unreadable { why, .. }) => {
+            Some(Event::EntryUnusable {
+                instance,
+                why: why.clone(),
+            })
+        }
+        (TableEvent::Unusable, _) => Some(Event::EntryUnusable {
+            instance,
+            why: "its service isn't configured".into(),
+        }),
         (TableEvent::Leaving, _) => Some(Event::ReplicaLeaving { instance }),
         (TableEvent::Removed, _) => Some(Event::ReplicaGone { instance }),
         (TableEvent::Lapsed, _) => Some(Event::ReplicaLapsed { instance }),
-        (TableEvent::Unchanged | TableEvent::Found, _) => None,
+        (TableEvent::Unchanged | TableEvent::Found | TableEvent::Restarted, _) => None,
     }
 }
 
 fn listed(change: &ReplicaChange) -> Option<Arc<str>> {
     match change {
         ReplicaChange::Listed(replica) => Some(replica.instance.clone()),
+        // An entry that can't be read is there all the same: its replica isn't gone for it.
+        ReplicaChange::Unreadable { instance, .. } => Some(instance.clone()),
         ReplicaChange::Removed(_) => None,
     }
 }
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -27,6 +27,8 @@
     pub(super) newer_config: Notify,
     /// A peer's table of replicas differs.
     pub(super) other_replicas: Notify,
+    /// A replica has started again.
+    pub(super) replica_restarted: Notify,
     /// The newest version of the configuration that a peer told of.
     told_config: Cell<Option<ConfigVersion>>,
     /// Up to where the directory's replicas are known, and since when.
@@ -62,6 +64,17 @@
         own.is_some() && own < self.told_config.get()
     }
 
+    /// Ends once a later start of `replica` is known.
+    pub async fn restarted(&self, node: &Node, replica: &Replica) {
+        loop {
+            let notified = self.replica_restarted.notified();
+            if node.with(|state| state.replicas.has_restarted(replica)) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
     /// A peer has read the replicas.
     pub fn on_peer_replicas(&self, node: &Node, told: ReplicasTold) {
         let Some((known, _)) = self.confirmed.get() else {
