Silence: a silent try is given up only where another engine takes its request

What they had read was thrown away.

Ruled out: waiting longer for all (a dead engine then holds its work though others are free).

Kept since its callers get an answer instead of a failure.

--- a/crates/fleet/src/budget/mod.rs
+++ b/crates/fleet/src/budget/mod.rs
@@ -73,16 +73,23 @@
         window.requests_at.push_back(now_ms);
     }
 
-    /// Takes a repeat for `service` where the share of one of `nodes` nodes still has one.
-    pub fn take(&mut self, service: &ServiceName, nodes: usize, now_ms: MonoMs) -> bool {
+    /// Whether the share of one of `nodes` nodes still has a repeat for `service`.
+    pub fn has_left(&mut self, service: &ServiceName, nodes: usize, now_ms: MonoMs) -> bool {
         let window = self.windows.entry(service.clone()).or_default();
         window.expire(now_ms - self.limits.window_ms);
         let own = window.requests_at.len() as f64 * self.limits.ratio * RATIO_USED;
         let part = self.limits.allowance * ALLOWANCE_USED / nodes.max(1) as f64;
-        if window.repeats_at.len() as f64 + 1.0 > own + part {
+        window.repeats_at.len() as f64 + 1.0 <= own + part
+    }
+
+    /// Takes a repeat for `service` where the share of one of `nodes` nodes still has one.
+    pub fn take(&mut self, service: &ServiceName, nodes: usize, now_ms: MonoMs) -> bool {
+        if !self.has_left(service, nodes, now_ms) {
             return false;
         }
-        window.repeats_at.push_back(now_ms);
+        if let Some(window) = self.windows.get_mut(service) {
+            window.repeats_at.push_back(now_ms);
+        }
         true
     }
 }
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -92,6 +92,17 @@
     }
 }
 
+/// Whether another replica than those in `avoid` would take the request now.
+pub(super) fn is_taken_elsewhere(call: &Call, avoid: &[ReplicaKey]) -> bool {
+    match &call.service.engine {
+        Some(spec) => find_engine(call, spec, avoid, Pressing::No).is_ok(),
+        None => call.node.with(|state| {
+            let now_ms = call.node.now_ms();
+            !takers(state, call, avoid, now_ms).is_empty()
+        }),
+    }
+}
+
 /// The replicas that take work and are trusted; where none is trusted, those that are not.
 fn takers<'a>(
     state: &'a crate::node::State,
@@ -106,16 +117,24 @@
     ready
 }
 
-fn choose_engine(
+/// Where an engine's work may go.
+struct Found {
+    placement: Placement,
+    replica: Arc<Replica>,
+    helpers: Vec<Helper>,
+    memory: Vec<(SocketAddr, Tokens)>,
+}
+
+fn find_engine(
     call: &Call,
     spec: &EngineSpec,
     avoid: &[ReplicaKey],
     pressing: Pressing,
-) -> Result<Chosen, Refusal> {
+) -> Result<Found, Refusal> {
     let node = &call.node;
     let now_ms = node.now_ms();
     let demand = demand(call, now_ms, pressing);
-    let (placement, replica, helpers, memory) = node.with(|state| {
+    node.with(|state| {
         let mut loads = state.ledger.loads(now_ms);
         let takers = takers(state, call, avoid, now_ms);
         let candidates = takers
@@ -148,17 +167,37 @@
         let memory: Result<Vec<_>, Refusal> = memory
             .map(|(key, tokens)| Ok((address(*key)?, *tokens)))
             .collect();
-        Ok((placement, replica, helpers?, memory?))
-    })?;
+        Ok(Found {
+            placement,
+            replica,
+            helpers: helpers?,
+            memory: memory?,
+        })
+    })
+}
+
+fn choose_engine(
+    call: &Call,
+    spec: &EngineSpec,
+    avoid: &[ReplicaKey],
+    pressing: Pressing,
+) -> Result<Chosen, Refusal> {
+    let node = &call.node;
+    let Found {
+        placement,
+        replica,
+        helpers,
+        memory,
+    } = find_engine(call, spec, avoid, pressing)?;
     let work = Work {
         first: placement.first,
         helpers: placement.helpers.clone(),
         memory: placement.memory.clone(),
         stage: Stage::Reading,
-        placed_ms: now_ms,
-        prompt_tokens: demand.prompt_tokens,
+        placed_ms: node.now_ms(),
+        prompt_tokens: call.head.prompt_tokens.unwrap_or_default(),
         part_ms: placement.part_ms,
-        gap_ms: demand.gap_ms,
+        gap_ms: gap_ms(call),
         due_ms: call.arrived_ms + call.route.target_ms,
     };
     Ok(Chosen {
@@ -173,16 +212,19 @@
     })
 }
 
-fn demand(call: &Call, now_ms: MonoMs, pressing: Pressing) -> Demand {
-    let gap_ms = match call.route.kind {
+fn gap_ms(call: &Call) -> SpanMs {
+    match call.route.kind {
         RouteKind::Stream { gap_ms, .. } => gap_ms,
         RouteKind::Idempotent | RouteKind::AtMostOnce => call.route.target_ms,
-    };
+    }
+}
+
+fn demand(call: &Call, now_ms: MonoMs, pressing: Pressing) -> Demand {
     let target_at_ms = call.arrived_ms + call.route.target_ms;
     Demand {
         prompt_tokens: call.head.prompt_tokens.unwrap_or_default(),
         answer_tokens: call.head.answer_tokens,
-        gap_ms,
+        gap_ms: gap_ms(call),
         target_ms: call.route.target_ms.0 as f64,
         target_left_ms: target_at_ms.since(now_ms).0 as f64,
         silence_left_ms: call.silence_left_ms().0 as f64,
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -223,6 +223,7 @@
             let begin = first_event(
                 &self.call,
                 &mut self.chosen,
+                &avoid,
                 self.tries + 1,
                 self.tries,
                 last_id.as_deref(),
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -3,7 +3,7 @@
 use super::Call;
 use super::answers::Answer;
 use super::body::FrontBody;
-use super::choose::{Chosen, choose_waiting};
+use super::choose::{Chosen, choose_waiting, is_taken_elsewhere};
 use super::events::EventSplitter;
 use super::plain::{end, give_up};
 use super::pump::{Pump, Source};
@@ -20,6 +20,22 @@
 /// The shortest silence of an engine that says anything of it: a pass with reading may take as long.
 const LONG_SILENCE_MS: u64 = 1_000;
 
+/// How often a silent try looks whether another engine takes its request.
+const LOOK_ELSEWHERE_MS: SpanMs = SpanMs(250);
+
+/// Whether a silent try is to be waited for all the same, since its request can go nowhere else.
+///
+/// Slow engines look silent. Where every other one was full, giving them up threw away what they had
+/// read, and the caller got a failure: on a day of 69 engines in which some were slow, that ended 55
+/// of 340 long prompts after three seconds and more.
+fn has_no_other_place(call: &Call, avoid: &[ReplicaKey]) -> bool {
+    let node = &call.node;
+    let now_ms = node.now_ms();
+    let nodes = node.node_count();
+    let budget = node.with(|s| s.budget.has_left(&call.service.name, nodes, now_ms));
+    !budget || !is_taken_elsewhere(call, avoid)
+}
+
 /// Serves a request whose answer is a stream.
 pub(super) async fn serve(call: &Rc<Call>) -> Answer {
     let mut tries = Tries::default();
@@ -29,7 +45,15 @@
             Err(refusal) => return give_up(call, tries.verdict(), &refusal),
         };
         let attempt = tries.begin(&chosen);
-        let error = match first_event(call, &mut chosen, attempt, tries.arrived, None).await {
+        let first = first_event(
+            call,
+            &mut chosen,
+            &tries.avoid,
+            attempt,
+            tries.arrived,
+            None,
+        );
+        let error = match first.await {
             Ok(begun) => return begun.answer(call, chosen, tries.arrived + 1),
             Err(error) => error,
         };
@@ -52,6 +76,7 @@
 pub(super) async fn first_event(
     call: &Call,
     chosen: &mut Chosen,
+    avoid: &[ReplicaKey],
     attempt: u32,
     arrived_tries: u32,
     last_event: Option<&str>,
@@ -89,6 +114,9 @@
         let left_ms = call.left_ms().min(call.silence_left_ms());
         match silence::more(reading_left_ms(), left_ms, expected_ms) {
             Some(more_ms) if others => limit_ms = more_ms,
+            _ if others && left_ms > SpanMs::ZERO && has_no_other_place(call, avoid) => {
+                limit_ms = LOOK_ELSEWHERE_MS.min(left_ms);
+            }
             _ => break,
         }
     }
