Pace: engines are looked at once a second, and planned with how slow they say they are

Each engine is now looked at by one node, which tells the others; parts, passes and queues are reckoned at the pace. A word not repeated within 3.5 s no longer counts.

--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -15,6 +15,7 @@
 use std::collections::VecDeque;
 
 use crate::engine::EngineSpec;
+use crate::pace::{Pace, Paces};
 use crate::replicas::ReplicaKey;
 
 /// One run of one node, as peers know it.
@@ -56,7 +57,7 @@
     pub placed_ms: MonoMs,
     /// The length of its prompt.
     pub prompt_tokens: Tokens,
-    /// What each of its engines reads, as time.
+    /// What each of its engines reads, as the time that a sound engine takes.
     pub part_ms: f64,
     /// The longest pause between its events that is on time.
     pub gap_ms: SpanMs,
@@ -73,8 +74,10 @@
     pub context_tokens: Tokens,
     /// The memory that its own work and what is set aside for others' take.
     pub memory_tokens: Tokens,
-    /// What it has still to read, as time.
+    /// What it has still to read, as the time that it takes for that.
     pub backlog_ms: f64,
+    /// How slow it is.
+    pub pace: Pace,
     /// The tolerance and the weight of each writer that has been on time so far.
     pub tolerances: Vec<Tolerance>,
     /// The same of each writer that is late already: it can still be made to break off.
@@ -259,6 +262,14 @@
         self.works.is_empty()
     }
 
+    /// Takes in how slow engines are from now on.
+    pub fn set_paces(&mut self, paces: &Paces, now_ms: MonoMs) {
+        for (key, queue) in &mut self.queues {
+            queue.advance(now_ms);
+            queue.set_pace(paces.of(*key, now_ms));
+        }
+    }
+
     /// What each engine has to do at `now_ms`.
     pub fn loads(&mut self, now_ms: MonoMs) -> Loads {
         while self
@@ -322,6 +333,7 @@
 
     /// The time of a pass that also reads for `reading_ms`.
     pub fn pass_ms(&self, spec: &EngineSpec, reading_ms: f64) -> f64 {
-        spec.pass_ms(self.writers, self.context_tokens) + reading_ms
+        let writing_ms = spec.pass_ms(self.writers, self.context_tokens);
+        writing_ms * self.pace.times() + reading_ms
     }
 }
--- a/crates/fleet/src/ledger/queue.rs
+++ b/crates/fleet/src/ledger/queue.rs
@@ -7,6 +7,7 @@
 //! Invariants: time only takes from queues; a part stands in a queue at most once.
 
 use super::WorkId;
+use crate::pace::Pace;
 use bluebell_base::prelude::*;
 
 /// A part of a prompt that waits to be read.
@@ -14,7 +15,7 @@
 pub struct Part {
     /// The work that it belongs to.
     pub work: WorkId,
-    /// What is left of it, as time.
+    /// What is left of it, as the time that a sound engine takes.
     pub left_ms: f64,
 }
 
@@ -22,13 +23,14 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReadQueue {
     parts: Vec<Part>,
+    pace: Pace,
     at_ms: MonoMs,
 }
 
 impl ReadQueue {
     /// Takes off what was read since the queue was last looked at.
     pub fn advance(&mut self, now_ms: MonoMs) {
-        let mut passed_ms = now_ms.since(self.at_ms).0 as f64;
+        let mut passed_ms = now_ms.since(self.at_ms).0 as f64 / self.pace.times();
         self.at_ms = self.at_ms.max(now_ms);
         let mut read = 0;
         for part in &mut self.parts {
@@ -42,6 +44,11 @@
         self.parts.drain(..read);
     }
 
+    /// From when the queue was last looked at, the engine reads at this pace.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     /// Puts a part in: ahead of the others where it is `shared`, else behind them.
     pub fn put(&mut self, part: Part, shared: bool) {
         match shared {
@@ -58,15 +65,17 @@
     /// The parts, with the time from now at which each is read.
     pub fn ends(&self) -> impl Iterator<Item = (WorkId, f64)> {
         let mut end_ms = 0.0;
+        let times = self.pace.times();
         self.parts.iter().map(move |part| {
-            end_ms += part.left_ms;
+            end_ms += part.left_ms * times;
             (part.work, end_ms)
         })
     }
 
     /// All that is left to read, as time.
     pub fn backlog_ms(&self) -> f64 {
-        self.parts.iter().map(|part| part.left_ms).sum()
+        let left_ms: f64 = self.parts.iter().map(|part| part.left_ms).sum();
+        left_ms * self.pace.times()
     }
 
     /// Whether nothing is left to read.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod budget;
 pub mod engine;
 pub mod ledger;
+pub mod pace;
 pub mod patience;
 pub mod placement;
 pub mod reading;
@@ -29,6 +30,7 @@
     pub use crate::budget::{RetryBudget, RetryLimits};
     pub use crate::engine::EngineSpec;
     pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
+    pub use crate::pace::{Pace, Paces};
     pub use crate::patience::Patience;
     pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
     pub use crate::replicas::{
--- /dev/null
+++ b/crates/fleet/src/pace/mod.rs
@@ -0,0 +1,131 @@
+//! How fast engines are against their configured figures, and who looks.
+//!
+//! Load pattern: for some seconds a part of the engines takes several times as long for everything,
+//! and answers all the same. Given work as sound ones, they held long prompts until these were given
+//! up as silent, and short ones past their target.
+//!
+//! Reason for the limits: an engine says of itself how slow it is, so one look tells more than many
+//! late answers. Each engine is looked at by one node, which tells the others; a word that isn't
+//! repeated soon no longer counts, since the engine may have recovered.
+//!
+//! Invariants: an engine of which nothing is known is taken to be as configured.
+
+use bluebell_base::prelude::*;
+use rustc_hash::{FxHashMap, FxHasher};
+use std::fmt;
+use std::hash::Hasher;
+use std::str::FromStr;
+
+use crate::ledger::OwnerId;
+use crate::replicas::ReplicaKey;
+
+/// How often an engine is looked at. Looks are priced like probes: with one a second, 69 engines
+/// cost about a thousandth of what their answers are worth.
+pub const LOOK_EVERY_MS: SpanMs = SpanMs(1_000);
+
+/// How long a word about an engine counts: two lost looks don't end it.
+const BELIEVED_MS: SpanMs = SpanMs(3_500);
+
+/// The largest pace that is believed: nothing is planned for slower engines in any case.
+const SLOWEST: f64 = 50.0;
+
+/// The pace up to which an engine counts as being as fast as configured.
+const SOUND: f64 = 1.05;
+
+/// How many times its configured figures an engine takes for its work.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Pace(f64);
+
+impl Pace {
+    /// As configured.
+    pub const SOUND: Self = Self(1.0);
+
+    /// The pace of an engine that takes `times` as long as configured; an engine is never taken to
+    /// be faster than that.
+    pub fn new(times: f64) -> Self {
+        match times > SOUND {
+            true => Self(times.min(SLOWEST)),
+            false => Self::SOUND,
+        }
+    }
+
+    /// How many times as long work takes.
+    pub fn times(self) -> f64 {
+        self.0
+    }
+
+    /// Whether the engine is slower than configured.
+    pub fn is_slow(self) -> bool {
+        self > Self::SOUND
+    }
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self::SOUND
+    }
+}
+
+impl fmt::Display for Pace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "x{:.2}", self.0)
+    }
+}
+
+impl FromStr for Pace {
+    type Err = ParsePaceError;
+
+    fn from_str(text: &str) -> Result<Self, ParsePaceError> {
+        let times = text.strip_prefix('x').and_then(|t| t.parse::<f64>().ok());
+        let times = times.filter(|times| times.is_finite());
+        times.map(Self::new).ok_or(ParsePaceError)
+    }
+}
+
+/// A text that is no pace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a pace is an x and a number")]
+pub struct ParsePaceError;
+
+/// What is known of the engines' paces.
+#[derive(Debug, Default)]
+pub struct Paces {
+    slow: FxHashMap<ReplicaKey, (Pace, MonoMs)>,
+}
+
+impl Paces {
+    /// An engine's pace was seen; returns whether that is news.
+    pub fn note(&mut self, key: ReplicaKey, pace: Pace, now_ms: MonoMs) -> bool {
+        let before = self.of(key, now_ms);
+        match pace.is_slow() {
+            true => self.slow.insert(key, (pace, now_ms)),
+            false => self.slow.remove(&key),
+        };
+        before != pace
+    }
+
+    /// An engine's pace.
+    pub fn of(&self, key: ReplicaKey, now_ms: MonoMs) -> Pace {
+        let known = self.slow.get(&key);
+        let known = known.filter(|(_, seen_ms)| now_ms.since(*seen_ms) < BELIEVED_MS);
+        known.map_or(Pace::SOUND, |(pace, _)| *pace)
+    }
+
+    /// Forgets what no longer counts.
+    pub fn expire(&mut self, now_ms: MonoMs) {
+        self.slow
+            .retain(|_, (_, seen_ms)| now_ms.since(*seen_ms) < BELIEVED_MS);
+    }
+}
+
+/// Whether `own` is the one of the nodes that looks at an engine; all nodes that know each other
+/// agree on it, and a node that comes or goes moves only its own part.
+pub fn looks(own: OwnerId, peers: &[OwnerId], engine: ReplicaKey) -> bool {
+    let rank = |node: OwnerId| {
+        let mut hasher = FxHasher::default();
+        hasher.write_u64(node.0);
+        hasher.write_u32(engine.0);
+        (hasher.finish(), node)
+    };
+    peers.iter().all(|peer| rank(*peer) <= rank(own))
+}
--- a/crates/fleet/src/placement/cost.rs
+++ b/crates/fleet/src/placement/cost.rs
@@ -65,10 +65,10 @@
     STALL_LOSS * risk(pass_ms / silence_ms.0 as f64, STALL_FROM)
 }
 
-/// What reading `part_ms` more costs the writers of an engine.
+/// What reading a part costs the writers of an engine; a sound one takes `part_ms` for it.
 pub fn hurt(spec: &EngineSpec, load: &Load, part_ms: f64) -> f64 {
     let before_ms = load.pass_ms(spec, load.backlog_ms);
-    let after_ms = load.pass_ms(spec, load.backlog_ms + part_ms);
+    let after_ms = before_ms + part_ms * load.pace.times();
     let more = |loss: fn(f64, f64) -> f64, t: &Tolerance| {
         t.weight * (loss(after_ms, t.gap_ms) - loss(before_ms, t.gap_ms))
     };
@@ -79,14 +79,12 @@
     late + given_up
 }
 
-/// What a part of `part_ms` at the engines for which `takes` holds costs a request whose prompt is
-/// being read: such a part is read before its own.
-pub fn delay(reader: &Reader, part_ms: f64, takes: impl Fn(ReplicaKey) -> bool) -> f64 {
+/// What parts cost a request whose prompt is being read: they are read before its own. `added_ms` is
+/// how long each engine reads for them.
+pub fn delay(reader: &Reader, added_ms: impl Fn(ReplicaKey) -> f64) -> f64 {
     let before = reader.ends.iter().map(|(_, end_ms)| *end_ms);
-    let after = reader.ends.iter().map(|(key, end_ms)| match takes(*key) {
-        true => end_ms + part_ms,
-        false => *end_ms,
-    });
+    let ends = reader.ends.iter();
+    let after = ends.map(|(key, end_ms)| end_ms + added_ms(*key));
     let before_ms = before.fold(0.0, f64::max);
     let after_ms = after.fold(0.0, f64::max);
     let loss = first_loss(after_ms, reader.due_ms) - first_loss(before_ms, reader.due_ms);
--- a/crates/fleet/src/placement/price.rs
+++ b/crates/fleet/src/placement/price.rs
@@ -63,11 +63,13 @@
     pub fn of(spec: &EngineSpec, fleet: &Fleet) -> Self {
         let candidates = &fleet.candidates;
         let count = candidates.len().max(1) as f64;
+        let sound: f64 = candidates.iter().map(|c| 1.0 / c.load.pace.times()).sum();
         let backlog_ms: f64 = candidates.iter().map(|c| c.load.backlog_ms).sum();
         let writers: u32 = candidates.iter().map(|c| c.load.writers).sum();
         let taken = f64::from(writers) / (count * f64::from(spec.slots.max(1)));
         let waiting = READ_PRICE * ramp(backlog_ms / count, BACKLOG_FREE_MS, BACKLOG_FULL_MS);
-        let busy = BUSY_PRICE * ramp(fleet.reading_engines / count, BUSY_FREE, BUSY_FULL).powi(2);
+        let busy =
+            BUSY_PRICE * ramp(fleet.reading_engines / sound.max(1.0), BUSY_FREE, BUSY_FULL).powi(2);
         Self {
             read_ms: waiting.max(busy),
             slot: SLOT_PRICE * ramp(taken, SLOTS_FREE, SLOTS_FULL),
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -173,10 +173,12 @@
         SpanMs(after_ms.max(LEAST_RETRY_AFTER_MS) as u64)
     }
 
-    fn late(&self, first_event_ms: f64) -> f64 {
+    /// What its own lateness costs where this engine writes.
+    fn late(&self, first_event_ms: f64, writer: &Candidate) -> f64 {
         let stride = f64::from(self.spec.stride.max(1));
         let passes = self.demand.answer_tokens.0 as f64 * WRITTEN_PART / stride;
-        let writing_ms = passes * self.spec.pass_ms(1, self.demand.prompt_tokens);
+        let pass_ms = self.spec.pass_ms(1, self.demand.prompt_tokens);
+        let writing_ms = passes * pass_ms * writer.load.pace.times();
         self.own_weight * lateness(first_event_ms, writing_ms, self.demand)
     }
 
@@ -195,12 +197,13 @@
             .iter()
             .map(|c| hurt(self.spec, &c.load, part_ms))
             .sum();
+        let readers: Vec<&Candidate> = std::iter::once(writer).chain(helpers).collect();
         let delays = match shared {
-            true => self.delays(part_ms, |key| key == writer.key || keys.contains(&key)),
+            true => self.delays(part_ms, &readers),
             false => 0.0,
         };
         let width_cost = self.own_weight * WIDTH_WEIGHT * width as f64;
-        let cost = writer_cost + helping + delays + width_cost + self.late(first_event_ms);
+        let cost = writer_cost + helping + delays + width_cost + self.late(first_event_ms, writer);
         let placement = Placement {
             first: writer.key,
             helpers: keys,
@@ -213,16 +216,22 @@
         Some((cost, placement))
     }
 
-    /// What parts at the engines for which `takes` holds cost the prompts that are being read.
-    fn delays(&self, part_ms: f64, takes: impl Fn(ReplicaKey) -> bool) -> f64 {
+    /// What parts at these engines cost the prompts that are being read.
+    fn delays(&self, part_ms: f64, engines: &[&Candidate]) -> f64 {
+        let added_ms = |key| {
+            let engine = engines.iter().find(|c| c.key == key);
+            engine.map_or(0.0, |c| part_ms * c.load.pace.times())
+        };
         let readers = self.fleet.readers.iter();
-        readers.map(|r| delay(r, part_ms, &takes)).sum()
+        readers.map(|r| delay(r, added_ms)).sum()
     }
 
     /// What a part at one engine costs the prompts that it reads.
-    fn delays_at(&self, part_ms: f64, key: ReplicaKey) -> f64 {
-        let readers = self.readers_at.get(&key).into_iter().flatten();
-        readers.map(|r| delay(r, part_ms, |at| at == key)).sum()
+    fn delays_at(&self, part_ms: f64, engine: &Candidate) -> f64 {
+        let readers = self.readers_at.get(&engine.key).into_iter().flatten();
+        let own_ms = part_ms * engine.load.pace.times();
+        let added_ms = |key| if key == engine.key { own_ms } else { 0.0 };
+        readers.map(|r| delay(r, added_ms)).sum()
     }
 
     /// When an engine has read the part: a shared part goes ahead of what waits there, the prompt
@@ -232,20 +241,22 @@
     /// and its first event comes at the end of its own, after all that is read in that.
     fn read_by_ms(&self, candidate: &Candidate, part_ms: f64, shared: bool) -> f64 {
         let load = &candidate.load;
+        let times = load.pace.times();
+        let own_ms = part_ms * times;
         if load.writers == 0 {
             let waiting_ms = if shared { 0.0 } else { load.backlog_ms };
-            return waiting_ms + part_ms;
+            return waiting_ms + own_ms;
         }
         let pass_ms = load.pass_ms(self.spec, 0.0);
         let pass_tokens = self.spec.pass_tokens().0.max(1) as f64;
         let beside_ms = load
             .backlog_ms
-            .min(pass_tokens * 1000.0 / self.spec.read_per_s.max(1.0));
+            .min(pass_tokens * 1000.0 / self.spec.read_per_s.max(1.0) * times);
         let waiting_ms = if shared { beside_ms } else { load.backlog_ms };
         let tokens = part_ms / self.read_ms.max(1.0) * self.demand.prompt_tokens.0 as f64;
         let passes = 1.0 + (tokens / pass_tokens).floor();
         let under_way_ms = (pass_ms + beside_ms) / 2.0;
-        under_way_ms + waiting_ms + part_ms + passes * pass_ms + self.queue_ms(load, pass_ms)
+        under_way_ms + waiting_ms + own_ms + passes * pass_ms + self.queue_ms(load, pass_ms)
     }
 
     /// How long a request waits for a slot: writers end one after the other, each after as many
@@ -303,10 +314,10 @@
         let backlog = candidate.load.backlog_ms / self.demand.target_left_ms.max(1.0);
         let waiting = WAITING_WEIGHT * (share.min(4.0) + backlog.min(4.0));
         let delays = match shared {
-            true => self.delays_at(part_ms, candidate.key),
+            true => self.delays_at(part_ms, candidate),
             false => 0.0,
         };
-        self.own_weight * waiting + self.late(done_ms) + delays
+        self.own_weight * waiting + self.late(done_ms, candidate) + delays
     }
 
     /// The engines that help.
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -103,3 +103,19 @@
     assert_eq!((load.writers, load.tolerances.len()), (1, 0));
     assert_eq!(load.late.len(), 1, "a stall can still break it off");
 }
+
+/// A long prompt is sent behind another that should be read by now. Its engine had turned slow while it
+/// read, and its queue was taken to empty at the configured pace.
+#[test]
+fn a_slow_engine_reads_its_queue_at_its_own_pace() {
+    let mut ledger = Ledger::default();
+    let mut paces = Paces::default();
+    ledger.put(id(1, 1), work(1, &[], 400.0, 1_000), MonoMs(1_000));
+    paces.note(ReplicaKey(1), Pace::new(4.0), MonoMs(1_200));
+    ledger.set_paces(&paces, MonoMs(1_200));
+    assert_eq!(backlog_ms(&mut ledger, 1, 1_200), 800.0);
+    assert_eq!(backlog_ms(&mut ledger, 1, 1_600), 400.0);
+    paces.note(ReplicaKey(1), Pace::SOUND, MonoMs(1_600));
+    ledger.set_paces(&paces, MonoMs(1_600));
+    assert_eq!(backlog_ms(&mut ledger, 1, 1_600), 100.0);
+}
--- /dev/null
+++ b/crates/fleet/tests/pace.rs
@@ -0,0 +1,75 @@
+//! How slow engines are, and who looks.
+
+use bluebell_base::prelude::*;
+use bluebell_fleet::pace::looks;
+use bluebell_fleet::prelude::*;
+
+/// Prompts wait for an engine that everyone takes to be sound: nobody looked at it, or its cost was
+/// paid by every node at once. Of nodes that know each other exactly one looks at each engine, and
+/// when a node leaves only its engines move.
+#[test]
+fn exactly_one_node_looks_at_an_engine() {
+    let nodes: Vec<OwnerId> = (1..=73u64)
+        .map(|n| OwnerId(n.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+        .collect();
+    let lookers = |nodes: &[OwnerId], engine: u32| -> Vec<OwnerId> {
+        let others = |own: &OwnerId| {
+            nodes
+                .iter()
+                .copied()
+                .filter(|n| n != own)
+                .collect::<Vec<_>>()
+        };
+        let looking = nodes
+            .iter()
+            .filter(|own| looks(**own, &others(own), ReplicaKey(engine)));
+        looking.copied().collect()
+    };
+    let mut moved = 0;
+    for engine in 0..69 {
+        let all = lookers(&nodes, engine);
+        assert_eq!(all.len(), 1, "engine {engine}");
+        let fewer = lookers(&nodes[1..], engine);
+        assert_eq!(fewer.len(), 1, "engine {engine}");
+        if all != fewer {
+            assert_eq!(all[0], nodes[0]);
+            moved += 1;
+        }
+    }
+    assert!(moved < 10, "{moved}");
+    assert!(
+        looks(nodes[0], &[], ReplicaKey(1)),
+        "a node alone looks at all"
+    );
+}
+
+/// An engine gets nothing for the rest of the day. It was slow once, the node that had said so was
+/// cut off, and its word was believed for good.
+#[test]
+fn a_word_that_is_not_repeated_no_longer_counts() {
+    let mut paces = Paces::default();
+    let key = ReplicaKey(1);
+    assert!(paces.note(key, Pace::new(4.0), MonoMs(1_000)));
+    assert!(!paces.note(key, Pace::new(4.0), MonoMs(2_000)), "no news");
+    assert_eq!(paces.of(key, MonoMs(4_000)).times(), 4.0);
+    assert_eq!(paces.of(key, MonoMs(6_000)), Pace::SOUND);
+    assert!(paces.note(key, Pace::new(4.0), MonoMs(7_000)));
+    assert!(paces.note(key, Pace::new(1.0), MonoMs(7_500)));
+    assert_eq!(paces.of(key, MonoMs(7_600)), Pace::SOUND);
+}
+
+#[test]
+fn paces_are_read_as_they_are_written() {
+    for (times, text) in [
+        (0.3, "x1.00"),
+        (1.02, "x1.00"),
+        (2.5, "x2.50"),
+        (900.0, "x50.00"),
+    ] {
+        let pace = Pace::new(times);
+        assert_eq!(pace.to_string(), text);
+        assert_eq!(text.parse(), Ok(pace));
+    }
+    assert!("2.5".parse::<Pace>().is_err());
+    assert!("xNaN".parse::<Pace>().is_err());
+}
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Where prompts run, under the loads that hurt.
 
 use bluebell_base::prelude::*;
-use bluebell_fleet::ledger::Loads;
+use bluebell_fleet::ledger::{Load, Loads};
 use bluebell_fleet::placement::{Candidate, Fleet, Prices};
 use bluebell_fleet::prelude::*;
 
@@ -49,6 +49,7 @@
 /// A fleet of engines and the work on it.
 struct World {
     ledger: Ledger,
+    paces: Paces,
     engines: u32,
     now_ms: MonoMs,
     placed: u32,
@@ -58,6 +59,7 @@
     fn new(engines: u32) -> Self {
         Self {
             ledger: Ledger::default(),
+            paces: Paces::default(),
             engines,
             now_ms: MonoMs(100_000),
             placed: 0,
@@ -65,6 +67,7 @@
     }
 
     fn fleet(&mut self) -> Fleet {
+        self.ledger.set_paces(&self.paces, self.now_ms);
         let Loads {
             mut engines,
             readers,
@@ -72,7 +75,10 @@
         } = self.ledger.loads(self.now_ms);
         let candidates = (0..self.engines).map(|number| Candidate {
             key: key(number),
-            load: engines.remove(&key(number)).unwrap_or_default(),
+            load: Load {
+                pace: self.paces.of(key(number), self.now_ms),
+                ..engines.remove(&key(number)).unwrap_or_default()
+            },
         });
         Fleet {
             candidates: candidates.collect(),
@@ -81,6 +87,10 @@
         }
     }
 
+    fn slow_down(&mut self, engine: u32, times: f64) {
+        self.paces.note(key(engine), Pace::new(times), self.now_ms);
+    }
+
     fn place(&mut self, demand: &Demand) -> Result<(WorkId, Placement), Refusal> {
         let fleet = self.fleet();
         let placement = place_engine(&spec(), &fleet, demand)?;
@@ -307,3 +317,47 @@
         }
     }
 }
+
+/// A caller waits five seconds for the answer to a long prompt, and then gets a failure. A fifth of the
+/// engines took four times as long for everything; parts of the prompt went to them as to sound ones,
+/// and the part that is read last decides. Slow engines get nothing while sound ones do it on time.
+#[test]
+fn slow_engines_get_no_work_that_sound_ones_do_on_time() {
+    let mut world = World::new(20);
+    let slow: Vec<ReplicaKey> = (0..4).map(|n| key(n * 5)).collect();
+    for engine in 0..4 {
+        world.slow_down(engine * 5, 4.0);
+    }
+    for _ in 0..3 {
+        let (_, placement) = world.place(&demand(180_000)).expect("there is room");
+        assert!(!slow.contains(&placement.first), "{placement:?}");
+        assert!(
+            placement
+                .helpers
+                .iter()
+                .all(|helper| !slow.contains(helper))
+        );
+    }
+    for _ in 0..40 {
+        let first = world.writes(&demand(5_000)).first;
+        assert!(!slow.contains(&first));
+    }
+}
+
+/// A draft is refused although engines have free slots. All of them are slow, and slow ones got
+/// nothing at all; late is better than not at all, and what is still on time is served.
+#[test]
+fn slow_engines_serve_where_no_other_does() {
+    let mut world = World::new(4);
+    for engine in 0..4 {
+        world.slow_down(engine, 2.0);
+    }
+    let placement = world.writes(&demand(20_000));
+    assert!(placement.first_event_ms > 2.0 * spec().read_ms(Tokens(20_000)) - 1.0);
+    let mut late = demand(5_000);
+    late.pressing = true;
+    for engine in 0..4 {
+        world.slow_down(engine, 8.0);
+    }
+    assert!(world.place(&late).is_ok());
+}
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -5,6 +5,7 @@
 use super::reserve::Reserved;
 use crate::outside::Helper;
 use bluebell_base::prelude::*;
+use bluebell_fleet::ledger::Load;
 use bluebell_fleet::placement::{Candidate, Fleet, PlainCandidate};
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::replicas::Health;
@@ -135,13 +136,17 @@
     let now_ms = node.now_ms();
     let demand = demand(call, now_ms, pressing);
     node.with(|state| {
+        state.ledger.set_paces(&state.paces, now_ms);
         let mut loads = state.ledger.loads(now_ms);
         let takers = takers(state, call, avoid, now_ms);
         let candidates = takers
             .iter()
             .map(|(key, _, _)| Candidate {
                 key: *key,
-                load: loads.engines.remove(key).unwrap_or_default(),
+                load: Load {
+                    pace: state.paces.of(*key, now_ms),
+                    ..loads.engines.remove(key).unwrap_or_default()
+                },
             })
             .collect();
         let fleet = Fleet {
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -53,6 +53,8 @@
     ReplicaGone { instance: Arc<str> },
     /// A replica gets no work for a while.
     ReplicaDoubted { instance: Arc<str>, why: Arc<str> },
+    /// An engine's pace changed.
+    EnginePace { key: ReplicaKey, pace: Arc<str> },
     /// A peer is known now.
     PeerFound { incarnation: u64 },
     /// A peer is silent.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,7 +26,7 @@
     pub use crate::node::{FrontError, FrontHandle, FrontSettings, Stopper};
     pub use crate::outside::{
         AnswerHead, CallHead, CallHeadError, ConfigNews, Cursor, Dialect, Directory,
-        DirectoryError, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside, PendingRead,
-        ReplicaNews, Sending,
+        DirectoryError, EngineReport, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside,
+        PendingRead, ReplicaNews, Sending,
     };
 }
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -37,6 +37,8 @@
     },
     /// A replica failed and is doubted for so long.
     Doubted { replica: u32, for_ms: u32 },
+    /// An engine takes this many hundredths of its configured time for its work.
+    Pace { replica: u32, pace_pct: u32 },
     /// The sender has seen this version of the configuration.
     Config { version: u64 },
     /// The sender has just read the directory's replicas.
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -74,6 +74,14 @@
         });
     }
 
+    /// Tells how slow an engine is.
+    pub fn pace(&self, key: ReplicaKey, pace: Pace) {
+        self.push(News::Pace {
+            replica: key.0,
+            pace_pct: (pace.times() * 100.0) as u32,
+        });
+    }
+
     /// Tells which configuration is known.
     pub fn config(&self, version: ConfigVersion) {
         self.push(News::Config { version: version.0 });
@@ -93,6 +101,13 @@
             .count()
     }
 
+    /// The peers that are there now.
+    pub fn owners_there(&self) -> Vec<OwnerId> {
+        let peers = self.peers.borrow();
+        let there = peers.iter().filter(|(_, peer)| peer.there);
+        there.map(|(owner, _)| *owner).collect()
+    }
+
     /// Takes what waits.
     pub(super) fn take(&self) -> Vec<News> {
         std::mem::take(&mut self.waiting.borrow_mut())
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -81,6 +81,10 @@
                 health.on_peer_doubt(until_ms);
             }
         }
+        News::Pace { replica, pace_pct } => {
+            let pace = Pace::new(f64::from(pace_pct) / 100.0);
+            state.paces.note(ReplicaKey(replica), pace, now_ms);
+        }
         News::Config { .. } | News::Replicas(_) => {}
     });
 }
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -120,6 +120,7 @@
         spawn_local(watch::watch_config(node.clone()));
         spawn_local(watch::watch_replicas(node.clone()));
         spawn_local(watch::watch_nodes(node.clone()));
+        spawn_local(watch::watch_paces(node.clone()));
         spawn_local(expire(node.clone()));
         Ok(Self {
             node,
@@ -210,6 +211,7 @@
         let now_ms = node.now_ms();
         let dropped = node.with(|state| {
             state.ledger.expire(now_ms - WORK_EXPIRES_MS);
+            state.paces.expire(now_ms);
             state.replicas.expire(now_ms)
         });
         for replica in dropped {
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -22,6 +22,8 @@
     pub replicas: ReplicaTable,
     /// All work in flight on engines.
     pub ledger: Ledger,
+    /// How slow engines are.
+    pub paces: Paces,
     /// This node's calls in hand, by plain replica.
     pub calls: FxHashMap<ReplicaKey, u32>,
     /// This node's share of the retry budget.
@@ -60,6 +62,7 @@
             config: None,
             replicas: ReplicaTable::default(),
             ledger: Ledger::default(),
+            paces: Paces::default(),
             calls: FxHashMap::default(),
             budget: RetryBudget::new(settings.retry_limits),
         };
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -145,6 +145,13 @@
     Refused,
 }
 
+/// What an engine says of itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineReport {
+    /// How slow it is.
+    pub pace: Pace,
+}
+
 /// What the node adds to a head that it sends on.
 #[derive(Clone, Debug)]
 pub struct Sending<'a> {
@@ -199,6 +206,10 @@
     fn memory_order(&self, address: SocketAddr, order: &MemoryOrder) -> Request<Full<Buffer>>;
     /// What an engine's answer to such an order says.
     fn memory_answer(&self, status: u16) -> MemoryAnswer;
+    /// Asks an engine how it is.
+    fn report_request(&self, address: SocketAddr) -> Request<Full<Buffer>>;
+    /// What an engine says of itself; none where that can't be read.
+    fn report(&self, body: &[u8]) -> Option<EngineReport>;
     /// The path on which the balancer asks whether the node takes new connections.
     fn ready_path(&self) -> &str;
 }
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -5,11 +5,13 @@
 
 mod config;
 mod nodes;
+mod paces;
 mod replicas;
 mod retry;
 mod shared;
 
 pub use config::watch_config;
 pub use nodes::watch_nodes;
+pub use paces::watch_paces;
 pub use replicas::watch_replicas;
 pub use shared::{ReplicasTold, Watching};
--- /dev/null
+++ b/crates/front/src/watch/paces.rs
@@ -0,0 +1,77 @@
+//! Looking at engines: each by one node, which tells the others.
+
+use crate::http::Freshness;
+use crate::journal::Event;
+use crate::node::Node;
+use crate::outside::EngineReport;
+use bluebell_base::prelude::*;
+use bluebell_fleet::pace::{LOOK_EVERY_MS, looks};
+use bluebell_fleet::prelude::*;
+use http_body_util::{BodyExt, Limited};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+
+/// How long an engine may take to answer: a sound one takes a few ms.
+const ANSWER_MS: SpanMs = SpanMs(400);
+
+/// The largest report.
+const REPORT_BYTES: usize = 64 * 1024;
+
+/// How long a connection is kept between two looks.
+const KEPT_MS: SpanMs = SpanMs(3_000);
+
+/// Looks at this node's part of the engines until the process ends.
+pub async fn watch_paces(node: Rc<Node>) {
+    loop {
+        let spread_ms = rand::random_range(0..=LOOK_EVERY_MS.0 / 4);
+        tokio::time::sleep(Duration::from_millis(LOOK_EVERY_MS.0 + spread_ms)).await;
+        for (key, address) in own_part(&node) {
+            spawn_local(look(node.clone(), key, address));
+        }
+    }
+}
+
+/// The engines at which this node looks.
+fn own_part(node: &Node) -> Vec<(ReplicaKey, SocketAddr)> {
+    let peers = node.outbox.owners_there();
+    node.with(|state| {
+        let Some(config) = &state.config else {
+            return Vec::new();
+        };
+        let engines = config.services().filter(|service| service.engine.is_some());
+        let ready = engines.flat_map(|service| state.replicas.ready(&service.name));
+        let own = ready.filter(|(key, _, _)| looks(node.owner, &peers, *key));
+        own.map(|(key, replica, _)| (key, replica.address))
+            .collect()
+    })
+}
+
+async fn look(node: Rc<Node>, key: ReplicaKey, address: SocketAddr) {
+    let read = tokio::time::timeout(Duration::from(ANSWER_MS), read(&node, address)).await;
+    let Some(report) = read.ok().flatten() else {
+        return;
+    };
+    let now_ms = node.now_ms();
+    let news = node.with(|state| state.paces.note(key, report.pace, now_ms));
+    if news || report.pace.is_slow() {
+        node.outbox.pace(key, report.pace);
+    }
+    if news {
+        node.journal.tell(&Event::EnginePace {
+            key,
+            pace: report.pace.to_string().into(),
+        });
+    }
+}
+
+async fn read(node: &Rc<Node>, address: SocketAddr) -> Option<EngineReport> {
+    let mut link = node.pool.lease(address, Freshness::Kept).await.ok()?;
+    let request = node.outside.dialect.report_request(address);
+    let answer = link.send(request).await.ok()?;
+    let body = Limited::new(answer.into_body(), REPORT_BYTES);
+    let body = body.collect().await.ok()?.to_bytes();
+    node.pool.give_back(link, Some(KEPT_MS));
+    node.outside.dialect.report(&body)
+}
