Placement: an answer is late once

A draft was refused although engines had free slots: all were slow, and its late first event and its long pauses were both counted, as more than all it is worth. Now the larger of the two counts.

Kept for the case of the test (slow engines are all there is).

--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -180,13 +180,23 @@
         SpanMs(after_ms.max(LEAST_RETRY_AFTER_MS) as u64)
     }
 
-    /// What its own lateness costs where this engine writes.
-    fn late(&self, first_event_ms: f64, writer: &Candidate) -> f64 {
+    /// The part of the request's weight that a first event after `first_event_ms` costs it, where
+    /// this engine writes.
+    fn first_lateness(&self, first_event_ms: f64, writer: &Candidate) -> f64 {
         let stride = f64::from(self.spec.stride.max(1));
         let passes = self.demand.answer_tokens.0 as f64 * WRITTEN_PART / stride;
         let pass_ms = self.spec.pass_ms(1, self.demand.prompt_tokens);
         let writing_ms = passes * pass_ms * writer.load.pace.times();
-        self.own_weight * lateness(first_event_ms, writing_ms, self.demand)
+        lateness(first_event_ms, writing_ms, self.demand)
+    }
+
+    /// What its own lateness costs where this engine writes. An answer is late for a late first event
+    /// or for a long pause, and no later for both.
+    fn late(&self, first_event_ms: f64, writer: &Candidate) -> f64 {
+        let load = &writer.load;
+        let pass_ms = load.pass_ms(self.spec, load.backlog_ms * OWN_PAUSE_PART);
+        let pause = pause_loss(pass_ms, self.demand.gap_ms.0 as f64);
+        self.own_weight * self.first_lateness(first_event_ms, writer).max(pause)
     }
 
     fn at_width(&self, width: usize) -> Option<(f64, Placement)> {
@@ -300,20 +310,19 @@
                 place
             };
             let crowding = (load.writers + 1 + SPARE_SLOTS).saturating_sub(self.spec.slots);
-            let pass_ms = load.pass_ms(self.spec, load.backlog_ms * OWN_PAUSE_PART);
-            let pause = pause_loss(pass_ms, self.demand.gap_ms.0 as f64);
             let elsewhere = match self.is_huge() {
                 true => 1.0 - memory::free(self.spec, candidate).0 as f64 / needed.0.max(1) as f64,
                 false => 0.0,
             };
             let parts = order * ORDER_WEIGHT
                 + f64::from(crowding) * SPARE_WEIGHT
-                + elsewhere.max(0.0) * ELSEWHERE_WEIGHT
-                + pause;
+                + elsewhere.max(0.0) * ELSEWHERE_WEIGHT;
             hurt(self.spec, load, part_ms) + self.own_weight * parts
         };
         let rank = |at: usize, candidate: &Candidate| {
-            cost(at, candidate) + self.waiting(candidate, part_ms, shared)
+            let done_ms = self.read_by_ms(candidate, part_ms, shared);
+            let late = self.late(done_ms, candidate);
+            cost(at, candidate) + late + self.waiting(candidate, part_ms, shared)
         };
         let fitting = candidates.iter().enumerate().filter(|(_, c)| fits(c));
         let best = fitting.min_by(|(a, x), (b, y)| rank(*a, x).total_cmp(&rank(*b, y)));
@@ -330,7 +339,7 @@
             true => self.delays_at(part_ms, candidate),
             false => 0.0,
         };
-        self.own_weight * waiting + self.late(done_ms, candidate) + delays
+        self.own_weight * waiting + delays
     }
 
     /// The engines that help.
@@ -346,7 +355,9 @@
             };
             let memory = memory * ELSEWHERE_WEIGHT * self.own_weight;
             let hurt = hurt(self.spec, &c.load, part_ms);
-            hurt + writers + memory + self.waiting(c, part_ms, true)
+            let done_ms = self.read_by_ms(c, part_ms, true);
+            let late = self.own_weight * self.first_lateness(done_ms, c);
+            late + hurt + writers + memory + self.waiting(c, part_ms, true)
         };
         let helps = |c: &Candidate| c.load.helping + SPARE_HELPED <= self.spec.slots;
         let candidates = self.fleet.candidates.iter();
