Patience: readiness counts what the placement is expected to take

A request without time to spare gains nothing by that: the time expected until its first event now counts like time waited.

--- a/crates/fleet/src/patience/mod.rs
+++ b/crates/fleet/src/patience/mod.rs
@@ -67,7 +67,12 @@
     /// The part of its weight that a request's placement may cost after it has waited for
     /// `waited_ms` of the time to its target.
     pub fn readiness(waited_ms: SpanMs, target_ms: SpanMs) -> f64 {
-        let share = waited_ms.0 as f64 / target_ms.0.max(1) as f64;
-        (FIRST_READINESS + share / FULL_AT_SHARE).min(1.0)
+        (FIRST_READINESS + Self::readiness_gained(waited_ms, target_ms)).min(1.0)
+    }
+
+    /// What `spent_ms` of the time to the target, waited or expected, add to that part.
+    pub fn readiness_gained(spent_ms: SpanMs, target_ms: SpanMs) -> f64 {
+        let share = spent_ms.0 as f64 / target_ms.0.max(1) as f64;
+        share / FULL_AT_SHARE
     }
 }
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -10,6 +10,7 @@
 use super::{Candidate, Demand, Fleet, Placement, Prices, Refusal, memory};
 use crate::engine::EngineSpec;
 use crate::ledger::{Load, Reader, weight};
+use crate::patience::Patience;
 use crate::replicas::ReplicaKey;
 use bluebell_base::prelude::*;
 use rustc_hash::FxHashMap;
@@ -114,19 +115,19 @@
         own_weight: weight(demand.prompt_tokens),
         readers_at: readers_at(fleet),
     };
-    let allowed = search.own_weight * demand.readiness;
     let price = match demand.pressing {
         true => search.price() * PRESSING_PRICE,
         false => search.price(),
     };
     // Spares the search below, which requests that wait would else repeat at each look.
-    if !demand.begun && price > allowed {
+    if !demand.begun && price > search.own_weight {
         return Err(search.overloaded(price));
     }
     let Some((cost, placement)) = search.best() else {
         let retry_after_ms = search.retry_after_ms();
         return Err(Refusal::NoRoom { retry_after_ms });
     };
+    let allowed = search.allowed(placement.first_event_ms);
     if !demand.begun && cost + price > allowed {
         return Err(search.overloaded(cost + price));
     }
@@ -153,6 +154,15 @@
         memory::needed(self.demand) > memory::usable(self.spec)
     }
 
+    /// What a placement may cost whose first event comes after `first_event_ms`: a request without
+    /// time to spare gains nothing by waiting.
+    fn allowed(&self, first_event_ms: f64) -> f64 {
+        let first_event_ms = SpanMs(first_event_ms as u64);
+        let target_ms = SpanMs(self.demand.target_ms as u64);
+        let expected = Patience::readiness_gained(first_event_ms, target_ms);
+        self.own_weight * (self.demand.readiness + expected).min(1.0)
+    }
+
     fn best(&self) -> Option<(f64, Placement)> {
         let widest = match self.is_long() {
             true => self.fleet.candidates.len(),
