--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -145,8 +145,9 @@
 }
 
 impl Search<'_> {
+    /// Whether it may be read by many: reading it alone takes long, or no engine can hold it.
     fn is_long(&self) -> bool {
-        self.read_ms >= ALONE_MS
+        self.read_ms >= ALONE_MS || self.is_huge()
     }
 
     /// Whether no engine can hold it alone, so that memory is set aside at helpers.
@@ -213,7 +214,8 @@
         let part_ms = self.read_ms / width as f64;
         let shared = width > 1;
         let (writer_cost, writer) = self.writer(part_ms, shared)?;
-        if shared && !self.is_long() && writer.load.backlog_ms < self.read_ms {
+        let overtakes = writer.load.backlog_ms >= self.read_ms;
+        if shared && !self.is_long() && !overtakes {
             return None;
         }
         let helpers = self.helpers(part_ms, width - 1, writer.key);
