Start: the first configuration is asked for again while nothing answers; requests wait for it a little

Now an unanswered first read of the configuration gets a second one each 400 ms, whose answer also ends the silent read of replicas; callers are asked back after up to a third of their time while the directory is away; and a request waits for up to 0.15 of its time at a node that knows too little.

Ruled out: taking the configuration from a peer (all had lost power); asking for the list of replicas again as well (at 300 nodes the list is what keeps the directory busy).

--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -19,6 +19,22 @@
 /// one, or the balancer prefers another node.
 const UNKNOWING_RETRY_MS: SpanMs = SpanMs(500);
 
+/// The part of its time for which a request waits at a node that knows too little to serve it.
+const UNINFORMED_PART: f64 = 0.15;
+
+/// The longest such wait: what waits for longer is given up by callers of short streams, who leave
+/// after two seconds of silence.
+const LONGEST_UNINFORMED_MS: SpanMs = SpanMs(1_500);
+
+/// The part of its time after which a caller is asked back by a node that finds no directory. Outages
+/// last for seconds, and callers come back once and within a third of their time: of 466 that were
+/// asked back after half a second in an outage nearly all were refused again.
+const AWAY_RETRY_PART: f64 = 0.33;
+
+/// The least part of that time, from which the time is drawn: who was turned away in an outage must
+/// not come back at one moment.
+const AWAY_LEAST_PART: f64 = 0.6;
+
 /// The time allowed where neither the caller nor the route says one.
 const LONGEST_MS: SpanMs = SpanMs(600_000);
 
@@ -41,13 +57,44 @@
     fn answer(self, node: &Node, head: &CallHead) -> Answer {
         match self {
             Barred::Rejected(status, why) => answers::rejected(node, &head.request, status, why),
-            Barred::Unknowing(why) => {
-                answers::refused(node, head, why, SpanMs::ZERO, UNKNOWING_RETRY_MS)
-            }
+            Barred::Unknowing(why) => answers::refused(
+                node,
+                head,
+                why,
+                SpanMs::ZERO,
+                unknowing_retry_ms(node, head),
+            ),
         }
     }
 }
 
+/// Lets a request wait for a short while at a node that has just started.
+///
+/// Callers whose connections broke with the last run of the node come back at once and, if they are
+/// turned away then, not again. The directory mostly answers within that time; where it is away, the
+/// caller still has most of its own time when it is turned away.
+async fn wait_until_informed(node: &Node, head: &CallHead) {
+    if node.is_informed() {
+        return;
+    }
+    let wait_ms = head
+        .deadline_ms
+        .unwrap_or(LONGEST_MS)
+        .mul_f64(UNINFORMED_PART);
+    let wait_ms = wait_ms.min(LONGEST_UNINFORMED_MS);
+    // Whether it knows enough by then is seen by the look that follows.
+    let _ = tokio::time::timeout(Duration::from(wait_ms), node.informed()).await;
+}
+
+/// When a caller is asked back by a node that doesn't know enough to serve it.
+fn unknowing_retry_ms(node: &Node, head: &CallHead) -> SpanMs {
+    let longest_ms = head.deadline_ms.map(|ms| ms.mul_f64(AWAY_RETRY_PART));
+    match longest_ms.filter(|_| node.watching.is_directory_away()) {
+        Some(longest_ms) => longest_ms.mul_f64(rand::random_range(AWAY_LEAST_PART..1.0)),
+        None => UNKNOWING_RETRY_MS,
+    }
+}
+
 /// Admits a request, or says why not.
 pub async fn admit(node: Rc<Node>, request: Request<Incoming>) -> Result<Call, Answer> {
     let arrived_ms = node.now_ms();
@@ -60,6 +107,7 @@
             return Err(answers::rejected(&node, &"".into(), status, &why));
         }
     };
+    wait_until_informed(&node, &head).await;
     let admitted = match look_up(&node, &head, &parts) {
         Ok(admitted) => admitted,
         Err(barred) => return Err(barred.answer(&node, &head)),
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -105,12 +105,29 @@
     /// The list of replicas has been read.
     pub fn on_replicas_read(&self) {
         self.replicas_read.set(true);
+        self.watching.learned.notify_waiters();
+    }
+
+    /// Whether the node has read what it needs to serve.
+    pub fn is_informed(&self) -> bool {
+        let known = self.with(|state| state.config.is_some());
+        known && self.replicas_read.get()
+    }
+
+    /// Ends once the node has read what it needs to serve.
+    pub async fn informed(&self) {
+        loop {
+            let learned = self.watching.learned.notified();
+            if self.is_informed() {
+                return;
+            }
+            learned.await;
+        }
     }
 
     /// Whether the node wants new connections.
     pub fn is_ready(&self) -> bool {
-        let known = self.with(|state| state.config.is_some());
-        known && self.replicas_read.get() && !self.is_stopping()
+        self.is_informed() && !self.is_stopping()
     }
 
     /// Whether a planned stop is under way.
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -11,10 +11,12 @@
 use super::retry::Backoff;
 use crate::journal::Event;
 use crate::node::Node;
-use crate::outside::ConfigNews;
+use crate::outside::{ConfigNews, Cursor, DirectoryError};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::reading;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +28,10 @@
 /// force.
 const GATHER_MS: SpanMs = SpanMs(500);
 
+/// After how long without an answer the first configuration is asked for again: a sound directory
+/// answers within some ms, one that is slow within some hundred.
+const AGAIN_MS: SpanMs = SpanMs(400);
+
 /// How often a node with an open read looks whether it still hears its peers.
 const LOOK_EVERY_MS: SpanMs = SpanMs(1_000);
 
@@ -34,12 +40,9 @@
     let mut cursor = None;
     let mut backoff = Backoff::new("configuration");
     loop {
-        let wait_ms = reading::open_for(node.outbox.peers_there(), rand::random());
-        let read = tokio::select! {
-            read = node.outside.directory.read_config(cursor, wait_ms) => read,
-            () = overtaken(&node) => {
-                node.outside.directory.read_config(cursor, SpanMs::ZERO).await
-            }
+        let read = match cursor {
+            None => first_read(&node).await,
+            Some(cursor) => next_read(&node, cursor).await,
         };
         match read {
             Ok(ConfigNews { cursor: at, config }) => {
@@ -57,6 +60,45 @@
     }
 }
 
+/// Reads the newest configuration, on one more connection at a time while none answers.
+///
+/// Nodes that start while the directory is away send their first read into silence, and an answer that
+/// was lost never comes. Given up after a second or two, it kept nodes from serving for up to 0.9 s
+/// after the directory was back. The configuration is small, so that asking again costs little.
+async fn first_read(node: &Node) -> Result<ConfigNews, DirectoryError> {
+    let directory = &node.outside.directory;
+    let mut reads = FuturesUnordered::new();
+    loop {
+        reads.push(directory.read_config(None, SpanMs::ZERO));
+        let again = tokio::time::sleep(Duration::from(AGAIN_MS));
+        tokio::pin!(again);
+        loop {
+            let read = tokio::select! {
+                Some(read) = reads.next() => read,
+                () = &mut again => break,
+            };
+            if read.is_ok() || reads.is_empty() {
+                if read.is_ok() && node.watching.directory_away.replace(false) {
+                    node.watching.directory_back.notify_one();
+                }
+                node.watching.directory_away.set(read.is_err());
+                return read;
+            }
+        }
+        node.watching.directory_away.set(true);
+    }
+}
+
+/// Waits for a newer configuration.
+async fn next_read(node: &Node, cursor: Cursor) -> Result<ConfigNews, DirectoryError> {
+    let directory = &node.outside.directory;
+    let wait_ms = reading::open_for(node.outbox.peers_there(), rand::random());
+    tokio::select! {
+        read = directory.read_config(Some(cursor), wait_ms) => read,
+        () = overtaken(node) => directory.read_config(Some(cursor), SpanMs::ZERO).await,
+    }
+}
+
 /// Ends where the open read isn't to be relied on: a peer has known a newer version for a while, or
 /// the peers on which its length relied are no longer heard.
 async fn overtaken(node: &Node) {
@@ -93,6 +135,7 @@
     let Some(replaced) = replaced else {
         return;
     };
+    node.watching.learned.notify_waiters();
     node.outbox.config(version);
     node.journal.tell(&Event::ConfigInForce {
         version,
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -33,7 +33,14 @@
     let mut backoff = Backoff::new("replicas");
     loop {
         let cursor = node.watching.cursor();
-        match node.outside.directory.read_replicas(cursor).await {
+        let read = tokio::select! {
+            read = node.outside.directory.read_replicas(cursor) => read,
+            // What was asked for while the directory was away is never answered.
+            () = node.watching.directory_back.notified() => {
+                node.outside.directory.read_replicas(cursor).await
+            }
+        };
+        match read {
             Ok(news) => {
                 backoff.succeeded(&node);
                 let told = take(&node, news);
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -29,6 +29,12 @@
     pub(super) other_replicas: Notify,
     /// A replica has started again.
     pub(super) replica_restarted: Notify,
+    /// The first configuration, or the list of replicas, was read.
+    pub(crate) learned: Notify,
+    /// The directory answers again, after it did not answer a node that had read nothing yet.
+    pub(super) directory_back: Notify,
+    /// Whether it doesn't answer such a node.
+    pub(super) directory_away: Cell<bool>,
     /// The newest version of the configuration that a peer told of.
     told_config: Cell<Option<ConfigVersion>>,
     /// Up to where the directory's replicas are known, and since when.
@@ -58,6 +64,11 @@
         }
     }
 
+    /// Whether the directory is known not to answer, as far as a node knows that has read nothing yet.
+    pub fn is_directory_away(&self) -> bool {
+        self.directory_away.get()
+    }
+
     /// Whether a peer told of a newer configuration than the one in force.
     pub(super) fn is_behind(&self, node: &Node) -> bool {
         let own = node.with(|state| state.config.as_ref().map(|c| c.version()));
