Placement: nodes that decide at the same moment spread over engines that serve equally well

Hypothesis: 73 nodes do worse than 7 at the same load an engine since those that decide at one moment choose the same engine. A draw of up to a tenth of a short prompt's weight now decides between engines, by how many nodes there are to an engine.

--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod plain;
 mod price;
 mod search;
+mod spread;
 
 pub use plain::{PlainCandidate, place_plain};
 pub use price::Prices;
@@ -71,6 +72,10 @@
     pub readers: Vec<Reader>,
     /// How many engines the reading that was placed lately keeps busy.
     pub reading_engines: f64,
+    /// How many nodes place work here, this one included.
+    pub nodes: usize,
+    /// Drawn anew for each decision, so that nodes which decide at the same moment differ.
+    pub draw: u64,
 }
 
 /// Where a request runs.
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -7,7 +7,7 @@
 //! than it has.
 
 use super::cost::{delay, hurt, lateness, pause_loss};
-use super::{Candidate, Demand, Fleet, Placement, Prices, Refusal, memory};
+use super::{Candidate, Demand, Fleet, Placement, Prices, Refusal, memory, spread};
 use crate::engine::EngineSpec;
 use crate::ledger::{Load, Reader, weight};
 use crate::patience::Patience;
@@ -334,7 +334,11 @@
         let rank = |at: usize, candidate: &Candidate| {
             let done_ms = self.read_by_ms(candidate, part_ms, shared);
             let late = self.late(done_ms, candidate);
-            cost(at, candidate) + late + self.waiting(candidate, part_ms, shared)
+            let spread = match self.is_long() {
+                true => 0.0,
+                false => self.own_weight * spread::cost(self.fleet, candidate.key),
+            };
+            cost(at, candidate) + late + spread + self.waiting(candidate, part_ms, shared)
         };
         let fitting = candidates.iter().enumerate().filter(|(_, c)| fits(c));
         let best = fitting.min_by(|(a, x), (b, y)| rank(*a, x).total_cmp(&rank(*b, y)));
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -101,6 +101,8 @@
             candidates: candidates.collect(),
             readers,
             reading_engines,
+            nodes: 1,
+            draw: 0,
         }
     }
 
@@ -431,3 +433,36 @@
     assert!(placement.helpers.len() > 8, "{placement:?}");
     assert!(!placement.helpers.contains(&key(7)));
 }
+
+/// One draft in eight is late in a peak although slots are free. Nodes that decide at the same moment know
+/// the same of the engines, and all chose the same one. They spread over engines that do equally well,
+/// and none takes one that does worse; a node alone has nothing to spread.
+#[test]
+fn nodes_that_decide_at_the_same_moment_choose_different_engines() {
+    let mut world = World::new(20);
+    world.spec = fast_spec();
+    for number in 0..20 * 6 {
+        world.write_at(number % 20, number, Stage::Writing);
+    }
+    for number in 0..5 {
+        world.write_at(19, 1_000 + number, Stage::Writing);
+    }
+    let mut choices = |nodes: usize| -> Vec<ReplicaKey> {
+        let fleet = world.fleet();
+        let draws = (0..60u64).map(|n| n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let places = draws.map(|draw| Fleet {
+            nodes,
+            draw,
+            ..fleet.clone()
+        });
+        let places = places.map(|fleet| place_engine(&fast_spec(), &fleet, &demand(5_000)));
+        let mut chosen: Vec<ReplicaKey> = places.map(|p| p.expect("there is room").first).collect();
+        chosen.sort_unstable();
+        chosen.dedup();
+        chosen
+    };
+    assert_eq!(choices(1).len(), 1);
+    let spread = choices(60);
+    assert!(spread.len() >= 5, "{spread:?}");
+    assert!(!spread.contains(&key(19)), "it has no slot left");
+}
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -153,6 +153,8 @@
             candidates,
             readers: loads.readers,
             reading_engines: loads.reading_engines,
+            nodes: node.node_count(),
+            draw: rand::random(),
         };
         let placement = place_engine(spec, &fleet, &demand)?;
         let find = |key| state.replicas.get(key).ok_or(Refusal::NoReplica).cloned();
