--- /dev/null
+++ b/crates/fleet/src/replicas/table.rs
@@ -0,0 +1,323 @@
+//! The table of all known replicas, changed by the directory's news.
+//!
+//! Invariants: see [`super`]; a change that was taken in before changes nothing.
+
+use super::{Health, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState};
+use bluebell_base::prelude::*;
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
+use serde::{Deserialize, Serialize};
+use std::hash::Hasher;
+use std::net::SocketAddr;
+
+/// How long after the directory's return a lapsed replica is still used. The users' platform lists
+/// those that live within two seconds again.
+const RELIST_MS: SpanMs = SpanMs(2_000);
+
+/// How long a removed replica's start is remembered: an entry that was read before the removal
+/// travels between nodes for less.
+const REMOVED_REMEMBERED_MS: SpanMs = SpanMs(30_000);
+
+/// A hash of which replicas are listed, and which of them take work. Two nodes with the same one have
+/// seen the same replicas come and go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprint(pub u64);
+
+/// What a change did to the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TableEvent {
+    /// A replica that wasn't known.
+    Found,
+    /// A known replica has started again; what the earlier start had in hand is lost.
+    Restarted,
+    /// An entry that names no replica to use, seen for the first time.
+    Unusable,
+    /// A known replica stopped taking work.
+    Leaving,
+    /// A replica's entry is gone.
+    Removed,
+    /// A replica's entry is gone while the directory was away.
+    Lapsed,
+    /// Nothing that matters for work.
+    Unchanged,
+}
+
+#[derive(Debug)]
+struct Row {
+    replica: Arc<Replica>,
+    health: Health,
+    lapsed_at_ms: Option<MonoMs>,
+}
+
+/// All known replicas.
+#[derive(Debug, Default)]
+pub struct ReplicaTable {
+    rows: FxHashMap<ReplicaKey, Row>,
+    /// The key of each known instance's latest start.
+    keys: FxHashMap<Arc<str>, ReplicaKey>,
+    /// The starts of instances that were removed lately, and when.
+    removed: FxHashMap<Arc<str>, (ReplicaStart, MonoMs)>,
+    /// The instances whose last entry was found unusable, so that each is told of once.
+    unusable: FxHashSet<Arc<str>>,
+    /// The services of the configuration; none before the first.
+    services: Option<FxHashSet<ServiceName>>,
+    /// When the directory was last found back after it had been away.
+    back_at_ms: Option<MonoMs>,
+    away: bool,
+}
+
+impl ReplicaTable {
+    /// The directory can't be read.
+    pub fn on_directory_lost(&mut self) {
+        self.away = true;
+    }
+
+    /// The directory was read; entries that lapsed meanwhile get time to return.
+    pub fn on_directory_read(&mut self, now_ms: MonoMs) {
+        if self.away {
+            self.back_at_ms = Some(now_ms);
+        }
+        self.away = false;
+    }
+
+    /// Whether entries that are missing may still return, since the directory was away.
+    pub fn settling(&self, now_ms: MonoMs) -> bool {
+        let back = self.back_at_ms;
+        self.away || back.is_some_and(|at_ms| now_ms.since(at_ms) < RELIST_MS)
+    }
+
+    /// The services that the configuration in force names. Entries of others are kept, since a later
+    /// configuration may name them, but take no place from a replica that is in use.
+    pub fn set_services(&mut self, services: impl Iterator<Item = ServiceName>) {
+        self.services = Some(services.collect());
+    }
+
+    fn is_configured(&self, service: &ServiceName) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(service))
+    }
+
+    /// Takes a change in.
+    pub fn apply(&mut self, change: ReplicaChange, now_ms: MonoMs) -> TableEvent {
+        match change {
+            ReplicaChange::Listed(replica) => self.list(replica),
+            ReplicaChange::Removed(instance) => self.remove(&instance, now_ms),
+            ReplicaChange::Unreadable { instance, .. } => self.note_unusable(instance),
+        }
+    }
+
+    /// An entry that names no replica to use says nothing of one that an earlier entry of the same
+    /// instance named: that one is used until its own next entry, its removal or its answers say
+    /// otherwise. Taken for a removal, a writer that spoils entries would take the fleet out.
+    fn note_unusable(&mut self, instance: Arc<str>) -> TableEvent {
+        match self.unusable.insert(instance) {
+            true => TableEvent::Unusable,
+            false => TableEvent::Unchanged,
+        }
+    }
+
+    fn list(&mut self, replica: Replica) -> TableEvent {
+        let known = self.keys.get(&replica.instance).copied();
+        let row = known.and_then(|key| self.rows.get(&key));
+        if let Some(row) = row {
+            let usurps =
+                !self.is_configured(&replica.service) && self.is_configured(&row.replica.service);
+            if usurps {
+                return self.note_unusable(replica.instance);
+            }
+        }
+        let removed = self.removed.get(&replica.instance);
+        let latest = row
+            .map(|row| row.replica.started)
+            .max(removed.map(|(started, _)| *started));
+        if latest.is_some_and(|latest| replica.started < latest) {
+            return TableEvent::Unchanged;
+        }
+        self.unusable.remove(&replica.instance);
+        let key = replica.key();
+        match known {
+            Some(known) if known == key => self.update(key, replica),
+            Some(known) => {
+                self.rows.remove(&known);
+                self.insert(key, replica);
+                TableEvent::Restarted
+            }
+            None => {
+                self.insert(key, replica);
+                TableEvent::Found
+            }
+        }
+    }
+
+    fn update(&mut self, key: ReplicaKey, replica: Replica) -> TableEvent {
+        let Some(row) = self.rows.get_mut(&key) else {
+            return TableEvent::Unchanged;
+        };
+        row.lapsed_at_ms = None;
+        let was = row.replica.state;
+        let is = replica.state;
+        if *row.replica != replica {
+            row.replica = Arc::new(replica);
+        }
+        match was == ReplicaState::Ready && is == ReplicaState::Draining {
+            true => TableEvent::Leaving,
+            false => TableEvent::Unchanged,
+        }
+    }
+
+    fn insert(&mut self, key: ReplicaKey, replica: Replica) {
+        if self.is_configured(&replica.service) {
+            self.free_address(replica.address);
+        }
+        self.removed.remove(&replica.instance);
+        self.keys.insert(replica.instance.clone(), key);
+        let row = Row {
+            replica: Arc::new(replica),
+            health: Health::default(),
+            lapsed_at_ms: None,
+        };
+        self.rows.insert(key, row);
+    }
+
+    /// Drops who was known at an address that another replica has now.
+    fn free_address(&mut self, address: SocketAddr) {
+        let there = self.rows.iter();
+        let there = there.filter(|(_, row)| row.replica.address == address);
+        let there: Vec<ReplicaKey> = there.map(|(key, _)| *key).collect();
+        for key in there {
+            self.drop_row(key);
+        }
+    }
+
+    fn drop_row(&mut self, key: ReplicaKey) -> Option<Row> {
+        let row = self.rows.remove(&key)?;
+        self.keys.remove(&row.replica.instance);
+        Some(row)
+    }
+
+    fn remove(&mut self, instance: &str, now_ms: MonoMs) -> TableEvent {
+        self.unusable.remove(instance);
+        let Some(key) = self.keys.get(instance).copied() else {
+            return TableEvent::Unchanged;
+        };
+        if self.settling(now_ms) {
+            let Some(row) = self.rows.get_mut(&key) else {
+                return TableEvent::Unchanged;
+            };
+            row.lapsed_at_ms.get_or_insert(now_ms);
+            return TableEvent::Lapsed;
+        }
+        match self.drop_row(key) {
+            Some(row) => {
+                let replica = &row.replica;
+                let start = (replica.started, now_ms);
+                self.removed.insert(replica.instance.clone(), start);
+                TableEvent::Removed
+            }
+            None => TableEvent::Unchanged,
+        }
+    }
+
+    /// Keeps only `listed`, the whole directory as just read; lapses are judged as for
+    /// [`ReplicaTable::apply`].
+    pub fn retain_listed(&mut self, listed: &[Arc<str>], now_ms: MonoMs) {
+        let listed: FxHashSet<&Arc<str>> = listed.iter().collect();
+        let known = self.keys.keys();
+        let gone: Vec<Arc<str>> = known.filter(|i| !listed.contains(i)).cloned().collect();
+        for instance in gone {
+            self.remove(&instance, now_ms);
+        }
+    }
+
+    /// Drops lapsed replicas that the directory didn't list again; returns those dropped.
+    pub fn expire(&mut self, now_ms: MonoMs) -> Vec<Arc<Replica>> {
+        self.removed
+            .retain(|_, (_, at_ms)| now_ms.since(*at_ms) < REMOVED_REMEMBERED_MS);
+        if self.settling(now_ms) {
+            return Vec::new();
+        }
+        let lapsed = self.rows.iter();
+        let lapsed = lapsed.filter(|(_, row)| row.lapsed_at_ms.is_some());
+        let lapsed: Vec<ReplicaKey> = lapsed.map(|(key, _)| *key).collect();
+        let dropped = lapsed.into_iter().filter_map(|key| self.drop_row(key));
+        dropped.map(|row| row.replica).collect()
+    }
+
+    /// A replica that answered as another instance is gone from its address.
+    pub fn on_stranger(&mut self, key: ReplicaKey) {
+        self.drop_row(key);
+    }
+
+    /// Whether a later start of this replica is known.
+    pub fn has_restarted(&self, replica: &Replica) -> bool {
+        let known = self.keys.get(&replica.instance);
+        known.is_some_and(|key| *key != replica.key())
+    }
+
+    /// The replica with this key.
+    pub fn get(&self, key: ReplicaKey) -> Option<&Arc<Replica>> {
+        self.rows.get(&key).map(|row| &row.replica)
+    }
+
+    /// The trust in a replica.
+    pub fn health(&self, key: ReplicaKey) -> Option<&Health> {
+        self.rows.get(&key).map(|row| &row.health)
+    }
+
+    /// The trust in a replica, to change it.
+    pub fn health_mut(&mut self, key: ReplicaKey) -> Option<&mut Health> {
+        self.rows.get_mut(&key).map(|row| &mut row.health)
+    }
+
+    /// The replicas of `service` that take work, in the order that all nodes share.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
+        let rows = self.rows.iter().filter(|(_, row)| {
+            row.replica.state == ReplicaState::Ready && row.replica.service == *service
+        });
+        let (lapsed, listed): (Vec<_>, Vec<_>) =
+            rows.partition(|(_, row)| row.lapsed_at_ms.is_some());
+        // Entries that lapse because the directory was away lapse together. A few that are missing
+        // are replicas that left: work sent to them would reach them after their last moment.
+        let mut ready = listed;
+        if lapsed.len() > ready.len() {
+            ready.extend(lapsed);
+        }
+        // Where replicas tell their starts, an entry without one wasn't written by a replica.
+        let untold = |row: &Row| row.replica.started == ReplicaStart::UNTOLD;
+        let strangers = ready.iter().filter(|(_, row)| untold(row)).count();
+        if strangers * 2 < ready.len() {
+            ready.retain(|(_, row)| !untold(row));
+        }
+        ready.sort_unstable_by_key(|(key, _)| **key);
+        let seen = ready.into_iter();
+        seen.map(|(key, row)| (*key, &row.replica, &row.health))
+            .collect()
+    }
+
+    /// How the table looks; lapsed replicas count as gone.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let listed = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.lapsed_at_ms.is_none());
+        let hashes = listed.map(|(key, row)| {
+            let mut hasher = FxHasher::default();
+            hasher.write_u32(key.0);
+            hasher.write_u8(u8::from(row.replica.state == ReplicaState::Ready));
+            hasher.finish()
+        });
+        Fingerprint(hashes.fold(0, u64::wrapping_add))
+    }
+
+    /// How many replicas are known.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
