News: one copy crosses to each failure domain, whose nodes pass it on

Cause: each node told each of 194 others of every placement, and what crosses failure domains is dear and shares their links. Each node now has a relay of its own in each other domain; digests take another one each time, so that what a lost relay took with it is made up for. Silent peers get digests only.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod budget;
 pub mod engine;
+pub mod fanout;
 pub mod ledger;
 pub mod pace;
 pub mod patience;
--- /dev/null
+++ b/crates/fleet/tests/fanout.rs
@@ -0,0 +1,124 @@
+//! Who hears a node's news.
+
+use bluebell_base::prelude::*;
+use bluebell_fleet::fanout::{Listener, Route, routes};
+use bluebell_fleet::prelude::*;
+use std::collections::BTreeMap;
+
+fn domain(number: u64) -> DomainName {
+    DomainName(format!("domain-{number}").into())
+}
+
+/// A fleet of nodes in five failure domains; node `n` is in domain `n % 5`.
+fn nodes(count: u64) -> Vec<Listener> {
+    let node = |n: u64| Listener {
+        owner: OwnerId(n.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        domain: Some(domain(n % 5)),
+        there: true,
+    };
+    (0..count).map(node).collect()
+}
+
+fn routes_of(nodes: &[Listener], at: usize, turn: u64) -> Vec<Route> {
+    let mut peers = nodes.to_vec();
+    let own = peers.remove(at);
+    routes(own.owner, &domain(at as u64 % 5), &peers, turn)
+}
+
+/// Who hears news that goes by these routes, and how often.
+fn heard(nodes: &[Listener], own: OwnerId, routes: &[Route]) -> BTreeMap<OwnerId, u32> {
+    let mut heard = BTreeMap::new();
+    for route in routes {
+        match route {
+            Route::To(peer) => *heard.entry(*peer).or_default() += 1,
+            Route::Through(relay) => {
+                let at = nodes.iter().find(|node| node.owner == *relay);
+                let domain = at.and_then(|node| node.domain.clone());
+                let there = nodes.iter().filter(|node| node.domain == domain);
+                for node in there.filter(|node| node.owner != own) {
+                    *heard.entry(node.owner).or_default() += 1;
+                }
+            }
+        }
+    }
+    heard
+}
+
+/// Two nodes choose the same engine, again and again. One of them never hears the other's news, since each
+/// third node took it for the business of some relay. Every peer hears all news, once where nothing is known to
+/// be wrong with it, whoever is silent and whose failure domain isn't known yet.
+#[test]
+fn every_peer_hears_all_news() {
+    for count in [2, 3, 9, 11, 60, 195] {
+        let mut nodes = nodes(count);
+        for silent in 0..3 {
+            for at in 0..count as usize {
+                let own = nodes[at].owner;
+                let heard = heard(&nodes, own, &routes_of(&nodes, at, 7));
+                assert_eq!(heard.len() as u64, count - 1, "{count} nodes");
+                let sound = nodes.iter().filter(|n| n.there && n.domain.is_some());
+                let mut sound = sound.filter(|node| node.owner != own);
+                assert!(sound.all(|node| heard[&node.owner] == 1), "{count} nodes");
+            }
+            let at = (silent * 7) % count as usize;
+            nodes[at].there = false;
+            nodes[(at + 1) % count as usize].domain = None;
+        }
+    }
+}
+
+/// Links between failure domains fill up as the fleet grows: each placement was told to every node there.
+/// One copy goes to each other failure domain, however many nodes it has.
+#[test]
+fn one_copy_crosses_to_each_failure_domain() {
+    for count in [60, 195, 400] {
+        let nodes = nodes(count);
+        let crossing = routes_of(&nodes, 0, 7).into_iter();
+        let crossing = crossing.filter(|route| matches!(route, Route::Through(_)));
+        assert_eq!(crossing.count(), 4);
+    }
+}
+
+/// One small node is late with everything. It passed on the news of all others to its failure domain: relays
+/// are spread over the nodes of a domain.
+#[test]
+fn no_node_is_the_relay_of_many() {
+    let nodes = nodes(200);
+    let mut relays: BTreeMap<Route, u32> = BTreeMap::new();
+    for at in 0..nodes.len() {
+        for route in routes_of(&nodes, at, 7) {
+            if matches!(route, Route::Through(_)) {
+                *relays.entry(route).or_default() += 1;
+            }
+        }
+    }
+    let most = relays.values().max().copied();
+    // Each node is the relay of four others on average.
+    assert!(most <= Some(16), "{most:?}");
+}
+
+/// A node places beside work that it doesn't know of. Its peers' relay died, which shows only when it has been
+/// silent for seconds. Digests take other relays, and a relay that is known to be silent isn't used.
+#[test]
+fn a_lost_relay_is_gone_round() {
+    let mut nodes = nodes(60);
+    let through = |nodes: &[Listener], turn| -> Vec<Route> {
+        let routes = routes_of(nodes, 0, turn).into_iter();
+        routes
+            .filter(|route| matches!(route, Route::Through(_)))
+            .collect()
+    };
+    let first = through(&nodes, 1);
+    let others = (2..12).filter(|turn| through(&nodes, *turn)[0] != first[0]);
+    assert!(others.count() >= 8);
+    let Route::Through(lost) = first[0] else {
+        panic!("{first:?}");
+    };
+    let at = nodes.iter().position(|node| node.owner == lost);
+    nodes[at.expect("it is a node")].there = false;
+    assert!(!through(&nodes, 1).contains(&Route::Through(lost)));
+    assert!(
+        routes_of(&nodes, 0, 1).contains(&Route::To(lost)),
+        "it is told directly"
+    );
+}
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -5,21 +5,35 @@
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// The version of the format; datagrams of another are ignored, so that nodes of two releases can
 /// run beside each other.
-const FORMAT: u8 = 3;
+const FORMAT: u8 = 4;
 
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct Datagram {
     format: u8,
-    /// The run of the node that sends it.
-    pub owner: u64,
+    /// Whether whoever gets it sends it on to all peers of its failure domain.
+    pub pass_on: bool,
+    /// The node whose news it is, which isn't always the one that it comes from.
+    pub origin: Origin,
     /// What it tells.
     pub news: Vec<News>,
 }
 
+/// A node, as its datagrams name it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Origin {
+    /// Its run.
+    pub owner: u64,
+    /// Where it takes news.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+}
+
 /// One piece of news.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) enum News {
@@ -117,26 +131,31 @@
         (datagram.format == FORMAT).then_some(datagram)
     }
 
-    fn encode(owner: OwnerId, news: Vec<News>) -> Vec<u8> {
+    /// The bytes of a datagram that is to be passed on, or not.
+    pub fn encode(&self, pass_on: bool) -> Vec<u8> {
         let datagram = Self {
-            format: FORMAT,
-            owner: owner.0,
-            news,
+            pass_on,
+            ..self.clone()
         };
         postcard::to_allocvec(&datagram).expect("plain data can be encoded")
     }
 }
 
 /// Packs news into as few datagrams as fit.
-pub(super) fn pack(owner: OwnerId, news: Vec<News>) -> Vec<Vec<u8>> {
-    let whole = Datagram::encode(owner, news.clone());
-    if whole.len() <= DATAGRAM_BYTES || news.len() < 2 {
+pub(super) fn pack(origin: &Origin, news: Vec<News>) -> Vec<Datagram> {
+    let whole = Datagram {
+        format: FORMAT,
+        pass_on: false,
+        origin: origin.clone(),
+        news,
+    };
+    if whole.encode(true).len() <= DATAGRAM_BYTES || whole.news.len() < 2 {
         return vec![whole];
     }
-    let mut left = news;
+    let mut left = whole.news;
     let right = left.split_off(left.len() / 2);
-    let mut packed = pack(owner, left);
-    packed.extend(pack(owner, right));
+    let mut packed = pack(origin, left);
+    packed.extend(pack(origin, right));
     packed
 }
 
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -1,9 +1,10 @@
 //! News that waits to be sent, and the peers that get it.
 
-use super::message::News;
+use super::message::{News, Origin};
 use super::{PEER_FORGOTTEN_MS, PEER_SILENT_MS};
 use crate::watch::ReplicasTold;
 use bluebell_base::prelude::*;
+use bluebell_fleet::fanout::{self, Listener, Route};
 use bluebell_fleet::prelude::*;
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
@@ -11,9 +12,10 @@
 use tokio::sync::Notify;
 
 /// A peer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
+    domain: Option<DomainName>,
     heard_ms: MonoMs,
     there: bool,
 }
@@ -113,17 +115,46 @@
         std::mem::take(&mut self.waiting.borrow_mut())
     }
 
-    /// Where news goes.
-    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.borrow().values().map(|p| p.address).collect()
+    /// Where news goes that `own` tells, and whether it is passed on there. Peers that are silent get
+    /// it only where `all` is set.
+    pub(super) fn copies(&self, own: &Origin, turn: u64, all: bool) -> Vec<(SocketAddr, bool)> {
+        let peers = self.peers.borrow();
+        let told = peers.iter().filter(|(_, peer)| all || peer.there);
+        let listeners: Vec<Listener> = told
+            .map(|(owner, peer)| Listener {
+                owner: *owner,
+                domain: peer.domain.clone(),
+                there: peer.there,
+            })
+            .collect();
+        let domain = DomainName(own.domain.clone());
+        let routes = fanout::routes(OwnerId(own.owner), &domain, &listeners, turn);
+        let copies = routes.into_iter().map(|route| match route {
+            Route::To(peer) => (peer, false),
+            Route::Through(peer) => (peer, true),
+        });
+        let copies =
+            copies.filter_map(|(peer, pass_on)| Some((peers.get(&peer)?.address, pass_on)));
+        copies.collect()
+    }
+
+    /// The peers of a failure domain to which the news of `origin` is passed on.
+    pub(super) fn addresses_in(&self, domain: &DomainName, origin: OwnerId) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let there = peers
+            .iter()
+            .filter(|(owner, peer)| **owner != origin && peer.domain.as_ref() == Some(domain));
+        there.map(|(_, peer)| peer.address).collect()
     }
 
-    /// A peer was heard, or its announcement read at `heard_ms`.
-    pub(super) fn heard(&self, owner: OwnerId, address: SocketAddr, now_ms: MonoMs) -> PeerEvent {
+    /// News of a peer came, from itself or through another.
+    pub(super) fn heard(&self, origin: &Origin, now_ms: MonoMs) -> PeerEvent {
+        let owner = OwnerId(origin.owner);
         let mut peers = self.peers.borrow_mut();
         let known = peers.get(&owner).is_some_and(|peer| peer.there);
         let peer = Peer {
-            address,
+            address: origin.address,
+            domain: Some(DomainName(origin.domain.clone())),
             heard_ms: now_ms,
             there: true,
         };
@@ -139,6 +170,7 @@
         let mut peers = self.peers.borrow_mut();
         peers.entry(owner).or_insert(Peer {
             address,
+            domain: None,
             heard_ms: now_ms,
             there: false,
         });
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -2,6 +2,7 @@
 
 use super::message::{Datagram, News, WorkNews};
 use super::outbox::PeerEvent;
+use super::send::send_one;
 use crate::journal::Event;
 use crate::node::Node;
 use bluebell_base::prelude::*;
@@ -29,7 +30,10 @@
                     log::debug!("a datagram from {from} can't be read");
                     continue;
                 };
-                take_in(&node, datagram, from);
+                if datagram.pass_on {
+                    pass_on(&node, &socket, &datagram);
+                }
+                take_in(&node, datagram);
             }
             Err(error) => {
                 log::trace!("can't receive news: {error}");
@@ -39,13 +43,22 @@
     }
 }
 
-fn take_in(node: &Node, datagram: Datagram, from: std::net::SocketAddr) {
-    let owner = OwnerId(datagram.owner);
+/// Sends a peer's news on to the other nodes of this failure domain, once: they don't send it on.
+fn pass_on(node: &Node, socket: &UdpSocket, datagram: &Datagram) {
+    let origin = OwnerId(datagram.origin.owner);
+    let bytes = datagram.encode(false);
+    for address in node.outbox.addresses_in(&node.settings.domain, origin) {
+        send_one(socket, &bytes, address);
+    }
+}
+
+fn take_in(node: &Node, datagram: Datagram) {
+    let owner = OwnerId(datagram.origin.owner);
     if owner == node.owner {
         return;
     }
     let now_ms = node.now_ms();
-    if node.outbox.heard(owner, from, now_ms) == PeerEvent::Found {
+    if node.outbox.heard(&datagram.origin, now_ms) == PeerEvent::Found {
         node.journal.tell(&Event::PeerFound {
             incarnation: owner.0,
         });
--- a/crates/front/src/news/send.rs
+++ b/crates/front/src/news/send.rs
@@ -1,9 +1,10 @@
 //! Sending news.
 
-use super::message::{News, WorkNews, digest, pack};
+use super::message::{News, Origin, WorkNews, digest, pack};
 use super::{DIGEST_EVERY_MS, GATHER_MS, PATIENT_MS};
 use crate::journal::Event;
 use crate::node::Node;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -22,12 +23,12 @@
             () = tokio::time::sleep_until(digest_at) => {
                 digest_at = Instant::now() + Duration::from(DIGEST_EVERY_MS);
                 drop_silent(&node);
-                send_to_all(&node, &socket, own_digest(&node));
+                send_to_all(&node, &socket, own_digest(&node), To::All);
             }
         }
         let news = node.outbox.take();
         if !news.is_empty() {
-            send_to_all(&node, &socket, news);
+            send_to_all(&node, &socket, news, To::There);
         }
     }
 }
@@ -51,21 +52,51 @@
     news
 }
 
-/// Datagrams are sent without waiting: one that finds the link full is late news.
-fn send_to_all(node: &Node, socket: &UdpSocket, news: Vec<News>) {
-    let addresses = node.outbox.addresses();
-    if addresses.is_empty() {
+/// Who is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum To {
+    /// The peers that were heard lately, through relays that stay the same.
+    There,
+    /// Silent ones as well, through other relays each time.
+    All,
+}
+
+fn send_to_all(node: &Node, socket: &UdpSocket, news: Vec<News>, to: To) {
+    let origin = origin(node);
+    let (turn, all) = match to {
+        To::There => (0, false),
+        To::All => (rand::random(), true),
+    };
+    let copies = node.outbox.copies(&origin, turn, all);
+    if copies.is_empty() {
         return;
     }
-    for datagram in pack(node.owner, news) {
-        for address in &addresses {
-            if let Err(error) = socket.try_send_to(&datagram, *address) {
-                log::trace!("news for {address} is dropped: {error}");
-            }
+    for datagram in pack(&origin, news) {
+        let for_one = datagram.encode(false);
+        let for_many = datagram.encode(true);
+        for (address, pass_on) in &copies {
+            let bytes = if *pass_on { &for_many } else { &for_one };
+            send_one(socket, bytes, *address);
         }
     }
 }
 
+/// Datagrams are sent without waiting: one that finds the link full is late news.
+pub(super) fn send_one(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
+    if let Err(error) = socket.try_send_to(bytes, address) {
+        log::trace!("news for {address} is dropped: {error}");
+    }
+}
+
+/// How this node names itself.
+fn origin(node: &Node) -> Origin {
+    Origin {
+        owner: node.owner.0,
+        address: node.settings.news,
+        domain: node.settings.domain.0.clone(),
+    }
+}
+
 fn drop_silent(node: &Node) {
     let lost = node.outbox.expire(node.now_ms());
     for (owner, silent_ms) in lost {
