Replicas: what one node reads is told in pieces; who has read less is not read after

Cause: a start lists 201 replicas within seconds. The node that read them told only what fits one datagram, so all others read as well, told that their tables differ, and made each other read four times a second: 2,672 reads of replicas in five seconds, by a count of calls at the node.

--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -22,7 +22,7 @@
 pub type PendingRead<'a, T> = Pin<Box<dyn Future<Output = Result<T, DirectoryError>> + 'a>>;
 
 /// A place in the directory's history.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Cursor(pub u64);
 
 /// Why the directory gave no news.
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -6,6 +6,7 @@
 mod config;
 mod nodes;
 mod paces;
+mod pieces;
 mod replicas;
 mod retry;
 mod shared;
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -1,5 +1,6 @@
 //! The replicas that the directory lists.
 
+use super::pieces::Pieces;
 use super::retry::Backoff;
 use super::shared::ReplicasTold;
 use crate::journal::Event;
@@ -22,9 +23,12 @@
 /// else make each other read without end.
 const LEAST_PAUSE_MS: SpanMs = SpanMs(250);
 
-/// The most changes that peers are told: they fit a datagram. Where more came at once, as at the
-/// start, each node reads itself.
-const MOST_TOLD: usize = 16;
+/// How much each peer adds to the span over which those that were told too little spread their reads:
+/// what is told next may spare most of them.
+const PEER_SPREAD_MS: u64 = 2;
+
+/// The longest such span.
+const LONGEST_SPREAD_MS: u64 = 400;
 
 /// Watches the replicas until the process ends.
 ///
@@ -43,9 +47,12 @@
         match read {
             Ok(news) => {
                 backoff.succeeded(&node);
+                let cursor = news.cursor;
                 let told = take(&node, news);
-                node.watching.on_own_read(told.cursor, node.now_ms());
-                node.outbox.replicas(told);
+                node.watching.on_own_read(cursor, node.now_ms());
+                for piece in told {
+                    node.outbox.replicas(piece);
+                }
                 node.on_replicas_read();
                 tokio::time::sleep(Duration::from(LEAST_PAUSE_MS)).await;
             }
@@ -70,35 +77,37 @@
             return;
         };
         tokio::select! {
-            () = node.watching.other_replicas.notified() => return,
+            () = node.watching.other_replicas.notified() => {
+                let peers = node.outbox.peers_there() as u64;
+                let spread_ms = (peers * PEER_SPREAD_MS).min(LONGEST_SPREAD_MS);
+                let pause_ms = rand::random_range(0..=spread_ms);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                if node.watching.misses_replicas() {
+                    return;
+                }
+            }
             () = tokio::time::sleep(Duration::from_millis(left_ms)) => {}
         }
     }
 }
 
-/// Takes a read in; returns what peers are told of it.
-fn take(node: &Node, news: ReplicaNews) -> ReplicasTold {
+/// Takes a read in; returns what peers are told of it, piece by piece.
+fn take(node: &Node, news: ReplicaNews) -> Vec<ReplicasTold> {
     let now_ms = node.now_ms();
-    let before = node.with(|state| state.replicas.fingerprint());
+    let mut pieces = Pieces::open(node);
     node.with(|state| state.replicas.on_directory_read(now_ms));
     if news.whole {
         let listed: Vec<Arc<str>> = news.changes.iter().filter_map(listed).collect();
         node.with(|state| state.replicas.retain_listed(&listed, now_ms));
     }
-    let mut changes = take_changes(node, news.changes);
-    let (after, settling) = node.with(|state| {
-        let replicas = &state.replicas;
-        (replicas.fingerprint(), replicas.settling(now_ms))
-    });
-    // What is missing after an outage may come back: each node judges that by what it saw of it.
-    if news.whole || settling || changes.len() > MOST_TOLD {
-        changes.clear();
+    for change in news.changes {
+        pieces.add(node, take_changes(node, vec![change]));
     }
-    ReplicasTold {
-        cursor: news.cursor,
-        before,
-        after,
-        changes,
+    let settling = node.with(|state| state.replicas.settling(now_ms));
+    // What is missing after an outage may come back: each node judges that by what it saw of it.
+    match news.whole || settling {
+        true => pieces.untold(node, news.cursor),
+        false => pieces.close(node, news.cursor),
     }
 }
 
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -39,6 +39,8 @@
     told_config: Cell<Option<ConfigVersion>>,
     /// Up to where the directory's replicas are known, and since when.
     confirmed: Cell<Option<(Cursor, MonoMs)>>,
+    /// Up to where a peer has read them whose table is another.
+    told_replicas: Cell<Option<Cursor>>,
 }
 
 /// What a peer tells of its table of replicas.
@@ -97,7 +99,11 @@
             take_changes(node, told.changes);
         }
         if fingerprint() != told.after {
-            self.other_replicas.notify_one();
+            self.told_replicas
+                .set(self.told_replicas.get().max(Some(told.cursor)));
+            if self.misses_replicas() {
+                self.other_replicas.notify_one();
+            }
             return;
         }
         let now_ms = node.now_ms();
@@ -106,6 +112,13 @@
         self.confirmed.set(Some((cursor, now_ms)));
     }
 
+    /// Whether a peer has read more of the replicas than this node knows. One that has read less, or
+    /// as much and judged it otherwise, has nothing to tell by a read: 195 tables that differed for
+    /// the moment of a start made each other read four times a second.
+    pub(super) fn misses_replicas(&self) -> bool {
+        self.told_replicas.get() > self.cursor()
+    }
+
     /// This node has read the replicas up to `cursor`.
     pub(super) fn on_own_read(&self, cursor: Cursor, now_ms: MonoMs) {
         self.confirmed.set(Some((cursor, now_ms)));
