Placement: spare slots as before

Reverts the price of a slot by the power of those taken: with the draw by what is placed unknown it gains nothing.

--- a/crates/fleet/src/placement/survey.rs
+++ b/crates/fleet/src/placement/survey.rs
@@ -23,14 +23,12 @@
 /// What each writer of an engine counts against its helping, as a part of the request's weight.
 const WRITER_WEIGHT: f64 = 0.002;
 
-/// What the last slot of an engine costs, as a part of the request's weight: nodes place at the same
-/// moment and learn of each other's work some ms later, and what finds no slot waits for one to end.
-const SLOT_WEIGHT: f64 = 0.3;
+/// The slots of an engine that are left free while others have more: nodes place at the same moment
+/// and learn of each other's work some ms later, and what finds no slot waits for one to end.
+const SPARE_SLOTS: u32 = 2;
 
-/// How fast the cost of a slot falls with the share of slots taken. It falls slowly enough that many
-/// engines cost about the same near the border between full and idle ones, so that nodes spread
-/// over them, and fast enough that short work stays together.
-const SLOT_POWER: i32 = 8;
+/// What a spare slot costs, as a part of the request's weight.
+const SPARE_WEIGHT: f64 = 0.15;
 
 /// How many requests fewer than its slots an engine is asked to help: it helps until they are
 /// written, refuses at its slots, and nodes learn of each other's work some ms later.
@@ -162,7 +160,7 @@
             writing_ms: asked.written_passes() * alone_pass_ms,
             pause: pause_loss(own_pass_ms, demand.gap_ms.0 as f64),
             writer_parts: order(asked, place) * ORDER_WEIGHT
-                + crowding(spec, load) * SLOT_WEIGHT
+                + crowding(spec, load) * SPARE_WEIGHT
                 + elsewhere(huge, free, needed) * ELSEWHERE_WEIGHT,
             spread: spread::cost(fleet, candidate.key, asked.is_long()),
             helper_parts: f64::from(load.writers) * WRITER_WEIGHT
@@ -244,10 +242,9 @@
     }
 }
 
-/// How near one more writer brings an engine to its last slot.
+/// The spare slots that one more writer takes.
 fn crowding(spec: &EngineSpec, load: &Load) -> f64 {
-    let taken = f64::from(load.writers + 1) / f64::from(spec.slots.max(1));
-    taken.powi(SLOT_POWER)
+    f64::from((load.writers + 1 + SPARE_SLOTS).saturating_sub(spec.slots))
 }
 
 /// The part of a huge prompt that an engine can't hold.
