--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -253,6 +253,14 @@
         known.is_some_and(|key| *key != replica.key())
     }
 
+    /// Whether another instance is known at this replica's address, which was given to it after this
+    /// one had ended.
+    pub fn another_at(&self, replica: &Replica) -> bool {
+        let known = self.rows.values().map(|row| &row.replica);
+        let mut there = known.filter(|known| known.address == replica.address);
+        there.any(|known| known.instance != replica.instance)
+    }
+
     /// The replica with this key.
     pub fn get(&self, key: ReplicaKey) -> Option<&Arc<Replica>> {
         self.rows.get(&key).map(|row| &row.replica)
--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -13,6 +13,7 @@
 use crate::watch;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
+use futures_util::future::join_all;
 use http_body_util::BodyExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,7 +69,7 @@
             }
         }
         if !reserved.pieces.is_empty() {
-            let writer = chosen.replica.address;
+            let writer = chosen.replica.clone();
             let renewal = renew(call.node.clone(), writer, reserved.pieces.clone());
             reserved.renewal = Some(spawn_local(renewal).abort_handle());
         }
@@ -88,6 +89,12 @@
 }
 
 impl Piece {
+    async fn renew(&self, node: &Rc<Node>) {
+        if let Err(error) = self.reserve(node).await {
+            log::warn!("memory {} isn't renewed: {}", self.name, error.why);
+        }
+    }
+
     async fn reserve(&self, node: &Rc<Node>) -> Result<(), TryError> {
         let order = MemoryOrder::Reserve {
             name: self.name.clone(),
@@ -113,21 +120,24 @@
 /// is over, but the node waits for it, and kept memory at its helpers for twelve seconds that other
 /// long prompts were refused for. Engines answer looks at any load, so one that doesn't is dead, or
 /// cut off from this node, which then can't have its answer either.
-async fn renew(node: Rc<Node>, writer: SocketAddr, pieces: Vec<Piece>) {
+async fn renew(node: Rc<Node>, writer: Arc<Replica>, pieces: Vec<Piece>) {
     loop {
         tokio::time::sleep(Duration::from(RENEW_MS)).await;
-        if !watch::answers(&node, writer).await {
-            log::info!("memory isn't renewed: {writer} doesn't answer");
+        if !is_alive(&node, &writer).await {
+            log::info!("memory isn't renewed: {} doesn't answer", writer.instance);
             continue;
         }
-        for piece in &pieces {
-            if let Err(error) = piece.reserve(&node).await {
-                log::warn!("memory {} isn't renewed: {}", piece.name, error.why);
-            }
-        }
+        // At the same time: a helper that doesn't answer must not let the others' memory run out.
+        join_all(pieces.iter().map(|piece| piece.renew(&node))).await;
     }
 }
 
+/// Whether an engine answers at its address; another replica may have that by now, and answer.
+async fn is_alive(node: &Rc<Node>, engine: &Replica) -> bool {
+    let moved_in = node.with(|state| state.replicas.another_at(engine));
+    !moved_in && watch::answers(node, engine.address).await
+}
+
 async fn release(node: Rc<Node>, piece: Piece) {
     let name = piece.name.clone();
     let order = MemoryOrder::Release { name };
