--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -32,7 +32,16 @@
     pub hop_ms: f64,
 }
 
+/// The passes from which reading a prompt is long: shared by two engines, a shorter one would be
+/// read less than a pass sooner.
+const LONG_PASSES: f64 = 2.0;
+
 impl EngineSpec {
+    /// The time from which reading a prompt is long, so that several engines may share it.
+    pub fn long_read_ms(&self) -> f64 {
+        self.pass_ms(1, Tokens::ZERO) * LONG_PASSES
+    }
+
     /// The time that reading a prompt takes one engine that does nothing else.
     pub fn read_ms(&self, prompt_tokens: Tokens) -> f64 {
         let tokens = prompt_tokens.0 as f64;
--- a/crates/fleet/src/ledger/load.rs
+++ b/crates/fleet/src/ledger/load.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 use std::sync::LazyLock;
 
-use super::{Engine, WorkId};
+use super::{Engine, PlacedLately, WorkId};
 use crate::engine::EngineSpec;
 use crate::pace::Pace;
 use crate::replicas::ReplicaKey;
@@ -63,12 +63,8 @@
     pub(super) engines: &'a FxHashMap<ReplicaKey, Engine>,
     /// All requests whose prompts are being read.
     pub readers: &'a FxHashMap<WorkId, Reader>,
-    /// How many engines the reading that was placed lately keeps busy.
-    pub reading_engines: f64,
-    /// How many prompts all nodes placed lately, in a ms.
-    pub placed_per_ms: f64,
-    /// How many of them were long.
-    pub long_per_ms: f64,
+    /// The reading that was placed lately.
+    pub placed: &'a PlacedLately,
 }
 
 static IDLE: LazyLock<Load> = LazyLock::new(Load::default);
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -14,18 +14,19 @@
 //! of expires; what is kept of an engine is what its work adds up to, see [`Ledger::verify`].
 
 mod load;
+mod placed;
 mod queue;
 mod verify;
 mod work;
 
 pub use load::{Load, Loads, Reader, Tolerance};
+pub use placed::PlacedLately;
 pub use queue::{Part, ReadQueue};
 pub use verify::LedgerError;
 pub use work::{OwnerId, Stage, Work, WorkId, weight};
 
 use bluebell_base::prelude::*;
 use rustc_hash::FxHashMap;
-use std::collections::VecDeque;
 
 use crate::pace::Paces;
 use crate::replicas::ReplicaKey;
@@ -57,25 +58,9 @@
     works: FxHashMap<OwnerId, FxHashMap<u32, Work>>,
     engines: FxHashMap<ReplicaKey, Engine>,
     readers: FxHashMap<WorkId, Reader>,
-    placed: VecDeque<Placed>,
+    placed: PlacedLately,
 }
 
-/// A prompt that was placed lately.
-#[derive(Clone, Copy, Debug)]
-struct Placed {
-    at_ms: MonoMs,
-    /// The engine time that its reading takes.
-    read_ms: f64,
-}
-
-/// Prompts whose reading takes an engine less than this are short: in more parts they would gain
-/// less than a pass.
-pub const LONG_READ_MS: f64 = 90.0;
-
-/// The span over which the reading that was placed is counted: about as long as a long prompt is in
-/// hand.
-const LATELY_MS: SpanMs = SpanMs(4_000);
-
 impl Ledger {
     /// Adds work, or takes in how far known work is.
     pub fn put(&mut self, id: WorkId, work: Work, now_ms: MonoMs) {
@@ -89,10 +74,7 @@
         if work.stage == Stage::Reading {
             self.enqueue(id, &work, now_ms);
             let engines = 1 + work.helpers.len();
-            self.placed.push_back(Placed {
-                at_ms: now_ms,
-                read_ms: work.part_ms * engines as f64,
-            });
+            self.placed.note(work.part_ms * engines as f64, now_ms);
         }
         let own = self.works.entry(id.owner).or_default();
         own.insert(id.sequence, work);
@@ -255,23 +237,11 @@
     /// What each engine has to do at `now_ms`.
     pub fn loads(&mut self, now_ms: MonoMs) -> Loads<'_> {
         self.advance(now_ms);
-        self.expire_placed(now_ms);
-        let placed_ms: f64 = self.placed.iter().map(|placed| placed.read_ms).sum();
-        let long = self.placed.iter().filter(|p| p.read_ms >= LONG_READ_MS);
-        let per_ms = |count: usize| count as f64 / LATELY_MS.0 as f64;
+        self.placed.expire(now_ms);
         Loads {
             engines: &self.engines,
             readers: &self.readers,
-            reading_engines: placed_ms / LATELY_MS.0 as f64,
-            long_per_ms: per_ms(long.count()),
-            placed_per_ms: per_ms(self.placed.len()),
-        }
-    }
-
-    fn expire_placed(&mut self, now_ms: MonoMs) {
-        let is_old = |at_ms: &MonoMs| now_ms.since(*at_ms) > LATELY_MS;
-        while self.placed.front().is_some_and(|p| is_old(&p.at_ms)) {
-            self.placed.pop_front();
+            placed: &self.placed,
         }
     }
 
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -27,7 +27,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::ledger::{Load, Loads, Reader, WorkId};
+use crate::ledger::{Load, Loads, PlacedLately, Reader, WorkId};
 use crate::replicas::ReplicaKey;
 
 /// What a request needs of an engine.
@@ -73,12 +73,8 @@
     pub candidates: Vec<Candidate<'a>>,
     /// The requests whose prompts are being read.
     pub readers: &'a FxHashMap<WorkId, Reader>,
-    /// How many engines the reading that was placed lately keeps busy.
-    pub reading_engines: f64,
-    /// How many prompts all nodes placed lately, in a ms.
-    pub placed_per_ms: f64,
-    /// How many of them were long.
-    pub long_per_ms: f64,
+    /// The reading that was placed lately.
+    pub placed: &'a PlacedLately,
     /// How many nodes place work here, this one included.
     pub nodes: usize,
     /// Drawn anew for each decision, so that nodes which decide at the same moment differ.
@@ -100,9 +96,7 @@
         Self {
             candidates: candidates.collect(),
             readers: loads.readers,
-            reading_engines: loads.reading_engines,
-            placed_per_ms: loads.placed_per_ms,
-            long_per_ms: loads.long_per_ms,
+            placed: loads.placed,
             nodes,
             draw,
         }
--- a/crates/fleet/src/placement/price.rs
+++ b/crates/fleet/src/placement/price.rs
@@ -76,8 +76,13 @@
         let writers: u32 = candidates.iter().map(|c| c.load.writers).sum();
         let taken = f64::from(writers) / (count * f64::from(spec.slots.max(1)));
         let waiting = READ_PRICE * ramp(backlog_ms / count, BACKLOG_FREE_MS, BACKLOG_FULL_MS);
-        let busy =
-            BUSY_PRICE * ramp(fleet.reading_engines / sound.max(1.0), BUSY_FREE, BUSY_FULL).powi(2);
+        let busy = BUSY_PRICE
+            * ramp(
+                fleet.placed.reading_engines() / sound.max(1.0),
+                BUSY_FREE,
+                BUSY_FULL,
+            )
+            .powi(2);
         Self {
             read_ms: waiting.max(busy),
             slot: SLOT_PRICE * ramp(taken, SLOTS_FREE, SLOTS_FULL),
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -10,7 +10,7 @@
 use super::survey::{Asked, Part, Surveyed};
 use super::{Demand, Fleet, Placement, Prices, Refusal, memory};
 use crate::engine::EngineSpec;
-use crate::ledger::{WorkId, weight};
+use crate::ledger::WorkId;
 use crate::patience::Patience;
 use crate::replicas::ReplicaKey;
 use bluebell_base::prelude::*;
@@ -75,12 +75,7 @@
     if memory::needed(demand).0 > memory::usable(spec).0 * engines as u64 {
         return Err(Refusal::TooLong);
     }
-    let asked = Asked {
-        spec,
-        demand,
-        read_ms: spec.read_ms(demand.prompt_tokens),
-        weight: weight(demand.prompt_tokens),
-    };
+    let asked = Asked::of(spec, fleet, demand);
     let price = price(&asked, fleet);
     // Spares the search below, which requests that wait would else repeat at each look.
     if !demand.begun && price > asked.weight {
@@ -131,7 +126,8 @@
     fn open(asked: Asked<'a>, fleet: &'a Fleet<'a>) -> Self {
         let last = (fleet.candidates.len().max(2) - 1) as f64;
         let engines = fleet.candidates.iter().enumerate();
-        let surveyed = engines.map(|(at, c)| Surveyed::of(&asked, fleet, *c, at as f64 / last));
+        let surveyed =
+            engines.map(|(at, c)| Surveyed::of(&asked, fleet.draw, *c, at as f64 / last));
         let mut search = Self {
             engines: surveyed.collect(),
             asked,
--- a/crates/fleet/src/placement/spread.rs
+++ b/crates/fleet/src/placement/spread.rs
@@ -13,6 +13,7 @@
 //! Invariants: the same draw gives the same choice.
 
 use super::Fleet;
+use crate::engine::EngineSpec;
 use crate::replicas::ReplicaKey;
 
 /// What a draw counts at most between engines for a short prompt, as a part of its weight: less
@@ -27,16 +28,20 @@
 /// domains and is passed on there. On 195 nodes it took 2 to 8 ms.
 const UNKNOWN_MS: f64 = 10.0;
 
-/// What the draw counts for or against an engine, as a part of the request's weight.
-pub fn cost(fleet: &Fleet, key: ReplicaKey, is_long: bool) -> f64 {
-    let (per_ms, weight) = match is_long {
-        true => (fleet.long_per_ms, LONG_SPREAD_WEIGHT),
-        false => (fleet.placed_per_ms, SHORT_SPREAD_WEIGHT),
+/// What the draw counts at most between engines for a prompt, as a part of its weight.
+pub fn most(spec: &EngineSpec, fleet: &Fleet, is_long: bool) -> f64 {
+    let (least_read_ms, weight) = match is_long {
+        true => (spec.long_read_ms(), LONG_SPREAD_WEIGHT),
+        false => (0.0, SHORT_SPREAD_WEIGHT),
     };
     let others = fleet.nodes.saturating_sub(1) as f64 / fleet.nodes.max(1) as f64;
-    let unknown = per_ms * others * UNKNOWN_MS;
-    let part = (mixed(fleet.draw, key) >> 32) as f64 / f64::from(u32::MAX);
-    weight * part * unknown / (unknown + 1.0)
+    let unknown = fleet.placed.per_ms(least_read_ms) * others * UNKNOWN_MS;
+    weight * unknown / (unknown + 1.0)
+}
+
+/// The part of that which the draw counts against an engine, from 0 to 1.
+pub fn part(draw: u64, key: ReplicaKey) -> f64 {
+    (mixed(draw, key) >> 32) as f64 / f64::from(u32::MAX)
 }
 
 /// Mixes a draw and an engine (the last steps of SplitMix64): every bit depends on all of both.
--- a/crates/fleet/src/placement/survey.rs
+++ b/crates/fleet/src/placement/survey.rs
@@ -9,7 +9,7 @@
 use super::cost::{Hurt, lateness, pause_loss};
 use super::{Candidate, Demand, Fleet, memory, spread};
 use crate::engine::EngineSpec;
-use crate::ledger::{LONG_READ_MS, Load};
+use crate::ledger::{Load, weight};
 use bluebell_base::prelude::*;
 
 /// How much the shared order counts, as a part of the request's weight. It only has to decide
@@ -60,9 +60,24 @@
     pub read_ms: f64,
     /// What it counts.
     pub weight: f64,
+    /// What the draw between engines that serve equally well counts at most, as a part of that.
+    pub spread: f64,
 }
 
-impl Asked<'_> {
+impl<'a> Asked<'a> {
+    /// What a request asks of the engines of a fleet.
+    pub fn of(spec: &'a EngineSpec, fleet: &Fleet<'_>, demand: &'a Demand) -> Self {
+        let mut asked = Self {
+            spec,
+            demand,
+            read_ms: spec.read_ms(demand.prompt_tokens),
+            weight: weight(demand.prompt_tokens),
+            spread: 0.0,
+        };
+        asked.spread = spread::most(spec, fleet, asked.is_long());
+        asked
+    }
+
     /// Whether no engine can hold it alone, so that memory is set aside at helpers.
     pub fn is_huge(&self) -> bool {
         memory::needed(self.demand) > memory::usable(self.spec)
@@ -70,7 +85,7 @@
 
     /// Whether it may be read by many: reading it alone takes long, or no engine can hold it.
     pub fn is_long(&self) -> bool {
-        self.read_ms >= LONG_READ_MS || self.is_huge()
+        self.read_ms >= self.spec.long_read_ms() || self.is_huge()
     }
 
     /// Whether it is read for so long that writers beside it would pause for too long.
@@ -136,7 +151,7 @@
 
 impl<'a> Surveyed<'a> {
     /// Surveys the engine that stands at `place` of the shared order, from 0 for its front to 1.
-    pub fn of(asked: &Asked<'_>, fleet: &Fleet<'_>, candidate: Candidate<'a>, place: f64) -> Self {
+    pub fn of(asked: &Asked<'_>, draw: u64, candidate: Candidate<'a>, place: f64) -> Self {
         let Asked { spec, demand, .. } = *asked;
         let load = candidate.load;
         let pass_ms = load.pass_ms(spec, 0.0);
@@ -162,7 +177,7 @@
             writer_parts: order(asked, place) * ORDER_WEIGHT
                 + crowding(spec, load) * SPARE_WEIGHT
                 + elsewhere(huge, free, needed) * ELSEWHERE_WEIGHT,
-            spread: spread::cost(fleet, candidate.key, asked.is_long()),
+            spread: asked.spread * spread::part(draw, candidate.key),
             helper_parts: f64::from(load.writers) * WRITER_WEIGHT
                 + used_memory(huge, spec, load) * ELSEWHERE_WEIGHT,
             candidate,
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -497,3 +497,42 @@
     let alone = world.choices(1, &demand(182_000));
     assert!(alone.iter().all(|key| *key == alone[0]));
 }
+
+/// Faster engines were bought, and prompts that one of them now reads within a pass still took two: what counts as
+/// long was a time of its own. With all times halved, prompts of every length are shared as before.
+#[test]
+fn engines_twice_as_fast_share_prompts_alike() {
+    let twice = EngineSpec {
+        step_ms: spec().step_ms / 2.0,
+        per_writer_ms: spec().per_writer_ms / 2.0,
+        per_context_k_ms: spec().per_context_k_ms / 2.0,
+        read_per_s: spec().read_per_s * 2.0,
+        pairs_per_m_ms: spec().pairs_per_m_ms / 2.0,
+        ..spec()
+    };
+    for tokens in [
+        5_000, 9_000, 12_000, 16_000, 24_000, 45_000, 110_000, 182_000, 390_000,
+    ] {
+        let usual = Demand {
+            // One engine alone would be late.
+            target_left_ms: spec().read_ms(Tokens(tokens)) * 0.8,
+            ..demand(tokens)
+        };
+        let halved = Demand {
+            gap_ms: SpanMs(usual.gap_ms.0 / 2),
+            target_ms: usual.target_ms / 2.0,
+            target_left_ms: usual.target_left_ms / 2.0,
+            silence_left_ms: usual.silence_left_ms / 2.0,
+            deadline_left_ms: usual.deadline_left_ms / 2.0,
+            ..usual.clone()
+        };
+        let helpers = |spec: &EngineSpec, demand: &Demand| {
+            let mut world = World::new(40);
+            world.spec = spec.clone();
+            let (_, placement) = world.place(demand).expect("the fleet is idle");
+            placement.helpers.len()
+        };
+        let (slow, fast) = (helpers(&spec(), &usual), helpers(&twice, &halved));
+        assert_eq!(slow, fast, "{tokens} tokens");
+    }
+}
