Sight: a try that may have run is logged with what is the same for all arrivals of its request

Cause of the change: the log names a request by an id that is new with each arrival, so it can't tell whether many requests or one end engines. The digest is over account, method, host, path with query and body; hashed only where a try fails and may have run. Ruled out: the caller's other headers as identity, which differ from arrival to arrival.

--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes as Buffer;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -133,6 +133,7 @@
         account: admitted.account,
         arrived_ms,
         deadline_ms,
+        digest: OnceCell::new(),
     })
 }
 
@@ -140,11 +141,7 @@
     let Some(config) = node.with(|state| state.config.clone()) else {
         return Err(Barred::Unknowing("no configuration is known yet"));
     };
-    let host = parts
-        .headers
-        .get(HOST)
-        .and_then(|value| value.to_str().ok());
-    let host = parts.uri.host().or(host).unwrap_or_default();
+    let host = super::host(&parts.uri, &parts.headers);
     let RouteLookup::Found(route) = config.route(host, parts.uri.path()) else {
         let why = "no route answers to host and path";
         return Err(Barred::Rejected(StatusCode::NOT_FOUND, why));
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -26,10 +26,13 @@
 use crate::outside::CallHead;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
+use bluebell_quarantine::prelude::*;
 use bytes::Bytes as Buffer;
 use held::CallWatch;
 use hyper::body::Incoming;
+use hyper::header::HOST;
 use hyper::{HeaderMap, Method, Request, Uri};
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 /// A request that was admitted, with all that its tries need.
@@ -46,9 +49,27 @@
     pub arrived_ms: MonoMs,
     /// When the caller, or the operators, stop waiting.
     pub deadline_ms: MonoMs,
+    /// Its digest, once something has asked for it.
+    digest: OnceCell<RequestDigest>,
 }
 
 impl Call {
+    /// What stands for all arrivals of this request. Hashed when first asked for: requests that are
+    /// served without trouble never pay for it.
+    pub fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let host = host(&self.uri, &self.headers);
+            let target = self.uri.path_and_query();
+            RequestDigest::of(&RequestParts {
+                account: self.account.as_ref().map_or("", |a| a.name.as_str()),
+                method: self.method.as_str(),
+                host,
+                target: target.map_or("", |target| target.as_str()),
+                body: &self.body,
+            })
+        })
+    }
+
     /// How long ago it arrived.
     pub fn age_ms(&self) -> SpanMs {
         self.node.now_ms().since(self.arrived_ms)
@@ -81,6 +102,12 @@
     }
 }
 
+/// The host that a caller asks for; empty where it names none.
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let named = headers.get(HOST).and_then(|value| value.to_str().ok());
+    uri.host().or(named).unwrap_or_default()
+}
+
 /// Serves one request of a caller.
 pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Answer {
     let call = match admit::admit(node, request).await {
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -262,6 +262,7 @@
         instance: chosen.replica.instance.clone(),
         why: error.why.clone(),
         ran: error.ran,
+        digest: (error.ran != Verdict::NotRun).then(|| call.digest()),
         age_ms: call.age_ms(),
     });
     match &error.fault {
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -2,6 +2,7 @@
 
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
+use bluebell_quarantine::prelude::*;
 use serde::Serialize;
 use std::net::SocketAddr;
 
@@ -89,6 +90,8 @@
         instance: Arc<str>,
         why: Arc<str>,
         ran: Verdict,
+        /// The same for all arrivals of one request; told where it may have run.
+        digest: Option<RequestDigest>,
         age_ms: SpanMs,
     },
     /// A request got no second try because the budget is spent.
--- /dev/null
+++ b/crates/quarantine/tests/digest.rs
@@ -0,0 +1,80 @@
+//! Which arrivals count as the same request.
+
+use bluebell_quarantine::prelude::*;
+
+fn parts<'a>() -> RequestParts<'a> {
+    RequestParts {
+        account: "undertaker",
+        method: "POST",
+        host: "notices.example",
+        target: "/draft/",
+        body: b"a long night",
+    }
+}
+
+/// A caller repeats a request at another node. Only what it asks for decides that it is the same;
+/// each part of that makes another request of it.
+#[test]
+fn each_part_of_a_request_counts() {
+    let one = RequestDigest::of(&parts());
+    assert_eq!(one, RequestDigest::of(&parts()));
+    let same_host = RequestParts {
+        host: "Notices.Example",
+        ..parts()
+    };
+    assert_eq!(one, RequestDigest::of(&same_host));
+    let others = [
+        RequestParts {
+            account: "parish",
+            ..parts()
+        },
+        RequestParts {
+            method: "PUT",
+            ..parts()
+        },
+        RequestParts {
+            host: "b.example",
+            ..parts()
+        },
+        RequestParts {
+            target: "/draft/?a",
+            ..parts()
+        },
+        RequestParts {
+            body: b"a longer night",
+            ..parts()
+        },
+        // The same bytes in all, cut elsewhere.
+        RequestParts {
+            account: "undertakerP",
+            method: "OST",
+            ..parts()
+        },
+    ];
+    for other in others {
+        assert_ne!(one, RequestDigest::of(&other), "{other:?}");
+    }
+}
+
+#[test]
+fn a_digest_reads_back_from_text_and_bytes() {
+    let digest = RequestDigest::of(&parts());
+    assert_eq!(digest.to_string().parse(), Ok(digest));
+    let json = serde_json::to_string(&digest).expect("plain data");
+    assert_eq!(json, format!("\"{digest}\""));
+    assert_eq!(
+        serde_json::from_str::<RequestDigest>(&json).ok(),
+        Some(digest)
+    );
+    let bytes = postcard::to_allocvec(&digest).expect("plain data");
+    assert_eq!(bytes.len(), 16);
+    assert_eq!(postcard::from_bytes::<RequestDigest>(&bytes), Ok(digest));
+    for text in [
+        "",
+        "12",
+        "+2345678901234567890123456789012",
+        "zz345678901234567890123456789012",
+    ] {
+        assert!(text.parse::<RequestDigest>().is_err(), "{text}");
+    }
+}
