Quarantine: an end counts only where the request was on most of what ended with it

Each cut ends many replicas within 50 ms, and a draft was on one or two of them. Ruled out: a higher number of ends (a fatal request may be sent three times more only).

--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -12,12 +12,14 @@
 use bluebell_quarantine::prelude::*;
 use bluebell_quarantine::review::reviews;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
 
 /// How something about a request's quarantine became known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum How {
-    /// A replica ended under a try of this node.
-    Seen,
+    /// Replicas ended under it.
+    Judged,
     /// Peers told.
     Told,
     /// It stood in the directory.
@@ -34,7 +36,7 @@
     /// Its name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            How::Seen => "seen",
+            How::Judged => "judged",
             How::Told => "told",
             How::Stored => "stored",
             How::Served => "served",
@@ -43,9 +45,13 @@
         }
     }
 
-    /// Whether this node found it, so that its peers hear of it from here.
-    fn is_own(self) -> bool {
-        matches!(self, How::Seen | How::Served | How::Lifted)
+    /// Whether this node's peers hear of it from here.
+    fn is_told(self, turn: Turn) -> bool {
+        match turn {
+            // All nodes judge alike: those that saw an end tell of it.
+            Turn::Quarantined { seen, .. } => seen && self == How::Judged,
+            _ => matches!(self, How::Served | How::Lifted),
+        }
     }
 }
 
@@ -71,7 +77,7 @@
         digest,
         evidence,
     });
-    on_turn(node, digest, turn, How::Seen);
+    on_turn(node, digest, turn, How::Judged);
 }
 
 /// A request was served whole: it doesn't end each replica that runs it.
@@ -95,7 +101,11 @@
 pub fn on_told(node: &Rc<Node>, told: Told) {
     let now_ms = node.now_ms();
     let (digest, turn) = node.with(|state| state.quarantine.on_told(told, now_ms));
-    on_turn(node, digest, turn, How::Told);
+    let how = match told {
+        Told::Ended { .. } => How::Judged,
+        Told::Quarantined { .. } | Told::Cleared { .. } => How::Told,
+    };
+    on_turn(node, digest, turn, how);
 }
 
 /// The directory remembers a request's quarantine.
@@ -114,12 +124,25 @@
     }
 }
 
+/// Judges once the last end is old enough.
+fn judge_soon(node: &Rc<Node>) {
+    let node = node.clone();
+    spawn_local(async move {
+        tokio::time::sleep(Duration::from(JUDGED_AFTER_MS)).await;
+        let now_ms = node.now_ms();
+        for (digest, turn) in node.with(|state| state.quarantine.judge(now_ms)) {
+            on_turn(&node, digest, turn, How::Judged);
+        }
+    });
+}
+
 /// Logs, tells and stores what changed.
 fn on_turn(node: &Rc<Node>, digest: RequestDigest, turn: Turn, how: How) {
     let now_ms = node.now_ms();
     let quarantined = match turn {
-        Turn::None | Turn::Ended(_) => return,
-        Turn::Quarantined(term) => {
+        Turn::None | Turn::Ended { judged: false } => return,
+        Turn::Ended { judged: true } => return judge_soon(node),
+        Turn::Quarantined { term, .. } => {
             node.journal.tell(&Event::RequestQuarantined {
                 digest,
                 term,
@@ -137,14 +160,13 @@
             quarantined
         }
     };
-    if how.is_own()
-        && let Some(told) = node.with(|state| state.quarantine.tell(&digest, now_ms))
-    {
+    let told = how.is_told(turn);
+    if told && let Some(told) = node.with(|state| state.quarantine.tell(&digest, now_ms)) {
         node.outbox.request(told);
     }
-    // Two nodes may each have seen one of the ends that decided: then both were told of it, and
-    // neither saw it. So the node that will review the request stores it as well.
-    let stores = how != How::Stored && (how.is_own() || is_reviewer(node, &digest));
+    // Those that saw its ends may be gone by now, so the node that will review the request stores
+    // it as well.
+    let stores = how != How::Stored && (told || is_reviewer(node, &digest));
     if quarantined && stores {
         store_quarantine(node.clone(), digest);
     }
--- a/crates/quarantine/src/evidence/mod.rs
+++ b/crates/quarantine/src/evidence/mod.rs
@@ -7,6 +7,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerRun(pub u32);
 
+impl ServerRun {
+    /// The least number.
+    pub(crate) const FIRST: Self = Self(0);
+    /// The greatest number.
+    pub(crate) const LAST: Self = Self(u32::MAX);
+}
+
 impl fmt::Display for ServerRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "run{:08x}", self.0)
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod review;
 pub mod table;
 pub mod told;
+pub mod verdict;
 
 /// What users of this package import.
 pub mod prelude {
@@ -31,4 +32,5 @@
     pub use crate::evidence::{Evidence, ServerRun};
     pub use crate::table::{Quarantine, Standing, Term, Turn};
     pub use crate::told::Told;
+    pub use crate::verdict::JUDGED_AFTER_MS;
 }
--- a/crates/quarantine/src/record/mod.rs
+++ b/crates/quarantine/src/record/mod.rs
@@ -4,19 +4,8 @@
 use crate::table::Term;
 use bluebell_base::prelude::*;
 
-/// How many runs of servers a request ends before it is run no more: the users' aim.
-const ENDS: usize = 3;
-
-/// What these ends have to come to: three of a running request, five where it may have waited.
-const POINTS: u32 = 5;
-
-/// Ends that are closer to each other than this may have one cause in common: a rack that loses power
-/// ends all of its replicas under whatever comes often enough to be on each of them. Chosen, not
-/// measured: power and networks go within some hundred milliseconds.
-const ONE_CAUSE_MS: SpanMs = SpanMs(250);
-
 /// For how long an end counts. Callers that repeat by hand do so within minutes.
-const COUNTS_MS: SpanMs = SpanMs(600_000);
+pub(crate) const COUNTS_MS: SpanMs = SpanMs(600_000);
 
 /// How long a trial is waited for before another arrival gets its turn: the longest that a request
 /// runs, and more.
@@ -84,19 +73,7 @@
         more
     }
 
-    /// Whether its ends are enough to run it no more.
-    pub fn is_fatal(&self) -> bool {
-        let points: u32 = self.ends.iter().map(|end| end.evidence.points()).sum();
-        let times = self.ends.iter().map(|end| end.at_ms);
-        let first = times.clone().min().unwrap_or_default();
-        let last = times.max().unwrap_or_default();
-        self.ends.len() >= ENDS && points >= POINTS && last.since(first) >= ONE_CAUSE_MS
-    }
-
     /// Forgets all that was known at `at_ms`; returns whether there was anything.
-    ///
-    /// A quarantine for ends of before and after it was one too early: the success between them
-    /// wasn't known. One that a trial has confirmed stays.
     pub fn clear(&mut self, at_ms: MonoMs, own: bool) -> bool {
         if !self.counts(at_ms) {
             return false;
@@ -104,10 +81,7 @@
         self.cleared = Some((at_ms, own));
         let ends = self.ends.len();
         self.ends.retain(|end| end.at_ms > at_ms);
-        let fatal = self.is_fatal();
-        let sentence = self
-            .sentence
-            .take_if(|s| s.since_ms <= at_ms || s.term == Term::FIRST && !fatal);
+        let sentence = self.sentence.take_if(|s| s.since_ms <= at_ms);
         sentence.is_some() || self.ends.len() < ends
     }
 
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -9,10 +9,11 @@
 
 use crate::digest::RequestDigest;
 use crate::evidence::{Evidence, ServerRun};
-use crate::record::{End, Record, Sentence};
+use crate::record::{COUNTS_MS, End, Record, Sentence};
 use crate::told::Told;
+use crate::verdict::{ENDS, EndedRuns, Judge};
 use bluebell_base::prelude::*;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 /// How many requests are suspected at once at most. Each replica that ends makes suspects of all that
 /// it had in hand: sixteen, so this holds thirty such ends. The longest unheard of are forgotten
@@ -47,10 +48,18 @@
 pub enum Turn {
     /// Nothing new.
     None,
-    /// A run of a server ended under the request: so many by now.
-    Ended(usize),
+    /// A run of a server ended under the request.
+    Ended {
+        /// Whether the request is to be judged once that is old enough.
+        judged: bool,
+    },
     /// The request is in quarantine from now on, or again.
-    Quarantined(Term),
+    Quarantined {
+        /// For how long.
+        term: Term,
+        /// Whether this node saw one of the ends.
+        seen: bool,
+    },
     /// What was known of the request counts no more; whether it was in quarantine.
     Cleared {
         /// Whether it was in quarantine.
@@ -62,6 +71,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     records: FxHashMap<RequestDigest, Record>,
+    runs: EndedRuns,
 }
 
 impl Quarantine {
@@ -119,20 +129,56 @@
     }
 
     fn take_end(&mut self, digest: RequestDigest, end: End) -> Turn {
+        self.runs.add(end.run, end.at_ms);
         let record = self.records.entry(digest).or_default();
         if !record.add(end) {
             return Turn::None;
         }
         if let Some(sentence) = &mut record.sentence {
-            return sentence.on_end(end.at_ms);
+            return sentence.on_end(&end);
         }
-        let ends = record.ends().len();
-        if !record.is_fatal() {
-            self.keep_few_suspects();
-            return Turn::Ended(ends);
+        let judged = record.ends().len() >= ENDS;
+        self.keep_few_suspects();
+        Turn::Ended { judged }
+    }
+
+    /// Judges all suspects; returns those that are run no more from now on.
+    ///
+    /// Those with most ends first: what they explain isn't held against what was beside them.
+    pub fn judge(&mut self, now_ms: MonoMs) -> Vec<(RequestDigest, Turn)> {
+        let suspects = self.records.iter();
+        let suspects = suspects.filter(|(_, r)| r.sentence.is_none() && r.ends().len() >= ENDS);
+        let mut suspects: Vec<(usize, RequestDigest)> = suspects
+            .map(|(digest, record)| (record.ends().len(), *digest))
+            .collect();
+        suspects.sort_unstable_by(|a, b| b.cmp(a));
+        let mut judged = Vec::new();
+        for (_, digest) in suspects {
+            if !self.is_fatal(&digest, now_ms) {
+                continue;
+            }
+            let since_ms = self.records[&digest].newest_ms();
+            judged.push((digest, self.put(digest, since_ms, Term::FIRST)));
         }
-        let since_ms = record.newest_ms();
-        self.put(digest, since_ms, Term::FIRST)
+        judged
+    }
+
+    fn is_fatal(&self, digest: &RequestDigest, now_ms: MonoMs) -> bool {
+        let judge = Judge {
+            runs: &self.runs,
+            now_ms,
+        };
+        let record = self.records.get(digest);
+        record.is_some_and(|record| judge.is_fatal(record, &self.explained(digest)))
+    }
+
+    /// The runs that other requests ended which are in quarantine.
+    fn explained(&self, digest: &RequestDigest) -> FxHashSet<ServerRun> {
+        let others = self.records.iter();
+        let others = others.filter(|(other, r)| *other != digest && r.sentence.is_some());
+        others
+            .flat_map(|(_, record)| record.ends().iter().map(|end| end.run))
+            .collect()
     }
 
     fn put(&mut self, digest: RequestDigest, since_ms: MonoMs, term: Term) -> Turn {
@@ -146,10 +192,11 @@
             term,
             trial_at_ms: None,
         });
+        let seen = record.ends().iter().any(|end| end.own);
         self.keep_few_quarantined();
         match known {
             Some((_, known)) if known == term => Turn::None,
-            _ => Turn::Quarantined(term),
+            _ => Turn::Quarantined { term, seen },
         }
     }
 
@@ -173,15 +220,30 @@
     /// Notes it also of a request of which nothing is known yet: news of its ends may come later.
     fn clear_at(&mut self, digest: RequestDigest, at_ms: MonoMs, own: bool) -> Turn {
         let record = self.records.entry(digest).or_default();
-        let sentence = record.sentence.is_some();
-        match record.clear(at_ms, own) {
+        let sentence = record.sentence;
+        let cleared = record.clear(at_ms, own);
+        if self.was_early(&digest, at_ms)
+            && let Some(record) = self.records.get_mut(&digest)
+        {
+            record.sentence = None;
+        }
+        match cleared {
             true => Turn::Cleared {
-                quarantined: sentence && record.sentence.is_none(),
+                quarantined: sentence.is_some() && self.term(&digest).is_none(),
             },
             false => Turn::None,
         }
     }
 
+    /// Whether a request is in quarantine for ends of before and after a success at `at_ms`, which
+    /// wasn't known then. One that a trial has confirmed stays.
+    fn was_early(&self, digest: &RequestDigest, at_ms: MonoMs) -> bool {
+        let first = self.term(digest) == Some(Term::FIRST);
+        let cleared = self.records.get(digest).and_then(|record| record.cleared);
+        let told_now = cleared.is_some_and(|(cleared_ms, _)| cleared_ms == at_ms);
+        first && told_now && !self.is_fatal(digest, MonoMs(u64::MAX))
+    }
+
     /// A peer told something.
     pub fn on_told(&mut self, told: Told, now_ms: MonoMs) -> (RequestDigest, Turn) {
         let at = |age_ms: u32| now_ms - SpanMs(u64::from(age_ms));
@@ -300,6 +362,7 @@
     /// asked for them long after their review.
     pub fn expire(&mut self, now_ms: MonoMs) -> Vec<RequestDigest> {
         let mut forgotten = Vec::new();
+        self.runs.expire(now_ms - COUNTS_MS);
         self.records.retain(|digest, record| {
             record.expire(now_ms);
             let sentence = record.sentence.take_if(|s| s.is_forgotten(now_ms));
@@ -335,14 +398,17 @@
 impl Sentence {
     /// Another server ended under the request. At a trial that begins a longer term; before it, the
     /// request was under way when it was put into quarantine, and nothing changes.
-    fn on_end(&mut self, at_ms: MonoMs) -> Turn {
-        if at_ms < self.review_ms() {
+    fn on_end(&mut self, end: &End) -> Turn {
+        if end.at_ms < self.review_ms() {
             return Turn::None;
         }
-        self.since_ms = at_ms;
+        self.since_ms = end.at_ms;
         self.term = self.term.next();
         self.trial_at_ms = None;
-        Turn::Quarantined(self.term)
+        Turn::Quarantined {
+            term: self.term,
+            seen: end.own,
+        }
     }
 
     fn is_forgotten(&self, now_ms: MonoMs) -> bool {
