--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -5,12 +5,14 @@
 
 use super::Node;
 use crate::call::{self, Answer};
+use crate::quarantine;
 use bluebell_base::prelude::*;
+use bluebell_quarantine::prelude::*;
 use bytes::Bytes as Buffer;
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -39,6 +41,9 @@
 /// Where the metrics are.
 const METRICS_PATH: &str = "/metrics";
 
+/// Where the requests in quarantine are.
+const QUARANTINE_PATH: &str = "/quarantine";
+
 /// Counts a connection for as long as it lives.
 struct Counted(Rc<Cell<usize>>);
 
@@ -133,8 +138,8 @@
     }
 }
 
-/// What a page of the node's own answers to a path.
-pub(crate) type Page = fn(&Node, &str) -> (StatusCode, String);
+/// What a page of the node's own answers to a method and a path.
+pub(crate) type Page = fn(&Rc<Node>, &Method, &str) -> (StatusCode, String);
 
 /// Serves a page of the node's own until the process ends.
 pub async fn serve_page(node: Rc<Node>, listener: TcpListener, page: Page) {
@@ -142,7 +147,7 @@
         let stream = accept(&listener).await;
         let node = node.clone();
         let service = service_fn(move |request: Request<hyper::body::Incoming>| {
-            let (status, text) = page(&node, request.uri().path());
+            let (status, text) = page(&node, request.method(), request.uri().path());
             let mut answer = Response::new(Full::new(Buffer::from(text)));
             *answer.status_mut() = status;
             async move { Ok::<_, Infallible>(answer) }
@@ -160,7 +165,7 @@
 }
 
 /// What the balancer asks: whether the node wants new connections.
-pub fn ready_page(node: &Node, path: &str) -> (StatusCode, String) {
+pub fn ready_page(node: &Rc<Node>, _: &Method, path: &str) -> (StatusCode, String) {
     let status = match (path == node.outside.dialect.ready_path(), node.is_ready()) {
         (true, true) => StatusCode::OK,
         (true, false) => StatusCode::SERVICE_UNAVAILABLE,
@@ -169,11 +174,43 @@
     (status, String::new())
 }
 
-/// What those on call read.
-pub fn metrics_page(node: &Node, path: &str) -> (StatusCode, String) {
-    match (path, node.journal.metrics().render()) {
-        (METRICS_PATH, Ok(text)) => (StatusCode::OK, text),
-        (METRICS_PATH, Err(error)) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+/// What those on call read and order: metrics, and the requests in quarantine.
+pub fn operators_page(node: &Rc<Node>, method: &Method, path: &str) -> (StatusCode, String) {
+    if path == METRICS_PATH {
+        return metrics(node);
+    }
+    let digest = path
+        .strip_prefix(QUARANTINE_PATH)
+        .map(|rest| rest.strip_prefix('/'));
+    match (method, digest) {
+        (&Method::GET, Some(None)) if path == QUARANTINE_PATH => quarantined(node),
+        (&Method::DELETE, Some(Some(digest))) => lift(node, digest),
         _ => (StatusCode::NOT_FOUND, String::new()),
     }
 }
+
+fn metrics(node: &Node) -> (StatusCode, String) {
+    match node.journal.metrics().render() {
+        Ok(text) => (StatusCode::OK, text),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+fn quarantined(node: &Node) -> (StatusCode, String) {
+    match serde_json::to_string(&quarantine::list(node)) {
+        Ok(text) => (StatusCode::OK, text),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+/// Lifts a request's quarantine.
+fn lift(node: &Rc<Node>, digest: &str) -> (StatusCode, String) {
+    let digest: RequestDigest = match digest.parse() {
+        Ok(digest) => digest,
+        Err(error) => return (StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    match quarantine::lift(node, digest) {
+        true => (StatusCode::OK, String::new()),
+        false => (StatusCode::NOT_FOUND, "it isn't in quarantine".to_owned()),
+    }
+}
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -112,7 +112,7 @@
         spawn_local(listen::serve_page(
             node.clone(),
             metrics,
-            listen::metrics_page,
+            listen::operators_page,
         ));
         let news = Rc::new(news);
         spawn_local(news::receive(node.clone(), news.clone()));
