--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -76,12 +76,8 @@
 
     /// The administration API at an address.
     pub fn at(address: Address, credential: Arc<str>) -> Self {
-        let config = ureq::Agent::config_builder()
-            .proxy(None)
-            .http_status_as_error(false)
-            .timeout_global(Some(CALL_TIMEOUT));
         Self {
-            agent: config.build().new_agent(),
+            agent: agent(CALL_TIMEOUT),
             address,
             credential,
         }
@@ -123,6 +119,15 @@
     }
 }
 
+/// A client for the pages of nodes.
+pub fn agent(timeout: Duration) -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .proxy(None)
+        .http_status_as_error(false)
+        .timeout_global(Some(timeout));
+    config.build().new_agent()
+}
+
 fn env(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -46,6 +46,8 @@
     Demo(Demo),
     /// What became of a request.
     Explain(Explain),
+    /// Requests that end replicas.
+    Quarantine(Quarantine),
     /// The fault soak.
     Soak(Soak),
     /// Stand-ins.
@@ -86,6 +88,19 @@
     pub files: Vec<String>,
 }
 
+/// Show the requests that are run no more, since each replica that ran them ended, on a node of the
+/// users' platform; or let one out, at all nodes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "quarantine")]
+pub struct Quarantine {
+    /// where a node serves metrics, ip:port
+    #[argh(option)]
+    pub at: String,
+    /// the digest of the request to let out
+    #[argh(option)]
+    pub lift: Option<String>,
+}
+
 /// Check, publish and show the operators' configuration.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "config")]
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod load;
 mod node;
+mod quarantine;
 mod soak;
 mod stand_in;
 
@@ -25,6 +26,7 @@
         Command::Capacity(args) => capacity::run(args, ctl.json),
         Command::Demo(args) => demo::run(args, ctl.json),
         Command::Explain(args) => explain::run(args),
+        Command::Quarantine(args) => quarantine::run(args, ctl.json),
         Command::Soak(args) => soak::run(args),
         Command::StandIn(stand_in) => stand_in::run(&stand_in.kind, ctl.json),
     }
--- /dev/null
+++ b/crates/ctl/src/commands/quarantine.rs
@@ -0,0 +1,76 @@
+//! The requests that are run no more, asked of one node of the users' platform.
+
+use crate::admin::agent;
+use crate::args::Quarantine;
+use crate::outcome::CommandError;
+use crate::output::print_line;
+use bluebell_front::quarantine::QuarantinedRequest;
+use bluebell_quarantine::prelude::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a call may take; a node answers from memory.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Lists the requests in quarantine, or lets one out.
+pub fn run(args: &Quarantine, json: bool) -> Result<(), CommandError> {
+    let address = args.at.parse::<SocketAddr>();
+    let address = address.map_err(|_| {
+        CommandError::usage(format!("--at: {:?} is not of the form ip:port", args.at))
+    })?;
+    match &args.lift {
+        None => list(address, json),
+        Some(digest) => {
+            let digest = digest.parse::<RequestDigest>();
+            lift(
+                address,
+                digest.map_err(|error| CommandError::usage(format!("--lift: {error}")))?,
+            )
+        }
+    }
+}
+
+fn list(address: SocketAddr, json: bool) -> Result<(), CommandError> {
+    let text = call(agent(CALL_TIMEOUT).get(url(address, "")).call())?;
+    if json {
+        return print_line(&text);
+    }
+    let listed: Vec<QuarantinedRequest> =
+        serde_json::from_str(&text).map_err(CommandError::failed)?;
+    if listed.is_empty() {
+        return print_line("no request is in quarantine");
+    }
+    for request in listed {
+        let minutes = request.review_in_ms.0 / 60_000;
+        let QuarantinedRequest { digest, term, .. } = request;
+        print_line(&format!("{digest}  {term}  review in {minutes} min"))?;
+    }
+    Ok(())
+}
+
+fn lift(address: SocketAddr, digest: RequestDigest) -> Result<(), CommandError> {
+    let path = format!("/{digest}");
+    call(agent(CALL_TIMEOUT).delete(url(address, &path)).call())?;
+    print_line("let out: all nodes run it again")
+}
+
+fn url(address: SocketAddr, path: &str) -> String {
+    format!("http://{address}/quarantine{path}")
+}
+
+fn call(
+    answer: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+) -> Result<String, CommandError> {
+    let mut answer = answer.map_err(CommandError::failed)?;
+    let text = answer.body_mut().read_to_string();
+    let text = text.map_err(CommandError::failed)?;
+    match answer.status().is_success() {
+        true => Ok(text),
+        false => {
+            let status = answer.status().as_u16();
+            Err(CommandError::failed(format!(
+                "the node answered {status}: {text}"
+            )))
+        }
+    }
+}
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -95,7 +95,7 @@
 }
 
 /// Every command, in the order of the page.
-const COMMANDS: [&[&str]; 20] = [
+const COMMANDS: [&[&str]; 21] = [
     &[],
     &["config"],
     &["config", "check"],
@@ -109,6 +109,7 @@
     &["bench"],
     &["demo"],
     &["explain"],
+    &["quarantine"],
     &["soak"],
     &["stand-in"],
     &["stand-in", "engine"],
@@ -337,3 +338,69 @@
     .assert_eq(&text(&output.stdout));
     assert_eq!(missing.status.code(), Some(1));
 }
+
+/// Serves one call as a node's page for operators does; returns the address and what was asked.
+fn operators_page(status: u16, answer: &'static str) -> (String, JoinHandle<String>) {
+    let server = Server::http("127.0.0.1:0").expect("a free port");
+    let address = server.server_addr().to_string();
+    let thread = std::thread::spawn(move || {
+        let request = server.recv().expect("a call");
+        let asked = format!("{} {}", request.method(), request.url());
+        let response = Response::from_string(answer).with_status_code(status);
+        request.respond(response).expect("the caller waits");
+        asked
+    });
+    (address, thread)
+}
+
+/// An operator sees which requests are run no more, and lets one out.
+#[test]
+fn quarantine_is_listed_and_lifted() {
+    const DIGEST: &str = "0123456789abcdef0123456789abcdef-4961";
+    const LISTED: &str = r#"[{"digest":"0123456789abcdef0123456789abcdef-4961","term":"term1",
+        "review_in_ms":180000}]"#;
+    let lift = ["--lift", DIGEST];
+    let lifted = format!("DELETE /quarantine/{DIGEST}");
+    let row = format!("{DIGEST}  term1  review in 3 min\n");
+    let cases: [(&[&str], u16, &'static str, &str, i32, &str); 4] = [
+        (&[], 200, LISTED, "GET /quarantine", 0, &row),
+        (
+            &[],
+            200,
+            "[]",
+            "GET /quarantine",
+            0,
+            "no request is in quarantine\n",
+        ),
+        (
+            &lift,
+            200,
+            "",
+            &lifted,
+            0,
+            "let out: all nodes run it again\n",
+        ),
+        (
+            &lift,
+            404,
+            "it isn't in quarantine",
+            &lifted,
+            1,
+            "404: it isn't in quarantine",
+        ),
+    ];
+    for (args, status, answer, asked, code, said) in cases {
+        let (address, page) = operators_page(status, answer);
+        let output = ctl(&[&["quarantine", "--at", &address], args].concat());
+        assert_eq!(page.join().expect("it was asked"), asked);
+        assert_eq!(output.status.code(), Some(code));
+        let said_all = [text(&output.stdout), text(&output.stderr)].concat();
+        assert!(said_all.contains(said), "{said_all}");
+    }
+    for wrong in [
+        &["quarantine", "--at", "here"][..],
+        &["quarantine", "--at", "127.0.0.1:1", "--lift", "x"],
+    ] {
+        assert_eq!(ctl(wrong).status.code(), Some(2), "{wrong:?}");
+    }
+}
