--- a/crates/requests/tests/common/engine/mod.rs
+++ b/crates/requests/tests/common/engine/mod.rs
@@ -190,6 +190,13 @@
         state.streams.values().filter(by_cancel).count()
     }
 
+    /// Whether it generates for a prompt.
+    pub fn generates(&self, prompt: &str) -> bool {
+        let state = self.state.borrow();
+        let mut open = state.streams.values().filter(|s| s.ended.is_none());
+        open.any(|stream| &*stream.call.prompt == prompt)
+    }
+
     /// Memory held: open streams and reservations.
     pub fn held(&self) -> usize {
         let state = self.state.borrow();
