Requests: a prompt that ends the engines that generate for it is generated no more

Cause: the same as on the users' platform: ends of engines were held against engines only, and each request that asked for the same began anew, on up to four engines. Each node now counts them by what is asked for, as crates/quarantine does. Left: nodes don't tell each other here, so each of them ends three; plain services give no sign of an end here.

--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -353,6 +353,9 @@
     (address, thread)
 }
 
+/// Further arguments, the page's status and answer, what it was asked, the exit code, what is printed.
+type PageCase<'a> = (&'a [&'a str], u16, &'static str, &'a str, i32, &'a str);
+
 /// An operator sees which requests are run no more, and lets one out.
 #[test]
 fn quarantine_is_listed_and_lifted() {
@@ -362,7 +365,7 @@
     let lift = ["--lift", DIGEST];
     let lifted = format!("DELETE /quarantine/{DIGEST}");
     let row = format!("{DIGEST}  term1  review in 3 min\n");
-    let cases: [(&[&str], u16, &'static str, &str, i32, &str); 4] = [
+    let cases: [PageCase<'_>; 4] = [
         (&[], 200, LISTED, "GET /quarantine", 0, &row),
         (
             &[],
--- a/crates/requests/src/actor/arrivals.rs
+++ b/crates/requests/src/actor/arrivals.rs
@@ -3,12 +3,14 @@
 use super::Requests;
 use crate::budget::PayerId;
 use crate::call::{CallerCall, CallerEvent, CallerId, CallerSink, Completion, ServiceRequest};
+use crate::life::fatal::quarantined;
 use crate::life::{Answer, Exchange, Life, LinkNo, Phase, Reader, Recalls, Work};
 use crate::observe::RefusedBy;
 use bluebell_base::prelude::*;
 use bluebell_config::{FleetConfig, NoRepeat, Service};
 use bluebell_peers::{ClaimCall, ClaimKey};
 use bluebell_policy::{Job, Prefix};
+use bluebell_quarantine::prelude::*;
 use bluebell_upstreams::ServiceCall;
 use bluebell_upstreams::prompt::{self, PrefixHash};
 use sha2::{Digest, Sha256};
@@ -118,6 +120,8 @@
 
     fn completion_life(&mut self, call: Completion, now_ms: MonoMs) -> Result<Life, Refused> {
         let config = self.open_config(call.prompt.len())?;
+        let digest = completion_digest(&call);
+        self.check_quarantine(&digest, now_ms)?;
         let prompt_bytes = Bytes(call.prompt.len() as u64);
         let max_tokens = call.max_tokens.min(config.limits.answer_tokens);
         let job = self.job(&config, &call, max_tokens, now_ms)?;
@@ -144,9 +148,19 @@
         life.deadline_ms = deadline_ms;
         life.repeatable = repeatable;
         life.claim = claim;
+        life.digest = Some(digest);
         Ok(life)
     }
 
+    /// Refuses what each engine that ran it didn't survive.
+    fn check_quarantine(&mut self, digest: &RequestDigest, now_ms: MonoMs) -> Result<(), Refused> {
+        let by = RefusedBy::Quarantined;
+        match quarantined(&mut self.quarantine, digest, now_ms) {
+            Some(error) => Err(Refused { by, error }),
+            None => Ok(()),
+        }
+    }
+
     /// What the policy is told of a call.
     fn job(
         &mut self,
@@ -269,6 +283,7 @@
         deadline_ms: now_ms,
         repeatable: false,
         claim: None,
+        digest: None,
         admitted: false,
         phase: Phase::Backoff { until_ms: now_ms },
         reader: Reader::Detached { until_ms: now_ms },
@@ -325,6 +340,18 @@
     u64::from_be_bytes(first)
 }
 
+/// Stands for all calls that ask the same model for the same. The most tokens and the deadline don't
+/// count: callers change them when they try again.
+fn completion_digest(call: &Completion) -> RequestDigest {
+    RequestDigest::of(&RequestParts {
+        account: call.account.as_str(),
+        method: "completion",
+        host: call.model.as_str(),
+        target: call.class.as_str(),
+        body: call.prompt.as_bytes(),
+    })
+}
+
 fn completion_claim(request: RequestId, call: &Completion, max: Tokens) -> Option<ClaimCall> {
     let key = call.idempotency_key.as_ref()?;
     let fingerprint = fingerprint(&[
--- a/crates/requests/src/actor/mod.rs
+++ b/crates/requests/src/actor/mod.rs
@@ -34,6 +34,7 @@
 use bluebell_claims::ClaimsPort;
 use bluebell_config::FleetConfig;
 use bluebell_policy::{Decision, Policy};
+use bluebell_quarantine::prelude::*;
 use bluebell_timers::{Subscription, Timers};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -86,6 +87,7 @@
     ring: Ring,
     waits: Waits,
     budgets: Budgets,
+    quarantine: Quarantine,
     lengths: Lengths,
     next_sequence: u64,
     draining: Option<Vec<Ret<()>>>,
@@ -128,6 +130,7 @@
             chores: Chores::default(),
             ring: Ring::default(),
             waits: Waits::default(),
+            quarantine: Quarantine::default(),
             lengths: Lengths::default(),
             next_sequence: 0,
             draining: None,
@@ -177,6 +180,7 @@
             observer: self.observer.as_mut(),
             budgets: &mut self.budgets,
             signer: &self.signer,
+            quarantine: &mut self.quarantine,
             fleet: &self.fleet,
             lengths: &mut self.lengths,
             rng: &mut self.rng,
--- a/crates/requests/src/life/end.rs
+++ b/crates/requests/src/life/end.rs
@@ -25,6 +25,7 @@
         self.release_group(cx);
         self.end_attempt(Outcome::Finished(answer_tokens), cx);
         self.settle(Settlement::Ran, cx);
+        self.on_served(cx);
         self.observe_finished(cx);
         let last = Last::Finished {
             reason,
--- a/crates/requests/src/life/mod.rs
+++ b/crates/requests/src/life/mod.rs
@@ -18,6 +18,7 @@
 pub mod effect;
 pub mod end;
 pub mod exchange;
+pub mod fatal;
 pub mod group;
 pub mod read;
 pub mod recall;
@@ -39,6 +40,7 @@
 use bluebell_base::prelude::*;
 use bluebell_peers::{ClaimCall, RequestReport, RequestState};
 use bluebell_policy::{Job, Policy};
+use bluebell_quarantine::prelude::*;
 use bluebell_timers::Subscription;
 use bluebell_upstreams::ServiceCall;
 use rand_chacha::ChaCha8Rng;
@@ -63,6 +65,8 @@
     pub arrived_ms: MonoMs,
     /// When it must have ended.
     pub deadline_ms: MonoMs,
+    /// The same for all requests that ask for the same; none for an adopted request.
+    pub digest: Option<RequestDigest>,
     /// Whether it may be run again after it may have run.
     pub repeatable: bool,
     /// Its claim, where it may not be repeated and has an idempotency key.
@@ -251,6 +255,8 @@
     pub budgets: &'a mut Budgets,
     /// Signs cursors.
     pub signer: &'a Signer,
+    /// The requests that end upstreams.
+    pub quarantine: &'a mut Quarantine,
     /// The upstreams.
     pub fleet: &'a Fleet,
     /// Bytes per token, by model.
--- a/crates/requests/src/life/recover.rs
+++ b/crates/requests/src/life/recover.rs
@@ -60,6 +60,10 @@
     /// Goes back to the policy where the budget allows it; ends with `error` where it does not.
     fn retry_elsewhere(&mut self, error: Error, cx: &mut Context<'_>) {
         self.leave_all(cx);
+        if let Some(error) = self.quarantined(cx) {
+            self.fail(error, cx);
+            return;
+        }
         let tried = self.attempt.0.saturating_sub(self.recalls.count);
         let spent = tried >= cx.settings.attempts;
         if spent || !cx.budgets.take(self.payer) {
@@ -104,6 +108,12 @@
             false => cx.settings.resume_tries,
         };
         let until_ms = cx.now_ms + cx.settings.backoff(run.tries - 1);
+        if unknown || gone {
+            self.on_engine_lost(cx);
+        }
+        let Phase::Running(run) = &mut self.phase else {
+            return;
+        };
         if repeatable && (unknown || gone || run.tries > limit) {
             self.abandon(cx);
         } else if run.tries > limit {
@@ -292,6 +302,7 @@
 
     /// The engine has no such stream (any more).
     fn on_lost(&mut self, cx: &mut Context<'_>) {
+        self.on_engine_lost(cx);
         if self.repeatable {
             self.abandon(cx);
             return;
--- a/crates/requests/src/observe/mod.rs
+++ b/crates/requests/src/observe/mod.rs
@@ -17,6 +17,8 @@
     NoConfig,
     /// It names a class, model, account or service that the configuration does not.
     Unknown,
+    /// Each engine that ran it has ended.
+    Quarantined,
     /// Another request holds its idempotency key.
     KeyHeld,
     /// Its idempotency key could not be claimed.
@@ -36,6 +38,7 @@
             Self::Draining => "draining",
             Self::NoConfig => "no_config",
             Self::Unknown => "unknown_name",
+            Self::Quarantined => "quarantined",
             Self::KeyHeld => "key_held",
             Self::ClaimFailed => "claim_failed",
         }
--- a/crates/requests/tests/links.rs
+++ b/crates/requests/tests/links.rs
@@ -4,6 +4,7 @@
 
 use bluebell_base::prelude::*;
 use bluebell_policy::{Kind, PolicySettings};
+use bluebell_quarantine::prelude::Quarantine;
 use bluebell_requests::budget::{Budgets, PayerId};
 use bluebell_requests::call::CallerId;
 use bluebell_requests::cursor::Signer;
@@ -50,6 +51,7 @@
         payer: PayerId(0),
         arrived_ms: MonoMs(0),
         deadline_ms: MonoMs(5_000),
+        digest: None,
         repeatable: true,
         claim: None,
         admitted: true,
@@ -90,6 +92,7 @@
         observer: &mut NoObserver,
         budgets: &mut Budgets::new(&settings),
         signer: &Signer::new(b"secret"),
+        quarantine: &mut Quarantine::default(),
         fleet: &Fleet::default(),
         lengths: &mut Lengths::default(),
         rng: &mut ChaCha8Rng::seed_from_u64(1),
