Quarantine: a try whose replica lives goes on as soon as its address has answered

It waited for the full 100 ms before, since the same answer stood for an address that is still asked and for one where the directory has to tell: a pause that callers of a stream would see at each reset. Read, not measured.

--- a/crates/front/src/call/fatal.rs
+++ b/crates/front/src/call/fatal.rs
@@ -4,6 +4,7 @@
 use super::Call;
 use super::choose::Chosen;
 use super::tries::TryError;
+use crate::ends::{EndState, EndWatch};
 use crate::node::Node;
 use crate::quarantine::{self, SeenEnd};
 use bluebell_base::prelude::*;
@@ -12,6 +13,7 @@
 use bluebell_quarantine::prelude::*;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::spawn_local;
 
 /// How long a failed try waits to know whether its replica has ended before it goes on: two hops to
 /// the replica's VM. What comes later counts as well, for the next arrival.
@@ -74,18 +76,26 @@
         quarantine::on_end(&node, end);
         return;
     }
-    let mut found = node.ends.ask(&node, &chosen.replica);
-    let note = async move {
-        let ended = found.wait_for(Option::is_some).await;
-        // The check outlives whoever asks, so it is never gone without an answer.
-        let ended = ended.is_ok_and(|ended| *ended == Some(true));
-        if ended {
-            quarantine::on_end(&node, end);
-        }
-    };
-    let noted = tokio::task::spawn_local(note);
-    // What isn't known by then is noted when it is.
-    let _ = tokio::time::timeout(Duration::from(WAIT_MS), noted).await;
+    let found = node.ends.ask(&node, &chosen.replica);
+    let mut asked = found.clone();
+    // What the directory has to tell comes later, and the caller may leave before.
+    spawn_local(note_end(node.clone(), end.clone(), found));
+    let asked = asked.wait_for(EndState::is_asked);
+    let asked = tokio::time::timeout(Duration::from(WAIT_MS), asked).await;
+    if matches!(asked, Ok(Ok(state)) if *state == EndState::Ended) {
+        // Noted twice it counts once, and has to be before the request goes on.
+        quarantine::on_end(&node, end);
+    }
+}
+
+/// Notes an end once it is known for one.
+async fn note_end(node: Rc<Node>, end: SeenEnd, mut found: EndWatch) {
+    // The check outlives whoever asks, so it is never gone without an answer.
+    let found = found.wait_for(EndState::is_final).await;
+    let ended = matches!(found, Ok(state) if *state == EndState::Ended);
+    if ended {
+        quarantine::on_end(&node, end);
+    }
 }
 
 /// Takes down that a request was served whole.
--- a/crates/front/src/ends/mod.rs
+++ b/crates/front/src/ends/mod.rs
@@ -29,33 +29,64 @@
 /// How often the directory's table is looked at meanwhile.
 const LOOK_MS: SpanMs = SpanMs(250);
 
-/// What is known of a replica's end; none while it is asked.
-type Found = watch::Receiver<Option<bool>>;
+/// What is known of a replica's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndState {
+    /// Its address is being asked.
+    Asking,
+    /// Something listens there; the directory will tell.
+    Undecided,
+    /// It has ended.
+    Ended,
+    /// It goes on, or left as it should.
+    Alive,
+}
+
+impl EndState {
+    /// Whether its address has been asked.
+    pub fn is_asked(&self) -> bool {
+        *self != Self::Asking
+    }
+
+    /// Whether nothing more will be found.
+    pub fn is_final(&self) -> bool {
+        matches!(self, Self::Ended | Self::Alive)
+    }
+}
+
+/// Tells what is found of a replica's end.
+pub type EndWatch = watch::Receiver<EndState>;
 
 /// Looks at replicas whose connections broke.
 #[derive(Debug, Default)]
 pub struct EndChecks {
-    checks: RefCell<FxHashMap<ReplicaKey, (MonoMs, Found)>>,
+    checks: RefCell<FxHashMap<ReplicaKey, (MonoMs, EndWatch)>>,
 }
 
 impl EndChecks {
     /// Asks whether this run of a replica has ended. The answer comes within a few ms where its
     /// address refuses connections, and within [`DROPPED_MS`] where the directory has to tell.
-    pub fn ask(&self, node: &Rc<Node>, replica: &Arc<Replica>) -> Found {
+    pub fn ask(&self, node: &Rc<Node>, replica: &Arc<Replica>) -> EndWatch {
         let now_ms = node.now_ms();
         let mut checks = self.checks.borrow_mut();
         checks.retain(|_, (at_ms, found)| {
-            now_ms.since(*at_ms) < FOUND_MS || found.borrow().is_none()
+            now_ms.since(*at_ms) < FOUND_MS || !found.borrow().is_final()
         });
         if let Some((_, found)) = checks.get(&replica.key()) {
             return found.clone();
         }
-        let (tell, found) = watch::channel(None);
+        let (tell, found) = watch::channel(EndState::Asking);
         checks.insert(replica.key(), (now_ms, found.clone()));
         let (node, replica) = (node.clone(), replica.clone());
         spawn_local(async move {
-            let ended = is_ready(&node, &replica) && has_ended(&node, &replica).await;
-            tell.send_replace(Some(ended));
+            if !is_ready(&node, &replica) {
+                tell.send_replace(EndState::Alive);
+                return;
+            }
+            tell.send_replace(ask_address(&node, &replica).await);
+            if *tell.borrow() == EndState::Undecided {
+                tell.send_replace(ask_directory(&node, &replica).await);
+            }
         });
         found
     }
@@ -69,26 +100,26 @@
     })
 }
 
-async fn has_ended(node: &Rc<Node>, replica: &Replica) -> bool {
+async fn ask_address(node: &Rc<Node>, replica: &Replica) -> EndState {
     match node.pool.lease(replica.address, Freshness::New).await {
-        Err(SendError::Refused(_)) => return true,
+        Err(SendError::Refused(_)) => return EndState::Ended,
         Err(error) => log::debug!("{} can't be asked: {error}", replica.instance),
         Ok(link) => node.pool.give_back(link, None),
     }
-    is_dropped(node, replica).await
+    EndState::Undecided
 }
 
-/// Whether the directory drops a replica that took work a moment ago.
-async fn is_dropped(node: &Node, replica: &Replica) -> bool {
+/// Waits for the directory to drop a replica that took work a moment ago.
+async fn ask_directory(node: &Node, replica: &Replica) -> EndState {
     let until_ms = node.now_ms() + DROPPED_MS;
     while node.now_ms() < until_ms {
         tokio::time::sleep(Duration::from(LOOK_MS)).await;
         let known = node.with(|state| state.replicas.get(replica.key()).cloned());
         match known {
-            None => return true,
-            Some(known) if known.state != ReplicaState::Ready => return false,
+            None => return EndState::Ended,
+            Some(known) if known.state != ReplicaState::Ready => return EndState::Alive,
             Some(_) => {}
         }
     }
-    false
+    EndState::Alive
 }
