--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 
 /// The packages whose short names may stand in a directive.
-const PACKAGES: [&str; 24] = [
+const PACKAGES: [&str; 25] = [
     "adapter",
     "base",
     "bench",
@@ -36,6 +36,7 @@
     "platform",
     "policy",
     "pool_guard",
+    "quarantine",
     "requests",
     "settings",
     "stand_ins",
