Sight: what an answer says of its replica's limit is decoded, logged and counted

Logs and metrics had no word on limits, so that the hypotheses couldn't be told apart: whether answers name them, which ones (to requests, looks, orders), when each node hears of it first and when the limit ends. Decided once in the adapter; nothing acts on it yet. New: log lines limit_named and limit_ended, metrics bluebell_limited_replicas and bluebell_limit_changes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine;
 pub mod fanout;
 pub mod ledger;
+pub mod limit;
 pub mod pace;
 pub mod patience;
 pub mod placement;
@@ -31,6 +32,7 @@
     pub use crate::budget::{RetryBudget, RetryLimits};
     pub use crate::engine::EngineSpec;
     pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
+    pub use crate::limit::{Heard, LimitChange, LimitWord, Limits, Source};
     pub use crate::pace::{Pace, Paces};
     pub use crate::patience::Patience;
     pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -261,6 +261,15 @@
         there.any(|known| known.instance != replica.instance)
     }
 
+    /// The replica of a configured service at `address`.
+    pub fn at(&self, address: SocketAddr) -> Option<ReplicaKey> {
+        let mut rows = self.rows.iter();
+        let found = rows.find(|(_, row)| {
+            row.replica.address == address && self.is_configured(&row.replica.service)
+        });
+        found.map(|(key, _)| *key)
+    }
+
     /// The replica with this key.
     pub fn get(&self, key: ReplicaKey) -> Option<&Arc<Replica>> {
         self.rows.get(&key).map(|row| &row.replica)
--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -8,6 +8,7 @@
 use super::choose::Chosen;
 use super::tries::TryError;
 use crate::http::Freshness;
+use crate::limits;
 use crate::node::Node;
 use crate::outside::{MemoryAnswer, MemoryOrder};
 use crate::watch;
@@ -151,7 +152,14 @@
     let exchange = async {
         let mut link = node.pool.lease(address, Freshness::Recent).await.ok()?;
         let request = node.outside.dialect.memory_order(address, order);
+        let sent_ms = node.now_ms();
         let answer = link.send(request).await.ok()?;
+        let heard = Heard {
+            word: node.outside.dialect.limit(answer.headers()),
+            source: Source::Order,
+            sent_ms,
+        };
+        limits::on_answer_at(node, address, heard);
         let status = answer.status().as_u16();
         answer.into_body().collect().await.ok()?;
         node.pool.give_back(link, None);
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -5,6 +5,7 @@
 use super::fatal::{self, Break};
 use crate::http::{Exchange, Freshness, Link, SendError};
 use crate::journal::Event;
+use crate::limits;
 use crate::outside::{AnswerHead, Sending};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
@@ -124,7 +125,7 @@
         };
         let sent_ms = call.node.now_ms();
         match link.send(request(call, chosen, last_event)).await {
-            Ok(answer) => return judge(call, answer, link, call.node.now_ms().since(sent_ms)),
+            Ok(answer) => return judge(call, chosen.key, answer, link, sent_ms),
             Err(SendError::Unsent | SendError::Connect(_)) if link.reused => {
                 freshness = Freshness::New;
             }
@@ -205,8 +206,16 @@
     request
 }
 
-/// Judges an answer's head, which took `took_ms`: whether it is the replica's answer to this request.
-fn judge(call: &Call, answer: Exchange, link: Link, took_ms: SpanMs) -> Result<Reply, TryError> {
+/// Judges the head of the answer to what was sent at `sent_ms`: whether it is the replica's answer to
+/// this request.
+fn judge(
+    call: &Call,
+    key: ReplicaKey,
+    answer: Exchange,
+    link: Link,
+    sent_ms: MonoMs,
+) -> Result<Reply, TryError> {
+    let took_ms = call.node.now_ms().since(sent_ms);
     let status = answer.status();
     let dialect = &call.node.outside.dialect;
     let head = dialect.answer_head(&call.head.request, status.as_u16(), answer.headers());
@@ -220,6 +229,7 @@
         let why = "another replica has the address";
         return Err(TryError::new(why, Verdict::NotRun, Symptom::Unreachable));
     }
+    note_limit(call, key, &head, sent_ms);
     if head.not_run {
         return Err(TryError {
             fault: head.fault_at.map(|at| Fault::of_refusal(at, took_ms)),
@@ -242,6 +252,21 @@
     Ok(Reply { answer, head, link })
 }
 
+/// Takes down what the answer to what was sent at `sent_ms` says of its replica's limit. Only an answer
+/// that is surely the replica's own says by its silence that a limit has ended.
+fn note_limit(call: &Call, key: ReplicaKey, head: &AnswerHead, sent_ms: MonoMs) {
+    let own = head.answers && (head.signed || head.not_run);
+    if head.limit == LimitWord::Unnamed && !own {
+        return;
+    }
+    let heard = Heard {
+        word: head.limit,
+        source: Source::Answer,
+        sent_ms,
+    };
+    limits::on_answer(&call.node, key, heard);
+}
+
 /// Whether callers take this status for a promise that nothing ran.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -56,6 +56,20 @@
     ReplicaDoubted { instance: Arc<str>, why: Arc<str> },
     /// An engine's pace changed.
     EnginePace { key: ReplicaKey, pace: Arc<str> },
+    /// A replica names how many requests it takes from all nodes together.
+    LimitNamed {
+        instance: Arc<str>,
+        rate_per_s: PerSecond,
+        how: &'static str,
+        /// How many replicas name a limit now.
+        limited: usize,
+    },
+    /// A replica no longer names a limit.
+    LimitEnded {
+        instance: Arc<str>,
+        how: &'static str,
+        limited: usize,
+    },
     /// A peer is known now.
     PeerFound { incarnation: u64 },
     /// A peer is silent.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ends;
 pub mod http;
 pub mod journal;
+pub mod limits;
 pub mod metrics;
 pub mod news;
 pub mod node;
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -41,6 +41,8 @@
     ended_replicas: Counter<u64>,
     quarantines: Counter<u64>,
     config_version: Gauge<u64>,
+    limited_replicas: Gauge<u64>,
+    limit_changes: Counter<u64>,
     waited_ms: Histogram<f64>,
     first_ms: Histogram<f64>,
     end_ms: Histogram<f64>,
@@ -108,6 +110,14 @@
                 .u64_gauge("bluebell_config_version")
                 .with_description("Version of the configuration in force.")
                 .build(),
+            limited_replicas: m
+                .u64_gauge("bluebell_limited_replicas")
+                .with_description("Replicas that name a limit of requests.")
+                .build(),
+            limit_changes: c(
+                "bluebell_limit_changes",
+                "Limits that replicas named, changed or ended, by how that became known.",
+            ),
             waited_ms: h(
                 "bluebell_waited_ms",
                 "Time from arrival to the first try, in milliseconds.",
@@ -165,6 +175,10 @@
             Event::RequestQuarantined { how, .. } | Event::QuarantineEnded { how, .. } => {
                 self.quarantines.add(1, &label("how", how));
             }
+            Event::LimitNamed { limited, how, .. } | Event::LimitEnded { limited, how, .. } => {
+                self.limited_replicas.record(*limited as u64, &[]);
+                self.limit_changes.add(1, &label("how", how));
+            }
             Event::LinesDropped { count } => self.lines_dropped.add(*count, &[]),
             _ => {}
         }
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -4,7 +4,7 @@
 use crate::journal::{Event, Journal, JournalWriter};
 use crate::metrics::{Metrics, MetricsError};
 use crate::outside::Outside;
-use crate::{news, quarantine, watch};
+use crate::{limits, news, quarantine, watch};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::cell::Cell;
@@ -210,6 +210,7 @@
         node.pool.expire();
         node.journal.flush();
         quarantine::expire(&node);
+        limits::expire(&node);
         let now_ms = node.now_ms();
         let dropped = node.with(|state| {
             state.ledger.expire(now_ms - WORK_EXPIRES_MS);
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -26,6 +26,8 @@
     pub ledger: Ledger,
     /// How slow engines are.
     pub paces: Paces,
+    /// How many requests replicas take that named a limit.
+    pub limits: Limits,
     /// This node's calls in hand, by plain replica.
     pub calls: FxHashMap<ReplicaKey, u32>,
     /// This node's share of the retry budget.
@@ -69,6 +71,7 @@
             replicas: ReplicaTable::default(),
             ledger: Ledger::default(),
             paces: Paces::default(),
+            limits: Limits::default(),
             calls: FxHashMap::default(),
             budget: RetryBudget::new(settings.retry_limits),
             quarantine: Quarantine::default(),
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -193,6 +193,8 @@
     pub keep_alive_ms: Option<SpanMs>,
     /// The replica at fault, by instance or address, where it isn't the one that answers.
     pub fault_at: Option<Arc<str>>,
+    /// What it says of how many requests the replica takes.
+    pub limit: LimitWord,
 }
 
 /// How callers and replicas name things.
@@ -203,6 +205,8 @@
     fn send_headers(&self, headers: &HeaderMap, send: &Sending<'_>) -> HeaderMap;
     /// Reads a replica's head, the answer to `request`.
     fn answer_head(&self, request: &str, status: u16, headers: &HeaderMap) -> AnswerHead;
+    /// What any answer of a replica says of how many requests it takes.
+    fn limit(&self, headers: &HeaderMap) -> LimitWord;
     /// The headers of a replica's answer that the caller gets.
     fn answer_headers(&self, headers: &HeaderMap) -> HeaderMap;
     /// The headers of an answer of the node's own to `request`.
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -2,6 +2,7 @@
 
 use crate::http::Freshness;
 use crate::journal::Event;
+use crate::limits;
 use crate::node::Node;
 use crate::outside::EngineReport;
 use bluebell_base::prelude::*;
@@ -79,7 +80,14 @@
 async fn read(node: &Rc<Node>, address: SocketAddr) -> Option<EngineReport> {
     let mut link = node.pool.lease(address, Freshness::Kept).await.ok()?;
     let request = node.outside.dialect.report_request(address);
+    let sent_ms = node.now_ms();
     let answer = link.send(request).await.ok()?;
+    let heard = Heard {
+        word: node.outside.dialect.limit(answer.headers()),
+        source: Source::Look,
+        sent_ms,
+    };
+    limits::on_answer_at(node, address, heard);
     let body = Limited::new(answer.into_body(), REPORT_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     node.pool.give_back(link, Some(KEPT_MS));
