Limits: what a replica names is kept by all nodes together

What callers saw: nothing directly; two engines in need, which had asked for 1.7 and 1 requests a second, got 5.7 and 2.3 and so stayed in need with all that they had in hand. Cause: nobody read what answers name, and each node placed by its own view. Its class: a limit shared by many, kept by each from what it alone has heard. Ruled out: second tries and helping (none in the two windows); reading alone (no node came above 1.7 a second by itself; nine of them made 5.7). Mend: whoever hears a limit tells all peers at once; as many nodes as the limit has whole requests a second hold it, the first by rendezvous hashing, and send its even part from an allowance that begins empty; the others send nothing there. Looks and parts read for others count; a limited engine is looked at only where nothing else is heard of it for 4 s. Nodes that hear only some of those they know take only that part. The end of a limit is heard by a holder and told again for 10 s. Where all are at their limits requests are refused at once, or wait where this node's turn comes within their patience. Why it holds: nodes that hear each other agree without a word at the time of a request, the parts add up to the limit, and a new holder starts from nothing. Tests, in some 4 s: engines 214 of 11 and 109 of 13 before, within the limit after; plain replicas 47 of 11 and 54 of 13 before, within after; model of 1 to 195 nodes with limits of 0 to 250, groups that don't hear each other, holders that die. Found on the way by its test: without requests a limit never ended, since what peers told counted as a word of the engine. The format of news has a new version: nodes of two releases don't hear each other while they are replaced.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod patience;
 pub mod placement;
 pub mod reading;
+pub mod rendezvous;
 pub mod replicas;
 pub mod serving;
 pub mod silence;
@@ -32,7 +33,9 @@
     pub use crate::budget::{RetryBudget, RetryLimits};
     pub use crate::engine::EngineSpec;
     pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
-    pub use crate::limit::{Heard, LimitChange, LimitWord, Limits, Source};
+    pub use crate::limit::{
+        Admission, Heard, LimitChange, LimitTold, LimitWord, Limits, Nodes, Source,
+    };
     pub use crate::pace::{Pace, Paces};
     pub use crate::patience::Patience;
     pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
--- a/crates/fleet/src/pace/mod.rs
+++ b/crates/fleet/src/pace/mod.rs
@@ -11,12 +11,12 @@
 //! Invariants: an engine of which nothing is known is taken to be as configured.
 
 use bluebell_base::prelude::*;
-use rustc_hash::{FxHashMap, FxHasher};
+use rustc_hash::FxHashMap;
 use std::fmt;
-use std::hash::Hasher;
 use std::str::FromStr;
 
 use crate::ledger::OwnerId;
+use crate::rendezvous;
 use crate::replicas::ReplicaKey;
 
 /// How often an engine is looked at. Looks are priced like probes: with one a second, 69 engines
@@ -125,14 +125,7 @@
     }
 }
 
-/// Whether `own` is the one of the nodes that looks at an engine; all nodes that know each other
-/// agree on it, and a node that comes or goes moves only its own part.
+/// Whether `own` is the one of the nodes that looks at an engine.
 pub fn looks(own: OwnerId, peers: &[OwnerId], engine: ReplicaKey) -> bool {
-    let rank = |node: OwnerId| {
-        let mut hasher = FxHasher::default();
-        hasher.write_u64(node.0);
-        hasher.write_u32(engine.0);
-        (hasher.finish(), node)
-    };
-    peers.iter().all(|peer| rank(*peer) <= rank(own))
+    rendezvous::place(own, peers, engine) == 0
 }
--- a/crates/fleet/src/placement/memory.rs
+++ b/crates/fleet/src/placement/memory.rs
@@ -30,6 +30,11 @@
     Tokens((spec.memory_tokens.0 as f64 * USABLE_PART) as u64)
 }
 
+/// Whether no engine can hold the request alone, so that memory is set aside at helpers.
+pub fn needs_several(spec: &EngineSpec, demand: &Demand) -> bool {
+    needed(demand) > usable(spec)
+}
+
 /// The memory that an engine has free for one more prompt.
 pub fn free(spec: &EngineSpec, candidate: &Candidate) -> Tokens {
     let used = candidate.load.memory_tokens.0;
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -19,6 +19,7 @@
 mod spread;
 mod survey;
 
+pub use memory::needs_several;
 pub use plain::{PlainCandidate, place_plain};
 pub use price::Prices;
 pub use search::place_engine;
@@ -152,6 +153,14 @@
         /// When coming back may help.
         retry_after_ms: SpanMs,
     },
+    /// The replicas that could run it named how many requests they take, and take no more now.
+    #[error("the replicas take no more requests now")]
+    Limited {
+        /// When coming back may help.
+        retry_after_ms: SpanMs,
+        /// Whether this node may send one then; else other nodes may.
+        here: bool,
+    },
     /// Each replica that ran it has ended.
     #[error("each replica that ran it has ended")]
     Quarantined {
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -4,9 +4,10 @@
 use super::fatal;
 use super::held::Held;
 use super::reserve::Reserved;
+use crate::limits;
 use crate::outside::Helper;
 use bluebell_base::prelude::*;
-use bluebell_fleet::placement::{Fleet, PlainCandidate};
+use bluebell_fleet::placement::{Fleet, PlainCandidate, needs_several};
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::replicas::Health;
 use std::net::SocketAddr;
@@ -67,7 +68,7 @@
         let over = waited_ms >= patience.longest_ms;
         let pressing = if over { Pressing::Waited } else { Pressing::No };
         let refusal = match choose_now(call, avoid, pressing) {
-            Err(refusal) if !over && may_pass(&refusal) => refusal,
+            Err(refusal) if !over && may_pass(&refusal, patience.longest_ms, waited_ms) => refusal,
             result => return result,
         };
         if call.left_ms() <= look_ms {
@@ -77,9 +78,14 @@
     }
 }
 
-/// Whether a refusal may be gone before the request has waited for as long as it may.
-fn may_pass(refusal: &Refusal) -> bool {
+/// Whether a refusal of a request that has waited for `waited_ms` may be gone before it has waited for
+/// `longest_ms`.
+fn may_pass(refusal: &Refusal, longest_ms: SpanMs, waited_ms: SpanMs) -> bool {
     match refusal {
+        Refusal::Limited {
+            retry_after_ms,
+            here,
+        } => *here && waited_ms.0 + retry_after_ms.0 < longest_ms.0,
         Refusal::NoRoom { .. } => true,
         Refusal::Overloaded { cost_pct, .. } => Patience::may_help(*cost_pct),
         Refusal::NoReplica | Refusal::TooLong | Refusal::Quarantined { .. } => false,
@@ -101,26 +107,100 @@
     match &call.service.engine {
         Some(spec) => find_engine(call, spec, avoid, Pressing::No).is_ok(),
         None => call.node.with(|state| {
-            let now_ms = call.node.now_ms();
-            !takers(&state.replicas, call, avoid, now_ms).is_empty()
+            let limited = Limited::WithinLimit;
+            let takers = Takers::of(&state.replicas, &state.limits, call, avoid, limited);
+            !takers.ready.is_empty()
         }),
     }
 }
 
-/// The replicas that take work and are trusted; where none is trusted, those that are not.
-fn takers<'a>(
-    replicas: &'a ReplicaTable,
-    call: &'a Call,
-    avoid: &[ReplicaKey],
-    now_ms: MonoMs,
-) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
-    let mut ready = replicas.ready(&call.service.name);
-    ready.retain(|(key, _, _)| !avoid.contains(key));
-    let trusted = ready.iter().any(|(_, _, health)| health.admits(now_ms));
-    ready.retain(|(_, _, health)| !trusted || health.admits(now_ms));
-    ready
+/// Which replicas that named a limit may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Limited {
+    /// Those to which this node may send a request now.
+    WithinLimit,
+    /// None.
+    Never,
+}
+
+/// The replicas that may be chosen for a request.
+struct Takers<'a> {
+    ready: Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)>,
+    left_out: Option<LeftOut>,
+}
+
+/// Replicas were left out for the limits that they named.
+#[derive(Clone, Copy, Debug)]
+struct LeftOut {
+    /// The time until this node may send a request to one of them; none where others may.
+    wait_ms: Option<SpanMs>,
 }
 
+impl LeftOut {
+    /// One more is left out.
+    fn with(before: Option<Self>, admission: Admission) -> Self {
+        let before_ms = before.and_then(|left_out| left_out.wait_ms);
+        let wait_ms = match admission {
+            Admission::After(wait_ms) => Some(before_ms.map_or(wait_ms, |ms| ms.min(wait_ms))),
+            Admission::Now | Admission::Elsewhere => before_ms,
+        };
+        Self { wait_ms }
+    }
+
+    fn refusal(self) -> Refusal {
+        Refusal::Limited {
+            retry_after_ms: self.wait_ms.unwrap_or(ELSEWHERE_RETRY_MS),
+            here: self.wait_ms.is_some(),
+        }
+    }
+}
+
+impl<'a> Takers<'a> {
+    /// The replicas that take work and are trusted; where none is trusted, those that are not.
+    fn of(
+        replicas: &'a ReplicaTable,
+        limits: &Limits,
+        call: &'a Call,
+        avoid: &[ReplicaKey],
+        limited: Limited,
+    ) -> Self {
+        let now_ms = call.node.now_ms();
+        let mut ready = replicas.ready(&call.service.name);
+        ready.retain(|(key, _, _)| !avoid.contains(key));
+        let trusted = ready.iter().any(|(_, _, health)| health.admits(now_ms));
+        ready.retain(|(_, _, health)| !trusted || health.admits(now_ms));
+        let mut left_out = None;
+        if !limits.is_empty() {
+            // An engine that asks for little looks idle, and draws requests from all nodes at once.
+            // Trust comes first: a replica that is doubted is none to fall back on.
+            ready.retain(|(key, _, _)| {
+                let admission = match limited {
+                    Limited::Never if limits.is_limited(*key) => Admission::Elsewhere,
+                    _ => limits.admission(*key, now_ms),
+                };
+                let admitted = admission == Admission::Now;
+                if !admitted {
+                    left_out = Some(LeftOut::with(left_out, admission));
+                }
+                admitted
+            });
+        }
+        Self { ready, left_out }
+    }
+
+    /// What to say instead of a refusal that would be true only without the limits.
+    fn refusal(&self, refusal: Refusal) -> Refusal {
+        match (refusal, self.left_out) {
+            (Refusal::NoReplica | Refusal::TooLong, Some(left_out)) => left_out.refusal(),
+            (refusal, _) => refusal,
+        }
+    }
+}
+
+/// When a caller is asked back whose request this node can't send anywhere, since others hold the limits
+/// of all replicas: its next connection mostly leads to another node.
+const ELSEWHERE_RETRY_MS: SpanMs = SpanMs(300);
+
 /// Where an engine's work may go.
 struct Found {
     placement: Placement,
@@ -138,13 +218,20 @@
     let node = &call.node;
     let now_ms = node.now_ms();
     let demand = demand(call, now_ms, pressing);
+    // Memory that is set aside takes an order each moment for as long as its request lives.
+    let limited = match needs_several(spec, &demand) {
+        true => Limited::Never,
+        false => Limited::WithinLimit,
+    };
+    limits::share(node);
     node.with(|state| {
         state.ledger.set_paces(&state.paces, now_ms);
         let loads = state.ledger.loads(now_ms);
-        let takers = takers(&state.replicas, call, avoid, now_ms);
-        let engines = takers.iter().map(|(key, _, _)| *key);
+        let takers = Takers::of(&state.replicas, &state.limits, call, avoid, limited);
+        let engines = takers.ready.iter().map(|(key, _, _)| *key);
         let fleet = Fleet::of(engines, loads, node.node_count(), rand::random());
-        let placement = place_engine(spec, &fleet, &demand)?;
+        let placement =
+            place_engine(spec, &fleet, &demand).map_err(|refusal| takers.refusal(refusal))?;
         let find = |key| state.replicas.get(key).ok_or(Refusal::NoReplica).cloned();
         let replica = find(placement.first)?;
         let address = |key| find(key).map(|replica| replica.address);
@@ -232,10 +319,12 @@
 
 fn choose_plain(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
     let node = &call.node;
-    let now_ms = node.now_ms();
+    limits::share(node);
     let (key, replica) = node.with(|state| {
-        let takers = takers(&state.replicas, call, avoid, now_ms);
+        let limited = Limited::WithinLimit;
+        let takers = Takers::of(&state.replicas, &state.limits, call, avoid, limited);
         let candidates: Vec<PlainCandidate> = takers
+            .ready
             .iter()
             .map(|(key, replica, _)| PlainCandidate {
                 key: *key,
@@ -243,7 +332,8 @@
                 near: replica.domain == node.settings.domain,
             })
             .collect();
-        let key = place_plain(&candidates, rand::random()).ok_or(Refusal::NoReplica)?;
+        let key = place_plain(&candidates, rand::random());
+        let key = key.ok_or_else(|| takers.refusal(Refusal::NoReplica))?;
         let replica = state.replicas.get(key).ok_or(Refusal::NoReplica)?;
         Ok((key, replica.clone()))
     })?;
--- a/crates/front/src/call/held.rs
+++ b/crates/front/src/call/held.rs
@@ -32,13 +32,23 @@
         let shared = !work.helpers.is_empty();
         node.outbox.placed(id.sequence, &work, node.now_ms());
         let now_ms = node.now_ms();
-        node.with(|state| state.ledger.put(id, work, now_ms));
+        node.with(|state| {
+            state.limits.on_sent(work.first, now_ms);
+            for helper in &work.helpers {
+                state.limits.on_sent(*helper, now_ms);
+            }
+            state.ledger.put(id, work, now_ms);
+        });
         Self::begin(node, key, Holding::Work(id), shared)
     }
 
     /// Notes the hold of a call at a plain replica.
     pub fn call(node: &Rc<Node>, key: ReplicaKey) -> Self {
-        node.with(|state| *state.calls.entry(key).or_default() += 1);
+        let now_ms = node.now_ms();
+        node.with(|state| {
+            state.limits.on_sent(key, now_ms);
+            *state.calls.entry(key).or_default() += 1;
+        });
         Self::begin(node, key, Holding::Call(key), false)
     }
 
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -139,6 +139,7 @@
     let retry_after_ms = match refusal {
         Refusal::Overloaded { retry_after_ms, .. }
         | Refusal::NoRoom { retry_after_ms }
+        | Refusal::Limited { retry_after_ms, .. }
         | Refusal::Quarantined { retry_after_ms } => *retry_after_ms,
         Refusal::NoReplica | Refusal::TooLong => NOBODY_RETRY_MS,
     };
--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -1,4 +1,8 @@
-//! The limits that replicas name in their answers: taking them down.
+//! The node's part in keeping the limits that replicas name: what answers and peers tell of them, what
+//! it tells its peers, and what it may send.
+//!
+//! Invariants: a limit that a replica names, changes or ends is told to all peers at once, by whoever
+//! hears it first; each such change has a line in the log.
 
 use crate::journal::Event;
 use crate::node::Node;
@@ -14,7 +18,46 @@
     let Some(change) = node.with(|state| state.limits.on_answer(key, heard, now_ms)) else {
         return;
     };
-    tell_change(node, key, change, heard.source.as_str());
+    // Whoever else sends there has heard nothing: the limit would be exceeded by all together.
+    if let Some(told) = node.with(|state| state.limits.tell(key, now_ms)) {
+        node.outbox.limit(told);
+    }
+    log_change(node, key, change, heard.source.as_str());
+}
+
+/// A peer told what a replica said of its limit.
+pub fn on_told(node: &Node, told: &LimitTold) {
+    let now_ms = node.now_ms();
+    if let Some(change) = node.with(|state| state.limits.on_told(told, now_ms)) {
+        log_change(node, told.replica, change, "told");
+    }
+}
+
+/// Works out what this node may send to replicas that name a limit, where that isn't known.
+pub fn share(node: &Node) {
+    let now_ms = node.now_ms();
+    if !node.with(|state| state.limits.is_unshared(now_ms)) {
+        return;
+    }
+    let heard = node.outbox.owners_there();
+    let nodes = Nodes {
+        own: node.owner,
+        heard: &heard,
+        known: node.outbox.peer_count(),
+    };
+    node.with(|state| state.limits.share(&nodes, now_ms));
+}
+
+/// Something is sent to the replica at `address` that isn't a request of a caller.
+pub fn on_sent_to(node: &Node, address: SocketAddr) {
+    let now_ms = node.now_ms();
+    node.with(|state| {
+        if !state.limits.is_empty()
+            && let Some(key) = state.replicas.at(address)
+        {
+            state.limits.on_sent(key, now_ms);
+        }
+    });
 }
 
 /// The replica at `address` answered something.
@@ -24,7 +67,7 @@
     }
 }
 
-fn tell_change(node: &Node, key: ReplicaKey, change: LimitChange, how: &'static str) {
+fn log_change(node: &Node, key: ReplicaKey, change: LimitChange, how: &'static str) {
     let (instance, limited) = node.with(|state| {
         let replica = state.replicas.get(key);
         (replica.map(|r| r.instance.clone()), state.limits.len())
@@ -45,10 +88,15 @@
     });
 }
 
-/// Forgets the limits of replicas that are gone.
+/// Forgets what counts no more.
 pub fn expire(node: &Node) {
-    node.with(|state| {
+    let now_ms = node.now_ms();
+    let ended = node.with(|state| {
         let replicas = &state.replicas;
-        state.limits.retain(|key| replicas.get(key).is_some());
+        let is_known = |key| replicas.get(key).is_some();
+        state.limits.expire(is_known, now_ms)
     });
+    for key in ended {
+        log_change(node, key, LimitChange::Ended, "unheard");
+    }
 }
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -10,7 +10,7 @@
 
 /// The version of the format; datagrams of another are ignored, so that nodes of two releases can
 /// run beside each other.
-const FORMAT: u8 = 5;
+const FORMAT: u8 = 6;
 
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -56,6 +56,8 @@
     Pace { replica: u32, pace_pct: u32 },
     /// A request ends replicas, or doesn't.
     Request(Told),
+    /// A replica takes so many requests a second from all nodes together, or any number.
+    Limit(LimitNews),
     /// The sender has seen this version of the configuration.
     Config { version: u64 },
     /// The sender has just read the directory's replicas.
@@ -127,6 +129,37 @@
     }
 }
 
+/// What a replica said of its limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct LimitNews {
+    replica: u32,
+    rate_per_s: Option<f64>,
+    age_ms: u32,
+    looks_name: bool,
+}
+
+impl From<LimitTold> for LimitNews {
+    fn from(told: LimitTold) -> Self {
+        Self {
+            replica: told.replica.0,
+            rate_per_s: told.rate.map(|rate| rate.0),
+            age_ms: told.age_ms.0.min(u64::from(u32::MAX)) as u32,
+            looks_name: told.looks_name,
+        }
+    }
+}
+
+impl From<LimitNews> for LimitTold {
+    fn from(news: LimitNews) -> Self {
+        Self {
+            replica: ReplicaKey(news.replica),
+            rate: news.rate_per_s.map(PerSecond),
+            age_ms: SpanMs(u64::from(news.age_ms)),
+            looks_name: news.looks_name,
+        }
+    }
+}
+
 impl Datagram {
     /// Reads a datagram; none where it isn't one of this format.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -101,6 +101,11 @@
         self.push(News::Request(told));
     }
 
+    /// Tells what a replica said of its limit.
+    pub fn limit(&self, told: LimitTold) {
+        self.push(News::Limit(told.into()));
+    }
+
     /// Tells which configuration is known.
     pub fn config(&self, version: ConfigVersion) {
         self.push(News::Config { version: version.0 });
--- a/crates/front/src/news/send.rs
+++ b/crates/front/src/news/send.rs
@@ -3,6 +3,7 @@
 use super::GATHER_MS;
 use super::message::{News, Origin, WorkNews, digest, pack};
 use crate::journal::Event;
+use crate::limits;
 use crate::node::Node;
 use bluebell_fleet::fanout::{Telling, digest_every, gather_for};
 use std::net::SocketAddr;
@@ -43,7 +44,8 @@
 fn own_digest(node: &Node) -> Vec<News> {
     let now_ms = node.now_ms();
     let tells = chance_to_tell(node);
-    let (works, version, requests) = node.with(|state| {
+    limits::share(node);
+    let (works, version, requests, limits) = node.with(|state| {
         let own = state.ledger.of_owner(node.owner);
         let works = own.map(|(sequence, work)| WorkNews::of(sequence, work, now_ms));
         let version = state.config.as_ref().map(|c| c.version());
@@ -51,13 +53,20 @@
         let draw = || rand::random_bool(tells);
         let quarantined = state.quarantine.tell_quarantined(now_ms, draw);
         let requests = again.into_iter().chain(quarantined);
-        (works.collect(), version, requests.map(News::Request))
+        let limits = state.limits.tell_again(now_ms);
+        (
+            works.collect(),
+            version,
+            requests.map(News::Request),
+            limits,
+        )
     });
     let mut news = digest(works);
     if let Some(version) = version {
         news.push(News::Config { version: version.0 });
     }
     news.extend(requests);
+    news.extend(limits.into_iter().map(|told| News::Limit(told.into())));
     news
 }
 
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -37,13 +37,17 @@
 /// The engines at which this node looks.
 fn own_part(node: &Node) -> Vec<(ReplicaKey, SocketAddr)> {
     let peers = node.outbox.owners_there();
+    let now_ms = node.now_ms();
+    limits::share(node);
     node.with(|state| {
         let Some(config) = &state.config else {
             return Vec::new();
         };
         let engines = config.services().filter(|service| service.engine.is_some());
         let ready = engines.flat_map(|service| state.replicas.ready(&service.name));
-        let own = ready.filter(|(key, _, _)| looks(node.owner, &peers, *key));
+        let own = ready.filter(|(key, _, _)| {
+            state.limits.admits_look(*key, now_ms) && looks(node.owner, &peers, *key)
+        });
         own.map(|(key, replica, _)| (key, replica.address))
             .collect()
     })
@@ -80,6 +84,7 @@
 async fn read(node: &Rc<Node>, address: SocketAddr) -> Option<EngineReport> {
     let mut link = node.pool.lease(address, Freshness::Kept).await.ok()?;
     let request = node.outside.dialect.report_request(address);
+    limits::on_sent_to(node, address);
     let sent_ms = node.now_ms();
     let answer = link.send(request).await.ok()?;
     let heard = Heard {
