Limits: orders about memory count, and are fewer at engines that name one

Memory that is set aside is renewed each 0.7 s, and the engine that writes is looked at as often: 1.4 requests a second each at an engine that may have named one a second. They can't wait, since the request that uses the memory would be cut off, so they are counted against what the node may send there, and go out each 1.2 s where one of the engines names a limit. With one piece of memory at an engine that is 0.83 a second beside the limit itself, within the half more that is allowed and five in 4 s.

--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -29,6 +29,10 @@
 /// How often it is renewed: two renewals may be lost, and the next still comes in time.
 const RENEW_MS: SpanMs = SpanMs(700);
 
+/// How often it is renewed where one of the engines names how many requests it takes: the orders count
+/// among these, and one renewal may still be lost.
+const LIMITED_RENEW_MS: SpanMs = SpanMs(1_200);
+
 /// How long an order may take. Engines answer at once, or not at all.
 const ORDER_MS: SpanMs = SpanMs(500);
 
@@ -123,7 +127,11 @@
 /// cut off from this node, which then can't have its answer either.
 async fn renew(node: Rc<Node>, writer: Arc<Replica>, pieces: Vec<Piece>) {
     loop {
-        tokio::time::sleep(Duration::from(RENEW_MS)).await;
+        let pause_ms = match is_any_limited(&node, &writer, &pieces) {
+            true => LIMITED_RENEW_MS,
+            false => RENEW_MS,
+        };
+        tokio::time::sleep(Duration::from(pause_ms)).await;
         if !is_alive(&node, &writer).await {
             log::info!("memory isn't renewed: {} doesn't answer", writer.instance);
             continue;
@@ -133,6 +141,15 @@
     }
 }
 
+fn is_any_limited(node: &Node, writer: &Replica, pieces: &[Piece]) -> bool {
+    node.with(|state| {
+        let replicas = &state.replicas;
+        let holders = pieces.iter().filter_map(|piece| replicas.at(piece.address));
+        let mut engines = holders.chain([writer.key()]);
+        engines.any(|key| state.limits.is_limited(key))
+    })
+}
+
 /// Whether an engine answers at its address; another replica may have that by now, and answer.
 async fn is_alive(node: &Rc<Node>, engine: &Replica) -> bool {
     let moved_in = node.with(|state| state.replicas.another_at(engine));
@@ -152,6 +169,7 @@
     let exchange = async {
         let mut link = node.pool.lease(address, Freshness::Recent).await.ok()?;
         let request = node.outside.dialect.memory_order(address, order);
+        limits::on_sent_to(node, address);
         let sent_ms = node.now_ms();
         let answer = link.send(request).await.ok()?;
         let heard = Heard {
