--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -8,6 +8,7 @@
 use super::choose::Chosen;
 use super::tries::TryError;
 use crate::http::Freshness;
+use crate::journal::Event;
 use crate::limits;
 use crate::node::Node;
 use crate::outside::{MemoryAnswer, MemoryOrder};
@@ -65,6 +66,12 @@
                 name: format!("{:016x}", rand::random::<u64>()).into(),
                 tokens,
             };
+            call.node.journal.tell(&Event::MemoryReserved {
+                request: call.head.request.clone(),
+                name: piece.name.clone(),
+                address,
+                tokens,
+            });
             // Noted first: an order without an answer may still be carried out.
             reserved.pieces.push(piece.clone());
             piece.reserve(&call.node).await?;
@@ -133,7 +140,12 @@
         };
         tokio::time::sleep(Duration::from(pause_ms)).await;
         if !is_alive(&node, &writer).await {
-            log::info!("memory isn't renewed: {} doesn't answer", writer.instance);
+            for piece in &pieces {
+                node.journal.tell(&Event::MemoryLapses {
+                    name: piece.name.clone(),
+                    writer: writer.instance.clone(),
+                });
+            }
             continue;
         }
         // At the same time: a helper that doesn't answer must not let the others' memory run out.
@@ -166,23 +178,36 @@
 
 /// Sends an order; none where it isn't answered.
 async fn send(node: &Rc<Node>, address: SocketAddr, order: &MemoryOrder) -> Option<MemoryAnswer> {
-    let exchange = async {
-        let mut link = node.pool.lease(address, Freshness::Recent).await.ok()?;
-        let request = node.outside.dialect.memory_order(address, order);
-        limits::on_sent_to(node, address);
-        let sent_ms = node.now_ms();
-        let answer = link.send(request).await.ok()?;
-        let heard = Heard {
-            word: node.outside.dialect.limit(answer.headers()),
-            source: Source::Order,
-            sent_ms,
-        };
-        limits::on_answer_at(node, address, heard);
-        let status = answer.status().as_u16();
-        answer.into_body().collect().await.ok()?;
-        node.pool.give_back(link, None);
-        Some(node.outside.dialect.memory_answer(status))
-    };
+    let exchange = exchange(node, address, order);
     let answer = tokio::time::timeout(Duration::from(ORDER_MS), exchange).await;
-    answer.ok().flatten()
+    let answer = answer.ok().flatten();
+    node.journal.tell(&Event::MemoryOrdered {
+        name: order.name().clone(),
+        address,
+        order: order.as_str(),
+        answer: answer.map_or("none", MemoryAnswer::as_str),
+    });
+    answer
+}
+
+async fn exchange(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    order: &MemoryOrder,
+) -> Option<MemoryAnswer> {
+    let mut link = node.pool.lease(address, Freshness::Recent).await.ok()?;
+    let request = node.outside.dialect.memory_order(address, order);
+    limits::on_sent_to(node, address);
+    let sent_ms = node.now_ms();
+    let answer = link.send(request).await.ok()?;
+    let heard = Heard {
+        word: node.outside.dialect.limit(answer.headers()),
+        source: Source::Order,
+        sent_ms,
+    };
+    limits::on_answer_at(node, address, heard);
+    let status = answer.status().as_u16();
+    answer.into_body().collect().await.ok()?;
+    node.pool.give_back(link, None);
+    Some(node.outside.dialect.memory_answer(status))
 }
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -126,6 +126,22 @@
         digest: RequestDigest,
         how: &'static str,
     },
+    /// Memory is set aside for a request at a helper.
+    MemoryReserved {
+        request: Arc<str>,
+        name: Arc<str>,
+        address: SocketAddr,
+        tokens: Tokens,
+    },
+    /// An engine answered an order about memory, or didn't.
+    MemoryOrdered {
+        name: Arc<str>,
+        address: SocketAddr,
+        order: &'static str,
+        answer: &'static str,
+    },
+    /// Memory isn't renewed, since the engine that writes for its request doesn't answer.
+    MemoryLapses { name: Arc<str>, writer: Arc<str> },
     /// A request got no second try because the budget is spent.
     BudgetSpent { request: Arc<str> },
     /// A stream goes on at another replica.
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -139,6 +139,23 @@
     },
 }
 
+impl MemoryOrder {
+    /// The memory's name.
+    pub fn name(&self) -> &Arc<str> {
+        match self {
+            MemoryOrder::Reserve { name, .. } | MemoryOrder::Release { name } => name,
+        }
+    }
+
+    /// The order's name in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            MemoryOrder::Reserve { .. } => "reserve",
+            MemoryOrder::Release { .. } => "release",
+        }
+    }
+}
+
 /// An engine's answer to an order about memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemoryAnswer {
@@ -150,6 +167,17 @@
     Refused,
 }
 
+impl MemoryAnswer {
+    /// Its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            MemoryAnswer::Done => "done",
+            MemoryAnswer::Full => "full",
+            MemoryAnswer::Refused => "refused",
+        }
+    }
+}
+
 /// What an engine says of itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineReport {
