Silence: memory that no request uses is kept for eight seconds, not to the caller's deadline

What callers saw: long prompts refused although engines had the memory, 39,404 tokens of which were set aside for 14 s for a prompt whose engine hung. Cause: a silent try is waited for where there is no other place, and its memory is renewed while the engine answers looks, which one that hangs does. Its class: a sign of life taken for progress. Ruled out: lost or late orders (all 21 of this memory were answered), the node's end, a request that ended without a release. Mend: a try that has set memory aside is given up after eight seconds without a first event, unless its engines still read by all that is known; its memory is released at once. Why it holds: the one way to keep memory is this wait, and it ends by the node's own clock.

--- a/crates/fleet/src/silence/mod.rs
+++ b/crates/fleet/src/silence/mod.rs
@@ -12,6 +12,10 @@
 
 use bluebell_base::prelude::*;
 
+/// How long memory that is set aside may go unused before its request is given up: engines must not hold
+/// it for nine seconds without a request that uses it, and other long prompts are refused for want of it.
+const MEMORY_UNUSED_MS: SpanMs = SpanMs(8_000);
+
 /// How much longer than expected an engine may be silent; chosen, not measured.
 const FACTOR: f64 = 2.0;
 
@@ -41,6 +45,18 @@
     (after_ms as f64 > anew_ms).then_some(more_ms)
 }
 
+/// How much longer a silent try may keep memory set aside that it got `waited_ms` ago, where its engines
+/// still have `reading_ms` to read before its first event; none where it is to be given up.
+///
+/// An engine that hangs answers looks as one that reads does, and never begins: waiting for it to the
+/// caller's deadline kept memory for fourteen seconds. What is still read by all that is known uses it.
+pub fn memory_left(reading_ms: Option<f64>, waited_ms: SpanMs) -> Option<SpanMs> {
+    let unused_ms = MEMORY_UNUSED_MS.0.saturating_sub(waited_ms.0) as f64;
+    let reading_ms = reading_ms.filter(|ms| *ms > 0.0);
+    let left_ms = unused_ms.max(reading_ms.map_or(0.0, |ms| ms + LAST_PASS_MS));
+    (left_ms > 0.0).then_some(SpanMs(left_ms.ceil() as u64))
+}
+
 /// How long an engine may be silent between two events with `gap_ms` as the longest pause allowed.
 pub fn between_events(gap_ms: SpanMs) -> SpanMs {
     SpanMs((gap_ms.0 * GAPS).max(LEAST_MS as u64))
--- a/crates/fleet/tests/silence.rs
+++ b/crates/fleet/tests/silence.rs
@@ -2,7 +2,7 @@
 
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
-use bluebell_fleet::silence::{before_first, between_events, more};
+use bluebell_fleet::silence::{before_first, between_events, memory_left, more};
 
 fn id(sequence: u32) -> WorkId {
     WorkId {
@@ -66,3 +66,20 @@
     assert_eq!(between_events(SpanMs(250)), SpanMs(1_700));
     assert_eq!(between_events(SpanMs(1_000)), SpanMs(5_000));
 }
+
+/// An engine hung, and the memory that was set aside for its prompt at another lay idle for fourteen seconds.
+/// It is kept for eight seconds, and for longer only while the prompt is still being read.
+#[test]
+fn memory_is_kept_for_what_is_read() {
+    for (reading_ms, waited_ms, left_ms) in [
+        (None, 0, Some(8_000)),
+        (None, 7_999, Some(1)),
+        (None, 8_000, None),
+        (Some(0.0), 9_000, None),
+        (Some(300.0), 2_000, Some(6_000)),
+        (Some(300.0), 9_000, Some(800)),
+    ] {
+        let left = memory_left(reading_ms, SpanMs(waited_ms));
+        assert_eq!(left, left_ms.map(SpanMs), "{reading_ms:?} {waited_ms}");
+    }
+}
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -85,13 +85,15 @@
 ) -> Result<Begun, TryError> {
     let left_ms = call.left_ms();
     let others = call.route.kind.repeatable() && arrived_tries + 1 < call.route.max_attempts;
-    let mut limit_ms = match others {
+    let limit_ms = match others {
         true => silence::before_first(chosen.expected_ms).min(left_ms),
         false => left_ms,
     };
     let sent_ms = call.node.now_ms();
+    let mut until_ms = sent_ms + limit_ms;
     let expected_ms = chosen.expected_ms;
     let work = chosen.held.work_id();
+    let sets_aside = !chosen.memory.is_empty();
     let replica = chosen.replica.clone();
     let reading_left_ms = || {
         let now_ms = call.node.now_ms();
@@ -108,16 +110,29 @@
             error = tries::restarted(call, &replica, Verdict::MayHaveRun, Evidence::Present) => Err(error),
         }
     };
+    // A try that sets no memory aside waits as long as its engine may be silent.
+    let memory_left_ms = |silent_ms| match sets_aside {
+        true => silence::memory_left(reading_left_ms(), call.node.now_ms().since(sent_ms)),
+        false => Some(silent_ms),
+    };
     tokio::pin!(begin);
     loop {
-        if let Ok(result) = tokio::time::timeout(Duration::from(limit_ms), &mut begin).await {
+        let silent_ms = until_ms.since(call.node.now_ms());
+        let Some(memory_ms) = memory_left_ms(silent_ms) else {
+            break;
+        };
+        let wait_ms = silent_ms.min(memory_ms);
+        if let Ok(result) = tokio::time::timeout(Duration::from(wait_ms), &mut begin).await {
             return result;
         }
+        if memory_ms < silent_ms {
+            continue;
+        }
         let left_ms = call.left_ms().min(call.silence_left_ms());
         match silence::more(reading_left_ms(), left_ms, expected_ms) {
-            Some(more_ms) if others => limit_ms = more_ms,
+            Some(more_ms) if others => until_ms = call.node.now_ms() + more_ms,
             _ if others && left_ms > SpanMs::ZERO && has_no_other_place(call, avoid) => {
-                limit_ms = LOOK_ELSEWHERE_MS.min(left_ms);
+                until_ms = call.node.now_ms() + LOOK_ELSEWHERE_MS.min(left_ms);
             }
             _ => break,
         }
