Directory: one that comes back from an older copy is read anew, and never believed to be newer than it is

What callers saw: nothing yet; by reading, a node went on in another history as soon as the new one had passed its cursor, and for as long as it ran sent requests to replicas that had left, none to some that came, and missed a configuration. Cause: offsets are given out again, and a cursor was a bare number. Its class: a place that outlives what it is a place of.

--- a/crates/fleet/src/replicas/replica.rs
+++ b/crates/fleet/src/replicas/replica.rs
@@ -85,6 +85,8 @@
     Listed(Replica),
     /// The entry of this instance is gone.
     Removed(Arc<str>),
+    /// The directory came back from an older copy that lacks the entry of this instance.
+    Missing(Arc<str>),
     /// The entry of this instance can't be read.
     Unreadable {
         /// The instance.
--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -37,6 +37,8 @@
     Removed,
     /// A replica's entry is gone while the directory was away.
     Lapsed,
+    /// A lapsed entry is listed again.
+    Relisted,
     /// Nothing that matters for work.
     Unchanged,
 }
@@ -46,6 +48,8 @@
     replica: Arc<Replica>,
     health: Health,
     lapsed_at_ms: Option<MonoMs>,
+    /// Whether it is used although its entry has lapsed: an older copy of the directory doesn't know it.
+    kept: bool,
 }
 
 /// All known replicas.
@@ -62,6 +66,8 @@
     services: Option<FxHashSet<ServiceName>>,
     /// When the directory was last found back after it had been away.
     back_at_ms: Option<MonoMs>,
+    /// When it was found to have come back from an older copy.
+    renewed_at_ms: Option<MonoMs>,
     away: bool,
 }
 
@@ -79,6 +85,32 @@
         self.away = false;
     }
 
+    /// The directory came back from an older copy: replicas that began since are missing until they
+    /// write again, and some that left are listed.
+    pub fn on_directory_renewed(&mut self, now_ms: MonoMs) {
+        self.back_at_ms = Some(now_ms);
+        self.renewed_at_ms = Some(now_ms);
+    }
+
+    /// Whether entries that the older copy lacks may still return.
+    pub fn renewing(&self, now_ms: MonoMs) -> bool {
+        let renewed = self.renewed_at_ms;
+        renewed.is_some_and(|at_ms| now_ms.since(at_ms) < RELIST_MS)
+    }
+
+    /// Whether an entry of an older copy says less than is known: its replica has left since, or is
+    /// leaving. If it lives all the same it writes again.
+    pub fn is_outdated(&self, change: &ReplicaChange) -> bool {
+        let ReplicaChange::Listed(replica) = change else {
+            return false;
+        };
+        let removed = self.removed.get(&replica.instance);
+        let left = removed.is_some_and(|(started, _)| replica.started <= *started);
+        let row = self.rows.get(&replica.key());
+        let leaves = row.is_some_and(|row| row.replica.state == ReplicaState::Draining);
+        left || (leaves && replica.state == ReplicaState::Ready)
+    }
+
     /// Whether entries that are missing may still return, since the directory was away.
     pub fn settling(&self, now_ms: MonoMs) -> bool {
         let back = self.back_at_ms;
@@ -101,6 +133,7 @@
         match change {
             ReplicaChange::Listed(replica) => self.list(replica),
             ReplicaChange::Removed(instance) => self.remove(&instance, now_ms),
+            ReplicaChange::Missing(instance) => self.keep_missing(&instance, now_ms),
             ReplicaChange::Unreadable { instance, .. } => self.note_unusable(instance),
         }
     }
@@ -152,7 +185,8 @@
         let Some(row) = self.rows.get_mut(&key) else {
             return TableEvent::Unchanged;
         };
-        row.lapsed_at_ms = None;
+        let relisted = row.lapsed_at_ms.take().is_some();
+        row.kept = false;
         let was = row.replica.state;
         let is = replica.state;
         if *row.replica != replica {
@@ -160,6 +194,7 @@
         }
         match was == ReplicaState::Ready && is == ReplicaState::Draining {
             true => TableEvent::Leaving,
+            false if relisted => TableEvent::Relisted,
             false => TableEvent::Unchanged,
         }
     }
@@ -174,6 +209,7 @@
             replica: Arc::new(replica),
             health: Health::default(),
             lapsed_at_ms: None,
+            kept: false,
         };
         self.rows.insert(key, row);
     }
@@ -204,6 +240,7 @@
                 return TableEvent::Unchanged;
             };
             row.lapsed_at_ms.get_or_insert(now_ms);
+            row.kept = false;
             return TableEvent::Lapsed;
         }
         match self.drop_row(key) {
@@ -217,17 +254,32 @@
         }
     }
 
+    /// An older copy of the directory lacks the entry: its replica may have begun since, and is used until
+    /// it had time to write again.
+    fn keep_missing(&mut self, instance: &str, now_ms: MonoMs) -> TableEvent {
+        let seen = self.remove(instance, now_ms);
+        let key = self.keys.get(instance);
+        if let Some(row) = key.and_then(|key| self.rows.get_mut(key)) {
+            row.kept = seen == TableEvent::Lapsed;
+        }
+        seen
+    }
+
     /// Keeps only `listed`, the whole directory as just read; lapses are judged as for
     /// [`ReplicaTable::apply`].
     pub fn retain_listed(&mut self, listed: &[Arc<str>], now_ms: MonoMs) {
-        let listed: FxHashSet<&Arc<str>> = listed.iter().collect();
-        let known = self.keys.keys();
-        let gone: Vec<Arc<str>> = known.filter(|i| !listed.contains(i)).cloned().collect();
-        for instance in gone {
+        for instance in self.missing_from(listed) {
             self.remove(&instance, now_ms);
         }
     }
 
+    /// The known instances that `listed` lacks.
+    pub fn missing_from(&self, listed: &[Arc<str>]) -> Vec<Arc<str>> {
+        let listed: FxHashSet<&Arc<str>> = listed.iter().collect();
+        let known = self.keys.keys();
+        known.filter(|i| !listed.contains(i)).cloned().collect()
+    }
+
     /// Drops lapsed replicas that the directory didn't list again; returns those dropped.
     pub fn expire(&mut self, now_ms: MonoMs) -> Vec<Arc<Replica>> {
         self.removed
@@ -294,7 +346,7 @@
             row.replica.state == ReplicaState::Ready && row.replica.service == *service
         });
         let (lapsed, listed): (Vec<_>, Vec<_>) =
-            rows.partition(|(_, row)| row.lapsed_at_ms.is_some());
+            rows.partition(|(_, row)| row.lapsed_at_ms.is_some() && !row.kept);
         // Entries that lapse because the directory was away lapse together. A few that are missing
         // are replicas that left: work sent to them would reach them after their last moment.
         let mut ready = listed;
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -1,5 +1,6 @@
 //! The events that the log of decisions knows.
 
+use crate::outside::Era;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_quarantine::prelude::*;
@@ -32,6 +33,8 @@
     DirectoryLost { what: Arc<str>, reason: Arc<str> },
     /// The directory is read again.
     DirectoryFound { what: Arc<str>, away_ms: SpanMs },
+    /// The directory came back with another history.
+    DirectoryRenewed { era: Era },
     /// A replica is known now.
     ReplicaFound {
         instance: Arc<str>,
@@ -50,6 +53,8 @@
     ReplicaLeaving { instance: Arc<str> },
     /// A replica's entry lapsed while the directory was away.
     ReplicaLapsed { instance: Arc<str> },
+    /// A replica whose entry had lapsed is listed again.
+    ReplicaRelisted { instance: Arc<str> },
     /// A replica is gone.
     ReplicaGone { instance: Arc<str> },
     /// A replica gets no work for a while.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -29,7 +29,7 @@
     pub use crate::node::{FrontError, FrontHandle, FrontSettings, Stopper};
     pub use crate::outside::{
         AnswerHead, CallHead, CallHeadError, ConfigNews, Cursor, Dialect, Directory,
-        DirectoryError, EngineReport, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside,
+        DirectoryError, EngineReport, Era, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside,
         PendingRead, ReplicaNews, Sending,
     };
 }
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -2,6 +2,7 @@
 
 use super::DATAGRAM_BYTES;
 use super::replicas::ReplicasNews;
+use crate::outside::Era;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_quarantine::prelude::*;
@@ -58,6 +59,8 @@
     Request(Told),
     /// A replica takes so many requests a second from all nodes together, or any number.
     Limit(LimitNews),
+    /// The directory's history is another since.
+    Era(Era),
     /// The sender has seen this version of the configuration.
     Config { version: u64 },
     /// The sender has just read the directory's replicas.
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -2,6 +2,7 @@
 
 use super::message::{News, Origin};
 use super::{PEER_FORGOTTEN_MS, PEER_SILENT_MS};
+use crate::outside::Era;
 use crate::watch::ReplicasTold;
 use bluebell_base::prelude::*;
 use bluebell_fleet::fanout::{self, Listener, Presence, Route, Telling};
@@ -106,6 +107,11 @@
         self.push(News::Limit(told.into()));
     }
 
+    /// Tells that the directory's history is another.
+    pub fn era(&self, era: Era) {
+        self.push(News::Era(era));
+    }
+
     /// Tells which configuration is known.
     pub fn config(&self, version: ConfigVersion) {
         self.push(News::Config { version: version.0 });
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -5,7 +5,7 @@
 use super::send::send_one;
 use crate::journal::Event;
 use crate::node::Node;
-use crate::{limits, quarantine};
+use crate::{limits, quarantine, watch};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::rc::Rc;
@@ -74,6 +74,7 @@
         News::Config { version } => node.watching.on_peer_config(node, ConfigVersion(version)),
         News::Replicas(told) => node.watching.on_peer_replicas(node, told.into()),
         News::Request(told) => quarantine::on_told(node, told),
+        News::Era(era) => watch::on_told_era(node, era),
         News::Limit(told) => limits::on_told(node, &told.into()),
         news => apply_work(node, owner, news, now_ms),
     }
@@ -101,7 +102,11 @@
             let pace = Pace::new(f64::from(pace_pct) / 100.0);
             state.paces.note(ReplicaKey(replica), pace, now_ms);
         }
-        News::Config { .. } | News::Replicas(_) | News::Request(_) | News::Limit(_) => {}
+        News::Config { .. }
+        | News::Replicas(_)
+        | News::Request(_)
+        | News::Era(_)
+        | News::Limit(_) => {}
     });
 }
 
--- a/crates/front/src/news/replicas.rs
+++ b/crates/front/src/news/replicas.rs
@@ -10,7 +10,7 @@
 /// What a node has just read of the replicas.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct ReplicasNews {
-    cursor: u64,
+    cursor: Cursor,
     before: Fingerprint,
     after: Fingerprint,
     changes: Vec<ChangeNews>,
@@ -31,12 +31,14 @@
     },
     /// Its entry is gone.
     Removed(Arc<str>),
+    /// An older copy of the directory lacks it.
+    Missing(Arc<str>),
 }
 
 impl From<ReplicasTold> for ReplicasNews {
     fn from(told: ReplicasTold) -> Self {
         Self {
-            cursor: told.cursor.0,
+            cursor: told.cursor,
             before: told.before,
             after: told.after,
             changes: told.changes.into_iter().filter_map(change_news).collect(),
@@ -47,7 +49,7 @@
 impl From<ReplicasNews> for ReplicasTold {
     fn from(news: ReplicasNews) -> Self {
         Self {
-            cursor: Cursor(news.cursor),
+            cursor: news.cursor,
             before: news.before,
             after: news.after,
             changes: news.changes.into_iter().map(Into::into).collect(),
@@ -60,6 +62,7 @@
     match change {
         ReplicaChange::Unreadable { .. } => None,
         ReplicaChange::Removed(instance) => Some(ChangeNews::Removed(instance)),
+        ReplicaChange::Missing(instance) => Some(ChangeNews::Missing(instance)),
         ReplicaChange::Listed(replica) => Some(ChangeNews::Listed {
             instance: replica.instance,
             started: replica.started,
@@ -76,6 +79,7 @@
     fn from(news: ChangeNews) -> Self {
         match news {
             ChangeNews::Removed(instance) => Self::Removed(instance),
+            ChangeNews::Missing(instance) => Self::Missing(instance),
             ChangeNews::Listed {
                 instance,
                 started,
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -122,6 +122,7 @@
         spawn_local(watch::watch_nodes(node.clone()));
         spawn_local(watch::watch_paces(node.clone()));
         spawn_local(watch::watch_quarantine(node.clone()));
+        spawn_local(watch::keep_quarantine(node.clone()));
         spawn_local(expire(node.clone()));
         Ok(Self {
             node,
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -22,9 +23,48 @@
 /// A read of the directory that is under way.
 pub type PendingRead<'a, T> = Pin<Box<dyn Future<Output = Result<T, DirectoryError>> + 'a>>;
 
-/// A place in the directory's history.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Cursor(pub u64);
+/// One history of the directory. A directory that comes back from an older copy of itself begins
+/// another, in which places are given out again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+impl Era {
+    /// The directory names none.
+    pub const UNNAMED: Self = Self(0);
+}
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "era{}", self.0)
+    }
+}
+
+/// A place in the directory's history; one of a later era is the later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Cursor {
+    /// The history that it is a place of. It says nothing in any other.
+    pub era: Era,
+    /// How much of that history lies before it.
+    pub offset: u64,
+}
+
+impl Cursor {
+    /// A place in the history of a directory that names no era.
+    pub const fn at(offset: u64) -> Self {
+        Self {
+            era: Era::UNNAMED,
+            offset,
+        }
+    }
+
+    /// The first place of an era.
+    pub const fn first(era: Era) -> Self {
+        Self { era, offset: 0 }
+    }
+}
 
 /// Why the directory gave no news.
 #[derive(Clone, Debug, thiserror::Error)]
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -8,6 +8,7 @@
 //! and one that lets its own read end first needs no second one. On 60 nodes a storm of versions 230
 //! ms apart took 2,900 calls in 4 s, three for each version and node.
 
+use super::era;
 use super::retry::Backoff;
 use crate::journal::Event;
 use crate::node::Node;
@@ -32,12 +33,17 @@
 /// answers within some ms, one that is slow within some hundred.
 const AGAIN_MS: SpanMs = SpanMs(400);
 
+/// How long a node waits at most for a configuration as new as its peers': what a peer tells may be
+/// wrong, and must not keep the node from serving.
+const LONGEST_HELD_BACK_MS: SpanMs = SpanMs(5_000);
+
 /// How often a node with an open read looks whether it still hears its peers.
 const LOOK_EVERY_MS: SpanMs = SpanMs(1_000);
 
 /// Watches the configuration until the process ends.
 pub async fn watch_config(node: Rc<Node>) {
     let mut cursor = None;
+    let mut held_back_ms = None;
     let mut backoff = Backoff::new("configuration");
     loop {
         let read = match cursor {
@@ -47,6 +53,13 @@
         match read {
             Ok(ConfigNews { cursor: at, config }) => {
                 backoff.succeeded(&node);
+                era::on_era(&node, at.era);
+                if let Some(config) = &config
+                    && is_held_back(&node, config, &mut held_back_ms)
+                {
+                    tokio::time::sleep(Duration::from(AGAIN_MS)).await;
+                    continue;
+                }
                 cursor = Some(at);
                 if let Some(config) = config {
                     take(&node, config);
@@ -60,6 +73,17 @@
     }
 }
 
+/// Whether a node's first configuration is not to be taken, since peers hold a newer one: the directory
+/// came back from an older copy, and what the operators had written there is written again in a moment.
+fn is_held_back(node: &Node, config: &ServingConfig, since_ms: &mut Option<MonoMs>) -> bool {
+    let first = node.with(|state| state.config.is_none());
+    if !first || !node.watching.is_older_than_told(config.version()) {
+        return false;
+    }
+    let now_ms = node.now_ms();
+    now_ms.since(*since_ms.get_or_insert(now_ms)) < LONGEST_HELD_BACK_MS
+}
+
 /// Reads the newest configuration, on one more connection at a time while none answers.
 ///
 /// Nodes that start while the directory is away send their first read into silence, and an answer that
@@ -96,6 +120,8 @@
     tokio::select! {
         read = directory.read_config(Some(cursor), wait_ms) => read,
         () = overtaken(node) => directory.read_config(Some(cursor), SpanMs::ZERO).await,
+        // An open read may be behind a connection to the directory as it was.
+        () = era::later_than(node, cursor.era) => directory.read_config(None, SpanMs::ZERO).await,
     }
 }
 
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -1,9 +1,12 @@
 //! Watching the directory: the configuration, the replicas and the nodes.
 //!
+//! Terms: an *era* is one history of the directory; one that comes back from an older copy begins another.
+//!
 //! Invariants: a configuration older than the one in force is never taken; an error of the directory
 //! changes nothing but the trust in lapsed entries.
 
 mod config;
+mod era;
 mod nodes;
 mod paces;
 mod pieces;
@@ -13,8 +16,9 @@
 mod shared;
 
 pub use config::watch_config;
+pub use era::on_told_era;
 pub use nodes::watch_nodes;
 pub use paces::{answers, watch_paces};
-pub use quarantine::{store_quarantine, watch_quarantine};
+pub use quarantine::{keep_quarantine, store_quarantine, watch_quarantine};
 pub use replicas::watch_replicas;
 pub use shared::{ReplicasTold, Watching};
--- a/crates/front/src/watch/nodes.rs
+++ b/crates/front/src/watch/nodes.rs
@@ -1,5 +1,6 @@
 //! The nodes that announced themselves.
 
+use super::era::Renewals;
 use super::retry::Backoff;
 use crate::node::Node;
 use crate::outside::NodeEntry;
@@ -26,9 +27,8 @@
         incarnation: Incarnation(node.owner.0),
         address: node.settings.news,
     };
-    while let Err(error) = node.outside.directory.announce(own.clone()).await {
-        backoff.failed(&node, &error).await;
-    }
+    let mut renewals = Renewals::of(&node);
+    announce(&node, &own, &mut backoff).await;
     loop {
         match node.outside.directory.read_nodes().await {
             Ok(nodes) => {
@@ -47,6 +47,17 @@
         let first = node.outbox.peer_count() == 0;
         let every_ms = if first { FIRST_MS } else { EVERY_MS };
         let spread_ms = rand::rng().random_range(0..=every_ms / 4);
-        tokio::time::sleep(Duration::from_millis(every_ms + spread_ms)).await;
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(every_ms + spread_ms)) => {}
+            // The older copy may lack this node's entry, and nodes that start would not find it.
+            () = renewals.next(&node) => announce(&node, &own, &mut backoff).await,
+        }
+    }
+}
+
+async fn announce(node: &Node, own: &NodeEntry, backoff: &mut Backoff) {
+    while let Err(error) = node.outside.directory.announce(own.clone()).await {
+        backoff.failed(node, &error).await;
     }
+    backoff.succeeded(node);
 }
--- a/crates/front/src/watch/pieces.rs
+++ b/crates/front/src/watch/pieces.rs
@@ -11,7 +11,7 @@
 
 use super::shared::ReplicasTold;
 use crate::node::Node;
-use crate::outside::Cursor;
+use crate::outside::{Cursor, Era};
 use bluebell_fleet::prelude::*;
 
 /// The most changes of one piece: they fit a datagram.
@@ -33,12 +33,13 @@
 }
 
 impl Pieces {
-    /// Begins where `node` has read to.
-    pub fn open(node: &Node) -> Self {
+    /// Begins where `node` has read to, of the directory's `era`.
+    pub fn open(node: &Node, era: Era) -> Self {
         let table = fingerprint(node);
+        let from = node.watching.cursor().filter(|from| from.era == era);
         Self {
             closed: Vec::new(),
-            from: node.watching.cursor().unwrap_or(Cursor(0)),
+            from: from.unwrap_or(Cursor::first(era)),
             first: table,
             before: table,
             changes: Vec::new(),
--- a/crates/front/src/watch/quarantine.rs
+++ b/crates/front/src/watch/quarantine.rs
@@ -1,6 +1,7 @@
 //! The requests in quarantine that the directory remembers, for nodes that can't hear of them from
 //! peers: after power was lost at all of them, and while most are cut off.
 
+use super::era::Renewals;
 use super::retry::Backoff;
 use crate::node::Node;
 use crate::quarantine;
@@ -37,6 +38,21 @@
     }
 }
 
+/// Stores what is in quarantine again after each renewal of the directory, until the process ends: the
+/// older copy may lack it, and a loss of power at all nodes would forget it. The node that reviews a
+/// request does that.
+pub async fn keep_quarantine(node: Rc<Node>) {
+    let mut renewals = Renewals::of(&node);
+    loop {
+        renewals.next(&node).await;
+        for request in quarantine::list(&node) {
+            if quarantine::is_reviewer(&node, &request.digest) {
+                store_quarantine(node.clone(), request.digest);
+            }
+        }
+    }
+}
+
 fn hears_most(node: &Node) -> bool {
     node.outbox.peers_there() * 2 >= node.outbox.peer_count()
 }
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -1,5 +1,6 @@
 //! The replicas that the directory lists.
 
+use super::era;
 use super::pieces::Pieces;
 use super::retry::Backoff;
 use super::shared::ReplicasTold;
@@ -48,7 +49,8 @@
             Ok(news) => {
                 backoff.succeeded(&node);
                 let cursor = news.cursor;
-                let told = take(&node, news);
+                let renewed = era::on_era(&node, cursor.era);
+                let told = take(&node, news, renewed);
                 node.watching.on_own_read(cursor, node.now_ms());
                 for piece in told {
                     node.outbox.replicas(piece);
@@ -91,21 +93,37 @@
     }
 }
 
-/// Takes a read in; returns what peers are told of it, piece by piece.
-fn take(node: &Node, news: ReplicaNews) -> Vec<ReplicasTold> {
+/// Takes a read in, the first of a later era or not; returns what peers are told of it, piece by piece.
+fn take(node: &Node, news: ReplicaNews, renewed: bool) -> Vec<ReplicasTold> {
     let now_ms = node.now_ms();
-    let mut pieces = Pieces::open(node);
+    let mut pieces = Pieces::open(node, news.cursor.era);
     node.with(|state| state.replicas.on_directory_read(now_ms));
     if news.whole {
         let listed: Vec<Arc<str>> = news.changes.iter().filter_map(listed).collect();
-        node.with(|state| state.replicas.retain_listed(&listed, now_ms));
+        match renewed {
+            false => node.with(|state| state.replicas.retain_listed(&listed, now_ms)),
+            true => {
+                for instance in node.with(|state| state.replicas.missing_from(&listed)) {
+                    let missing = vec![ReplicaChange::Missing(instance)];
+                    pieces.add(node, take_changes(node, missing));
+                }
+            }
+        }
     }
     for change in news.changes {
+        // What an older copy lists may have left since.
+        if renewed && node.with(|state| state.replicas.is_outdated(&change)) {
+            continue;
+        }
         pieces.add(node, take_changes(node, vec![change]));
     }
-    let settling = node.with(|state| state.replicas.settling(now_ms));
-    // What is missing after an outage may come back: each node judges that by what it saw of it.
-    match news.whole || settling {
+    let (settling, renewing) = node.with(|state| {
+        let replicas = &state.replicas;
+        (replicas.settling(now_ms), replicas.renewing(now_ms))
+    });
+    // What is missing after an outage may come back: each node judges that by what it saw of it. After a
+    // renewal all have seen the same.
+    match (news.whole || settling) && !renewing {
         true => pieces.untold(node, news.cursor),
         false => pieces.close(node, news.cursor),
     }
@@ -135,9 +153,9 @@
 fn event_of(seen: TableEvent, change: &ReplicaChange) -> Option<Event> {
     let instance = match change {
         ReplicaChange::Listed(replica) => replica.instance.clone(),
-        ReplicaChange::Removed(instance) | ReplicaChange::Unreadable { instance, .. } => {
-            instance.clone()
-        }
+        ReplicaChange::Removed(instance)
+        | ReplicaChange::Missing(instance)
+        | ReplicaChange::Unreadable { instance, .. } => instance.clone(),
     };
     match (seen, change) {
         (TableEvent::Found, ReplicaChange::Listed(replica)) => Some(Event::ReplicaFound {
@@ -162,6 +180,7 @@
         }),
         (TableEvent::Leaving, _) => Some(Event::ReplicaLeaving { instance }),
         (TableEvent::Removed, _) => Some(Event::ReplicaGone { instance }),
+        (TableEvent::Relisted, _) => Some(Event::ReplicaRelisted { instance }),
         (TableEvent::Lapsed, _) => Some(Event::ReplicaLapsed { instance }),
         (TableEvent::Unchanged | TableEvent::Found | TableEvent::Restarted, _) => None,
     }
@@ -172,6 +191,6 @@
         ReplicaChange::Listed(replica) => Some(replica.instance.clone()),
         // An entry that can't be read is there all the same: its replica isn't gone for it.
         ReplicaChange::Unreadable { instance, .. } => Some(instance.clone()),
-        ReplicaChange::Removed(_) => None,
+        ReplicaChange::Removed(_) | ReplicaChange::Missing(_) => None,
     }
 }
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -12,6 +12,7 @@
 //! Invariants: what a peer tells changes a table only where it leads from exactly this table to
 //! exactly the peer's.
 
+use super::era::{KnownEra, on_told_era};
 use super::replicas::take_changes;
 use crate::node::Node;
 use crate::outside::Cursor;
@@ -23,6 +24,8 @@
 /// What the watchers share with those who take news in.
 #[derive(Debug, Default)]
 pub struct Watching {
+    /// The directory's newest era.
+    pub(super) era: KnownEra,
     /// A peer knows a newer configuration.
     pub(super) newer_config: Notify,
     /// A peer's table of replicas differs.
@@ -71,6 +74,11 @@
         self.directory_away.get()
     }
 
+    /// Whether a peer told of a newer configuration than this version.
+    pub(super) fn is_older_than_told(&self, version: ConfigVersion) -> bool {
+        self.told_config.get() > Some(version)
+    }
+
     /// Whether a peer told of a newer configuration than the one in force.
     pub(super) fn is_behind(&self, node: &Node) -> bool {
         let own = node.with(|state| state.config.as_ref().map(|c| c.version()));
@@ -93,6 +101,10 @@
         let Some((known, _)) = self.confirmed.get() else {
             return;
         };
+        if told.cursor.era < known.era {
+            return;
+        }
+        on_told_era(node, told.cursor.era);
         let fingerprint = || node.with(|state| state.replicas.fingerprint());
         let own = fingerprint();
         if own != told.after && own == told.before {
@@ -108,7 +120,7 @@
         }
         let now_ms = node.now_ms();
         node.with(|state| state.replicas.on_directory_read(now_ms));
-        let cursor = Cursor(known.0.max(told.cursor.0));
+        let cursor = known.max(told.cursor);
         self.confirmed.set(Some((cursor, now_ms)));
     }
 
