--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -87,12 +87,16 @@
     limits::on_sent_to(node, address);
     let sent_ms = node.now_ms();
     let answer = link.send(request).await.ok()?;
-    let heard = Heard {
-        word: node.outside.dialect.limit(answer.headers()),
-        source: Source::Look,
-        sent_ms,
-    };
-    limits::on_answer_at(node, address, heard);
+    let word = node.outside.dialect.limit(answer.headers());
+    // What refuses a look says nothing by not naming a limit: another replica may have the address.
+    if answer.status().is_success() || word != LimitWord::Unnamed {
+        let heard = Heard {
+            word,
+            source: Source::Look,
+            sent_ms,
+        };
+        limits::on_answer_at(node, address, heard);
+    }
     let body = Limited::new(answer.into_body(), REPORT_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     node.pool.give_back(link, Some(KEPT_MS));
