--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -12,7 +12,7 @@
 /// A replica answered something.
 pub fn on_answer(node: &Node, key: ReplicaKey, heard: Heard) {
     if heard.word == LimitWord::Unreadable {
-        log::warn!("{key} names a limit that can't be read");
+        log::debug!("{key} names a limit that can't be read");
     }
     let now_ms = node.now_ms();
     let Some(change) = node.with(|state| state.limits.on_answer(key, heard, now_ms)) else {
