--- a/crates/fleet/src/silence/mod.rs
+++ b/crates/fleet/src/silence/mod.rs
@@ -49,7 +49,7 @@
 /// still have `reading_ms` to read before its first event; none where it is to be given up.
 ///
 /// An engine that hangs answers looks as one that reads does, and never begins: waiting for it to the
-/// caller's deadline kept memory for fourteen seconds. What is still read by all that is known uses it.
+/// caller's deadline kept its memory from other long prompts until then. What is still read by all that is known uses it.
 pub fn memory_left(reading_ms: Option<f64>, waited_ms: SpanMs) -> Option<SpanMs> {
     let unused_ms = MEMORY_UNUSED_MS.0.saturating_sub(waited_ms.0) as f64;
     let reading_ms = reading_ms.filter(|ms| *ms > 0.0);
--- a/crates/front/src/watch/era.rs
+++ b/crates/front/src/watch/era.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// By how much each peer lengthens the time over which nodes read and write again: 300 nodes take some
-/// six seconds, in which each makes three calls.
+/// By how much each peer lengthens the time over which nodes read and write again, so that a larger fleet
+/// calls no faster.
 const PEER_SPREAD_MS: u64 = 20;
 
 /// The newest era that a node knows.
