Sight: age of the configuration in force, of the newest known one, and the time between

Callers got 404 for routes of a confirmed configuration, and the logs couldn't tell whether a node had heard of the version, how long its reads of it had waited, or how much of an answer had come before it was given up.

Gauges: newest known version, both ages, time behind; a histogram of the lag; a counter of failed reads. No decision is changed.

--- /dev/null
+++ b/crates/fleet/src/freshness/mod.rs
@@ -0,0 +1,127 @@
+//! How far the configuration in force is behind the newest one that the node knows of.
+//!
+//! Terms: a version is *known* once the node read it or a peer named it; a node is *behind* while it
+//! knows of a newer version than the one in force.
+//!
+//! Invariants: neither version ever falls; a node without a configuration isn't behind.
+
+use bluebell_base::prelude::*;
+
+/// From when on a node that is behind says so in its log.
+const REPORT_AFTER_MS: SpanMs = SpanMs(1_000);
+
+/// A version, and when it became what it is here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Since {
+    version: ConfigVersion,
+    at_ms: MonoMs,
+}
+
+/// The version in force and the newest known one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConfigFreshness {
+    in_force: Option<Since>,
+    newest: Option<Since>,
+    behind_since_ms: Option<MonoMs>,
+    reported: bool,
+}
+
+/// How old both versions are, and for how long the node has been behind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigAges {
+    /// The newest version that is known.
+    pub newest: ConfigVersion,
+    /// Since when the version in force is.
+    pub in_force_ms: SpanMs,
+    /// Since when the newest version is known.
+    pub newest_ms: SpanMs,
+    /// For how long the node has been behind; 0 where it isn't.
+    pub behind_ms: SpanMs,
+}
+
+/// A node that has been behind for long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigLag {
+    /// The version in force.
+    pub in_force: ConfigVersion,
+    /// The newest version that is known.
+    pub newest: ConfigVersion,
+    /// For how long it has been behind.
+    pub behind_ms: SpanMs,
+}
+
+impl ConfigFreshness {
+    /// A version was read, or a peer named it. Returns whether it is news.
+    pub fn on_known(&mut self, version: ConfigVersion, now_ms: MonoMs) -> bool {
+        if self.newest.is_some_and(|newest| newest.version >= version) {
+            return false;
+        }
+        self.newest = Some(Since {
+            version,
+            at_ms: now_ms,
+        });
+        if self.is_behind() {
+            self.behind_since_ms.get_or_insert(now_ms);
+        }
+        true
+    }
+
+    /// A version is in force. Returns for how long the node had been behind it.
+    pub fn on_in_force(&mut self, version: ConfigVersion, now_ms: MonoMs) -> SpanMs {
+        let behind_ms = self.behind_ms(now_ms);
+        self.on_known(version, now_ms);
+        self.in_force = Some(Since {
+            version,
+            at_ms: now_ms,
+        });
+        self.reported = false;
+        self.behind_since_ms = match self.is_behind() {
+            true => self.newest.map(|newest| newest.at_ms),
+            false => None,
+        };
+        behind_ms
+    }
+
+    /// Whether a newer version than the one in force is known.
+    pub fn is_behind(&self) -> bool {
+        let in_force = self.in_force.map(|since| since.version);
+        in_force.is_some() && in_force < self.newest()
+    }
+
+    /// The newest version that is known.
+    pub fn newest(&self) -> Option<ConfigVersion> {
+        self.newest.map(|since| since.version)
+    }
+
+    /// For how long the node has been behind.
+    pub fn behind_ms(&self, now_ms: MonoMs) -> SpanMs {
+        let since_ms = self.behind_since_ms;
+        since_ms.map_or(SpanMs::ZERO, |since_ms| now_ms.since(since_ms))
+    }
+
+    /// The lag of a node that has been behind for long, once for each stretch.
+    pub fn report(&mut self, now_ms: MonoMs) -> Option<ConfigLag> {
+        let behind_ms = self.behind_ms(now_ms);
+        if self.reported || behind_ms < REPORT_AFTER_MS {
+            return None;
+        }
+        let (in_force, newest) = (self.in_force?.version, self.newest()?);
+        self.reported = true;
+        Some(ConfigLag {
+            in_force,
+            newest,
+            behind_ms,
+        })
+    }
+
+    /// How old both versions are; none before the first is in force.
+    pub fn ages(&self, now_ms: MonoMs) -> Option<ConfigAges> {
+        let (in_force, newest) = (self.in_force?, self.newest?);
+        Some(ConfigAges {
+            newest: newest.version,
+            in_force_ms: now_ms.since(in_force.at_ms),
+            newest_ms: now_ms.since(newest.at_ms),
+            behind_ms: self.behind_ms(now_ms),
+        })
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod budget;
 pub mod engine;
 pub mod fanout;
+pub mod freshness;
 pub mod ledger;
 pub mod limit;
 pub mod pace;
@@ -32,6 +33,7 @@
 pub mod prelude {
     pub use crate::budget::{RetryBudget, RetryLimits};
     pub use crate::engine::EngineSpec;
+    pub use crate::freshness::{ConfigAges, ConfigFreshness, ConfigLag};
     pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
     pub use crate::limit::{
         Admission, Heard, LimitChange, LimitTold, LimitWord, Limits, Nodes, Source,
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -28,7 +28,19 @@
         version: ConfigVersion,
         routes: usize,
         replaced: Option<ConfigVersion>,
-    },
+        /// For how long the node had known of it, or of a version before it that it missed.
+        behind_ms: SpanMs,
+    },
+    /// A peer named a newer configuration than the one in force.
+    ConfigKnown { version: ConfigVersion, peer: u64 },
+    /// The configuration in force has been older than the newest known one for long.
+    ConfigBehind {
+        in_force: ConfigVersion,
+        newest: ConfigVersion,
+        behind_ms: SpanMs,
+    },
+    /// A read of the configuration failed.
+    ConfigReadFailed { reason: Arc<str>, waited_ms: SpanMs },
     /// The directory can't be read.
     DirectoryLost { what: Arc<str>, reason: Arc<str> },
     /// The directory is read again.
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::journal::Event;
 use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
 pub use bluebell_telemetry::MetricsError;
 use bluebell_telemetry::metrics::{METER, open_registry};
 use opentelemetry::KeyValue;
@@ -41,6 +42,12 @@
     ended_replicas: Counter<u64>,
     quarantines: Counter<u64>,
     config_version: Gauge<u64>,
+    config_newest: Gauge<u64>,
+    config_age_ms: Gauge<u64>,
+    config_newest_age_ms: Gauge<u64>,
+    config_behind_ms: Gauge<u64>,
+    config_reads_failed: Counter<u64>,
+    config_lag_ms: Histogram<f64>,
     limited_replicas: Gauge<u64>,
     limit_changes: Counter<u64>,
     waited_ms: Histogram<f64>,
@@ -58,6 +65,10 @@
     histogram.with_boundaries(bounds.to_vec()).build()
 }
 
+fn gauge(meter: &Meter, name: &'static str, help: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(help).build()
+}
+
 fn label(name: &'static str, value: &'static str) -> [KeyValue; 1] {
     [KeyValue::new(name, value)]
 }
@@ -71,6 +82,7 @@
         let (registry, provider) = open_registry()?;
         let m = provider.meter(METER);
         let c = |name, help| counter(&m, name, help);
+        let g = |name, help| gauge(&m, name, help);
         let h = |name, help, bounds| times(&m, name, help, bounds);
         Ok(Self {
             requests: c("bluebell_requests", "Requests by outcome."),
@@ -106,14 +118,39 @@
                 "bluebell_quarantines",
                 "Requests put into quarantine and let out, by how that became known.",
             ),
-            config_version: m
-                .u64_gauge("bluebell_config_version")
-                .with_description("Version of the configuration in force.")
-                .build(),
-            limited_replicas: m
-                .u64_gauge("bluebell_limited_replicas")
-                .with_description("Replicas that name a limit of requests.")
-                .build(),
+            config_version: g(
+                "bluebell_config_version",
+                "Version of the configuration in force.",
+            ),
+            config_newest: g(
+                "bluebell_config_newest_version",
+                "Newest version of the configuration that the node knows of.",
+            ),
+            config_age_ms: g(
+                "bluebell_config_age_ms",
+                "Time since the configuration in force is, in milliseconds.",
+            ),
+            config_newest_age_ms: g(
+                "bluebell_config_newest_age_ms",
+                "Time since the node knows of the newest version, in milliseconds.",
+            ),
+            config_behind_ms: g(
+                "bluebell_config_behind_ms",
+                "Time for which a newer version has been known than the one in force.",
+            ),
+            config_reads_failed: c(
+                "bluebell_config_reads_failed",
+                "Reads of the configuration that failed.",
+            ),
+            config_lag_ms: h(
+                "bluebell_config_lag_ms",
+                "Time from when a version was known until it was in force, in milliseconds.",
+                &TIME_BOUNDS_MS,
+            ),
+            limited_replicas: g(
+                "bluebell_limited_replicas",
+                "Replicas that name a limit of requests.",
+            ),
             limit_changes: c(
                 "bluebell_limit_changes",
                 "Limits that replicas named, changed or ended, by how that became known.",
@@ -164,7 +201,13 @@
                 self.failed_tries.add(1, &label("verdict", ran.as_str()));
             }
             Event::BudgetSpent { .. } => self.budget_spent.add(1, &[]),
-            Event::ConfigInForce { version, .. } => self.config_version.record(version.0, &[]),
+            Event::ConfigInForce {
+                version, behind_ms, ..
+            } => {
+                self.config_version.record(version.0, &[]);
+                self.config_lag_ms.record(behind_ms.0 as f64, &[]);
+            }
+            Event::ConfigReadFailed { .. } => self.config_reads_failed.add(1, &[]),
             Event::DirectoryLost { .. } => self.lost("directory"),
             Event::ReplicaDoubted { .. } => self.lost("replica"),
             Event::PeerLost { .. } => self.lost("peer"),
@@ -184,6 +227,14 @@
         }
     }
 
+    /// Takes in how old the configuration in force and the newest known one are.
+    pub fn config_ages(&self, ages: &ConfigAges) {
+        self.config_newest.record(ages.newest.0, &[]);
+        self.config_age_ms.record(ages.in_force_ms.0, &[]);
+        self.config_newest_age_ms.record(ages.newest_ms.0, &[]);
+        self.config_behind_ms.record(ages.behind_ms.0, &[]);
+    }
+
     fn lost(&self, dependency: &'static str) {
         self.dependency_losses
             .add(1, &label("dependency", dependency));
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -71,7 +71,10 @@
 
 fn apply(node: &Rc<Node>, owner: OwnerId, news: News, now_ms: MonoMs) {
     match news {
-        News::Config { version } => node.watching.on_peer_config(node, ConfigVersion(version)),
+        News::Config { version } => {
+            let version = ConfigVersion(version);
+            node.watching.on_peer_config(node, owner, version);
+        }
         News::Replicas(told) => node.watching.on_peer_replicas(node, told.into()),
         News::Request(told) => quarantine::on_told(node, told),
         News::Era(era) => watch::on_told_era(node, era),
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -212,6 +212,7 @@
         node.journal.flush();
         quarantine::expire(&node);
         limits::expire(&node);
+        node.watching.report_lag(&node);
         let now_ms = node.now_ms();
         let dropped = node.with(|state| {
             state.ledger.expire(now_ms - WORK_EXPIRES_MS);
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -46,6 +46,7 @@
     let mut held_back_ms = None;
     let mut backoff = Backoff::new("configuration");
     loop {
+        let begun_ms = node.now_ms();
         let read = match cursor {
             None => first_read(&node).await,
             Some(cursor) => next_read(&node, cursor).await,
@@ -67,6 +68,10 @@
                 }
             }
             Err(error) => {
+                node.journal.tell(&Event::ConfigReadFailed {
+                    reason: error.to_string().into(),
+                    waited_ms: node.now_ms().since(begun_ms),
+                });
                 backoff.failed(&node, &error).await;
             }
         }
@@ -138,7 +143,7 @@
             () = look => {}
         }
         let alone = told && !reading::is_told(node.outbox.peers_there());
-        if alone || node.watching.is_behind(node) {
+        if alone || node.watching.is_behind() {
             return;
         }
     }
@@ -148,6 +153,7 @@
 fn take(node: &Node, config: Rc<ServingConfig>) {
     let version = config.version();
     let routes = config.route_count();
+    let now_ms = node.now_ms();
     let replaced = node.with(|state| {
         let old = state.config.as_ref().map(|c| c.version());
         if old.is_some_and(|old| old >= version) {
@@ -161,11 +167,13 @@
     let Some(replaced) = replaced else {
         return;
     };
+    let behind_ms = node.watching.on_config_in_force(version, now_ms);
     node.watching.learned.notify_waiters();
     node.outbox.config(version);
     node.journal.tell(&Event::ConfigInForce {
         version,
         routes,
         replaced,
+        behind_ms,
     });
 }
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -14,11 +14,12 @@
 
 use super::era::{KnownEra, on_told_era};
 use super::replicas::take_changes;
+use crate::journal::Event;
 use crate::node::Node;
 use crate::outside::Cursor;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use tokio::sync::Notify;
 
 /// What the watchers share with those who take news in.
@@ -38,8 +39,8 @@
     pub(super) directory_back: Notify,
     /// Whether it doesn't answer such a node.
     pub(super) directory_away: Cell<bool>,
-    /// The newest version of the configuration that a peer told of.
-    told_config: Cell<Option<ConfigVersion>>,
+    /// The versions of the configuration that are in force and known.
+    freshness: RefCell<ConfigFreshness>,
     /// Up to where the directory's replicas are known, and since when.
     confirmed: Cell<Option<(Cursor, MonoMs)>>,
     /// Up to where a peer has read them whose table is another.
@@ -61,11 +62,38 @@
 
 impl Watching {
     /// A peer has seen this version of the configuration.
-    pub fn on_peer_config(&self, node: &Node, version: ConfigVersion) {
-        self.told_config
-            .set(self.told_config.get().max(Some(version)));
-        if self.is_behind(node) {
-            self.newer_config.notify_one();
+    pub fn on_peer_config(&self, node: &Node, peer: OwnerId, version: ConfigVersion) {
+        let is_new = self.freshness.borrow_mut().on_known(version, node.now_ms());
+        if !self.is_behind() {
+            return;
+        }
+        if is_new {
+            node.journal.tell(&Event::ConfigKnown {
+                version,
+                peer: peer.0,
+            });
+        }
+        self.newer_config.notify_one();
+    }
+
+    /// A version is in force. Returns for how long the node had been behind it.
+    pub(super) fn on_config_in_force(&self, version: ConfigVersion, now_ms: MonoMs) -> SpanMs {
+        self.freshness.borrow_mut().on_in_force(version, now_ms)
+    }
+
+    /// Reports the lag of the configuration in force.
+    pub fn report_lag(&self, node: &Node) {
+        let now_ms = node.now_ms();
+        let mut freshness = self.freshness.borrow_mut();
+        if let Some(ages) = freshness.ages(now_ms) {
+            node.journal.metrics().config_ages(&ages);
+        }
+        if let Some(lag) = freshness.report(now_ms) {
+            node.journal.tell(&Event::ConfigBehind {
+                in_force: lag.in_force,
+                newest: lag.newest,
+                behind_ms: lag.behind_ms,
+            });
         }
     }
 
@@ -76,13 +104,12 @@
 
     /// Whether a peer told of a newer configuration than this version.
     pub(super) fn is_older_than_told(&self, version: ConfigVersion) -> bool {
-        self.told_config.get() > Some(version)
+        self.freshness.borrow().newest() > Some(version)
     }
 
     /// Whether a peer told of a newer configuration than the one in force.
-    pub(super) fn is_behind(&self, node: &Node) -> bool {
-        let own = node.with(|state| state.config.as_ref().map(|c| c.version()));
-        own.is_some() && own < self.told_config.get()
+    pub(super) fn is_behind(&self) -> bool {
+        self.freshness.borrow().is_behind()
     }
 
     /// Ends once a later start of `replica` is known.
