Configuration: few nodes of each failure domain read the directory, the others copy from peers

What callers saw: 404 for routes of a configuration that had been confirmed over four seconds before, at some nodes of the large deployment.

Cause: every node read each version from the directory, whose reads share one link. 195 copies of a text of half a megabyte take it 1.2 s, 232 copies 1.45 s, while a read may take one second beyond its wait, and a node that hears of the version from a peer gives its open read up after 250 ms and begins another. What was given up is sent all the same and asked for again, so from some size on nobody gets it: congestion collapse by timeouts and retries over a shared link.

The store confirmed its own write 1.66 s late.

Why this holds: what leaves the store no longer grows with the fleet (three readers a failure domain), and the rest is spread by packed copies along a tree of four children a node.

New library: miniz_oxide, for packing.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`MonoMs`]: bluebell_base::prelude::MonoMs
 
 pub mod budget;
+pub mod distribution;
 pub mod engine;
 pub mod fanout;
 pub mod freshness;
--- /dev/null
+++ b/crates/front/src/copies/fetch.rs
@@ -0,0 +1,91 @@
+//! Asking a peer for a copy.
+
+use super::serve::PATH;
+use super::{HOLD_MS, TEXT_BYTES};
+use crate::http::{Freshness, SendError};
+use crate::node::Node;
+use crate::outside::DirectoryError;
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use bytes::{Bytes as Buffer, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a peer may be silent beyond the time for which it may hold an answer back.
+const SILENT_MS: SpanMs = SpanMs(400);
+
+/// The packed text of one version.
+#[derive(Clone, Debug)]
+pub struct Copy(pub(super) Buffer);
+
+/// Why a peer gave no copy.
+#[derive(Debug, thiserror::Error)]
+pub enum CopyError {
+    /// The connection failed.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// It fell silent.
+    #[error("the peer is silent")]
+    Silent,
+    /// It has no newer version, or none to hand out.
+    #[error("the peer answered with status {0}")]
+    Status(u16),
+    /// The answer broke off.
+    #[error("the copy broke off: {0}")]
+    Broken(Arc<str>),
+    /// It can't be unpacked.
+    #[error("the copy can't be unpacked: {0}")]
+    Packed(Arc<str>),
+    /// It is no configuration.
+    #[error(transparent)]
+    Text(#[from] DirectoryError),
+}
+
+/// Asks the peer at `address` for a version that is newer than `held`.
+pub async fn fetch(
+    node: &Node,
+    address: SocketAddr,
+    held: ConfigVersion,
+) -> Result<(ServingConfig, Copy), CopyError> {
+    let mut link = node.pool.lease(address, Freshness::New).await?;
+    let sending = link.send(request(address, held));
+    let answer = within(HOLD_MS + SILENT_MS, sending).await??;
+    if answer.status() != StatusCode::OK {
+        return Err(CopyError::Status(answer.status().as_u16()));
+    }
+    let packed = read(answer.into_body()).await?;
+    let text = miniz_oxide::inflate::decompress_to_vec_zlib_with_limit(&packed, TEXT_BYTES);
+    let text = text.map_err(|error| CopyError::Packed(error.to_string().into()))?;
+    let config = node.outside.dialect.config(&text)?;
+    Ok((config, Copy(packed)))
+}
+
+fn request(address: SocketAddr, held: ConfigVersion) -> Request<Full<Buffer>> {
+    Request::builder()
+        .uri(format!("{PATH}{}", held.0))
+        .header(HOST, address.to_string())
+        .body(Full::default())
+        .expect("the parts of a request are valid")
+}
+
+/// Reads a copy for as long as it moves.
+async fn read(body: Incoming) -> Result<Buffer, CopyError> {
+    let mut body = Limited::new(body, TEXT_BYTES);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = within(SILENT_MS, body.frame()).await? {
+        let frame = frame.map_err(|error| CopyError::Broken(error.to_string().into()))?;
+        if let Ok(data) = frame.into_data() {
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(whole.freeze())
+}
+
+async fn within<T>(limit_ms: SpanMs, part: impl Future<Output = T>) -> Result<T, CopyError> {
+    let result = tokio::time::timeout(Duration::from(limit_ms), part).await;
+    result.map_err(|_| CopyError::Silent)
+}
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -28,6 +28,8 @@
         version: ConfigVersion,
         routes: usize,
         replaced: Option<ConfigVersion>,
+        /// Where it was read: at the directory or at a peer.
+        from: &'static str,
         /// For how long the node had known of it, or of a version before it that it missed.
         behind_ms: SpanMs,
     },
@@ -39,6 +41,8 @@
         newest: ConfigVersion,
         behind_ms: SpanMs,
     },
+    /// A peer that was asked for a newer configuration didn't give it.
+    ConfigCopyFailed { peer: u64, reason: Arc<str> },
     /// A read of the configuration failed.
     ConfigReadFailed { reason: Arc<str>, waited_ms: SpanMs },
     /// The directory can't be read.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 //! no replica can have started it.
 
 pub mod call;
+pub mod copies;
 pub mod ends;
 pub mod http;
 pub mod journal;
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -20,6 +20,8 @@
     domain: Option<DomainName>,
     heard_ms: MonoMs,
     presence: Presence,
+    /// The newest version of the configuration that it named.
+    config: Option<ConfigVersion>,
 }
 
 impl Peer {
@@ -138,6 +140,47 @@
         there.map(|(owner, _)| *owner).collect()
     }
 
+    /// A peer has this version of the configuration.
+    pub(super) fn has_config(&self, owner: OwnerId, version: ConfigVersion) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&owner) {
+            peer.config = peer.config.max(Some(version));
+        }
+    }
+
+    /// The peers of a failure domain that are there now.
+    pub fn owners_in(&self, domain: &DomainName) -> Vec<OwnerId> {
+        let peers = self.peers.borrow();
+        let there = peers
+            .iter()
+            .filter(|(_, peer)| peer.is_there() && peer.domain.as_ref() == Some(domain));
+        there.map(|(owner, _)| *owner).collect()
+    }
+
+    /// How many peers of each failure domain are there now.
+    pub fn domain_sizes(&self) -> FxHashMap<DomainName, usize> {
+        let mut sizes = FxHashMap::default();
+        for peer in self.peers.borrow().values().filter(|peer| peer.is_there()) {
+            if let Some(domain) = &peer.domain {
+                *sizes.entry(domain.clone()).or_insert(0) += 1;
+            }
+        }
+        sizes
+    }
+
+    /// Where a peer is asked for what it holds.
+    pub fn address_of(&self, owner: OwnerId) -> Option<SocketAddr> {
+        self.peers.borrow().get(&owner).map(|peer| peer.address)
+    }
+
+    /// The peers that are there and have a newer configuration than `held`.
+    pub fn holders(&self, held: ConfigVersion) -> Vec<OwnerId> {
+        let peers = self.peers.borrow();
+        let holders = peers
+            .iter()
+            .filter(|(_, peer)| peer.is_there() && peer.config > Some(held));
+        holders.map(|(owner, _)| *owner).collect()
+    }
+
     /// Takes what waits.
     pub(super) fn take(&self) -> Vec<News> {
         std::mem::take(&mut self.waiting.borrow_mut())
@@ -184,6 +227,7 @@
             domain: Some(DomainName(origin.domain.clone())),
             heard_ms: now_ms,
             presence: Presence::There,
+            config: peers.get(&owner).and_then(|peer| peer.config),
         };
         peers.insert(owner, peer);
         match known {
@@ -200,6 +244,7 @@
             domain: None,
             heard_ms: now_ms,
             presence: Presence::Announced,
+            config: None,
         });
     }
 
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -73,6 +73,7 @@
     match news {
         News::Config { version } => {
             let version = ConfigVersion(version);
+            node.outbox.has_config(owner, version);
             node.watching.on_peer_config(node, owner, version);
         }
         News::Replicas(told) => node.watching.on_peer_replicas(node, told.into()),
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -74,7 +74,7 @@
 }
 
 /// Accepts a connection; errors are waited out.
-async fn accept(listener: &TcpListener) -> TcpStream {
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -132,7 +132,7 @@
 }
 
 /// Notes how a connection ended.
-fn note_end(result: Result<(), hyper::Error>) {
+pub(crate) fn note_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::trace!("a caller's connection ended: {error}");
     }
--- a/crates/front/src/node/mod.rs
+++ b/crates/front/src/node/mod.rs
@@ -8,5 +8,6 @@
 mod state;
 
 pub use clock::Clock;
+pub(crate) use listen::{accept, note_end};
 pub use run::{FrontError, FrontHandle, FrontSettings, Stopper};
 pub use state::{Node, State};
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -4,7 +4,7 @@
 use crate::journal::{Event, Journal, JournalWriter};
 use crate::metrics::{Metrics, MetricsError};
 use crate::outside::Outside;
-use crate::{limits, news, quarantine, watch};
+use crate::{copies, limits, news, quarantine, watch};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::cell::Cell;
@@ -37,7 +37,7 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether the node is ready.
     pub ready: SocketAddr,
-    /// Where peers send their news.
+    /// Where peers send their news, by datagram, and ask for copies, by connection.
     pub news: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
@@ -91,11 +91,7 @@
         let callers = bind_tcp(&mut settings.callers)?;
         let ready = bind_tcp(&mut settings.ready)?;
         let metrics = bind_tcp(&mut settings.metrics)?;
-        let news = UdpSocket::bind(settings.news)
-            .await
-            .map_err(|error| cannot_bind(settings.news, &error))?;
-        let bound = news.local_addr();
-        settings.news = bound.map_err(|error| cannot_bind(settings.news, &error))?;
+        let (news, copies) = bind_for_peers(&mut settings.news).await?;
         let (journal, writer) = Journal::open(settings.name.clone(), Metrics::open()?);
         let node = Node::open(settings, outside, journal);
         node.journal.tell(&Event::Started {
@@ -117,6 +113,7 @@
         let news = Rc::new(news);
         spawn_local(news::receive(node.clone(), news.clone()));
         spawn_local(news::send(node.clone(), news));
+        spawn_local(copies::serve_copies(node.clone(), copies));
         spawn_local(watch::watch_config(node.clone()));
         spawn_local(watch::watch_replicas(node.clone()));
         spawn_local(watch::watch_nodes(node.clone()));
@@ -197,6 +194,30 @@
     Ok(listener)
 }
 
+/// How often another port is tried where the system's pick is taken for the other protocol.
+const PORT_TRIES: usize = 16;
+
+/// Binds one port for datagrams and connections of peers, and notes it where the system picked it.
+async fn bind_for_peers(address: &mut SocketAddr) -> Result<(UdpSocket, TcpListener), FrontError> {
+    let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        let mut bound = *address;
+        let listener = bind_tcp(&mut bound)?;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => {
+                *address = bound;
+                return Ok((socket, listener));
+            }
+            Err(error) => {
+                tries -= 1;
+                if tries == 0 {
+                    return Err(cannot_bind(bound, &error));
+                }
+            }
+        }
+    }
+}
+
 fn cannot_bind(address: SocketAddr, error: &std::io::Error) -> FrontError {
     FrontError::Bind {
         address,
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -1,6 +1,7 @@
 //! What a node believes, and the parts that its tasks share.
 
 use super::{Clock, FrontSettings};
+use crate::copies::Copies;
 use crate::ends::EndChecks;
 use crate::http::Pool;
 use crate::journal::Journal;
@@ -52,6 +53,8 @@
     pub ends: EndChecks,
     /// News for its peers.
     pub outbox: Outbox,
+    /// The text of its configuration, for its peers.
+    pub copies: Copies,
     /// What its watchers of the directory share.
     pub watching: Watching,
     /// Its log of decisions.
@@ -83,6 +86,7 @@
             pool: Pool::open(clock),
             ends: EndChecks::default(),
             outbox: Outbox::default(),
+            copies: Copies::default(),
             watching: Watching::default(),
             journal,
             state: RefCell::new(state),
@@ -103,6 +107,11 @@
         change(&mut self.state.borrow_mut())
     }
 
+    /// The version of the configuration in force; none before the first.
+    pub fn config_version(&self) -> Option<ConfigVersion> {
+        self.with(|state| state.config.as_ref().map(|config| config.version()))
+    }
+
     /// A number for a new piece of work.
     pub fn next_work(&self) -> WorkId {
         let sequence = self.sequence.get().wrapping_add(1);
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -87,6 +87,8 @@
     pub cursor: Cursor,
     /// The newest configuration, where there is a new one.
     pub config: Option<Rc<ServingConfig>>,
+    /// The operators' text of it, for nodes that copy it from this one; none where it can't be copied.
+    pub text: Option<Buffer>,
 }
 
 /// What is new of the replicas.
@@ -279,6 +281,8 @@
     fn answer_headers(&self, headers: &HeaderMap) -> HeaderMap;
     /// The headers of an answer of the node's own to `request`.
     fn own_headers(&self, request: &str) -> HeaderMap;
+    /// Reads the operators' text of a configuration.
+    fn config(&self, text: &[u8]) -> Result<ServingConfig, DirectoryError>;
     /// An order to an engine about memory.
     fn memory_order(&self, address: SocketAddr, order: &MemoryOrder) -> Request<Full<Buffer>>;
     /// What an engine's answer to such an order says.
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -5,17 +5,20 @@
 //! is about to.
 //!
 //! Reason for the limits: a node that reads on a moment later takes several versions in one read,
-//! and one that lets its own read end first needs no second one. On 60 nodes a storm of versions 230
-//! ms apart took 2,900 calls in 4 s, three for each version and node.
+//! and one that lets its own read end first needs no second one. In each failure domain a few nodes
+//! read and the others copy from them.
 
 use super::era;
+use super::follow::{self, Followed};
 use super::retry::Backoff;
+use crate::copies::Copy;
 use crate::journal::Event;
 use crate::node::Node;
 use crate::outside::{ConfigNews, Cursor, DirectoryError};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::reading;
+use bytes::Bytes as Buffer;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use std::rc::Rc;
@@ -37,8 +40,11 @@
 /// wrong, and must not keep the node from serving.
 const LONGEST_HELD_BACK_MS: SpanMs = SpanMs(5_000);
 
-/// How often a node with an open read looks whether it still hears its peers.
-const LOOK_EVERY_MS: SpanMs = SpanMs(1_000);
+/// The pause after a version was copied. It adds up along a chain of nodes that copy from each other.
+const COPY_GATHER_MS: SpanMs = SpanMs(200);
+
+/// How often a node that waits for a version checks whether it still hears its peers.
+pub(super) const PROBE_EVERY_MS: SpanMs = SpanMs(1_000);
 
 /// Watches the configuration until the process ends.
 pub async fn watch_config(node: Rc<Node>) {
@@ -46,13 +52,34 @@
     let mut held_back_ms = None;
     let mut backoff = Backoff::new("configuration");
     loop {
+        if follow::parent(&node).is_some() {
+            // What the directory holds beyond the cursor is copied.
+            cursor = None;
+            match follow::follow(&node).await {
+                Followed::Copied(config, copy) => {
+                    take(&node, Rc::new(config), TextFrom::Peer(copy));
+                    tokio::time::sleep(Duration::from(COPY_GATHER_MS)).await;
+                    continue;
+                }
+                Followed::Nowhere => {}
+                Followed::Reader => continue,
+            }
+        }
         let begun_ms = node.now_ms();
         let read = match cursor {
-            None => first_read(&node).await,
+            None if node.config_version().is_none() => first_read(&node).await,
+            None => {
+                let directory = &node.outside.directory;
+                directory.read_config(None, SpanMs::ZERO).await
+            }
             Some(cursor) => next_read(&node, cursor).await,
         };
         match read {
-            Ok(ConfigNews { cursor: at, config }) => {
+            Ok(ConfigNews {
+                cursor: at,
+                config,
+                text,
+            }) => {
                 backoff.succeeded(&node);
                 era::on_era(&node, at.era);
                 if let Some(config) = &config
@@ -63,7 +90,7 @@
                 }
                 cursor = Some(at);
                 if let Some(config) = config {
-                    take(&node, config);
+                    take(&node, config, TextFrom::Directory(text));
                     tokio::time::sleep(Duration::from(GATHER_MS)).await;
                 }
             }
@@ -121,7 +148,8 @@
 /// Waits for a newer configuration.
 async fn next_read(node: &Node, cursor: Cursor) -> Result<ConfigNews, DirectoryError> {
     let directory = &node.outside.directory;
-    let wait_ms = reading::open_for(node.outbox.peers_there(), rand::random());
+    let other_readers = follow::readers(node) - 1;
+    let wait_ms = reading::open_for(other_readers, rand::random());
     tokio::select! {
         read = directory.read_config(Some(cursor), wait_ms) => read,
         () = overtaken(node) => directory.read_config(Some(cursor), SpanMs::ZERO).await,
@@ -135,12 +163,12 @@
 async fn overtaken(node: &Node) {
     let told = reading::is_told(node.outbox.peers_there());
     loop {
-        let look = tokio::time::sleep(Duration::from(LOOK_EVERY_MS));
+        let probe = tokio::time::sleep(Duration::from(PROBE_EVERY_MS));
         tokio::select! {
             () = node.watching.newer_config.notified() => {
                 tokio::time::sleep(Duration::from(OWN_READ_MS)).await;
             }
-            () = look => {}
+            () = probe => {}
         }
         let alone = told && !reading::is_told(node.outbox.peers_there());
         if alone || node.watching.is_behind() {
@@ -149,8 +177,14 @@
     }
 }
 
+/// Where a configuration's text came from.
+enum TextFrom {
+    Directory(Option<Buffer>),
+    Peer(Copy),
+}
+
 /// Puts a configuration in force where it is newer than the one that is.
-fn take(node: &Node, config: Rc<ServingConfig>) {
+fn take(node: &Node, config: Rc<ServingConfig>, text: TextFrom) {
     let version = config.version();
     let routes = config.route_count();
     let now_ms = node.now_ms();
@@ -167,6 +201,14 @@
     let Some(replaced) = replaced else {
         return;
     };
+    let from = match &text {
+        TextFrom::Directory(_) => "directory",
+        TextFrom::Peer(_) => "peer",
+    };
+    match text {
+        TextFrom::Directory(text) => node.copies.on_read(text),
+        TextFrom::Peer(copy) => node.copies.on_copied(copy),
+    }
     let behind_ms = node.watching.on_config_in_force(version, now_ms);
     node.watching.learned.notify_waiters();
     node.outbox.config(version);
@@ -174,6 +216,7 @@
         version,
         routes,
         replaced,
+        from,
         behind_ms,
     });
 }
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod era;
+mod follow;
 mod nodes;
 mod paces;
 mod pieces;
