Admission: a node that knows of a newer configuration refuses nothing for good

What callers saw: a final 404 (or 401) for a route or key that a confirmed configuration had added, from nodes that knew of that version and didn't have it.

Cause: admission looked at the version in force only. The class: a final answer from state that is known to be outdated.

Why this holds: a lookup that is rejected while a newer version is known waits for that version, for the part of the caller's time that requests wait at nodes without a configuration, and is then answered 503, not run, with when to come back.

--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -77,13 +77,15 @@
     if node.is_informed() {
         return;
     }
-    let wait_ms = head
-        .deadline_ms
-        .unwrap_or(LONGEST_MS)
-        .mul_f64(UNINFORMED_PART);
-    let wait_ms = wait_ms.min(LONGEST_UNINFORMED_MS);
-    // Whether it knows enough by then is seen by the look that follows.
-    let _ = tokio::time::timeout(Duration::from(wait_ms), node.informed()).await;
+    // Whether it knows enough by then is seen by the lookup that follows.
+    let _ = tokio::time::timeout(uninformed_wait(head), node.informed()).await;
+}
+
+/// How long a request waits at a node that knows too little to serve it.
+fn uninformed_wait(head: &CallHead) -> Duration {
+    let allowed_ms = head.deadline_ms.unwrap_or(LONGEST_MS);
+    let wait_ms = allowed_ms.mul_f64(UNINFORMED_PART);
+    Duration::from(wait_ms.min(LONGEST_UNINFORMED_MS))
 }
 
 /// When a caller is asked back by a node that doesn't know enough to serve it.
@@ -108,7 +110,7 @@
         }
     };
     wait_until_informed(&node, &head).await;
-    let admitted = match look_up(&node, &head, &parts) {
+    let admitted = match look_up_current(&node, &head, &parts).await {
         Ok(admitted) => admitted,
         Err(barred) => return Err(barred.answer(&node, &head)),
     };
@@ -138,6 +140,25 @@
     })
 }
 
+/// Looks up in the newest configuration that the node can have soon.
+///
+/// A refusal is final for the caller, so one that a newer version may lift waits for that version and
+/// is put off where it doesn't come.
+async fn look_up_current(node: &Node, head: &CallHead, parts: &Parts) -> Result<Admitted, Barred> {
+    let found = look_up(node, head, parts);
+    if !matches!(found, Err(Barred::Rejected(..))) || !node.watching.is_behind() {
+        return found;
+    }
+    // Whether the version came is seen by the lookup that follows.
+    let _ = tokio::time::timeout(uninformed_wait(head), node.watching.caught_up()).await;
+    match look_up(node, head, parts) {
+        Err(Barred::Rejected(..)) if node.watching.is_behind() => {
+            Err(Barred::Unknowing("the configuration is being replaced"))
+        }
+        found => found,
+    }
+}
+
 fn look_up(node: &Node, head: &CallHead, parts: &Parts) -> Result<Admitted, Barred> {
     let Some(config) = node.with(|state| state.config.clone()) else {
         return Err(Barred::Unknowing("no configuration is known yet"));
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -108,10 +108,21 @@
     }
 
     /// Whether a peer told of a newer configuration than the one in force.
-    pub(super) fn is_behind(&self) -> bool {
+    pub fn is_behind(&self) -> bool {
         self.freshness.borrow().is_behind()
     }
 
+    /// Ends once no newer configuration than the one in force is known.
+    pub async fn caught_up(&self) {
+        loop {
+            let learned = self.learned.notified();
+            if !self.is_behind() {
+                return;
+            }
+            learned.await;
+        }
+    }
+
     /// Ends once a later start of `replica` is known.
     pub async fn restarted(&self, node: &Node, replica: &Replica) {
         loop {
