Sight: what replicas say of leaving and rest is read and logged

Callers' requests reached replicas that had said that they leave or want rest, and no line of a log or figure showed that anything had been said. Leaving (any answer) and the time after which a replica that turns a request away wants the next are decoded once, beside the limit, for answers to requests, probes and orders: log lines replica_says_leaving and replica_asks_for_rest, and a counter bluebell_replica_signals. No decision is changed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod reading;
 pub mod rendezvous;
 pub mod replicas;
+pub mod rest;
 pub mod serving;
 pub mod silence;
 pub mod stopping;
@@ -46,6 +47,7 @@
         Fingerprint, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState, ReplicaTable,
         Symptom,
     };
+    pub use crate::rest::RestSignal;
     pub use crate::serving::{
         Account, ClientLimits, Route, RouteKind, RouteLookup, Service, ServingConfig, Split,
     };
--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -9,10 +9,10 @@
 use super::tries::TryError;
 use crate::http::Freshness;
 use crate::journal::Event;
-use crate::limits;
 use crate::node::Node;
 use crate::outside::{MemoryAnswer, MemoryOrder};
 use crate::watch;
+use crate::{limits, signals};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use futures_util::future::join_all;
@@ -200,13 +200,9 @@
     limits::on_sent_to(node, address);
     let sent_ms = node.now_ms();
     let answer = link.send(request).await.ok()?;
-    let heard = Heard {
-        word: node.outside.dialect.limit(answer.headers()),
-        source: Source::Order,
-        sent_ms,
-    };
-    limits::on_answer_at(node, address, heard);
     let status = answer.status().as_u16();
+    let said = node.outside.dialect.signals(status, answer.headers());
+    signals::on_answer_at(node, address, &said, Source::Order, sent_ms);
     answer.into_body().collect().await.ok()?;
     node.pool.give_back(link, None);
     Some(node.outside.dialect.memory_answer(status))
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -5,8 +5,8 @@
 use super::fatal::{self, Break};
 use crate::http::{Exchange, Freshness, Link, SendError};
 use crate::journal::Event;
-use crate::limits;
 use crate::outside::{AnswerHead, Sending};
+use crate::signals;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_quarantine::prelude::*;
@@ -229,7 +229,7 @@
         let why = "another replica has the address";
         return Err(TryError::new(why, Verdict::NotRun, Symptom::Unreachable));
     }
-    note_limit(call, key, &head, sent_ms);
+    note_signals(call, key, &head, sent_ms);
     if head.not_run {
         return Err(TryError {
             fault: head.fault_at.map(|at| Fault::of_refusal(at, took_ms)),
@@ -252,19 +252,15 @@
     Ok(Reply { answer, head, link })
 }
 
-/// Takes down what the answer to what was sent at `sent_ms` says of its replica's limit. Only an answer
-/// that is surely the replica's own says by its silence that a limit has ended.
-fn note_limit(call: &Call, key: ReplicaKey, head: &AnswerHead, sent_ms: MonoMs) {
+/// Takes down what the answer to what was sent at `sent_ms` says of its replica. Only an answer that is
+/// surely the replica's own says by its silence that a limit has ended.
+fn note_signals(call: &Call, key: ReplicaKey, head: &AnswerHead, sent_ms: MonoMs) {
     let own = head.answers && (head.signed || head.not_run);
-    if head.limit == LimitWord::Unnamed && !own {
-        return;
+    if own || head.signals.limit != LimitWord::Unnamed {
+        signals::on_answer(&call.node, key, &head.signals, Source::Answer, sent_ms);
+    } else if head.answers || head.not_run {
+        signals::note(&call.node, key, &head.signals);
     }
-    let heard = Heard {
-        word: head.limit,
-        source: Source::Answer,
-        sent_ms,
-    };
-    limits::on_answer(&call.node, key, heard);
 }
 
 /// Whether callers take this status for a promise that nothing ran.
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -91,6 +91,13 @@
         how: &'static str,
         limited: usize,
     },
+    /// A replica says in its answers that it leaves.
+    ReplicaSaysLeaving {
+        instance: Arc<str>,
+        how: &'static str,
+    },
+    /// A replica turned a request away and wants none for a while.
+    ReplicaAsksForRest { instance: Arc<str>, rest_ms: SpanMs },
     /// A peer is known now.
     PeerFound { incarnation: u64 },
     /// A peer is silent.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod node;
 pub mod outside;
 pub mod quarantine;
+pub mod signals;
 pub mod watch;
 
 /// What users of this package import.
@@ -31,6 +32,6 @@
     pub use crate::outside::{
         AnswerHead, CallHead, CallHeadError, ConfigNews, Cursor, Dialect, Directory,
         DirectoryError, EngineReport, Era, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside,
-        PendingRead, ReplicaNews, Sending,
+        PendingRead, ReplicaNews, ReplicaSignals, Sending,
     };
 }
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -50,6 +50,7 @@
     config_lag_ms: Histogram<f64>,
     limited_replicas: Gauge<u64>,
     limit_changes: Counter<u64>,
+    replica_signals: Counter<u64>,
     waited_ms: Histogram<f64>,
     first_ms: Histogram<f64>,
     end_ms: Histogram<f64>,
@@ -155,6 +156,10 @@
                 "bluebell_limit_changes",
                 "Limits that replicas named, changed or ended, by how that became known.",
             ),
+            replica_signals: c(
+                "bluebell_replica_signals",
+                "What replicas said of themselves, by what it was.",
+            ),
             waited_ms: h(
                 "bluebell_waited_ms",
                 "Time from arrival to the first try, in milliseconds.",
@@ -222,6 +227,12 @@
                 self.limited_replicas.record(*limited as u64, &[]);
                 self.limit_changes.add(1, &label("how", how));
             }
+            Event::ReplicaSaysLeaving { .. } => {
+                self.replica_signals.add(1, &label("signal", "leaving"));
+            }
+            Event::ReplicaAsksForRest { .. } => {
+                self.replica_signals.add(1, &label("signal", "rest"));
+            }
             Event::LinesDropped { count } => self.lines_dropped.add(*count, &[]),
             _ => {}
         }
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -263,8 +263,19 @@
     pub keep_alive_ms: Option<SpanMs>,
     /// The replica at fault, by instance or address, where it isn't the one that answers.
     pub fault_at: Option<Arc<str>>,
-    /// What it says of how many requests the replica takes.
+    /// What it says of the replica.
+    pub signals: ReplicaSignals,
+}
+
+/// What any answer of a replica, to a request, a probe or an order, says of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReplicaSignals {
+    /// How many requests it takes.
     pub limit: LimitWord,
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// For how long it wants no requests from this node.
+    pub rest: RestSignal,
 }
 
 /// How callers and replicas name things.
@@ -275,8 +286,8 @@
     fn send_headers(&self, headers: &HeaderMap, send: &Sending<'_>) -> HeaderMap;
     /// Reads a replica's head, the answer to `request`.
     fn answer_head(&self, request: &str, status: u16, headers: &HeaderMap) -> AnswerHead;
-    /// What any answer of a replica says of how many requests it takes.
-    fn limit(&self, headers: &HeaderMap) -> LimitWord;
+    /// What any answer of a replica says of it.
+    fn signals(&self, status: u16, headers: &HeaderMap) -> ReplicaSignals;
     /// The headers of a replica's answer that the caller gets.
     fn answer_headers(&self, headers: &HeaderMap) -> HeaderMap;
     /// The headers of an answer of the node's own to `request`.
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -2,9 +2,9 @@
 
 use crate::http::Freshness;
 use crate::journal::Event;
-use crate::limits;
 use crate::node::Node;
 use crate::outside::EngineReport;
+use crate::{limits, signals};
 use bluebell_base::prelude::*;
 use bluebell_fleet::pace::{LOOK_EVERY_MS, looks};
 use bluebell_fleet::prelude::*;
@@ -87,15 +87,14 @@
     limits::on_sent_to(node, address);
     let sent_ms = node.now_ms();
     let answer = link.send(request).await.ok()?;
-    let word = node.outside.dialect.limit(answer.headers());
-    // What refuses a look says nothing by not naming a limit: another replica may have the address.
-    if answer.status().is_success() || word != LimitWord::Unnamed {
-        let heard = Heard {
-            word,
-            source: Source::Look,
-            sent_ms,
-        };
-        limits::on_answer_at(node, address, heard);
+    let status = answer.status();
+    let said = node
+        .outside
+        .dialect
+        .signals(status.as_u16(), answer.headers());
+    // What refuses a probe says nothing by not naming a limit: another replica may have the address.
+    if status.is_success() || said.limit != LimitWord::Unnamed {
+        signals::on_answer_at(node, address, &said, Source::Look, sent_ms);
     }
     let body = Limited::new(answer.into_body(), REPORT_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
