Leaving: what a replica says in its answers takes it out, at all nodes

What callers saw: their requests reached an engine over two seconds after its answers had said that it leaves, as long as the store couldn't take its entry.

Cause: a replica counted as leaving by its entry in the directory only. The class: what the outside says of itself on answers, and nobody reads.

Evidence: in twelve seconds without the store 31 placements on that engine at all six nodes, those that had passed its answer on among them; no read of replicas succeeded in that time.

The others are notified at once and with each round of digests for ten seconds. An end of such a replica counts as planned and accuses no request. The format of datagrams has a new version.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engine;
 pub mod fanout;
 pub mod freshness;
+pub mod leaving;
 pub mod ledger;
 pub mod limit;
 pub mod pace;
@@ -36,6 +37,7 @@
     pub use crate::budget::{RetryBudget, RetryLimits};
     pub use crate::engine::EngineSpec;
     pub use crate::freshness::{ConfigAges, ConfigFreshness, ConfigLag};
+    pub use crate::leaving::Leavers;
     pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
     pub use crate::limit::{
         Admission, Heard, LimitChange, LimitTold, LimitWord, Limits, Nodes, Source,
--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -3,6 +3,7 @@
 //! Invariants: see [`super`]; a change that was taken in before changes nothing.
 
 use super::{Health, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState};
+use crate::leaving::Leavers;
 use bluebell_base::prelude::*;
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 use serde::{Deserialize, Serialize};
@@ -55,6 +56,8 @@
 /// All known replicas.
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
+    /// The replicas whose answers said that they leave.
+    pub leavers: Leavers,
     rows: FxHashMap<ReplicaKey, Row>,
     /// The key of each known instance's latest start.
     keys: FxHashMap<Arc<str>, ReplicaKey>,
@@ -284,6 +287,8 @@
     pub fn expire(&mut self, now_ms: MonoMs) -> Vec<Arc<Replica>> {
         self.removed
             .retain(|_, (_, at_ms)| now_ms.since(*at_ms) < REMOVED_REMEMBERED_MS);
+        let rows = &self.rows;
+        self.leavers.expire(|key| rows.contains_key(&key), now_ms);
         if self.settling(now_ms) {
             return Vec::new();
         }
@@ -337,14 +342,20 @@
         self.rows.get_mut(&key).map(|row| &mut row.health)
     }
 
+    /// Whether a replica takes work, by its entry and by its answers.
+    pub fn takes_work(&self, replica: &Replica) -> bool {
+        replica.state == ReplicaState::Ready && !self.leavers.contains(replica.key())
+    }
+
     /// The replicas of `service` that take work, in the order that all nodes share.
     pub fn ready<'a>(
         &'a self,
         service: &'a ServiceName,
     ) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
-        let rows = self.rows.iter().filter(|(_, row)| {
-            row.replica.state == ReplicaState::Ready && row.replica.service == *service
-        });
+        let rows = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.replica.service == *service && self.takes_work(&row.replica));
         let (lapsed, listed): (Vec<_>, Vec<_>) =
             rows.partition(|(_, row)| row.lapsed_at_ms.is_some() && !row.kept);
         // Entries that lapse because the directory was away lapse together. A few that are missing
--- /dev/null
+++ b/crates/fleet/tests/leaving.rs
@@ -0,0 +1,74 @@
+//! Replicas that said in their answers that they leave.
+
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+
+const SERVICE: &str = "board";
+
+fn listed(instance: &str, started: u64, port: u16) -> ReplicaChange {
+    ReplicaChange::Listed(Replica {
+        instance: instance.into(),
+        started: ReplicaStart(started),
+        service: ServiceName(SERVICE.into()),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: DomainName("a".into()),
+        slots: 16,
+        state: ReplicaState::Ready,
+    })
+}
+
+fn ready(table: &ReplicaTable) -> Vec<Arc<str>> {
+    let service = ServiceName(SERVICE.into());
+    let ready = table.ready(&service);
+    ready.iter().map(|(_, r, _)| r.instance.clone()).collect()
+}
+
+/// Guards against an entry from before that brings a replica back which said that it leaves.
+#[test]
+fn an_entry_does_not_take_back_what_an_answer_said() {
+    let mut table = ReplicaTable::default();
+    table.apply(listed("i-1", 1_000, 1), MonoMs(0));
+    let key = ReplicaKey::of("i-1", ReplicaStart(1_000));
+    assert!(table.leavers.on_answer(key, MonoMs(100)));
+    assert!(!table.leavers.on_answer(key, MonoMs(200)));
+    assert!(ready(&table).is_empty());
+    table.apply(listed("i-1", 1_000, 1), MonoMs(300));
+    assert!(ready(&table).is_empty());
+    table.apply(ReplicaChange::Removed("i-1".into()), MonoMs(400));
+    table.expire(MonoMs(60_000));
+    table.apply(listed("i-1", 1_000, 1), MonoMs(60_000));
+    assert!(ready(&table).is_empty());
+}
+
+/// Guards against a later start of a replica that is kept out for what its earlier one said.
+#[test]
+fn a_later_start_does_not_leave() {
+    let mut table = ReplicaTable::default();
+    table.apply(listed("i-1", 1_000, 1), MonoMs(0));
+    let key = ReplicaKey::of("i-1", ReplicaStart(1_000));
+    table.leavers.on_notified(key, MonoMs(100));
+    table.apply(listed("i-1", 2_000, 1), MonoMs(200));
+    assert_eq!(ready(&table), [Arc::from("i-1")]);
+}
+
+/// Guards against a replica that peers are notified of without end, or by all who were notified.
+#[test]
+fn peers_are_notified_by_who_heard_it_and_for_a_while() {
+    let mut leavers = Leavers::default();
+    leavers.on_answer(ReplicaKey(1), MonoMs(0));
+    leavers.on_notified(ReplicaKey(2), MonoMs(0));
+    assert_eq!(leavers.to_notify(MonoMs(5_000)), [ReplicaKey(1)]);
+    assert!(leavers.to_notify(MonoMs(20_000)).is_empty());
+    assert!(leavers.contains(ReplicaKey(1)));
+}
+
+/// Guards against memory that grows with every replica that ever left.
+#[test]
+fn what_is_long_gone_is_forgotten() {
+    let mut leavers = Leavers::default();
+    leavers.on_answer(ReplicaKey(1), MonoMs(0));
+    leavers.on_answer(ReplicaKey(2), MonoMs(0));
+    leavers.expire(|key| key == ReplicaKey(1), MonoMs(700_000));
+    assert!(leavers.contains(ReplicaKey(1)));
+    assert!(!leavers.contains(ReplicaKey(2)));
+}
--- a/crates/front/src/ends/mod.rs
+++ b/crates/front/src/ends/mod.rs
@@ -96,7 +96,7 @@
 fn is_ready(node: &Node, replica: &Replica) -> bool {
     node.with(|state| {
         let known = state.replicas.get(replica.key());
-        known.is_some_and(|known| known.state == ReplicaState::Ready)
+        known.is_some_and(|known| state.replicas.takes_work(known))
     })
 }
 
@@ -114,11 +114,14 @@
     let until_ms = node.now_ms() + DROPPED_MS;
     while node.now_ms() < until_ms {
         tokio::time::sleep(Duration::from(LOOK_MS)).await;
-        let known = node.with(|state| state.replicas.get(replica.key()).cloned());
-        match known {
+        let takes_work = node.with(|state| {
+            let known = state.replicas.get(replica.key());
+            known.map(|known| state.replicas.takes_work(known))
+        });
+        match takes_work {
             None => return EndState::Ended,
-            Some(known) if known.state != ReplicaState::Ready => return EndState::Alive,
-            Some(_) => {}
+            Some(false) => return EndState::Alive,
+            Some(true) => {}
         }
     }
     EndState::Alive
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -11,7 +11,7 @@
 
 /// The version of the format; datagrams of another are ignored, so that nodes of two releases can
 /// run beside each other.
-const FORMAT: u8 = 6;
+const FORMAT: u8 = 7;
 
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -59,6 +59,8 @@
     Request(Told),
     /// A replica takes so many requests a second from all nodes together, or any number.
     Limit(LimitNews),
+    /// An answer of a replica says that it leaves.
+    Leaving { replica: u32 },
     /// The directory's history is another since.
     Era(Era),
     /// The sender has seen this version of the configuration.
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -109,6 +109,11 @@
         self.push(News::Limit(told.into()));
     }
 
+    /// Notifies peers that an answer of a replica says that it leaves.
+    pub fn leaving(&self, key: ReplicaKey) {
+        self.push(News::Leaving { replica: key.0 });
+    }
+
     /// Tells that the directory's history is another.
     pub fn era(&self, era: Era) {
         self.push(News::Era(era));
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -5,7 +5,7 @@
 use super::send::send_one;
 use crate::journal::Event;
 use crate::node::Node;
-use crate::{limits, quarantine, watch};
+use crate::{limits, quarantine, signals, watch};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::rc::Rc;
@@ -80,6 +80,7 @@
         News::Request(told) => quarantine::on_told(node, told),
         News::Era(era) => watch::on_told_era(node, era),
         News::Limit(told) => limits::on_told(node, &told.into()),
+        News::Leaving { replica } => signals::on_notified(node, ReplicaKey(replica)),
         news => apply_work(node, owner, news, now_ms),
     }
 }
@@ -110,7 +111,8 @@
         | News::Replicas(_)
         | News::Request(_)
         | News::Era(_)
-        | News::Limit(_) => {}
+        | News::Limit(_)
+        | News::Leaving { .. } => {}
     });
 }
 
--- a/crates/front/src/news/send.rs
+++ b/crates/front/src/news/send.rs
@@ -45,7 +45,7 @@
     let now_ms = node.now_ms();
     let tells = chance_to_tell(node);
     limits::share(node);
-    let (works, version, requests, limits) = node.with(|state| {
+    let (works, version, requests, limits, leavers) = node.with(|state| {
         let own = state.ledger.of_owner(node.owner);
         let works = own.map(|(sequence, work)| WorkNews::of(sequence, work, now_ms));
         let version = state.config.as_ref().map(|c| c.version());
@@ -59,6 +59,7 @@
             version,
             requests.map(News::Request),
             limits,
+            state.replicas.leavers.to_notify(now_ms),
         )
     });
     let mut news = digest(works);
@@ -67,6 +68,11 @@
     }
     news.extend(requests);
     news.extend(limits.into_iter().map(|told| News::Limit(told.into())));
+    news.extend(
+        leavers
+            .into_iter()
+            .map(|key| News::Leaving { replica: key.0 }),
+    );
     news
 }
 
--- a/crates/front/src/signals/mod.rs
+++ b/crates/front/src/signals/mod.rs
@@ -42,23 +42,37 @@
 
 /// Takes down what an answer says, but for the replica's limit.
 pub fn note(node: &Node, key: ReplicaKey, signals: &ReplicaSignals) {
-    let instance = || node.with(|state| state.replicas.get(key).map(|r| r.instance.clone()));
-    if signals.leaving
-        && let Some(instance) = instance()
-    {
-        node.journal.tell(&Event::ReplicaSaysLeaving {
-            instance,
-            how: "answer",
-        });
+    let now_ms = node.now_ms();
+    if signals.leaving && node.with(|state| state.replicas.leavers.on_answer(key, now_ms)) {
+        node.outbox.leaving(key);
+        log_leaving(node, key, "answer");
     }
     match signals.rest {
         RestSignal::Unnamed => {}
         RestSignal::Unreadable => log::debug!("{key} asks for a rest that can't be read"),
         RestSignal::For(rest_ms) => {
-            if let Some(instance) = instance() {
+            if let Some(instance) = instance_of(node, key) {
                 node.journal
                     .tell(&Event::ReplicaAsksForRest { instance, rest_ms });
             }
         }
     }
 }
+
+/// A peer heard that a replica leaves.
+pub fn on_notified(node: &Node, key: ReplicaKey) {
+    let now_ms = node.now_ms();
+    if node.with(|state| state.replicas.leavers.on_notified(key, now_ms)) {
+        log_leaving(node, key, "peer");
+    }
+}
+
+fn log_leaving(node: &Node, key: ReplicaKey, how: &'static str) {
+    let instance = instance_of(node, key).unwrap_or_else(|| key.to_string().into());
+    node.journal
+        .tell(&Event::ReplicaSaysLeaving { instance, how });
+}
+
+fn instance_of(node: &Node, key: ReplicaKey) -> Option<Arc<str>> {
+    node.with(|state| state.replicas.get(key).map(|r| r.instance.clone()))
+}
