Rest: a replica that asks for it gets nothing from this node until it is over

What callers saw: drafts turned away by engines that had asked for three seconds of rest, several times a second; over a tenth of the class not served.

Cause: a refusal was taken for full, which says nothing of the next moment, and what a replica turns away is no load, so that it looked idle and drew twice its usual requests. The class: what the outside says of itself on answers, and nobody reads.

Evidence: of 131 failed tries in ten seconds 112 were refusals; the engine got 5 to 20 requests a second and ran none; the node that it had asked chose it seven more times in three seconds, six of them first tries.

Where all replicas rest, requests wait if that is short and are refused at once with the time that is left otherwise.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -49,7 +49,7 @@
         Fingerprint, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState, ReplicaTable,
         Symptom,
     };
-    pub use crate::rest::RestSignal;
+    pub use crate::rest::{RestSignal, Rests};
     pub use crate::serving::{
         Account, ClientLimits, Route, RouteKind, RouteLookup, Service, ServingConfig, Split,
     };
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -153,7 +153,7 @@
         /// When coming back may help.
         retry_after_ms: SpanMs,
     },
-    /// The replicas that could run it named how many requests they take, and take no more now.
+    /// The replicas that could run it said how many requests they take, or for how long none.
     #[error("the replicas take no more requests now")]
     Limited {
         /// When coming back may help.
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -108,7 +108,11 @@
         Some(spec) => find_engine(call, spec, avoid, Pressing::No).is_ok(),
         None => call.node.with(|state| {
             let limited = Limited::WithinLimit;
-            let takers = Takers::of(&state.replicas, &state.limits, call, avoid, limited);
+            let asked = Asked {
+                limits: &state.limits,
+                rests: &state.rests,
+            };
+            let takers = Takers::of(&state.replicas, &asked, call, avoid, limited);
             !takers.ready.is_empty()
         }),
     }
@@ -123,13 +127,19 @@
     Never,
 }
 
+/// What replicas asked for.
+struct Asked<'a> {
+    limits: &'a Limits,
+    rests: &'a Rests,
+}
+
 /// The replicas that may be chosen for a request.
 struct Takers<'a> {
     ready: Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)>,
     left_out: Option<LeftOut>,
 }
 
-/// Replicas were left out for the limits that they named.
+/// Replicas were left out for the limits or the rest that they named.
 #[derive(Clone, Copy, Debug)]
 struct LeftOut {
     /// The time until this node may send a request to one of them; none where others may.
@@ -159,24 +169,28 @@
     /// The replicas that take work and are trusted; where none is trusted, those that are not.
     fn of(
         replicas: &'a ReplicaTable,
-        limits: &Limits,
+        asked: &Asked<'_>,
         call: &'a Call,
         avoid: &[ReplicaKey],
         limited: Limited,
     ) -> Self {
         let now_ms = call.node.now_ms();
+        let Asked { limits, rests } = asked;
         let mut ready = replicas.ready(&call.service.name);
         ready.retain(|(key, _, _)| !avoid.contains(key));
         let trusted = ready.iter().any(|(_, _, health)| health.admits(now_ms));
         ready.retain(|(_, _, health)| !trusted || health.admits(now_ms));
         let mut left_out = None;
-        if !limits.is_empty() {
+        if !limits.is_empty() || !rests.is_empty() {
             // An engine that asks for little looks idle, and draws requests from all nodes at once.
             // Trust comes first: a replica that is doubted is none to fall back on.
             ready.retain(|(key, _, _)| {
-                let admission = match limited {
-                    Limited::Never if limits.is_limited(*key) => Admission::Elsewhere,
-                    _ => limits.admission(*key, now_ms),
+                let admission = match rests.admission(*key, now_ms) {
+                    Admission::Now if limited == Limited::Never && limits.is_limited(*key) => {
+                        Admission::Elsewhere
+                    }
+                    Admission::Now => limits.admission(*key, now_ms),
+                    later => later,
                 };
                 let admitted = admission == Admission::Now;
                 if !admitted {
@@ -188,7 +202,7 @@
         Self { ready, left_out }
     }
 
-    /// What to say instead of a refusal that would be true only without the limits.
+    /// What to say instead of a refusal that would be true only without those left out.
     fn refusal(&self, refusal: Refusal) -> Refusal {
         match (refusal, self.left_out) {
             (Refusal::NoReplica | Refusal::TooLong, Some(left_out)) => left_out.refusal(),
@@ -227,7 +241,11 @@
     node.with(|state| {
         state.ledger.set_paces(&state.paces, now_ms);
         let loads = state.ledger.loads(now_ms);
-        let takers = Takers::of(&state.replicas, &state.limits, call, avoid, limited);
+        let asked = Asked {
+            limits: &state.limits,
+            rests: &state.rests,
+        };
+        let takers = Takers::of(&state.replicas, &asked, call, avoid, limited);
         let engines = takers.ready.iter().map(|(key, _, _)| *key);
         let fleet = Fleet::of(engines, loads, node.node_count(), rand::random());
         let placement =
@@ -322,7 +340,11 @@
     limits::share(node);
     let (key, replica) = node.with(|state| {
         let limited = Limited::WithinLimit;
-        let takers = Takers::of(&state.replicas, &state.limits, call, avoid, limited);
+        let asked = Asked {
+            limits: &state.limits,
+            rests: &state.rests,
+        };
+        let takers = Takers::of(&state.replicas, &asked, call, avoid, limited);
         let candidates: Vec<PlainCandidate> = takers
             .ready
             .iter()
--- a/crates/front/src/call/held.rs
+++ b/crates/front/src/call/held.rs
@@ -33,9 +33,9 @@
         node.outbox.placed(id.sequence, &work, node.now_ms());
         let now_ms = node.now_ms();
         node.with(|state| {
-            state.limits.on_sent(work.first, now_ms);
-            for helper in &work.helpers {
-                state.limits.on_sent(*helper, now_ms);
+            for engine in work.helpers.iter().chain([&work.first]) {
+                state.limits.on_sent(*engine, now_ms);
+                state.rests.on_sent(*engine, now_ms);
             }
             state.ledger.put(id, work, now_ms);
         });
@@ -47,6 +47,7 @@
         let now_ms = node.now_ms();
         node.with(|state| {
             state.limits.on_sent(key, now_ms);
+            state.rests.on_sent(key, now_ms);
             *state.calls.entry(key).or_default() += 1;
         });
         Self::begin(node, key, Holding::Call(key), false)
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -249,6 +249,8 @@
         let why = format!("the replica failed with status {status}");
         return Err(TryError::new(&why, Verdict::MayHaveRun, Symptom::Failed));
     }
+    let now_ms = call.node.now_ms();
+    call.node.with(|state| state.rests.on_served(key, now_ms));
     Ok(Reply { answer, head, link })
 }
 
--- a/crates/front/src/signals/mod.rs
+++ b/crates/front/src/signals/mod.rs
@@ -47,15 +47,14 @@
         node.outbox.leaving(key);
         log_leaving(node, key, "answer");
     }
-    match signals.rest {
-        RestSignal::Unnamed => {}
-        RestSignal::Unreadable => log::debug!("{key} asks for a rest that can't be read"),
-        RestSignal::For(rest_ms) => {
-            if let Some(instance) = instance_of(node, key) {
-                node.journal
-                    .tell(&Event::ReplicaAsksForRest { instance, rest_ms });
-            }
-        }
+    if signals.rest == RestSignal::Unreadable {
+        log::debug!("{key} asks for a rest that can't be read");
+    }
+    let rest_ms = node.with(|state| state.rests.on_turned_away(key, signals.rest, now_ms));
+    if let Some(rest_ms) = rest_ms {
+        let instance = name_of(node, key);
+        node.journal
+            .tell(&Event::ReplicaAsksForRest { instance, rest_ms });
     }
 }
 
@@ -68,11 +67,13 @@
 }
 
 fn log_leaving(node: &Node, key: ReplicaKey, how: &'static str) {
-    let instance = instance_of(node, key).unwrap_or_else(|| key.to_string().into());
+    let instance = name_of(node, key);
     node.journal
         .tell(&Event::ReplicaSaysLeaving { instance, how });
 }
 
-fn instance_of(node: &Node, key: ReplicaKey) -> Option<Arc<str>> {
-    node.with(|state| state.replicas.get(key).map(|r| r.instance.clone()))
+/// A replica's name in the log; its key where the directory doesn't list it.
+fn name_of(node: &Node, key: ReplicaKey) -> Arc<str> {
+    let instance = node.with(|state| state.replicas.get(key).map(|r| r.instance.clone()));
+    instance.unwrap_or_else(|| key.to_string().into())
 }
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -46,7 +46,9 @@
         let engines = config.services().filter(|service| service.engine.is_some());
         let ready = engines.flat_map(|service| state.replicas.ready(&service.name));
         let own = ready.filter(|(key, _, _)| {
-            state.limits.admits_look(*key, now_ms) && looks(node.owner, &peers, *key)
+            state.limits.admits_look(*key, now_ms)
+                && !state.rests.is_resting(*key, now_ms)
+                && looks(node.owner, &peers, *key)
         });
         own.map(|(key, replica, _)| (key, replica.address))
             .collect()
