Configuration: an open read from before an outage is begun anew once the directory answers

What callers saw: a key and a route refused by a version that had been replaced over two seconds before, after an outage of the store.

Cause: a read that is open when the store falls silent, or is begun in its silence, may take its wait of four to eight seconds and a second more. Reads of replicas succeed meanwhile, at this node or at others, and nothing that they show ended it. The class: a sign of recovery that one part sees and another waits without.

Evidence: after the store's return at 19.0 s reads of replicas succeeded at 19.0, 19.7 and 21.2 s, the first read of the configuration was begun after 21 s, and the version confirmed at 19.8 s was in force at the first node at 21.9 s, at the others at 22.2 s.

Why this holds: the first read of any kind that succeeds after one that failed ends the open read, here and, by notification, at all nodes whose last read failed. Each return costs a node one call.

--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/news/message.rs
@@ -61,6 +61,8 @@
     Limit(LimitNews),
     /// An answer of a replica says that it leaves.
     Leaving { replica: u32 },
+    /// The directory answers the sender again.
+    DirectoryBack,
     /// The directory's history is another since.
     Era(Era),
     /// The sender has seen this version of the configuration.
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/news/outbox.rs
@@ -114,6 +114,11 @@
         self.push(News::Leaving { replica: key.0 });
     }
 
+    /// Notifies peers that the directory answers again.
+    pub fn directory_back(&self) {
+        self.push(News::DirectoryBack);
+    }
+
     /// Tells that the directory's history is another.
     pub fn era(&self, era: Era) {
         self.push(News::Era(era));
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/news/receive.rs
@@ -80,6 +80,7 @@
         News::Request(told) => quarantine::on_told(node, told),
         News::Era(era) => watch::on_told_era(node, era),
         News::Limit(told) => limits::on_told(node, &told.into()),
+        News::DirectoryBack => node.watching.on_peer_directory_back(),
         News::Leaving { replica } => signals::on_notified(node, ReplicaKey(replica)),
         news => apply_work(node, owner, news, now_ms),
     }
@@ -112,7 +113,8 @@
         | News::Request(_)
         | News::Era(_)
         | News::Limit(_)
-        | News::Leaving { .. } => {}
+        | News::Leaving { .. }
+        | News::DirectoryBack => {}
     });
 }
 
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -152,6 +152,10 @@
     let wait_ms = reading::open_for(other_readers, rand::random());
     tokio::select! {
         read = directory.read_config(Some(cursor), wait_ms) => read,
+        // A read that was begun before is behind a connection that may never answer.
+        () = node.watching.directory_returned() => {
+            directory.read_config(Some(cursor), SpanMs::ZERO).await
+        }
         () = overtaken(node) => directory.read_config(Some(cursor), SpanMs::ZERO).await,
         // An open read may be behind a connection to the directory as it was.
         () = era::later_than(node, cursor.era) => directory.read_config(None, SpanMs::ZERO).await,
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -20,7 +20,7 @@
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::cell::{Cell, RefCell};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// What the watchers share with those who take news in.
 #[derive(Debug, Default)]
@@ -39,6 +39,10 @@
     pub(super) directory_back: Notify,
     /// Whether it doesn't answer such a node.
     pub(super) directory_away: Cell<bool>,
+    /// Whether the directory failed this node's last read.
+    directory_lost: Cell<bool>,
+    /// How often the directory came back after it had failed.
+    returns: watch::Sender<u64>,
     /// The versions of the configuration that are in force and known.
     freshness: RefCell<ConfigFreshness>,
     /// Up to where the directory's replicas are known, and since when.
@@ -97,6 +101,36 @@
         }
     }
 
+    /// A read of the directory failed.
+    pub(super) fn on_directory_failed(&self) {
+        self.directory_lost.set(true);
+    }
+
+    /// A read of the directory succeeded.
+    pub(super) fn on_directory_answered(&self, node: &Node) {
+        if self.directory_lost.replace(false) {
+            self.note_return();
+            node.outbox.directory_back();
+        }
+    }
+
+    /// A peer found that the directory is back.
+    pub fn on_peer_directory_back(&self) {
+        if self.directory_lost.replace(false) {
+            self.note_return();
+        }
+    }
+
+    fn note_return(&self) {
+        self.returns.send_modify(|returns| *returns += 1);
+    }
+
+    /// Ends once the directory is back after it had failed.
+    pub(super) async fn directory_returned(&self) {
+        // The sender lives as long as the node.
+        let _ = self.returns.subscribe().changed().await;
+    }
+
     /// Whether the directory is known not to answer, as far as a node knows that has read nothing yet.
     pub fn is_directory_away(&self) -> bool {
         self.directory_away.get()
