--- a/crates/capacity/src/measure/mod.rs
+++ b/crates/capacity/src/measure/mod.rs
@@ -14,7 +14,7 @@
 use bluebell_base::text::ParseError;
 use std::str::FromStr;
 
-/// Shards, snapshot, directory and stewards.
+/// Shards, snapshot, directory and coordinators.
 pub(crate) const DUTIES: usize = 22;
 
 /// One measurement.
--- a/crates/control/src/actor/mod.rs
+++ b/crates/control/src/actor/mod.rs
@@ -11,9 +11,9 @@
 mod peer_side;
 mod publishing;
 
+use crate::coordinator::{Coordinator, CoordinatorDump};
 use crate::print::{ControlDump, HeldDump, VersionSeen};
 use crate::settings::{ControlPorts, ControlSettings, NodeIdentity};
-use crate::steward::{Steward, StewardDump};
 use crate::{ControlEvent, Duty, Lease, Published};
 use bluebell_base::prelude::*;
 use bluebell_peers::{NodeCard, PeerAnswer};
@@ -43,7 +43,7 @@
     config: ConfigSide,
     leases: LeaseSide,
     peers: PeerSide,
-    steward: ActorOwn<Steward>,
+    coordinator: ActorOwn<Coordinator>,
     started_ms: MonoMs,
     draining: Option<Ret<()>>,
     drained: bool,
@@ -83,7 +83,8 @@
         let mut random = generator(seed, me.incarnation);
         let config = ConfigSide::open(cx, &ports, &timers, &settings, &mut random);
         let leases = LeaseSide::open(cx, &me, &ports, &timers, &settings, &mut random);
-        let steward = Steward::spawn(cx, ports.weights.clone(), timers.clone(), settings.clone());
+        let coordinator =
+            Coordinator::spawn(cx, ports.weights.clone(), timers.clone(), settings.clone());
         let started_ms = timers.now_ms(cx);
         let mut control = Self {
             me,
@@ -96,7 +97,7 @@
             config,
             leases,
             peers: PeerSide::default(),
-            steward,
+            coordinator,
             started_ms,
             draining: None,
             drained: false,
@@ -142,27 +143,27 @@
 
     /// An engine is there, or what the list says of it changed.
     pub fn engine_seen(&mut self, _cx: CX![], entry: VmEntry, port: Rc<dyn EnginePort>) {
-        call!([self.steward], engine_seen(entry, port));
+        call!([self.coordinator], engine_seen(entry, port));
     }
 
     /// An engine leaves.
     pub fn engine_leaving(&mut self, _cx: CX![], name: UpstreamName) {
-        call!([self.steward], engine_leaving(name));
+        call!([self.coordinator], engine_leaving(name));
     }
 
     /// An engine is gone.
     pub fn engine_gone(&mut self, _cx: CX![], name: UpstreamName) {
-        call!([self.steward], engine_gone(name));
+        call!([self.coordinator], engine_gone(name));
     }
 
     /// An incarnation is certainly dead: another answers at its address.
     pub fn node_replaced(&mut self, _cx: CX![], dead: Incarnation) {
-        call!([self.steward], node_replaced(dead));
+        call!([self.coordinator], node_replaced(dead));
     }
 
-    /// What the steward of this node knows and did.
-    pub fn steward_dump(&mut self, _cx: CX![], ret: Ret<StewardDump>) {
-        call!([self.steward], dump(ret));
+    /// What the coordinator of this node knows and did.
+    pub fn coordinator_dump(&mut self, _cx: CX![], ret: Ret<CoordinatorDump>) {
+        call!([self.coordinator], dump(ret));
     }
 
     /// Gives all duties back and takes none any more; answered when others may take them.
@@ -220,19 +221,22 @@
         self.timers.subscribe_in(cx, TICK_MS, again);
     }
 
-    /// Tells an event to the node, and to the steward what concerns it.
+    /// Tells an event to the node, and to the coordinator what concerns it.
     fn emit(&mut self, event: ControlEvent) {
         match &event {
             ControlEvent::Config { config, .. } => {
-                call!([self.steward], config_changed(config.clone()));
+                call!([self.coordinator], config_changed(config.clone()));
             }
             ControlEvent::Held { lease, until_ms } => {
-                if let Duty::Steward(group) = lease.duty {
-                    call!([self.steward], duty_held(group, lease.clone(), *until_ms));
+                if let Duty::Coordinator(group) = lease.duty {
+                    call!(
+                        [self.coordinator],
+                        duty_held(group, lease.clone(), *until_ms)
+                    );
                 }
             }
-            ControlEvent::Lost(Duty::Steward(group)) => {
-                call!([self.steward], duty_lost(*group));
+            ControlEvent::Lost(Duty::Coordinator(group)) => {
+                call!([self.coordinator], duty_lost(*group));
             }
             ControlEvent::Holder(_) | ControlEvent::Lost(_) => (),
         }
--- a/crates/control/src/steward/engines.rs
+++ b/crates/control/src/coordinator/engines.rs
@@ -48,7 +48,7 @@
         self.entry.state == VmState::Live
     }
 
-    /// The group whose steward orders it.
+    /// The group whose coordinator orders it.
     pub fn group(&self) -> u32 {
         self.group
     }
--- a/crates/control/src/steward/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -1,13 +1,13 @@
-//! The steward of a group of engines: brings them to the model versions of the configuration and
+//! The coordinator of a group of engines: brings them to the model versions of the configuration and
 //! reclaims memory that is held for nobody.
 //!
 //! Terms: the *group* of an engine is the hash of its deployment's name modulo the number of
-//! stewards; a *view* is an engine's state as read back; an order is *wrong* where it comes from a
-//! steward that was replaced in the meantime.
+//! coordinators; a *view* is an engine's state as read back; an order is *wrong* where it comes from a
+//! coordinator that was replaced in the meantime.
 //!
-//! All engines of a deployment have the same steward, for two reasons: an engine that checks
+//! All engines of a deployment have the same coordinator, for two reasons: an engine that checks
 //! fencing numbers keeps one newest number, so orders to it must come under one duty; and only
-//! who sees all replicas of a model can say how many may be away. With several stewards each
+//! who sees all replicas of a model can say how many may be away. With several coordinators each
 //! loads at its part of the weight store's rate, so that together they keep to it without
 //! talking.
 //!
@@ -42,8 +42,8 @@
 /// The time between two looks at what is due.
 const TICK_MS: SpanMs = SpanMs(200);
 
-/// The steward actor of a node; idle while the node holds no steward's duty.
-pub struct Steward {
+/// The coordinator actor of a node; idle while the node holds no coordinator's duty.
+pub struct Coordinator {
     weights: Rc<dyn WeightPort>,
     timers: Timers,
     settings: ControlSettings,
@@ -53,7 +53,7 @@
     reads: ReadSide,
     orders: OrderSide,
     holds: HoldWatch,
-    counts: StewardCounts,
+    counts: CoordinatorCounts,
 }
 
 /// The duty for one group.
@@ -64,9 +64,9 @@
     since_ms: MonoMs,
 }
 
-/// What the steward did.
+/// What the coordinator did.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StewardCounts {
+pub struct CoordinatorCounts {
     /// Orders sent to load a version.
     pub loads: u64,
     /// Loads seen done when the state was read back.
@@ -83,10 +83,10 @@
     pub superseded: u64,
 }
 
-/// What the steward of this node knows, for the state dump.
+/// What the coordinator of this node knows, for the state dump.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StewardDump {
-    /// The groups it is steward of.
+pub struct CoordinatorDump {
+    /// The groups it is coordinator of.
     pub groups: Vec<u32>,
     /// Engines known on this node.
     pub engines: usize,
@@ -97,18 +97,22 @@
     /// Model versions that are not rolled on, since loading them failed.
     pub halted: Vec<Arc<str>>,
     /// What it did so far.
-    pub counts: StewardCounts,
+    pub counts: CoordinatorCounts,
 }
 
-impl Steward {
-    /// Spawns an idle steward.
+impl Coordinator {
+    /// Spawns an idle coordinator.
     pub fn spawn(
         core: &mut Core,
         weights: Rc<dyn WeightPort>,
         timers: Timers,
         settings: ControlSettings,
-    ) -> ActorOwn<Steward> {
-        actor!(core, Steward::init(weights, timers, settings), ret_nop!())
+    ) -> ActorOwn<Coordinator> {
+        actor!(
+            core,
+            Coordinator::init(weights, timers, settings),
+            ret_nop!()
+        )
     }
 
     fn init(
@@ -118,20 +122,20 @@
         settings: ControlSettings,
     ) -> Option<Self> {
         let now_ms = timers.now_ms(cx);
-        let mut steward = Self {
+        let mut coordinator = Self {
             weights,
             timers,
-            engines: Engines::new(settings.stewards),
+            engines: Engines::new(settings.coordinators),
             settings,
             config: Arc::default(),
             duties: BTreeMap::new(),
             reads: ReadSide::default(),
             orders: OrderSide::default(),
             holds: HoldWatch::default(),
-            counts: StewardCounts::default(),
+            counts: CoordinatorCounts::default(),
         };
-        steward.tick(cx, now_ms);
-        Some(steward)
+        coordinator.tick(cx, now_ms);
+        Some(coordinator)
     }
 
     /// An engine is there, or what the list says of it changed.
@@ -164,7 +168,7 @@
         let since_ms = same.map_or(now_ms, |duty| duty.since_ms);
         if same.is_none() {
             // Whatever was read under an earlier fencing number may have been changed by another
-            // steward since.
+            // coordinator since.
             self.engines.forget_views(group);
         }
         let duty = GroupDuty {
@@ -186,11 +190,11 @@
         self.holds.on_dead(dead, now_ms);
     }
 
-    /// What the steward knows and did.
-    pub fn dump(&mut self, _cx: CX![], ret: Ret<StewardDump>) {
+    /// What the coordinator knows and did.
+    pub fn dump(&mut self, _cx: CX![], ret: Ret<CoordinatorDump>) {
         let unread = self.engines.iter();
         let unread = unread.filter(|seat| self.duties.contains_key(&seat.group()));
-        ret.ret(StewardDump {
+        ret.ret(CoordinatorDump {
             groups: self.duties.keys().copied().collect(),
             engines: self.engines.len(),
             unread: unread.filter(|seat| seat.view().is_none()).count(),
@@ -216,7 +220,7 @@
     /// To be asked immediately before an order is handed over, not at the start of a step: a node
     /// that was paused in the middle would otherwise go on with a duty that another has by now.
     /// What a pause between this check and the sending leaves open is met by the engines that
-    /// check the number, and for the others by the next steward's waiting and reading back.
+    /// check the number, and for the others by the next coordinator's waiting and reading back.
     fn fencing_now(&mut self, cx: CX![], group: u32) -> Option<Fencing> {
         let now_ms = self.timers.now_ms(cx);
         let duty = self.duties.get(&group);
--- a/crates/control/src/steward/orders.rs
+++ b/crates/control/src/coordinator/orders.rs
@@ -1,7 +1,7 @@
 //! Giving orders: fencing engines at a takeover, loading versions one after the other.
 
 use super::plan::{Load, Rollout};
-use super::{EngineSeat, Steward};
+use super::{Coordinator, EngineSeat};
 use bluebell_base::prelude::*;
 use bluebell_platform::WeightInfo;
 use bluebell_upstreams::{EngineOrder, OrderAnswer};
@@ -64,10 +64,10 @@
     }
 }
 
-impl Steward {
+impl Coordinator {
     /// Whether engines of the seat's deployment may be given orders by now.
     ///
-    /// An engine that does not check fencing numbers obeys a late order of the former steward:
+    /// An engine that does not check fencing numbers obeys a late order of the former coordinator:
     /// one that it sent at the end of its lease, or after a pause between its check and the
     /// sending. Before a first order to such an engine the lease time and an order's time have to
     /// pass, so that what is read back afterwards is the outcome of those.
@@ -87,7 +87,7 @@
 
     /// Shows the new fencing number to engines that check it, by an order that changes nothing.
     ///
-    /// Until an engine has seen the number, it still obeys the former steward, which may have been
+    /// Until an engine has seen the number, it still obeys the former coordinator, which may have been
     /// paused before sending.
     pub(super) fn tick_fences(&mut self, cx: CX![], _now_ms: MonoMs) {
         if self.orders.showing {
@@ -156,7 +156,7 @@
         let duty = group.and_then(|group| self.duties.get(&group));
         let current = duty.is_some_and(|duty| duty.fencing == fencing);
         if answer.fencing > fencing {
-            // A newer steward has ordered this engine: this node's lease is over, whatever its
+            // A newer coordinator has ordered this engine: this node's lease is over, whatever its
             // clock says.
             self.counts.superseded += 1;
             if let Some(group) = group.filter(|_| current) {
@@ -234,7 +234,7 @@
                 return;
             }
         };
-        let pace_ms = pace_ms(&info, self.settings.stewards);
+        let pace_ms = pace_ms(&info, self.settings.coordinators);
         self.order_load(cx, load, pace_ms, now_ms);
     }
 
@@ -317,8 +317,8 @@
     }
 }
 
-/// The time between two loads that keeps all stewards together within the store's rate.
-fn pace_ms(info: &WeightInfo, stewards: u32) -> SpanMs {
-    let share = info.limit_bytes.0.max(1.0) / f64::from(stewards.max(1));
+/// The time between two loads that keeps all coordinators together within the store's rate.
+fn pace_ms(info: &WeightInfo, coordinators: u32) -> SpanMs {
+    let share = info.limit_bytes.0.max(1.0) / f64::from(coordinators.max(1));
     SpanMs((info.size_bytes.0 as f64 / share * 1000.0).ceil() as u64)
 }
--- a/crates/control/src/steward/reads.rs
+++ b/crates/control/src/coordinator/reads.rs
@@ -1,10 +1,10 @@
 //! Reading engines back: their state, and the memory they hold.
 //!
-//! Reads are spaced so that a steward of many engines costs no more than one of few: each engine
+//! Reads are spaced so that a coordinator of many engines costs no more than one of few: each engine
 //! is read less often then. After a takeover the unread ones come first.
 
 use super::reclaim::Reclaim;
-use super::{EngineSeat, Steward};
+use super::{Coordinator, EngineSeat};
 use bluebell_base::prelude::*;
 use bluebell_upstreams::{EngineOrder, Hold, OrderAnswer};
 use stakker::{CX, ret_to};
@@ -32,7 +32,7 @@
     asked: BTreeMap<UpstreamName, Asked>,
 }
 
-impl Steward {
+impl Coordinator {
     /// One state and one list of holds a tick at most.
     pub(super) fn tick_reads(&mut self, cx: CX![], now_ms: MonoMs) {
         let names: Vec<UpstreamName> = self.own_engines();
--- a/crates/control/src/leases/spread.rs
+++ b/crates/control/src/leases/spread.rs
@@ -38,7 +38,7 @@
         Duty::Shard(shard) => (1, u64::from(shard.0)),
         Duty::Snapshot => (2, 0),
         Duty::Directory => (3, 0),
-        Duty::Steward(group) => (4, u64::from(group)),
+        Duty::Coordinator(group) => (4, u64::from(group)),
     };
     mix(mix(node.0 ^ (kind << 56)) ^ index)
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,18 +9,18 @@
 //! judged on its holder's monotonic clock from before the append was sent.
 
 pub mod actor;
+pub mod coordinator;
 pub mod leases;
 pub mod print;
 pub mod records;
 pub mod reduce;
 pub mod settings;
-pub mod steward;
 pub mod verify;
 
 pub use actor::Control;
+pub use coordinator::{CoordinatorCounts, CoordinatorDump};
 pub use print::{ControlDump, UnusableVersion, VersionSeen, VersionSource};
 pub use settings::{ControlPorts, ControlSettings, NodeIdentity};
-pub use steward::{StewardCounts, StewardDump};
 
 use bluebell_base::prelude::*;
 use bluebell_config::FleetConfig;
@@ -37,7 +37,7 @@
     /// Write the platform's VM list to the directory stream.
     Directory,
     /// Order and reclaim on the upstreams of one group of them.
-    Steward(u32),
+    Coordinator(u32),
 }
 
 /// A lease of a duty, as this node sees it.
--- a/crates/control/src/settings/mod.rs
+++ b/crates/control/src/settings/mod.rs
@@ -35,8 +35,8 @@
     pub leases_stream: StreamName,
     /// The number of shards of idempotency keys.
     pub shards: u32,
-    /// The number of groups of upstreams, each with a steward.
-    pub stewards: u32,
+    /// The number of groups of upstreams, each with a coordinator.
+    pub coordinators: u32,
     /// How long a lease lasts from before its append was sent.
     pub ttl_ms: SpanMs,
     /// What is taken off a lease at its holder and added at its takers, for clocks that run at
@@ -66,7 +66,7 @@
             config_stream: "config".into(),
             leases_stream: "leases".into(),
             shards: 16,
-            stewards: 4,
+            coordinators: 4,
             ttl_ms: SpanMs::from_secs(10),
             margin_ms: SpanMs::from_secs(1),
             config_tail_ms: SpanMs(1_000),
@@ -119,8 +119,8 @@
                 ),
             ),
             (
-                self.stewards == 0,
-                "at least one steward is needed".to_owned(),
+                self.coordinators == 0,
+                "at least one coordinator is needed".to_owned(),
             ),
             (
                 self.retention_ms <= self.publish_timeout_ms,
@@ -137,8 +137,8 @@
     /// All duties of the fleet.
     pub fn duties(&self) -> Vec<Duty> {
         let shards = (0..self.shards).map(|i| Duty::Shard(ShardId(i)));
-        let stewards = (0..self.stewards).map(Duty::Steward);
+        let coordinators = (0..self.coordinators).map(Duty::Coordinator);
         let single = [Duty::Snapshot, Duty::Directory];
-        shards.chain(single).chain(stewards).collect()
+        shards.chain(single).chain(coordinators).collect()
     }
 }
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -45,7 +45,7 @@
     for seed in 0..10 {
         let mut fleet = Fleet::with_nodes(seed, 5);
         fleet.run_ms(40_000 + seed * 317);
-        let duty = Duty::Steward(0);
+        let duty = Duty::Coordinator(0);
         let holder = fleet.running_holders(duty)[0];
         fleet.kill(holder);
         let took_ms = wait_for_holder(&mut fleet, duty, 20_000);
@@ -191,7 +191,7 @@
 /// and renews, just when another node takes the duty. At most one of them may believe in it.
 #[test]
 fn a_holder_wakes_as_its_duty_is_taken() {
-    let duty = Duty::Steward(1);
+    let duty = Duty::Coordinator(1);
     let mut taken = 0;
     for step in 0..60 {
         let mut fleet = Fleet::with_nodes(step, 3);
@@ -341,7 +341,7 @@
     assert!(ControlSettings::default().faults().is_empty());
     let settings = ControlSettings {
         shards: 1_000,
-        stewards: 0,
+        coordinators: 0,
         ttl_ms: SpanMs(2_000),
         ..ControlSettings::default()
     };
@@ -350,7 +350,7 @@
         1002 duties do not fit a record of 65536B
         a lease of 2000ms is too short for a margin of 1000ms
         a lease of 2000ms is too short for reading each 1000ms
-        at least one steward is needed"#]]
+        at least one coordinator is needed"#]]
     .assert_eq(&faults);
 }
 
@@ -358,7 +358,7 @@
 #[test]
 fn the_dump_of_a_node() {
     let mut fleet = Fleet::with_nodes(1, 0);
-    (fleet.settings.shards, fleet.settings.stewards) = (1, 1);
+    (fleet.settings.shards, fleet.settings.coordinators) = (1, 1);
     fleet.start_node();
     fleet.run_ms(5_000);
     let mut dump = fleet.dump(0);
--- a/crates/control/tests/measure.rs
+++ b/crates/control/tests/measure.rs
@@ -172,7 +172,7 @@
 }
 
 /// The processor time of one node's control and membership with 400 nodes and 1,800 engines
-/// known, all stewards' duties on it, which is the worst case. Printed only: it is real time.
+/// known, all coordinators' duties on it, which is the worst case. Printed only: it is real time.
 #[test]
 fn processor_time() {
     let mut fleet = Fleet::with_nodes(4, 1);
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -33,25 +33,25 @@
     (fleet, engines)
 }
 
-fn stewards_of(fleet: &Fleet) -> Vec<usize> {
-    let groups = (0..fleet.settings.stewards).map(Duty::Steward);
+fn coordinators_of(fleet: &Fleet) -> Vec<usize> {
+    let groups = (0..fleet.settings.coordinators).map(Duty::Coordinator);
     groups
         .flat_map(|duty| fleet.running_holders(duty))
         .collect()
 }
 
 /// The node that orders the engines: the one that has sent orders or read their states.
-fn steward(fleet: &mut Fleet) -> usize {
-    let found = stewards_of(fleet).into_iter().find(|index| {
+fn coordinator(fleet: &mut Fleet) -> usize {
+    let found = coordinators_of(fleet).into_iter().find(|index| {
         let group = group_of_writers();
-        fleet.believes(*index, Duty::Steward(group))
+        fleet.believes(*index, Duty::Coordinator(group))
     });
-    found.expect("a steward")
+    found.expect("a coordinator")
 }
 
 /// The group of the deployment `writers` among four.
 fn group_of_writers() -> u32 {
-    bluebell_control::steward::group_of(&"writers".into(), 4)
+    bluebell_control::coordinator::group_of(&"writers".into(), 4)
 }
 
 fn publish(fleet: &mut Fleet, base: u64, body: &Arc<str>) {
@@ -100,7 +100,7 @@
     }
 }
 
-/// An engine answers no order any more, but its state and so stays on the list. Its steward goes
+/// An engine answers no order any more, but its state and so stays on the list. Its coordinator goes
 /// on to show it the fencing number, and the other engines of the deployment never got their turn:
 /// a new version was loaded nowhere.
 #[test]
@@ -147,7 +147,7 @@
     fleet.run_ms(30_000);
     publish(&mut fleet, 1, &wants(2, true));
     fleet.run_ms(120_000);
-    let counts = fleet.steward_dump(0).counts;
+    let counts = fleet.coordinator_dump(0).counts;
     assert_eq!(
         (counts.loads, counts.loaded, counts.failed_loads),
         (3, 3, 0)
@@ -204,7 +204,7 @@
     }
 }
 
-/// Where a steward is paused in the course of an order.
+/// Where a coordinator is paused in the course of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PausedAt {
     /// While it waits for the weight store, before it checks its lease.
@@ -222,12 +222,12 @@
     in_effect_ms: u64,
 }
 
-/// A steward is paused in the middle of an order to load version 2, for a minute and more.
+/// A coordinator is paused in the middle of an order to load version 2, for a minute and more.
 /// Meanwhile another takes over, the operator changes to version `next` and all replicas come to
 /// serve that. Then the paused one goes on.
-fn paused_steward(seed: u64, at: PausedAt, checks: bool, next: u64) -> Wrong {
+fn paused_coordinator(seed: u64, at: PausedAt, checks: bool, next: u64) -> Wrong {
     let (mut fleet, engines) = fleet(seed, 3, 3, checks);
-    let old = steward(&mut fleet);
+    let old = coordinator(&mut fleet);
     pause_in_order(&mut fleet, &engines, old, at, checks);
     publish(&mut fleet, 2, &wants(next, checks));
     wait_for_takeover(&mut fleet);
@@ -241,7 +241,7 @@
     let end_ms = fleet.now_ms + SpanMs(60_000);
     assert!(
         fleet.run_until(end_ms, all_serve),
-        "the new steward brings all to it"
+        "the new coordinator brings all to it"
     );
     fleet.resume(old);
     let woke_ms = fleet.now_ms;
@@ -264,20 +264,20 @@
 }
 
 fn wait_for_takeover(fleet: &mut Fleet) {
-    let group = Duty::Steward(group_of_writers());
+    let group = Duty::Coordinator(group_of_writers());
     let end_ms = fleet.now_ms + SpanMs(30_000);
     let taken = |fleet: &mut Fleet| !fleet.running_holders(group).is_empty();
     assert!(fleet.run_until(end_ms, taken));
 }
 
-/// The order of a paused steward reaches an engine that checks nothing soon after another took
+/// The order of a paused coordinator reaches an engine that checks nothing soon after another took
 /// over. The new one has given no order to that engine before, so that nothing of its work is
 /// undone: it waited for as long as such orders may take.
 #[test]
 fn late_orders_are_waited_out() {
     for seed in 0..3 {
         let (mut fleet, engines) = fleet(seed, 3, 3, false);
-        let old = steward(&mut fleet);
+        let old = coordinator(&mut fleet);
         pause_in_order(&mut fleet, &engines, old, PausedAt::BeforeSend, false);
         publish(&mut fleet, 2, &wants(3, false));
         wait_for_takeover(&mut fleet);
@@ -294,16 +294,16 @@
     }
 }
 
-/// Publishes version 2 and pauses the steward at that step of its first order.
+/// Publishes version 2 and pauses the coordinator at that step of its first order.
 fn pause_in_order(
     fleet: &mut Fleet,
     engines: &[Engine],
-    steward: usize,
+    coordinator: usize,
     at: PausedAt,
     checks: bool,
 ) {
     if at == PausedAt::BeforeSend {
-        fleet.nodes[steward].send_ms.set(2_000);
+        fleet.nodes[coordinator].send_ms.set(2_000);
     }
     let lookups = fleet.model.borrow().stats().weight_lookups;
     publish(fleet, 1, &wants(2, checks));
@@ -311,19 +311,19 @@
     let reached = fleet.run_until(end_ms, |fleet| match at {
         // The store's answer is on its way and will be read first thing after the pause.
         PausedAt::BeforeCheck => fleet.model.borrow().stats().weight_lookups > lookups,
-        PausedAt::BeforeSend => fleet.steward_dump(steward).counts.loads > 0,
+        PausedAt::BeforeSend => fleet.coordinator_dump(coordinator).counts.loads > 0,
         PausedAt::AfterSend => engines.iter().any(|engine| !loads(engine).is_empty()),
     });
     assert!(reached);
-    fleet.pause(steward);
+    fleet.pause(coordinator);
 }
 
-/// An engine serves a version that no operator wants any more, since a steward that was replaced
+/// An engine serves a version that no operator wants any more, since a coordinator that was replaced
 /// woke up and its order went out late. Engines that check the fencing number refuse it, also
-/// where the new steward had nothing to order; for the others the new steward reads the state
+/// where the new coordinator had nothing to order; for the others the new coordinator reads the state
 /// back and repairs it.
 #[test]
-fn a_steward_paused_at_each_step() {
+fn a_coordinator_paused_at_each_step() {
     let steps = [
         PausedAt::BeforeCheck,
         PausedAt::BeforeSend,
@@ -332,7 +332,7 @@
     for checks in [true, false] {
         for (at, next) in steps.iter().flat_map(|at| [(*at, 3), (*at, 1)]) {
             for seed in 0..3 {
-                let wrong = paused_steward(seed, at, checks, next);
+                let wrong = paused_coordinator(seed, at, checks, next);
                 println!("checks {checks} paused {at:?} then {next} seed {seed}: {wrong:?}");
                 let unfenced = !checks && at == PausedAt::BeforeSend;
                 assert_eq!(
@@ -372,7 +372,7 @@
 fn memory_of_nobody_is_reclaimed() {
     let (mut fleet, engines) = fleet(5, 4, 2, true);
     let engine = &engines[0];
-    let owner = (0..4).find(|i| *i != steward(&mut fleet)).unwrap();
+    let owner = (0..4).find(|i| *i != coordinator(&mut fleet)).unwrap();
     let incarnation = fleet.nodes[owner].incarnation;
     let unknown = Incarnation(77);
     let kept = [
--- a/crates/control/tests/reducers.rs
+++ b/crates/control/tests/reducers.rs
@@ -243,7 +243,7 @@
         };
         match *step {
             LeaseStep::Take { node, duty, stale } => {
-                let duty = Duty::Steward(duty);
+                let duty = Duty::Coordinator(duty);
                 LeaseRecord::Take(Take {
                     op,
                     duty,
--- a/crates/control/tests/support/ask.rs
+++ b/crates/control/tests/support/ask.rs
@@ -3,11 +3,11 @@
 use super::*;
 
 impl Fleet {
-    pub fn steward_dump(&mut self, index: usize) -> StewardDump {
+    pub fn coordinator_dump(&mut self, index: usize) -> CoordinatorDump {
         let cell = Rc::new(RefCell::new(None));
         let slot = cell.clone();
         let ret = Ret::new(move |answer| *slot.borrow_mut() = answer);
-        call!([self.nodes[index].control], steward_dump(ret));
+        call!([self.nodes[index].control], coordinator_dump(ret));
         let now = self.local(self.nodes[index].rate);
         self.nodes[index].stakker.run(now, false);
         cell.take().expect("an answer")
--- a/crates/control/tests/support/engine.rs
+++ b/crates/control/tests/support/engine.rs
@@ -1,4 +1,4 @@
-//! An engine as its steward sees it, shared by all nodes. Orders leave a node some time after
+//! An engine as its coordinator sees it, shared by all nodes. Orders leave a node some time after
 //! they were handed over, on that node's clock, so that a pause can fall between.
 
 use bluebell_base::prelude::*;
@@ -236,11 +236,11 @@
     }
 
     fn generate(&self, _: &mut Core, _: Generate, _: Fwd<Event>) {
-        unreachable!("a steward generates nothing")
+        unreachable!("a coordinator generates nothing")
     }
 
     fn resume(&self, _: &mut Core, _: Resume, _: Fwd<Event>) {
-        unreachable!("a steward resumes nothing")
+        unreachable!("a coordinator resumes nothing")
     }
 
     fn cancel(
@@ -251,30 +251,30 @@
         _: Incarnation,
         _: Ret<Result<CancelAnswer, Error>>,
     ) {
-        unreachable!("a steward cancels nothing")
+        unreachable!("a coordinator cancels nothing")
     }
 
     fn lookup(&self, _: &mut Core, _: RequestId, _: Ret<Result<StreamState, Error>>) {
-        unreachable!("a steward looks nothing up")
+        unreachable!("a coordinator looks nothing up")
     }
 
     fn load(&self, _: &mut Core, _: Ret<Result<LoadReport, Error>>) {
-        unreachable!("a steward asks for no load")
+        unreachable!("a coordinator asks for no load")
     }
 
     fn cache_events(&self, _: &mut Core, _: u64, _: Ret<Result<CacheEvents, Error>>) {
-        unreachable!("a steward asks for no cache events")
+        unreachable!("a coordinator asks for no cache events")
     }
 
     fn reserve(&self, _: &mut Core, _: Reserve, _: Ret<Result<(), Error>>) {
-        unreachable!("a steward reserves nothing")
+        unreachable!("a coordinator reserves nothing")
     }
 
     fn release(&self, _: &mut Core, _: ReservationId, _: Incarnation, _: Ret<Result<(), Error>>) {
-        unreachable!("a steward releases nothing")
+        unreachable!("a coordinator releases nothing")
     }
 
     fn transfer(&self, _: &mut Core, _: RequestId, _: &Address, _: Ret<Result<Tokens, Error>>) {
-        unreachable!("a steward transfers nothing")
+        unreachable!("a coordinator transfers nothing")
     }
 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -13,8 +13,8 @@
 
 use bluebell_base::prelude::*;
 use bluebell_control::{
-    Control, ControlDump, ControlEvent, ControlPorts, ControlSettings, Duty, NodeIdentity,
-    Published, StewardDump,
+    Control, ControlDump, ControlEvent, ControlPorts, ControlSettings, CoordinatorDump, Duty,
+    NodeIdentity, Published,
 };
 use bluebell_members::{MemberEvent, Members, MembersDump, MembersPorts, MembersSettings};
 use bluebell_peers::{NodeCard, PeerAnswer, PeerCall, PeerPort};
--- a/crates/fleet/src/fanout/mod.rs
+++ b/crates/fleet/src/fanout/mod.rs
@@ -1,19 +1,19 @@
-//! To whom a node sends its news, so that all peers hear of it, and how long it gathers it.
+//! To whom a node sends its gossip, so that all peers hear of it, and how long it gathers it.
 //!
-//! Terms: a peer that gets news *through* another gets it from that one, its *relay*, which sends
+//! Terms: a peer that gets gossip *through* another gets it from that one, its *relay*, which sends
 //! it on to all peers of its own failure domain.
 //!
 //! Load pattern: hundreds of nodes tell each other of every placement, and what crosses failure
-//! domains is dear and shares their links. Sent by each of 195 nodes to each other, 0.35 GB of news
+//! domains is dear and shares their links. Sent by each of 195 nodes to each other, 0.35 GB of gossip
 //! crossed failure domains in 44 seconds of a calm day; through relays 0.05 GB in 48.
 //!
 //! Reason for the limits: one copy goes to each other failure domain and is spread there. Each node
 //! has a relay of its own in each domain, so that no node carries much more than others and a lost
-//! relay takes the news of few nodes with it; digests take another relay each time, so that what a
+//! relay takes the gossip of few nodes with it; digests take another relay each time, so that what a
 //! relay which is gone unnoticed lost is made up for by the next.
 //!
 //! Invariants: every peer is reached directly or is in the domain of exactly one relay; a relay is a
-//! peer that was heard lately; news passes one relay at most.
+//! peer that was heard lately; gossip passes one relay at most.
 
 mod timing;
 
@@ -27,7 +27,7 @@
 use crate::ledger::OwnerId;
 
 /// The most peers of another failure domain that each get a copy of their own: a relay for so few
-/// spares little, is a hop more, and one that dies takes news along. Chosen: with two in place of
+/// spares little, is a hop more, and one that dies takes gossip along. Chosen: with two in place of
 /// eight nothing differed on 72 paired days of six to nine nodes.
 const DIRECT_PEERS: usize = 8;
 
@@ -67,7 +67,7 @@
     },
 }
 
-/// One copy of a node's news.
+/// One copy of a node's gossip.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Route {
     /// For this peer alone.
--- a/crates/fleet/src/fanout/timing.rs
+++ b/crates/fleet/src/fanout/timing.rs
@@ -1,4 +1,4 @@
-//! How long a node gathers news.
+//! How long a node gathers gossip.
 //!
 //! Load pattern: each node takes in the datagrams of all others, so that what it spends on them grows
 //! with the fleet while its own requests don't.
@@ -11,16 +11,16 @@
 
 use bluebell_base::prelude::*;
 
-/// Up to how many nodes news is gathered for as short as it is anywhere.
+/// Up to how many nodes gossip is gathered for as short as it is anywhere.
 const FEW_NODES: u64 = 60;
 
-/// How often a digest goes out where nodes are few: the longest that lost news misleads a peer.
+/// How often a digest goes out where nodes are few: the longest that lost gossip misleads a peer.
 const DIGEST_EVERY_MS: SpanMs = SpanMs(500);
 
 /// The longest time between two digests: a peer counts as silent after two and a half of them.
 const LONGEST_DIGEST_EVERY_MS: SpanMs = SpanMs(1_000);
 
-/// How long news of work that got further is gathered where nodes are few: peers reckon with it until
+/// How long gossip of work that got further is gathered where nodes are few: peers reckon with it until
 /// then, which spares an engine for a moment too long. On 60 small nodes it took late short drafts
 /// from 449 to 348 of 3,467 (one calm day, processor time charged).
 const GATHER_MS: SpanMs = SpanMs(60);
@@ -33,7 +33,7 @@
     by_nodes(peers, DIGEST_EVERY_MS, LONGEST_DIGEST_EVERY_MS)
 }
 
-/// How long a node that has `peers` gathers news of work that got further.
+/// How long a node that has `peers` gathers gossip of work that got further.
 pub fn gather_for(peers: usize) -> SpanMs {
     by_nodes(peers, GATHER_MS, LONGEST_GATHER_MS)
 }
--- a/crates/fleet/src/freshness/mod.rs
+++ b/crates/fleet/src/freshness/mod.rs
@@ -51,7 +51,7 @@
 }
 
 impl ConfigFreshness {
-    /// A version was read, or a peer named it. Returns whether it is news.
+    /// A version was read, or a peer named it. Returns whether that is new.
     pub fn on_known(&mut self, version: ConfigVersion, now_ms: MonoMs) -> bool {
         if self.newest.is_some_and(|newest| newest.version >= version) {
             return false;
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -10,7 +10,7 @@
 //! Reason for the limits: what an engine has to do is kept as work comes and goes, so that a
 //! question costs by the engines that are reading and not by the work in flight.
 //!
-//! Invariants: an owner's work is changed by its own news only; work that its owner stopped telling
+//! Invariants: an owner's work is changed by its own gossip only; work that its owner stopped telling
 //! of expires; what is kept of an engine is what its work adds up to, see [`Ledger::verify`].
 
 mod load;
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Notes how far work is. Unknown work is left unknown, and work never goes back: news that was
+    /// Notes how far work is. Unknown work is left unknown, and work never goes back: gossip that was
     /// overtaken on its way says less than what is known.
     pub fn set_stage(&mut self, id: WorkId, stage: Stage) {
         let own = self.works.get_mut(&id.owner);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod ledger;
 pub mod limit;
 pub mod pace;
-pub mod patience;
 pub mod placement;
 pub mod reading;
 pub mod rendezvous;
@@ -31,6 +30,7 @@
 pub mod silence;
 pub mod stopping;
 pub mod urgency;
+pub mod waiting;
 
 /// What users of this package import.
 pub mod prelude {
@@ -40,10 +40,9 @@
     pub use crate::leaving::Leavers;
     pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
     pub use crate::limit::{
-        Admission, Heard, LimitChange, LimitTold, LimitWord, Limits, Nodes, Source,
+        Admission, Heard, LimitChange, LimitNotice, LimitSignal, Limits, Nodes, Source,
     };
     pub use crate::pace::{Pace, Paces};
-    pub use crate::patience::Patience;
     pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
     pub use crate::replicas::{
         Fingerprint, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState, ReplicaTable,
@@ -55,4 +54,5 @@
     };
     pub use crate::stopping::StopPlan;
     pub use crate::urgency::Urgency;
+    pub use crate::waiting::WaitTimeouts;
 }
--- a/crates/fleet/src/limit/mod.rs
+++ b/crates/fleet/src/limit/mod.rs
@@ -14,13 +14,13 @@
 //! older than what is known changes nothing.
 
 mod allowance;
+mod notice;
 mod share;
-mod told;
-mod word;
+mod signal;
 
+pub use notice::LimitNotice;
 pub use share::Nodes;
-pub use told::LimitTold;
-pub use word::LimitWord;
+pub use signal::LimitSignal;
 
 use allowance::Allowance;
 use bluebell_base::prelude::*;
@@ -33,7 +33,7 @@
 /// least each second, so they no longer know of it.
 const BELIEVED_MS: SpanMs = SpanMs(10_000);
 
-/// How long the end of a limit is remembered and told: older news of the limit is on its way for less.
+/// How long the end of a limit is remembered and told: older gossip of the limit is on its way for less.
 const END_REMEMBERED_MS: SpanMs = SpanMs(10_000);
 
 /// How long shares are used before the nodes are looked through again.
@@ -48,7 +48,7 @@
     /// The answer to a request of a caller.
     Answer,
     /// The answer to a look at the replica.
-    Look,
+    Probe,
     /// The answer to an order.
     Order,
 }
@@ -58,7 +58,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Source::Answer => "answer",
-            Source::Look => "look",
+            Source::Probe => "probe",
             Source::Order => "order",
         }
     }
@@ -68,7 +68,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Heard {
     /// What it says.
-    pub word: LimitWord,
+    pub word: LimitSignal,
     /// What was answered.
     pub source: Source,
     /// When that was sent.
@@ -105,7 +105,7 @@
     /// When this node last heard of the limit, from the replica or from a peer.
     heard_ms: MonoMs,
     /// Whether answers to looks name it as well, so that one without it ends it.
-    looks_name: bool,
+    probes_name: bool,
     allowance: Allowance,
     share: Option<Share>,
 }
@@ -146,17 +146,17 @@
         now_ms: MonoMs,
     ) -> Option<LimitChange> {
         match heard.word {
-            LimitWord::Named(rate) => {
-                let looks_name = heard.source == Source::Look;
-                self.name(key, rate, now_ms, looks_name, now_ms)
+            LimitSignal::Named(rate) => {
+                let probes_name = heard.source == Source::Probe;
+                self.name(key, rate, now_ms, probes_name, now_ms)
             }
-            LimitWord::Unnamed => self.unname(key, heard, now_ms),
-            LimitWord::Unreadable => None,
+            LimitSignal::Unnamed => self.unname(key, heard, now_ms),
+            LimitSignal::Unreadable => None,
         }
     }
 
     /// A peer told of a limit, or of its end; returns what changed.
-    pub fn on_told(&mut self, told: &LimitTold, now_ms: MonoMs) -> Option<LimitChange> {
+    pub fn on_notified(&mut self, told: &LimitNotice, now_ms: MonoMs) -> Option<LimitChange> {
         let at_ms = told.at_ms(now_ms);
         let known = self.known.get_mut(&told.replica);
         let known_ms = known.as_ref().map(|limit| limit.named_ms);
@@ -170,7 +170,7 @@
         };
         if let Some(limit) = known {
             limit.heard_ms = now_ms;
-            limit.looks_name |= told.looks_name;
+            limit.probes_name |= told.probes_name;
         }
         if known_ms
             .max(ended_ms)
@@ -178,7 +178,7 @@
         {
             return None;
         }
-        self.name(told.replica, rate, at_ms, told.looks_name, now_ms)
+        self.name(told.replica, rate, at_ms, told.probes_name, now_ms)
     }
 
     fn name(
@@ -186,7 +186,7 @@
         key: ReplicaKey,
         rate: PerSecond,
         named_ms: MonoMs,
-        looks_name: bool,
+        probes_name: bool,
         now_ms: MonoMs,
     ) -> Option<LimitChange> {
         self.ended.remove(&key);
@@ -200,7 +200,7 @@
             named_ms,
             answered_ms: named_ms,
             heard_ms: now_ms,
-            looks_name: looks_name || before.is_some_and(|limit| limit.looks_name),
+            probes_name: probes_name || before.is_some_and(|limit| limit.probes_name),
             allowance: before.map_or(Allowance::none(now_ms), |limit| limit.allowance),
             share: before.and_then(|limit| limit.share),
         };
@@ -216,7 +216,7 @@
         limit.heard_ms = now_ms;
         let tells = match heard.source {
             Source::Answer => true,
-            Source::Look => limit.looks_name,
+            Source::Probe => limit.probes_name,
             Source::Order => false,
         };
         let newer = heard.sent_ms > limit.named_ms;
@@ -273,7 +273,7 @@
 
     /// Whether a replica is to be looked at: always without a limit; with one only where nothing else
     /// was heard of it for a while and a request may be sent.
-    pub fn admits_look(&self, key: ReplicaKey, now_ms: MonoMs) -> bool {
+    pub fn admits_probe(&self, key: ReplicaKey, now_ms: MonoMs) -> bool {
         let Some(limit) = self.known.get(&key) else {
             return true;
         };
@@ -282,27 +282,27 @@
     }
 
     /// What is told again of this replica: its limit, or that it has ended.
-    pub fn tell(&self, key: ReplicaKey, now_ms: MonoMs) -> Option<LimitTold> {
+    pub fn tell(&self, key: ReplicaKey, now_ms: MonoMs) -> Option<LimitNotice> {
         if let Some(limit) = self.known.get(&key) {
             let age_ms = now_ms.since(limit.named_ms);
-            return Some(LimitTold {
+            return Some(LimitNotice {
                 replica: key,
                 rate: Some(limit.rate),
                 age_ms,
-                looks_name: limit.looks_name,
+                probes_name: limit.probes_name,
             });
         }
         let end = self.ended.get(&key)?;
-        Some(LimitTold {
+        Some(LimitNotice {
             replica: key,
             rate: None,
             age_ms: now_ms.since(end.at_ms),
-            looks_name: false,
+            probes_name: false,
         })
     }
 
     /// All that this node tells again with its digests.
-    pub fn tell_again(&self, now_ms: MonoMs) -> Vec<LimitTold> {
+    pub fn notify_again(&self, now_ms: MonoMs) -> Vec<LimitNotice> {
         let limits = self.known.iter().filter(|(_, limit)| limit.tells());
         let ends = self.ended.iter().filter(|(_, end)| end.tells);
         let keys = limits.map(|(key, _)| *key).chain(ends.map(|(key, _)| *key));
--- a/crates/fleet/src/limit/word.rs
+++ b/crates/fleet/src/limit/signal.rs
@@ -4,7 +4,7 @@
 
 /// What an answer says of how many requests its replica takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum LimitWord {
+pub enum LimitSignal {
     /// So many from all nodes together.
     Named(PerSecond),
     /// It names no limit.
@@ -13,7 +13,7 @@
     Unreadable,
 }
 
-impl LimitWord {
+impl LimitSignal {
     /// Reads the text with which an answer names its limit.
     pub fn read(text: &str) -> Self {
         let rate = text.trim().parse();
--- a/crates/fleet/src/pace/mod.rs
+++ b/crates/fleet/src/pace/mod.rs
@@ -21,7 +21,7 @@
 
 /// How often an engine is looked at. Looks are priced like probes: with one a second, 69 engines
 /// cost about a thousandth of what their answers are worth.
-pub const LOOK_EVERY_MS: SpanMs = SpanMs(1_000);
+pub const PROBE_EVERY_MS: SpanMs = SpanMs(1_000);
 
 /// How long a word about an engine counts: two lost looks don't end it.
 const BELIEVED_MS: SpanMs = SpanMs(3_500);
@@ -94,7 +94,7 @@
 }
 
 impl Paces {
-    /// An engine's pace was seen; returns whether that is news.
+    /// An engine's pace was seen; returns whether that is new.
     pub fn note(&mut self, key: ReplicaKey, pace: Pace, now_ms: MonoMs) -> bool {
         let before = self.of(key, now_ms);
         match pace.is_slow() {
@@ -126,6 +126,6 @@
 }
 
 /// Whether `own` is the one of the nodes that looks at an engine.
-pub fn looks(own: OwnerId, peers: &[OwnerId], engine: ReplicaKey) -> bool {
+pub fn probes(own: OwnerId, peers: &[OwnerId], engine: ReplicaKey) -> bool {
     rendezvous::place(own, peers, engine) == 0
 }
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -11,8 +11,8 @@
 use super::{Demand, Fleet, Placement, Prices, Refusal, memory};
 use crate::engine::EngineSpec;
 use crate::ledger::WorkId;
-use crate::patience::Patience;
 use crate::replicas::ReplicaKey;
+use crate::waiting::WaitTimeouts;
 use bluebell_base::prelude::*;
 use rustc_hash::FxHashMap;
 
@@ -106,7 +106,7 @@
 fn allowed(asked: &Asked<'_>, first_event_ms: f64) -> f64 {
     let first_event_ms = SpanMs(first_event_ms as u64);
     let target_ms = SpanMs(asked.demand.target_ms as u64);
-    let expected = Patience::readiness_gained(first_event_ms, target_ms);
+    let expected = WaitTimeouts::readiness_gained(first_event_ms, target_ms);
     asked.weight * (asked.demand.readiness + expected).min(1.0)
 }
 
--- a/crates/fleet/src/placement/spread.rs
+++ b/crates/fleet/src/placement/spread.rs
@@ -24,7 +24,7 @@
 /// meet on one engine the second is late. Chosen; other values were not tried.
 const LONG_SPREAD_WEIGHT: f64 = 0.5;
 
-/// How long other nodes' placements stay unknown: news is gathered for some ms, crosses failure
+/// How long other nodes' placements stay unknown: gossip is gathered for some ms, crosses failure
 /// domains and is passed on there. On 195 nodes it took 2 to 8 ms.
 const UNKNOWN_MS: f64 = 10.0;
 
--- a/crates/fleet/src/reading/mod.rs
+++ b/crates/fleet/src/reading/mod.rs
@@ -1,7 +1,7 @@
 //! How long a node's read of the directory stays open.
 //!
 //! Load pattern: the directory answers an open read as soon as there is something new, so a read
-//! only costs where it ends without news; but a connection can fall silent, and then its read never
+//! only costs where it ends without an update; but a connection can fall silent, and then its read never
 //! ends, at all nodes at once where the directory itself lost them.
 //!
 //! Reason for the limits: nodes that hear each other tell of what is new. It is enough that some
@@ -42,6 +42,6 @@
 }
 
 /// Whether a node that hears `peers` may leave it to them to notice what is new.
-pub fn is_told(peers: usize) -> bool {
+pub fn is_notified(peers: usize) -> bool {
     peers >= HEARD_PEERS
 }
--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -1,4 +1,4 @@
-//! The table of all known replicas, changed by the directory's news.
+//! The table of all known replicas, changed by the directory's updates.
 //!
 //! Invariants: see [`super`]; a change that was taken in before changes nothing.
 
--- a/crates/fleet/src/rest/mod.rs
+++ b/crates/fleet/src/rest/mod.rs
@@ -73,7 +73,7 @@
 pub struct Rests(FxHashMap<ReplicaKey, Rest>);
 
 impl Rests {
-    /// A replica turned a request away. Returns its rest where that is news.
+    /// A replica turned a request away. Returns its rest where that is new.
     pub fn on_turned_away(
         &mut self,
         key: ReplicaKey,
--- a/crates/fleet/src/patience/mod.rs
+++ b/crates/fleet/src/waiting/mod.rs
@@ -41,14 +41,14 @@
 
 /// How long a request waits, and for how long its caller does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Patience {
+pub struct WaitTimeouts {
     /// The longest wait at the node.
     pub longest_ms: SpanMs,
     /// How long the caller waits for a first event.
     pub silence_ms: SpanMs,
 }
 
-impl Patience {
+impl WaitTimeouts {
     /// The patience of a request with this target and this longest pause.
     pub fn of(target_ms: SpanMs, gap_ms: SpanMs) -> Self {
         let targets_ms = SpanMs(target_ms.0 * TARGETS);
--- a/crates/fleet/tests/fanout.rs
+++ b/crates/fleet/tests/fanout.rs
@@ -1,4 +1,4 @@
-//! Who hears a node's news.
+//! Who hears a node's gossip.
 
 use bluebell_base::prelude::*;
 use bluebell_fleet::fanout::{
@@ -29,7 +29,7 @@
 
 const DIGEST: Telling = Telling::Digest { draw: 7 };
 
-/// Who hears news that goes by these routes, and how often.
+/// Who hears gossip that goes by these routes, and how often.
 fn heard(nodes: &[Listener], own: OwnerId, routes: &[Route]) -> BTreeMap<OwnerId, u32> {
     let mut heard = BTreeMap::new();
     for route in routes {
@@ -48,8 +48,8 @@
     heard
 }
 
-/// Two nodes choose the same engine, again and again. One of them never hears the other's news, since each
-/// third node took it for the business of some relay. Every peer hears all news, once where nothing is known to
+/// Two nodes choose the same engine, again and again. One of them never hears the other's gossip, since each
+/// third node took it for the business of some relay. Every peer hears all gossip, once where nothing is known to
 /// be wrong with it, whoever is silent and whose failure domain isn't known yet.
 #[test]
 fn every_peer_hears_all_news() {
@@ -99,7 +99,7 @@
     }
 }
 
-/// One small node is late with everything. It passed on the news of all others to its failure domain: relays
+/// One small node is late with everything. It passed on the gossip of all others to its failure domain: relays
 /// are spread over the nodes of a domain.
 #[test]
 fn no_node_is_the_relay_of_many() {
@@ -163,7 +163,7 @@
     assert_eq!(told.len(), 19);
 }
 
-/// Small nodes of a large fleet spend their time on taking in what all others tell. News is gathered for longer
+/// Small nodes of a large fleet spend their time on taking in what all others tell. Gossip is gathered for longer
 /// where nodes are many, and a lost digest still doesn't make a peer seem gone.
 #[test]
 fn news_is_gathered_for_longer_where_nodes_are_many() {
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -78,7 +78,7 @@
     assert!(ledger.is_empty());
 }
 
-/// News comes twice, or a digest repeats it: the engine's backlog must not double.
+/// Gossip comes twice, or a digest repeats it: the engine's backlog must not double.
 #[test]
 fn known_work_is_not_queued_again() {
     let mut ledger = Ledger::default();
@@ -229,7 +229,7 @@
 
 proptest! {
     /// A node takes an idle engine for full for as long as it runs. What it keeps of each engine is
-    /// changed by every piece of news, in any order, and one that isn't taken back leaves a rest.
+    /// changed by every piece of gossip, in any order, and one that isn't taken back leaves a rest.
     #[test]
     fn what_is_kept_of_engines_is_what_their_work_adds_up_to(
         steps in proptest::collection::vec(any_step(), 1..120),
--- a/crates/fleet/tests/limit.rs
+++ b/crates/fleet/tests/limit.rs
@@ -21,7 +21,7 @@
     OwnerId((n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
-fn answered(word: LimitWord, sent_ms: u64) -> Heard {
+fn answered(word: LimitSignal, sent_ms: u64) -> Heard {
     Heard {
         word,
         source: Source::Answer,
@@ -29,8 +29,8 @@
     }
 }
 
-fn named(rate: f64) -> LimitWord {
-    LimitWord::Named(PerSecond(rate))
+fn named(rate: f64) -> LimitSignal {
+    LimitSignal::Named(PerSecond(rate))
 }
 
 /// Nodes that all want to send at each moment, and hear only those of their own group.
@@ -172,7 +172,7 @@
         let from_ms = turn as u64 * 8_000;
         fleet.name(rate, from_ms);
         for limits in &mut fleet.limits {
-            let heard = answered(LimitWord::Unreadable, from_ms + 1);
+            let heard = answered(LimitSignal::Unreadable, from_ms + 1);
             assert_eq!(limits.on_answer(REPLICA, heard, MonoMs(from_ms + 1)), None);
         }
         fleet.sent_ms.clear();
@@ -191,10 +191,10 @@
     let at = MonoMs;
     let change = limits.on_answer(REPLICA, answered(named(1.0), 50), at(100));
     assert_eq!(change, Some(LimitChange::Named(PerSecond(1.0))));
-    let overtaken = answered(LimitWord::Unnamed, 90);
+    let overtaken = answered(LimitSignal::Unnamed, 90);
     assert_eq!(limits.on_answer(REPLICA, overtaken, at(120)), None);
     assert!(limits.is_limited(REPLICA));
-    let newer = answered(LimitWord::Unnamed, 110);
+    let newer = answered(LimitSignal::Unnamed, 110);
     let change = limits.on_answer(REPLICA, newer, at(130));
     assert_eq!(change, Some(LimitChange::Ended));
     assert_eq!(limits.admission(REPLICA, at(130)), Admission::Now);
@@ -204,40 +204,40 @@
 /// back at each look. A look ends a limit only where looks name it; orders never do.
 #[test]
 fn a_look_ends_only_what_looks_name() {
-    for (looks_name, source, ends) in [
-        (false, Source::Look, false),
-        (true, Source::Look, true),
+    for (probes_name, source, ends) in [
+        (false, Source::Probe, false),
+        (true, Source::Probe, true),
         (true, Source::Order, false),
         (false, Source::Answer, true),
     ] {
         let mut limits = Limits::default();
         limits.on_answer(REPLICA, answered(named(1.0), 0), MonoMs(10));
-        if looks_name {
+        if probes_name {
             let look = Heard {
-                source: Source::Look,
+                source: Source::Probe,
                 ..answered(named(1.0), 20)
             };
             limits.on_answer(REPLICA, look, MonoMs(30));
         }
         let silent = Heard {
             source,
-            ..answered(LimitWord::Unnamed, 40)
+            ..answered(LimitSignal::Unnamed, 40)
         };
         let change = limits.on_answer(REPLICA, silent, MonoMs(50));
         let expected = ends.then_some(LimitChange::Ended);
-        assert_eq!(change, expected, "{looks_name} {source:?}");
+        assert_eq!(change, expected, "{probes_name} {source:?}");
     }
 }
 
-/// News of a limit passes news of its end on the way, or comes twice. Whatever the order, the newest word
+/// Gossip of a limit passes gossip of its end on the way, or comes twice. Whatever the order, the newest word
 /// of the replica holds.
 #[test]
 fn the_newest_word_holds_whatever_comes_first() {
-    let told = |rate: Option<f64>, age_ms| LimitTold {
+    let told = |rate: Option<f64>, age_ms| LimitNotice {
         replica: REPLICA,
         rate: rate.map(PerSecond),
         age_ms: SpanMs(age_ms),
-        looks_name: false,
+        probes_name: false,
     };
     let words = [
         told(Some(1.0), 900),
@@ -249,19 +249,19 @@
         for second in 0..4 {
             let mut limits = Limits::default();
             for at in [first, second, 3, 2, 1, 0] {
-                limits.on_told(&words[at], MonoMs(1_000));
+                limits.on_notified(&words[at], MonoMs(1_000));
             }
             let known = limits.tell(REPLICA, MonoMs(1_000)).expect("it is known");
             assert_eq!(known.rate, Some(PerSecond(3.0)), "{first} {second}");
         }
     }
     let mut limits = Limits::default();
-    limits.on_told(&words[2], MonoMs(1_000));
-    assert_eq!(limits.on_told(&words[1], MonoMs(1_001)), None);
+    limits.on_notified(&words[2], MonoMs(1_000));
+    assert_eq!(limits.on_notified(&words[1], MonoMs(1_001)), None);
     assert!(limits.is_empty(), "an end that was told first holds");
 }
 
-/// The news that a limit has ended was lost on its way to one node, which sends nothing there and so never
+/// The gossip that a limit has ended was lost on its way to one node, which sends nothing there and so never
 /// hears it from the engine. It is told again for a while; and a limit of which nobody tells any more is
 /// forgotten, but by those that may send.
 #[test]
@@ -293,19 +293,19 @@
         known: heard.len(),
     };
     limits.share(&alone, MonoMs(0));
-    limits.on_answer(REPLICA, answered(LimitWord::Unnamed, 50), MonoMs(100));
-    let again = limits.tell_again(MonoMs(1_000));
+    limits.on_answer(REPLICA, answered(LimitSignal::Unnamed, 50), MonoMs(100));
+    let again = limits.notify_again(MonoMs(1_000));
     assert_eq!(again.len(), 1);
     assert_eq!((again[0].rate, again[0].age_ms), (None, SpanMs(900)));
     limits.expire(|_| true, MonoMs(20_000));
-    assert!(limits.tell_again(MonoMs(20_000)).is_empty());
+    assert!(limits.notify_again(MonoMs(20_000)).is_empty());
 }
 
 /// Looks alone took all that an engine had named. It is looked at only where nothing else is heard of it.
 #[test]
 fn a_limited_engine_is_looked_at_only_where_it_is_quiet() {
     let mut limits = Limits::default();
-    assert!(limits.admits_look(REPLICA, MonoMs(0)));
+    assert!(limits.admits_probe(REPLICA, MonoMs(0)));
     limits.on_answer(REPLICA, answered(named(1.0), 0), MonoMs(0));
     let alone = Nodes {
         own: owner(0),
@@ -315,14 +315,14 @@
     limits.share(&alone, MonoMs(0));
     let looked: BTreeMap<u64, bool> = [1_000, 3_000, 5_000]
         .into_iter()
-        .map(|at| (at, limits.admits_look(REPLICA, MonoMs(at))))
+        .map(|at| (at, limits.admits_probe(REPLICA, MonoMs(at))))
         .collect();
     assert_eq!(
         looked.into_values().collect::<Vec<_>>(),
         [false, false, true]
     );
     limits.on_sent(REPLICA, MonoMs(5_000));
-    assert!(!limits.admits_look(REPLICA, MonoMs(5_000)));
+    assert!(!limits.admits_probe(REPLICA, MonoMs(5_000)));
 }
 
 /// An engine started again, or left. What its earlier run named says nothing of the next.
--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -1,7 +1,7 @@
 //! How slow engines are, and who looks.
 
 use bluebell_base::prelude::*;
-use bluebell_fleet::pace::looks;
+use bluebell_fleet::pace::probes;
 use bluebell_fleet::prelude::*;
 
 /// Prompts wait for an engine that everyone takes to be sound: nobody looked at it, or its cost was
@@ -22,7 +22,7 @@
         };
         let looking = nodes
             .iter()
-            .filter(|own| looks(**own, &others(own), ReplicaKey(engine)));
+            .filter(|own| probes(**own, &others(own), ReplicaKey(engine)));
         looking.copied().collect()
     };
     let mut moved = 0;
@@ -38,7 +38,7 @@
     }
     assert!(moved < 10, "{moved}");
     assert!(
-        looks(nodes[0], &[], ReplicaKey(1)),
+        probes(nodes[0], &[], ReplicaKey(1)),
         "a node alone looks at all"
     );
 }
@@ -50,7 +50,7 @@
     let mut paces = Paces::default();
     let key = ReplicaKey(1);
     assert!(paces.note(key, Pace::new(4.0), MonoMs(1_000)));
-    assert!(!paces.note(key, Pace::new(4.0), MonoMs(2_000)), "no news");
+    assert!(!paces.note(key, Pace::new(4.0), MonoMs(2_000)), "no gossip");
     assert_eq!(paces.of(key, MonoMs(4_000)).times(), 4.0);
     assert_eq!(paces.of(key, MonoMs(6_000)), Pace::SOUND);
     assert!(paces.note(key, Pace::new(4.0), MonoMs(7_000)));
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -45,14 +45,14 @@
         24_000..110_000 => (1_500, 600),
         _ => (3_000, 1_000),
     };
-    let patience = Patience::of(SpanMs(target_ms), SpanMs(gap_ms));
+    let timeouts = WaitTimeouts::of(SpanMs(target_ms), SpanMs(gap_ms));
     Demand {
         prompt_tokens: Tokens(prompt_tokens),
         answer_tokens: Tokens(1_300),
         gap_ms: SpanMs(gap_ms),
         target_ms: target_ms as f64,
         target_left_ms: target_ms as f64,
-        silence_left_ms: patience.silence_ms.0 as f64,
+        silence_left_ms: timeouts.silence_ms.0 as f64,
         deadline_left_ms: 15_000.0,
         readiness: 1.0,
         begun: false,
--- a/crates/fleet/tests/sizes.rs
+++ b/crates/fleet/tests/sizes.rs
@@ -131,8 +131,8 @@
             tokens, arrived_ms, ..
         } = self.requests[at];
         let waited_ms = now_ms.since(arrived_ms);
-        let patience = Patience::of(TARGET_MS, GAP_MS);
-        let pressing = waited_ms >= patience.longest_ms;
+        let timeouts = WaitTimeouts::of(TARGET_MS, GAP_MS);
+        let pressing = waited_ms >= timeouts.longest_ms;
         let left_ms = |span_ms: u64| span_ms.saturating_sub(waited_ms.0) as f64;
         let demand = Demand {
             prompt_tokens: tokens,
@@ -140,9 +140,9 @@
             gap_ms: GAP_MS,
             target_ms: TARGET_MS.0 as f64,
             target_left_ms: left_ms(TARGET_MS.0),
-            silence_left_ms: left_ms(patience.silence_ms.0),
+            silence_left_ms: left_ms(timeouts.silence_ms.0),
             deadline_left_ms: left_ms(15_000),
-            readiness: Patience::readiness(waited_ms, TARGET_MS),
+            readiness: WaitTimeouts::readiness(waited_ms, TARGET_MS),
             begun: false,
             pressing,
         };
@@ -151,7 +151,7 @@
         match place_engine(&self.spec, &fleet, &demand) {
             Ok(placement) => self.begin(at, placement, now_ms),
             Err(Refusal::Overloaded { cost_pct, .. })
-                if !pressing && Patience::may_help(cost_pct) => {}
+                if !pressing && WaitTimeouts::may_help(cost_pct) => {}
             Err(Refusal::NoRoom { .. }) if !pressing => {}
             Err(_) => self.requests[at].placed = Some(false),
         }
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -61,14 +61,14 @@
 
 /// Chooses a replica that isn't in `avoid`; waits for one for as long as that may help.
 pub(super) async fn choose_waiting(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
-    let patience = call.patience();
+    let timeouts = call.wait_timeouts();
     let look_ms = LOOK_EVERY_MS.max(SpanMs(call.route.target_ms.0 / LOOKS));
     loop {
         let waited_ms = call.age_ms();
-        let over = waited_ms >= patience.longest_ms;
+        let over = waited_ms >= timeouts.longest_ms;
         let pressing = if over { Pressing::Waited } else { Pressing::No };
         let refusal = match choose_now(call, avoid, pressing) {
-            Err(refusal) if !over && may_pass(&refusal, patience.longest_ms, waited_ms) => refusal,
+            Err(refusal) if !over && may_pass(&refusal, timeouts.longest_ms, waited_ms) => refusal,
             result => return result,
         };
         if call.left_ms() <= look_ms {
@@ -87,7 +87,7 @@
             here,
         } => *here && waited_ms.0 + retry_after_ms.0 < longest_ms.0,
         Refusal::NoRoom { .. } => true,
-        Refusal::Overloaded { cost_pct, .. } => Patience::may_help(*cost_pct),
+        Refusal::Overloaded { cost_pct, .. } => WaitTimeouts::may_help(*cost_pct),
         Refusal::NoReplica | Refusal::TooLong | Refusal::Quarantined { .. } => false,
     }
 }
@@ -329,7 +329,7 @@
         target_left_ms: target_at_ms.since(now_ms).0 as f64,
         silence_left_ms: call.silence_left_ms().0 as f64,
         deadline_left_ms: call.deadline_ms.since(now_ms).0 as f64,
-        readiness: Patience::readiness(call.age_ms(), call.route.target_ms),
+        readiness: WaitTimeouts::readiness(call.age_ms(), call.route.target_ms),
         begun: pressing == Pressing::Begun,
         pressing: pressing != Pressing::No,
     }
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -79,12 +79,12 @@
     }
 
     /// How long it may wait at the node for a place.
-    pub fn patience(&self) -> Patience {
+    pub fn wait_timeouts(&self) -> WaitTimeouts {
         let gap_ms = match self.route.kind {
             RouteKind::Stream { gap_ms, .. } => gap_ms,
             RouteKind::Idempotent | RouteKind::AtMostOnce => SpanMs::ZERO,
         };
-        Patience::of(self.route.target_ms, gap_ms)
+        WaitTimeouts::of(self.route.target_ms, gap_ms)
     }
 
     /// How urgent it is: the account's rank goes before the route's.
@@ -96,7 +96,7 @@
 
     /// The time left until its caller gives up waiting for a first event.
     pub fn silence_left_ms(&self) -> SpanMs {
-        (self.arrived_ms + self.patience().silence_ms).since(self.node.now_ms())
+        (self.arrived_ms + self.wait_timeouts().silence_ms).since(self.node.now_ms())
     }
 
     /// The time left to its deadline.
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -258,7 +258,7 @@
 /// surely the replica's own says by its silence that a limit has ended.
 fn note_signals(call: &Call, key: ReplicaKey, head: &AnswerHead, sent_ms: MonoMs) {
     let own = head.answers && (head.signed || head.not_run);
-    if own || head.signals.limit != LimitWord::Unnamed {
+    if own || head.signals.limit != LimitSignal::Unnamed {
         signals::on_answer(&call.node, key, &head.signals, Source::Answer, sent_ms);
     } else if head.answers || head.not_run {
         signals::note(&call.node, key, &head.signals);
@@ -286,7 +286,7 @@
         health.on_symptom(symptom, now_ms).then_some(instance)
     });
     if let Some(instance) = doubted {
-        node.outbox.doubted(key, DOUBT_TOLD_MS);
+        node.outbox.doubted(key, DOUBT_NOTIFIED_MS);
         node.journal.tell(&Event::ReplicaDoubted {
             instance,
             why: why.into(),
@@ -295,7 +295,7 @@
 }
 
 /// How long peers doubt a replica that this node doubts: the first pause of its own.
-const DOUBT_TOLD_MS: SpanMs = SpanMs(1_000);
+const DOUBT_NOTIFIED_MS: SpanMs = SpanMs(1_000);
 
 /// Takes down a failed try.
 pub(super) fn note_failure(call: &Call, chosen: &Chosen, attempt: u32, error: &TryError) {
--- a/crates/front/src/news/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -1,7 +1,7 @@
 //! The datagrams, encoded by `postcard`.
 
 use super::DATAGRAM_BYTES;
-use super::replicas::ReplicasNews;
+use super::replicas::ReplicasGossip;
 use crate::outside::Era;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
@@ -19,10 +19,10 @@
     format: u8,
     /// Whether whoever gets it sends it on to all peers of its failure domain.
     pub pass_on: bool,
-    /// The node whose news it is, which isn't always the one that it comes from.
+    /// The node whose gossip it is, which isn't always the one that it comes from.
     pub origin: Origin,
     /// What it tells.
-    pub news: Vec<News>,
+    pub gossip: Vec<Gossip>,
 }
 
 /// A node, as its datagrams name it.
@@ -30,17 +30,17 @@
 pub(super) struct Origin {
     /// Its run.
     pub owner: u64,
-    /// Where it takes news.
+    /// Where it takes gossip.
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: Arc<str>,
 }
 
-/// One piece of news.
+/// One piece of gossip.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(super) enum News {
+pub(super) enum Gossip {
     /// Work was placed.
-    Placed(WorkNews),
+    Placed(WorkGossip),
     /// Work got further.
     Stage { sequence: u32, late: bool },
     /// Work has ended.
@@ -49,7 +49,7 @@
     Digest {
         from: u32,
         to: u32,
-        works: Vec<WorkNews>,
+        works: Vec<WorkGossip>,
     },
     /// A replica failed and is doubted for so long.
     Doubted { replica: u32, for_ms: u32 },
@@ -58,7 +58,7 @@
     /// A request ends replicas, or doesn't.
     Request(Told),
     /// A replica takes so many requests a second from all nodes together, or any number.
-    Limit(LimitNews),
+    Limit(LimitGossip),
     /// An answer of a replica says that it leaves.
     Leaving { replica: u32 },
     /// The directory answers the sender again.
@@ -68,12 +68,12 @@
     /// The sender has seen this version of the configuration.
     Config { version: u64 },
     /// The sender has just read the directory's replicas.
-    Replicas(ReplicasNews),
+    Replicas(ReplicasGossip),
 }
 
 /// Work, as peers need to know it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(super) struct WorkNews {
+pub(super) struct WorkGossip {
     pub sequence: u32,
     first: u32,
     helpers: Vec<u32>,
@@ -83,11 +83,11 @@
     prompt_tokens: u32,
     part_ms: f32,
     gap_ms: u32,
-    /// From when the news was sent; below 0 where it is late.
+    /// From when the gossip was sent; below 0 where it is late.
     due_in_ms: i32,
 }
 
-impl WorkNews {
+impl WorkGossip {
     /// Describes own work.
     pub fn of(sequence: u32, work: &Work, now_ms: MonoMs) -> Self {
         Self {
@@ -138,31 +138,31 @@
 
 /// What a replica said of its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub(super) struct LimitNews {
+pub(super) struct LimitGossip {
     replica: u32,
     rate_per_s: Option<f64>,
     age_ms: u32,
-    looks_name: bool,
+    probes_name: bool,
 }
 
-impl From<LimitTold> for LimitNews {
-    fn from(told: LimitTold) -> Self {
+impl From<LimitNotice> for LimitGossip {
+    fn from(told: LimitNotice) -> Self {
         Self {
             replica: told.replica.0,
             rate_per_s: told.rate.map(|rate| rate.0),
             age_ms: told.age_ms.0.min(u64::from(u32::MAX)) as u32,
-            looks_name: told.looks_name,
+            probes_name: told.probes_name,
         }
     }
 }
 
-impl From<LimitNews> for LimitTold {
-    fn from(news: LimitNews) -> Self {
+impl From<LimitGossip> for LimitNotice {
+    fn from(gossip: LimitGossip) -> Self {
         Self {
-            replica: ReplicaKey(news.replica),
-            rate: news.rate_per_s.map(PerSecond),
-            age_ms: SpanMs(u64::from(news.age_ms)),
-            looks_name: news.looks_name,
+            replica: ReplicaKey(gossip.replica),
+            rate: gossip.rate_per_s.map(PerSecond),
+            age_ms: SpanMs(u64::from(gossip.age_ms)),
+            probes_name: gossip.probes_name,
         }
     }
 }
@@ -184,18 +184,18 @@
     }
 }
 
-/// Packs news into as few datagrams as fit.
-pub(super) fn pack(origin: &Origin, news: Vec<News>) -> Vec<Datagram> {
+/// Packs gossip into as few datagrams as fit.
+pub(super) fn pack(origin: &Origin, gossip: Vec<Gossip>) -> Vec<Datagram> {
     let whole = Datagram {
         format: FORMAT,
         pass_on: false,
         origin: origin.clone(),
-        news,
+        gossip,
     };
-    if whole.encode(true).len() <= DATAGRAM_BYTES || whole.news.len() < 2 {
+    if whole.encode(true).len() <= DATAGRAM_BYTES || whole.gossip.len() < 2 {
         return vec![whole];
     }
-    let mut left = whole.news;
+    let mut left = whole.gossip;
     let right = left.split_off(left.len() / 2);
     let mut packed = pack(origin, left);
     packed.extend(pack(origin, right));
@@ -206,18 +206,18 @@
 const DIGEST_WORKS: usize = 12;
 
 /// Makes the digest of all own work, in parts that fit a datagram each.
-pub(super) fn digest(mut works: Vec<WorkNews>) -> Vec<News> {
+pub(super) fn digest(mut works: Vec<WorkGossip>) -> Vec<Gossip> {
     works.sort_unstable_by_key(|work| work.sequence);
-    let mut parts: Vec<News> = Vec::new();
+    let mut parts: Vec<Gossip> = Vec::new();
     let mut from = 0;
     while works.len() > DIGEST_WORKS {
         let rest = works.split_off(DIGEST_WORKS);
         let to = rest[0].sequence - 1;
-        parts.push(News::Digest { from, to, works });
+        parts.push(Gossip::Digest { from, to, works });
         from = to + 1;
         works = rest;
     }
-    parts.push(News::Digest {
+    parts.push(Gossip::Digest {
         from,
         to: u32::MAX,
         works,
--- a/crates/front/src/news/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -1,14 +1,14 @@
 //! What nodes tell each other: the work that each has placed on engines, so that all place theirs
 //! around it.
 //!
-//! Terms: *news* is one change; a *digest* lists all of a node's work, so that lost news is made up
+//! Terms: *gossip* is one change; a *digest* lists all of a node's work, so that lost gossip is made up
 //! for; a *peer* is a node that was heard of.
 //!
-//! Invariants: news is advice only, and a node that hears nobody serves all the same; a datagram
+//! Invariants: gossip is advice only, and a node that hears nobody serves all the same; a datagram
 //! that can't be read changes nothing.
 //!
 //! Load pattern: a burst of requests arrives at all nodes at once; a node that doesn't know what the
-//! others have just placed sends its own to the same engines. So news goes out at once, gathered
+//! others have just placed sends its own to the same engines. So gossip goes out at once, gathered
 //! over [`GATHER_MS`] only.
 
 mod message;
@@ -23,7 +23,7 @@
 
 use bluebell_base::prelude::*;
 
-/// How long news is gathered into one datagram. Peers are a few ms apart, so less would hardly make
+/// How long gossip is gathered into one datagram. Peers are a few ms apart, so less would hardly make
 /// it fresher.
 const GATHER_MS: SpanMs = SpanMs(2);
 
--- a/crates/front/src/news/outbox.rs
+++ b/crates/front/src/gossip/outbox.rs
@@ -1,9 +1,9 @@
-//! News that waits to be sent, and the peers that get it.
+//! Gossip that waits to be sent, and the peers that get it.
 
-use super::message::{News, Origin};
+use super::message::{Gossip, Origin};
 use super::{PEER_FORGOTTEN_MS, PEER_SILENT_MS};
 use crate::outside::Era;
-use crate::watch::ReplicasTold;
+use crate::watch::ReplicasNotice;
 use bluebell_base::prelude::*;
 use bluebell_fleet::fanout::{self, Listener, Presence, Route, Telling};
 use bluebell_fleet::prelude::*;
@@ -39,10 +39,10 @@
     Known,
 }
 
-/// News that waits, and the peers.
+/// Gossip that waits, and the peers.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    waiting: RefCell<Vec<News>>,
+    waiting: RefCell<Vec<Gossip>>,
     peers: RefCell<FxHashMap<OwnerId, Peer>>,
     /// Something waits that peers must hear at once.
     pub(super) urgent: Notify,
@@ -51,41 +51,41 @@
 }
 
 impl Outbox {
-    fn push(&self, news: News) {
-        self.waiting.borrow_mut().push(news);
+    fn push(&self, gossip: Gossip) {
+        self.waiting.borrow_mut().push(gossip);
         self.urgent.notify_one();
     }
 
-    fn push_patient(&self, news: News) {
-        self.waiting.borrow_mut().push(news);
+    fn push_patient(&self, gossip: Gossip) {
+        self.waiting.borrow_mut().push(gossip);
         self.patient.notify_one();
     }
 
     /// Tells that work was placed.
     pub fn placed(&self, sequence: u32, work: &Work, now_ms: MonoMs) {
-        let news = super::message::WorkNews::of(sequence, work, now_ms);
-        self.push(News::Placed(news));
+        let gossip = super::message::WorkGossip::of(sequence, work, now_ms);
+        self.push(Gossip::Placed(gossip));
     }
 
     /// Tells that work writes, on time or late. Of a prompt that one engine read that goes along with
     /// whatever is told next: peers reckon when it is read, and are seldom far off.
     pub fn stage(&self, sequence: u32, stage: Stage, shared: bool) {
         let late = stage == Stage::Late;
-        let news = News::Stage { sequence, late };
+        let gossip = Gossip::Stage { sequence, late };
         match shared {
-            true => self.push_patient(news),
-            false => self.waiting.borrow_mut().push(news),
+            true => self.push_patient(gossip),
+            false => self.waiting.borrow_mut().push(gossip),
         }
     }
 
     /// Tells that work has ended.
     pub fn ended(&self, sequence: u32) {
-        self.push_patient(News::Ended { sequence });
+        self.push_patient(Gossip::Ended { sequence });
     }
 
     /// Tells that a replica is doubted.
     pub fn doubted(&self, key: ReplicaKey, for_ms: SpanMs) {
-        self.push(News::Doubted {
+        self.push(Gossip::Doubted {
             replica: key.0,
             for_ms: for_ms.0 as u32,
         });
@@ -93,7 +93,7 @@
 
     /// Tells how slow an engine is.
     pub fn pace(&self, key: ReplicaKey, pace: Pace) {
-        self.push(News::Pace {
+        self.push(Gossip::Pace {
             replica: key.0,
             pace_pct: (pace.times() * 100.0) as u32,
         });
@@ -101,37 +101,37 @@
 
     /// Tells what is known of a request that ends replicas.
     pub fn request(&self, told: Told) {
-        self.push(News::Request(told));
+        self.push(Gossip::Request(told));
     }
 
     /// Tells what a replica said of its limit.
-    pub fn limit(&self, told: LimitTold) {
-        self.push(News::Limit(told.into()));
+    pub fn limit(&self, told: LimitNotice) {
+        self.push(Gossip::Limit(told.into()));
     }
 
     /// Notifies peers that an answer of a replica says that it leaves.
     pub fn leaving(&self, key: ReplicaKey) {
-        self.push(News::Leaving { replica: key.0 });
+        self.push(Gossip::Leaving { replica: key.0 });
     }
 
     /// Notifies peers that the directory answers again.
     pub fn directory_back(&self) {
-        self.push(News::DirectoryBack);
+        self.push(Gossip::DirectoryBack);
     }
 
     /// Tells that the directory's history is another.
     pub fn era(&self, era: Era) {
-        self.push(News::Era(era));
+        self.push(Gossip::Era(era));
     }
 
     /// Tells which configuration is known.
     pub fn config(&self, version: ConfigVersion) {
-        self.push(News::Config { version: version.0 });
+        self.push(Gossip::Config { version: version.0 });
     }
 
     /// Tells that the directory's replicas were read.
-    pub fn replicas(&self, told: ReplicasTold) {
-        self.push(News::Replicas(told.into()));
+    pub fn replicas(&self, told: ReplicasNotice) {
+        self.push(Gossip::Replicas(told.into()));
     }
 
     /// How many peers are there now.
@@ -192,11 +192,11 @@
     }
 
     /// Takes what waits.
-    pub(super) fn take(&self) -> Vec<News> {
+    pub(super) fn take(&self) -> Vec<Gossip> {
         std::mem::take(&mut self.waiting.borrow_mut())
     }
 
-    /// Where news goes that `own` tells, and whether it is passed on there.
+    /// Where gossip goes that `own` tells, and whether it is passed on there.
     pub(super) fn copies(&self, own: &Origin, telling: Telling) -> Vec<(SocketAddr, bool)> {
         let peers = self.peers.borrow();
         let listeners: Vec<Listener> = peers
@@ -218,7 +218,7 @@
         copies.collect()
     }
 
-    /// The peers of a failure domain to which the news of `origin` is passed on.
+    /// The peers of a failure domain to which the gossip of `origin` is passed on.
     pub(super) fn addresses_in(&self, domain: &DomainName, origin: OwnerId) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
         let there = peers
@@ -227,7 +227,7 @@
         there.map(|(_, peer)| peer.address).collect()
     }
 
-    /// News of a peer came, from itself or through another.
+    /// Gossip of a peer came, from itself or through another.
     pub(super) fn heard(&self, origin: &Origin, now_ms: MonoMs) -> PeerEvent {
         let owner = OwnerId(origin.owner);
         let mut peers = self.peers.borrow_mut();
--- a/crates/front/src/news/receive.rs
+++ b/crates/front/src/gossip/receive.rs
@@ -1,6 +1,6 @@
-//! Taking news in.
+//! Taking gossip in.
 
-use super::message::{Datagram, News, WorkNews};
+use super::message::{Datagram, Gossip, WorkGossip};
 use super::outbox::PeerEvent;
 use super::send::send_one;
 use crate::journal::Event;
@@ -21,7 +21,7 @@
 /// The longest time that a peer's doubt counts.
 const LONGEST_DOUBT_MS: u32 = 8_000;
 
-/// Takes news in until the process ends.
+/// Takes gossip in until the process ends.
 pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; LARGEST_BYTES];
     loop {
@@ -37,14 +37,14 @@
                 take_in(&node, datagram);
             }
             Err(error) => {
-                log::trace!("can't receive news: {error}");
+                log::trace!("can't receive gossip: {error}");
                 tokio::time::sleep(Duration::from(ERROR_PAUSE_MS)).await;
             }
         }
     }
 }
 
-/// Sends a peer's news on to the other nodes of this failure domain, once: they don't send it on.
+/// Sends a peer's gossip on to the other nodes of this failure domain, once: they don't send it on.
 fn pass_on(node: &Node, socket: &UdpSocket, datagram: &Datagram) {
     let origin = OwnerId(datagram.origin.owner);
     let bytes = datagram.encode(false);
@@ -64,57 +64,59 @@
             incarnation: owner.0,
         });
     }
-    for news in datagram.news {
-        apply(node, owner, news, now_ms);
+    for gossip in datagram.gossip {
+        apply(node, owner, gossip, now_ms);
     }
 }
 
-fn apply(node: &Rc<Node>, owner: OwnerId, news: News, now_ms: MonoMs) {
-    match news {
-        News::Config { version } => {
+fn apply(node: &Rc<Node>, owner: OwnerId, gossip: Gossip, now_ms: MonoMs) {
+    match gossip {
+        Gossip::Config { version } => {
             let version = ConfigVersion(version);
             node.outbox.has_config(owner, version);
             node.watching.on_peer_config(node, owner, version);
         }
-        News::Replicas(told) => node.watching.on_peer_replicas(node, told.into()),
-        News::Request(told) => quarantine::on_told(node, told),
-        News::Era(era) => watch::on_told_era(node, era),
-        News::Limit(told) => limits::on_told(node, &told.into()),
-        News::DirectoryBack => node.watching.on_peer_directory_back(),
-        News::Leaving { replica } => signals::on_notified(node, ReplicaKey(replica)),
-        news => apply_work(node, owner, news, now_ms),
+        Gossip::Replicas(told) => node.watching.on_peer_replicas(node, told.into()),
+        Gossip::Request(told) => quarantine::on_notified(node, told),
+        Gossip::Era(era) => watch::on_notified_era(node, era),
+        Gossip::Limit(told) => limits::on_notified(node, &told.into()),
+        Gossip::DirectoryBack => node.watching.on_peer_directory_back(),
+        Gossip::Leaving { replica } => signals::on_notified(node, ReplicaKey(replica)),
+        gossip => apply_work(node, owner, gossip, now_ms),
     }
 }
 
-fn apply_work(node: &Node, owner: OwnerId, news: News, now_ms: MonoMs) {
+fn apply_work(node: &Node, owner: OwnerId, gossip: Gossip, now_ms: MonoMs) {
     let id = |sequence| WorkId { owner, sequence };
-    node.with(|state| match news {
-        News::Placed(work) => state
+    node.with(|state| match gossip {
+        Gossip::Placed(work) => state
             .ledger
             .put(id(work.sequence), work.work(now_ms), now_ms),
-        News::Stage { sequence, late } => {
+        Gossip::Stage { sequence, late } => {
             let stage = if late { Stage::Late } else { Stage::Writing };
             state.ledger.set_stage(id(sequence), stage);
         }
-        News::Ended { sequence } => state.ledger.remove(id(sequence)),
-        News::Digest { from, to, works } => apply_digest(state, owner, (from, to), &works, now_ms),
-        News::Doubted { replica, for_ms } => {
+        Gossip::Ended { sequence } => state.ledger.remove(id(sequence)),
+        Gossip::Digest { from, to, works } => {
+            apply_digest(state, owner, (from, to), &works, now_ms)
+        }
+        Gossip::Doubted { replica, for_ms } => {
             let until_ms = now_ms + SpanMs(u64::from(for_ms.min(LONGEST_DOUBT_MS)));
             if let Some(health) = state.replicas.health_mut(ReplicaKey(replica)) {
                 health.on_peer_doubt(until_ms);
             }
         }
-        News::Pace { replica, pace_pct } => {
+        Gossip::Pace { replica, pace_pct } => {
             let pace = Pace::new(f64::from(pace_pct) / 100.0);
             state.paces.note(ReplicaKey(replica), pace, now_ms);
         }
-        News::Config { .. }
-        | News::Replicas(_)
-        | News::Request(_)
-        | News::Era(_)
-        | News::Limit(_)
-        | News::Leaving { .. }
-        | News::DirectoryBack => {}
+        Gossip::Config { .. }
+        | Gossip::Replicas(_)
+        | Gossip::Request(_)
+        | Gossip::Era(_)
+        | Gossip::Limit(_)
+        | Gossip::Leaving { .. }
+        | Gossip::DirectoryBack => {}
     });
 }
 
@@ -122,7 +124,7 @@
     state: &mut crate::node::State,
     owner: OwnerId,
     (from, to): (u32, u32),
-    works: &[WorkNews],
+    works: &[WorkGossip],
     now_ms: MonoMs,
 ) {
     state.ledger.retain_owner(owner, |sequence| {
--- a/crates/front/src/news/replicas.rs
+++ b/crates/front/src/gossip/replicas.rs
@@ -1,7 +1,7 @@
 //! What a datagram tells of the replicas that the directory lists.
 
 use crate::outside::Cursor;
-use crate::watch::ReplicasTold;
+use crate::watch::ReplicasNotice;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -9,16 +9,16 @@
 
 /// What a node has just read of the replicas.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(super) struct ReplicasNews {
+pub(super) struct ReplicasGossip {
     cursor: Cursor,
     before: Fingerprint,
     after: Fingerprint,
-    changes: Vec<ChangeNews>,
+    changes: Vec<ChangeGossip>,
 }
 
 /// A change of one replica.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-enum ChangeNews {
+enum ChangeGossip {
     /// It is listed so.
     Listed {
         instance: Arc<str>,
@@ -35,35 +35,35 @@
     Missing(Arc<str>),
 }
 
-impl From<ReplicasTold> for ReplicasNews {
-    fn from(told: ReplicasTold) -> Self {
+impl From<ReplicasNotice> for ReplicasGossip {
+    fn from(told: ReplicasNotice) -> Self {
         Self {
             cursor: told.cursor,
             before: told.before,
             after: told.after,
-            changes: told.changes.into_iter().filter_map(change_news).collect(),
+            changes: told.changes.into_iter().filter_map(change_gossip).collect(),
         }
     }
 }
 
-impl From<ReplicasNews> for ReplicasTold {
-    fn from(news: ReplicasNews) -> Self {
+impl From<ReplicasGossip> for ReplicasNotice {
+    fn from(gossip: ReplicasGossip) -> Self {
         Self {
-            cursor: news.cursor,
-            before: news.before,
-            after: news.after,
-            changes: news.changes.into_iter().map(Into::into).collect(),
+            cursor: gossip.cursor,
+            before: gossip.before,
+            after: gossip.after,
+            changes: gossip.changes.into_iter().map(Into::into).collect(),
         }
     }
 }
 
 /// What peers are told of a change; nothing of an entry that can't be read, which changes no table.
-fn change_news(change: ReplicaChange) -> Option<ChangeNews> {
+fn change_gossip(change: ReplicaChange) -> Option<ChangeGossip> {
     match change {
         ReplicaChange::Unreadable { .. } => None,
-        ReplicaChange::Removed(instance) => Some(ChangeNews::Removed(instance)),
-        ReplicaChange::Missing(instance) => Some(ChangeNews::Missing(instance)),
-        ReplicaChange::Listed(replica) => Some(ChangeNews::Listed {
+        ReplicaChange::Removed(instance) => Some(ChangeGossip::Removed(instance)),
+        ReplicaChange::Missing(instance) => Some(ChangeGossip::Missing(instance)),
+        ReplicaChange::Listed(replica) => Some(ChangeGossip::Listed {
             instance: replica.instance,
             started: replica.started,
             service: replica.service.0,
@@ -75,12 +75,12 @@
     }
 }
 
-impl From<ChangeNews> for ReplicaChange {
-    fn from(news: ChangeNews) -> Self {
-        match news {
-            ChangeNews::Removed(instance) => Self::Removed(instance),
-            ChangeNews::Missing(instance) => Self::Missing(instance),
-            ChangeNews::Listed {
+impl From<ChangeGossip> for ReplicaChange {
+    fn from(gossip: ChangeGossip) -> Self {
+        match gossip {
+            ChangeGossip::Removed(instance) => Self::Removed(instance),
+            ChangeGossip::Missing(instance) => Self::Missing(instance),
+            ChangeGossip::Listed {
                 instance,
                 started,
                 service,
--- a/crates/front/src/news/send.rs
+++ b/crates/front/src/gossip/send.rs
@@ -1,7 +1,7 @@
-//! Sending news.
+//! Sending gossip.
 
 use super::GATHER_MS;
-use super::message::{News, Origin, WorkNews, digest, pack};
+use super::message::{Gossip, Origin, WorkGossip, digest, pack};
 use crate::journal::Event;
 use crate::limits;
 use crate::node::Node;
@@ -12,7 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
-/// Sends news as it comes, and a digest from time to time.
+/// Sends gossip as it comes, and a digest from time to time.
 pub async fn send(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut digest_at = Instant::now();
     loop {
@@ -30,9 +30,9 @@
                 send_to_all(&node, &socket, own_digest(&node), Telling::Digest { draw });
             }
         }
-        let news = node.outbox.take();
-        if !news.is_empty() {
-            send_to_all(&node, &socket, news, Telling::Change);
+        let gossip = node.outbox.take();
+        if !gossip.is_empty() {
+            send_to_all(&node, &socket, gossip, Telling::Change);
         }
     }
 }
@@ -41,39 +41,39 @@
     tokio::time::sleep(Duration::from(GATHER_MS)).await;
 }
 
-fn own_digest(node: &Node) -> Vec<News> {
+fn own_digest(node: &Node) -> Vec<Gossip> {
     let now_ms = node.now_ms();
     let tells = chance_to_tell(node);
     limits::share(node);
     let (works, version, requests, limits, leavers) = node.with(|state| {
         let own = state.ledger.of_owner(node.owner);
-        let works = own.map(|(sequence, work)| WorkNews::of(sequence, work, now_ms));
+        let works = own.map(|(sequence, work)| WorkGossip::of(sequence, work, now_ms));
         let version = state.config.as_ref().map(|c| c.version());
-        let again = state.quarantine.tell_again(now_ms);
+        let again = state.quarantine.notify_again(now_ms);
         let draw = || rand::random_bool(tells);
         let quarantined = state.quarantine.tell_quarantined(now_ms, draw);
         let requests = again.into_iter().chain(quarantined);
-        let limits = state.limits.tell_again(now_ms);
+        let limits = state.limits.notify_again(now_ms);
         (
             works.collect(),
             version,
-            requests.map(News::Request),
+            requests.map(Gossip::Request),
             limits,
             state.replicas.leavers.to_notify(now_ms),
         )
     });
-    let mut news = digest(works);
+    let mut gossip = digest(works);
     if let Some(version) = version {
-        news.push(News::Config { version: version.0 });
+        gossip.push(Gossip::Config { version: version.0 });
     }
-    news.extend(requests);
-    news.extend(limits.into_iter().map(|told| News::Limit(told.into())));
-    news.extend(
+    gossip.extend(requests);
+    gossip.extend(limits.into_iter().map(|told| Gossip::Limit(told.into())));
+    gossip.extend(
         leavers
             .into_iter()
-            .map(|key| News::Leaving { replica: key.0 }),
+            .map(|key| Gossip::Leaving { replica: key.0 }),
     );
-    news
+    gossip
 }
 
 /// By how many nodes each request in quarantine is told with each round of digests: enough that one
@@ -86,13 +86,13 @@
     (TOLD_BY / node.node_count() as f64).min(1.0)
 }
 
-fn send_to_all(node: &Node, socket: &UdpSocket, news: Vec<News>, telling: Telling) {
+fn send_to_all(node: &Node, socket: &UdpSocket, gossip: Vec<Gossip>, telling: Telling) {
     let origin = origin(node);
     let copies = node.outbox.copies(&origin, telling);
     if copies.is_empty() {
         return;
     }
-    for datagram in pack(&origin, news) {
+    for datagram in pack(&origin, gossip) {
         let for_one = datagram.encode(false);
         let for_many = datagram.encode(true);
         for (address, pass_on) in &copies {
@@ -102,10 +102,10 @@
     }
 }
 
-/// Datagrams are sent without waiting: one that finds the link full is late news.
+/// Datagrams are sent without waiting: one that finds the link full is late gossip.
 pub(super) fn send_one(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
     if let Err(error) = socket.try_send_to(bytes, address) {
-        log::trace!("news for {address} is dropped: {error}");
+        log::trace!("gossip for {address} is dropped: {error}");
     }
 }
 
@@ -113,7 +113,7 @@
 fn origin(node: &Node) -> Origin {
     Origin {
         owner: node.owner.0,
-        address: node.settings.news,
+        address: node.settings.gossip,
         domain: node.settings.domain.0.clone(),
     }
 }
--- a/crates/front/src/http/link.rs
+++ b/crates/front/src/http/link.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 
-/// The largest head of an answer. Answers' heads are a few hundred bytes.
+/// The largest head of an answer. Answers' headers are a few hundred bytes.
 const ANSWER_HEAD_BYTES: usize = 16 * 1024;
 
 /// Why an exchange gave no answer's head.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,11 +1,11 @@
-//! The node's serving path on one thread: callers' connections, calls to replicas, and the news
+//! The node's serving path on one thread: callers' connections, calls to replicas, and the gossip
 //! that nodes tell each other.
 //!
 //! Terms:
 //! - *outside* is the platform that the node runs on, reached through the trait objects of
 //!   [`outside`], whose implementation alone knows the platform's names;
 //! - a *try* is one send of a request to one replica (with its helpers);
-//! - *news* is what a node tells its peers of the work that it has placed.
+//! - *gossip* is what a node tells its peers of the work that it has placed.
 //!
 //! Invariants: everything runs on one thread; what a try holds is released when its future is
 //! dropped, so a caller's hang-up ends all work for it; an answer is told to have not run only where
@@ -14,11 +14,11 @@
 pub mod call;
 pub mod copies;
 pub mod ends;
+pub mod gossip;
 pub mod http;
 pub mod journal;
 pub mod limits;
 pub mod metrics;
-pub mod news;
 pub mod node;
 pub mod outside;
 pub mod quarantine;
@@ -30,8 +30,8 @@
     pub use crate::journal::{Event, Journal};
     pub use crate::node::{FrontError, FrontHandle, FrontSettings, Stopper};
     pub use crate::outside::{
-        AnswerHead, CallHead, CallHeadError, ConfigNews, Cursor, Dialect, Directory,
+        AnswerHead, CallHead, CallHeadError, ConfigUpdate, Cursor, Dialect, Directory,
         DirectoryError, EngineReport, Era, Helper, MemoryAnswer, MemoryOrder, NodeEntry, Outside,
-        PendingRead, ReplicaNews, ReplicaSignals, Sending,
+        PendingRead, ReplicaSignals, ReplicaUpdate, Sending,
     };
 }
--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -11,7 +11,7 @@
 
 /// A replica answered something.
 pub fn on_answer(node: &Node, key: ReplicaKey, heard: Heard) {
-    if heard.word == LimitWord::Unreadable {
+    if heard.word == LimitSignal::Unreadable {
         log::debug!("{key} names a limit that can't be read");
     }
     let now_ms = node.now_ms();
@@ -26,9 +26,9 @@
 }
 
 /// A peer told what a replica said of its limit.
-pub fn on_told(node: &Node, told: &LimitTold) {
+pub fn on_notified(node: &Node, told: &LimitNotice) {
     let now_ms = node.now_ms();
-    if let Some(change) = node.with(|state| state.limits.on_told(told, now_ms)) {
+    if let Some(change) = node.with(|state| state.limits.on_notified(told, now_ms)) {
         log_change(node, told.replica, change, "told");
     }
 }
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -4,7 +4,7 @@
 use crate::journal::{Event, Journal, JournalWriter};
 use crate::metrics::{Metrics, MetricsError};
 use crate::outside::Outside;
-use crate::{copies, limits, news, quarantine, watch};
+use crate::{copies, gossip, limits, quarantine, watch};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::cell::Cell;
@@ -37,8 +37,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether the node is ready.
     pub ready: SocketAddr,
-    /// Where peers send their news, by datagram, and ask for copies, by connection.
-    pub news: SocketAddr,
+    /// Where peers send their gossip, by datagram, and ask for copies, by connection.
+    pub gossip: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
     /// The limits of retries, for all nodes together.
@@ -91,7 +91,7 @@
         let callers = bind_tcp(&mut settings.callers)?;
         let ready = bind_tcp(&mut settings.ready)?;
         let metrics = bind_tcp(&mut settings.metrics)?;
-        let (news, copies) = bind_for_peers(&mut settings.news).await?;
+        let (gossip, copies) = bind_for_peers(&mut settings.gossip).await?;
         let (journal, writer) = Journal::open(settings.name.clone(), Metrics::open()?);
         let node = Node::open(settings, outside, journal);
         node.journal.tell(&Event::Started {
@@ -110,9 +110,9 @@
             metrics,
             listen::operators_page,
         ));
-        let news = Rc::new(news);
-        spawn_local(news::receive(node.clone(), news.clone()));
-        spawn_local(news::send(node.clone(), news));
+        let gossip = Rc::new(gossip);
+        spawn_local(gossip::receive(node.clone(), gossip.clone()));
+        spawn_local(gossip::send(node.clone(), gossip));
         spawn_local(copies::serve_copies(node.clone(), copies));
         spawn_local(watch::watch_config(node.clone()));
         spawn_local(watch::watch_replicas(node.clone()));
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -3,9 +3,9 @@
 use super::{Clock, FrontSettings};
 use crate::copies::Copies;
 use crate::ends::EndChecks;
+use crate::gossip::Outbox;
 use crate::http::Pool;
 use crate::journal::Journal;
-use crate::news::Outbox;
 use crate::outside::Outside;
 use crate::watch::Watching;
 use bluebell_base::prelude::*;
@@ -53,7 +53,7 @@
     pub pool: Rc<Pool>,
     /// Its looks at replicas whose connections broke.
     pub ends: EndChecks,
-    /// News for its peers.
+    /// Gossip for its peers.
     pub outbox: Outbox,
     /// The text of its configuration, for its peers.
     pub copies: Copies,
--- a/crates/front/src/outside/mod.rs
+++ b/crates/front/src/outside/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Terms: the *directory* holds the operators' configuration, the list of replicas and the list of
 //! nodes; a *cursor* is a place in the directory's history; the *dialect* is how callers and
-//! replicas name things in heads.
+//! replicas name things in headers.
 //!
 //! Invariants: an implementation translates and calls; it decides nothing and keeps no state that a
 //! restart would miss.
@@ -66,7 +66,7 @@
     }
 }
 
-/// Why the directory gave no news.
+/// Why the directory gave no gossip.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum DirectoryError {
     /// It didn't answer in time, or can't be reached.
@@ -82,7 +82,7 @@
 
 /// What is new of the configuration.
 #[derive(Clone, Debug)]
-pub struct ConfigNews {
+pub struct ConfigUpdate {
     /// Where to read on.
     pub cursor: Cursor,
     /// The newest configuration, where there is a new one.
@@ -93,7 +93,7 @@
 
 /// What is new of the replicas.
 #[derive(Clone, Debug)]
-pub struct ReplicaNews {
+pub struct ReplicaUpdate {
     /// Where to read on.
     pub cursor: Cursor,
     /// Changes in the order in which they happened.
@@ -107,16 +107,17 @@
 pub struct NodeEntry {
     /// One run of the node's process.
     pub incarnation: Incarnation,
-    /// Where it takes its peers' news.
+    /// Where it takes its peers' gossip.
     pub address: SocketAddr,
 }
 
 /// The platform's directory.
 pub trait Directory {
     /// The configuration after `cursor`; waits up to `wait_ms` for a new one.
-    fn read_config(&self, cursor: Option<Cursor>, wait_ms: SpanMs) -> PendingRead<'_, ConfigNews>;
+    fn read_config(&self, cursor: Option<Cursor>, wait_ms: SpanMs)
+    -> PendingRead<'_, ConfigUpdate>;
     /// Changes of replicas after `cursor`, without waiting.
-    fn read_replicas(&self, cursor: Option<Cursor>) -> PendingRead<'_, ReplicaNews>;
+    fn read_replicas(&self, cursor: Option<Cursor>) -> PendingRead<'_, ReplicaUpdate>;
     /// The nodes that announced themselves and didn't withdraw.
     fn read_nodes(&self) -> PendingRead<'_, Vec<NodeEntry>>;
     /// The requests that were put into quarantine and not let out.
@@ -271,7 +272,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplicaSignals {
     /// How many requests it takes.
-    pub limit: LimitWord,
+    pub limit: LimitSignal,
     /// Whether it leaves.
     pub leaving: bool,
     /// For how long it wants no requests from this node.
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -46,7 +46,7 @@
     }
 
     /// Whether this node's peers hear of it from here.
-    fn is_told(self, turn: Turn) -> bool {
+    fn is_notified(self, turn: Turn) -> bool {
         match turn {
             // All nodes judge alike: those that saw an end tell of it.
             Turn::Quarantined { seen, .. } => seen && self == How::Judged,
@@ -114,9 +114,9 @@
 }
 
 /// A peer told something.
-pub fn on_told(node: &Rc<Node>, told: Told) {
+pub fn on_notified(node: &Rc<Node>, told: Told) {
     let now_ms = node.now_ms();
-    let (digest, turn) = node.with(|state| state.quarantine.on_told(told, now_ms));
+    let (digest, turn) = node.with(|state| state.quarantine.on_notified(told, now_ms));
     let how = match told {
         Told::Ended { .. } => How::Judged,
         Told::Quarantined { .. } | Told::Cleared { .. } => How::Told,
@@ -176,7 +176,7 @@
             quarantined
         }
     };
-    let told = how.is_told(turn);
+    let told = how.is_notified(turn);
     if told && let Some(told) = node.with(|state| state.quarantine.tell(&digest, now_ms)) {
         node.outbox.request(told);
     }
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -14,7 +14,7 @@
 use crate::copies::Copy;
 use crate::journal::Event;
 use crate::node::Node;
-use crate::outside::{ConfigNews, Cursor, DirectoryError};
+use crate::outside::{ConfigUpdate, Cursor, DirectoryError};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::reading;
@@ -75,7 +75,7 @@
             Some(cursor) => next_read(&node, cursor).await,
         };
         match read {
-            Ok(ConfigNews {
+            Ok(ConfigUpdate {
                 cursor: at,
                 config,
                 text,
@@ -109,7 +109,7 @@
 /// came back from an older copy, and what the operators had written there is written again in a moment.
 fn is_held_back(node: &Node, config: &ServingConfig, since_ms: &mut Option<MonoMs>) -> bool {
     let first = node.with(|state| state.config.is_none());
-    if !first || !node.watching.is_older_than_told(config.version()) {
+    if !first || !node.watching.is_older_than_known(config.version()) {
         return false;
     }
     let now_ms = node.now_ms();
@@ -121,7 +121,7 @@
 /// Nodes that start while the directory is away send their first read into silence, and an answer that
 /// was lost never comes. Given up after a second or two, it kept nodes from serving for up to 0.9 s
 /// after the directory was back. The configuration is small, so that asking again costs little.
-async fn first_read(node: &Node) -> Result<ConfigNews, DirectoryError> {
+async fn first_read(node: &Node) -> Result<ConfigUpdate, DirectoryError> {
     let directory = &node.outside.directory;
     let mut reads = FuturesUnordered::new();
     loop {
@@ -146,7 +146,7 @@
 }
 
 /// Waits for a newer configuration.
-async fn next_read(node: &Node, cursor: Cursor) -> Result<ConfigNews, DirectoryError> {
+async fn next_read(node: &Node, cursor: Cursor) -> Result<ConfigUpdate, DirectoryError> {
     let directory = &node.outside.directory;
     let other_readers = follow::readers(node) - 1;
     let wait_ms = reading::open_for(other_readers, rand::random());
@@ -165,7 +165,7 @@
 /// Ends where the open read isn't to be relied on: a peer has known a newer version for a while, or
 /// the peers on which its length relied are no longer heard.
 async fn overtaken(node: &Node) {
-    let told = reading::is_told(node.outbox.peers_there());
+    let told = reading::is_notified(node.outbox.peers_there());
     loop {
         let probe = tokio::time::sleep(Duration::from(PROBE_EVERY_MS));
         tokio::select! {
@@ -174,7 +174,7 @@
             }
             () = probe => {}
         }
-        let alone = told && !reading::is_told(node.outbox.peers_there());
+        let alone = told && !reading::is_notified(node.outbox.peers_there());
         if alone || node.watching.is_behind() {
             return;
         }
--- a/crates/front/src/watch/era.rs
+++ b/crates/front/src/watch/era.rs
@@ -61,7 +61,7 @@
 }
 
 /// A peer knows this era.
-pub fn on_told_era(node: &Node, era: Era) {
+pub fn on_notified_era(node: &Node, era: Era) {
     if on_era(node, era) {
         node.watching.other_replicas.notify_one();
     }
--- a/crates/front/src/watch/follow.rs
+++ b/crates/front/src/watch/follow.rs
@@ -27,7 +27,7 @@
 /// The node from which this one copies the configuration; none where it is to read the directory.
 pub(super) fn parent(node: &Node) -> Option<OwnerId> {
     node.config_version()?;
-    if !reading::is_told(node.outbox.peers_there()) {
+    if !reading::is_notified(node.outbox.peers_there()) {
         return None;
     }
     let peers = node.outbox.owners_in(&node.settings.domain);
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -17,9 +17,9 @@
 mod shared;
 
 pub use config::watch_config;
-pub use era::on_told_era;
+pub use era::on_notified_era;
 pub use nodes::watch_nodes;
 pub use paces::{answers, watch_paces};
 pub use quarantine::{keep_quarantine, store_quarantine, watch_quarantine};
 pub use replicas::watch_replicas;
-pub use shared::{ReplicasTold, Watching};
+pub use shared::{ReplicasNotice, Watching};
--- a/crates/front/src/watch/nodes.rs
+++ b/crates/front/src/watch/nodes.rs
@@ -15,7 +15,7 @@
 const FIRST_MS: u64 = 1_500;
 
 /// How often the list is read after that. A node that starts tells all others of itself, so this
-/// only makes up for news lost on both ways, and each time it is a call of every node. With what it
+/// only makes up for gossip lost on both ways, and each time it is a call of every node. With what it
 /// is spread over it is shorter than the time after which silent peers are forgotten, so that nodes
 /// which were cut off from each other for long find each other again.
 const EVERY_MS: u64 = 44_000;
@@ -25,7 +25,7 @@
     let mut backoff = Backoff::new("nodes");
     let own = NodeEntry {
         incarnation: Incarnation(node.owner.0),
-        address: node.settings.news,
+        address: node.settings.gossip,
     };
     let mut renewals = Renewals::of(&node);
     announce(&node, &own, &mut backoff).await;
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -6,7 +6,7 @@
 use crate::outside::EngineReport;
 use crate::{limits, signals};
 use bluebell_base::prelude::*;
-use bluebell_fleet::pace::{LOOK_EVERY_MS, looks};
+use bluebell_fleet::pace::{PROBE_EVERY_MS, probes};
 use bluebell_fleet::prelude::*;
 use http_body_util::{BodyExt, Limited};
 use std::net::SocketAddr;
@@ -26,10 +26,10 @@
 /// Looks at this node's part of the engines until the process ends.
 pub async fn watch_paces(node: Rc<Node>) {
     loop {
-        let spread_ms = rand::random_range(0..=LOOK_EVERY_MS.0 / 4);
-        tokio::time::sleep(Duration::from_millis(LOOK_EVERY_MS.0 + spread_ms)).await;
+        let spread_ms = rand::random_range(0..=PROBE_EVERY_MS.0 / 4);
+        tokio::time::sleep(Duration::from_millis(PROBE_EVERY_MS.0 + spread_ms)).await;
         for (key, address) in own_part(&node) {
-            spawn_local(look(node.clone(), key, address));
+            spawn_local(probe(node.clone(), key, address));
         }
     }
 }
@@ -46,9 +46,9 @@
         let engines = config.services().filter(|service| service.engine.is_some());
         let ready = engines.flat_map(|service| state.replicas.ready(&service.name));
         let own = ready.filter(|(key, _, _)| {
-            state.limits.admits_look(*key, now_ms)
+            state.limits.admits_probe(*key, now_ms)
                 && !state.rests.is_resting(*key, now_ms)
-                && looks(node.owner, &peers, *key)
+                && probes(node.owner, &peers, *key)
         });
         own.map(|(key, replica, _)| (key, replica.address))
             .collect()
@@ -66,16 +66,16 @@
     read.await.ok().flatten()
 }
 
-async fn look(node: Rc<Node>, key: ReplicaKey, address: SocketAddr) {
+async fn probe(node: Rc<Node>, key: ReplicaKey, address: SocketAddr) {
     let Some(report) = report(&node, address).await else {
         return;
     };
     let now_ms = node.now_ms();
-    let news = node.with(|state| state.paces.note(key, report.pace, now_ms));
-    if news || report.pace.is_slow() {
+    let is_new = node.with(|state| state.paces.note(key, report.pace, now_ms));
+    if is_new || report.pace.is_slow() {
         node.outbox.pace(key, report.pace);
     }
-    if news {
+    if is_new {
         node.journal.tell(&Event::EnginePace {
             key,
             pace: report.pace.to_string().into(),
@@ -95,8 +95,8 @@
         .dialect
         .signals(status.as_u16(), answer.headers());
     // What refuses a probe says nothing by not naming a limit: another replica may have the address.
-    if status.is_success() || said.limit != LimitWord::Unnamed {
-        signals::on_answer_at(node, address, &said, Source::Look, sent_ms);
+    if status.is_success() || said.limit != LimitSignal::Unnamed {
+        signals::on_answer_at(node, address, &said, Source::Probe, sent_ms);
     }
     let body = Limited::new(answer.into_body(), REPORT_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
--- a/crates/front/src/watch/pieces.rs
+++ b/crates/front/src/watch/pieces.rs
@@ -9,7 +9,7 @@
 //! Invariants: only the last piece names where the read ended, so that a peer which got a part of
 //! them doesn't take itself to have read them all.
 
-use super::shared::ReplicasTold;
+use super::shared::ReplicasNotice;
 use crate::node::Node;
 use crate::outside::{Cursor, Era};
 use bluebell_fleet::prelude::*;
@@ -24,7 +24,7 @@
 
 /// The pieces of one read, as its changes are taken in.
 pub(super) struct Pieces {
-    closed: Vec<ReplicasTold>,
+    closed: Vec<ReplicasNotice>,
     from: Cursor,
     first: Fingerprint,
     before: Fingerprint,
@@ -58,7 +58,7 @@
 
     fn cut(&mut self, node: &Node, cursor: Cursor) {
         let after = fingerprint(node);
-        self.closed.push(ReplicasTold {
+        self.closed.push(ReplicasNotice {
             cursor,
             before: self.before,
             after,
@@ -68,7 +68,7 @@
     }
 
     /// What peers are told of a read that ended at `end`.
-    pub fn close(mut self, node: &Node, end: Cursor) -> Vec<ReplicasTold> {
+    pub fn close(mut self, node: &Node, end: Cursor) -> Vec<ReplicasNotice> {
         if self.count > MOST_TOLD {
             return self.untold(node, end);
         }
@@ -77,8 +77,8 @@
     }
 
     /// What peers are told of a read whose changes they judge for themselves.
-    pub fn untold(self, node: &Node, end: Cursor) -> Vec<ReplicasTold> {
-        vec![ReplicasTold {
+    pub fn untold(self, node: &Node, end: Cursor) -> Vec<ReplicasNotice> {
+        vec![ReplicasNotice {
             cursor: end,
             before: self.first,
             after: fingerprint(node),
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -3,10 +3,10 @@
 use super::era;
 use super::pieces::Pieces;
 use super::retry::Backoff;
-use super::shared::ReplicasTold;
+use super::shared::ReplicasNotice;
 use crate::journal::Event;
 use crate::node::Node;
-use crate::outside::ReplicaNews;
+use crate::outside::ReplicaUpdate;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::replicas::TableEvent;
@@ -46,11 +46,11 @@
             }
         };
         match read {
-            Ok(news) => {
+            Ok(update) => {
                 backoff.succeeded(&node);
-                let cursor = news.cursor;
+                let cursor = update.cursor;
                 let renewed = era::on_era(&node, cursor.era);
-                let told = take(&node, news, renewed);
+                let told = take(&node, update, renewed);
                 node.watching.on_own_read(cursor, node.now_ms());
                 for piece in told {
                     node.outbox.replicas(piece);
@@ -94,12 +94,12 @@
 }
 
 /// Takes a read in, the first of a later era or not; returns what peers are told of it, piece by piece.
-fn take(node: &Node, news: ReplicaNews, renewed: bool) -> Vec<ReplicasTold> {
+fn take(node: &Node, update: ReplicaUpdate, renewed: bool) -> Vec<ReplicasNotice> {
     let now_ms = node.now_ms();
-    let mut pieces = Pieces::open(node, news.cursor.era);
+    let mut pieces = Pieces::open(node, update.cursor.era);
     node.with(|state| state.replicas.on_directory_read(now_ms));
-    if news.whole {
-        let listed: Vec<Arc<str>> = news.changes.iter().filter_map(listed).collect();
+    if update.whole {
+        let listed: Vec<Arc<str>> = update.changes.iter().filter_map(listed).collect();
         match renewed {
             false => node.with(|state| state.replicas.retain_listed(&listed, now_ms)),
             true => {
@@ -110,7 +110,7 @@
             }
         }
     }
-    for change in news.changes {
+    for change in update.changes {
         // What an older copy lists may have left since.
         if renewed && node.with(|state| state.replicas.is_outdated(&change)) {
             continue;
@@ -123,9 +123,9 @@
     });
     // What is missing after an outage may come back: each node judges that by what it saw of it. After a
     // renewal all have seen the same.
-    match (news.whole || settling) && !renewing {
-        true => pieces.untold(node, news.cursor),
-        false => pieces.close(node, news.cursor),
+    match (update.whole || settling) && !renewing {
+        true => pieces.untold(node, update.cursor),
+        false => pieces.close(node, update.cursor),
     }
 }
 
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -12,7 +12,7 @@
 //! Invariants: what a peer tells changes a table only where it leads from exactly this table to
 //! exactly the peer's.
 
-use super::era::{KnownEra, on_told_era};
+use super::era::{KnownEra, on_notified_era};
 use super::replicas::take_changes;
 use crate::journal::Event;
 use crate::node::Node;
@@ -22,7 +22,7 @@
 use std::cell::{Cell, RefCell};
 use tokio::sync::{Notify, watch};
 
-/// What the watchers share with those who take news in.
+/// What the watchers share with those who take gossip in.
 #[derive(Debug, Default)]
 pub struct Watching {
     /// The directory's newest era.
@@ -48,12 +48,12 @@
     /// Up to where the directory's replicas are known, and since when.
     confirmed: Cell<Option<(Cursor, MonoMs)>>,
     /// Up to where a peer has read them whose table is another.
-    told_replicas: Cell<Option<Cursor>>,
+    notified_replicas: Cell<Option<Cursor>>,
 }
 
 /// What a peer tells of its table of replicas.
 #[derive(Clone, Debug, PartialEq)]
-pub struct ReplicasTold {
+pub struct ReplicasNotice {
     /// Up to where it has read.
     pub cursor: Cursor,
     /// How its table looked before that.
@@ -137,7 +137,7 @@
     }
 
     /// Whether a peer told of a newer configuration than this version.
-    pub(super) fn is_older_than_told(&self, version: ConfigVersion) -> bool {
+    pub(super) fn is_older_than_known(&self, version: ConfigVersion) -> bool {
         self.freshness.borrow().newest() > Some(version)
     }
 
@@ -169,22 +169,22 @@
     }
 
     /// A peer has read the replicas.
-    pub fn on_peer_replicas(&self, node: &Node, told: ReplicasTold) {
+    pub fn on_peer_replicas(&self, node: &Node, told: ReplicasNotice) {
         let Some((known, _)) = self.confirmed.get() else {
             return;
         };
         if told.cursor.era < known.era {
             return;
         }
-        on_told_era(node, told.cursor.era);
+        on_notified_era(node, told.cursor.era);
         let fingerprint = || node.with(|state| state.replicas.fingerprint());
         let own = fingerprint();
         if own != told.after && own == told.before {
             take_changes(node, told.changes);
         }
         if fingerprint() != told.after {
-            self.told_replicas
-                .set(self.told_replicas.get().max(Some(told.cursor)));
+            self.notified_replicas
+                .set(self.notified_replicas.get().max(Some(told.cursor)));
             if self.misses_replicas() {
                 self.other_replicas.notify_one();
             }
@@ -200,7 +200,7 @@
     /// as much and judged it otherwise, has nothing to tell by a read: 195 tables that differed for
     /// the moment of a start made each other read four times a second.
     pub(super) fn misses_replicas(&self) -> bool {
-        self.told_replicas.get() > self.cursor()
+        self.notified_replicas.get() > self.cursor()
     }
 
     /// This node has read the replicas up to `cursor`.
--- a/crates/node/src/hub/admin.rs
+++ b/crates/node/src/hub/admin.rs
@@ -3,7 +3,7 @@
 use super::Hub;
 use bluebell_base::prelude::*;
 use bluebell_claims::ClaimsReport;
-use bluebell_control::{ControlDump, Published, StewardDump, VersionSeen};
+use bluebell_control::{ControlDump, CoordinatorDump, Published, VersionSeen};
 use bluebell_entry::{AdminCall, ConfigText, Reply};
 use bluebell_members::MembersDump;
 use bluebell_peers::{CallKind, NodeCard};
@@ -145,11 +145,11 @@
         claims: ClaimsReport,
     ) {
         dump.section("claims", &claims);
-        let ret = ret_some_to!([cx], dump_steward(dump, reply) as (MembersDump));
+        let ret = ret_some_to!([cx], dump_coordinator(dump, reply) as (MembersDump));
         call!([self.parts.members], dump(ret));
     }
 
-    fn dump_steward(
+    fn dump_coordinator(
         &mut self,
         cx: CX![],
         mut dump: StateDump,
@@ -157,8 +157,8 @@
         members: MembersDump,
     ) {
         dump.section("members", &members);
-        let ret = ret_some_to!([cx], dump_done(dump, reply) as (StewardDump));
-        call!([self.parts.control], steward_dump(ret));
+        let ret = ret_some_to!([cx], dump_done(dump, reply) as (CoordinatorDump));
+        call!([self.parts.control], coordinator_dump(ret));
     }
 
     fn dump_done(
@@ -166,9 +166,9 @@
         _cx: CX![],
         mut dump: StateDump,
         reply: Reply<Arc<str>>,
-        steward: StewardDump,
+        coordinator: CoordinatorDump,
     ) {
-        dump.section("steward", &steward);
+        dump.section("coordinator", &coordinator);
         reply(Ok(dump.render()));
     }
 }
--- a/crates/node/src/hub/agreed.rs
+++ b/crates/node/src/hub/agreed.rs
@@ -50,7 +50,7 @@
             Duty::Directory => {
                 call!([self.parts.members], duty_held(lease.fencing, until_ms));
             }
-            Duty::Snapshot | Duty::Steward(_) => (),
+            Duty::Snapshot | Duty::Coordinator(_) => (),
         }
     }
 
@@ -58,7 +58,7 @@
         match duty {
             Duty::Shard(shard) => self.parts.claims.shard_lost(cx, shard),
             Duty::Directory => call!([self.parts.members], duty_lost()),
-            Duty::Snapshot | Duty::Steward(_) => (),
+            Duty::Snapshot | Duty::Coordinator(_) => (),
         }
     }
 }
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -219,7 +219,7 @@
         }
     }
 
-    /// Notes it also of a request of which nothing is known yet: news of its ends may come later.
+    /// Notes it also of a request of which nothing is known yet: gossip of its ends may come later.
     fn clear_at(&mut self, digest: RequestDigest, at_ms: MonoMs, own: bool) -> Turn {
         let record = self.records.entry(digest).or_default();
         let sentence = record.sentence;
@@ -247,7 +247,7 @@
     }
 
     /// A peer told something.
-    pub fn on_told(&mut self, told: Told, now_ms: MonoMs) -> (RequestDigest, Turn) {
+    pub fn on_notified(&mut self, told: Told, now_ms: MonoMs) -> (RequestDigest, Turn) {
         let at = |age_ms: u32| now_ms - SpanMs(u64::from(age_ms));
         match told {
             Told::Ended {
@@ -306,7 +306,7 @@
     }
 
     /// What is told again of what this node saw itself a moment ago.
-    pub fn tell_again(&self, now_ms: MonoMs) -> Vec<Told> {
+    pub fn notify_again(&self, now_ms: MonoMs) -> Vec<Told> {
         let mut told = Vec::new();
         for (digest, record) in &self.records {
             let fresh = |at_ms: MonoMs| now_ms.since(at_ms) < TOLD_AGAIN_MS;
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -159,7 +159,7 @@
     );
 }
 
-/// News of ends that comes after that of a success was told before it.
+/// Gossip of ends that comes after that of a success was told before it.
 #[test]
 fn ends_from_before_a_success_count_no_more() {
     let mut table = Quarantine::default();
@@ -167,7 +167,7 @@
         digest: digest(1),
         age_ms: 0,
     };
-    table.on_told(cleared, at(2_000));
+    table.on_notified(cleared, at(2_000));
     for run in 0..4 {
         let told = Told::Ended {
             digest: digest(1),
@@ -175,7 +175,7 @@
             evidence: Evidence::Running,
             age_ms: 3_000 - run * 500,
         };
-        table.on_told(told, at(3_000));
+        table.on_notified(told, at(3_000));
     }
     table.judge(at(4_000));
     assert!(is_free(&table, 1, 3_000));
@@ -184,7 +184,7 @@
         age_ms: 1_500,
         term: Term::FIRST,
     };
-    assert_eq!(table.on_told(told, at(3_000)).1, Turn::None);
+    assert_eq!(table.on_notified(told, at(3_000)).1, Turn::None);
     assert!(is_free(&table, 1, 3_000));
 }
 
@@ -275,7 +275,7 @@
             age_ms: 0,
             term: Term::FIRST,
         };
-        table.on_told(told, at(20_000 + u64::from(number)));
+        table.on_notified(told, at(20_000 + u64::from(number)));
     }
     assert!(table.quarantined(at(30_000)).count() <= 512);
     assert!(!is_free(&table, 1_999, 30_000));
@@ -302,12 +302,12 @@
     let mut table = Quarantine::default();
     table.on_end(digest(1), ServerRun(1), Evidence::Running, at(0));
     let told = Quarantine::tell_end(digest(2), ServerRun(1), Evidence::Running, (at(0), at(0)));
-    table.on_told(told, at(0));
-    assert_eq!(table.tell_again(at(2_999)).len(), 1);
-    assert_eq!(table.tell_again(at(3_000)), []);
+    table.on_notified(told, at(0));
+    assert_eq!(table.notify_again(at(2_999)).len(), 1);
+    assert_eq!(table.notify_again(at(3_000)), []);
     table.clear(digest(1), at(3_500));
     assert_eq!(
-        table.tell_again(at(4_000)),
+        table.notify_again(at(4_000)),
         [Told::Cleared {
             digest: digest(1),
             age_ms: 500
@@ -326,12 +326,12 @@
     for ms in 200..10_000 {
         assert_eq!(table.clear(digest(1), at(ms)), Turn::None);
     }
-    assert_eq!(table.tell_again(at(10_000)), []);
+    assert_eq!(table.notify_again(at(10_000)), []);
     table.expire(at(700_000));
     assert!(!table.may_know(&1_u32.to_be_bytes()));
 }
 
-/// One piece of news about requests 1 to 3, told when it was `age_ms` old.
+/// One piece of gossip about requests 1 to 3, told when it was `age_ms` old.
 fn any_told() -> impl Strategy<Value = Told> {
     let number = 1_u32..4;
     let evidence = prop_oneof![Just(Evidence::Present), Just(Evidence::Running)];
@@ -351,7 +351,7 @@
     prop_oneof![6 => ended, 1 => cleared]
 }
 
-/// The news, with one moment for each run.
+/// The gossip, with one moment for each run.
 fn consistent(told: Vec<Told>) -> Vec<Told> {
     let mut first: Vec<Told> = Vec::new();
     for told in told {
@@ -383,7 +383,7 @@
         age_ms: 600,
     };
     let freed = Turn::Cleared { quarantined: true };
-    assert_eq!(table.on_told(told, at(1_000)).1, freed);
+    assert_eq!(table.on_notified(told, at(1_000)).1, freed);
     assert!(is_free(&table, 1, 1_000));
 }
 
@@ -408,10 +408,10 @@
         other.extend(told.iter().copied());
         let (mut one, mut two) = (Quarantine::default(), Quarantine::default());
         for told in &told {
-            one.on_told(*told, at(10_000));
+            one.on_notified(*told, at(10_000));
         }
         for told in &other {
-            two.on_told(*told, at(10_000));
+            two.on_notified(*told, at(10_000));
         }
         one.judge(at(11_000));
         two.judge(at(11_000));
