Configuration: a follower that finds a named version nowhere pauses; the watch in parts

Each follower that is behind a version which neither peers nor the directory have would read the directory each half second: it now pauses for two seconds. Found by reading. A connection for copies that carries no request is closed after five seconds.

The watch is split into following, reading and taking in; no other logic changed.

--- a/crates/front/src/copies/serve.rs
+++ b/crates/front/src/copies/serve.rs
@@ -8,7 +8,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +18,9 @@
 /// Where copies are asked for; the version that the asker holds follows.
 pub(super) const PATH: &str = "/config/";
 
+/// How long a connection may be open without a whole request: a peer that was cut off closes none.
+const HEADER_MS: SpanMs = SpanMs(5_000);
+
 /// Serves copies to peers until the process ends.
 pub async fn serve_copies(node: Rc<Node>, listener: TcpListener) {
     loop {
@@ -29,7 +32,10 @@
         });
         spawn_local(async move {
             let mut builder = http1::Builder::new();
-            builder.auto_date_header(false);
+            builder
+                .auto_date_header(false)
+                .timer(TokioTimer::new())
+                .header_read_timeout(Some(Duration::from(HEADER_MS)));
             let connection = builder.serve_connection(TokioIo::new(stream), service);
             note_end(connection.await);
         });
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -43,66 +43,98 @@
 /// The pause after a version was copied. It adds up along a chain of nodes that copy from each other.
 const COPY_GATHER_MS: SpanMs = SpanMs(200);
 
+/// The pause of a follower that finds a version which a peer named neither at peers nor in the
+/// directory: there may be none.
+const UNFOUND_PAUSE_MS: SpanMs = SpanMs(2_000);
+
 /// How often a node that waits for a version checks whether it still hears its peers.
 pub(super) const PROBE_EVERY_MS: SpanMs = SpanMs(1_000);
 
 /// Watches the configuration until the process ends.
 pub async fn watch_config(node: Rc<Node>) {
-    let mut cursor = None;
-    let mut held_back_ms = None;
-    let mut backoff = Backoff::new("configuration");
+    let mut watch = ConfigWatch {
+        node,
+        cursor: None,
+        held_back_ms: None,
+        backoff: Backoff::new("configuration"),
+    };
     loop {
-        if follow::parent(&node).is_some() {
-            // What the directory holds beyond the cursor is copied.
-            cursor = None;
-            match follow::follow(&node).await {
-                Followed::Copied(config, copy) => {
-                    take(&node, Rc::new(config), TextFrom::Peer(copy));
-                    tokio::time::sleep(Duration::from(COPY_GATHER_MS)).await;
-                    continue;
+        match follow::parent(&watch.node) {
+            Some(_) => watch.follow().await,
+            None => watch.read().await,
+        }
+    }
+}
+
+/// The state of the watch.
+struct ConfigWatch {
+    node: Rc<Node>,
+    /// Up to where the directory was read; none where what followed was copied, or nothing was read yet.
+    cursor: Option<Cursor>,
+    /// Since when an older configuration than the peers' isn't taken.
+    held_back_ms: Option<MonoMs>,
+    backoff: Backoff,
+}
+
+impl ConfigWatch {
+    /// Waits for the next version at peers, or for this node to become a reader.
+    async fn follow(&mut self) {
+        self.cursor = None;
+        match follow::follow(&self.node).await {
+            Followed::Reader => {}
+            Followed::Copied(config, copy) => {
+                take(&self.node, Rc::new(config), TextFrom::Peer(copy));
+                tokio::time::sleep(Duration::from(COPY_GATHER_MS)).await;
+            }
+            Followed::Nowhere => {
+                self.read().await;
+                if self.node.watching.is_behind() {
+                    tokio::time::sleep(Duration::from(UNFOUND_PAUSE_MS)).await;
                 }
-                Followed::Nowhere => {}
-                Followed::Reader => continue,
             }
         }
+    }
+
+    /// Reads the next version from the directory, and pauses.
+    async fn read(&mut self) {
+        let node = self.node.clone();
         let begun_ms = node.now_ms();
-        let read = match cursor {
+        let read = match self.cursor {
+            Some(cursor) => next_read(&node, cursor).await,
             None if node.config_version().is_none() => first_read(&node).await,
             None => {
                 let directory = &node.outside.directory;
                 directory.read_config(None, SpanMs::ZERO).await
             }
-            Some(cursor) => next_read(&node, cursor).await,
         };
         match read {
-            Ok(ConfigUpdate {
-                cursor: at,
-                config,
-                text,
-            }) => {
-                backoff.succeeded(&node);
-                era::on_era(&node, at.era);
-                if let Some(config) = &config
-                    && is_held_back(&node, config, &mut held_back_ms)
-                {
-                    tokio::time::sleep(Duration::from(AGAIN_MS)).await;
-                    continue;
-                }
-                cursor = Some(at);
-                if let Some(config) = config {
-                    take(&node, config, TextFrom::Directory(text));
-                    tokio::time::sleep(Duration::from(GATHER_MS)).await;
-                }
-            }
+            Ok(update) => self.take_in(update).await,
             Err(error) => {
                 node.journal.tell(&Event::ConfigReadFailed {
                     reason: error.to_string().into(),
                     waited_ms: node.now_ms().since(begun_ms),
                 });
-                backoff.failed(&node, &error).await;
+                self.backoff.failed(&node, &error).await;
             }
         }
     }
+
+    async fn take_in(&mut self, update: ConfigUpdate) {
+        let node = &self.node;
+        self.backoff.succeeded(node);
+        era::on_era(node, update.cursor.era);
+        if let Some(config) = &update.config
+            && is_held_back(node, config, &mut self.held_back_ms)
+        {
+            tokio::time::sleep(Duration::from(AGAIN_MS)).await;
+            return;
+        }
+        self.cursor = Some(update.cursor);
+        if let Some(config) = update.config {
+            take(node, config, TextFrom::Directory(update.text));
+            tokio::time::sleep(Duration::from(GATHER_MS)).await;
+        }
+    }
 }
 
 /// Whether a node's first configuration is not to be taken, since peers hold a newer one: the directory
@@ -120,7 +152,7 @@
 ///
 /// Nodes that start while the directory is away send their first read into silence, and an answer that
 /// was lost never comes. Given up after a second or two, it kept nodes from serving for up to 0.9 s
-/// after the directory was back. The configuration is small, so that asking again costs little.
+/// after the directory was back.
 async fn first_read(node: &Node) -> Result<ConfigUpdate, DirectoryError> {
     let directory = &node.outside.directory;
     let mut reads = FuturesUnordered::new();
