--- a/crates/fleet/src/limit/mod.rs
+++ b/crates/fleet/src/limit/mod.rs
@@ -68,7 +68,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Heard {
     /// What it says.
-    pub word: LimitSignal,
+    pub signal: LimitSignal,
     /// What was answered.
     pub source: Source,
     /// When that was sent.
@@ -145,7 +145,7 @@
         heard: Heard,
         now_ms: MonoMs,
     ) -> Option<LimitChange> {
-        match heard.word {
+        match heard.signal {
             LimitSignal::Named(rate) => {
                 let probes_name = heard.source == Source::Probe;
                 self.name(key, rate, now_ms, probes_name, now_ms)
--- a/crates/fleet/tests/limit.rs
+++ b/crates/fleet/tests/limit.rs
@@ -21,9 +21,9 @@
     OwnerId((n as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
-fn answered(word: LimitSignal, sent_ms: u64) -> Heard {
+fn answered(signal: LimitSignal, sent_ms: u64) -> Heard {
     Heard {
-        word,
+        signal,
         source: Source::Answer,
         sent_ms: MonoMs(sent_ms),
     }
--- a/crates/front/src/copies/fetch.rs
+++ b/crates/front/src/copies/fetch.rs
@@ -20,7 +20,7 @@
 
 /// The packed text of one version.
 #[derive(Clone, Debug)]
-pub struct Copy(pub(super) Buffer);
+pub struct ConfigCopy(pub(super) Buffer);
 
 /// Why a peer gave no copy.
 #[derive(Debug, thiserror::Error)]
@@ -50,7 +50,7 @@
     node: &Node,
     address: SocketAddr,
     held: ConfigVersion,
-) -> Result<(ServingConfig, Copy), CopyError> {
+) -> Result<(ServingConfig, ConfigCopy), CopyError> {
     let mut link = node.pool.lease(address, Freshness::New).await?;
     let sending = link.send(request(address, held));
     let answer = within(HOLD_MS + SILENT_MS, sending).await??;
@@ -61,7 +61,7 @@
     let text = miniz_oxide::inflate::decompress_to_vec_zlib_with_limit(&packed, TEXT_BYTES);
     let text = text.map_err(|error| CopyError::Packed(error.to_string().into()))?;
     let config = node.outside.dialect.config(&text)?;
-    Ok((config, Copy(packed)))
+    Ok((config, ConfigCopy(packed)))
 }
 
 fn request(address: SocketAddr, held: ConfigVersion) -> Request<Full<Buffer>> {
--- a/crates/front/src/copies/mod.rs
+++ b/crates/front/src/copies/mod.rs
@@ -17,7 +17,7 @@
 mod fetch;
 mod serve;
 
-pub use fetch::{Copy, fetch};
+pub use fetch::{ConfigCopy, fetch};
 pub use serve::serve_copies;
 
 use bluebell_base::prelude::*;
@@ -54,7 +54,7 @@
     }
 
     /// The version in force was copied from a peer.
-    pub fn on_copied(&self, copy: Copy) {
+    pub fn on_copied(&self, copy: ConfigCopy) {
         self.text.replace(Some(Text::Packed(copy.0)));
     }
 
--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -11,7 +11,7 @@
 
 /// A replica answered something.
 pub fn on_answer(node: &Node, key: ReplicaKey, heard: Heard) {
-    if heard.word == LimitSignal::Unreadable {
+    if heard.signal == LimitSignal::Unreadable {
         log::debug!("{key} names a limit that can't be read");
     }
     let now_ms = node.now_ms();
--- a/crates/front/src/signals/mod.rs
+++ b/crates/front/src/signals/mod.rs
@@ -19,7 +19,7 @@
     sent_ms: MonoMs,
 ) {
     let heard = Heard {
-        word: signals.limit,
+        signal: signals.limit,
         source,
         sent_ms,
     };
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -11,7 +11,7 @@
 use super::era;
 use super::follow::{self, Followed};
 use super::retry::Backoff;
-use crate::copies::Copy;
+use crate::copies::ConfigCopy;
 use crate::journal::Event;
 use crate::node::Node;
 use crate::outside::{ConfigUpdate, Cursor, DirectoryError};
@@ -216,7 +216,7 @@
 /// Where a configuration's text came from.
 enum TextFrom {
     Directory(Option<Buffer>),
-    Peer(Copy),
+    Peer(ConfigCopy),
 }
 
 /// Puts a configuration in force where it is newer than the one that is.
--- a/crates/front/src/watch/follow.rs
+++ b/crates/front/src/watch/follow.rs
@@ -1,7 +1,7 @@
 //! Following the configuration at peers instead of the directory.
 
 use super::config::PROBE_EVERY_MS;
-use crate::copies::{self, Copy};
+use crate::copies::{self, ConfigCopy};
 use crate::journal::Event;
 use crate::node::Node;
 use bluebell_base::prelude::*;
@@ -17,7 +17,7 @@
 /// How a wait for a newer configuration at peers ended.
 pub(super) enum Followed {
     /// A peer gave it.
-    Copied(ServingConfig, Copy),
+    Copied(ServingConfig, ConfigCopy),
     /// There is a newer one, and no peer that was asked gave it.
     Nowhere,
     /// This node is to read the directory itself.
