--- a/crates/fleet/src/placement/cost.rs
+++ b/crates/fleet/src/placement/cost.rs
@@ -13,8 +13,7 @@
 /// a quarter of those on time.
 pub const LATE_LOSS: f64 = 0.75;
 
-/// The part of the time allowed from which a pause counts as at risk; chosen, not
-/// measured.
+/// The part of the time allowed from which a pause counts as at risk.
 const RISK_FROM: f64 = 0.7;
 
 /// The share of a target from which a first event counts as at risk.
@@ -29,7 +28,7 @@
 const STALL_LOSS: f64 = 0.75;
 
 /// The share of the silence after which an engine is given up from which a pause counts towards
-/// that; chosen, not measured.
+/// that.
 const STALL_FROM: f64 = 0.3;
 
 /// The risk, from 0 to 1, that something expected at `share` of its limit comes too late.
--- a/crates/fleet/src/replicas/health.rs
+++ b/crates/fleet/src/replicas/health.rs
@@ -10,7 +10,7 @@
 
 use bluebell_base::prelude::*;
 
-/// The first pause after a failure that says the replica is away. Chosen, not measured.
+/// The first pause after a failure that says the replica is away.
 const FIRST_PAUSE_MS: SpanMs = SpanMs(1_000);
 
 /// The longest pause, which bounds how late a replica that came back gets work again.
--- a/crates/fleet/src/silence/mod.rs
+++ b/crates/fleet/src/silence/mod.rs
@@ -16,7 +16,7 @@
 /// it for nine seconds without a request that uses it, and other long prompts are refused for want of it.
 const MEMORY_UNUSED_MS: SpanMs = SpanMs(8_000);
 
-/// How much longer than expected an engine may be silent; chosen, not measured.
+/// How much longer than expected an engine may be silent.
 const FACTOR: f64 = 2.0;
 
 /// What is added to it: engines stall for this long when a helper is gone, and say so then.
--- a/crates/front/src/http/pool.rs
+++ b/crates/front/src/http/pool.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// How long a connection is kept where the other side doesn't say; chosen, not measured. A close that
+/// How long a connection is kept where the other side doesn't say. A close that
 /// crosses a request shows as a failed try.
 const KEPT_MS: SpanMs = SpanMs(4_000);
 
--- a/crates/front/src/journal/writer.rs
+++ b/crates/front/src/journal/writer.rs
@@ -10,8 +10,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// How much is gathered before the writer is woken, since each wake-up is charged; chosen, not
-/// measured.
+/// How much is gathered before the writer is woken, since each wake-up is charged.
 const GATHER_BYTES: usize = 8 * 1024;
 
 /// How many gathered blocks wait for a standard output that nobody reads; with the block being
--- a/crates/quarantine/src/verdict/mod.rs
+++ b/crates/quarantine/src/verdict/mod.rs
@@ -26,7 +26,7 @@
 const ONE_CAUSE_MS: SpanMs = SpanMs(100);
 
 /// How far the first and the last of its ends lie apart at least: what comes all the time is on every
-/// replica that a power cut ends, and served by none until they are back. Chosen, not measured.
+/// replica that a power cut ends, and served by none until they are back.
 const LEAST_SPREAD_MS: SpanMs = SpanMs(250);
 
 /// How old an end is before it is judged: by then nodes have told what else ended with it. Nodes see
