Trust: a trial is counted in optimised builds as well

The README's test command builds with opt-level 1 and passes. The same calls with their results kept in variables pass, so it depends on what is inlined where; whether a node ever counted wrongly isn't known.

--- a/crates/fleet/src/replicas/health.rs
+++ b/crates/fleet/src/replicas/health.rs
@@ -145,9 +145,11 @@
 
     /// A request was sent; returns whether it is on trial.
     pub fn begin(&mut self) -> bool {
-        let trial = self.doubted_until_ms.is_some();
-        self.on_trial += u32::from(trial);
-        trial
+        if self.doubted_until_ms.is_none() {
+            return false;
+        }
+        self.on_trial += 1;
+        true
     }
 
     /// A request that was on trial has ended.
