Ledger: a part that should be read by now stays in its engine's queue until its prompt begins

Cause: parts left the queue of the ledger by the clock. Engines take longer than their figures say (passes of their writers, the end of the pass under way), so at the moment at which a part should have been read its engine looked free, the next long prompt was placed there, and a shared part goes ahead of all that an engine still reads. Ruled out: that delaying a placed prompt costs too little.

--- a/crates/fleet/src/ledger/load.rs
+++ b/crates/fleet/src/ledger/load.rs
@@ -31,7 +31,8 @@
     pub tolerances: Vec<Tolerance>,
     /// The same of those that are late already: they can still be made to break off.
     pub late: Vec<Tolerance>,
-    /// The requests of which it reads, with the time from now at which each part is read.
+    /// The requests of which it reads, with the time from now at which each part is read; 0 where it
+    /// should be read by now and its request hasn't begun.
     pub ends: Vec<(WorkId, f64)>,
 }
 
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -128,8 +128,8 @@
         self.works.get(&id.owner)?.get(&id.sequence)
     }
 
-    /// How long the engines of `id` still read before the last of its parts is read; none where it
-    /// is read, or unknown.
+    /// How long the engines of `id` still read before the last of its parts is read, 0 where it should
+    /// be by now; none where it has begun, or is unknown.
     pub fn reading_left_ms(&mut self, id: WorkId, now_ms: MonoMs) -> Option<f64> {
         let work = self.works.get(&id.owner)?.get(&id.sequence)?;
         let mut left_ms: Option<f64> = None;
--- a/crates/fleet/src/ledger/queue.rs
+++ b/crates/fleet/src/ledger/queue.rs
@@ -4,7 +4,15 @@
 //! that several engines read together goes ahead of all that waits, also at the engine that will
 //! write, so the newest part is read first.
 //!
-//! Invariants: time only takes from queues; a part stands in a queue at most once.
+//! Load pattern: for ten seconds long prompts ask for most of the engines' time, and one follows the
+//! other at each engine. Engines take somewhat longer than their figures say, for the passes of their
+//! writers and the end of the pass under way.
+//!
+//! Reason for the limits: a part that should be read by now may still be under way, and what is placed
+//! there would go ahead of it. So it stays in the queue until its prompt begins to be written, which
+//! its node reports.
+//!
+//! Invariants: time takes from parts and never removes them; a part stands in a queue at most once.
 
 use super::WorkId;
 use crate::pace::Pace;
@@ -15,7 +23,7 @@
 pub struct Part {
     /// The work that it belongs to.
     pub work: WorkId,
-    /// What is left of it, as the time that a sound engine takes.
+    /// What is left of it, as the time that a sound engine takes; 0 where it should be read by now.
     pub left_ms: f64,
 }
 
@@ -32,16 +40,11 @@
     pub fn advance(&mut self, now_ms: MonoMs) {
         let mut passed_ms = now_ms.since(self.at_ms).0 as f64 / self.pace.times();
         self.at_ms = self.at_ms.max(now_ms);
-        let mut read = 0;
         for part in &mut self.parts {
-            if part.left_ms > passed_ms {
-                part.left_ms -= passed_ms;
-                break;
-            }
-            passed_ms -= part.left_ms;
-            read += 1;
+            let read_ms = part.left_ms.min(passed_ms);
+            part.left_ms -= read_ms;
+            passed_ms -= read_ms;
         }
-        self.parts.drain(..read);
     }
 
     /// From when the queue was last looked at, the engine reads at this pace.
@@ -78,7 +81,7 @@
         left_ms * self.pace.times()
     }
 
-    /// Whether nothing is left to read.
+    /// Whether no prompt is being read.
     pub fn is_empty(&self) -> bool {
         self.parts.is_empty()
     }
