--- a/crates/fleet/src/fanout/mod.rs
+++ b/crates/fleet/src/fanout/mod.rs
@@ -27,8 +27,7 @@
 use crate::ledger::OwnerId;
 
 /// The most peers of another failure domain that each get a copy of their own: a relay for so few
-/// spares little, is a hop more, and one that dies takes gossip along. Chosen: with two in place of
-/// eight nothing differed on 72 paired days of six to nine nodes.
+/// spares little, is a hop more, and one that dies takes gossip along.
 const DIRECT_PEERS: usize = 8;
 
 /// A peer, as far as it matters for how it is told.
--- a/crates/fleet/src/fanout/timing.rs
+++ b/crates/fleet/src/fanout/timing.rs
@@ -3,9 +3,8 @@
 //! Load pattern: each node takes in the datagrams of all others, so that what it spends on them grows
 //! with the fleet while its own requests don't.
 //!
-//! Reason for the limits: of a large fleet each node places little, so that what one tells late
-//! misleads little. With this 195 nodes took 75 s of processor time for a calm day in place of 99,
-//! and answers were worth no less.
+//! Reason for the limits: of a large fleet each node places little, so that what one reports late
+//! misleads little.
 //!
 //! Invariants: a node of a larger fleet never sends more often than one of a smaller.
 
@@ -21,8 +20,7 @@
 const LONGEST_DIGEST_EVERY_MS: SpanMs = SpanMs(1_000);
 
 /// How long gossip of work that got further is gathered where nodes are few: peers reckon with it until
-/// then, which spares an engine for a moment too long. On 60 small nodes it took late short drafts
-/// from 449 to 348 of 3,467 (one calm day, processor time charged).
+/// then, which spares an engine for a moment too long.
 const GATHER_MS: SpanMs = SpanMs(60);
 
 /// The longest such time: a tenth of the time for which a short prompt is written.
--- a/crates/fleet/src/ledger/work.rs
+++ b/crates/fleet/src/ledger/work.rs
@@ -54,7 +54,6 @@
 
 /// What a request counts against others. Operators set no weights: longer prompts are wanted more,
 /// but less than in proportion, so that no long prompt outweighs the many short ones in its way.
-/// Other powers were not tried.
 pub fn weight(prompt_tokens: Tokens) -> f64 {
     (prompt_tokens.0.max(1) as f64 / 1000.0).powf(0.75)
 }
--- a/crates/fleet/src/pace/mod.rs
+++ b/crates/fleet/src/pace/mod.rs
@@ -1,11 +1,11 @@
-//! How fast engines are against their configured figures, and who looks.
+//! How fast engines are against their configured figures, and who probes them.
 //!
 //! Load pattern: for some seconds a part of the engines takes several times as long for everything,
 //! and answers all the same. Given work as sound ones, they held long prompts until these were given
 //! up as silent, and short ones past their target.
 //!
-//! Reason for the limits: an engine says of itself how slow it is, so one look tells more than many
-//! late answers. Each engine is looked at by one node, which tells the others; a word that isn't
+//! Reason for the limits: an engine says of itself how slow it is, so one probe shows more than many
+//! late answers. Each engine is probed by one node, which notifies the others; a report that isn't
 //! repeated soon no longer counts, since the engine may have recovered.
 //!
 //! Invariants: an engine of which nothing is known is taken to be as configured.
@@ -19,11 +19,10 @@
 use crate::rendezvous;
 use crate::replicas::ReplicaKey;
 
-/// How often an engine is looked at. Looks are priced like probes: with one a second, 69 engines
-/// cost about a thousandth of what their answers are worth.
+/// How often an engine is probed.
 pub const PROBE_EVERY_MS: SpanMs = SpanMs(1_000);
 
-/// How long a word about an engine counts: two lost looks don't end it.
+/// How long a report about an engine counts: two lost probes don't end it.
 const BELIEVED_MS: SpanMs = SpanMs(3_500);
 
 /// The largest pace that is believed: nothing is planned for slower engines in any case.
@@ -125,7 +124,7 @@
     }
 }
 
-/// Whether `own` is the one of the nodes that looks at an engine.
+/// Whether `own` is the one of the nodes that probes an engine.
 pub fn probes(own: OwnerId, peers: &[OwnerId], engine: ReplicaKey) -> bool {
     rendezvous::place(own, peers, engine) == 0
 }
--- a/crates/fleet/src/placement/cost.rs
+++ b/crates/fleet/src/placement/cost.rs
@@ -9,8 +9,7 @@
 use crate::silence;
 use bluebell_base::prelude::*;
 
-/// The part of an answer's use that is lost when it is late. The users value late answers at about
-/// a quarter of those on time.
+/// The part of an answer's use that is lost when it is late.
 pub const LATE_LOSS: f64 = 0.75;
 
 /// The part of the time allowed from which a pause counts as at risk.
@@ -22,9 +21,8 @@
 /// What a writer loses beyond being late where its engine is silent for so long that it is given up:
 /// the rest of its use, and that another engine reads its prompt again.
 ///
-/// Load pattern: in a peak of short work a long prompt finds writers on every engine. As long as any
-/// pause beyond the limit cost the same, it was read by few engines for seconds: on a calm day a
-/// prompt of 400,000 tokens took six engines for 2.6 s each, and six streams were given up then.
+/// Load pattern: in a peak of short work a long prompt finds writers on every engine, and few engines
+/// would read it for seconds if all pauses beyond the limit cost the same.
 const STALL_LOSS: f64 = 0.75;
 
 /// The share of the silence after which an engine is given up from which a pause counts towards
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -106,7 +106,7 @@
 
 /// The most engines that one decision looks at. Of a larger fleet it looks at so many, spread evenly
 /// over the shared order: the best of them is about as good as the best of all, and a decision takes
-/// no longer the larger the fleet is. With 1,800 engines it took 0.9 ms for a prompt of 45,000 tokens.
+/// no longer the larger the fleet is.
 const MOST_LOOKED_AT: usize = 400;
 
 /// The engines that a decision looks at.
--- a/crates/fleet/src/placement/price.rs
+++ b/crates/fleet/src/placement/price.rs
@@ -12,15 +12,13 @@
 use super::Fleet;
 use crate::engine::EngineSpec;
 
-/// The mean backlog of the engines from which reading has a price: about what one prompt of medium
-/// length leaves.
+/// The mean backlog of the engines from which reading has a price.
 const BACKLOG_FREE_MS: f64 = 250.0;
 
-/// The mean backlog at which reading costs the most: half of what the longest prompts may wait.
+/// The mean backlog at which reading costs the most.
 const BACKLOG_FULL_MS: f64 = 1_500.0;
 
-/// The highest price of a ms of reading, in units of weight: that of a prompt of some 100,000
-/// tokens, so that at full backlog longer ones wait.
+/// The highest price of a ms of reading that a backlog makes, in units of weight.
 const READ_PRICE: f64 = 0.022;
 
 /// The share of the engines' time that was asked for lately from which reading has a price even
@@ -31,16 +29,11 @@
 const BUSY_FULL: f64 = 0.9;
 
 /// The highest price of a ms of reading for that reason, in units of weight; the price grows with
-/// the square of the share. At three quarters of it prompts of some 200,000 tokens wait. An
-/// even price of 0.015 from 0.1 gave a mean worth lower by 0.006 on both deployments (six seeds).
+/// the square of the share.
 const BUSY_PRICE: f64 = 0.025;
 
-/// The most that a request pays for being read, as a part of its weight. Reading takes the longer the
-/// longer a prompt is squared, and its weight grows less, so that the price of an hour of load shut
-/// out whatever was long enough: of the longest tenth of one kind of request 13 in 100 were served,
-/// of all 85. With it what costs most waits longest, and is then served where it makes nobody else
-/// late. Half of the weight gained 0.029 of what answers are worth (twelve paired days of 22 nodes);
-/// 0.3 gained 0.027, 0.15 gained 0.018 and 0.75 gained 0.009.
+/// The most that a request pays for being read, as a part of its weight. Reading grows with the square
+/// of a prompt's length and its weight grows less, so an unbounded price would shut the longest out.
 const MOST_PAID: f64 = 0.5;
 
 /// The share of slots taken from which a slot has a price.
--- a/crates/fleet/src/placement/spread.rs
+++ b/crates/fleet/src/placement/spread.rs
@@ -21,11 +21,11 @@
 const SHORT_SPREAD_WEIGHT: f64 = 0.1;
 
 /// The same for a long prompt: half of the chance that another is placed unknown, since of two that
-/// meet on one engine the second is late. Chosen; other values were not tried.
+/// meet on one engine the second is late.
 const LONG_SPREAD_WEIGHT: f64 = 0.5;
 
 /// How long other nodes' placements stay unknown: gossip is gathered for some ms, crosses failure
-/// domains and is passed on there. On 195 nodes it took 2 to 8 ms.
+/// domains and is passed on there.
 const UNKNOWN_MS: f64 = 10.0;
 
 /// What the draw counts at most between engines for a prompt, as a part of its weight.
--- a/crates/fleet/src/silence/mod.rs
+++ b/crates/fleet/src/silence/mod.rs
@@ -1,9 +1,9 @@
 //! How long an engine may be silent before another is asked.
 //!
 //! Load pattern: engines read shared parts newest first, so while long prompts come in quick
-//! succession the oldest of them is pushed back again and again. Taken for silence, that broke off
-//! tries which an engine worked on, read their prompts a second time elsewhere, and kept sound
-//! engines out for seconds: on a calm day of 78 engines 15 tries, under a heavier load 106.
+//! succession the oldest of them is pushed back again and again. Taken for silence, that would break
+//! off tries which an engine works on, read their prompts a second time elsewhere, and keep sound
+//! engines out for seconds.
 //!
 //! Reason for the limits: a try is given up only once its engines should have read its prompt by
 //! all that is known of their work, and while there is time left to begin anew.
--- a/crates/fleet/src/waiting/mod.rs
+++ b/crates/fleet/src/waiting/mod.rs
@@ -28,8 +28,7 @@
 const LEAST_WAIT_MS: SpanMs = SpanMs(500);
 
 /// The cost from which a request isn't kept waiting, in hundredths of its weight: prices don't fall
-/// that far within its wait. Of 78 requests that met such a cost on four days of 54 and 78 engines,
-/// 5 were placed in the end; the others learned after seconds what could have been said at once.
+/// that far within its wait.
 const HOPELESS_PCT: u32 = 150;
 
 /// What a request's placement may cost at first.
@@ -49,7 +48,7 @@
 }
 
 impl WaitTimeouts {
-    /// The patience of a request with this target and this longest pause.
+    /// How long a request and its caller wait, with this target and this longest pause.
     pub fn of(target_ms: SpanMs, gap_ms: SpanMs) -> Self {
         let targets_ms = SpanMs(target_ms.0 * TARGETS);
         let pauses_ms = SpanMs(gap_ms.0 * PAUSES);
--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -27,8 +27,7 @@
 const LONGEST_UNINFORMED_MS: SpanMs = SpanMs(1_500);
 
 /// The part of its time after which a caller is asked back by a node that finds no directory. Outages
-/// last for seconds, and callers come back once and within a third of their time: of 466 that were
-/// asked back after half a second in an outage nearly all were refused again.
+/// last for seconds, and callers come back once and within a third of their time.
 const AWAY_RETRY_PART: f64 = 0.33;
 
 /// The least part of that time, from which the time is drawn: who was turned away in an outage must
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -34,8 +34,7 @@
 const LOOK_EVERY_MS: SpanMs = SpanMs(40);
 
 /// The looks that a request takes within its target: long prompts look at more ways to be placed,
-/// so each look reckons more. With one each 40 ms late short drafts on 60 small nodes were 718 of
-/// 3,467, with this and cheaper looks 449 (one calm day, processor time charged).
+/// so each look reckons more.
 const LOOKS: u64 = 25;
 
 /// How much a request that looks for a place presses.
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -27,9 +27,8 @@
 
 /// Whether a silent try is to be waited for all the same, since its request can go nowhere else.
 ///
-/// Slow engines look silent. Where every other one was full, giving them up threw away what they had
-/// read, and the caller got a failure: on a day of 69 engines in which some were slow, that ended 47
-/// of 336 long prompts after three seconds and more.
+/// Slow engines seem silent. Where every other one is full, giving them up throws away what they have
+/// read, and the caller gets a failure.
 fn has_no_other_place(call: &Call, avoid: &[ReplicaKey]) -> bool {
     let node = &call.node;
     let now_ms = node.now_ms();
