--- a/crates/fleet/src/limit/mod.rs
+++ b/crates/fleet/src/limit/mod.rs
@@ -115,7 +115,7 @@
         self.share.is_some_and(|share| share.rate.0 > 0.0)
     }
 
-    fn tells(&self) -> bool {
+    fn is_announced(&self) -> bool {
         self.share.is_some_and(|share| share.tells)
     }
 }
@@ -226,7 +226,7 @@
     /// A limit has ended, which a peer may know of that this node never heard of.
     fn end(&mut self, key: ReplicaKey, at_ms: MonoMs) -> Option<LimitChange> {
         let limit = self.known.remove(&key);
-        let tells = limit.is_some_and(|limit| limit.tells());
+        let tells = limit.is_some_and(|limit| limit.is_announced());
         self.ended.insert(key, End { at_ms, tells });
         limit.map(|_| LimitChange::Ended)
     }
@@ -281,8 +281,8 @@
         quiet && self.admission(key, now_ms) == Admission::Now
     }
 
-    /// What is told again of this replica: its limit, or that it has ended.
-    pub fn tell(&self, key: ReplicaKey, now_ms: MonoMs) -> Option<LimitNotice> {
+    /// What peers are notified of about this replica: its limit, or that it has ended.
+    pub fn notice(&self, key: ReplicaKey, now_ms: MonoMs) -> Option<LimitNotice> {
         if let Some(limit) = self.known.get(&key) {
             let age_ms = now_ms.since(limit.named_ms);
             return Some(LimitNotice {
@@ -303,10 +303,10 @@
 
     /// All that this node tells again with its digests.
     pub fn notify_again(&self, now_ms: MonoMs) -> Vec<LimitNotice> {
-        let limits = self.known.iter().filter(|(_, limit)| limit.tells());
+        let limits = self.known.iter().filter(|(_, limit)| limit.is_announced());
         let ends = self.ended.iter().filter(|(_, end)| end.tells);
         let keys = limits.map(|(key, _)| *key).chain(ends.map(|(key, _)| *key));
-        keys.filter_map(|key| self.tell(key, now_ms)).collect()
+        keys.filter_map(|key| self.notice(key, now_ms)).collect()
     }
 
     /// How many replicas name a limit.
--- a/crates/fleet/tests/limit.rs
+++ b/crates/fleet/tests/limit.rs
@@ -251,7 +251,7 @@
             for at in [first, second, 3, 2, 1, 0] {
                 limits.on_notified(&words[at], MonoMs(1_000));
             }
-            let known = limits.tell(REPLICA, MonoMs(1_000)).expect("it is known");
+            let known = limits.notice(REPLICA, MonoMs(1_000)).expect("it is known");
             assert_eq!(known.rate, Some(PerSecond(3.0)), "{first} {second}");
         }
     }
--- a/crates/front/src/call/answers.rs
+++ b/crates/front/src/call/answers.rs
@@ -33,7 +33,7 @@
     retry_after_ms: SpanMs,
 ) -> Answer {
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    node.journal.tell(&Event::Refused {
+    node.journal.record(&Event::Refused {
         request: head.request.clone(),
         status: status.as_u16(),
         why: why.into(),
@@ -60,7 +60,7 @@
 
 /// The request can't be served as it is; it has not run.
 pub fn rejected(node: &Node, request: &Arc<str>, status: StatusCode, why: &str) -> Answer {
-    node.journal.tell(&Event::Refused {
+    node.journal.record(&Event::Refused {
         request: request.clone(),
         status: status.as_u16(),
         why: why.into(),
@@ -79,7 +79,7 @@
     why: &str,
     age_ms: SpanMs,
 ) -> Answer {
-    node.journal.tell(&Event::Failed {
+    node.journal.record(&Event::Failed {
         request: request.clone(),
         status: status.as_u16(),
         why: why.into(),
--- a/crates/front/src/call/held.rs
+++ b/crates/front/src/call/held.rs
@@ -131,7 +131,7 @@
 impl Drop for CallWatch {
     fn drop(&mut self) {
         if !self.answered {
-            self.call.node.journal.tell(&Event::Cancelled {
+            self.call.node.journal.record(&Event::Cancelled {
                 request: self.call.head.request.clone(),
                 age_ms: self.call.age_ms(),
             });
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -119,7 +119,7 @@
     }
     let Whole { reply, body } = whole;
     let age_ms = call.age_ms();
-    call.node.journal.tell(&Event::Answered {
+    call.node.journal.record(&Event::Answered {
         request: call.head.request.clone(),
         status: reply.status().as_u16(),
         attempts,
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -221,7 +221,7 @@
             };
             avoid.push(chosen.key);
             self.chosen = chosen;
-            self.call.node.journal.tell(&Event::Resumed {
+            self.call.node.journal.record(&Event::Resumed {
                 request: self.call.head.request.clone(),
                 last_event: self.last_id.clone(),
             });
@@ -257,7 +257,7 @@
     }
 
     async fn break_off(&self, why: &str) {
-        self.call.node.journal.tell(&Event::Failed {
+        self.call.node.journal.record(&Event::Failed {
             request: self.call.head.request.clone(),
             status: 200,
             why: why.into(),
@@ -268,7 +268,7 @@
     }
 
     fn note_end(&self, status: u16) {
-        self.call.node.journal.tell(&Event::Answered {
+        self.call.node.journal.record(&Event::Answered {
             request: self.call.head.request.clone(),
             status,
             attempts: self.tries,
@@ -280,7 +280,7 @@
     }
 
     fn note_gone(&self) {
-        self.call.node.journal.tell(&Event::Cancelled {
+        self.call.node.journal.record(&Event::Cancelled {
             request: self.call.head.request.clone(),
             age_ms: self.call.age_ms(),
         });
--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -66,7 +66,7 @@
                 name: format!("{:016x}", rand::random::<u64>()).into(),
                 tokens,
             };
-            call.node.journal.tell(&Event::MemoryReserved {
+            call.node.journal.record(&Event::MemoryReserved {
                 request: call.head.request.clone(),
                 name: piece.name.clone(),
                 address,
@@ -141,7 +141,7 @@
         tokio::time::sleep(Duration::from(pause_ms)).await;
         if !is_alive(&node, &writer).await {
             for piece in &pieces {
-                node.journal.tell(&Event::MemoryLapses {
+                node.journal.record(&Event::MemoryLapses {
                     name: piece.name.clone(),
                     writer: writer.instance.clone(),
                 });
@@ -181,7 +181,7 @@
     let exchange = exchange(node, address, order);
     let answer = tokio::time::timeout(Duration::from(ORDER_MS), exchange).await;
     let answer = answer.ok().flatten();
-    node.journal.tell(&Event::MemoryOrdered {
+    node.journal.record(&Event::MemoryOrdered {
         name: order.name().clone(),
         address,
         order: order.as_str(),
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -115,7 +115,7 @@
     attempt: u32,
     last_event: Option<&str>,
 ) -> Result<Reply, TryError> {
-    tell_placed(call, chosen, attempt);
+    record_placed(call, chosen, attempt);
     let mut freshness = freshness(call, chosen);
     loop {
         let link = call.node.pool.lease(chosen.replica.address, freshness);
@@ -139,9 +139,9 @@
     }
 }
 
-fn tell_placed(call: &Call, chosen: &Chosen, attempt: u32) {
+fn record_placed(call: &Call, chosen: &Chosen, attempt: u32) {
     let placement = chosen.placement.as_ref();
-    call.node.journal.tell(&Event::Placed {
+    call.node.journal.record(&Event::Placed {
         request: call.head.request.clone(),
         attempt,
         instance: chosen.replica.instance.clone(),
@@ -287,7 +287,7 @@
     });
     if let Some(instance) = doubted {
         node.outbox.doubted(key, DOUBT_NOTIFIED_MS);
-        node.journal.tell(&Event::ReplicaDoubted {
+        node.journal.record(&Event::ReplicaDoubted {
             instance,
             why: why.into(),
         });
@@ -299,7 +299,7 @@
 
 /// Takes down a failed try.
 pub(super) fn note_failure(call: &Call, chosen: &Chosen, attempt: u32, error: &TryError) {
-    call.node.journal.tell(&Event::TryFailed {
+    call.node.journal.record(&Event::TryFailed {
         request: call.head.request.clone(),
         attempt,
         instance: chosen.replica.instance.clone(),
@@ -384,7 +384,7 @@
     let now_ms = node.now_ms();
     let taken = node.with(|state| state.budget.take(&call.service.name, nodes, now_ms));
     if !taken {
-        node.journal.tell(&Event::BudgetSpent {
+        node.journal.record(&Event::BudgetSpent {
             request: call.head.request.clone(),
         });
     }
--- a/crates/front/src/gossip/receive.rs
+++ b/crates/front/src/gossip/receive.rs
@@ -60,7 +60,7 @@
     }
     let now_ms = node.now_ms();
     if node.outbox.heard(&datagram.origin, now_ms) == PeerEvent::Found {
-        node.journal.tell(&Event::PeerFound {
+        node.journal.record(&Event::PeerFound {
             incarnation: owner.0,
         });
     }
--- a/crates/front/src/gossip/send.rs
+++ b/crates/front/src/gossip/send.rs
@@ -43,7 +43,7 @@
 
 fn own_digest(node: &Node) -> Vec<Gossip> {
     let now_ms = node.now_ms();
-    let tells = chance_to_tell(node);
+    let tells = notify_chance(node);
     limits::share(node);
     let (works, version, requests, limits, leavers) = node.with(|state| {
         let own = state.ledger.of_owner(node.owner);
@@ -51,7 +51,7 @@
         let version = state.config.as_ref().map(|c| c.version());
         let again = state.quarantine.notify_again(now_ms);
         let draw = || rand::random_bool(tells);
-        let quarantined = state.quarantine.tell_quarantined(now_ms, draw);
+        let quarantined = state.quarantine.quarantine_notices(now_ms, draw);
         let requests = again.into_iter().chain(quarantined);
         let limits = state.limits.notify_again(now_ms);
         (
@@ -82,7 +82,7 @@
 
 /// The chance with which this node tells a request in quarantine with a digest. If all nodes told all
 /// of them, 300 nodes and sixteen requests would be 120 KB/s at each node.
-fn chance_to_tell(node: &Node) -> f64 {
+fn notify_chance(node: &Node) -> f64 {
     (TOLD_BY / node.node_count() as f64).min(1.0)
 }
 
@@ -122,7 +122,7 @@
     let lost = node.outbox.expire(node.now_ms());
     for (owner, silent_ms) in lost {
         node.with(|state| state.ledger.remove_owner(owner));
-        node.journal.tell(&Event::PeerLost {
+        node.journal.record(&Event::PeerLost {
             incarnation: owner.0,
             silent_ms,
         });
--- a/crates/front/src/journal/writer.rs
+++ b/crates/front/src/journal/writer.rs
@@ -76,8 +76,8 @@
         &self.metrics
     }
 
-    /// Takes an event in.
-    pub fn tell(&self, event: &Event) {
+    /// Counts an event and writes its line.
+    pub fn record(&self, event: &Event) {
         self.metrics.observe(event);
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let line = Line {
@@ -113,7 +113,7 @@
         }
         let count = self.dropped.replace(0);
         if count > 0 {
-            self.tell(&Event::LinesDropped { count });
+            self.record(&Event::LinesDropped { count });
         }
     }
 }
--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -19,8 +19,8 @@
         return;
     };
     // Whoever else sends there has heard nothing: the limit would be exceeded by all together.
-    if let Some(told) = node.with(|state| state.limits.tell(key, now_ms)) {
-        node.outbox.limit(told);
+    if let Some(notice) = node.with(|state| state.limits.notice(key, now_ms)) {
+        node.outbox.limit(notice);
     }
     log_change(node, key, change, heard.source.as_str());
 }
@@ -73,7 +73,7 @@
         (replica.map(|r| r.instance.clone()), state.limits.len())
     });
     let instance = instance.unwrap_or_else(|| "".into());
-    node.journal.tell(&match change {
+    node.journal.record(&match change {
         LimitChange::Named(rate) => Event::LimitNamed {
             instance,
             rate_per_s: rate,
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -94,7 +94,7 @@
         let (gossip, copies) = bind_for_peers(&mut settings.gossip).await?;
         let (journal, writer) = Journal::open(settings.name.clone(), Metrics::open()?);
         let node = Node::open(settings, outside, journal);
-        node.journal.tell(&Event::Started {
+        node.journal.record(&Event::Started {
             callers: node.settings.callers,
             incarnation: node.owner.0,
         });
@@ -150,7 +150,7 @@
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
                 () = self.stop.notified() => break,
-                _ = reload.recv() => self.node.journal.tell(&Event::Reloaded),
+                _ = reload.recv() => self.node.journal.record(&Event::Reloaded),
             }
         }
         self.stop().await;
@@ -160,7 +160,7 @@
     async fn stop(self) {
         let node = &self.node;
         let open = self.connections.get();
-        node.journal.tell(&Event::Stopping { connections: open });
+        node.journal.record(&Event::Stopping { connections: open });
         let plan = node.begin_stop();
         loop {
             let now_ms = node.now_ms();
@@ -171,7 +171,7 @@
             tokio::time::sleep(Duration::from(STOP_POLL_MS)).await;
         }
         let open = self.connections.get();
-        node.journal.tell(&Event::Stopped { connections: open });
+        node.journal.record(&Event::Stopped { connections: open });
         node.journal.flush();
         self.writer.close();
     }
@@ -242,7 +242,7 @@
             state.replicas.expire(now_ms)
         });
         for replica in dropped {
-            node.journal.tell(&Event::ReplicaGone {
+            node.journal.record(&Event::ReplicaGone {
                 instance: replica.instance.clone(),
             });
         }
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -86,8 +86,8 @@
     }
     let times = (at_ms, node.now_ms());
     node.outbox
-        .request(Quarantine::tell_end(digest, run, evidence, times));
-    node.journal.tell(&Event::ReplicaEnded {
+        .request(Quarantine::end_notice(digest, run, evidence, times));
+    node.journal.record(&Event::ReplicaEnded {
         instance: replica.instance.clone(),
         request,
         digest,
@@ -159,7 +159,7 @@
         Turn::None | Turn::Ended { judged: false } => return,
         Turn::Ended { judged: true } => return judge_soon(node),
         Turn::Quarantined { term, .. } => {
-            node.journal.tell(&Event::RequestQuarantined {
+            node.journal.record(&Event::RequestQuarantined {
                 digest,
                 term,
                 how: how.as_str(),
@@ -168,7 +168,7 @@
         }
         Turn::Cleared { quarantined } => {
             if quarantined {
-                node.journal.tell(&Event::QuarantineEnded {
+                node.journal.record(&Event::QuarantineEnded {
                     digest,
                     how: how.as_str(),
                 });
@@ -177,7 +177,7 @@
         }
     };
     let told = how.is_notified(turn);
-    if told && let Some(told) = node.with(|state| state.quarantine.tell(&digest, now_ms)) {
+    if told && let Some(told) = node.with(|state| state.quarantine.notice(&digest, now_ms)) {
         node.outbox.request(told);
     }
     // Those that saw its ends may be gone by now, so the node that will review the request stores
--- a/crates/front/src/signals/mod.rs
+++ b/crates/front/src/signals/mod.rs
@@ -54,7 +54,7 @@
     if let Some(rest_ms) = rest_ms {
         let instance = name_of(node, key);
         node.journal
-            .tell(&Event::ReplicaAsksForRest { instance, rest_ms });
+            .record(&Event::ReplicaAsksForRest { instance, rest_ms });
     }
 }
 
@@ -69,7 +69,7 @@
 fn log_leaving(node: &Node, key: ReplicaKey, how: &'static str) {
     let instance = name_of(node, key);
     node.journal
-        .tell(&Event::ReplicaSaysLeaving { instance, how });
+        .record(&Event::ReplicaSaysLeaving { instance, how });
 }
 
 /// A replica's name in the log; its key where the directory doesn't list it.
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -110,7 +110,7 @@
         match read {
             Ok(update) => self.take_in(update).await,
             Err(error) => {
-                node.journal.tell(&Event::ConfigReadFailed {
+                node.journal.record(&Event::ConfigReadFailed {
                     reason: error.to_string().into(),
                     waited_ms: node.now_ms().since(begun_ms),
                 });
@@ -248,7 +248,7 @@
     let behind_ms = node.watching.on_config_in_force(version, now_ms);
     node.watching.learned.notify_waiters();
     node.outbox.config(version);
-    node.journal.tell(&Event::ConfigInForce {
+    node.journal.record(&Event::ConfigInForce {
         version,
         routes,
         replaced,
--- a/crates/front/src/watch/era.rs
+++ b/crates/front/src/watch/era.rs
@@ -55,7 +55,7 @@
         let now_ms = node.now_ms();
         node.with(|state| state.replicas.on_directory_renewed(now_ms));
         node.outbox.era(era);
-        node.journal.tell(&Event::DirectoryRenewed { era });
+        node.journal.record(&Event::DirectoryRenewed { era });
     }
     renewed
 }
--- a/crates/front/src/watch/follow.rs
+++ b/crates/front/src/watch/follow.rs
@@ -72,7 +72,7 @@
         };
         match copies::fetch(node, address, held).await {
             Ok((config, copy)) => return Followed::Copied(config, copy),
-            Err(error) => node.journal.tell(&Event::ConfigCopyFailed {
+            Err(error) => node.journal.record(&Event::ConfigCopyFailed {
                 peer: peer.0,
                 reason: error.to_string().into(),
             }),
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -76,7 +76,7 @@
         node.outbox.pace(key, report.pace);
     }
     if is_new {
-        node.journal.tell(&Event::EnginePace {
+        node.journal.record(&Event::EnginePace {
             key,
             pace: report.pace.to_string().into(),
         });
--- a/crates/front/src/watch/pieces.rs
+++ b/crates/front/src/watch/pieces.rs
@@ -70,14 +70,14 @@
     /// What peers are told of a read that ended at `end`.
     pub fn close(mut self, node: &Node, end: Cursor) -> Vec<ReplicasNotice> {
         if self.count > MOST_TOLD {
-            return self.untold(node, end);
+            return self.unannounced(node, end);
         }
         self.cut(node, end);
         self.closed
     }
 
     /// What peers are told of a read whose changes they judge for themselves.
-    pub fn untold(self, node: &Node, end: Cursor) -> Vec<ReplicasNotice> {
+    pub fn unannounced(self, node: &Node, end: Cursor) -> Vec<ReplicasNotice> {
         vec![ReplicasNotice {
             cursor: end,
             before: self.first,
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -124,7 +124,7 @@
     // What is missing after an outage may come back: each node judges that by what it saw of it. After a
     // renewal all have seen the same.
     match (update.whole || settling) && !renewing {
-        true => pieces.untold(node, update.cursor),
+        true => pieces.unannounced(node, update.cursor),
         false => pieces.close(node, update.cursor),
     }
 }
@@ -138,7 +138,7 @@
         let Some(event) = event_of(seen, &change) else {
             continue;
         };
-        node.journal.tell(&event);
+        node.journal.record(&event);
         if seen != TableEvent::Unusable {
             mattered.push(change);
         }
--- a/crates/front/src/watch/retry.rs
+++ b/crates/front/src/watch/retry.rs
@@ -36,7 +36,7 @@
         self.next_ms = FIRST_MS;
         node.watching.on_directory_answered(node);
         if let Some(since_ms) = self.failed_since_ms.take() {
-            node.journal.tell(&Event::DirectoryFound {
+            node.journal.record(&Event::DirectoryFound {
                 what: self.what.into(),
                 away_ms: node.now_ms().since(since_ms),
             });
@@ -48,7 +48,7 @@
         node.watching.on_directory_failed();
         if self.failed_since_ms.is_none() {
             self.failed_since_ms = Some(node.now_ms());
-            node.journal.tell(&Event::DirectoryLost {
+            node.journal.record(&Event::DirectoryLost {
                 what: self.what.into(),
                 reason: error.to_string().into(),
             });
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -72,7 +72,7 @@
             return;
         }
         if is_new {
-            node.journal.tell(&Event::ConfigKnown {
+            node.journal.record(&Event::ConfigKnown {
                 version,
                 peer: peer.0,
             });
@@ -93,7 +93,7 @@
             node.journal.metrics().config_ages(&ages);
         }
         if let Some(lag) = freshness.report(now_ms) {
-            node.journal.tell(&Event::ConfigBehind {
+            node.journal.record(&Event::ConfigBehind {
                 in_force: lag.in_force,
                 newest: lag.newest,
                 behind_ms: lag.behind_ms,
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -278,7 +278,7 @@
     }
 
     /// What is told of a request that has just been put into quarantine, or cleared.
-    pub fn tell(&self, digest: &RequestDigest, now_ms: MonoMs) -> Option<Told> {
+    pub fn notice(&self, digest: &RequestDigest, now_ms: MonoMs) -> Option<Told> {
         let record = self.records.get(digest)?;
         if let Some(sentence) = record.sentence {
             return Some(told_sentence(digest, &sentence, now_ms));
@@ -291,7 +291,7 @@
     }
 
     /// What is told of an end that was seen at `at_ms`.
-    pub fn tell_end(
+    pub fn end_notice(
         digest: RequestDigest,
         run: ServerRun,
         evidence: Evidence,
@@ -337,7 +337,7 @@
 
     /// Some of the requests in quarantine, for peers that missed them: `draw` says of each whether it
     /// is told now.
-    pub fn tell_quarantined(&self, now_ms: MonoMs, draw: impl FnMut() -> bool) -> Vec<Told> {
+    pub fn quarantine_notices(&self, now_ms: MonoMs, draw: impl FnMut() -> bool) -> Vec<Told> {
         let mut draw = draw;
         let sentences = self.records.iter();
         let sentences = sentences.filter_map(|(digest, record)| Some((digest, record.sentence?)));
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -301,7 +301,7 @@
 fn what_was_seen_is_told_again_for_a_while() {
     let mut table = Quarantine::default();
     table.on_end(digest(1), ServerRun(1), Evidence::Running, at(0));
-    let told = Quarantine::tell_end(digest(2), ServerRun(1), Evidence::Running, (at(0), at(0)));
+    let told = Quarantine::end_notice(digest(2), ServerRun(1), Evidence::Running, (at(0), at(0)));
     table.on_notified(told, at(0));
     assert_eq!(table.notify_again(at(2_999)).len(), 1);
     assert_eq!(table.notify_again(at(3_000)), []);
