--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -1,5 +1,5 @@
-//! What the fleet's control costs, measured at several sizes, and the straight lines through it:
-//! the slopes from which docs/CAPACITY.md is worked out.
+//! What the control of the product's own interface costs, measured at several sizes of the fleet, and the
+//! straight lines through it.
 //!
 //! Terms: a *rig* is a fleet of the production actors of control and membership on fakes of the
 //! platform and the net, under virtual time; a *ledger* counts one node's calls and bytes by kind;
--- a/crates/control/tests/measure.rs
+++ b/crates/control/tests/measure.rs
@@ -1,4 +1,4 @@
-//! Measures what docs/design and docs/CAPACITY.md state, with bounds that must hold. Run with
+//! Measures what docs/design states, with bounds that must hold. Run with
 //! `cargo test -p bluebell-control --test measure -- --nocapture` to see the figures.
 
 mod support;
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -309,8 +309,7 @@
     pub svg_file: Option<String>,
 }
 
-/// Measure what control costs a node at several sizes of the fleet, and fit straight lines: the
-/// slopes that docs/CAPACITY.md is worked out from.
+/// Measure what control costs a node at several sizes of the fleet, and fit straight lines.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
 pub struct Capacity {
