--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -8,6 +8,8 @@
 //! Reason for the limits: all nodes know the engines in one shared order. Short work is drawn to
 //! its front and long work to its back, and each looks only at what it would do to the work that is
 //! there. So the border moves with demand, and nobody has to agree on it.
+//! Engines read shared parts newest first, so long prompts wait for engines that read nothing: placed
+//! over each other, those that came first would begin last.
 //!
 //! Invariants: a decision depends only on its arguments.
 
