--- a/crates/fleet/tests/overtaken.rs
+++ b/crates/fleet/tests/overtaken.rs
@@ -329,7 +329,7 @@
         };
         let outcome = outcome(pattern);
         assert!(outcome.kept >= 0.98, "{pattern:?}: {outcome:?}");
-        assert!(outcome.in_time >= 0.9, "{pattern:?}: {outcome:?}");
+        assert!(outcome.in_time >= 0.95, "{pattern:?}: {outcome:?}");
     }
 }
 
