Evacuation of failure domains

Change: the read of the operators' topic returns its evacuations; the nodes that read the configuration notify all peers, and digests repeat the entries by chance, eight nodes a round whatever the number of nodes. The entry at the later position of the directory's history wins. An entry that an older copy lacks is kept for two seconds. Replicas of an evacuated domain aren't candidates for anything, and requests that only they could serve are refused at once with a time that grows with the evacuation's age. Era and Cursor move to the decisions' package, since both order entries.

The gossip's format has a new version.

Measured: cargo test -p bluebell-front -p bluebell-adapter -p bluebell-fleet, all passed.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,8 +19,10 @@
 
 pub mod backoff;
 pub mod budget;
+pub mod directory;
 pub mod distribution;
 pub mod engine;
+pub mod evacuation;
 pub mod fanout;
 pub mod freshness;
 pub mod leaving;
@@ -42,6 +44,7 @@
     pub use crate::backoff::{ReplicaBackoffs, RetryAfterSignal};
     pub use crate::budget::{RetryBudget, RetryLimits};
     pub use crate::engine::EngineSpec;
+    pub use crate::evacuation::{EvacuationEntry, Evacuations};
     pub use crate::freshness::{ConfigAges, ConfigFreshness, ConfigLag};
     pub use crate::leaving::LeavingReplicas;
     pub use crate::ledger::{Ledger, OwnerId, Stage, Work, WorkId};
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -149,6 +149,12 @@
     /// No replica of the service accepts work.
     #[error("no replica takes work")]
     NoReplica,
+    /// The replicas that could run the request are in evacuated failure domains.
+    #[error("the failure domains of the replicas are evacuated")]
+    Evacuated {
+        /// The time after which a domain may have been taken back.
+        retry_after_ms: SpanMs,
+    },
     /// The prompt is longer than all memory that can be reserved for one.
     #[error("the prompt is longer than the engines' memory")]
     TooLong,
--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -3,6 +3,7 @@
 //! Invariants: see [`super`]; a change that was already applied changes nothing.
 
 use super::{Health, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState};
+use crate::evacuation::Evacuations;
 use crate::leaving::LeavingReplicas;
 use bluebell_base::prelude::*;
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
@@ -58,6 +59,8 @@
 pub struct ReplicaTable {
     /// The replicas whose answers reported that they leave.
     pub leaving_replicas: LeavingReplicas,
+    /// The failure domains whose replicas get no new work.
+    pub evacuations: Evacuations,
     rows: FxHashMap<ReplicaKey, Row>,
     /// The key of each known instance's latest start.
     keys: FxHashMap<Arc<str>, ReplicaKey>,
@@ -348,10 +351,36 @@
         replica.state == ReplicaState::Ready && !self.leaving_replicas.contains(replica.key())
     }
 
-    /// Returns the replicas of `service` that accept work, in an order that is the same on all nodes.
+    /// Returns the replicas of `service` that accept work and aren't evacuated, in an order that is the
+    /// same on all nodes.
     pub fn ready<'a>(
         &'a self,
         service: &'a ServiceName,
+    ) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
+        let mut ready = self.accepting(service);
+        if !self.evacuations.is_empty() {
+            ready.retain(|(_, replica, _)| !self.evacuations.contains(&replica.domain));
+        }
+        ready
+    }
+
+    /// Returns true if a replica of `service` accepts work and is in an evacuated failure domain.
+    pub fn has_evacuated(&self, service: &ServiceName) -> bool {
+        let evacuated = |replica: &Replica| self.evacuations.contains(&replica.domain);
+        let accepting = || self.accepting(service).into_iter();
+        !self.evacuations.is_empty() && accepting().any(|(_, replica, _)| evacuated(replica))
+    }
+
+    /// Returns the number of known replicas in a failure domain.
+    pub fn count_in(&self, domain: &DomainName) -> usize {
+        let replicas = self.rows.values().map(|row| &row.replica);
+        replicas.filter(|replica| replica.domain == *domain).count()
+    }
+
+    /// Returns the replicas of `service` that accept work, in an order that is the same on all nodes.
+    fn accepting<'a>(
+        &'a self,
+        service: &'a ServiceName,
     ) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
         let rows = self
             .rows
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -104,7 +104,10 @@
         Refusal::Overloaded {
             cost_pct, in_time, ..
         } => WaitTimeouts::waiting_may_help(*cost_pct, *in_time),
-        Refusal::NoReplica | Refusal::TooLong | Refusal::Quarantined { .. } => false,
+        Refusal::NoReplica
+        | Refusal::Evacuated { .. }
+        | Refusal::TooLong
+        | Refusal::Quarantined { .. } => false,
     }
 }
 
@@ -154,6 +157,8 @@
 struct Candidates<'a> {
     ready: Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)>,
     excluded: Option<Excluded>,
+    /// The time after which a caller may return, if replicas are in evacuated failure domains.
+    evacuated_retry_ms: Option<SpanMs>,
 }
 
 /// A record that replicas were excluded because of their limit or because they are backing off.
@@ -224,14 +229,25 @@
                 admitted
             });
         }
-        Self { ready, excluded }
+        let evacuated_retry_ms = replicas
+            .has_evacuated(&call.service.name)
+            .then(|| replicas.evacuations.retry_after_ms(now_ms));
+        Self {
+            ready,
+            excluded,
+            evacuated_retry_ms,
+        }
     }
 
     /// Replaces a refusal that holds only because replicas were excluded.
     fn refusal(&self, refusal: Refusal) -> Refusal {
-        match (refusal, self.excluded) {
-            (Refusal::NoReplica | Refusal::TooLong, Some(excluded)) => excluded.refusal(),
-            (refusal, _) => refusal,
+        if !matches!(refusal, Refusal::NoReplica | Refusal::TooLong) {
+            return refusal;
+        }
+        match (self.excluded, self.evacuated_retry_ms) {
+            (Some(excluded), _) => excluded.refusal(),
+            (None, Some(retry_after_ms)) => Refusal::Evacuated { retry_after_ms },
+            (None, None) => refusal,
         }
     }
 }
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -145,6 +145,7 @@
         Refusal::Overloaded { retry_after_ms, .. }
         | Refusal::NoRoom { retry_after_ms }
         | Refusal::Limited { retry_after_ms, .. }
+        | Refusal::Evacuated { retry_after_ms }
         | Refusal::Quarantined { retry_after_ms } => *retry_after_ms,
         Refusal::NoReplica | Refusal::TooLong => NO_REPLICA_RETRY_MS,
     };
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -11,7 +11,7 @@
 
 /// The version of the datagram format. Datagrams of any other version are ignored, so that nodes of
 /// two releases can run in one fleet.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 
 /// A gossip datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -71,6 +71,8 @@
     Config { version: u64 },
     /// The sender has just read the replica list from the directory.
     Replicas(ReplicasGossip),
+    /// Operators evacuated a failure domain or took it back.
+    Evacuation(EvacuationEntry),
 }
 
 /// A piece of work in flight, with what peers need for their own placements.
--- a/crates/front/src/gossip/outbox.rs
+++ b/crates/front/src/gossip/outbox.rs
@@ -130,6 +130,11 @@
         self.push(Gossip::Era(era));
     }
 
+    /// Queues gossip of a failure domain's evacuation or its end.
+    pub fn evacuation(&self, entry: EvacuationEntry) {
+        self.push(Gossip::Evacuation(entry));
+    }
+
     /// Queues gossip of the newest configuration version that this node knows.
     pub fn config(&self, version: ConfigVersion) {
         self.push(Gossip::Config { version: version.0 });
--- a/crates/front/src/gossip/receive.rs
+++ b/crates/front/src/gossip/receive.rs
@@ -86,6 +86,7 @@
         Gossip::Era(era) => watch::on_notified_era(node, era),
         Gossip::Limit(notice) => limits::on_notified(node, &notice.into()),
         Gossip::DirectoryBack => node.directory_watch.on_peer_directory_back(),
+        Gossip::Evacuation(entry) => watch::on_notified_evacuation(node, &entry),
         Gossip::Leaving { replica } => signals::on_notified(node, ReplicaKey(replica)),
         gossip => apply_work(node, owner, gossip, now_ms),
     }
@@ -122,6 +123,7 @@
         | Gossip::Era(_)
         | Gossip::Limit(_)
         | Gossip::Leaving { .. }
+        | Gossip::Evacuation(_)
         | Gossip::DirectoryBack => {}
     });
 }
--- a/crates/front/src/gossip/send.rs
+++ b/crates/front/src/gossip/send.rs
@@ -5,7 +5,9 @@
 use crate::journal::Event;
 use crate::limits;
 use crate::node::Node;
+use bluebell_base::prelude::*;
 use bluebell_fleet::fanout::{GossipKind, batch_delay, digest_interval};
+use bluebell_fleet::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,7 +49,7 @@
     let now_ms = node.now_ms();
     let chance = notify_chance(node);
     limits::update_shares(node);
-    let (works, version, requests, limits, leaving_replicas) = node.with(|state| {
+    let (works, version, requests, limits, replicas) = node.with(|state| {
         let own = state.ledger.of_owner(node.owner);
         let works = own.map(|(sequence, work)| WorkGossip::from_work(sequence, work, now_ms));
         let version = state.config.as_ref().map(|c| c.version());
@@ -61,7 +63,7 @@
             version,
             requests.map(Gossip::Request),
             limits,
-            state.replicas.leaving_replicas.to_notify(now_ms),
+            repeated_of_replicas(&state.replicas, chance, now_ms),
         )
     });
     let mut gossip = digest(works);
@@ -74,23 +76,29 @@
             .into_iter()
             .map(|notice| Gossip::Limit(notice.into())),
     );
-    gossip.extend(
-        leaving_replicas
-            .into_iter()
-            .map(|key| Gossip::Leaving { replica: key.0 }),
-    );
+    gossip.extend(replicas);
     gossip
 }
 
-/// The average number of nodes that repeat each request in quarantine with every round of digests.
-/// A node that missed the first notice then receives one within the three seconds after which the
-/// request must be known.
-const QUARANTINE_NOTIFIERS: f64 = 8.0;
+/// Returns the notices about leaving replicas and evacuated domains that this node repeats. Each entry of
+/// an evacuation is repeated with probability `chance`.
+fn repeated_of_replicas(replicas: &ReplicaTable, chance: f64, now_ms: MonoMs) -> Vec<Gossip> {
+    let leaving = replicas.leaving_replicas.to_notify(now_ms).into_iter();
+    let leaving = leaving.map(|key| Gossip::Leaving { replica: key.0 });
+    let evacuations = replicas.evacuations.entries().into_iter();
+    let drawn = evacuations.filter(|_| rand::random_bool(chance));
+    leaving.chain(drawn.map(Gossip::Evacuation)).collect()
+}
+
+/// The average number of nodes that repeat each notice of a request in quarantine or of an evacuated
+/// failure domain with every round of digests. A node that missed the first notice then receives one
+/// within the three seconds after which it must be known.
+const NOTICE_REPEATERS: f64 = 8.0;
 
-/// Returns the probability with which this node repeats a request in quarantine with a digest. If all
-/// nodes repeated all of them, 300 nodes and sixteen requests would cost 120 KB/s at each node.
+/// Returns the probability with which this node repeats such a notice with a digest. If all nodes
+/// repeated all requests in quarantine, 300 nodes and sixteen requests would cost 120 KB/s at each node.
 fn notify_chance(node: &Node) -> f64 {
-    (QUARANTINE_NOTIFIERS / node.node_count() as f64).min(1.0)
+    (NOTICE_REPEATERS / node.node_count() as f64).min(1.0)
 }
 
 /// Sends gossip to all peers, directly or through relays.
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -56,6 +56,27 @@
     DirectoryFound { what: Arc<str>, away_ms: SpanMs },
     /// The directory was renewed: it came back from an older copy, with a new era.
     DirectoryRenewed { era: Era },
+    /// Operators evacuated a failure domain: its replicas get no new work.
+    EvacuationBegan {
+        domain: DomainName,
+        /// The number of known replicas in the domain; 0 if the name is that of no domain in use.
+        replicas: usize,
+        /// The number of failure domains that are evacuated now.
+        evacuated: usize,
+        /// The source: `directory`, or `peer` if a peer reported it.
+        how: &'static str,
+    },
+    /// Operators took an evacuated failure domain back.
+    EvacuationEnded {
+        domain: DomainName,
+        /// The number of known replicas in the domain.
+        replicas: usize,
+        /// The number of failure domains that are still evacuated.
+        evacuated: usize,
+        /// The source, as for `EvacuationBegan`, or `renewal` if the evacuation was missing from an older
+        /// copy of the directory for too long.
+        how: &'static str,
+    },
     /// A new replica was listed.
     ReplicaFound {
         instance: Arc<str>,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -31,7 +31,7 @@
     pub use crate::node::{FrontError, FrontHandle, FrontSettings, Stopper};
     pub use crate::platform::{
         AnswerHead, CallHead, CallHeadError, ConfigUpdate, Cursor, Dialect, Directory,
-        DirectoryError, EngineReport, Era, ForwardHead, Helper, MemoryAnswer, MemoryOrder,
-        NodeEntry, PendingRead, Platform, ReplicaSignals, ReplicaUpdate,
+        DirectoryError, EngineReport, Era, EvacuationUpdate, ForwardHead, Helper, MemoryAnswer,
+        MemoryOrder, NodeEntry, PendingRead, Platform, ReplicaSignals, ReplicaUpdate,
     };
 }
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -49,6 +49,7 @@
     config_reads_failed: Counter<u64>,
     config_lag_ms: Histogram<f64>,
     limited_replicas: Gauge<u64>,
+    evacuated_domains: Gauge<u64>,
     limit_changes: Counter<u64>,
     replica_signals: Counter<u64>,
     waited_ms: Histogram<f64>,
@@ -157,6 +158,10 @@
                 "bluebell_limited_replicas",
                 "Replicas that name a limit of requests.",
             ),
+            evacuated_domains: g(
+                "bluebell_evacuated_domains",
+                "Failure domains whose replicas get no new work.",
+            ),
             limit_changes: c(
                 "bluebell_limit_changes",
                 "Limits that replicas named, changed or ended, by how that became known.",
@@ -232,6 +237,9 @@
                 self.limited_replicas.record(*limited as u64, &[]);
                 self.limit_changes.add(1, &label("how", how));
             }
+            Event::EvacuationBegan { evacuated, .. } | Event::EvacuationEnded { evacuated, .. } => {
+                self.evacuated_domains.record(*evacuated as u64, &[]);
+            }
             Event::ReplicaSaysLeaving { .. } => {
                 self.replica_signals.add(1, &label("signal", "leaving"));
             }
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -244,6 +244,7 @@
         node.journal.flush();
         quarantine::expire(&node);
         limits::expire(&node);
+        watch::expire_evacuations(&node);
         node.directory_watch.report_lag(&node);
         let now_ms = node.now_ms();
         let dropped = node.with(|state| {
--- a/crates/front/src/platform/mod.rs
+++ b/crates/front/src/platform/mod.rs
@@ -14,59 +14,16 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
 use serde::{Deserialize, Serialize};
-use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 
+pub use bluebell_fleet::directory::{Cursor, Era};
+
 /// The future of a call to the directory.
 pub type PendingRead<'a, T> = Pin<Box<dyn Future<Output = Result<T, DirectoryError>> + 'a>>;
 
-/// The number of one history of the directory. A directory that is restored from an older copy of
-/// itself begins a new history, in which offsets are used again.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Era(pub u64);
-
-impl Era {
-    /// The era of a directory that states none.
-    pub const UNNAMED: Self = Self(0);
-}
-
-impl fmt::Display for Era {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "era{}", self.0)
-    }
-}
-
-/// A position in the directory's history. Positions of a later era come after all of an earlier
-/// one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Cursor {
-    /// The history that the position belongs to. It has no meaning in any other.
-    pub era: Era,
-    /// The offset in that history.
-    pub offset: u64,
-}
-
-impl Cursor {
-    /// Returns a position in the history of a directory that states no era.
-    pub const fn at(offset: u64) -> Self {
-        Self {
-            era: Era::UNNAMED,
-            offset,
-        }
-    }
-
-    /// Returns the first position of an era.
-    pub const fn first(era: Era) -> Self {
-        Self { era, offset: 0 }
-    }
-}
-
 /// The error of a call to the directory.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum DirectoryError {
@@ -91,6 +48,17 @@
     /// The operators' text of the configuration, for nodes that copy it from this one. `None` if it
     /// can't be copied.
     pub text: Option<Buffer>,
+    /// The evacuations that were written or removed after the cursor of the read.
+    pub evacuations: EvacuationUpdate,
+}
+
+/// The evacuations in a read of the operators' entries.
+#[derive(Clone, Debug, Default)]
+pub struct EvacuationUpdate {
+    /// The entries, in the order in which they were written.
+    pub entries: Vec<EvacuationEntry>,
+    /// True if `entries` lists every evacuation, so that one that is missing has ended.
+    pub is_snapshot: bool,
 }
 
 /// The result of a read of the replicas.
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -9,6 +9,7 @@
 //! few nodes read the directory and the others copy from them.
 
 use super::era;
+use super::evacuations;
 use super::follow::{self, FollowResult};
 use super::retry::Backoff;
 use crate::copies::ConfigCopy;
@@ -125,6 +126,7 @@
         let node = &self.node;
         self.backoff.succeeded(node);
         era::on_era(node, update.cursor.era);
+        evacuations::on_read(node, &update.evacuations, update.cursor);
         if let Some(config) = &update.config
             && is_held_back(node, config, &mut self.held_back_since_ms)
         {
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -1,4 +1,5 @@
-//! Watches the directory: the configuration, the replicas, the nodes and the requests in quarantine.
+//! Watches the directory: the configuration, the evacuated failure domains, the replicas, the nodes and
+//! the requests in quarantine.
 //! Also probes engines for their pace.
 //!
 //! Terms: an *era* is one history of the directory. The directory is *renewed* if it comes back from
@@ -9,6 +10,7 @@
 
 mod config;
 mod era;
+mod evacuations;
 mod follow;
 mod nodes;
 mod notices;
@@ -20,6 +22,7 @@
 
 pub use config::watch_config;
 pub use era::on_notified_era;
+pub use evacuations::{expire_evacuations, on_notified_evacuation};
 pub use nodes::watch_nodes;
 pub use paces::{is_responding, watch_paces};
 pub use quarantine::{restore_quarantine, store_quarantine, watch_quarantine};
