Gossip: few copies cross to peers that were not heard

Cause: every node sent a copy of its digests and changes to each peer that had only announced itself or counted as silent: of 985 nodes that start together, 788 copies from each node to other failure domains, again and again until the peer is heard. It grows with the square of the nodes, and fills the links on which the answers that would end it arrive.

Change: peers of a large failure domain are reached through one live relay whatever is known of them; a domain of which no node was heard gets two relays, by another draw each digest. Up to eight silent peers of a domain get a copy of their own, since the relay may not know them. Copies of a node to other domains: at most nine a domain, whatever the fleet's size.

Test: few_copies_cross_to_peers_that_were_not_heard at 60, 250, 985 and 1,970 nodes (48, 200, 788 and 1,576 copies before).

--- a/crates/fleet/src/fanout/mod.rs
+++ b/crates/fleet/src/fanout/mod.rs
@@ -10,10 +10,12 @@
 //! Reason for the limits: one copy goes to each other failure domain and is spread there. Each node
 //! selects its own relay in each domain, so that no node carries much more than others, and a lost
 //! relay drops the gossip of few nodes. Digests go through another relay each time, so that the next
-//! one makes up for what a relay lost while its failure was unnoticed.
+//! one makes up for what a relay lost while its failure was unnoticed. Peers that weren't heard yet are
+//! reached through relays as well: when each of 985 nodes that started together sent copies to all others
+//! until it heard them, these filled the links on which the first answers had to arrive.
 //!
-//! Invariants: every peer is reached directly or is in the domain of exactly one relay; a relay is a
-//! live peer, one whose gossip was received recently; gossip passes through one relay at most.
+//! Invariants: every peer is reached directly or is in the domain of a relay; a relay is a live peer, one
+//! whose gossip was received recently, if the domain has any; gossip passes through one relay at most.
 
 mod timing;
 
@@ -30,6 +32,9 @@
 /// so few saves little, adds a hop, and loses the gossip if it dies.
 const MAX_DIRECT_PEERS: usize = 8;
 
+/// The number of relays in a failure domain of which no peer has been heard.
+const UNHEARD_RELAYS: usize = 2;
+
 /// A peer as a target of gossip.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GossipPeer {
@@ -85,13 +90,11 @@
     gossip_kind: GossipKind,
 ) -> Vec<Route> {
     let mut routes = Vec::new();
-    let mut by_domain: BTreeMap<&DomainName, Vec<OwnerId>> = BTreeMap::new();
+    let mut by_domain: BTreeMap<&DomainName, Vec<&GossipPeer>> = BTreeMap::new();
     for peer in peers {
         match (peer.presence, &peer.domain) {
             (Presence::Silent, _) if gossip_kind == GossipKind::Change => {}
-            (Presence::Live, Some(other)) if other != domain => {
-                by_domain.entry(other).or_default().push(peer.owner);
-            }
+            (_, Some(other)) if other != domain => by_domain.entry(other).or_default().push(peer),
             _ => routes.push(Route::Direct(peer.owner)),
         }
     }
@@ -99,17 +102,34 @@
         GossipKind::Change => 0,
         GossipKind::Digest { draw } => draw,
     };
-    for peers in by_domain.into_values() {
+    for mut peers in by_domain.into_values() {
         if peers.len() <= MAX_DIRECT_PEERS {
-            routes.extend(peers.into_iter().map(Route::Direct));
+            routes.extend(peers.into_iter().map(|peer| Route::Direct(peer.owner)));
             continue;
         }
-        let relay = peers.into_iter().max_by_key(|peer| rank(own, *peer, draw));
-        routes.extend(relay.map(Route::Relay));
+        peers.sort_unstable_by_key(|peer| std::cmp::Reverse(rank(own, peer.owner, draw)));
+        add_relayed(&peers, &mut routes);
     }
     routes
 }
 
+/// Adds the routes to the peers of one large failure domain, which are in the order of their ranks.
+fn add_relayed(peers: &[&GossipPeer], routes: &mut Vec<Route>) {
+    let with = |presence| peers.iter().filter(move |peer| peer.presence == presence);
+    let direct = |peer: &&GossipPeer| Route::Direct(peer.owner);
+    if let Some(relay) = with(Presence::Live).next() {
+        routes.push(Route::Relay(relay.owner));
+        // A relay may not know a peer that is silent here. A few at a time get a copy of their own.
+        let silent = with(Presence::Silent).take(MAX_DIRECT_PEERS);
+        routes.extend(silent.map(direct));
+        return;
+    }
+    // Some of the nodes that announced themselves may not run any more.
+    let announced = with(Presence::Announced).chain(with(Presence::Silent));
+    let relays = announced.take(UNHEARD_RELAYS);
+    routes.extend(relays.map(|peer| Route::Relay(peer.owner)));
+}
+
 /// Returns the rank of a peer as a relay of `own` (rendezvous hashing): a peer that comes or goes changes
 /// the relays of few nodes.
 fn rank(own: OwnerId, peer: OwnerId, draw: u64) -> (u64, OwnerId) {
--- a/crates/fleet/tests/fanout.rs
+++ b/crates/fleet/tests/fanout.rs
@@ -166,6 +166,36 @@
     assert_eq!(received.len(), 19);
 }
 
+/// Guards against links between failure domains that are full while a large fleet starts. No node has heard
+/// another yet, and each of 985 nodes sent a copy of its digest to each of the others, every second. A few
+/// copies cross to each failure domain, however many nodes it has and whatever is known of them.
+#[test]
+fn few_copies_cross_to_peers_that_were_not_heard() {
+    for presence in [Presence::Announced, Presence::Silent] {
+        for count in [60, 250, 985, 1_970] {
+            let mut nodes = nodes(count);
+            for node in &mut nodes {
+                node.presence = presence;
+            }
+            let own_domain = nodes[0].domain.clone();
+            let at = |owner| nodes.iter().find(|node| node.owner == owner);
+            let crosses = |route: &Route| match route {
+                Route::Direct(owner) | Route::Relay(owner) => {
+                    at(*owner).is_some_and(|node| node.domain != own_domain)
+                }
+            };
+            let routes = routes_of(&nodes, 0, DIGEST);
+            let crossing = routes.iter().filter(|route| crosses(route)).count();
+            assert!(
+                crossing <= 4 * 8,
+                "{crossing} copies from one of {count} nodes"
+            );
+            let received = copies(&nodes, nodes[0].owner, &routes);
+            assert_eq!(received.len() as u64, count - 1, "{count} nodes");
+        }
+    }
+}
+
 /// Guards against small nodes of a large fleet that spend their time on receiving gossip. It is batched
 /// for longer if there are many nodes, and a lost digest still doesn't make a peer seem gone.
 #[test]
