Directory: few nodes read it, and starting nodes copy from running ones

Causes, each a call that grows with the nodes: - a start: each node announces itself and reads the nodes, the replicas, the configuration and the quarantine; - the list of replicas: each node draws a time within 500 ms, so in a large fleet some forty have read before the first one's notice arrives; notices of readers that read at the same time overlap, match no table and make all others read; - the quarantine: each node reads it every two seconds while half of the peers it knows of are silent, also those that only announced themselves; - an outage: each watcher of each node retries every 0.6 to 0.9 s.

Change: the readers of the configuration (three a failure domain) read the list of replicas and the quarantine for all. Changes carry their positions, so overlapping notices apply; a node that missed one copies the list from a peer. Followers that hear of nothing call at a rate that is the same for a fleet of any size. A starting node copies state and configuration from the seeds that the platform names, or from nodes that a busy seed names; without an answer it reads the directory after a random time. Entries that lapsed in an outage are judged by the readers, whose notices carry the time that is left for them to return.

--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -123,6 +123,36 @@
         self.directory_away || back.is_some_and(|at_ms| now_ms.since(at_ms) < RELIST_WINDOW_MS)
     }
 
+    /// Returns the time for which missing entries may still return; 0 if none may.
+    pub fn relist_left_ms(&self, now_ms: MonoMs) -> SpanMs {
+        let back_ms = match self.directory_away {
+            true => now_ms,
+            false => self.directory_back_ms.unwrap_or_default(),
+        };
+        let past_ms = now_ms.since(back_ms);
+        match self.awaits_relisting(now_ms) {
+            true => SpanMs(RELIST_WINDOW_MS.0.saturating_sub(past_ms.0)),
+            false => SpanMs::ZERO,
+        }
+    }
+
+    /// Records that a peer, which saw the directory come back, lets missing entries return for this time.
+    pub fn await_relisting(&mut self, left_ms: SpanMs, now_ms: MonoMs) {
+        if left_ms == SpanMs::ZERO {
+            return;
+        }
+        let past_ms = SpanMs(RELIST_WINDOW_MS.0.saturating_sub(left_ms.0));
+        let back_ms = Some(now_ms - past_ms);
+        self.directory_back_ms = self.directory_back_ms.max(back_ms);
+    }
+
+    /// Returns the replicas that are listed in the directory, without those whose entry has lapsed.
+    pub fn listed(&self) -> impl Iterator<Item = &Arc<Replica>> {
+        let rows = self.rows.values();
+        let listed = rows.filter(|row| row.lapsed_at_ms.is_none());
+        listed.map(|row| &row.replica)
+    }
+
     /// Sets the services that the configuration in force names. Entries of other services are kept, since a
     /// later configuration may name them, but they displace no replica that is in use.
     pub fn set_services(&mut self, services: impl Iterator<Item = ServiceName>) {
--- a/crates/fleet/tests/distribution.rs
+++ b/crates/fleet/tests/distribution.rs
@@ -1,6 +1,8 @@
 //! Tests of the tree by which nodes copy the configuration.
 
-use bluebell_fleet::distribution::{self, ConfigRole, READERS_PER_DOMAIN};
+use bluebell_fleet::distribution::{
+    self, ConfigRole, READERS_PER_DOMAIN, follower_interval, list_due_age,
+};
 use bluebell_fleet::prelude::*;
 use std::collections::BTreeMap;
 
@@ -62,3 +64,62 @@
     assert_eq!(distribution::readers([3, 3, 3]), 9);
     assert_eq!(distribution::readers([1, 39, 2]), 6);
 }
+
+/// The time that a notice takes to reach all nodes.
+const NOTICE_MS: u64 = 20;
+
+/// Returns the number of reads of the replica list within 25 s by nodes of which all live readers, and no
+/// followers, are due by [`distribution::list_due_age`]. Each read restarts the ages of all nodes once its
+/// notice arrives.
+fn reads_of_the_list(nodes: usize, readers: usize) -> usize {
+    const SPAN_MS: u64 = 25_000;
+    let mut draws = 0x9e37_79b9_7f4a_7c15_u64;
+    let mut draw = || {
+        draws = draws
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (draws >> 11) as f64 / (1u64 << 53) as f64
+    };
+    let (mut at_ms, mut reads) = (0, 0);
+    while at_ms < SPAN_MS {
+        let mut due: Vec<u64> = (0..nodes)
+            .map(|node| {
+                let interval_ms = (node >= readers).then(|| follower_interval(nodes));
+                list_due_age(interval_ms, draw()).0
+            })
+            .collect();
+        due.sort_unstable();
+        let first_ms = due[0];
+        reads += due.iter().filter(|ms| **ms < first_ms + NOTICE_MS).count();
+        at_ms += first_ms + NOTICE_MS;
+    }
+    reads
+}
+
+/// Guards against reads of the replica list that grow with the fleet: with 985 nodes that each drew a time
+/// within half a second, forty of them had read before the first one's notice arrived.
+#[test]
+fn the_reads_of_the_replica_list_do_not_grow_with_the_fleet() {
+    let reads = [60, 250, 985, 1_970].map(|nodes| reads_of_the_list(nodes, 15));
+    let most = reads.iter().max().copied().unwrap_or_default();
+    // Two reads in each 0.7 s, the age up to which no node reads.
+    assert!(most <= 2 * 25_000 / 700, "{reads:?}");
+    // If all readers are lost, followers read as rarely.
+    let reads = [60, 250, 985, 1_970].map(|nodes| reads_of_the_list(nodes, 0));
+    assert!(
+        reads.iter().all(|reads| *reads <= 2 * 25_000 / 700),
+        "{reads:?}"
+    );
+}
+
+/// Guards against an outage in which each node of a large fleet calls the directory every 0.8 s, though
+/// refused calls are charged as well.
+#[test]
+fn the_calls_of_followers_in_an_outage_do_not_grow_with_the_fleet() {
+    let per_second = [60, 250, 985, 1_970]
+        .map(|nodes| nodes as f64 * 1_000.0 / follower_interval(nodes).0 as f64);
+    assert!(
+        per_second.iter().all(|calls| *calls <= 20.0),
+        "{per_second:?}"
+    );
+}
--- a/crates/front/src/copies/fetch.rs
+++ b/crates/front/src/copies/fetch.rs
@@ -1,7 +1,7 @@
-//! Fetches a copy of the configuration from a peer.
+//! Fetches copies from a peer.
 
-use super::serve::PATH;
-use super::{HOLD_MS, MAX_TEXT_BYTES};
+use super::serve::{PATH, STATE_PATH};
+use super::{HOLD_MS, MAX_TEXT_BYTES, NodeState};
 use crate::http::{Freshness, SendError};
 use crate::node::Node;
 use crate::platform::DirectoryError;
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,11 +40,54 @@
     /// The copy can't be decompressed.
     #[error("the copy can't be unpacked: {0}")]
     Compression(Arc<str>),
+    /// The state can't be decoded.
+    #[error("the state can't be read: {0}")]
+    State(Arc<str>),
     /// The text isn't a valid configuration.
     #[error(transparent)]
     Text(#[from] DirectoryError),
 }
 
+impl CopyError {
+    /// Returns true if the peer answered the request.
+    pub fn is_from_peer(&self) -> bool {
+        matches!(self, Self::Status(_))
+    }
+}
+
+/// The answer of a peer that was asked for its state.
+#[derive(Clone, Debug)]
+pub enum StateReply {
+    /// The peer's state.
+    State(NodeState),
+    /// The peer serves as many copies as it can. These nodes may provide one.
+    Busy(Vec<SocketAddr>),
+}
+
+/// Requests the state of the peer at `address`.
+pub async fn fetch_state(node: &Node, address: SocketAddr) -> Result<StateReply, CopyError> {
+    let known = node.directory_watch.cursor();
+    let path = match known {
+        Some(cursor) => format!("{STATE_PATH}{}/{}", cursor.era.0, cursor.offset),
+        None => STATE_PATH.to_owned(),
+    };
+    let answer = exchange(node, address, &path).await?;
+    let status = answer.status();
+    if status != StatusCode::OK && status != StatusCode::SERVICE_UNAVAILABLE {
+        return Err(CopyError::Status(status.as_u16()));
+    }
+    let body = read(answer.into_body()).await?;
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let others = postcard::from_bytes(&body);
+        return others
+            .map(StateReply::Busy)
+            .map_err(|error| malformed(&error));
+    }
+    let bytes = decompress(&body)?;
+    let state = NodeState::decode(&bytes).ok_or_else(|| malformed(&"another format version"))?;
+    Ok(StateReply::State(state))
+}
+
 /// Requests a version newer than `held` from the peer at `address`. Returns the configuration, and its
 /// copy to serve to other peers.
 pub async fn fetch(
@@ -52,22 +95,39 @@
     address: SocketAddr,
     held: ConfigVersion,
 ) -> Result<(ServingConfig, ConfigCopy), CopyError> {
-    let mut link = node.pool.lease(address, Freshness::New).await?;
-    let sending = link.send(request(address, held));
-    let answer = within(HOLD_MS + SILENT_MS, sending).await??;
+    let answer = exchange(node, address, &format!("{PATH}{}", held.0)).await?;
     if answer.status() != StatusCode::OK {
         return Err(CopyError::Status(answer.status().as_u16()));
     }
     let compressed = read(answer.into_body()).await?;
-    let text = miniz_oxide::inflate::decompress_to_vec_zlib_with_limit(&compressed, MAX_TEXT_BYTES);
-    let text = text.map_err(|error| CopyError::Compression(error.to_string().into()))?;
+    let text = decompress(&compressed)?;
     let config = node.platform.dialect.config(&text)?;
     Ok((config, ConfigCopy(compressed)))
 }
 
-fn request(address: SocketAddr, held: ConfigVersion) -> Request<Full<Buffer>> {
+/// Sends a request to the peer at `address` and returns its answer.
+async fn exchange(
+    node: &Node,
+    address: SocketAddr,
+    path: &str,
+) -> Result<Response<Incoming>, CopyError> {
+    let mut link = node.pool.lease(address, Freshness::New).await?;
+    let sending = link.send(request(address, path));
+    Ok(within(HOLD_MS + SILENT_MS, sending).await??)
+}
+
+fn decompress(compressed: &[u8]) -> Result<Vec<u8>, CopyError> {
+    let bytes = miniz_oxide::inflate::decompress_to_vec_zlib_with_limit(compressed, MAX_TEXT_BYTES);
+    bytes.map_err(|error| CopyError::Compression(error.to_string().into()))
+}
+
+fn malformed(error: &dyn std::fmt::Display) -> CopyError {
+    CopyError::State(error.to_string().into())
+}
+
+fn request(address: SocketAddr, path: &str) -> Request<Full<Buffer>> {
     Request::builder()
-        .uri(format!("{PATH}{}", held.0))
+        .uri(path)
         .header(HOST, address.to_string())
         .body(Full::default())
         .expect("the parts of a request are valid")
--- a/crates/front/src/copies/mod.rs
+++ b/crates/front/src/copies/mod.rs
@@ -1,7 +1,7 @@
-//! Copies of the configuration that nodes fetch from each other.
+//! Copies of the configuration and of a node's state that nodes fetch from each other.
 //!
 //! Terms: a *copy* is the operators' text of one version, compressed; the version that a requesting node
-//! *holds* is the one that it has in force.
+//! *holds* is the one that it has in force; the *state* is what else a starting node needs.
 //!
 //! Load pattern: all nodes of a failure domain request a version within a second of its being written,
 //! some of them before the node that they ask has it.
@@ -16,13 +16,15 @@
 
 mod fetch;
 mod serve;
+mod state;
 
-pub use fetch::{ConfigCopy, fetch};
+pub use fetch::{ConfigCopy, CopyError, StateReply, fetch, fetch_state};
 pub use serve::serve_copies;
+pub use state::NodeState;
 
 use bluebell_base::prelude::*;
 use bytes::Bytes as Buffer;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 /// The time for which a node holds a request open for a version that it doesn't have yet.
 const HOLD_MS: SpanMs = SpanMs(400);
@@ -30,6 +32,13 @@
 /// The maximum size of a text, compressed or not, in bytes.
 const MAX_TEXT_BYTES: usize = 8 * 1024 * 1024;
 
+/// The maximum number of copies of the state that a node serves at a time. More at once would take longer
+/// on a slow link than a second round of copies from those that were served first.
+const MAX_STATE_COPIES: usize = 8;
+
+/// The time for which an encoded state is served to further nodes.
+const STATE_REUSE_MS: SpanMs = SpanMs(200);
+
 /// The compression level. The lowest compresses similar routes nearly as well as the highest.
 const COMPRESSION_LEVEL: u8 = 1;
 
@@ -37,6 +46,18 @@
 #[derive(Debug, Default)]
 pub struct Copies {
     text: RefCell<Option<Text>>,
+    /// The compressed state with and without the replicas.
+    states: [RefCell<Option<EncodedState>>; 2],
+    /// The number of copies of the state that are being served.
+    serving: Cell<usize>,
+}
+
+/// A compressed state.
+#[derive(Debug)]
+struct EncodedState {
+    /// The time at which it was encoded.
+    at_ms: MonoMs,
+    compressed: Buffer,
 }
 
 /// The text of a version, in one of two forms.
--- /dev/null
+++ b/crates/front/src/copies/state.rs
@@ -0,0 +1,107 @@
+//! The state of a running node that a starting one copies.
+
+use crate::gossip::Origin;
+use crate::gossip::replicas::{ChangeGossip, change_gossip};
+use crate::node::Node;
+use crate::platform::Cursor;
+use crate::{quarantine, watch};
+use bluebell_base::prelude::*;
+use bluebell_fleet::prelude::*;
+use bluebell_quarantine::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// The version of the format. A copy of any other version isn't used, so that nodes of two releases can
+/// run in one fleet.
+const FORMAT: u8 = 1;
+
+/// The replica list as a node knows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReplicaList {
+    cursor: Cursor,
+    /// The time since the list was last confirmed, in milliseconds.
+    age_ms: u32,
+    /// The time for which entries that are missing after an outage may still return, in milliseconds.
+    relist_left_ms: u32,
+    listed: Vec<ChangeGossip>,
+}
+
+/// The state of a running node, without its configuration.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NodeState {
+    format: u8,
+    /// The replicas, or `None` if the requesting node knows the list up to the same position.
+    pub replicas: Option<ReplicaList>,
+    peers: Vec<Origin>,
+    quarantine: Vec<QuarantineNotice>,
+    evacuations: Vec<EvacuationEntry>,
+}
+
+impl NodeState {
+    /// Returns the state of `node`, with or without the replicas.
+    pub(super) fn of(node: &Node, with_replicas: bool) -> Self {
+        let now_ms = node.now_ms();
+        let cursor = node.directory_watch.cursor();
+        let age_ms = node.directory_watch.age_ms(now_ms).unwrap_or_default();
+        let mut peers = node.outbox.live_origins();
+        peers.push(Origin::of(node));
+        node.with(|state| Self {
+            format: FORMAT,
+            replicas: cursor.filter(|_| with_replicas).map(|cursor| ReplicaList {
+                cursor,
+                age_ms: age_ms.0 as u32,
+                relist_left_ms: state.replicas.relist_left_ms(now_ms).0 as u32,
+                listed: listed(&state.replicas),
+            }),
+            peers,
+            quarantine: state.quarantine.quarantine_notices(now_ms, || true),
+            evacuations: state.replicas.evacuations.entries(),
+        })
+    }
+
+    /// Encodes the state.
+    pub(super) fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("postcard can encode a state")
+    }
+
+    /// Decodes a state. Returns `None` if it is malformed or has another format version.
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        let state: Self = postcard::from_bytes(bytes).ok()?;
+        (state.format == FORMAT).then_some(state)
+    }
+
+    /// Adds this state to what `node` knows. Nothing newer is replaced.
+    pub fn apply(self, node: &Rc<Node>) {
+        let now_ms = node.now_ms();
+        for peer in self.peers.iter().filter(|peer| peer.owner != node.owner.0) {
+            let domain = Some(DomainName(peer.domain.clone()));
+            node.outbox
+                .on_announced(OwnerId(peer.owner), peer.address, domain, now_ms);
+        }
+        for notice in self.quarantine {
+            quarantine::on_notified(node, notice);
+        }
+        for entry in &self.evacuations {
+            watch::on_notified_evacuation(node, entry);
+        }
+        if let Some(list) = self.replicas {
+            let listed = list.listed.into_iter().map(ReplicaChange::from);
+            node.directory_watch.on_copied_replicas(
+                node,
+                watch::CopiedReplicas {
+                    cursor: list.cursor,
+                    confirmed_ms: now_ms - SpanMs(u64::from(list.age_ms)),
+                    relist_left_ms: SpanMs(u64::from(list.relist_left_ms)),
+                    listed: listed.collect(),
+                },
+            );
+        }
+    }
+}
+
+/// Returns the entries of all listed replicas.
+fn listed(replicas: &ReplicaTable) -> Vec<ChangeGossip> {
+    let listed = replicas.listed();
+    let changes = listed.map(|replica| ReplicaChange::Listed(Replica::clone(replica)));
+    changes.filter_map(change_gossip).collect()
+}
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -2,6 +2,7 @@
 
 use super::DATAGRAM_BYTES;
 use super::replicas::ReplicasGossip;
+use crate::node::Node;
 use crate::platform::Era;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
@@ -27,7 +28,7 @@
 
 /// The sender of gossip, as its datagrams identify it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Origin {
+pub(crate) struct Origin {
     /// The id of this run of the node.
     pub owner: u64,
     /// The address at which it receives gossip.
@@ -36,6 +37,17 @@
     pub domain: Arc<str>,
 }
 
+impl Origin {
+    /// Returns the identity of `node`.
+    pub fn of(node: &Node) -> Self {
+        Self {
+            owner: node.owner.0,
+            address: node.settings.gossip,
+            domain: node.settings.domain.0.clone(),
+        }
+    }
+}
+
 /// One piece of gossip.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) enum Gossip {
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -14,9 +14,10 @@
 mod message;
 mod outbox;
 mod receive;
-mod replicas;
+pub(crate) mod replicas;
 mod send;
 
+pub(crate) use message::Origin;
 pub use outbox::Outbox;
 pub use receive::receive;
 pub use send::send;
--- a/crates/front/src/gossip/outbox.rs
+++ b/crates/front/src/gossip/outbox.rs
@@ -50,6 +50,8 @@
     pub(super) urgent: Notify,
     /// Notified when gossip is queued that may be gathered for longer.
     pub(super) deferred: Notify,
+    /// Notified when peers became known that haven't received gossip of this node.
+    pub(super) introduction: Notify,
 }
 
 impl Outbox {
@@ -263,13 +265,38 @@
         }
     }
 
-    /// Records a node that announced itself in the directory. It counts as live only once its gossip
-    /// is received.
-    pub fn on_announced(&self, owner: OwnerId, address: SocketAddr, now_ms: MonoMs) {
+    /// Sends a digest soon, because peers became known that haven't received gossip of this node.
+    pub fn introduce(&self) {
+        self.introduction.notify_one();
+    }
+
+    /// Returns the identities of the live peers whose failure domain is known.
+    pub(crate) fn live_origins(&self) -> Vec<Origin> {
+        let peers = self.peers.borrow();
+        let live = peers.iter().filter(|(_, peer)| peer.is_live());
+        live.filter_map(|(owner, peer)| {
+            Some(Origin {
+                owner: owner.0,
+                address: peer.address,
+                domain: peer.domain.as_ref()?.0.clone(),
+            })
+        })
+        .collect()
+    }
+
+    /// Records a node that announced itself in the directory, or of which a peer told. It counts as live
+    /// only once its gossip is received.
+    pub fn on_announced(
+        &self,
+        owner: OwnerId,
+        address: SocketAddr,
+        domain: Option<DomainName>,
+        now_ms: MonoMs,
+    ) {
         let mut peers = self.peers.borrow_mut();
         peers.entry(owner).or_insert(Peer {
             address,
-            domain: None,
+            domain,
             received_ms: now_ms,
             presence: Presence::Announced,
             config: None,
--- a/crates/front/src/gossip/replicas.rs
+++ b/crates/front/src/gossip/replicas.rs
@@ -1,7 +1,7 @@
 //! The encoding of notices about the directory's replica list.
 
 use crate::platform::Cursor;
-use crate::watch::ReplicasNotice;
+use crate::watch::{PositionedChange, ReplicasNotice};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -11,14 +11,17 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct ReplicasGossip {
     cursor: Cursor,
+    from: Option<Cursor>,
+    relist_left_ms: u32,
     before: Fingerprint,
     after: Fingerprint,
-    changes: Vec<ChangeGossip>,
+    /// The changes with the offsets of their entries.
+    changes: Vec<(u64, ChangeGossip)>,
 }
 
 /// A change to one replica's entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-enum ChangeGossip {
+pub(crate) enum ChangeGossip {
     /// The replica is listed with these properties.
     Listed {
         instance: Arc<str>,
@@ -39,12 +42,14 @@
     fn from(notice: ReplicasNotice) -> Self {
         Self {
             cursor: notice.cursor,
+            from: notice.from,
+            relist_left_ms: notice.relist_left_ms.0 as u32,
             before: notice.before,
             after: notice.after,
             changes: notice
                 .changes
                 .into_iter()
-                .filter_map(change_gossip)
+                .filter_map(|change| Some((change.offset, change_gossip(change.change)?)))
                 .collect(),
         }
     }
@@ -54,16 +59,25 @@
     fn from(gossip: ReplicasGossip) -> Self {
         Self {
             cursor: gossip.cursor,
+            from: gossip.from,
+            relist_left_ms: SpanMs(u64::from(gossip.relist_left_ms)),
             before: gossip.before,
             after: gossip.after,
-            changes: gossip.changes.into_iter().map(Into::into).collect(),
+            changes: gossip
+                .changes
+                .into_iter()
+                .map(|(offset, change)| PositionedChange {
+                    offset,
+                    change: change.into(),
+                })
+                .collect(),
         }
     }
 }
 
 /// Converts a change for sending. Returns `None` for an unreadable entry, which changes no node's
 /// table.
-fn change_gossip(change: ReplicaChange) -> Option<ChangeGossip> {
+pub(crate) fn change_gossip(change: ReplicaChange) -> Option<ChangeGossip> {
     match change {
         ReplicaChange::Unreadable { .. } => None,
         ReplicaChange::Removed(instance) => Some(ChangeGossip::Removed(instance)),
--- a/crates/front/src/gossip/send.rs
+++ b/crates/front/src/gossip/send.rs
@@ -24,7 +24,7 @@
                 () = node.outbox.urgent.notified() => gather().await,
                 () = tokio::time::sleep(Duration::from(batch_delay(node.outbox.peer_count()))) => {}
             },
-            () = tokio::time::sleep_until(digest_at) => {
+            () = digest_due(&node, digest_at) => {
                 let every_ms = digest_interval(node.outbox.peer_count());
                 digest_at = Instant::now() + Duration::from(every_ms);
                 drop_silent(&node);
@@ -39,6 +39,14 @@
     }
 }
 
+/// Waits until the next digest is due, or until new peers are to be told of this node.
+async fn digest_due(node: &Node, digest_at: Instant) {
+    tokio::select! {
+        () = tokio::time::sleep_until(digest_at) => {}
+        () = node.outbox.introduction.notified() => {}
+    }
+}
+
 /// Waits for [`GATHER_MS`], while more gossip is queued.
 async fn gather() {
     tokio::time::sleep(Duration::from(GATHER_MS)).await;
@@ -103,7 +111,7 @@
 
 /// Sends gossip to all peers, directly or through relays.
 fn send_to_all(node: &Node, socket: &UdpSocket, gossip: Vec<Gossip>, gossip_kind: GossipKind) {
-    let origin = origin(node);
+    let origin = Origin::of(node);
     let destinations = node.outbox.destinations(&origin, gossip_kind);
     if destinations.is_empty() {
         return;
@@ -126,15 +134,6 @@
     }
 }
 
-/// Returns this node's identity, as its datagrams carry it.
-fn origin(node: &Node) -> Origin {
-    Origin {
-        owner: node.owner.0,
-        address: node.settings.gossip,
-        domain: node.settings.domain.0.clone(),
-    }
-}
-
 /// Drops the work of peers that fell silent, and logs their loss.
 fn drop_silent(node: &Node) {
     let lost = node.outbox.expire(node.now_ms());
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -39,6 +39,9 @@
     pub ready: SocketAddr,
     /// The address to which peers send gossip by datagram, and connect for copies of the configuration.
     pub gossip: SocketAddr,
+    /// The addresses at which some nodes that may be running receive gossip. A starting node copies its
+    /// state from them; without any it reads the directory.
+    pub seeds: Vec<SocketAddr>,
     /// The address of the operators' page, with the metrics and the requests in quarantine.
     pub metrics: SocketAddr,
     /// The retry limits, for all nodes together.
@@ -120,6 +123,8 @@
         spawn_local(gossip::receive(node.clone(), gossip.clone()));
         spawn_local(gossip::send(node.clone(), gossip));
         spawn_local(copies::serve_copies(node.clone(), copies));
+        watch::begin_join(&node);
+        spawn_local(watch::join(node.clone()));
         spawn_local(watch::watch_config(node.clone()));
         spawn_local(watch::watch_replicas(node.clone()));
         spawn_local(watch::watch_nodes(node.clone()));
--- a/crates/front/src/platform/mod.rs
+++ b/crates/front/src/platform/mod.rs
@@ -79,6 +79,9 @@
     pub incarnation: Incarnation,
     /// The address at which the node receives gossip.
     pub address: SocketAddr,
+    /// The node's failure domain. `None` in entries of releases that don't state it.
+    #[serde(default)]
+    pub domain: Option<DomainName>,
 }
 
 /// The platform's directory.
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -49,7 +49,11 @@
     fn notifies_peers(self, change: QuarantineChange) -> bool {
         match change {
             // All nodes reach the same verdict, so only those that saw a crash notify the others.
-            QuarantineChange::Quarantined { seen, .. } => seen && self == QuarantineCause::Judged,
+            // Most nodes don't read the directory, so those that do notify the others too.
+            QuarantineChange::Quarantined { seen, .. } => match self {
+                QuarantineCause::Judged => seen,
+                cause => cause == QuarantineCause::Stored,
+            },
             _ => matches!(self, QuarantineCause::Served | QuarantineCause::Lifted),
         }
     }
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -11,6 +11,7 @@
 use super::era;
 use super::evacuations;
 use super::follow::{self, FollowResult};
+use super::join;
 use super::retry::Backoff;
 use crate::copies::ConfigCopy;
 use crate::journal::Event;
@@ -59,6 +60,7 @@
         held_back_since_ms: None,
         backoff: Backoff::new("configuration"),
     };
+    join::wait(&watch.node).await;
     loop {
         match follow::parent(&watch.node) {
             Some(_) => watch.follow().await,
@@ -85,7 +87,7 @@
         match follow::follow(&self.node).await {
             FollowResult::Reader => {}
             FollowResult::Copied(config, copy) => {
-                put_in_force(&self.node, Rc::new(config), TextSource::Peer(copy));
+                put_copy_in_force(&self.node, config, copy);
                 tokio::time::sleep(Duration::from(COPY_PAUSE_MS)).await;
             }
             FollowResult::NotFound => {
@@ -229,6 +231,11 @@
     Peer(ConfigCopy),
 }
 
+/// Puts a configuration that was copied from a peer in force if it is newer than the current one.
+pub(super) fn put_copy_in_force(node: &Node, config: ServingConfig, copy: ConfigCopy) {
+    put_in_force(node, Rc::new(config), TextSource::Peer(copy));
+}
+
 /// Puts a configuration in force if it is newer than the current one.
 fn put_in_force(node: &Node, config: Rc<ServingConfig>, text: TextSource) {
     let version = config.version();
--- a/crates/front/src/watch/follow.rs
+++ b/crates/front/src/watch/follow.rs
@@ -1,12 +1,12 @@
 //! Copies the configuration from peers instead of reading it from the directory.
 
 use super::config::PEER_CHECK_MS;
+use super::roles;
 use crate::copies::{self, ConfigCopy};
 use crate::journal::Event;
 use crate::node::Node;
 use bluebell_base::prelude::*;
-use bluebell_fleet::distribution::{self, ConfigRole};
-use bluebell_fleet::long_poll;
+use bluebell_fleet::distribution;
 use bluebell_fleet::prelude::*;
 use rand::seq::SliceRandom;
 use std::time::Duration;
@@ -28,14 +28,7 @@
 /// the directory.
 pub(super) fn parent(node: &Node) -> Option<OwnerId> {
     node.config_version()?;
-    if !long_poll::can_rely_on_peers(node.outbox.live_peer_count()) {
-        return None;
-    }
-    let peers = node.outbox.live_peers_in(&node.settings.domain);
-    match distribution::role(node.owner, &peers) {
-        ConfigRole::Reader => None,
-        ConfigRole::Follower(parent) => Some(parent),
-    }
+    roles::parent(node)
 }
 
 /// Returns the number of nodes that read the directory, including this one.
--- a/crates/front/src/watch/quarantine.rs
+++ b/crates/front/src/watch/quarantine.rs
@@ -3,7 +3,9 @@
 //! off.
 
 use super::era::Renewals;
+use super::join;
 use super::retry::Backoff;
+use super::roles;
 use crate::node::Node;
 use crate::quarantine;
 use bluebell_base::prelude::*;
@@ -12,14 +14,18 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 
-/// The interval at which a node checks whether too few peers are live to learn from them, and if so
-/// reads the directory. It is within the three seconds after which a fatal request must be known.
+/// The interval at which a reader checks whether most peers are silent, and if so reads the directory.
+/// It is within the three seconds after which a fatal request must be known.
 const PEER_CHECK_MS: SpanMs = SpanMs(2_000);
 
-/// Reads the stored requests at the start, and at intervals while most peers are silent, until the
-/// process ends.
+/// Reads the stored requests at the start, and as a reader at intervals while most peers are silent,
+/// until the process ends. Peers are notified of what was unknown.
 pub async fn watch_quarantine(node: Rc<Node>) {
     let mut backoff = Backoff::new("quarantine");
+    join::wait(&node).await;
+    if join::has_joined(&node) {
+        wait_until_needed(&node).await;
+    }
     loop {
         match node.platform.directory.read_quarantine().await {
             Ok(stored) => {
@@ -33,9 +39,16 @@
                 continue;
             }
         }
+        wait_until_needed(&node).await;
+    }
+}
+
+/// Waits until this node is a reader and most peers are silent.
+async fn wait_until_needed(node: &Node) {
+    loop {
         tokio::time::sleep(Duration::from(PEER_CHECK_MS)).await;
-        while most_peers_live(&node) {
-            tokio::time::sleep(Duration::from(PEER_CHECK_MS)).await;
+        if !most_peers_live(node) && roles::is_reader(node) {
+            return;
         }
     }
 }
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -1,31 +1,33 @@
 //! Keeps the table of replicas up to date with the directory's list.
+//!
+//! Load pattern: every node must know within two seconds that a replica leaves, and hundreds of nodes that
+//! each read the list would call the directory hundreds of times a second.
+//!
+//! Reason for the limits: the readers read the list in turn and notify all peers, so the number of reads
+//! doesn't depend on the number of nodes. Followers read only if no notice arrives in time.
 
 use super::era;
-use super::notices::NoticeBuilder;
+use super::join;
+use super::notices::{NoticeBuilder, ReadSpan};
 use super::retry::Backoff;
+use super::roles;
 use super::shared::ReplicasNotice;
 use crate::journal::Event;
 use crate::node::Node;
-use crate::platform::ReplicaUpdate;
+use crate::platform::{Cursor, ReplicaUpdate};
 use bluebell_base::prelude::*;
+use bluebell_fleet::distribution;
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::replicas::TableEvent;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The age in milliseconds up to which the list isn't read again by any node. A replica that leaves
-/// must get no new work two seconds later.
-const MIN_AGE_MS: u64 = 700;
-
-/// The span in milliseconds over which nodes spread their reads, so that mostly one node reads for all.
-const SPREAD_MS: u64 = 500;
-
 /// The minimum pause between two reads. Otherwise two nodes whose tables stay different for a while
 /// would make each other read continuously.
 const MIN_PAUSE_MS: SpanMs = SpanMs(250);
 
-/// The time in milliseconds that each peer adds to the span over which nodes with a differing table
-/// spread their reads. The next notice may spare most of them the read.
+/// The time in milliseconds that each peer adds to the span over which nodes that missed a notice spread
+/// their copies and reads.
 const PEER_SPREAD_MS: u64 = 2;
 
 /// The maximum of that span, in milliseconds.
@@ -36,13 +38,17 @@
 /// A node that can't read the directory doesn't retry while notices from peers confirm its table.
 pub async fn watch_replicas(node: Rc<Node>) {
     let mut backoff = Backoff::new("replicas");
+    join::wait(&node).await;
+    if node.directory_watch.cursor().is_some() {
+        wait_until_due(&node).await;
+    }
     loop {
-        let cursor = node.directory_watch.cursor();
+        let cursor_before = node.directory_watch.cursor();
         let read = tokio::select! {
-            read = node.platform.directory.read_replicas(cursor) => read,
+            read = node.platform.directory.read_replicas(cursor_before) => read,
             // A read that was sent during the directory's outage is never answered.
             () = node.directory_watch.directory_back.notified() => {
-                node.platform.directory.read_replicas(cursor).await
+                node.platform.directory.read_replicas(cursor_before).await
             }
         };
         match read {
@@ -50,7 +56,7 @@
                 backoff.succeeded(&node);
                 let cursor = update.cursor;
                 let renewed = era::on_era(&node, cursor.era);
-                let notices = apply_update(&node, update, renewed);
+                let notices = apply_update(&node, cursor_before, update, renewed);
                 node.directory_watch.on_own_read(cursor, node.now_ms());
                 for notice in notices {
                     node.outbox.replicas(notice);
@@ -63,14 +69,16 @@
                 backoff.failed(&node, &error).await;
             }
         }
-        wait_for_age(&node).await;
+        wait_until_due(&node).await;
     }
 }
 
-/// Waits until the list is due to be read again by age, or until a peer has read more of it.
-async fn wait_for_age(node: &Node) {
-    let due_ms = MIN_AGE_MS + rand::random_range(0..SPREAD_MS);
+/// Waits until this node must read the list: it is due by age, or a peer has read more of it and no peer
+/// provides a copy.
+async fn wait_until_due(node: &Rc<Node>) {
+    let draw: f64 = rand::random();
     loop {
+        let due_ms = distribution::list_due_age(roles::follower_interval(node), draw).0;
         let age_ms = node
             .directory_watch
             .age_ms(node.now_ms())
@@ -84,7 +92,7 @@
                 let spread_ms = (peers * PEER_SPREAD_MS).min(MAX_SPREAD_MS);
                 let pause_ms = rand::random_range(0..=spread_ms);
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-                if node.directory_watch.peer_has_read_more() {
+                if node.directory_watch.peer_has_read_more() && !copy_from_peers(node).await {
                     return;
                 }
             }
@@ -93,11 +101,27 @@
     }
 }
 
+/// Copies the list from a peer that has read more of it. Returns true if the node then knows as much.
+async fn copy_from_peers(node: &Rc<Node>) -> bool {
+    if roles::is_reader(node) {
+        return false;
+    }
+    join::copy_state(node).await;
+    !node.directory_watch.peer_has_read_more()
+}
+
 /// Applies a read to the table. `renewed` is true if it is the first read of a later era. Returns the
 /// notices for peers.
-fn apply_update(node: &Node, update: ReplicaUpdate, renewed: bool) -> Vec<ReplicasNotice> {
+fn apply_update(
+    node: &Node,
+    cursor_before: Option<Cursor>,
+    update: ReplicaUpdate,
+    renewed: bool,
+) -> Vec<ReplicasNotice> {
     let now_ms = node.now_ms();
-    let mut notices = NoticeBuilder::open(node, update.cursor.era);
+    let end = update.cursor;
+    let from = cursor_before.filter(|_| !update.is_snapshot);
+    let mut notices = NoticeBuilder::open(node, ReadSpan { from, end });
     node.with(|state| state.replicas.on_directory_read(now_ms));
     if update.is_snapshot {
         let listed: Vec<Arc<str>> = update.changes.iter().filter_map(listed_instance).collect();
@@ -106,30 +130,24 @@
             true => {
                 for instance in node.with(|state| state.replicas.missing_from(&listed)) {
                     let missing = vec![ReplicaChange::Missing(instance)];
-                    notices.add(node, apply_changes(node, missing));
+                    notices.add(node, 0, apply_changes(node, missing));
                 }
             }
         }
     }
-    for change in update.changes {
+    let first_offset = end.offset.saturating_sub(update.changes.len() as u64);
+    for (offset, change) in (first_offset..).zip(update.changes) {
         // A replica that the older copy lists may have left since.
         if renewed && node.with(|state| state.replicas.is_outdated(&change)) {
             continue;
         }
-        notices.add(node, apply_changes(node, vec![change]));
+        notices.add(node, offset, apply_changes(node, vec![change]));
     }
-    let (awaits_relisting, awaits_rewrites) = node.with(|state| {
-        let replicas = &state.replicas;
-        (
-            replicas.awaits_relisting(now_ms),
-            replicas.awaits_rewrites(now_ms),
-        )
-    });
-    // Replicas missing after an outage may come back. Each node judges that by its own observations, so
-    // the changes aren't shared. After a renewal all nodes have observed the same.
-    match (update.is_snapshot || awaits_relisting) && !awaits_rewrites {
-        true => notices.finish_without_changes(node, update.cursor),
-        false => notices.finish(node, update.cursor),
+    let awaits_rewrites = node.with(|state| state.replicas.awaits_rewrites(now_ms));
+    // A list of all replicas doesn't tell what changed. After a renewal all nodes have observed the same.
+    match update.is_snapshot && !awaits_rewrites {
+        true => notices.finish_without_changes(node),
+        false => notices.finish(node),
     }
 }
 
@@ -192,7 +210,7 @@
 }
 
 /// Returns the instance of an entry that is present in the directory.
-fn listed_instance(change: &ReplicaChange) -> Option<Arc<str>> {
+pub(super) fn listed_instance(change: &ReplicaChange) -> Option<Arc<str>> {
     match change {
         ReplicaChange::Listed(replica) => Some(replica.instance.clone()),
         // An unreadable entry is still present, so its replica isn't gone.
--- a/crates/front/src/watch/retry.rs
+++ b/crates/front/src/watch/retry.rs
@@ -1,5 +1,11 @@
 //! Retries with backoff for watchers of a directory that fails.
+//!
+//! Load pattern: in an outage the calls of all nodes fail, and refused calls are charged as well.
+//!
+//! Reason for the limits: the few readers notice the end of an outage within a second and notify their
+//! peers. All followers together make as many calls in a fleet of any size.
 
+use super::roles;
 use crate::journal::Event;
 use crate::node::Node;
 use crate::platform::DirectoryError;
@@ -55,8 +61,10 @@
                 reason: error.to_string().into(),
             });
         }
-        let spread_ms = rand::rng().random_range(0..=self.next_pause_ms / 2);
-        tokio::time::sleep(Duration::from_millis(self.next_pause_ms + spread_ms)).await;
+        let follower_pause_ms = roles::follower_interval(node).map_or(0, |interval| interval.0);
+        let pause_ms = self.next_pause_ms.max(follower_pause_ms);
+        let spread_ms = rand::rng().random_range(0..=pause_ms / 2);
+        tokio::time::sleep(Duration::from_millis(pause_ms + spread_ms)).await;
         self.next_pause_ms = (self.next_pause_ms * 2).min(MAX_PAUSE_MS);
     }
 }
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -3,17 +3,19 @@
 //! Load pattern: each node that reads every second costs a call a second, and each change of a replica
 //! would make all nodes read at once. The directory's calls are limited for all nodes together.
 //!
-//! Reason for the limits: a node that has just read the replica list sends the others the fingerprint
-//! of its table, the fingerprint from before the read, and the changes between them. A node whose table
-//! matches the later fingerprint has missed nothing. A node whose table matches the earlier one applies
-//! the changes. A node with any other table, or without live peers, reads the directory itself. A lost
-//! datagram thus costs a call but never a change.
+//! Reason for the limits: a node that has just read the replica list sends the others the changes with
+//! their positions, and the fingerprints of its table before and after. A node that knows the list up to
+//! a position within the notice applies the rest of it, so that readers which read at the same time
+//! don't contradict each other. A node whose table matches the earlier fingerprint applies all changes. Any
+//! other node has missed something and copies the list from a peer, or reads the directory. A lost
+//! datagram thus costs a call to a peer but never a change.
 //!
-//! Invariants: a peer's notice changes a table only if it leads from exactly this table to exactly the
-//! peer's.
+//! Invariants: a peer's notice changes a table only if nothing is missing between the table and the
+//! notice's changes.
 
-use super::era::{KnownEra, on_notified_era};
-use super::replicas::apply_changes;
+use super::era::{KnownEra, on_era, on_notified_era};
+use super::join::JoinPhase;
+use super::replicas::{apply_changes, listed_instance};
 use crate::journal::Event;
 use crate::node::Node;
 use crate::platform::Cursor;
@@ -27,6 +29,8 @@
 pub struct DirectoryWatch {
     /// The newest era of the directory that this node knows.
     pub(super) era: KnownEra,
+    /// The way in which the node gets its first state.
+    pub(super) join_phase: watch::Sender<JoinPhase>,
     /// Notified when a peer knows a newer configuration.
     pub(super) newer_config: Notify,
     /// Notified when a peer has read more of the replica list and its table differs.
@@ -52,18 +56,65 @@
     peer_cursor: Cell<Option<Cursor>>,
 }
 
+/// A change of the replica list, with its position.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PositionedChange {
+    /// The offset of the entry in the era of its notice.
+    pub offset: u64,
+    /// The change.
+    pub change: ReplicaChange,
+}
+
 /// A notice that a peer has read the replica list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReplicasNotice {
-    /// The position up to which the peer has read.
+    /// The position up to which the notice leads.
     pub cursor: Cursor,
+    /// The position from which the changes are complete, or `None` if only the fingerprints tell to which
+    /// tables they apply.
+    pub from: Option<Cursor>,
+    /// The time for which entries that are missing after an outage may still return; 0 if none may.
+    pub relist_left_ms: SpanMs,
     /// The fingerprint of its table before the read.
     pub before: Fingerprint,
     /// The fingerprint of its table after the read.
     pub after: Fingerprint,
-    /// The changes that lead from `before` to `after`. Empty if there are too many to send, or if each
-    /// node must judge them by its own read.
-    pub changes: Vec<ReplicaChange>,
+    /// The changes that lead from `before` to `after`, in the order of their positions. Empty if there are
+    /// too many to send, or if each node must judge them by its own read.
+    pub changes: Vec<PositionedChange>,
+}
+
+/// The replica list that was copied from a peer.
+#[derive(Clone, Debug)]
+pub struct CopiedReplicas {
+    /// The position up to which the peer knows the list.
+    pub cursor: Cursor,
+    /// The time at which the peer's list was last confirmed, by this node's clock.
+    pub confirmed_ms: MonoMs,
+    /// The time for which entries that are missing after an outage may still return; 0 if none may.
+    pub relist_left_ms: SpanMs,
+    /// All listed replicas.
+    pub listed: Vec<ReplicaChange>,
+}
+
+impl ReplicasNotice {
+    /// Returns true if nothing is missing between the position `known` and the notice's changes.
+    fn covers(&self, known: Cursor) -> bool {
+        let complete_from = self.from.filter(|from| from.era == known.era);
+        complete_from.is_some_and(|from| from <= known && known <= self.cursor)
+    }
+
+    /// Takes the changes that apply to a table with this fingerprint that is known up to `known`.
+    fn take_changes(&mut self, known: Cursor, table: Fingerprint) -> Vec<ReplicaChange> {
+        let changes = std::mem::take(&mut self.changes).into_iter();
+        let first_offset = match self.covers(known) {
+            true => known.offset,
+            false if table == self.before => 0,
+            false => return Vec::new(),
+        };
+        let missing = changes.filter(|change| change.offset >= first_offset);
+        missing.map(|change| change.change).collect()
+    }
 }
 
 impl DirectoryWatch {
@@ -173,7 +224,7 @@
     }
 
     /// Handles the notice that a peer has read the replica list.
-    pub fn on_peer_replicas(&self, node: &Node, notice: ReplicasNotice) {
+    pub fn on_peer_replicas(&self, node: &Node, mut notice: ReplicasNotice) {
         let Some((known, _)) = self.confirmed.get() else {
             return;
         };
@@ -181,12 +232,16 @@
             return;
         }
         on_notified_era(node, notice.cursor.era);
+        let now_ms = node.now_ms();
+        let relist_left_ms = notice.relist_left_ms;
+        node.with(|state| state.replicas.await_relisting(relist_left_ms, now_ms));
         let fingerprint = || node.with(|state| state.replicas.fingerprint());
+        let covered = notice.covers(known);
         let own = fingerprint();
-        if own != notice.after && own == notice.before {
-            apply_changes(node, notice.changes);
+        if own != notice.after {
+            apply_changes(node, notice.take_changes(known, own));
         }
-        if fingerprint() != notice.after {
+        if !covered && fingerprint() != notice.after {
             self.peer_cursor
                 .set(self.peer_cursor.get().max(Some(notice.cursor)));
             if self.peer_has_read_more() {
@@ -194,12 +249,30 @@
             }
             return;
         }
-        let now_ms = node.now_ms();
         node.with(|state| state.replicas.on_directory_read(now_ms));
         let cursor = known.max(notice.cursor);
         self.confirmed.set(Some((cursor, now_ms)));
     }
 
+    /// Replaces the table by a peer's list, unless as much is known already.
+    pub fn on_copied_replicas(&self, node: &Node, copied: CopiedReplicas) {
+        if self.cursor() >= Some(copied.cursor) {
+            return;
+        }
+        on_era(node, copied.cursor.era);
+        let now_ms = node.now_ms();
+        let instances: Vec<Arc<str>> = copied.listed.iter().filter_map(listed_instance).collect();
+        node.with(|state| {
+            let replicas = &mut state.replicas;
+            replicas.await_relisting(copied.relist_left_ms, now_ms);
+            replicas.retain_listed(&instances, now_ms);
+        });
+        apply_changes(node, copied.listed);
+        self.confirmed
+            .set(Some((copied.cursor, copied.confirmed_ms)));
+        node.on_replicas_read();
+    }
+
     /// Returns true if a peer with a differing table has read more of the replica list than this node
     /// knows. If the peer has read less, or as much with another judgement, a read would bring nothing
     /// new: 195 tables that differed briefly during a start made each other read four times a second.
@@ -213,12 +286,12 @@
     }
 
     /// Returns the position from which the next read continues. `None` before the first read.
-    pub(super) fn cursor(&self) -> Option<Cursor> {
+    pub(crate) fn cursor(&self) -> Option<Cursor> {
         self.confirmed.get().map(|(cursor, _)| cursor)
     }
 
     /// Returns the time since the table was last confirmed. `None` before the first read.
-    pub(super) fn age_ms(&self, now_ms: MonoMs) -> Option<SpanMs> {
+    pub(crate) fn age_ms(&self, now_ms: MonoMs) -> Option<SpanMs> {
         self.confirmed.get().map(|(_, at_ms)| now_ms.since(at_ms))
     }
 }
