--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -3,6 +3,7 @@
 //! Invariants: see [`super`]; a change that was already applied changes nothing.
 
 use super::{Health, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState};
+use crate::evacuation::Evacuations;
 use crate::leaving::LeavingReplicas;
 use bluebell_base::prelude::*;
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
@@ -58,6 +59,8 @@
 pub struct ReplicaTable {
     /// The replicas whose answers reported that they leave.
     pub leaving_replicas: LeavingReplicas,
+    /// The failure domains whose replicas get no new work.
+    pub evacuations: Evacuations,
     rows: FxHashMap<ReplicaKey, Row>,
     /// The key of each known instance's latest start.
     keys: FxHashMap<Arc<str>, ReplicaKey>,
@@ -120,6 +123,36 @@
         self.directory_away || back.is_some_and(|at_ms| now_ms.since(at_ms) < RELIST_WINDOW_MS)
     }
 
+    /// Returns the time for which missing entries may still return; 0 if none may.
+    pub fn relist_left_ms(&self, now_ms: MonoMs) -> SpanMs {
+        let back_ms = match self.directory_away {
+            true => now_ms,
+            false => self.directory_back_ms.unwrap_or_default(),
+        };
+        let past_ms = now_ms.since(back_ms);
+        match self.awaits_relisting(now_ms) {
+            true => SpanMs(RELIST_WINDOW_MS.0.saturating_sub(past_ms.0)),
+            false => SpanMs::ZERO,
+        }
+    }
+
+    /// Records that a peer, which saw the directory come back, lets missing entries return for this time.
+    pub fn await_relisting(&mut self, left_ms: SpanMs, now_ms: MonoMs) {
+        if left_ms == SpanMs::ZERO {
+            return;
+        }
+        let past_ms = SpanMs(RELIST_WINDOW_MS.0.saturating_sub(left_ms.0));
+        let back_ms = Some(now_ms - past_ms);
+        self.directory_back_ms = self.directory_back_ms.max(back_ms);
+    }
+
+    /// Returns the replicas that are listed in the directory, without those whose entry has lapsed.
+    pub fn listed(&self) -> impl Iterator<Item = &Arc<Replica>> {
+        let rows = self.rows.values();
+        let listed = rows.filter(|row| row.lapsed_at_ms.is_none());
+        listed.map(|row| &row.replica)
+    }
+
     /// Sets the services that the configuration in force names. Entries of other services are kept, since a
     /// later configuration may name them, but they displace no replica that is in use.
     pub fn set_services(&mut self, services: impl Iterator<Item = ServiceName>) {
@@ -348,10 +381,36 @@
         replica.state == ReplicaState::Ready && !self.leaving_replicas.contains(replica.key())
     }
 
-    /// Returns the replicas of `service` that accept work, in an order that is the same on all nodes.
+    /// Returns the replicas of `service` that accept work and aren't evacuated, in an order that is the
+    /// same on all nodes.
     pub fn ready<'a>(
         &'a self,
         service: &'a ServiceName,
+    ) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
+        let mut ready = self.accepting(service);
+        if !self.evacuations.is_empty() {
+            ready.retain(|(_, replica, _)| !self.evacuations.contains(&replica.domain));
+        }
+        ready
+    }
+
+    /// Returns true if a replica of `service` accepts work and is in an evacuated failure domain.
+    pub fn has_evacuated(&self, service: &ServiceName) -> bool {
+        let evacuated = |replica: &Replica| self.evacuations.contains(&replica.domain);
+        let accepting = || self.accepting(service).into_iter();
+        !self.evacuations.is_empty() && accepting().any(|(_, replica, _)| evacuated(replica))
+    }
+
+    /// Returns the number of known replicas in a failure domain.
+    pub fn count_in(&self, domain: &DomainName) -> usize {
+        let replicas = self.rows.values().map(|row| &row.replica);
+        replicas.filter(|replica| replica.domain == *domain).count()
+    }
+
+    /// Returns the replicas of `service` that accept work, in an order that is the same on all nodes.
+    fn accepting<'a>(
+        &'a self,
+        service: &'a ServiceName,
     ) -> Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)> {
         let rows = self
             .rows
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -2,6 +2,7 @@
 
 use super::DATAGRAM_BYTES;
 use super::replicas::ReplicasGossip;
+use crate::node::Node;
 use crate::platform::Era;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
@@ -11,7 +12,7 @@
 
 /// The version of the datagram format. Datagrams of any other version are ignored, so that nodes of
 /// two releases can run in one fleet.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 
 /// A gossip datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -27,7 +28,7 @@
 
 /// The sender of gossip, as its datagrams identify it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Origin {
+pub(crate) struct Origin {
     /// The id of this run of the node.
     pub owner: u64,
     /// The address at which it receives gossip.
@@ -36,6 +37,17 @@
     pub domain: Arc<str>,
 }
 
+impl Origin {
+    /// Returns the identity of `node`.
+    pub fn of(node: &Node) -> Self {
+        Self {
+            owner: node.owner.0,
+            address: node.settings.gossip,
+            domain: node.settings.domain.0.clone(),
+        }
+    }
+}
+
 /// One piece of gossip.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) enum Gossip {
@@ -71,6 +83,8 @@
     Config { version: u64 },
     /// The sender has just read the replica list from the directory.
     Replicas(ReplicasGossip),
+    /// Operators evacuated a failure domain or took it back.
+    Evacuation(EvacuationEntry),
 }
 
 /// A piece of work in flight, with what peers need for their own placements.
--- a/crates/front/src/gossip/send.rs
+++ b/crates/front/src/gossip/send.rs
@@ -5,7 +5,9 @@
 use crate::journal::Event;
 use crate::limits;
 use crate::node::Node;
+use bluebell_base::prelude::*;
 use bluebell_fleet::fanout::{GossipKind, batch_delay, digest_interval};
+use bluebell_fleet::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +24,7 @@
                 () = node.outbox.urgent.notified() => gather().await,
                 () = tokio::time::sleep(Duration::from(batch_delay(node.outbox.peer_count()))) => {}
             },
-            () = tokio::time::sleep_until(digest_at) => {
+            () = digest_due(&node, digest_at) => {
                 let every_ms = digest_interval(node.outbox.peer_count());
                 digest_at = Instant::now() + Duration::from(every_ms);
                 drop_silent(&node);
@@ -37,6 +39,14 @@
     }
 }
 
+/// Waits until the next digest is due, or until new peers are to be told of this node.
+async fn digest_due(node: &Node, digest_at: Instant) {
+    tokio::select! {
+        () = tokio::time::sleep_until(digest_at) => {}
+        () = node.outbox.introduction.notified() => {}
+    }
+}
+
 /// Waits for [`GATHER_MS`], while more gossip is queued.
 async fn gather() {
     tokio::time::sleep(Duration::from(GATHER_MS)).await;
@@ -47,7 +57,7 @@
     let now_ms = node.now_ms();
     let chance = notify_chance(node);
     limits::update_shares(node);
-    let (works, version, requests, limits, leaving_replicas) = node.with(|state| {
+    let (works, version, requests, limits, replicas) = node.with(|state| {
         let own = state.ledger.of_owner(node.owner);
         let works = own.map(|(sequence, work)| WorkGossip::from_work(sequence, work, now_ms));
         let version = state.config.as_ref().map(|c| c.version());
@@ -61,7 +71,7 @@
             version,
             requests.map(Gossip::Request),
             limits,
-            state.replicas.leaving_replicas.to_notify(now_ms),
+            repeated_of_replicas(&state.replicas, chance, now_ms),
         )
     });
     let mut gossip = digest(works);
@@ -74,28 +84,34 @@
             .into_iter()
             .map(|notice| Gossip::Limit(notice.into())),
     );
-    gossip.extend(
-        leaving_replicas
-            .into_iter()
-            .map(|key| Gossip::Leaving { replica: key.0 }),
-    );
+    gossip.extend(replicas);
     gossip
 }
 
-/// The average number of nodes that repeat each request in quarantine with every round of digests.
-/// A node that missed the first notice then receives one within the three seconds after which the
-/// request must be known.
-const QUARANTINE_NOTIFIERS: f64 = 8.0;
+/// Returns the notices about leaving replicas and evacuated domains that this node repeats. Each entry of
+/// an evacuation is repeated with probability `chance`.
+fn repeated_of_replicas(replicas: &ReplicaTable, chance: f64, now_ms: MonoMs) -> Vec<Gossip> {
+    let leaving = replicas.leaving_replicas.to_notify(now_ms).into_iter();
+    let leaving = leaving.map(|key| Gossip::Leaving { replica: key.0 });
+    let evacuations = replicas.evacuations.entries().into_iter();
+    let drawn = evacuations.filter(|_| rand::random_bool(chance));
+    leaving.chain(drawn.map(Gossip::Evacuation)).collect()
+}
+
+/// The average number of nodes that repeat each notice of a request in quarantine or of an evacuated
+/// failure domain with every round of digests. A node that missed the first notice then receives one
+/// within the three seconds after which it must be known.
+const NOTICE_REPEATERS: f64 = 8.0;
 
-/// Returns the probability with which this node repeats a request in quarantine with a digest. If all
-/// nodes repeated all of them, 300 nodes and sixteen requests would cost 120 KB/s at each node.
+/// Returns the probability with which this node repeats such a notice with a digest. If all nodes
+/// repeated all requests in quarantine, 300 nodes and sixteen requests would cost 120 KB/s at each node.
 fn notify_chance(node: &Node) -> f64 {
-    (QUARANTINE_NOTIFIERS / node.node_count() as f64).min(1.0)
+    (NOTICE_REPEATERS / node.node_count() as f64).min(1.0)
 }
 
 /// Sends gossip to all peers, directly or through relays.
 fn send_to_all(node: &Node, socket: &UdpSocket, gossip: Vec<Gossip>, gossip_kind: GossipKind) {
-    let origin = origin(node);
+    let origin = Origin::of(node);
     let destinations = node.outbox.destinations(&origin, gossip_kind);
     if destinations.is_empty() {
         return;
@@ -118,15 +134,6 @@
     }
 }
 
-/// Returns this node's identity, as its datagrams carry it.
-fn origin(node: &Node) -> Origin {
-    Origin {
-        owner: node.owner.0,
-        address: node.settings.gossip,
-        domain: node.settings.domain.0.clone(),
-    }
-}
-
 /// Drops the work of peers that fell silent, and logs their loss.
 fn drop_silent(node: &Node) {
     let lost = node.outbox.expire(node.now_ms());
