--- a/crates/front/src/copies/fetch.rs
+++ b/crates/front/src/copies/fetch.rs
@@ -2,7 +2,7 @@
 
 use super::serve::{PATH, STATE_PATH};
 use super::{HOLD_MS, MAX_TEXT_BYTES, NodeState};
-use crate::http::{Freshness, SendError};
+use crate::http::{Freshness, Link, SendError};
 use crate::node::Node;
 use crate::platform::DirectoryError;
 use bluebell_base::prelude::*;
@@ -71,7 +71,7 @@
         Some(cursor) => format!("{STATE_PATH}{}/{}", cursor.era.0, cursor.offset),
         None => STATE_PATH.to_owned(),
     };
-    let answer = exchange(node, address, &path).await?;
+    let (answer, _link) = exchange(node, address, &path).await?;
     let status = answer.status();
     if status != StatusCode::OK && status != StatusCode::SERVICE_UNAVAILABLE {
         return Err(CopyError::Status(status.as_u16()));
@@ -95,7 +95,7 @@
     address: SocketAddr,
     held: ConfigVersion,
 ) -> Result<(ServingConfig, ConfigCopy), CopyError> {
-    let answer = exchange(node, address, &format!("{PATH}{}", held.0)).await?;
+    let (answer, _link) = exchange(node, address, &format!("{PATH}{}", held.0)).await?;
     if answer.status() != StatusCode::OK {
         return Err(CopyError::Status(answer.status().as_u16()));
     }
@@ -105,15 +105,17 @@
     Ok((config, ConfigCopy(compressed)))
 }
 
-/// Sends a request to the peer at `address` and returns its answer.
+/// Sends a request to the peer at `address`. Returns the answer with its connection, which must be kept
+/// until the body is read.
 async fn exchange(
     node: &Node,
     address: SocketAddr,
     path: &str,
-) -> Result<Response<Incoming>, CopyError> {
+) -> Result<(Response<Incoming>, Link), CopyError> {
     let mut link = node.pool.lease(address, Freshness::New).await?;
     let sending = link.send(request(address, path));
-    Ok(within(HOLD_MS + SILENT_MS, sending).await??)
+    let answer = within(HOLD_MS + SILENT_MS, sending).await??;
+    Ok((answer, link))
 }
 
 fn decompress(compressed: &[u8]) -> Result<Vec<u8>, CopyError> {
