Cold replicas: all nodes together keep to the rate that they bear

Cause: the adapter decoded the time for which a replica stays cold and dropped it; nothing kept the bound over all nodes.

The time comes from the replica's entry, passed on with notices and copies of state; replicas of a domain that is taken back after an evacuation count as cold for the configured time. Prompts that need memory of several engines avoid cold ones.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod backoff;
 pub mod budget;
+pub mod cold;
 pub mod directory;
 pub mod distribution;
 pub mod engine;
@@ -43,6 +44,7 @@
 pub mod prelude {
     pub use crate::backoff::{ReplicaBackoffs, RetryAfterSignal};
     pub use crate::budget::{RetryBudget, RetryLimits};
+    pub use crate::cold::ColdReplicas;
     pub use crate::engine::EngineSpec;
     pub use crate::evacuation::{EvacuationEntry, Evacuations};
     pub use crate::freshness::{ConfigAges, ConfigFreshness, ConfigLag};
@@ -58,7 +60,8 @@
         Symptom,
     };
     pub use crate::serving::{
-        Account, ClientLimits, Route, RouteKind, RouteLookup, Service, ServingConfig, Split,
+        Account, ClientLimits, ColdSpec, Route, RouteKind, RouteLookup, Service, ServingConfig,
+        Split,
     };
     pub use crate::stopping::StopPlan;
     pub use crate::urgency::Urgency;
--- a/crates/fleet/src/limit/mod.rs
+++ b/crates/fleet/src/limit/mod.rs
@@ -218,6 +218,16 @@
         (!same).then_some(LimitChange::Set(rate))
     }
 
+    /// Sets a limit that no answer reports, unless the replica has one of this rate.
+    pub fn impose(&mut self, key: ReplicaKey, rate: PerSecond, now_ms: MonoMs) {
+        self.set(key, rate, now_ms, false, now_ms);
+    }
+
+    /// Removes the limits of all replicas but those for which `is_limited` returns true.
+    pub fn retain(&mut self, is_limited: impl Fn(ReplicaKey) -> bool) {
+        self.known.retain(|key, _| is_limited(*key));
+    }
+
     /// Records an answer without a limit. Answers overtake each other, so if it belongs to a request sent
     /// before the limit was last set, it may be older than the limit and doesn't end it.
     fn on_absent(
--- a/crates/fleet/src/replicas/replica.rs
+++ b/crates/fleet/src/replicas/replica.rs
@@ -76,6 +76,8 @@
     pub slots: u32,
     /// The state: ready for work, or draining.
     pub state: ReplicaState,
+    /// The time for which it stays cold after its entry was read.
+    pub cold_ms: SpanMs,
 }
 
 /// A change of an entry in the directory.
--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -3,6 +3,7 @@
 //! Invariants: see [`super`]; a change that was already applied changes nothing.
 
 use super::{Health, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState};
+use crate::cold::ColdReplicas;
 use crate::evacuation::Evacuations;
 use crate::leaving::LeavingReplicas;
 use bluebell_base::prelude::*;
@@ -59,6 +60,8 @@
 pub struct ReplicaTable {
     /// The replicas whose answers reported that they leave.
     pub leaving_replicas: LeavingReplicas,
+    /// The replicas that are cold.
+    pub cold_replicas: ColdReplicas,
     /// The failure domains whose replicas get no new work.
     pub evacuations: Evacuations,
     rows: FxHashMap<ReplicaKey, Row>,
@@ -167,7 +170,11 @@
     /// Applies a change of the directory.
     pub fn apply(&mut self, change: ReplicaChange, now_ms: MonoMs) -> TableEvent {
         match change {
-            ReplicaChange::Listed(replica) => self.list(replica),
+            ReplicaChange::Listed(replica) => {
+                self.cold_replicas
+                    .on_report(replica.key(), replica.cold_ms, now_ms);
+                self.list(replica)
+            }
             ReplicaChange::Removed(instance) => self.remove(&instance, now_ms),
             ReplicaChange::Missing(instance) => self.keep_missing(&instance, now_ms),
             ReplicaChange::Unreadable { instance, .. } => self.note_unusable(instance),
@@ -320,6 +327,7 @@
     pub fn expire(&mut self, now_ms: MonoMs) -> Vec<Arc<Replica>> {
         self.removed
             .retain(|_, (_, at_ms)| now_ms.since(*at_ms) < REMOVED_RETENTION_MS);
+        self.cold_replicas.expire(now_ms);
         let rows = &self.rows;
         self.leaving_replicas
             .expire(|key| rows.contains_key(&key), now_ms);
@@ -401,6 +409,21 @@
         !self.evacuations.is_empty() && accepting().any(|(_, replica, _)| evacuated(replica))
     }
 
+    /// Records that the replicas of `service` in `domain` may have become cold for `left_ms`.
+    pub fn on_returned_domain(
+        &mut self,
+        service: &ServiceName,
+        domain: &DomainName,
+        left_ms: SpanMs,
+        now_ms: MonoMs,
+    ) {
+        let is_there = |replica: &Replica| replica.service == *service && replica.domain == *domain;
+        let there = self.rows.iter().filter(|(_, row)| is_there(&row.replica));
+        for (key, _) in there {
+            self.cold_replicas.on_report(*key, left_ms, now_ms);
+        }
+    }
+
     /// Returns the number of known replicas in a failure domain.
     pub fn count_in(&self, domain: &DomainName) -> usize {
         let replicas = self.rows.values().map(|row| &row.replica);
--- a/crates/fleet/src/serving/mod.rs
+++ b/crates/fleet/src/serving/mod.rs
@@ -81,6 +81,17 @@
     pub max_connections: u32,
     /// The figures of its engines; `None` for a plain service.
     pub engine: Option<EngineSpec>,
+    /// The bounds of replicas that are cold; `None` if they bear as much as others.
+    pub cold: Option<ColdSpec>,
+}
+
+/// The bounds of a service's cold replicas, as the operators configured them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSpec {
+    /// The time for which a replica is cold after a start.
+    pub span_ms: SpanMs,
+    /// The rate of requests that a cold replica bears from all nodes together.
+    pub rate: PerSecond,
 }
 
 /// A client account, to which callers are assigned by their keys.
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -112,6 +112,7 @@
             address: ([10, 0, 0, 1], number).into(),
             domain: DomainName(domain.into()),
             slots: 16,
+            cold_ms: SpanMs::ZERO,
             state: ReplicaState::Ready,
         };
         table.apply(ReplicaChange::Listed(replica), MonoMs(0));
--- a/crates/fleet/tests/leaving.rs
+++ b/crates/fleet/tests/leaving.rs
@@ -13,6 +13,7 @@
         address: ([127, 0, 0, 1], port).into(),
         domain: DomainName("a".into()),
         slots: 16,
+        cold_ms: SpanMs::ZERO,
         state: ReplicaState::Ready,
     })
 }
--- a/crates/fleet/tests/replicas.rs
+++ b/crates/fleet/tests/replicas.rs
@@ -12,6 +12,7 @@
         address: format!("10.0.0.{number}:80").parse().expect("an address"),
         domain: DomainName("a".into()),
         slots: 16,
+        cold_ms: SpanMs::ZERO,
         state: ReplicaState::Ready,
     }
 }
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -130,6 +130,7 @@
             let limit_policy = LimitPolicy::WithinLimit;
             let throttles = Throttles {
                 limits: &state.limits,
+                cold_limits: &state.cold_limits,
                 replica_backoffs: &state.replica_backoffs,
             };
             let candidates = Candidates::of(&state.replicas, &throttles, call, avoid, limit_policy);
@@ -150,9 +151,33 @@
 /// The request limits that replicas have stated and the backoffs that they have asked for.
 struct Throttles<'a> {
     limits: &'a Limits,
+    cold_limits: &'a Limits,
     replica_backoffs: &'a ReplicaBackoffs,
 }
 
+impl Throttles<'_> {
+    /// Returns true if every replica may be sent to at any rate.
+    fn are_empty(&self) -> bool {
+        self.limits.is_empty() && self.cold_limits.is_empty() && self.replica_backoffs.is_empty()
+    }
+
+    /// Returns the permission to send a request to a replica.
+    fn admission(&self, key: ReplicaKey, limit_policy: LimitPolicy, now_ms: MonoMs) -> Admission {
+        let is_limited = || self.limits.is_limited(key) || self.cold_limits.is_limited(key);
+        let backoff = self.replica_backoffs.admission(key, now_ms);
+        if backoff != Admission::Now {
+            return backoff;
+        }
+        if limit_policy == LimitPolicy::Exclude && is_limited() {
+            return Admission::OtherNodes;
+        }
+        match self.limits.admission(key, now_ms) {
+            Admission::Now => self.cold_limits.admission(key, now_ms),
+            later => later,
+        }
+    }
+}
+
 /// The replicas that may be chosen for a request, and the record of those excluded.
 struct Candidates<'a> {
     ready: Vec<(ReplicaKey, &'a Arc<Replica>, &'a Health)>,
@@ -199,29 +224,17 @@
         limit_policy: LimitPolicy,
     ) -> Self {
         let now_ms = call.node.now_ms();
-        let Throttles {
-            limits,
-            replica_backoffs,
-        } = throttles;
         let mut ready = replicas.ready(&call.service.name);
         ready.retain(|(key, _, _)| !avoid.contains(key));
         let any_healthy = ready.iter().any(|(_, _, health)| health.admits(now_ms));
         ready.retain(|(_, _, health)| !any_healthy || health.admits(now_ms));
         let mut excluded = None;
-        if !limits.is_empty() || !replica_backoffs.is_empty() {
+        if !throttles.are_empty() {
             // An engine with a low limit looks idle and would attract requests from all nodes at
             // once. Doubted replicas are removed first, so that they aren't used in place of
             // limited ones.
             ready.retain(|(key, _, _)| {
-                let admission = match replica_backoffs.admission(*key, now_ms) {
-                    Admission::Now
-                        if limit_policy == LimitPolicy::Exclude && limits.is_limited(*key) =>
-                    {
-                        Admission::OtherNodes
-                    }
-                    Admission::Now => limits.admission(*key, now_ms),
-                    later => later,
-                };
+                let admission = throttles.admission(*key, limit_policy, now_ms);
                 let admitted = admission == Admission::Now;
                 if !admitted {
                     excluded = Some(Excluded::with(excluded, admission));
@@ -286,6 +299,7 @@
         let loads = state.ledger.loads(now_ms);
         let throttles = Throttles {
             limits: &state.limits,
+            cold_limits: &state.cold_limits,
             replica_backoffs: &state.replica_backoffs,
         };
         let candidates = Candidates::of(&state.replicas, &throttles, call, avoid, limit_policy);
@@ -389,6 +403,7 @@
         let limit_policy = LimitPolicy::WithinLimit;
         let throttles = Throttles {
             limits: &state.limits,
+            cold_limits: &state.cold_limits,
             replica_backoffs: &state.replica_backoffs,
         };
         let candidates = Candidates::of(&state.replicas, &throttles, call, avoid, limit_policy);
--- a/crates/front/src/call/guards.rs
+++ b/crates/front/src/call/guards.rs
@@ -36,7 +36,7 @@
         let now_ms = node.now_ms();
         node.with(|state| {
             for engine in work.helpers.iter().chain([&work.first]) {
-                state.limits.on_sent(*engine, now_ms);
+                state.on_sent(*engine, now_ms);
                 state.replica_backoffs.on_sent(*engine, now_ms);
             }
             state.ledger.put(id, work, now_ms);
@@ -48,7 +48,7 @@
     pub fn for_call(node: &Rc<Node>, key: ReplicaKey) -> Self {
         let now_ms = node.now_ms();
         node.with(|state| {
-            state.limits.on_sent(key, now_ms);
+            state.on_sent(key, now_ms);
             state.replica_backoffs.on_sent(key, now_ms);
             *state.calls.entry(key).or_default() += 1;
         });
--- a/crates/front/src/copies/state.rs
+++ b/crates/front/src/copies/state.rs
@@ -51,7 +51,7 @@
                 cursor,
                 age_ms: age_ms.0 as u32,
                 relist_left_ms: state.replicas.relist_left_ms(now_ms).0 as u32,
-                listed: listed(&state.replicas),
+                listed: listed(&state.replicas, now_ms),
             }),
             peers,
             quarantine: state.quarantine.quarantine_notices(now_ms, || true),
@@ -100,8 +100,11 @@
 }
 
 /// Returns the entries of all listed replicas.
-fn listed(replicas: &ReplicaTable) -> Vec<ChangeGossip> {
-    let listed = replicas.listed();
-    let changes = listed.map(|replica| ReplicaChange::Listed(Replica::clone(replica)));
+fn listed(replicas: &ReplicaTable, now_ms: MonoMs) -> Vec<ChangeGossip> {
+    let changes = replicas.listed().map(|replica| {
+        let mut replica = Replica::clone(replica);
+        replica.cold_ms = replicas.cold_replicas.left_ms(replica.key(), now_ms);
+        ReplicaChange::Listed(replica)
+    });
     changes.filter_map(change_gossip).collect()
 }
--- a/crates/front/src/gossip/replicas.rs
+++ b/crates/front/src/gossip/replicas.rs
@@ -31,6 +31,7 @@
         domain: Arc<str>,
         slots: u32,
         ready: bool,
+        cold_ms: u32,
     },
     /// The entry of this instance was removed.
     Removed(Arc<str>),
@@ -90,6 +91,7 @@
             domain: replica.domain.0,
             slots: replica.slots,
             ready: replica.state == ReplicaState::Ready,
+            cold_ms: replica.cold_ms.0 as u32,
         }),
     }
 }
@@ -107,6 +109,7 @@
                 domain,
                 slots,
                 ready,
+                cold_ms,
             } => Self::Listed(Replica {
                 instance,
                 started,
@@ -118,6 +121,7 @@
                     true => ReplicaState::Ready,
                     false => ReplicaState::Draining,
                 },
+                cold_ms: SpanMs(u64::from(cold_ms)),
             }),
         }
     }
--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -1,11 +1,14 @@
 //! Keeps the request limits that replicas state: records what answers and peers report of them,
-//! reports changes to the peers, and computes what this node may send.
+//! reports changes to the peers, and computes what this node may send. Also keeps the rates that cold
+//! replicas bear, which every node derives from the directory by itself.
 //!
 //! Invariants: the node that first receives a limit, its change or its end reports it to all peers
 //! at once. Each such change is logged.
 
 use crate::journal::Event;
-use crate::node::Node;
+use crate::node::{Node, State};
+use bluebell_base::prelude::*;
+use bluebell_fleet::cold;
 use bluebell_fleet::prelude::*;
 use std::net::SocketAddr;
 
@@ -37,7 +40,11 @@
 /// Recomputes this node's share of each limit if the shares are out of date.
 pub fn update_shares(node: &Node) {
     let now_ms = node.now_ms();
-    if !node.with(|state| state.limits.has_stale_shares(now_ms)) {
+    let is_stale = node.with(|state| {
+        limit_cold_replicas(state, now_ms);
+        state.limits.has_stale_shares(now_ms) || state.cold_limits.has_stale_shares(now_ms)
+    });
+    if !is_stale {
         return;
     }
     let live_peers = node.outbox.live_peers();
@@ -46,7 +53,50 @@
         heard: &live_peers,
         known: node.outbox.peer_count(),
     };
-    node.with(|state| state.limits.share(&nodes, now_ms));
+    node.with(|state| {
+        state.limits.share(&nodes, now_ms);
+        state.cold_limits.share(&nodes, now_ms);
+    });
+}
+
+/// Limits the replicas that are cold, and no others.
+fn limit_cold_replicas(state: &mut State, now_ms: MonoMs) {
+    let State {
+        replicas,
+        cold_limits,
+        config,
+        ..
+    } = state;
+    let cold = &replicas.cold_replicas;
+    if cold.is_empty() && cold_limits.is_empty() {
+        return;
+    }
+    cold_limits.retain(|key| cold.left_ms(key, now_ms) > SpanMs::ZERO);
+    for key in cold.keys(now_ms) {
+        let service = replicas.get(key).and_then(|replica| {
+            let config = config.as_ref()?;
+            config.service(&replica.service)
+        });
+        if let Some(spec) = service.and_then(|service| service.cold) {
+            cold_limits.impose(key, cold::shared_rate(spec.rate), now_ms);
+        }
+    }
+}
+
+/// Records that the replicas of a failure domain that was evacuated may have become cold.
+pub fn on_domain_returned(node: &Node, domain: &DomainName) {
+    let now_ms = node.now_ms();
+    node.with(|state| {
+        let Some(config) = &state.config else {
+            return;
+        };
+        for service in config.services() {
+            if let Some(spec) = service.cold {
+                let replicas = &mut state.replicas;
+                replicas.on_returned_domain(&service.name, domain, spec.span_ms, now_ms);
+            }
+        }
+    });
 }
 
 /// Counts a message to the replica at `address` that isn't a caller's request against the replica's
@@ -54,10 +104,9 @@
 pub fn on_sent_to_address(node: &Node, address: SocketAddr) {
     let now_ms = node.now_ms();
     node.with(|state| {
-        if !state.limits.is_empty()
-            && let Some(key) = state.replicas.at(address)
-        {
-            state.limits.on_sent(key, now_ms);
+        let is_any_limited = !state.limits.is_empty() || !state.cold_limits.is_empty();
+        if is_any_limited && let Some(key) = state.replicas.at(address) {
+            state.on_sent(key, now_ms);
         }
     });
 }
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -29,6 +29,8 @@
     pub paces: Paces,
     /// The request rate limits that replicas set.
     pub limits: Limits,
+    /// The request rates that cold replicas bear.
+    pub cold_limits: Limits,
     /// The replicas that are backing off from this node's requests.
     pub replica_backoffs: ReplicaBackoffs,
     /// The number of this node's calls in flight, by plain replica.
@@ -39,6 +41,14 @@
     pub quarantine: Quarantine,
 }
 
+impl State {
+    /// Counts something that is sent to a replica against its limits.
+    pub fn on_sent(&mut self, key: ReplicaKey, now_ms: MonoMs) {
+        self.limits.on_sent(key, now_ms);
+        self.cold_limits.on_sent(key, now_ms);
+    }
+}
+
 /// A node, with its state and the components that its tasks share.
 pub struct Node {
     /// The node's settings, with the ports that the system picked in place of port 0.
@@ -77,6 +87,7 @@
             ledger: Ledger::default(),
             paces: Paces::default(),
             limits: Limits::default(),
+            cold_limits: Limits::default(),
             replica_backoffs: ReplicaBackoffs::default(),
             calls: FxHashMap::default(),
             budget: RetryBudget::new(settings.retry_limits),
--- a/crates/front/src/watch/evacuations.rs
+++ b/crates/front/src/watch/evacuations.rs
@@ -5,6 +5,7 @@
 //! so that a node that missed a notice or has just started receives them.
 
 use crate::journal::Event;
+use crate::limits;
 use crate::node::Node;
 use crate::platform::{Cursor, EvacuationUpdate};
 use bluebell_fleet::prelude::*;
@@ -28,7 +29,7 @@
 pub fn on_notified_evacuation(node: &Node, entry: &EvacuationEntry) {
     let now_ms = node.now_ms();
     if node.with(|state| state.replicas.evacuations.apply(entry, now_ms)) {
-        log_change(node, entry, "peer");
+        on_change(node, entry, "peer");
     }
 }
 
@@ -41,18 +42,22 @@
 
 fn notify_and_log(node: &Node, changed: Vec<EvacuationEntry>, how: &'static str) {
     for entry in changed {
-        log_change(node, &entry, how);
+        on_change(node, &entry, how);
         node.outbox.evacuation(entry);
     }
 }
 
-/// Logs that a failure domain was evacuated or taken back. `how` is the way in which it became known.
-fn log_change(node: &Node, entry: &EvacuationEntry, how: &'static str) {
+/// Acts on a failure domain that was evacuated or taken back, and logs it. `how` is the way in which it
+/// became known.
+fn on_change(node: &Node, entry: &EvacuationEntry, how: &'static str) {
     let domain = entry.domain.clone();
     let (replicas, evacuated) = node.with(|state| {
         let count = state.replicas.count_in(&domain);
         (count, state.replicas.evacuations.len())
     });
+    if !entry.active {
+        limits::on_domain_returned(node, &entry.domain);
+    }
     node.journal.record(&match entry.active {
         true => Event::EvacuationBegan {
             domain,
