Paces: one range of engines for each node, and no probes before peers are known

Causes: each node ranked all nodes for each engine once a second, 985 x 940 hashes a node, which grows with the square of the fleet at each node; and a node that had not heard its peers yet took itself for the only one and probed all engines, each by a new connection.

Change: a node probes the engines between the node before it and itself on a ring of hashes, found once for all engines; probing begins 2.5 s after a start, when digests have arrived. Tests: exactly_one_node_probes_an_engine unchanged but for the call, no_node_probes_many_engines (985 nodes, 940 engines).

--- a/crates/fleet/src/pace/mod.rs
+++ b/crates/fleet/src/pace/mod.rs
@@ -12,12 +12,12 @@
 //! Invariants: an engine without a report is assumed to run at its configured speed.
 
 use bluebell_base::prelude::*;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHasher};
 use std::fmt;
+use std::hash::Hasher;
 use std::str::FromStr;
 
 use crate::ledger::OwnerId;
-use crate::rendezvous;
 use crate::replicas::ReplicaKey;
 
 /// Time between two probes of an engine. With one probe per second, 69 engines cost about a
@@ -126,7 +126,39 @@
     }
 }
 
-/// Returns true if `own` is the node that probes an engine.
-pub fn is_prober(own: OwnerId, peers: &[OwnerId], engine: ReplicaKey) -> bool {
-    rendezvous::rank(own, peers, engine) == 0
+/// The engines that one node probes: those whose hashes lie between the hash of the node before it and
+/// its own (consistent hashing).
+///
+/// The range is found once for all engines, so that its cost grows with the nodes plus the engines. Ranking
+/// all nodes for each engine grows with their product.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeRange {
+    own: u64,
+    /// The hash of the node before this one, or `None` for a single node, which probes all engines.
+    before: Option<u64>,
+}
+
+impl ProbeRange {
+    /// Returns the range of `own` among its live `peers`.
+    pub fn of(own: OwnerId, peers: &[OwnerId]) -> Self {
+        let own = hash(own.0);
+        let distance = |peer: u64| own.wrapping_sub(peer);
+        let others = peers.iter().map(|peer| hash(peer.0));
+        let before = others.min_by_key(|peer| distance(*peer));
+        Self { own, before }
+    }
+
+    /// Returns true if the node probes this engine.
+    pub fn contains(&self, engine: ReplicaKey) -> bool {
+        let engine = hash(u64::from(engine.0));
+        let distance = |from: u64| self.own.wrapping_sub(from);
+        self.before
+            .is_none_or(|before| distance(engine) < distance(before))
+    }
+}
+
+fn hash(number: u64) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write_u64(number);
+    hasher.finish()
 }
--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -1,7 +1,7 @@
 //! Tests of the paces of engines and of the choice of the node that probes each one.
 
 use bluebell_base::prelude::*;
-use bluebell_fleet::pace::is_prober;
+use bluebell_fleet::pace::ProbeRange;
 use bluebell_fleet::prelude::*;
 
 /// Guards against engines that no node probes, so that prompts wait for a slow one, and against
@@ -22,7 +22,7 @@
         };
         let probing = nodes
             .iter()
-            .filter(|own| is_prober(**own, &others(own), ReplicaKey(engine)));
+            .filter(|own| ProbeRange::of(**own, &others(own)).contains(ReplicaKey(engine)));
         probing.copied().collect()
     };
     let mut moved = 0;
@@ -38,11 +38,30 @@
     }
     assert!(moved < 10, "{moved}");
     assert!(
-        is_prober(nodes[0], &[], ReplicaKey(1)),
+        ProbeRange::of(nodes[0], &[]).contains(ReplicaKey(1)),
         "a single node probes all engines"
     );
 }
 
+/// Guards against nodes that probe far more engines than others.
+#[test]
+fn no_node_probes_many_engines() {
+    let nodes: Vec<OwnerId> = (1..=985u64)
+        .map(|n| OwnerId(n.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+        .collect();
+    let engines = (0..940u32).map(|n| ReplicaKey(n.wrapping_mul(0x9e37_79b9)));
+    let engines: Vec<ReplicaKey> = engines.collect();
+    let probes = |own: usize| {
+        let mut peers = nodes.clone();
+        let own = peers.remove(own);
+        let range = ProbeRange::of(own, &peers);
+        engines.iter().filter(|key| range.contains(**key)).count()
+    };
+    let counts: Vec<usize> = (0..nodes.len()).map(probes).collect();
+    assert_eq!(counts.iter().sum::<usize>(), engines.len());
+    assert!(counts.iter().all(|count| *count <= 16));
+}
+
 /// Guards against an engine that gets no work for the rest of the day. It was slow once, the node
 /// that had reported it was cut off, and its report never expired.
 #[test]
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -1,12 +1,13 @@
 //! Probes engines for their pace. Each engine is probed by one node, which notifies the others.
 
+use super::join;
 use crate::http::Freshness;
 use crate::journal::Event;
 use crate::node::Node;
 use crate::platform::EngineReport;
 use crate::{limits, signals};
 use bluebell_base::prelude::*;
-use bluebell_fleet::pace::{PROBE_INTERVAL_MS, is_prober};
+use bluebell_fleet::pace::{PROBE_INTERVAL_MS, ProbeRange};
 use bluebell_fleet::prelude::*;
 use http_body_util::{BodyExt, Limited};
 use std::net::SocketAddr;
@@ -23,8 +24,14 @@
 /// The time for which an idle connection is kept between two probes.
 const IDLE_CONNECTION_MS: SpanMs = SpanMs(3_000);
 
+/// The time after its start at which a node begins to probe. By then it has heard its peers; a node that
+/// knows none would probe all engines.
+const START_DELAY_MS: SpanMs = SpanMs(2_500);
+
 /// Probes this node's part of the engines until the process ends.
 pub async fn watch_paces(node: Rc<Node>) {
+    tokio::time::sleep(Duration::from(START_DELAY_MS)).await;
+    join::wait(&node).await;
     loop {
         let spread_ms = rand::random_range(0..=PROBE_INTERVAL_MS.0 / 4);
         tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS.0 + spread_ms)).await;
@@ -36,7 +43,7 @@
 
 /// Returns the engines that this node probes.
 fn engines_to_probe(node: &Node) -> Vec<(ReplicaKey, SocketAddr)> {
-    let peers = node.outbox.live_peers();
+    let range = ProbeRange::of(node.owner, &node.outbox.live_peers());
     let now_ms = node.now_ms();
     limits::update_shares(node);
     node.with(|state| {
@@ -48,7 +55,7 @@
         let own = ready.filter(|(key, _, _)| {
             state.limits.admits_probe(*key, now_ms)
                 && !state.replica_backoffs.is_backing_off(*key, now_ms)
-                && is_prober(node.owner, &peers, *key)
+                && range.contains(*key)
         });
         own.map(|(key, replica, _)| (key, replica.address))
             .collect()
