--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,32 +1,32 @@
-//! The faults of settings.
+//! The errors of settings.
 
 use std::sync::Arc;
 
-/// One fault of the settings as given.
+/// An error in the given settings.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SettingError {
-    /// The command line has a wrong shape.
+    /// The command line is malformed.
     #[error("{0}")]
     Usage(Arc<str>),
-    /// A setting without default was not given.
+    /// A required setting is missing.
     #[error("--{flag} (or {env}) is needed: {description}")]
     Missing {
         /// The flag.
         flag: &'static str,
         /// The environment variable.
         env: &'static str,
-        /// What the setting is for.
+        /// The description of the setting.
         description: &'static str,
     },
-    /// A value doesn't fit its setting.
+    /// A value is invalid.
     #[error("{given_as}: {reason}")]
     Invalid {
-        /// The flag or environment variable through which it came.
+        /// The flag or environment variable that has the value.
         given_as: Arc<str>,
-        /// What is wrong and what is wanted.
+        /// The fault and the expected form.
         reason: Arc<str>,
     },
-    /// Values that don't go together.
+    /// Values that contradict each other.
     #[error("{0}")]
     Clash(Arc<str>),
 }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -11,83 +11,84 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// The program's name.
+/// The name of the program.
 const PROGRAM: &str = "bluebellpond";
 
-/// What the program is, for its help.
+/// The description of the program in its help text.
 const ABOUT: &str =
     "A node of the serving layer between callers and a shared fleet of model engines.";
 
 settings! {
-    /// The node's settings, checked.
+    /// The checked settings of the node.
     NodeSettings, NodeArgs, NODE_SETTINGS, "A node of the serving layer.";
 
-    /// This VM's name, as the platform's list names it.
+    /// The VM's name in the platform's list.
     name: VmName, "name", "BLUEBELL_NAME", "text", Required;
-    /// This VM's failure domain.
+    /// The VM's failure domain.
     domain: DomainName, "domain", "BLUEBELL_DOMAIN", "text", Required;
-    /// This VM's region.
+    /// The VM's region.
     region: RegionName, "region", "BLUEBELL_REGION", "text", Required;
-    /// Where callers are served; port 0 takes a free one.
+    /// The address for callers. Port 0 selects a free port.
     callers_address: Address, "callers-address", "BLUEBELL_CALLERS_ADDRESS", "ip:port", Default("127.0.0.1:8080");
-    /// Where operators are served; port 0 takes a free one.
+    /// The address of the administration API. Port 0 selects a free port.
     admin_address: Address, "admin-address", "BLUEBELL_ADMIN_ADDRESS", "ip:port", Default("127.0.0.1:8081");
-    /// Where other nodes are served; port 0 takes a free one.
+    /// The address for other nodes. Port 0 selects a free port.
     peers_address: Address, "peers-address", "BLUEBELL_PEERS_ADDRESS", "ip:port", Default("127.0.0.1:8082");
-    /// Where other nodes reach this one, if not at the peers' address.
+    /// The address at which other nodes reach this one, if it differs from the address for other nodes.
     peers_advertised: Option<Address>, "peers-advertised", "BLUEBELL_PEERS_ADVERTISED", "ip:port", Unset;
-    /// Where other nodes are reached at the start, before the platform's list of VMs is read.
+    /// The addresses of other nodes that are used before the platform's list of VMs is read.
     peer_seeds: Option<AddressList>, "peer-seeds", "BLUEBELL_PEER_SEEDS", "ip:port,...", Unset;
-    /// Where the platform's log, weight store and VM list are.
+    /// The address of the platform's log, weight store and VM list.
     platform_address: Address, "platform-address", "BLUEBELL_PLATFORM_ADDRESS", "ip:port", Required;
     /// The credential sent to the platform.
     platform_credential: Option<Secret>, "platform-credential", "BLUEBELL_PLATFORM_CREDENTIAL", "secret", Unset;
-    /// The secret that all nodes of the fleet share: authenticates nodes and signs cursors.
+    /// The secret shared by all nodes of the fleet. It authenticates nodes and signs cursors.
     fleet_secret: Secret, "fleet-secret", "BLUEBELL_FLEET_SECRET", "secret", Required;
-    /// The credential that operators give to the administration API.
+    /// The credential of operators for the administration API.
     admin_credential: Secret, "admin-credential", "BLUEBELL_ADMIN_CREDENTIAL", "secret", Required;
-    /// Threads that talk to upstreams; each carries one stream at a time.
+    /// The number of threads for calls to upstreams. Each serves one stream at a time.
     io_threads: u32, "io-threads", "BLUEBELL_IO_THREADS", "count", Default("256");
-    /// The most callers served at the same time; more are refused.
+    /// The maximum number of callers that are served at the same time. Further calls are refused.
     max_calls: u32, "max-calls", "BLUEBELL_MAX_CALLS", "count", Default("512");
-    /// The most memory for callers' bodies; calls beyond it are refused.
+    /// The maximum memory for the bodies of calls. Calls beyond it are refused.
     body_memory_bytes: Bytes, "body-memory-bytes", "BLUEBELL_BODY_MEMORY_BYTES", "bytes", Default("134217728");
-    /// The form of log lines: text or json.
+    /// The format of log lines.
     log_format: LogFormat, "log-format", "BLUEBELL_LOG_FORMAT", "text or json", Default("text");
-    /// What is logged: a level, and levels by module, such as info,requests=debug.
+    /// The log level, optionally followed by levels of modules, such as info,requests=debug.
     log_levels: LogLevels, "log-levels", "BLUEBELL_LOG_LEVELS", "level,module=level...", Default("info");
-    /// How long a caller may be gone before its work is cancelled.
+    /// The time after a caller's disconnection at which its work is cancelled.
     hang_up_grace_ms: SpanMs, "hang-up-grace-ms", "BLUEBELL_HANG_UP_GRACE_MS", "ms", Default("2000");
-    /// How long a lease of a duty lasts unless renewed.
+    /// The duration of the lease of a duty. Leases are renewed before they expire.
     lease_ttl_ms: SpanMs, "lease-ttl-ms", "BLUEBELL_LEASE_TTL_MS", "ms", Default("10000");
-    /// Shards of the idempotency keys; the same on all nodes of the fleet.
+    /// The number of shards of the idempotency keys. It must be the same on all nodes of the fleet.
     shards: u32, "shards", "BLUEBELL_SHARDS", "count", Default("16");
-    /// How often the config stream of the log is read.
+    /// The interval at which the config stream of the log is read.
     config_poll_ms: SpanMs, "config-poll-ms", "BLUEBELL_CONFIG_POLL_MS", "ms", Default("1000");
-    /// How often the platform's list of VMs is read by the node whose duty that is.
+    /// The interval at which the platform's list of VMs is read by the node that holds this duty.
     vm_list_poll_ms: SpanMs, "vm-list-poll-ms", "BLUEBELL_VM_LIST_POLL_MS", "ms", Default("1000");
-    /// How long the platform's log keeps records; the same on all nodes of the fleet.
+    /// The time for which the platform's log retains records. It must be the same on all nodes of the fleet.
     log_retention_ms: SpanMs, "log-retention-ms", "BLUEBELL_LOG_RETENTION_MS", "ms", Default("86400000");
-    /// A configuration file that is published where the log holds none yet.
+    /// The path of a configuration file that is published if the log holds no configuration.
     seed_config: Option<PathBuf>, "seed-config", "BLUEBELL_SEED_CONFIG", "path", Unset;
-    /// How long a planned stop goes on taking work after it is not ready, for the balancer to notice.
+    /// The time for which a stopping node still accepts work after it reports that it isn't ready, so that the balancer notices.
     drain_notice_ms: SpanMs, "drain-notice-ms", "BLUEBELL_DRAIN_NOTICE_MS", "ms", Default("2000");
-    /// How long a planned stop waits for running work before the process exits all the same.
+    /// The maximum time for which a stopping node waits for running work before the process exits.
     drain_limit_ms: SpanMs, "drain-limit-ms", "BLUEBELL_DRAIN_LIMIT_MS", "ms", Default("300000");
 }
 
-/// A lease shorter than this could not be read and renewed in time: control takes a margin of a
-/// second off, and reads leases once a second, four times a lease.
+/// The minimum lease duration. A shorter lease can't be read and renewed in time: control subtracts a margin
+/// of one second and reads leases once a second, four times a lease.
 const MIN_LEASE_TTL_MS: SpanMs = SpanMs(4_000);
 
-/// Reading the config stream less often would not bring changes into force within seconds.
+/// The maximum interval between reads of the config stream. With a longer one, changes would not be in force
+/// within seconds.
 const MAX_CONFIG_POLL_MS: SpanMs = SpanMs(5_000);
 
 impl NodeSettings {
-    /// Reads the settings from flags (without the program's name) and environment variables.
+    /// Parses the settings from flags (without the program's name) and environment variables.
     ///
     /// # Errors
-    /// Every fault found.
+    /// Returns all errors.
     pub fn from_args_and_env(
         args: &[&str],
         env: &[EnvVar],
@@ -118,7 +119,7 @@
         })
     }
 
-    /// Settings that are right alone but wrong together.
+    /// Returns the errors of settings that contradict each other.
     fn clashes(&self) -> Vec<SettingError> {
         let mut errors = Vec::new();
         let mut clash = |reason: &str| errors.push(SettingError::Clash(reason.into()));
@@ -143,7 +144,7 @@
     }
 }
 
-/// Whether an address means "every interface" and so can't be called by others.
+/// Returns true if an address stands for all interfaces, so that others can't connect to it.
 fn is_unspecified(address: &Address) -> bool {
     let parsed: Result<SocketAddr, _> = address.as_str().parse();
     parsed.is_ok_and(|address| address.ip().is_unspecified())
--- a/crates/settings/src/print.rs
+++ b/crates/settings/src/print.rs
@@ -1,10 +1,10 @@
-//! The printers of settings: the help, the effective settings and the page of all flags.
+//! Texts about settings: the help, the effective settings and the reference page of all flags.
 
 use crate::resolve::Effective;
 use crate::table::{Fallback, SettingInfo};
 use std::fmt::Write;
 
-/// The help of a program whose settings are a table.
+/// Returns the help text of a program with the settings of a table.
 pub fn help_text(program: &str, about: &str, table: &[SettingInfo]) -> String {
     let mut text = format!("Usage: {program} [--check] [--<setting> <value>]...\n\n{about}\n\n");
     text.push_str("A flag wins over its environment variable, which wins over the default.\n\n");
@@ -40,7 +40,7 @@
     }
 }
 
-/// The effective settings, a line each, with where each came from.
+/// Returns the effective settings, one line each, with their sources.
 pub fn effective_text(effective: &[Effective]) -> String {
     let mut text = String::new();
     for setting in effective {
@@ -54,7 +54,7 @@
     text
 }
 
-/// The page that documents every setting of a table, in Markdown.
+/// Returns the reference page of all settings of a table, in Markdown.
 pub fn flags_page(program: &str, table: &[SettingInfo]) -> String {
     let mut page = format!("# Settings of `{program}`\n\n");
     page.push_str("A flag wins over its environment variable, which wins over the default. ");
--- a/crates/settings/src/resolve.rs
+++ b/crates/settings/src/resolve.rs
@@ -1,4 +1,4 @@
-//! The pass over a table that finds each setting's value and keeps every fault.
+//! Resolution of the settings of a table: finds the value of each and collects all errors.
 
 use crate::check::SettingError;
 use crate::table::{Fallback, SettingInfo};
@@ -6,12 +6,12 @@
 use std::fmt;
 use std::sync::Arc;
 
-/// An environment variable as given; its value, which may be a secret, is never printed.
+/// An environment variable. Its value may be a secret and is never printed.
 #[derive(Clone, PartialEq, Eq)]
 pub struct EnvVar {
-    /// Its name.
+    /// The name.
     pub name: String,
-    /// Its value.
+    /// The value.
     pub value: String,
 }
 
@@ -24,8 +24,8 @@
 }
 
 impl EnvVar {
-    /// The process's variables that are ours; values that are not UTF-8 are taken as far as
-    /// possible, and then fail their check.
+    /// Returns the variables of the process that have the prefix of settings. Invalid UTF-8 in a value is
+    /// replaced, and the value then fails its check.
     pub fn of_process() -> Vec<EnvVar> {
         std::env::vars_os()
             .map(|(name, value)| EnvVar {
@@ -37,19 +37,19 @@
     }
 }
 
-/// What the names of all our environment variables begin with.
+/// The prefix of the environment variables of all settings.
 const ENV_PREFIX: &str = "BLUEBELL_";
 
-/// Where a setting's value came from.
+/// The source of a setting's value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     /// The command line.
     Flag,
     /// The environment.
     Environment,
-    /// The table.
+    /// The default in the table.
     Default,
-    /// Nowhere: it is optional and not given.
+    /// None: the setting is optional and has no value.
     Unset,
 }
 
@@ -64,36 +64,36 @@
     }
 }
 
-/// A setting as in effect, for printing.
+/// A setting with its effective value, for display.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Effective {
     /// The setting.
     pub info: SettingInfo,
-    /// Its value as printed; a secret hides itself.
+    /// The displayed value; a placeholder for a secret.
     pub shown: Arc<str>,
-    /// Where the value came from.
+    /// The source of the value.
     pub source: Source,
 }
 
-/// What a program was asked to do.
+/// The result of parsing a program's arguments.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Parsed<S> {
-    /// Run with these settings.
+    /// The program is to run with these settings.
     Run {
-        /// The typed settings.
+        /// The settings with their types.
         settings: S,
-        /// The same, for printing.
+        /// The effective settings, for display.
         effective: Vec<Effective>,
-        /// Variables that look like ours but are no setting of this program.
+        /// The environment variables with the prefix of settings that belong to no setting of the program.
         unknown_env: Vec<Arc<str>>,
     },
-    /// Print the effective settings and exit.
+    /// The program is to print the effective settings and exit.
     Check(Vec<Effective>),
-    /// Print this help and exit.
+    /// The program is to print this help and exit.
     Help(String),
 }
 
-/// Takes the settings of one table, in its order.
+/// Resolves the settings of one table, in the order of the table.
 pub(crate) struct Resolver<'a> {
     table: &'static [SettingInfo],
     next: usize,
@@ -103,7 +103,7 @@
 }
 
 impl<'a> Resolver<'a> {
-    /// Begins at the table's first setting.
+    /// Starts at the first setting of the table.
     pub(crate) fn new(table: &'static [SettingInfo], env: &'a [EnvVar]) -> Self {
         Self {
             table,
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Takes the next setting; none where it is faulty, which is kept as an error.
+    /// Resolves the next setting. Returns `None` and records the error if it is invalid.
     pub(crate) fn take<T: SettingValue>(&mut self, flag: Option<String>) -> Option<T> {
         let info = self.table[self.next];
         self.next += 1;
@@ -159,7 +159,7 @@
         value
     }
 
-    /// What was taken, or every fault found.
+    /// Returns the effective settings, or all errors.
     pub(crate) fn finish(self) -> Result<Vec<Effective>, Vec<SettingError>> {
         if self.errors.is_empty() {
             return Ok(self.effective);
@@ -168,7 +168,8 @@
     }
 }
 
-/// Variables with our prefix that are no setting of the table: often a misspelt one.
+/// Returns the variables with the prefix of settings that belong to no setting of the table, which are often
+/// misspelled.
 pub(crate) fn unknown_env(table: &[SettingInfo], env: &[EnvVar]) -> Vec<Arc<str>> {
     let known = |var: &&EnvVar| table.iter().any(|info| info.env == var.name);
     let ours = |var: &&EnvVar| var.name.starts_with(ENV_PREFIX);
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -1,28 +1,28 @@
-//! The declaration of settings: what is known of one, and the macro that declares a table.
+//! The declaration of settings: the properties of a setting, and the macro that declares a table.
 
-/// What a setting is where neither flag nor environment variable gives it.
+/// The value of a setting for which neither a flag nor an environment variable is given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fallback {
-    /// It must be given.
+    /// The setting is required.
     Required,
-    /// It stays unset.
+    /// The setting is optional and has no value.
     Unset,
-    /// This text, in the setting's unit.
+    /// The default, as a text in the setting's unit.
     Default(&'static str),
 }
 
-/// What is known of a setting before any value is.
+/// The properties of a setting, without its value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SettingInfo {
     /// The flag, without the leading dashes.
     pub flag: &'static str,
     /// The environment variable.
     pub env: &'static str,
-    /// The unit or form of its value, such as `ms` or `ip:port`.
+    /// The unit or format of the value, such as `ms` or `ip:port`.
     pub unit: &'static str,
-    /// What holds where it is not given.
+    /// The value if none is given.
     pub fallback: Fallback,
-    /// What it is for.
+    /// The description.
     pub description: &'static str,
 }
 
@@ -49,7 +49,7 @@
             )+
         }
 
-        /// The flags as given, before they are checked; without `Debug`, since some are secrets.
+        /// The flags before they are checked. It has no `Debug`, since some of them are secrets.
         #[derive(Clone, Default, PartialEq, argh::FromArgs)]
         #[argh(description = $program)]
         pub struct $args {
@@ -77,9 +77,9 @@
         ];
 
         impl $name {
-            /// Takes each setting from its flag, environment variable or default.
+            /// Resolves each setting by its flag, environment variable or default.
             fn resolve(args: $args, resolver: &mut $crate::resolve::Resolver<'_>) -> Option<Self> {
-                // All are resolved before any is missed, so that every fault is reported.
+                // All settings are resolved before the first error is returned, so that all errors are reported.
                 $(
                     let $field = resolver.take(args.$field);
                 )+
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -1,4 +1,4 @@
-//! The types a setting may have: how each is read from text, checked and shown.
+//! The types that a setting may have. Each is parsed from text, checked and displayed in its own way.
 
 use bluebell_base::prelude::*;
 use bluebell_telemetry::{LogFormat, LogLevels};
@@ -9,18 +9,19 @@
 
 /// A type that a setting may have.
 pub trait SettingValue: Sized {
-    /// Reads and checks a text.
+    /// Parses and checks a text.
     ///
     /// # Errors
-    /// What is wrong and what is wanted; never holds the text of a secret.
+    /// Returns a description of the fault and of the expected form. It never contains the text of a
+    /// secret.
     fn read(text: &str) -> Result<Self, String>;
 
-    /// The value where nothing is given; none where it must be given.
+    /// Returns the default value, or `None` if a value is required.
     fn unset() -> Option<Self> {
         None
     }
 
-    /// The value as printed; secrets hide themselves here.
+    /// Returns the value for display. Secrets return a placeholder.
     fn show(&self) -> String;
 }
 
@@ -38,7 +39,7 @@
     }
 }
 
-/// Reads types by `FromStr` and shows them by `Display`.
+/// Implements the trait by `FromStr` and `Display`.
 macro_rules! plain_values {
     ($($type:ty),+) => {$(
         impl SettingValue for $type {
@@ -55,7 +56,7 @@
 
 plain_values!(VmName, DomainName, RegionName, LogFormat, LogLevels);
 
-/// Reads sizes and counts, whose default is zero and of which none may be zero.
+/// Implements the trait for sizes and counts, which must not be zero.
 macro_rules! positive_values {
     ($($type:ty),+) => {$(
         impl SettingValue for $type {
@@ -92,12 +93,12 @@
     }
 }
 
-/// Addresses separated by commas, in the order given.
+/// A list of addresses, separated by commas in its text.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AddressList(Vec<Address>);
 
 impl AddressList {
-    /// The addresses; at least one.
+    /// Returns the addresses, of which there is at least one.
     pub fn as_slice(&self) -> &[Address] {
         &self.0
     }
@@ -129,20 +130,20 @@
     }
 }
 
-/// A secret: neither printed nor logged.
+/// A secret, which is neither printed nor logged.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Secret(Arc<str>);
 
 impl Secret {
-    /// The shortest secret taken, in bytes.
+    /// The minimum length of a secret, in bytes.
     pub const MIN_BYTES: usize = 16;
 
-    /// Wraps a text without checking it.
+    /// Creates a secret from a text without checking it.
     pub fn new(text: impl Into<Arc<str>>) -> Self {
         Self(text.into())
     }
 
-    /// The secret itself, for the one place that sends or compares it.
+    /// Returns the text of the secret, to send or compare it.
     pub fn expose(&self) -> &Arc<str> {
         &self.0
     }
@@ -159,7 +160,7 @@
         if text.len() < Self::MIN_BYTES {
             return Err(format!("needs at least {} bytes", Self::MIN_BYTES));
         }
-        // Secrets travel in HTTP headers, which take visible ASCII only.
+        // Secrets are sent in HTTP headers, which allow only visible ASCII.
         if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
             return Err("must be visible ASCII without spaces".into());
         }
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -141,13 +141,13 @@
     let vars = env(&[("BLUEBELL_IO_THREADS", "-1")]);
     let errors = NodeSettings::from_args_and_env(&args, &vars).expect_err("it is faulty");
     expect![[r#"
-        --name (or BLUEBELL_NAME) is needed: This VM's name, as the platform's list names it.
-        --domain (or BLUEBELL_DOMAIN) is needed: This VM's failure domain.
-        --region (or BLUEBELL_REGION) is needed: This VM's region.
+        --name (or BLUEBELL_NAME) is needed: The VM's name in the platform's list.
+        --domain (or BLUEBELL_DOMAIN) is needed: The VM's failure domain.
+        --region (or BLUEBELL_REGION) is needed: The VM's region.
         --callers-address: "localhost:80" is not an address of the form ip:port
-        --platform-address (or BLUEBELL_PLATFORM_ADDRESS) is needed: Where the platform's log, weight store and VM list are.
+        --platform-address (or BLUEBELL_PLATFORM_ADDRESS) is needed: The address of the platform's log, weight store and VM list.
         --fleet-secret: needs at least 16 bytes
-        --admin-credential (or BLUEBELL_ADMIN_CREDENTIAL) is needed: The credential that operators give to the administration API.
+        --admin-credential (or BLUEBELL_ADMIN_CREDENTIAL) is needed: The credential of operators for the administration API.
         BLUEBELL_IO_THREADS: "-1" is not a whole number
         --log-format: "xml" is not a valid log format (text or json)
         --log-levels: "requests=loud" is not a valid log directive (level or module=level)
