--- a/crates/capacity/src/fit/mod.rs
+++ b/crates/capacity/src/fit/mod.rs
@@ -1,20 +1,20 @@
-//! A straight line through measured points.
+//! Least-squares fit of a straight line to measured points.
 
 use serde::Serialize;
 
-/// `y = intercept + slope * x`, by least squares.
+/// The line `y = intercept + slope * x`.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Line {
-    /// What one more of x adds.
+    /// The increase of y for each unit of x.
     pub slope: f64,
-    /// What there is at x = 0.
+    /// The value at x = 0.
     pub intercept: f64,
     /// The largest distance of a point from the line, in units of y.
     pub residual: f64,
 }
 
 impl Line {
-    /// Fits the points; none where they don't differ in x.
+    /// Fits a line to the points. Returns `None` if all of them have the same x.
     pub fn through(points: &[(f64, f64)]) -> Option<Self> {
         let count = points.len() as f64;
         let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
@@ -36,7 +36,7 @@
         Some(Self { residual, ..line })
     }
 
-    /// The line's value at `x`.
+    /// Returns the value at `x`.
     pub fn at(&self, x: f64) -> f64 {
         self.intercept + self.slope * x
     }
--- a/crates/capacity/src/ledger/mod.rs
+++ b/crates/capacity/src/ledger/mod.rs
@@ -1,4 +1,4 @@
-//! Counts one node's calls by kind, and the ports that do the counting.
+//! Counters of one node's calls by kind, and the ports that count.
 
 mod ports;
 
@@ -9,7 +9,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// What a call is for.
+/// The kind of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
@@ -29,11 +29,11 @@
     List,
     /// A call to a peer.
     PeerOut,
-    /// A call of a peer.
+    /// A call from a peer.
     PeerIn,
 }
 
-/// All kinds, in the order of their table.
+/// All kinds, in the order of the tables.
 pub const KINDS: [Kind; 9] = [
     Kind::ReadConfig,
     Kind::ReadLeases,
@@ -46,12 +46,12 @@
     Kind::PeerIn,
 ];
 
-/// Calls, and bytes of JSON both ways together.
+/// A number of calls, with their bytes of JSON in both directions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Traffic {
-    /// Calls.
+    /// The number of calls.
     pub calls: u64,
-    /// Bytes of calls and answers.
+    /// The bytes of calls and answers.
     pub bytes: u64,
 }
 
@@ -61,28 +61,28 @@
     traffic: [Traffic; KINDS.len()],
 }
 
-/// A ledger that the ports of a node share.
+/// A ledger shared by the ports of a node.
 pub type SharedLedger = Rc<RefCell<Ledger>>;
 
 impl Ledger {
-    /// Counts one call, or only bytes of one that was counted.
+    /// Counts one call, or further bytes of a counted call.
     pub fn add(&mut self, kind: Kind, calls: u64, bytes: usize) {
         let traffic = &mut self.traffic[kind as usize];
         traffic.calls += calls;
         traffic.bytes += bytes as u64;
     }
 
-    /// The traffic of a kind.
+    /// Returns the traffic of a kind.
     pub fn of(&self, kind: Kind) -> Traffic {
         self.traffic[kind as usize]
     }
 
-    /// All kinds together.
+    /// Returns the traffic of all kinds.
     pub fn sum(&self) -> Traffic {
         self.sum_of(&KINDS)
     }
 
-    /// Some kinds together.
+    /// Returns the traffic of some kinds.
     pub fn sum_of(&self, kinds: &[Kind]) -> Traffic {
         let mut sum = Traffic::default();
         for kind in kinds {
@@ -92,7 +92,7 @@
         sum
     }
 
-    /// What came since an earlier ledger of the same node.
+    /// Returns the traffic since an earlier state of the same ledger.
     pub fn since(&self, before: &Ledger) -> Ledger {
         let mut ledger = *self;
         for (now, before) in ledger.traffic.iter_mut().zip(before.traffic) {
--- a/crates/capacity/src/ledger/ports.rs
+++ b/crates/capacity/src/ledger/ports.rs
@@ -1,4 +1,4 @@
-//! Ports that count into a ledger and pass everything on.
+//! Ports that count calls in a ledger and forward them.
 
 use super::{Kind, SharedLedger};
 use bluebell_base::prelude::*;
@@ -8,24 +8,24 @@
 use stakker::{Core, Ret};
 use std::rc::Rc;
 
-/// A node's way to the platform.
+/// The port of a node to the platform.
 pub struct CountingPlatform<P> {
     inner: Rc<P>,
     ledger: SharedLedger,
 }
 
-/// A node's way to its peers.
+/// The port of a node to its peers.
 pub struct CountingPeers {
     inner: Rc<dyn PeerPort>,
     ledger: SharedLedger,
 }
 
-/// The size of a value as JSON, in bytes.
+/// Returns the size of a value as JSON, in bytes.
 pub(crate) fn json_bytes<T: Serialize>(value: &T) -> usize {
     serde_json::to_string(value).map_or(0, |text| text.len())
 }
 
-/// Counts a call's answer and passes it on.
+/// Counts the answer of a call and forwards it.
 fn counted<T: Serialize + 'static>(
     ledger: &SharedLedger,
     kind: Kind,
@@ -42,7 +42,7 @@
 }
 
 impl<P> CountingPlatform<P> {
-    /// Counts what goes through `inner`.
+    /// Creates a port that counts the calls of `inner`.
     pub fn open(inner: Rc<P>, ledger: SharedLedger) -> Rc<Self> {
         Rc::new(Self { inner, ledger })
     }
@@ -101,7 +101,7 @@
 }
 
 impl CountingPeers {
-    /// Counts the calls made through `inner`.
+    /// Creates a port that counts the calls of `inner`.
     pub fn open(inner: Rc<dyn PeerPort>, ledger: SharedLedger) -> Rc<dyn PeerPort> {
         Rc::new(Self { inner, ledger })
     }
--- a/crates/capacity/src/measure/agreed.rs
+++ b/crates/capacity/src/measure/agreed.rs
@@ -1,4 +1,4 @@
-//! What changes of the configuration cost and how long they take.
+//! The cost and the duration of changes of the configuration.
 
 use super::{Sizes, failed, settled, table};
 use crate::ledger::{Kind, Ledger};
@@ -7,16 +7,16 @@
 use bluebell_base::prelude::*;
 use std::time::Instant;
 
-/// Nodes while the configuration's size varies.
+/// The number of nodes while the configuration's size varies.
 const NODES: usize = 9;
 
-/// Changes measured at each size.
+/// The number of changes measured at each size.
 const CHANGES: u64 = 20;
 
-/// The longest a change may take everywhere.
+/// The time within which a change must be in force everywhere.
 const FORCE_LIMIT_MS: SpanMs = SpanMs::from_secs(9);
 
-/// A configuration with that many accounts, 38 models, and one key that tells versions apart.
+/// Returns a configuration with this many accounts, 38 models, and one key that distinguishes versions.
 pub(super) fn config_text(accounts: usize, version: u64) -> Arc<str> {
     let account = |i: usize| {
         let key = if i == accounts / 2 { version } else { 0 };
@@ -41,8 +41,7 @@
     ledgers.fold((0, 0), add)
 }
 
-/// Publishes changes through different nodes; gives the times until each was in force
-/// everywhere.
+/// Publishes changes through different nodes. Returns the time until each was in force everywhere.
 fn force_times(rig: &mut Rig, accounts: usize) -> Result<Vec<SpanMs>, Error> {
     let mut times = Vec::new();
     for version in 2..CHANGES + 2 {
@@ -75,13 +74,13 @@
     times.iter().map(|ms| ms.0).sum::<u64>() as f64 / times.len().max(1) as f64
 }
 
-/// By the number of accounts in the configuration.
+/// Measures by the number of accounts in the configuration.
 pub(super) fn by_size(sizes: &Sizes) -> Result<Table, Error> {
     let mut rows = Vec::new();
     for accounts in &sizes.accounts {
         let mut rig = settled(sizes.seed, NODES, 10);
         first_version(&mut rig, *accounts)?;
-        // What the empty reads of the same while cost is taken off.
+        // The cost of empty reads in the same time is subtracted.
         let (idle_ms, from) = (SpanMs::from_secs(60), config_bytes(&rig));
         rig.run_ms(idle_ms);
         let idle = (config_bytes(&rig).0 - from.0) as f64 / 60_000.0;
@@ -111,7 +110,7 @@
     Ok(table(&title, "accounts", &sizes.accounts, &rows))
 }
 
-/// By the number of nodes.
+/// Measures by the number of nodes.
 pub(super) fn by_nodes(sizes: &Sizes) -> Result<Table, Error> {
     let accounts = sizes.accounts.last().copied().unwrap_or(10);
     let mut rows = Vec::new();
--- a/crates/capacity/src/measure/idle.rs
+++ b/crates/capacity/src/measure/idle.rs
@@ -1,4 +1,4 @@
-//! What nodes send while nothing changes.
+//! The traffic of nodes while nothing changes.
 
 use super::{Sizes, settled, table};
 use crate::ledger::{KINDS, Kind, Ledger};
@@ -7,11 +7,11 @@
 use bluebell_base::prelude::*;
 use std::time::Instant;
 
-/// The two-year size, for its proportion.
+/// The size expected in two years, which gives the proportion of upstreams to nodes.
 const FLEET_NODES: usize = 400;
 const FLEET_UPSTREAMS: usize = 1_800;
 
-/// Upstreams on the list while the number of nodes varies.
+/// The number of upstreams while the number of nodes varies.
 const ENGINES: usize = 30;
 
 const READS: [Kind; 3] = [Kind::ReadConfig, Kind::ReadLeases, Kind::ReadDirectory];
@@ -22,7 +22,7 @@
 ];
 const PEERS: [Kind; 2] = [Kind::PeerOut, Kind::PeerIn];
 
-/// The traffic of all nodes over a while, with the processor time that the rig took.
+/// The traffic of all nodes over some time, with the processor time of the rig.
 pub(super) struct Idle {
     pub(super) ledgers: Vec<Ledger>,
     pub(super) span_s: f64,
@@ -30,7 +30,7 @@
 }
 
 impl Idle {
-    /// Lets the rig run for `span_ms` and counts.
+    /// Runs the rig for `span_ms` and counts the traffic.
     pub(super) fn measure(rig: &mut Rig, span_ms: SpanMs) -> Self {
         let before: Vec<Ledger> = rig.nodes.iter().map(|node| node.ledger()).collect();
         let started = Instant::now();
@@ -66,18 +66,18 @@
         bytes.max().unwrap_or_default() as f64 / self.span_s
     }
 
-    /// Real time of the whole rig by node and second, in microseconds.
+    /// Returns the real time of the whole rig for each node and second, in microseconds.
     pub(super) fn processor(&self) -> f64 {
         self.processor_us / self.ledgers.len() as f64 / self.span_s
     }
 
-    /// Real time of the whole rig by call, in microseconds.
+    /// Returns the real time of the whole rig for each call, in microseconds.
     pub(super) fn processor_a_call(&self) -> f64 {
         let calls: u64 = self.ledgers.iter().map(|ledger| ledger.sum().calls).sum();
         self.processor_us / calls.max(1) as f64
     }
 
-    /// The figures that both the table by nodes and the one by upstreams show.
+    /// Returns the figures that the tables by nodes and by upstreams share.
     pub(super) fn row(&self) -> Vec<(&'static str, f64)> {
         vec![
             ("log reads/s a node", self.calls(&READS)),
@@ -111,7 +111,7 @@
     }
 }
 
-/// By the number of nodes.
+/// Measures by the number of nodes.
 pub(super) fn by_nodes(sizes: &Sizes) -> Table {
     let measure = |nodes: &usize| {
         let mut rig = settled(sizes.seed, *nodes, ENGINES);
@@ -122,7 +122,7 @@
     table(&title, "nodes", &sizes.nodes, &rows)
 }
 
-/// By the number of nodes, with upstreams in the proportion of the two-year size.
+/// Measures by the number of nodes, with upstreams in the proportion of the expected size.
 pub(super) fn by_fleet(sizes: &Sizes) -> Table {
     let measure = |nodes: &usize| {
         let engines = *nodes * FLEET_UPSTREAMS / FLEET_NODES;
--- a/crates/capacity/src/measure/memory.rs
+++ b/crates/capacity/src/measure/memory.rs
@@ -1,4 +1,4 @@
-//! Resident memory by what is known: real, so other figures than those under virtual time vary.
+//! Resident memory by the number of known items. It is real memory, so its figures vary between runs.
 
 use super::agreed::config_text;
 use super::{Sizes, failed, settled, table};
@@ -8,10 +8,10 @@
 use bluebell_config::FleetConfig;
 use bluebell_policy::{EngineFacts, PolicySettings};
 
-/// Equal things that are held at once, so that single ones show above the pages' size.
+/// The number of equal items held at the same time, so that the size of one shows above the page size.
 const COPIES: usize = 40;
 
-/// Resident memory of this process in bytes.
+/// Returns the resident memory of this process, in bytes.
 fn resident_bytes() -> f64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
@@ -20,12 +20,12 @@
     kilobytes.unwrap_or_default() * 1024.0
 }
 
-/// What one of `COPIES` things takes, all held until they were measured.
+/// Returns the memory of one of `COPIES` items, all of which are held until they are measured.
 fn bytes_of<T>(make: impl Fn() -> T) -> f64 {
     let before = resident_bytes();
     let things: Vec<T> = (0..COPIES).map(|_| make()).collect();
     let bytes = (resident_bytes() - before) / COPIES as f64;
-    // Never freed: memory given back would be used again by the next size and hide its cost.
+    // Never freed: the next size would reuse the memory, which would hide its cost.
     std::mem::forget(things);
     bytes.max(0.0)
 }
@@ -81,7 +81,7 @@
     Ok(table(title, "upstreams", &sizes.upstreams, &rows))
 }
 
-/// One node that has just learnt of the upstreams.
+/// Returns a node that has just received the upstreams.
 fn settled_few(seed: u64, upstreams: usize) -> Rig {
     let mut rig = Rig::open(seed);
     rig.list_engines(upstreams, upstreams.clamp(1, 38));
@@ -114,7 +114,7 @@
     table(title, "nodes", &sizes.nodes, &rows)
 }
 
-/// All tables of memory.
+/// Measures all tables of memory.
 pub(super) fn all(sizes: &Sizes) -> Result<Vec<Table>, Error> {
     Ok(vec![
         by_accounts(sizes)?,
--- a/crates/capacity/src/measure/mod.rs
+++ b/crates/capacity/src/measure/mod.rs
@@ -30,7 +30,7 @@
     Config,
     /// The time until a change is in force everywhere by the number of nodes.
     Force,
-    /// What a fresh node reads by the changes that the log holds.
+    /// The data that a new node reads, by the number of changes in the log.
     Start,
     /// The first seconds after an outage and after a restart of all nodes.
     Outage,
@@ -40,7 +40,7 @@
     Wire,
 }
 
-/// All parts in the order they are run.
+/// All parts, in the order in which they are run.
 pub const PARTS: [Part; 9] = [
     Part::Nodes,
     Part::Upstreams,
@@ -54,7 +54,7 @@
 ];
 
 impl Part {
-    /// Its name on the command line.
+    /// Returns the name on the command line.
     pub fn name(self) -> &'static str {
         match self {
             Part::Nodes => "nodes",
@@ -79,20 +79,20 @@
     }
 }
 
-/// At which sizes is measured, and for how long.
+/// The sizes and the duration of the measurements.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sizes {
-    /// The seed of all randomness.
+    /// The seed of all random numbers.
     pub seed: u64,
-    /// Nodes.
+    /// The numbers of nodes.
     pub nodes: Vec<usize>,
-    /// Upstreams on the list.
+    /// The numbers of upstreams.
     pub upstreams: Vec<usize>,
-    /// Accounts in the configuration.
+    /// The numbers of accounts in the configuration.
     pub accounts: Vec<usize>,
-    /// Configuration changes in the log.
+    /// The numbers of configuration changes in the log.
     pub changes: Vec<usize>,
-    /// How long traffic is counted after the fleet has settled.
+    /// The time for which traffic is counted after the fleet is ready.
     pub span_ms: SpanMs,
 }
 
@@ -112,7 +112,7 @@
 /// Measures one part.
 ///
 /// # Errors
-/// What went wrong: a socket of the `wire` part, or a fleet that did not get ready.
+/// Returns an error if a socket of the `wire` part fails, or if the fleet doesn't become ready.
 pub fn run(part: Part, sizes: &Sizes) -> Result<CapacityReport, Error> {
     let tables = match part {
         Part::Nodes => vec![idle::by_nodes(sizes)],
@@ -133,7 +133,7 @@
     Error::not_run(ErrorKind::Internal, what)
 }
 
-/// The sizes as numbers.
+/// Returns the sizes as floating-point numbers.
 pub(crate) fn floats(sizes: &[usize]) -> Vec<f64> {
     sizes.iter().map(|size| *size as f64).collect()
 }
@@ -149,7 +149,7 @@
     table
 }
 
-/// A fleet that has settled.
+/// Returns a fleet that is ready.
 pub(crate) fn settled(seed: u64, nodes: usize, engines: usize) -> Rig {
     let mut rig = Rig::open(seed);
     rig.list_engines(engines, engines.clamp(1, 38));
--- a/crates/capacity/src/measure/outage.rs
+++ b/crates/capacity/src/measure/outage.rs
@@ -7,16 +7,16 @@
 use crate::rig::{Rig, RigNode};
 use bluebell_base::prelude::*;
 
-/// How long the platform is away.
+/// The duration of the outage.
 const AWAY_MS: SpanMs = SpanMs::from_secs(120);
 
-/// How long the fleet may take to have all duties held again.
+/// The time within which all duties must be held again.
 const LIMIT_MS: SpanMs = SpanMs::from_secs(300);
 
-/// Upstreams on the list.
+/// The number of upstreams.
 const UPSTREAMS: usize = 300;
 
-/// The most calls that the whole fleet made in one of the next `seconds`.
+/// Returns the highest number of calls of the whole fleet in one of the next `seconds`.
 fn most_a_second(rig: &mut Rig, seconds: u64) -> f64 {
     let calls = |rig: &Rig| {
         let ledgers = rig.nodes.iter().map(|node| node.ledger());
@@ -46,7 +46,7 @@
     }
 }
 
-/// By the number of nodes.
+/// Measures by the number of nodes.
 pub(super) fn by_nodes(sizes: &Sizes) -> Result<Table, Error> {
     let accounts = sizes.accounts.last().copied().unwrap_or(10);
     let mut rows = Vec::new();
--- a/crates/capacity/src/measure/start.rs
+++ b/crates/capacity/src/measure/start.rs
@@ -1,4 +1,4 @@
-//! What a fresh node reads until it is ready.
+//! The data that a new node reads until it is ready.
 
 use super::agreed::config_text;
 use super::{Sizes, failed, settled, table};
@@ -7,13 +7,13 @@
 use bluebell_base::prelude::*;
 use std::time::Instant;
 
-/// Nodes there before.
+/// The number of nodes that run before.
 const NODES: usize = 3;
 
-/// How long a fresh node is watched.
+/// The time for which a new node is observed.
 const FIRST_MS: SpanMs = SpanMs::from_secs(60);
 
-/// By the changes that the log holds; no snapshot is among them.
+/// Measures by the number of changes in a log without snapshots.
 pub(super) fn by_changes(sizes: &Sizes) -> Result<Table, Error> {
     let accounts = sizes.accounts.last().copied().unwrap_or(10);
     let upstreams = sizes.upstreams.last().copied().unwrap_or(30);
@@ -25,7 +25,7 @@
             let published = rig.publish(0, version - 1, &text);
             published.ok_or_else(|| failed("a publication was not accepted"))?;
         }
-        // The leases stream grows to what a fresh node reads of it at most.
+        // The leases stream grows to the maximum that a new node reads.
         rig.run_ms(SpanMs::from_secs(1_200));
         let started = Instant::now();
         rig.start_nodes(1);
--- a/crates/capacity/src/measure/upstreams.rs
+++ b/crates/capacity/src/measure/upstreams.rs
@@ -1,4 +1,4 @@
-//! What more upstreams cost, and how late their changes are noticed.
+//! The cost of upstreams, and the delay until their changes are noticed.
 
 use super::idle::Idle;
 use super::{Sizes, failed, settled, table};
@@ -6,16 +6,16 @@
 use crate::rig::{Rig, RigNode};
 use bluebell_base::prelude::*;
 
-/// Nodes while the number of upstreams varies.
+/// The number of nodes while the number of upstreams varies.
 const NODES: usize = 9;
 
-/// How long a new upstream may stay unknown.
+/// The time within which all nodes must know a new upstream.
 const NOTICE_LIMIT_MS: SpanMs = SpanMs::from_secs(1_200);
 
-/// How many upstreams are added one after the other.
+/// The number of upstreams that are added one after the other.
 const ADDED: usize = 5;
 
-/// By the number of upstreams.
+/// Measures by the number of upstreams.
 pub(super) fn by_upstreams(sizes: &Sizes) -> Result<Table, Error> {
     let mut rows = Vec::new();
     for upstreams in &sizes.upstreams {
@@ -33,7 +33,7 @@
     Ok(table(&title, "upstreams", &sizes.upstreams, &rows))
 }
 
-/// Adds upstreams and waits each time until all nodes were told.
+/// Adds upstreams one by one, and waits for each until all nodes know it.
 fn notice_times(rig: &mut Rig, upstreams: usize) -> Result<Vec<SpanMs>, Error> {
     let mut times = Vec::new();
     for added in 1..=ADDED {
--- a/crates/capacity/src/measure/wire.rs
+++ b/crates/capacity/src/measure/wire.rs
@@ -1,5 +1,5 @@
-//! What HTTP adds to the JSON of a call, over real sockets of the loopback interface: a relay
-//! between client and stand-in counts all bytes both ways above TCP.
+//! The bytes that HTTP adds to the JSON of a call, over real sockets of the loopback interface. A relay
+//! between client and stand-in counts all bytes above TCP in both directions.
 
 use super::{failed, table};
 use crate::ledger::json_bytes;
@@ -20,16 +20,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Calls of each kind.
+/// The number of calls of each kind.
 const CALLS: u64 = 50;
 
-/// How long one call may take.
+/// The timeout of one call.
 const ANSWER: Duration = Duration::from_secs(10);
 
-/// Makes one call on a port.
+/// A function that makes one call on a port.
 type Make<'a, T> = dyn Fn(&mut Stakker, Ret<Result<T, Error>>) + 'a;
 
-/// A relay that counts.
+/// A counting relay.
 struct Relay {
     address: Address,
     bytes: Arc<AtomicU64>,
@@ -43,7 +43,7 @@
         let (to, count) = (to.clone(), Arc::clone(&bytes));
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
-                // A client whose connection can't be relayed sees it break.
+                // If a connection can't be relayed, the client's connection breaks.
                 let _ = relay(&client, &to, &count);
             }
         });
@@ -76,14 +76,14 @@
     }
 }
 
-/// The actors' side of the calls.
+/// The actor that makes the calls.
 struct Caller {
     stakker: Stakker,
     inbox: Inbox,
 }
 
 impl Caller {
-    /// Makes a call and gives the size of its answer as JSON.
+    /// Makes a call and returns the size of its answer as JSON.
     fn call<T: Serialize + 'static>(&mut self, make: &Make<'_, T>) -> Result<usize, Error> {
         let given = Rc::new(RefCell::new(None));
         let own = given.clone();
@@ -102,13 +102,13 @@
         Err(failed("no answer over the relay"))
     }
 
-    /// The mean bytes on the wire of a call, and of them those of its answer's JSON.
+    /// Returns the mean bytes of a call on the network, and those of them that are the answer's JSON.
     fn measure<T: Serialize + 'static>(
         &mut self,
         relay: &Relay,
         make: &Make<'_, T>,
     ) -> Result<(f64, f64), Error> {
-        // The first opens the connection.
+        // The first call opens the connection.
         self.call(make)?;
         let (before, mut json) = (relay.bytes.load(Ordering::Relaxed), 0);
         for _ in 0..CALLS {
@@ -119,7 +119,7 @@
     }
 }
 
-/// The bytes of each kind of call.
+/// Measures the bytes of each kind of call.
 pub(super) fn of_calls() -> Result<Table, Error> {
     let io = |_: std::io::Error| failed("a socket of the loopback interface could not be opened");
     let settings = PlatformSettings::default();
--- a/crates/capacity/src/report/mod.rs
+++ b/crates/capacity/src/report/mod.rs
@@ -1,4 +1,4 @@
-//! What was measured, as tables with their fitted lines.
+//! Tables of measurements with their fitted lines.
 
 mod text;
 
@@ -6,23 +6,23 @@
 use serde::Serialize;
 use std::sync::Arc;
 
-/// One measured quantity at each size, with the line through it.
+/// A measured quantity at each size, with its fitted line.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Figure {
-    /// What it is, with its unit.
+    /// The name of the quantity, with its unit.
     pub name: Arc<str>,
-    /// Its value at each size of the table.
+    /// The value at each size of the table.
     pub values: Vec<f64>,
-    /// The line over the sizes.
+    /// The line fitted to the values.
     pub line: Option<Line>,
 }
 
 /// One measurement at several sizes.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Table {
-    /// What was measured.
+    /// The title of the measurement.
     pub title: Arc<str>,
-    /// What the sizes count.
+    /// The quantity that the sizes count.
     pub size: Arc<str>,
     /// The sizes.
     pub sizes: Vec<f64>,
@@ -33,12 +33,12 @@
 /// All tables of a run.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct CapacityReport {
-    /// In the order they were measured.
+    /// The tables, in the order of measurement.
     pub tables: Vec<Table>,
 }
 
 impl Table {
-    /// A table without figures.
+    /// Creates a table without figures.
     pub fn new(title: &str, size: &str, sizes: Vec<f64>) -> Self {
         Self {
             title: title.into(),
@@ -63,7 +63,7 @@
         });
     }
 
-    /// A figure by its name.
+    /// Returns the figure with this name.
     pub fn figure(&self, name: &str) -> Option<&Figure> {
         self.figures.iter().find(|figure| &*figure.name == name)
     }
--- a/crates/capacity/src/report/text.rs
+++ b/crates/capacity/src/report/text.rs
@@ -1,4 +1,4 @@
-//! The tables as text.
+//! Rendering of the tables as text.
 
 use super::{CapacityReport, Figure, Table};
 use std::fmt;
--- a/crates/capacity/src/rig/mod.rs
+++ b/crates/capacity/src/rig/mod.rs
@@ -18,16 +18,16 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a call to a peer may take.
+/// The timeout of a call to a peer.
 const PEER_TIMEOUT_MS: SpanMs = SpanMs(2_000);
 
-/// How often the node program reads the config stream by default.
+/// The default interval at which the node program reads the config stream.
 const CONFIG_TAIL_MS: SpanMs = SpanMs(500);
 
-/// Failure domains over which VMs are spread.
+/// The failure domains over which VMs are spread.
 const DOMAINS: usize = 9;
 
-/// The fleet.
+/// A fleet of nodes on fakes of the platform and the network.
 pub struct Rig {
     stakker: Stakker,
     origin: Instant,
@@ -39,7 +39,7 @@
 }
 
 impl Rig {
-    /// A platform and nothing else; the same seed gives the same run.
+    /// Creates a rig with a platform and no nodes. Equal seeds give equal runs.
     pub fn open(seed: u64) -> Self {
         let origin = Instant::now();
         let stakker = Stakker::new(origin);
@@ -67,12 +67,12 @@
         }
     }
 
-    /// The instant.
+    /// Returns the current instant.
     pub fn now_ms(&self) -> MonoMs {
         self.now_ms
     }
 
-    /// Puts `count` more nodes on the list and starts them at once.
+    /// Adds `count` nodes to the list of VMs and starts them at the same time.
     pub fn start_nodes(&mut self, count: usize) {
         let first = self.nodes.len();
         for index in first..first + count {
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Stops all nodes as processes that are killed, and starts as many new ones on the same VMs.
+    /// Kills all nodes and starts new ones on the same VMs.
     pub fn restart_all(&mut self) {
         let entries: Vec<VmEntry> = self.nodes.iter().map(|node| node.entry.clone()).collect();
         self.nodes.clear();
@@ -99,8 +99,8 @@
         }
     }
 
-    /// Puts `count` engines on the list, spread over `deployments`; one fake engine answers for
-    /// all of a deployment.
+    /// Adds `count` engines to the list, spread over `deployments`. One fake engine answers for all
+    /// engines of a deployment.
     pub fn list_engines(&mut self, count: usize, deployments: usize) {
         for index in 0..deployments {
             let settings = EngineSettings::default();
@@ -113,18 +113,18 @@
         }
     }
 
-    /// Puts one engine of a deployment on the list.
+    /// Adds one engine of a deployment to the list.
     pub fn list_engine(&mut self, index: usize, deployment: &str) {
         self.put(entry(VmRole::Engine, index, deployment));
     }
 
-    /// Takes the platform away or gives it back.
+    /// Starts or ends an outage of the platform.
     pub fn set_platform_down(&mut self, down: bool) {
         self.around.model.borrow_mut().faults.down = down;
     }
 
-    /// Publishes through a node and waits for the answer, half a minute at most; gives the time
-    /// until it came.
+    /// Publishes a configuration through a node and waits up to half a minute for the answer. Returns the
+    /// time until it arrived.
     pub fn publish(&mut self, node: usize, base: u64, body: &Arc<str>) -> Option<SpanMs> {
         let (answer, from_ms) = (Rc::new(RefCell::new(None)), self.now_ms);
         let own = answer.clone();
@@ -141,7 +141,7 @@
         accepted.then(|| self.now_ms.since(from_ms))
     }
 
-    /// Runs until every node has the version in force; the time until then.
+    /// Runs until every node has the version in force. Returns the time until then.
     pub fn run_until_in_force(&mut self, version: u64, limit_ms: SpanMs) -> Option<SpanMs> {
         let from_ms = self.now_ms;
         let everywhere = move |rig: &Rig| {
@@ -152,12 +152,12 @@
         reached.then(|| self.now_ms.since(from_ms))
     }
 
-    /// Lets the fleet run for a while.
+    /// Runs the fleet for this time.
     pub fn run_ms(&mut self, span_ms: SpanMs) {
         self.run_until(self.now_ms + span_ms, |_| false);
     }
 
-    /// Lets the fleet run until `done`; false where the time is over before.
+    /// Runs the fleet until `done` returns true. Returns false if the time expires first.
     pub fn run_until(&mut self, end_ms: MonoMs, done: impl Fn(&Rig) -> bool) -> bool {
         loop {
             let now = self.instant();
@@ -193,7 +193,7 @@
     }
 }
 
-/// Names as long as those of a real fleet, since their bytes are counted.
+/// Returns names as long as those of a real fleet, since their bytes are counted.
 fn entry(role: VmRole, index: usize, deployment: &str) -> VmEntry {
     let (kind, net, port) = match role {
         VmRole::Node => ("entry", 10, 8082),
--- a/crates/capacity/src/rig/node.rs
+++ b/crates/capacity/src/rig/node.rs
@@ -1,4 +1,4 @@
-//! One node: control and membership wired as the node program wires them, on counting ports.
+//! One node: control and membership connected as in the node program, on counting ports.
 
 use crate::ledger::{CountingPeers, CountingPlatform, Kind, Ledger, SharedLedger};
 use bluebell_base::prelude::*;
@@ -15,7 +15,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-/// What all nodes of a rig share.
+/// The state shared by all nodes of a rig.
 pub(super) struct Surroundings {
     pub timers: Timers,
     pub model: Rc<RefCell<PlatformModel>>,
@@ -28,15 +28,15 @@
 
 /// A running node.
 pub struct RigNode {
-    /// Its entry on the list.
+    /// The node's entry on the list of VMs.
     pub entry: VmEntry,
     pub(super) control: ActorOwn<Control>,
-    /// Kept, since the actor ends with its owner.
+    /// Owns the actor, which ends when this is dropped.
     _members: ActorOwn<Members>,
     hub: Rc<Hub>,
 }
 
-/// What passes events on between the actors of one node.
+/// Forwards events between the actors of one node.
 struct Hub {
     control: RefCell<Option<Actor<Control>>>,
     members: RefCell<Option<Actor<Members>>>,
@@ -101,32 +101,32 @@
         }
     }
 
-    /// What it sent and got so far.
+    /// Returns the traffic of the node so far.
     pub fn ledger(&self) -> Ledger {
         *self.hub.ledger.borrow()
     }
 
-    /// The configuration in force here.
+    /// Returns the configuration in force at this node.
     pub fn version(&self) -> ConfigVersion {
         self.hub.version.get()
     }
 
-    /// How many duties it holds.
+    /// Returns the number of duties that the node holds.
     pub fn duties(&self) -> usize {
         self.hub.held.borrow().len()
     }
 
-    /// Whether it writes the directory.
+    /// Returns true if the node writes the directory.
     pub fn writes_directory(&self) -> bool {
         self.hub.held.borrow().contains(&Duty::Directory)
     }
 
-    /// How many peers it knows to live.
+    /// Returns the number of live peers that the node knows.
     pub fn peers(&self) -> usize {
         self.hub.peers.get()
     }
 
-    /// How many upstreams it was told of.
+    /// Returns the number of upstreams that the node knows.
     pub fn upstreams(&self) -> usize {
         self.hub.upstreams.get()
     }
@@ -135,7 +135,7 @@
 fn card(entry: &VmEntry, seed: u64) -> NodeCard {
     NodeCard {
         name: entry.name.clone(),
-        // As long in JSON as one drawn at random.
+        // Its JSON has the length of a random one.
         incarnation: Incarnation(u64::MAX / 2 + seed),
         address: entry.address.clone(),
         domain: entry.domain.clone(),
@@ -223,7 +223,7 @@
         }
     }
 
-    /// The fake engine of an entry's deployment, `model-<index>`.
+    /// Returns the fake engine of an entry's deployment, `model-<index>`.
     fn engine_of(&self, entry: &VmEntry) -> Option<FakeEngine> {
         let index = entry.deployment.as_str().strip_prefix("model-")?;
         let index: usize = index.parse().ok()?;
@@ -242,7 +242,7 @@
         match incoming.call {
             PeerCall::Probe { card, leaving } => call!([members], on_probe(card, leaving, ret)),
             PeerCall::Config { have } => call!([control], peer_config(have, ret)),
-            // The other calls belong to requests, which a rig has none of.
+            // The other calls belong to requests, which don't occur in a rig.
             _ => (),
         }
     }
