Replicas: a notice has all changes of its read

A reader that received another reader's notice during its own read passed over that change; a node that received only the second notice counted as having read it, and sent to the replica 6.5 s after it had left. The same holds for an entry that the reader alone had dropped because of an answer with another instance.

Change: the notice has every change of the read but repeated and unusable entries; what arrived by notice during the read is not applied again, and the position never goes back. Changes of other properties, such as the time for which a replica is cold, are passed on as well. Nodes without seeds probe at once, as before.

--- a/crates/fleet/src/replicas/table.rs
+++ b/crates/fleet/src/replicas/table.rs
@@ -42,6 +42,8 @@
     Lapsed,
     /// A lapsed entry is listed again.
     Relisted,
+    /// Properties of a replica other than its state changed.
+    Updated,
     /// Nothing changed that matters for work.
     Unchanged,
 }
@@ -232,12 +234,14 @@
         row.kept = false;
         let was = row.replica.state;
         let is = replica.state;
-        if *row.replica != replica {
+        let changed = *row.replica != replica;
+        if changed {
             row.replica = Arc::new(replica);
         }
         match was == ReplicaState::Ready && is == ReplicaState::Draining {
             true => TableEvent::Leaving,
             false if relisted => TableEvent::Relisted,
+            false if changed => TableEvent::Updated,
             false => TableEvent::Unchanged,
         }
     }
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -9,6 +9,7 @@
 use bluebell_base::prelude::*;
 use bluebell_fleet::pace::{PROBE_INTERVAL_MS, ProbeRange};
 use bluebell_fleet::prelude::*;
+use bluebell_fleet::rendezvous;
 use http_body_util::{BodyExt, Limited};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,14 +25,16 @@
 /// The time for which an idle connection is kept between two probes.
 const IDLE_CONNECTION_MS: SpanMs = SpanMs(3_000);
 
-/// The time after its start at which a node begins to probe. By then it has heard its peers; a node that
-/// knows none would probe all engines.
+/// The time after its start at which a node that has seeds begins to probe. By then it has heard its peers; a
+/// node that knows none would probe all engines.
 const START_DELAY_MS: SpanMs = SpanMs(2_500);
 
 /// Probes this node's part of the engines until the process ends.
 pub async fn watch_paces(node: Rc<Node>) {
-    tokio::time::sleep(Duration::from(START_DELAY_MS)).await;
-    join::wait(&node).await;
+    if !node.settings.seeds.is_empty() {
+        tokio::time::sleep(Duration::from(START_DELAY_MS)).await;
+        join::wait(&node).await;
+    }
     loop {
         let spread_ms = rand::random_range(0..=PROBE_INTERVAL_MS.0 / 4);
         tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS.0 + spread_ms)).await;
@@ -43,7 +46,8 @@
 
 /// Returns the engines that this node probes.
 fn engines_to_probe(node: &Node) -> Vec<(ReplicaKey, SocketAddr)> {
-    let range = ProbeRange::of(node.owner, &node.outbox.live_peers());
+    let peers = node.outbox.live_peers();
+    let range = ProbeRange::of(node.owner, &peers);
     let now_ms = node.now_ms();
     limits::update_shares(node);
     node.with(|state| {
@@ -52,10 +56,15 @@
         };
         let engines = config.services().filter(|service| service.engine.is_some());
         let ready = engines.flat_map(|service| state.replicas.ready(&service.name));
+        // Only the nodes that hold a replica's limit may send to it, and the first of them probes it.
+        let is_prober = |key| match state.limits.is_limited(key) {
+            true => rendezvous::rank(node.owner, &peers, key) == 0,
+            false => range.contains(key),
+        };
         let own = ready.filter(|(key, _, _)| {
             state.limits.admits_probe(*key, now_ms)
                 && !state.replica_backoffs.is_backing_off(*key, now_ms)
-                && range.contains(*key)
+                && is_prober(*key)
         });
         own.map(|(key, replica, _)| (key, replica.address))
             .collect()
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -136,7 +136,16 @@
         }
     }
     let first_offset = end.offset.saturating_sub(update.changes.len() as u64);
+    // Peers' notices may have arrived during the read. What they brought is not applied again, but it belongs
+    // to the notices of this read, which claim to be complete.
+    let known = node.directory_watch.cursor();
+    let applied_to = known.filter(|known| from.is_some() && known.era == end.era);
+    let applied_to = applied_to.map_or(0, |known| known.offset);
     for (offset, change) in (first_offset..).zip(update.changes) {
+        if offset < applied_to {
+            notices.add(node, offset, vec![change]);
+            continue;
+        }
         // A replica that the older copy lists may have left since.
         if renewed && node.with(|state| state.replicas.is_outdated(&change)) {
             continue;
@@ -151,17 +160,19 @@
     }
 }
 
-/// Applies changes to the table. Returns those that affect which replicas can be used.
+/// Applies changes to the table. Returns those that may change another node's table: all but repeated and
+/// unusable entries. An entry may be gone from this table for a reason that other nodes don't know.
 pub(super) fn apply_changes(node: &Node, changes: Vec<ReplicaChange>) -> Vec<ReplicaChange> {
     let now_ms = node.now_ms();
     let mut relevant = Vec::new();
     for change in changes {
         let result = node.with(|state| state.replicas.apply(change.clone(), now_ms));
-        let Some(event) = event_of(result, &change) else {
-            continue;
-        };
-        node.journal.record(&event);
-        if result != TableEvent::Unusable {
+        if let Some(event) = event_of(result, &change) {
+            node.journal.record(&event);
+        }
+        let is_repeated =
+            result == TableEvent::Unchanged && matches!(change, ReplicaChange::Listed(_));
+        if result != TableEvent::Unusable && !is_repeated {
             relevant.push(change);
         }
         if result == TableEvent::Restarted {
@@ -205,7 +216,10 @@
         (TableEvent::Removed, _) => Some(Event::ReplicaGone { instance }),
         (TableEvent::Relisted, _) => Some(Event::ReplicaRelisted { instance }),
         (TableEvent::Lapsed, _) => Some(Event::ReplicaLapsed { instance }),
-        (TableEvent::Unchanged | TableEvent::Found | TableEvent::Restarted, _) => None,
+        (
+            TableEvent::Unchanged | TableEvent::Updated | TableEvent::Found | TableEvent::Restarted,
+            _,
+        ) => None,
     }
 }
 
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -282,6 +282,7 @@
 
     /// Records that this node has read the replica list up to `cursor`.
     pub(super) fn on_own_read(&self, cursor: Cursor, now_ms: MonoMs) {
+        let cursor = self.cursor().map_or(cursor, |known| known.max(cursor));
         self.confirmed.set(Some((cursor, now_ms)));
     }
 
