--- a/crates/front/src/watch/join.rs
+++ b/crates/front/src/watch/join.rs
@@ -31,6 +31,10 @@
 /// The time after which a node whose seeds have learned nothing reads the directory.
 const NOT_READY_TIMEOUT_MS: SpanMs = SpanMs(2_000);
 
+/// The time after which a node reads the directory although others have a state and are busy. All nodes of
+/// a large fleet get a copy within a few seconds.
+const BUSY_TIMEOUT_MS: SpanMs = SpanMs(8_000);
+
 /// The share of these timeouts that is added at random, so that nodes don't call the directory together.
 const TIMEOUT_SPREAD: f64 = 2.0;
 
@@ -62,6 +66,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Round {
     Joined,
+    /// A node has a state and serves as many copies as it can.
+    Busy,
     /// Nodes answered, but none had a state.
     NotReady,
     Unreachable,
@@ -92,6 +98,7 @@
                 meet_peers(&node).await;
                 return set_phase(&node, JoinPhase::Joined);
             }
+            Round::Busy => BUSY_TIMEOUT_MS,
             Round::NotReady => NOT_READY_TIMEOUT_MS,
             Round::Unreachable => UNREACHABLE_TIMEOUT_MS,
         };
@@ -177,11 +184,11 @@
                 Err(error) => log::debug!("no configuration from {source}: {error}"),
             },
             Ok(StateReply::Busy(others)) => {
-                round = Round::NotReady;
+                round = Round::Busy;
                 sources.extend(others);
             }
             Err(error) => {
-                if error.is_from_peer() {
+                if round == Round::Unreachable && error.is_from_peer() {
                     round = Round::NotReady;
                 }
                 log::debug!("no state from {source}: {error}");
