--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -10,7 +10,7 @@
 use ureq::Body;
 use ureq::http::Response;
 
-/// Where operators are served, if nothing else is said.
+/// The default address of the administration API.
 const DEFAULT_ADDRESS: &str = "127.0.0.1:8081";
 
 /// Names of environment variables.
@@ -20,7 +20,7 @@
 /// The status of a publication that came too late.
 const CONFLICT: u16 = 409;
 
-/// How long a call may take; a publication waits for the log.
+/// The timeout of a call. A publication waits for the log.
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A configuration with its version.
@@ -49,7 +49,7 @@
 }
 
 impl Admin {
-    /// Takes address and credential from flags, then from the environment.
+    /// Reads address and credential from flags, then from the environment.
     ///
     /// # Errors
     /// A usage error that names everything missing or wrong.
@@ -132,7 +132,7 @@
     std::env::var(name).ok()
 }
 
-/// Whether an answer says that another publication came first.
+/// Returns true if an answer reports that another publication came first.
 fn is_conflict(status: u16, text: &str) -> bool {
     let body: Value = serde_json::from_str(text).unwrap_or_default();
     status == CONFLICT && body["result"] == "conflict"
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -24,7 +24,7 @@
     pub command: Command,
 }
 
-/// What to do.
+/// The command.
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
@@ -32,7 +32,7 @@
     Config(Config),
     /// The state of one process.
     State(State),
-    /// Who is there.
+    /// The nodes and upstreams that a node knows.
     Fleet(Fleet),
     /// A planned stop.
     Drain(Drain),
@@ -44,7 +44,7 @@
     Capacity(Capacity),
     /// The whole system in one process.
     Demo(Demo),
-    /// What became of a request.
+    /// The events of a request.
     Explain(Explain),
     /// Requests that end replicas.
     Quarantine(Quarantine),
@@ -110,7 +110,7 @@
     pub action: ConfigAction,
 }
 
-/// What to do with the configuration.
+/// The command on the configuration.
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum ConfigAction {
@@ -343,7 +343,7 @@
     pub kind: StandInKind,
 }
 
-/// Which stand-in.
+/// The stand-in to run.
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum StandInKind {
@@ -353,7 +353,7 @@
     Service(StandInService),
     /// The platform.
     Platform(StandInPlatform),
-    /// Its list of VMs.
+    /// The list of VMs.
     Vm(StandInVm),
     /// Faults.
     Faults(StandInFaults),
--- a/crates/ctl/src/commands/config.rs
+++ b/crates/ctl/src/commands/config.rs
@@ -24,7 +24,7 @@
     }
 }
 
-/// Reads a file and checks it; every fault is printed.
+/// Reads and checks a file. All errors are printed.
 fn read_checked(ctl: &Ctl, file: &str) -> Result<String, CommandError> {
     let text = std::fs::read_to_string(file);
     let text = text.map_err(|error| CommandError::failed(format!("{file}: {error}")))?;
@@ -66,7 +66,7 @@
     }
 }
 
-/// Why a publication on `base` changed nothing.
+/// Returns the reason why a publication based on `base` changed nothing.
 fn conflict_text(base: u64, current: u64) -> String {
     match current > base {
         true => format!("conflict: version {current} came first and is in force"),
--- a/crates/ctl/src/commands/demo/fleet.rs
+++ b/crates/ctl/src/commands/demo/fleet.rs
@@ -21,7 +21,7 @@
 /// Failure domains over which nodes and upstreams are spread.
 pub const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
 
-/// How long the fleet may take to be ready.
+/// The time within which the fleet must be ready.
 const READY_LIMIT: Duration = Duration::from_secs(60);
 
 /// The pause between two looks at whether it is.
@@ -39,13 +39,13 @@
         Ok(Self { nodes: nodes? })
     }
 
-    /// Where callers are served.
+    /// Returns the addresses for callers.
     pub fn callers(&self) -> Vec<Address> {
         let callers = |node: &Node| node.addresses().callers.clone();
         self.nodes.iter().map(callers).collect()
     }
 
-    /// Where peers are served, with the nodes' names.
+    /// Returns the addresses for peers, with the nodes' names.
     pub fn peers(&self) -> impl Iterator<Item = (VmName, Address)> {
         let named = |(i, node): (usize, &Node)| (node_name(i), node.addresses().peers.clone());
         self.nodes.iter().enumerate().map(named)
@@ -125,7 +125,7 @@
     }
 }
 
-/// Whether a node's state names that many engines of which it knows what they serve.
+/// Returns true if a node's state contains this many engines with known models.
 fn knows_engines(admin: &Admin, engines: usize) -> Result<(), CommandError> {
     let state = admin.get("/admin/state")?;
     let state: Value = serde_json::from_str(&state).map_err(CommandError::failed)?;
--- a/crates/ctl/src/commands/demo/mod.rs
+++ b/crates/ctl/src/commands/demo/mod.rs
@@ -17,7 +17,7 @@
 const KEYED_SHARE: f64 = 0.2;
 /// The share of requests that go to the service.
 const SERVICE_SHARE: f64 = 0.05;
-/// How long one answer is waited for.
+/// The timeout of one answer.
 const PATIENCE_MS: SpanMs = SpanMs::from_secs(300);
 
 /// Runs the demo and prints its report.
--- a/crates/ctl/src/commands/demo/surroundings.rs
+++ b/crates/ctl/src/commands/demo/surroundings.rs
@@ -21,13 +21,13 @@
 const SERVICE: &str = "board";
 pub const SERVICE_PATH: &str = "/services/board/notices";
 
-/// Where every stand-in listens: a free port of the loopback interface.
+/// The address at which each stand-in listens: a free port of the loopback interface.
 const FREE_PORT: &str = "127.0.0.1:0";
 
-/// How late the platform's list shows changes.
+/// The delay of changes in the platform's list.
 const VM_LAG_MS: SpanMs = SpanMs(500);
 
-/// How long a call to the service takes.
+/// The duration of a call to the service.
 const SERVICE_WORK_MS: SpanMs = SpanMs(5);
 
 /// The rate at which the weight store may be read, in bytes per second.
@@ -68,12 +68,12 @@
         })
     }
 
-    /// Where the platform is.
+    /// Returns the address of the platform.
     pub fn platform(&self) -> Address {
         self.platform.address()
     }
 
-    /// Where everything is that runs requests.
+    /// Returns the addresses of the upstreams.
     pub fn upstreams(&self) -> Vec<Address> {
         let address = |engine: &EngineServer| socket_address(engine.address());
         let mut upstreams: Vec<Address> = self.engines.iter().map(address).collect();
@@ -81,7 +81,7 @@
         upstreams
     }
 
-    /// Puts nodes on the platform's list of VMs.
+    /// Adds nodes to the platform's list of VMs.
     pub fn list_nodes(
         &self,
         nodes: impl Iterator<Item = (VmName, Address)>,
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -14,7 +14,7 @@
 /// The fields that stand before the rest of a line.
 const HEAD_FIELDS: [&str; 4] = ["time_ms", "node", "event", "request"];
 
-/// What every line of the log has; the rest depends on its event.
+/// The fields of every line of the log. The others depend on the event.
 #[derive(Deserialize)]
 struct Line {
     time_ms: u64,
@@ -25,7 +25,7 @@
     rest: serde_json::Map<String, serde_json::Value>,
 }
 
-/// What the files hold of the request.
+/// The lines of the files about the request.
 #[derive(Default)]
 struct Found {
     lines: Vec<Line>,
@@ -86,7 +86,7 @@
         text
     }
 
-    /// What the lines show, from the last that ends the request.
+    /// Returns the result of the request, by the last line that ends it.
     fn verdict(&self) -> String {
         let ends = ["answered", "refused", "failed", "cancelled"];
         let last = self.lines.iter().rev().find(|l| ends.contains(&&*l.event));
--- a/crates/ctl/src/commands/node.rs
+++ b/crates/ctl/src/commands/node.rs
@@ -29,7 +29,7 @@
     Ok(())
 }
 
-/// Who a node says is there.
+/// The nodes and upstreams that a node knows.
 #[derive(Deserialize)]
 struct FleetAnswer {
     this: NodeCard,
--- a/crates/ctl/src/commands/quarantine.rs
+++ b/crates/ctl/src/commands/quarantine.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long a call may take; a node answers from memory.
+/// The timeout of a call. A node answers from memory.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Lists the requests in quarantine, or lets one out.
--- a/crates/ctl/src/commands/stand_in.rs
+++ b/crates/ctl/src/commands/stand_in.rs
@@ -17,10 +17,10 @@
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
-/// How often a stand-in tells the platform that it lives.
+/// The interval at which a stand-in reports to the platform that it is alive.
 pub const REGISTER_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What a stand-in prints once it listens, for whoever started it.
+/// The line that a stand-in prints once it listens, for the program that started it.
 #[derive(Serialize)]
 struct Started<'a> {
     stand_in: &'static str,
@@ -133,7 +133,7 @@
     serve("service", entry, args.platform.as_deref(), json, register)
 }
 
-/// Tells where a stand-in serves, registers it where there is a platform, and waits for its end.
+/// Prints the address of a stand-in, registers it if there is a platform, and waits for its end.
 fn serve<R>(
     stand_in: &'static str,
     entry: VmEntry,
@@ -244,7 +244,7 @@
     Err(CommandError::failed(format!("{}: {text}", answer.status())))
 }
 
-/// Reads an `ip:port` given by a flag.
+/// Parses an `ip:port` of a flag.
 pub fn address(flag: &str, text: &str) -> Result<Address, CommandError> {
     match text.parse::<std::net::SocketAddr>() {
         Ok(_) => Ok(Address::from(text)),
--- a/crates/ctl/src/outcome.rs
+++ b/crates/ctl/src/outcome.rs
@@ -1,4 +1,4 @@
-//! How a command ends.
+//! The results of commands.
 
 use std::fmt::Display;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 /// The command line was wrong.
 const EXIT_USAGE: u8 = 2;
 
-/// Why a command did not do what was asked.
+/// The error of a command.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CommandError {
     /// The command line was wrong; all its faults.
