--- a/crates/bench/src/capacity/mod.rs
+++ b/crates/bench/src/capacity/mod.rs
@@ -1,4 +1,5 @@
-//! What one engine can do: its token throughput under the mix, and a request's first token alone.
+//! The capacity of one engine: its token throughput under the mix, and the time to the first token of a
+//! single request.
 //!
 //! Terms: *capacity* is the prompt tokens a second that one engine finishes while it always has
 //! work of the mix waiting; 100 % of a fleet is that times its engines.
@@ -10,7 +11,7 @@
 
 /// Requests kept waiting or running while capacity is measured.
 const OUTSTANDING: usize = 24;
-/// How many requests the measurement takes.
+/// The number of requests of the measurement.
 const REQUESTS: usize = 1_500;
 
 /// The call of a request's attempt, as an engine gets it.
@@ -82,7 +83,7 @@
     PerSecond(tokens as f64 * 1e6 / now_us.max(1) as f64)
 }
 
-/// When the first token of a request comes on an idle engine with an empty cache, in
+/// Returns the time to the first token of a request on an idle engine with an empty cache, in
 /// microseconds.
 pub fn first_token_alone_us(settings: &EngineSettings, request: &Request) -> u64 {
     let mut model = EngineModel::new(settings.clone(), 0);
--- a/crates/bench/src/cost/mod.rs
+++ b/crates/bench/src/cost/mod.rs
@@ -26,10 +26,10 @@
 /// The longest time kept exactly: a minute.
 const MOST_NS: u64 = 60_000_000_000;
 
-/// What a decision costs.
+/// The cost of a decision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct CostReport {
-    /// How many models the replicas serve.
+    /// The number of models that the replicas serve.
     pub models: u32,
     /// Admission and placement together, the median in microseconds.
     pub p50_us: f64,
--- a/crates/bench/src/driver/engines.rs
+++ b/crates/bench/src/driver/engines.rs
@@ -10,7 +10,7 @@
 use bluebell_upstreams::prompt::mix;
 use bluebell_upstreams::{CancelAnswer, Reserve};
 
-/// How long ended streams are remembered; no caller of the driver comes back later.
+/// The time for which ended streams are kept. No caller of the driver comes back later.
 const REMEMBER_MS: SpanMs = SpanMs::from_secs(10);
 /// The bounds of mixed lags, in milliseconds.
 const LAGS_MS: (f64, f64) = (200.0, 5_000.0);
--- a/crates/bench/src/driver/faults.rs
+++ b/crates/bench/src/driver/faults.rs
@@ -7,9 +7,9 @@
 use bluebell_policy::Outcome;
 use bluebell_upstreams::prompt::mix;
 
-/// How much longer each step of the slowed engine takes.
+/// The factor by which each step of the slowed engine takes longer.
 const SLOW_FACTOR: f64 = 3.0;
-/// How long a leaving engine stays.
+/// The time for which a leaving engine still runs.
 const LEAVING_US: u64 = 30_000_000;
 /// The bounds of the platform list's lag.
 const LIST_LAG_US: (u64, u64) = (1_000_000, 5_000_000);
--- a/crates/bench/src/driver/mod.rs
+++ b/crates/bench/src/driver/mod.rs
@@ -25,11 +25,11 @@
 
 /// One way between a node and an engine, in microseconds.
 pub const WAY_US: u64 = 1_000;
-/// How often a node asks each engine for its load.
+/// The interval at which a node requests the load of each engine.
 const POLL_US: u64 = 1_000_000;
-/// When the fault happens, as a share of the arrivals.
+/// The time of the fault, as a share of the time of arrivals.
 const FAULT_AT: f64 = 0.4;
-/// How long after the last arrival a run may go on.
+/// The maximum duration of a run after the last arrival.
 const REST_US: u64 = 700_000_000;
 
 /// A run's result.
@@ -37,9 +37,9 @@
 pub struct RunResult {
     /// The requests.
     pub requests: Vec<Request>,
-    /// What became of each.
+    /// The records of the requests.
     pub records: Vec<Record>,
-    /// What became of the whole.
+    /// The record of the run.
     pub totals: Totals,
 }
 
--- a/crates/bench/src/driver/nodes.rs
+++ b/crates/bench/src/driver/nodes.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// When the request must have ended.
+    /// The deadline of the request.
     pub(super) fn deadline_us(&self, request: RequestNo) -> u64 {
         let class = self.requests[request.index()].class;
         let end_ms = self.config.classes[class.index()].end_ms;
@@ -164,7 +164,7 @@
         }
     }
 
-    /// Lets a node decide, carries its decisions out and arms its next wake.
+    /// Runs the decisions of a node and schedules its next wake-up.
     pub(super) fn decide(&mut self, node: NodeNo) {
         let mut decisions = std::mem::take(&mut self.decisions);
         let row = &mut self.nodes[node.index()];
--- a/crates/bench/src/driver/queue.rs
+++ b/crates/bench/src/driver/queue.rs
@@ -112,7 +112,7 @@
         });
     }
 
-    /// Takes the next event with its instant.
+    /// Removes and returns the next event with its instant.
     pub fn pop(&mut self) -> Option<(u64, Event)> {
         let due = self.heap.pop()?;
         Some((due.at_us, due.event))
--- a/crates/bench/src/driver/record.rs
+++ b/crates/bench/src/driver/record.rs
@@ -1,9 +1,9 @@
-//! What became of each request.
+//! The records of requests and runs.
 
 use bluebell_base::prelude::*;
 use bluebell_policy::RefusalReason;
 
-/// How a request ended.
+/// The end of a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fate {
     /// It is not over.
@@ -19,30 +19,30 @@
     Expired,
 }
 
-/// What became of a request.
+/// The record of a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Record {
-    /// When it arrived, the second time where it came back.
+    /// The arrival, or the second arrival if it came back.
     pub arrived_us: u64,
-    /// When its first token reached the node.
+    /// The arrival of its first token at the node.
     pub first_us: Option<u64>,
-    /// When it ended.
+    /// The instant of its end.
     pub end_us: u64,
-    /// How it ended.
+    /// The kind of its end.
     pub fate: Fate,
     /// Attempts that reached an engine.
     pub attempts: u32,
-    /// Whether the refusal came after it had been admitted.
+    /// True if it was refused after it had been admitted.
     pub refused_late: bool,
-    /// Whether an engine had begun the refused work.
+    /// True if an engine had begun the refused work.
     pub refused_begun: bool,
-    /// When the refusal said to come back.
+    /// The time to come back that the refusal stated.
     pub retry_after_ms: SpanMs,
-    /// Whether it came back after a refusal, and was taken then.
+    /// True if it came back after a refusal and was admitted.
     pub came_back: Option<bool>,
 }
 
-/// What became of a whole run.
+/// The record of a run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Totals {
     /// Requests that arrived.
@@ -51,7 +51,7 @@
     pub computed_tokens: u64,
     /// Of them, those of work that gave no whole answer.
     pub wasted_tokens: u64,
-    /// The most memory used on any engine, as a share of it.
+    /// The highest used share of the memory of any engine.
     pub peak_kv_share: f64,
     /// Groups that were tried.
     pub groups: u64,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -30,7 +30,7 @@
 /// say so.
 ///
 /// # Errors
-/// Where `out` or a file cannot be written.
+/// Returns an error if `out` or a file can't be written.
 pub fn run(options: &BenchOptions, out: &mut dyn Write) -> Result<BenchReport, Error> {
     let report = measure_all(options);
     report::text::write(&report, out).map_err(|e| io_error("the report", &e))?;
--- a/crates/bench/src/measure/accounts.rs
+++ b/crates/bench/src/measure/accounts.rs
@@ -1,9 +1,9 @@
-//! What is measured of each client account.
+//! The measurements of each client account.
 
 use bluebell_base::prelude::*;
 use serde::Serialize;
 
-/// What is measured of the accounts.
+/// The measurements of the accounts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct AccountReport {
     /// Jain's index over the shares of work within target: 1 where all fare alike.
--- a/crates/bench/src/measure/mod.rs
+++ b/crates/bench/src/measure/mod.rs
@@ -1,4 +1,4 @@
-//! What is measured of a run.
+//! The measurements of a run.
 //!
 //! Terms: a *band* is a range of prompt lengths; *alone* is the same request on an idle fleet;
 //! the *slowdown* is a first token's time divided by that alone; work is *within target* where
@@ -48,7 +48,7 @@
     pub p99: f64,
 }
 
-/// What is measured of a band.
+/// The measurements of a band.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct BandReport {
     /// Requests that arrived.
@@ -67,7 +67,7 @@
     pub refused: f64,
 }
 
-/// What is measured of one row of the bench.
+/// The measurements of one row of the bench.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct RunReport {
     /// By band, shortest first.
@@ -84,7 +84,7 @@
     pub refused_begun: u64,
     /// Of those that came back when a refusal told them to, the share taken and within target.
     pub come_back_within: f64,
-    /// How many came back.
+    /// The number of requests that came back.
     pub came_back: u64,
     /// Work offered, as a share of capacity.
     pub offered: f64,
@@ -96,7 +96,7 @@
     pub accounts: AccountReport,
     /// Computed tokens that gave no whole answer, as a share.
     pub wasted: f64,
-    /// The most memory used on any engine, as a share.
+    /// The highest used share of the memory of any engine.
     pub peak_kv: f64,
     /// Groups tried.
     pub groups: u64,
@@ -126,7 +126,7 @@
     }
 }
 
-/// Puts the runs of one row together.
+/// Combines the runs of one row.
 pub fn measure(scenario: &Scenario, capacity: PerSecond, runs: &[RunResult]) -> RunReport {
     let mut tally = Tally::new(scenario);
     for run in runs {
--- a/crates/bench/src/options/mod.rs
+++ b/crates/bench/src/options/mod.rs
@@ -1,31 +1,31 @@
-//! What a bench run does.
+//! The options of a bench run.
 
 use bluebell_base::prelude::*;
 use bluebell_policy::{Kind, PolicySettings};
 use std::path::PathBuf;
 
-/// What a bench run does; the default finishes within about two minutes in a release build.
+/// The options of a bench run. With the defaults it takes about two minutes in a release build.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BenchOptions {
     /// The seed of all randomness; same seed, same figures.
     pub seed: u64,
-    /// How long each run's arrivals go on, in virtual time.
+    /// The virtual time for which requests arrive in each run.
     pub duration_ms: SpanMs,
-    /// How many runs with seeds of their own are put together for each row.
+    /// The number of runs with different seeds that are combined for each row.
     pub repeats: u32,
-    /// The most threads that work on runs at once.
+    /// The maximum number of threads.
     pub threads: usize,
-    /// Which parts are run.
+    /// The parts that are run.
     pub parts: Vec<Part>,
-    /// Which policies are run; the targets that compare need them all.
+    /// The policies that are run. Targets that compare policies need all of them.
     pub policies: Vec<Kind>,
     /// The constants of the production policy, for trials with others.
     pub production: PolicySettings,
     /// The offered loads of the part `loads`, as shares of capacity.
     pub loads: Vec<f64>,
-    /// Where the whole result is written as JSON, if anywhere.
+    /// The file for the complete result as JSON, if any.
     pub json: Option<PathBuf>,
-    /// Where the plot of slowdown by length against load is written as SVG, if anywhere.
+    /// The file for the plot of slowdown by length against load as SVG, if any.
     pub svg: Option<PathBuf>,
 }
 
--- a/crates/bench/src/plan/mod.rs
+++ b/crates/bench/src/plan/mod.rs
@@ -1,4 +1,4 @@
-//! Which rows each part of the bench has.
+//! The rows of each part of the bench.
 
 use crate::options::{BenchOptions, Part};
 use crate::scenario::{Fault, Lag, Scenario};
@@ -14,7 +14,7 @@
 const FAULT_LOAD: f64 = 0.5;
 /// The loads at which one account offers its share, and then ten times that.
 pub const ACCOUNTS_LOADS: [f64; 2] = [0.7, 0.85];
-/// How much more than its share that account offers.
+/// The factor by which that account exceeds its share.
 const HOG_FACTOR: f64 = 10.0;
 
 /// The rows of the parts that are wanted.
--- a/crates/bench/src/plot/mod.rs
+++ b/crates/bench/src/plot/mod.rs
@@ -14,7 +14,7 @@
 /// Writes the plot: one panel for each fleet and policy, one line for each band.
 ///
 /// # Errors
-/// Where the file cannot be written.
+/// Returns an error if the file can't be written.
 pub fn write(report: &BenchReport, path: &Path) -> Result<(), Error> {
     draw(report, path).map_err(|error| {
         let text = format!("cannot write the plot: {error}");
--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -22,19 +22,19 @@
     pub policy: String,
     /// The offered load, as a share of capacity.
     pub load: f64,
-    /// How many nodes decided.
+    /// The number of nodes that decide.
     pub nodes: u32,
-    /// How old reports were, in milliseconds; none: mixed from 200 to 5,000.
+    /// The age of reports in milliseconds; `None` if it varies from 200 to 5,000.
     pub lag_ms: Option<u64>,
-    /// What went wrong.
+    /// The fault.
     pub fault: String,
-    /// Whether long work was there.
+    /// True if the mix includes long work.
     pub long_work: bool,
-    /// Whether arrivals came in bursts.
+    /// True if requests arrive in bursts.
     pub bursts: bool,
-    /// How much more than its share the last account offered.
+    /// The factor by which the last account exceeds its share.
     pub hog_factor: f64,
-    /// What was measured.
+    /// The measured values.
     pub report: RunReport,
 }
 
@@ -59,12 +59,12 @@
         }
     }
 
-    /// Whether it is a row of one of the simple policies.
+    /// Returns true if it is a row of one of the simple policies.
     pub fn is_baseline(&self) -> bool {
         self.policy.parse().is_ok_and(Kind::is_baseline)
     }
 
-    /// Whether it is a row of the production policy.
+    /// Returns true if it is a row of the production policy.
     pub fn is_production(&self) -> bool {
         self.policy == Kind::default().to_string()
     }
--- a/crates/bench/src/report/text.rs
+++ b/crates/bench/src/report/text.rs
@@ -7,7 +7,7 @@
 /// Writes the whole report.
 ///
 /// # Errors
-/// Where `out` cannot be written.
+/// Returns an error if `out` can't be written.
 pub fn write(report: &BenchReport, out: &mut dyn Write) -> io::Result<()> {
     let capacity = report.engine_capacity.0;
     writeln!(
--- a/crates/bench/src/scenario/mod.rs
+++ b/crates/bench/src/scenario/mod.rs
@@ -14,7 +14,7 @@
     Fixed(SpanMs),
 }
 
-/// What goes wrong, from two fifths of the run on.
+/// The fault, which lasts from two fifths of the run to its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Fault {
     /// Nothing.
@@ -52,19 +52,19 @@
     /// Offered work as a share of the fleet's capacity, long work included even where it is
     /// removed.
     pub load: f64,
-    /// How many nodes decide.
+    /// The number of nodes that decide.
     pub nodes: u32,
-    /// How old reports are.
+    /// The age of load reports.
     pub lag: Lag,
-    /// What goes wrong.
+    /// The fault.
     pub fault: Fault,
-    /// Whether long work is there.
+    /// True if the mix includes long work.
     pub long_work: bool,
-    /// How much more than its share the last account offers.
+    /// The factor by which the last account exceeds its share.
     pub hog_factor: f64,
-    /// Whether arrivals come in bursts.
+    /// True if requests arrive in bursts.
     pub bursts: bool,
-    /// How long arrivals go on.
+    /// The time for which requests arrive.
     pub duration_ms: SpanMs,
     /// The seed.
     pub seed: u64,
--- a/crates/bench/src/targets/judge.rs
+++ b/crates/bench/src/targets/judge.rs
@@ -6,9 +6,9 @@
 use crate::report::{BenchReport, Row};
 use crate::workload::FleetKind;
 
-/// The most that short work may be slowed by long work, at a load.
+/// The maximum slowdown of short work by long work, at a load.
 const SHORT_RATIOS: [(f64, f64); 2] = [(0.7, 1.10), (0.85, 1.25)];
-/// The most that a band's 95th percentile may be above alone.
+/// The maximum of a band's 95th percentile relative to that of the band alone.
 const BAND_RATIO: f64 = 1.5;
 /// A band starves where this share of it is refused, or its 99th percentile is this far above.
 const STARVED: (f64, f64) = (0.5, 20.0);
@@ -16,11 +16,11 @@
 const WITHIN: f64 = 0.99;
 /// The goodput under overload, as a share of the best.
 const GOODPUT: f64 = 0.95;
-/// The most that another account's miss share may move.
+/// The maximum change of another account's share of missed targets.
 const MISS_MOVED: f64 = 0.01;
-/// How much better than the best baseline the short slowdown must be.
+/// The minimum improvement of the slowdown of short work over the best baseline.
 const BETTER: f64 = 3.0;
-/// The most that a placement may take, in microseconds.
+/// The maximum duration of a placement, in microseconds.
 const DECISION_US: f64 = 20.0;
 
 /// Judges all targets that the report's rows can tell of.
--- a/crates/bench/src/targets/mod.rs
+++ b/crates/bench/src/targets/mod.rs
@@ -9,10 +9,10 @@
 /// One target on one fleet.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Judged {
-    /// What was wanted.
+    /// The description of the target.
     pub target: String,
-    /// What was measured.
+    /// The measured value.
     pub measured: String,
-    /// Whether it was met.
+    /// True if the target was met.
     pub met: bool,
 }
--- a/crates/bench/src/workload/fleets.rs
+++ b/crates/bench/src/workload/fleets.rs
@@ -8,7 +8,7 @@
 /// Failure domains of each fleet.
 pub const DOMAINS: u32 = 3;
 
-/// Whose fleet it is like.
+/// The user whose fleet it resembles.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum FleetKind {
     /// Fógra-like: 25 replicas, short work first.
@@ -30,7 +30,7 @@
     /// Both fleets.
     pub const ALL: [FleetKind; 2] = [FleetKind::Fogra, FleetKind::Pruefwerk];
 
-    /// How many engines it has.
+    /// The number of its engines.
     pub fn engines(self) -> u32 {
         match self {
             FleetKind::Fogra => 25,
--- a/crates/bench/src/workload/mod.rs
+++ b/crates/bench/src/workload/mod.rs
@@ -44,15 +44,15 @@
 /// One request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
-    /// When it arrives, in microseconds.
+    /// The arrival, in microseconds.
     pub at_us: u64,
-    /// Who asks.
+    /// The client account.
     pub account: AccountId,
     /// Its class.
     pub class: ClassId,
     /// The prompt's length.
     pub prompt_tokens: Tokens,
-    /// The most tokens of the answer.
+    /// The maximum number of tokens of the answer.
     pub max_tokens: Tokens,
     /// The prompt's hash; decides the answer's length.
     pub prompt_hash: u64,
@@ -62,18 +62,18 @@
     pub node_draw: u64,
 }
 
-/// What arrives.
+/// The arrivals of a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Mix {
     /// Arrivals a second over the whole fleet.
     pub rate: PerSecond,
-    /// How long arrivals go on.
+    /// The time for which requests arrive.
     pub duration_ms: SpanMs,
-    /// Whether long work is there.
+    /// True if the mix includes long work.
     pub long_work: bool,
-    /// How much more than its share the last account offers from a quarter of the run on.
+    /// The factor by which the last account exceeds its share from a quarter of the run on.
     pub hog_factor: f64,
-    /// Whether arrivals come in bursts.
+    /// True if requests arrive in bursts.
     pub bursts: bool,
     /// The seed.
     pub seed: u64,
