--- a/crates/bench/src/scenario/mod.rs
+++ b/crates/bench/src/scenario/mod.rs
@@ -5,7 +5,7 @@
 use bluebell_policy::PolicySettings;
 use std::fmt;
 
-/// How old load reports are.
+/// The age of load reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lag {
     /// Each engine has a lag of its own, drawn evenly in its logarithm from 0.2 to 5 s.
