Revert "Plain calls: a tie goes to a replica with a kept connection"

A failed try: a node that keeps to its connections sends nothing to replicas that name a limit or come back, so their recovery isn't seen (a_limit_of_a_plain_replica_is_kept_by_all_nodes_together failed: a replica with a limit receives nothing), and each_failure_of_a_replica_has_a_defined_answer, which waits for a request at each of two replicas, never ended.

--- a/crates/fleet/src/placement/plain.rs
+++ b/crates/fleet/src/placement/plain.rs
@@ -4,9 +4,7 @@
 //! slow or unreachable make calls late.
 //!
 //! Reason for the limits: a node knows only its own calls. It is enough to spread them evenly over
-//! the replicas that aren't doubted, and a tie goes to this node's failure domain. In a large fleet a node
-//! has so few calls that it would open a connection for nearly each, so a further tie goes to a replica to
-//! which a connection is kept.
+//! the replicas that aren't doubted, and a tie goes to this node's failure domain.
 
 use crate::replicas::ReplicaKey;
 
@@ -19,19 +17,14 @@
     pub calls: u32,
     /// True if the replica is in this node's failure domain.
     pub same_domain: bool,
-    /// True if this node keeps a connection to the replica that the call may use.
-    pub connected: bool,
 }
 
 /// Returns the replica with the fewest calls, or `None` without candidates. Ties go to this node's
-/// failure domain, then to a connected replica, then by the random number `draw`.
+/// failure domain, then by the random number `draw`.
 pub fn place_plain(candidates: &[PlainCandidate], draw: u32) -> Option<ReplicaKey> {
     let load = |c: &PlainCandidate| f64::from(c.calls) - f64::from(u8::from(c.same_domain)) * 0.5;
     let least = candidates.iter().map(load).fold(f64::INFINITY, f64::min);
-    let mut tied: Vec<&PlainCandidate> = candidates.iter().filter(|c| load(c) <= least).collect();
-    if tied.iter().any(|c| c.connected) {
-        tied.retain(|c| c.connected);
-    }
+    let tied: Vec<&PlainCandidate> = candidates.iter().filter(|c| load(c) <= least).collect();
     match tied.is_empty() {
         true => None,
         false => Some(tied[draw as usize % tied.len()].key),
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -4,7 +4,6 @@
 use super::fatal;
 use super::guards::TryGuard;
 use super::reserve::ReservedMemory;
-use crate::http::Freshness;
 use crate::limits;
 use crate::platform::Helper;
 use bluebell_base::prelude::*;
@@ -400,10 +399,6 @@
 fn choose_plain(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
     let node = &call.node;
     limits::update_shares(node);
-    let freshness = match call.route.kind.repeatable() {
-        true => Freshness::Kept,
-        false => Freshness::Recent,
-    };
     let (key, replica) = node.with(|state| {
         let limit_policy = LimitPolicy::WithinLimit;
         let throttles = Throttles {
@@ -419,7 +414,6 @@
                 key: *key,
                 calls: state.calls.get(key).copied().unwrap_or(0),
                 same_domain: replica.domain == node.settings.domain,
-                connected: node.pool.keeps(replica.address, freshness),
             })
             .collect();
         let key = place_plain(&plain, rand::random());
--- a/crates/front/src/http/pool.rs
+++ b/crates/front/src/http/pool.rs
@@ -78,19 +78,6 @@
         Link::open(address, CONNECT_TIMEOUT_MS).await
     }
 
-    /// Returns true if a kept connection to `address` is as fresh as `fresh`. It may turn out to be closed.
-    pub fn keeps(&self, address: SocketAddr, fresh: Freshness) -> bool {
-        let now_ms = self.clock.now_ms();
-        let is_fresh = |idle: &Idle| match fresh {
-            Freshness::Kept => true,
-            Freshness::Recent => now_ms.since(idle.since_ms) <= AT_MOST_ONCE_IDLE_MS,
-            Freshness::New => false,
-        };
-        let idle = self.idle.borrow();
-        let newest = idle.get(&address).and_then(|kept| kept.last());
-        newest.is_some_and(|newest| now_ms < newest.until_ms && is_fresh(newest))
-    }
-
     fn take(&self, address: SocketAddr, fresh: Freshness) -> Option<Link> {
         if fresh == Freshness::New {
             return None;
