Directory: a follower that was turned away goes on learning from its peers

Nodes that had been turned away in the outage copied the next version only seven seconds after it was written. A follower that missed a notice of replicas would have waited as long.

Change: only the next call to the directory waits for that pause. Followers ask their peers for a version again after half a second, and copy the list of replicas from peers meanwhile, also readers that are turned away.

--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -49,6 +49,9 @@
 /// The version may not exist.
 const NOT_FOUND_PAUSE_MS: SpanMs = SpanMs(2_000);
 
+/// The pause after which a follower that may not call the directory asks its peers again.
+const PEER_RETRY_MS: SpanMs = SpanMs(500);
+
 /// The interval at which a node that waits for a version checks that enough peers are still live.
 pub(super) const PEER_CHECK_MS: SpanMs = SpanMs(1_000);
 
@@ -58,7 +61,8 @@
         node,
         cursor: None,
         held_back_since_ms: None,
-        backoff: Backoff::new("configuration"),
+        backoff: Backoff::for_shared_calls("configuration"),
+        next_call_ms: MonoMs(0),
     };
     join::wait(&watch.node).await;
     loop {
@@ -78,6 +82,8 @@
     /// The time since which a configuration older than the peers' is held back.
     held_back_since_ms: Option<MonoMs>,
     backoff: Backoff,
+    /// The time before which a follower doesn't call the directory, because a call failed.
+    next_call_ms: MonoMs,
 }
 
 impl ConfigWatch {
@@ -90,17 +96,34 @@
                 put_copy_in_force(&self.node, config, copy);
                 tokio::time::sleep(Duration::from(COPY_PAUSE_MS)).await;
             }
-            FollowResult::NotFound => {
-                self.read().await;
-                if self.node.directory_watch.is_behind() {
-                    tokio::time::sleep(Duration::from(NOT_FOUND_PAUSE_MS)).await;
-                }
+            FollowResult::NotFound => self.read_as_follower().await,
+        }
+    }
+
+    /// Reads a version that no peer provided, unless the directory turned this node away shortly before. Peers
+    /// may have the version by the time at which it may call again.
+    async fn read_as_follower(&mut self) {
+        let mut pause_ms = PEER_RETRY_MS;
+        if self.node.now_ms() >= self.next_call_ms {
+            match self.try_read().await {
+                Ok(()) => pause_ms = NOT_FOUND_PAUSE_MS,
+                Err(call_pause_ms) => self.next_call_ms = self.node.now_ms() + call_pause_ms,
             }
         }
+        if self.node.directory_watch.is_behind() {
+            tokio::time::sleep(Duration::from(pause_ms)).await;
+        }
     }
 
     /// Reads the next version from the directory and pauses.
     async fn read(&mut self) {
+        if let Err(pause_ms) = self.try_read().await {
+            tokio::time::sleep(Duration::from(pause_ms)).await;
+        }
+    }
+
+    /// Reads the next version from the directory. After a failure it returns the pause before the next call.
+    async fn try_read(&mut self) -> Result<(), SpanMs> {
         let node = self.node.clone();
         let started_ms = node.now_ms();
         let read = match self.cursor {
@@ -112,13 +135,16 @@
             }
         };
         match read {
-            Ok(update) => self.on_update(update).await,
+            Ok(update) => {
+                self.on_update(update).await;
+                Ok(())
+            }
             Err(error) => {
                 node.journal.record(&Event::ConfigReadFailed {
                     reason: error.to_string().into(),
                     waited_ms: node.now_ms().since(started_ms),
                 });
-                self.backoff.failed(&node, &error).await;
+                Err(self.backoff.on_failed(&node, &error))
             }
         }
     }
--- a/crates/front/src/watch/quarantine.rs
+++ b/crates/front/src/watch/quarantine.rs
@@ -21,7 +21,7 @@
 /// Reads the stored requests at the start, and as a reader at intervals while most peers are silent,
 /// until the process ends. Peers are notified of what was unknown.
 pub async fn watch_quarantine(node: Rc<Node>) {
-    let mut backoff = Backoff::new("quarantine");
+    let mut backoff = Backoff::for_shared_calls("quarantine");
     join::wait(&node).await;
     if join::has_joined(&node) {
         wait_until_needed(&node).await;
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -37,10 +37,11 @@
 ///
 /// A node that can't read the directory doesn't retry while notices from peers confirm its table.
 pub async fn watch_replicas(node: Rc<Node>) {
-    let mut backoff = Backoff::new("replicas");
+    let mut backoff = Backoff::for_shared_calls("replicas");
+    let mut next_call_ms = MonoMs(0);
     join::wait(&node).await;
     if node.directory_watch.cursor().is_some() {
-        wait_until_due(&node).await;
+        wait_until_due(&node, next_call_ms).await;
     }
     loop {
         let cursor_before = node.directory_watch.cursor();
@@ -66,44 +67,51 @@
             }
             Err(error) => {
                 node.with(|state| state.replicas.on_directory_lost());
-                backoff.failed(&node, &error).await;
+                next_call_ms = node.now_ms() + backoff.on_failed(&node, &error);
             }
         }
-        wait_until_due(&node).await;
+        wait_until_due(&node, next_call_ms).await;
     }
 }
 
 /// Waits until this node must read the list: it is due by age, or a peer has read more of it and no peer
-/// provides a copy.
-async fn wait_until_due(node: &Rc<Node>) {
+/// provides a copy. Returns at `next_call_ms` at the earliest.
+async fn wait_until_due(node: &Rc<Node>, next_call_ms: MonoMs) {
     let draw: f64 = rand::random();
+    let mut must_read = false;
     loop {
-        let due_ms = distribution::list_due_age(roles::follower_interval(node), draw).0;
-        let age_ms = node
-            .directory_watch
-            .age_ms(node.now_ms())
-            .map_or(due_ms, |age| age.0);
-        let Some(left_ms) = due_ms.checked_sub(age_ms).filter(|left_ms| *left_ms > 0) else {
+        must_read &= node.directory_watch.peer_has_read_more();
+        let now_ms = node.now_ms();
+        let due_ms = distribution::list_due_age(roles::follower_interval(node), draw);
+        let age_ms = node.directory_watch.age_ms(now_ms);
+        let by_age_ms = age_ms.map_or(SpanMs::ZERO, |age_ms| {
+            SpanMs(due_ms.0.saturating_sub(age_ms.0))
+        });
+        let by_age_ms = if must_read { SpanMs::ZERO } else { by_age_ms };
+        let left_ms = by_age_ms.max(next_call_ms.since(now_ms));
+        if left_ms == SpanMs::ZERO {
             return;
-        };
+        }
         tokio::select! {
             () = node.directory_watch.replicas_differ.notified() => {
                 let peers = node.outbox.live_peer_count() as u64;
                 let spread_ms = (peers * PEER_SPREAD_MS).min(MAX_SPREAD_MS);
                 let pause_ms = rand::random_range(0..=spread_ms);
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-                if node.directory_watch.peer_has_read_more() && !copy_from_peers(node).await {
-                    return;
+                if node.directory_watch.peer_has_read_more() {
+                    let may_call = node.now_ms() >= next_call_ms;
+                    must_read = !copy_from_peers(node, may_call).await;
                 }
             }
-            () = tokio::time::sleep(Duration::from_millis(left_ms)) => {}
+            () = tokio::time::sleep(Duration::from(left_ms)) => {}
         }
     }
 }
 
-/// Copies the list from a peer that has read more of it. Returns true if the node then knows as much.
-async fn copy_from_peers(node: &Rc<Node>) -> bool {
-    if roles::is_reader(node) {
+/// Copies the list from a peer that has read more of it. Returns true if the node then knows as much. A reader
+/// that may call the directory doesn't copy.
+async fn copy_from_peers(node: &Rc<Node>, may_call: bool) -> bool {
+    if may_call && roles::is_reader(node) {
         return false;
     }
     join::copy_state(node).await;
--- a/crates/front/src/watch/retry.rs
+++ b/crates/front/src/watch/retry.rs
@@ -25,20 +25,31 @@
 pub(super) struct Backoff {
     /// The name of the watcher in the log.
     what: &'static str,
+    /// True if a reader's calls spare followers theirs.
+    shared: bool,
     failing_since_ms: Option<MonoMs>,
     next_pause_ms: u64,
 }
 
 impl Backoff {
-    /// Creates the backoff of a watcher with this name in the log.
+    /// Creates the backoff of a watcher whose calls no other node makes. `what` is its name in the log.
     pub fn new(what: &'static str) -> Self {
         Self {
             what,
+            shared: false,
             failing_since_ms: None,
             next_pause_ms: FIRST_PAUSE_MS,
         }
     }
 
+    /// Creates the backoff of a watcher whose calls the readers make for all nodes.
+    pub fn for_shared_calls(what: &'static str) -> Self {
+        Self {
+            shared: true,
+            ..Self::new(what)
+        }
+    }
+
     /// Resets the backoff after a successful call, and records the end of an outage.
     pub fn succeeded(&mut self, node: &Node) {
         self.next_pause_ms = FIRST_PAUSE_MS;
@@ -53,6 +64,13 @@
 
     /// Records a failed call and waits before the next.
     pub async fn failed(&mut self, node: &Node, error: &DirectoryError) {
+        let pause_ms = self.on_failed(node, error);
+        tokio::time::sleep(Duration::from(pause_ms)).await;
+    }
+
+    /// Records a failed call and returns the pause before the next. That of a follower is long, and its watcher
+    /// goes on learning from peers meanwhile.
+    pub fn on_failed(&mut self, node: &Node, error: &DirectoryError) -> SpanMs {
         node.directory_watch.on_directory_failed();
         if self.failing_since_ms.is_none() {
             self.failing_since_ms = Some(node.now_ms());
@@ -61,10 +79,13 @@
                 reason: error.to_string().into(),
             });
         }
-        let follower_pause_ms = roles::follower_interval(node).map_or(0, |interval| interval.0);
-        let pause_ms = self.next_pause_ms.max(follower_pause_ms);
+        let follower_pause_ms = match self.shared {
+            true => roles::follower_interval(node).unwrap_or_default(),
+            false => SpanMs::ZERO,
+        };
+        let pause_ms = self.next_pause_ms.max(follower_pause_ms.0);
         let spread_ms = rand::rng().random_range(0..=pause_ms / 2);
-        tokio::time::sleep(Duration::from_millis(pause_ms + spread_ms)).await;
         self.next_pause_ms = (self.next_pause_ms * 2).min(MAX_PAUSE_MS);
+        SpanMs(pause_ms + spread_ms)
     }
 }
