--- a/crates/fleet/src/fanout/mod.rs
+++ b/crates/fleet/src/fanout/mod.rs
@@ -12,7 +12,7 @@
 //! relay drops the gossip of few nodes. Digests go through another relay each time, so that the next
 //! one makes up for what a relay lost while its failure was unnoticed. Peers that weren't heard yet are
 //! reached through relays as well: when each of 985 nodes that started together sent copies to all others
-//! until it heard them, these filled the links on which the first answers had to arrive.
+//! until it heard them, most of a day's bytes between failure domains crossed before the first request.
 //!
 //! Invariants: every peer is reached directly or is in the domain of a relay; a relay is a live peer, one
 //! whose gossip was received recently, if the domain has any; gossip passes through one relay at most.
--- a/crates/fleet/tests/fanout.rs
+++ b/crates/fleet/tests/fanout.rs
@@ -166,7 +166,7 @@
     assert_eq!(received.len(), 19);
 }
 
-/// Guards against links between failure domains that are full while a large fleet starts. No node has heard
+/// Guards against gossip between failure domains that grows with the square of the nodes at a start. No node has heard
 /// another yet, and each of 985 nodes sent a copy of its digest to each of the others, every second. A few
 /// copies cross to each failure domain, however many nodes it has and whatever is known of them.
 #[test]
