Failed attempts name their connection and when the service last answered

The logs of a node couldn't tell a node that lost its links from replicas that are gone or silent: each failed attempt named its replica only. try_failed now has the connection (none, new, kept) and the time since any replica of the service answered this node, bluebell_failed_tries the connection. At a node that is cut off answer_age_ms grows over all replicas while peers' stays small; one replica that is gone leaves it small.

No decision reads either.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod leaving;
 pub mod ledger;
 pub mod limit;
+pub mod links;
 pub mod long_poll;
 pub mod pace;
 pub mod placement;
@@ -53,6 +54,7 @@
     pub use crate::limit::{
         Admission, LimitChange, LimitNotice, LimitReport, LimitSignal, Limits, Nodes, Source,
     };
+    pub use crate::links::Links;
     pub use crate::pace::{Pace, Paces};
     pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
     pub use crate::replicas::{
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -4,12 +4,14 @@
 use super::fatal;
 use super::guards::TryGuard;
 use super::reserve::ReservedMemory;
+use crate::journal::ConnectionKind;
 use crate::limits;
 use crate::platform::Helper;
 use bluebell_base::prelude::*;
 use bluebell_fleet::placement::{Fleet, PlainCandidate, needs_helper_memory};
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::replicas::Health;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +31,8 @@
     pub expected_ms: f64,
     /// The placement decision; `None` for a plain replica.
     pub placement: Option<Placement>,
+    /// The connection that the attempt uses.
+    pub connection: Cell<ConnectionKind>,
     /// The guard that counts the attempt as load on the replica until it is dropped.
     pub guard: TryGuard,
 }
@@ -365,6 +369,7 @@
         memory,
         reserved: None,
         expected_ms: placement.first_event_ms,
+        connection: Cell::default(),
         guard: TryGuard::for_work(node, placement.first, work),
         placement: Some(placement),
     })
@@ -429,6 +434,7 @@
         reserved: None,
         expected_ms: call.route.target_ms.0 as f64 / 2.0,
         placement: None,
+        connection: Cell::default(),
         guard: TryGuard::for_call(node, key),
     })
 }
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -4,7 +4,7 @@
 use super::choose::Chosen;
 use super::fatal::{self, Disconnect};
 use crate::http::{Freshness, IncomingAnswer, Link, SendError};
-use crate::journal::Event;
+use crate::journal::{ConnectionKind, Event};
 use crate::platform::{AnswerHead, ForwardHead};
 use crate::signals;
 use bluebell_base::prelude::*;
@@ -132,6 +132,10 @@
             Ok(link) => link,
             Err(error) => return Err(not_delivered(&error)),
         };
+        chosen.connection.set(match link.reused {
+            true => ConnectionKind::Kept,
+            false => ConnectionKind::New,
+        });
         let sent_ms = call.node.now_ms();
         match link.send(request(call, chosen, last_event)).await {
             Ok(answer) => return check_answer(call, chosen.key, answer, link, sent_ms),
@@ -234,7 +238,10 @@
     link: Link,
     sent_ms: MonoMs,
 ) -> Result<Reply, TryError> {
-    let took_ms = call.node.now_ms().since(sent_ms);
+    let now_ms = call.node.now_ms();
+    call.node
+        .with(|state| state.links.on_answer(&call.service.name, now_ms));
+    let took_ms = now_ms.since(sent_ms);
     let status = answer.status();
     let dialect = &call.node.platform.dialect;
     let head = dialect.answer_head(&call.head.request, status.as_u16(), answer.headers());
@@ -323,11 +330,17 @@
 
 /// Records a failed attempt and its symptom.
 pub(super) fn record_failure(call: &Call, chosen: &Chosen, attempt: u32, error: &TryError) {
+    let now_ms = call.node.now_ms();
+    let answer_age_ms = call
+        .node
+        .with(|state| state.links.answer_age_ms(&call.service.name, now_ms));
     call.node.journal.record(&Event::TryFailed {
         request: call.head.request.clone(),
         attempt,
         instance: chosen.replica.instance.clone(),
         why: error.why.clone(),
+        connection: chosen.connection.get(),
+        answer_age_ms,
         ran: error.ran,
         digest: (error.ran != Verdict::NotRun).then(|| call.digest()),
         age_ms: call.age_ms(),
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -7,6 +7,30 @@
 use serde::Serialize;
 use std::net::SocketAddr;
 
+/// The connection that an attempt used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConnectionKind {
+    /// The attempt got no connection.
+    #[default]
+    None,
+    /// A connection that was opened for the attempt.
+    New,
+    /// A connection that had carried an exchange before.
+    Kept,
+}
+
+impl ConnectionKind {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::New => "new",
+            Self::Kept => "kept",
+        }
+    }
+}
+
 /// An event, which the log writes as one line of JSON.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -170,6 +194,10 @@
         attempt: u32,
         instance: Arc<str>,
         why: Arc<str>,
+        /// The connection that the attempt used.
+        connection: ConnectionKind,
+        /// The time since a replica of the service last answered this node, or `None` if none has.
+        answer_age_ms: Option<SpanMs>,
         ran: Verdict,
         /// The digest of the request, equal for all arrivals of it. `None` if the request can't have
         /// run.
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -99,7 +99,7 @@
             ),
             failed_tries: c(
                 "bluebell_failed_tries",
-                "Tries that failed, by what they left open.",
+                "Tries that failed, by what they left open and by their connection.",
             ),
             budget_spent: c(
                 "bluebell_budget_spent",
@@ -212,8 +212,14 @@
             Event::Failed { .. } => self.requests.add(1, &label("outcome", "failed")),
             Event::Cancelled { .. } => self.requests.add(1, &label("outcome", "cancelled")),
             Event::Placed { .. } => self.observe_try(event),
-            Event::TryFailed { ran, .. } => {
-                self.failed_tries.add(1, &label("verdict", ran.as_str()));
+            Event::TryFailed {
+                ran, connection, ..
+            } => {
+                let labels = [
+                    KeyValue::new("verdict", ran.as_str()),
+                    KeyValue::new("connection", connection.as_str()),
+                ];
+                self.failed_tries.add(1, &labels);
             }
             Event::BudgetSpent { .. } => self.budget_spent.add(1, &[]),
             Event::ConfigInForce {
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -33,6 +33,8 @@
     pub cold_limits: Limits,
     /// The replicas that are backing off from this node's requests.
     pub replica_backoffs: ReplicaBackoffs,
+    /// This node's contact with the replicas of each service.
+    pub links: Links,
     /// The number of this node's calls in flight, by plain replica.
     pub calls: FxHashMap<ReplicaKey, u32>,
     /// This node's share of the retry budget.
@@ -89,6 +91,7 @@
             limits: Limits::default(),
             cold_limits: Limits::default(),
             replica_backoffs: ReplicaBackoffs::default(),
+            links: Links::default(),
             calls: FxHashMap::default(),
             budget: RetryBudget::new(settings.retry_limits),
             quarantine: Quarantine::default(),
