A node that is cut off keeps its doubts to itself

What callers saw: sound nodes avoided sound replicas for a second each time that a node which had lost its links doubted them; with six of nine nodes cut off the others used a part of the engines only.

Cause: the failure of one node's attempt was told to all peers as a fact about the replica.

Change: a node notifies its peers of a doubt only if it reached another replica of the service since the attempt began, which shows that its links are sound; while its links are lost it doesn't doubt replicas itself.

--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -155,7 +155,8 @@
             true => Symptom::Failed,
             false => Symptom::Good,
         };
-        record_symptom(call, chosen.key, symptom, whole.reply.status().as_str());
+        let status = whole.reply.status();
+        record_symptom(call, chosen.key, symptom, status.as_str(), chosen.began_ms);
     }
     if whole.reply.status().is_success() {
         fatal::on_served(call);
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -77,7 +77,7 @@
         );
         let error = match first.await {
             Ok(started) => {
-                record_symptom(call, chosen.key, Symptom::Good, "");
+                record_symptom(call, chosen.key, Symptom::Good, "", chosen.began_ms);
                 let server = StreamServer::Engine(Box::new(chosen));
                 return started.answer(call, server, tries.delivered + 1);
             }
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -350,18 +350,31 @@
     )
 }
 
-/// Records the symptom that an attempt shows of its replica, and reports it to the peers if the
-/// replica is now doubted.
-pub(super) fn record_symptom(call: &Call, key: ReplicaKey, symptom: Symptom, why: &str) {
+/// Records the symptom that an attempt which began at `began_ms` shows of its replica. If the replica is
+/// now doubted, the peers are notified, unless no replica of the service was reached since then: the cause
+/// may be this node's own links.
+pub(super) fn record_symptom(
+    call: &Call,
+    key: ReplicaKey,
+    symptom: Symptom,
+    why: &str,
+    began_ms: MonoMs,
+) {
     let node = &call.node;
+    let service = &call.service.name;
     let now_ms = node.now_ms();
     let doubted = node.with(|state| {
+        if state.links.is_lost(service) {
+            return None;
+        }
         let instance = state.replicas.get(key)?.instance.clone();
         let health = state.replicas.health_mut(key)?;
         health.on_symptom(symptom, now_ms).then_some(instance)
     });
     if let Some(instance) = doubted {
-        node.outbox.doubted(key, PEER_DOUBT_MS);
+        if node.with(|state| state.links.has_contact_since(service, began_ms)) {
+            node.outbox.doubted(key, PEER_DOUBT_MS);
+        }
         node.journal.record(&Event::ReplicaDoubted {
             instance,
             why: why.into(),
@@ -393,10 +406,10 @@
     match &error.fault {
         Some(fault) => {
             if let Some(key) = find_named(call, &fault.at) {
-                record_symptom(call, key, fault.symptom, &error.why);
+                record_symptom(call, key, fault.symptom, &error.why, chosen.began_ms);
             }
         }
-        None => record_symptom(call, chosen.key, error.symptom, &error.why),
+        None => record_symptom(call, chosen.key, error.symptom, &error.why, chosen.began_ms),
     }
 }
 
