Refused connections on lost links put no request into quarantine

What callers saw: a request that ran while its node's links were reset and refused could be refused everywhere for ten seconds and more, though no replica had crashed: the reset counted as a broken connection, the refused probe of the replica's address as its crash, and three of these as a request that crashes replicas.

Change: a refused probe counts as a crash only if another replica of the service accepts a connection, or there is no other. Otherwise the directory decides, as it does for addresses that still accept connections.

--- a/crates/front/src/crash_checks/mod.rs
+++ b/crates/front/src/crash_checks/mod.rs
@@ -10,6 +10,7 @@
 //! Invariants: a replica that was leaving, or that the node didn't know, never counts as crashed.
 
 use crate::http::{Freshness, SendError};
+use crate::links;
 use crate::node::Node;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
@@ -106,7 +107,10 @@
 /// Opens a connection to the replica's address: one that is refused shows a crash.
 async fn probe_address(node: &Rc<Node>, replica: &Replica) -> CrashState {
     match node.pool.lease(replica.address, Freshness::New).await {
-        Err(SendError::Refused(_)) => return CrashState::Crashed,
+        // If no other replica can be reached, this node's own links may be the cause.
+        Err(SendError::Refused(_)) if links::are_sound(node, replica).await => {
+            return CrashState::Crashed;
+        }
         Err(error) => log::debug!("probe of replica {} failed: {error}", replica.instance),
         Ok(link) => node.pool.give_back(link, None),
     }
