An attempt whose connection didn't open has not run

What callers saw: 504 and "may have run" for requests that no replica had received, so that calls which run at most once could not be repeated.

Cause: an attempt may get less time than a connection (200 ms of a plain call's 600 ms, 300 ms for a connection). When it was given up, the silence was taken for a silent replica's, and used up one of the route's attempts and the retry budget. For the same reason such attempts were no evidence against the links, so that a node with calls of short deadlines only found out later, by others, that it reaches no replica.

Evidence: try_failed with "the replica is silent", connection none, may_have_run, in the logs of the reproduction; a_request_whose_connections_do_not_open_has_not_run fails without this change (504) and passes with it (503, not_run).

Change: a silent attempt without a connection is reported as not run and counts as an unreachable replica; one with a connection starts the check of the links. An order to reserve memory that stays silent is reported as not run, too.

--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -6,7 +6,7 @@
 use super::choose::{Chosen, choose};
 use super::fatal::{self, Disconnect};
 use super::hop;
-use super::tries::{self, Reply, Tries, TryError, record_symptom};
+use super::tries::{self, Reply, SilentAttempt, Tries, TryError, record_symptom};
 use crate::forward::Outcome;
 use crate::journal::Event;
 use bluebell_base::prelude::*;
@@ -123,9 +123,13 @@
     match tokio::time::timeout(Duration::from(limit_ms), exchange).await {
         Ok(result) => result,
         Err(_) => {
-            let why = "the replica is silent";
-            let symptom = Symptom::of_silence(limit_ms, call.route.target_ms);
-            Err(TryError::new(why, Verdict::MayHaveRun, symptom))
+            let silent = SilentAttempt {
+                replica: &chosen.replica,
+                connection: chosen.connection.get(),
+                began_ms: chosen.began_ms,
+                symptom: Symptom::of_silence(limit_ms, call.route.target_ms),
+            };
+            Err(silent.error(call, "the replica is silent"))
         }
     }
 }
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -11,8 +11,9 @@
 use super::pump::{EventSource, Pump};
 use super::reserve::ReservedMemory;
 use super::server::StreamServer;
-use super::tries::{self, Reply, Tries, TryError, record_symptom};
+use super::tries::{self, Reply, SilentAttempt, Tries, TryError, record_symptom};
 use crate::forward::Outcome;
+use crate::journal::ConnectionKind;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::silence;
@@ -170,7 +171,20 @@
     let why = "the engine is silent";
     let expected_ms = SpanMs(expected_ms as u64).max(SpanMs(MIN_SILENCE_SYMPTOM_MS));
     let symptom = Symptom::of_silence(call.node.now_ms().since(sent_ms), expected_ms);
-    Err(TryError::new(why, Verdict::MayHaveRun, symptom))
+    if reserves_memory && connection.get() == ConnectionKind::None {
+        // The order to reserve memory may have been silent, so this shows nothing of the engine.
+        return Err(TryError {
+            delivered: false,
+            ..TryError::new(why, Verdict::NotRun, Symptom::Inconclusive)
+        });
+    }
+    let silent = SilentAttempt {
+        replica: &replica,
+        connection: connection.get(),
+        began_ms: sent_ms,
+        symptom,
+    };
+    Err(silent.error(call, why))
 }
 
 /// Reads an answer's body up to the first complete event.
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -184,6 +184,35 @@
     answer.await
 }
 
+/// An attempt that is given up after a silence.
+pub(super) struct SilentAttempt<'a> {
+    pub replica: &'a Replica,
+    pub connection: ConnectionKind,
+    pub began_ms: MonoMs,
+    /// The symptom that the silence shows.
+    pub symptom: Symptom,
+}
+
+impl SilentAttempt<'_> {
+    /// Returns the failure of the attempt. One whose connection didn't open has not run, and counts as
+    /// evidence against the links.
+    pub fn error(&self, call: &Call, why: &str) -> TryError {
+        match self.connection {
+            ConnectionKind::None => {
+                links::on_unreachable(&call.node, self.replica, self.began_ms);
+                TryError {
+                    delivered: false,
+                    ..TryError::new("the connection didn't open", Verdict::NotRun, self.symptom)
+                }
+            }
+            ConnectionKind::New | ConnectionKind::Kept => {
+                links::suspect(&call.node, &call.service.name, self.began_ms);
+                TryError::new(why, Verdict::MayHaveRun, self.symptom)
+            }
+        }
+    }
+}
+
 /// Waits until this node has lost its links to the replicas of the service, and returns the resulting
 /// failure of an attempt that has no answer yet.
 pub(super) async fn links_lost(call: &Call, connection: &Cell<ConnectionKind>) -> TryError {
