Links that open connections and carry nothing are lost links

Cause: an opened connection counted as contact, so that each attempt cleared the evidence of those before.

Change: only an answer or a passed check is contact. A check asks an engine for its report; a plain replica, which can't be asked, passes if its connection opens and isn't reset within 20 ms. Engines that are limited or backing off are checked like plain replicas.

Why it works: what counts is what requests need, an answer. Plain replicas behind a silent proxy remain (forwarding.md).

--- a/crates/fleet/src/links/mod.rs
+++ b/crates/fleet/src/links/mod.rs
@@ -28,7 +28,7 @@
 struct ServiceLinks {
     /// The time of the last answer of a replica.
     answered_ms: Option<MonoMs>,
-    /// The time at which a replica last answered or accepted a connection.
+    /// The time at which a replica last answered a request or was reached by a check.
     contact_ms: Option<MonoMs>,
     /// The replicas that could not be reached since then, with the time of the failure.
     unreachable: Vec<(ReplicaKey, MonoMs)>,
@@ -58,8 +58,8 @@
         self.services.get_mut(service).expect("it was inserted")
     }
 
-    /// Records that a replica of `service` accepted a connection. Returns the time for which the links
-    /// were lost, if they were.
+    /// Records that a check reached a replica of `service`. Returns the time for which the links were lost,
+    /// if they were.
     pub fn on_contact(&mut self, service: &ServiceName, now_ms: MonoMs) -> Option<SpanMs> {
         let links = self.service(service);
         links.contact_ms = Some(now_ms);
@@ -74,9 +74,9 @@
         self.on_contact(service, now_ms)
     }
 
-    /// Records that no connection could be opened to a replica of `service`, which has `replicas`
-    /// replicas that accept work, by an attempt that began at `began_ms`. Returns true if the links are
-    /// lost from now on.
+    /// Records that an attempt or a check which began at `began_ms` could not reach a replica of
+    /// `service`, which has `replicas` replicas that accept work. Returns true if the links are lost from
+    /// now on.
     pub fn on_unreachable(
         &mut self,
         service: &ServiceName,
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -142,7 +142,6 @@
             chosen.connection.set(ConnectionKind::Kept);
         } else {
             chosen.connection.set(ConnectionKind::New);
-            links::on_contact(&call.node, &call.service.name);
         }
         let sent_ms = call.node.now_ms();
         let sending = link.send(request(call, chosen, last_event));
--- a/crates/front/src/links/mod.rs
+++ b/crates/front/src/links/mod.rs
@@ -10,6 +10,7 @@
 use crate::http::Freshness;
 use crate::journal::Event;
 use crate::node::Node;
+use crate::watch;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use futures_util::future::join_all;
@@ -31,6 +32,9 @@
 /// be tried at once.
 const RETRIED_SERVICES: usize = 4;
 
+/// The time after which a connection that opens is known not to be reset at once: two hops to a replica.
+const RESET_DELAY_MS: SpanMs = SpanMs(20);
+
 /// The state that the checks share.
 #[derive(Debug, Default)]
 pub struct LinkChecks {
@@ -46,8 +50,8 @@
     record_restored(node, service, lost_ms);
 }
 
-/// Records that a replica of `service` accepted a connection.
-pub fn on_contact(node: &Node, service: &ServiceName) {
+/// Records that a replica of `service` was reached by a check.
+fn on_contact(node: &Node, service: &ServiceName) {
     let now_ms = node.now_ms();
     let lost_ms = node.with(|state| state.links.on_contact(service, now_ms));
     record_restored(node, service, lost_ms);
@@ -87,22 +91,22 @@
     }
 }
 
-/// Opens a connection to one replica of a service and, if that fails, to as many others at once as are
-/// needed to decide.
+/// Checks one replica of a service and, if it can't be reached, as many others at once as are needed to
+/// decide.
 async fn check(node: Rc<Node>, service: ServiceName) {
-    let mut connections = 1;
+    let mut count = 1;
     loop {
         let now_ms = node.now_ms();
         let missing = node.with(|state| state.links.missing_evidence(&service, now_ms));
-        let replicas = unchecked(&node, &service, connections.min(missing));
+        let replicas = unchecked(&node, &service, count.min(missing));
         if replicas.is_empty() || node.with(|state| state.links.is_lost(&service)) {
             break;
         }
-        let opened = replicas.iter().map(|replica| open(&node, replica));
-        if join_all(opened).await.contains(&true) {
+        let reached = replicas.iter().map(|replica| reach(&node, replica));
+        if join_all(reached).await.contains(&true) {
             break;
         }
-        connections = missing;
+        count = missing;
     }
     node.with(|state| state.links.end_check(&service));
 }
@@ -126,18 +130,46 @@
     })
 }
 
-/// Opens a connection to a replica and keeps it. Returns false if the replica can't be reached.
-async fn open(node: &Rc<Node>, replica: &Replica) -> bool {
+/// Checks if a replica can be reached, and records the result.
+async fn reach(node: &Rc<Node>, replica: &Replica) -> bool {
     let began_ms = node.now_ms();
+    let is_reached = match may_probe(node, replica) {
+        true => watch::is_responding(node, replica.address, Freshness::New).await,
+        false => open(node, replica).await,
+    };
+    match is_reached {
+        true => on_contact(node, &replica.service),
+        false => on_unreachable(node, replica, began_ms),
+    }
+    is_reached
+}
+
+/// Returns true if a replica is an engine that may be probed: it has no limit and isn't backing off.
+fn may_probe(node: &Node, replica: &Replica) -> bool {
+    let key = replica.key();
+    let now_ms = node.now_ms();
+    node.with(|state| {
+        let config = state.config.as_ref();
+        let service = config.and_then(|config| config.service(&replica.service));
+        let is_engine = service.is_some_and(|service| service.engine.is_some());
+        let is_limited = state.limits.is_limited(key) || state.cold_limits.is_limited(key);
+        is_engine && !is_limited && !state.replica_backoffs.is_backing_off(key, now_ms)
+    })
+}
+
+/// Opens a connection to a replica that can't be probed, and keeps it if it isn't reset at once.
+async fn open(node: &Rc<Node>, replica: &Replica) -> bool {
     match node.pool.lease(replica.address, Freshness::New).await {
         Ok(link) => {
-            node.pool.give_back(link, None);
-            on_contact(node, &replica.service);
-            true
+            tokio::time::sleep(Duration::from(RESET_DELAY_MS)).await;
+            let is_usable = link.is_usable();
+            if is_usable {
+                node.pool.give_back(link, None);
+            }
+            is_usable
         }
         Err(error) => {
             log::debug!("replica {} can't be reached: {error}", replica.instance);
-            on_unreachable(node, replica, began_ms);
             false
         }
     }
@@ -148,7 +180,7 @@
     let mut others = ready(node, &replica.service);
     others.retain(|other| other.key() != replica.key());
     match others.choose(&mut rand::rng()) {
-        Some(other) => open(node, other).await,
+        Some(other) => reach(node, other).await,
         None => true,
     }
 }
@@ -204,15 +236,15 @@
     node.link_checks.is_retrying.set(false);
 }
 
-/// Opens a connection to one replica of each service. Returns true if one could be reached.
+/// Checks one replica of each service. Returns true if one could be reached.
 async fn reach_any(node: &Rc<Node>, services: &[ServiceName]) -> bool {
     let replicas = services.iter().filter_map(|service| {
         let replicas = ready(node, service);
         replicas.choose(&mut rand::rng()).cloned()
     });
     let replicas: Vec<Arc<Replica>> = replicas.collect();
-    let opened = replicas.iter().map(|replica| open(node, replica));
-    join_all(opened).await.contains(&true)
+    let reached = replicas.iter().map(|replica| reach(node, replica));
+    join_all(reached).await.contains(&true)
 }
 
 /// Waits until the links of a service are lost.
