Plain replicas are asked for their health when links are checked

What callers saw: first attempts at plain routes failed at nodes whose connections open and then stay silent: 0 of 50 served, the others 100 of 100.

Cause: a plain replica's check ended with the opened connection, which such links allow.

Change: the check asks for the health path that the configuration names for the service; any answer within 400 ms passes. Without a path the opened connection decides as before.

--- a/crates/fleet/src/serving/mod.rs
+++ b/crates/fleet/src/serving/mod.rs
@@ -79,6 +79,8 @@
     /// The highest number of connections that one replica accepts from all callers together. Nodes don't
     /// enforce it.
     pub max_connections: u32,
+    /// The path at which a replica answers a request for its health; `None` if it has none.
+    pub health_path: Option<Arc<str>>,
     /// The figures of its engines; `None` for a plain service.
     pub engine: Option<EngineSpec>,
     /// The bounds of replicas that are cold; `None` if they bear as much as others.
--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -186,7 +186,7 @@
 /// over; its response doesn't count.
 async fn is_alive(node: &Rc<Node>, engine: &Replica) -> bool {
     let is_replaced = node.with(|state| state.replicas.is_address_reused(engine));
-    !is_replaced && watch::is_responding(node, engine.address, Freshness::Kept).await
+    !is_replaced && watch::is_responding(node, engine.address).await
 }
 
 /// Orders an engine to release a reservation.
--- a/crates/front/src/links/mod.rs
+++ b/crates/front/src/links/mod.rs
@@ -10,12 +10,16 @@
 use crate::http::Freshness;
 use crate::journal::Event;
 use crate::node::Node;
-use crate::watch;
+use crate::{limits, signals};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
+use bytes::Bytes as Buffer;
 use futures_util::future::join_all;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
 use rand::seq::{IndexedRandom, SliceRandom};
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -32,6 +36,12 @@
 /// be tried at once.
 const RETRIED_SERVICES: usize = 4;
 
+/// The time within which a replica must answer a probe. A sound one takes a few ms.
+const PROBE_TIMEOUT_MS: SpanMs = SpanMs(400);
+
+/// The maximum size of the answer to a probe, in bytes.
+const MAX_PROBE_BYTES: usize = 64 * 1024;
+
 /// The time after which a connection that opens is known not to be reset at once: two hops to a replica.
 const RESET_DELAY_MS: SpanMs = SpanMs(20);
 
@@ -133,9 +143,13 @@
 /// Checks if a replica can be reached, and records the result.
 async fn reach(node: &Rc<Node>, replica: &Replica) -> bool {
     let began_ms = node.now_ms();
-    let is_reached = match may_probe(node, replica) {
-        true => watch::is_responding(node, replica.address, Freshness::New).await,
-        false => open(node, replica).await,
+    let is_reached = match probe_request(node, replica) {
+        Some(request) => {
+            let answered = answers(node, replica.address, request);
+            let answered = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), answered);
+            answered.await.unwrap_or(false)
+        }
+        None => open(node, replica).await,
     };
     match is_reached {
         true => on_contact(node, &replica.service),
@@ -144,19 +158,50 @@
     is_reached
 }
 
-/// Returns true if a replica is an engine that may be probed: it has no limit and isn't backing off.
-fn may_probe(node: &Node, replica: &Replica) -> bool {
+/// Returns the request that a replica answers without work: for an engine its report, for a plain replica
+/// its health. `None` if it has none, if it has a limit or if it is backing off.
+fn probe_request(node: &Node, replica: &Replica) -> Option<Request<Full<Buffer>>> {
     let key = replica.key();
     let now_ms = node.now_ms();
+    let dialect = &node.platform.dialect;
+    let address = replica.address;
     node.with(|state| {
-        let config = state.config.as_ref();
-        let service = config.and_then(|config| config.service(&replica.service));
-        let is_engine = service.is_some_and(|service| service.engine.is_some());
         let is_limited = state.limits.is_limited(key) || state.cold_limits.is_limited(key);
-        is_engine && !is_limited && !state.replica_backoffs.is_backing_off(key, now_ms)
+        if is_limited || state.replica_backoffs.is_backing_off(key, now_ms) {
+            return None;
+        }
+        let service = state.config.as_ref()?.service(&replica.service)?;
+        if service.engine.is_some() {
+            return Some(dialect.report_request(address));
+        }
+        dialect.health_request(address, service.health_path.as_ref()?)
     })
 }
 
+/// Sends a probe on a new connection. Returns true if it is answered, whatever the answer.
+async fn answers(node: &Rc<Node>, address: SocketAddr, request: Request<Full<Buffer>>) -> bool {
+    let Ok(mut link) = node.pool.lease(address, Freshness::New).await else {
+        return false;
+    };
+    limits::on_sent_to_address(node, address);
+    let sent_ms = node.now_ms();
+    let Ok(answer) = link.send(request).await else {
+        return false;
+    };
+    let status = answer.status();
+    let dialect = &node.platform.dialect;
+    let answered = dialect.signals(status.as_u16(), answer.headers());
+    // A refusal without a limit doesn't end one: another replica may have the address now.
+    if status.is_success() || answered.limit != LimitSignal::Absent {
+        signals::on_answer_at(node, address, &answered, Source::Probe, sent_ms);
+    }
+    let body = Limited::new(answer.into_body(), MAX_PROBE_BYTES);
+    if body.collect().await.is_ok() {
+        node.pool.give_back(link, None);
+    }
+    true
+}
+
 /// Opens a connection to a replica that can't be probed, and keeps it if it isn't reset at once.
 async fn open(node: &Rc<Node>, replica: &Replica) -> bool {
     match node.pool.lease(replica.address, Freshness::New).await {
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -71,25 +71,20 @@
     })
 }
 
-/// Returns true if an engine answers a probe in time, on a connection that `freshness` allows.
-pub async fn is_responding(node: &Rc<Node>, address: SocketAddr, freshness: Freshness) -> bool {
-    report(node, address, freshness).await.is_some()
+/// Returns true if an engine answers a probe in time.
+pub async fn is_responding(node: &Rc<Node>, address: SocketAddr) -> bool {
+    report(node, address).await.is_some()
 }
 
 /// Requests an engine's report. Returns `None` if no readable answer arrives in time.
-async fn report(
-    node: &Rc<Node>,
-    address: SocketAddr,
-    freshness: Freshness,
-) -> Option<EngineReport> {
-    let read = read(node, address, freshness);
-    let read = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), read);
+async fn report(node: &Rc<Node>, address: SocketAddr) -> Option<EngineReport> {
+    let read = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), read(node, address));
     read.await.ok().flatten()
 }
 
 /// Probes one engine, and records and gossips its pace.
 async fn probe(node: Rc<Node>, key: ReplicaKey, address: SocketAddr) {
-    let Some(report) = report(&node, address, Freshness::Kept).await else {
+    let Some(report) = report(&node, address).await else {
         return;
     };
     let now_ms = node.now_ms();
@@ -107,8 +102,8 @@
 
 /// Requests an engine's report, and handles the signals in the answer's head. Returns `None` on any
 /// error.
-async fn read(node: &Rc<Node>, address: SocketAddr, freshness: Freshness) -> Option<EngineReport> {
-    let mut link = node.pool.lease(address, freshness).await.ok()?;
+async fn read(node: &Rc<Node>, address: SocketAddr) -> Option<EngineReport> {
+    let mut link = node.pool.lease(address, Freshness::Kept).await.ok()?;
     let request = node.platform.dialect.report_request(address);
     limits::on_sent_to_address(node, address);
     let sent_ms = node.now_ms();
