Replicas that may not be asked now neither hide nor show a cut

What callers saw: while a replica of a small service was backing off or limited, nodes that were cut off kept sending to the others: 17 and 19 of 50 first attempts served in the test, the other nodes all.

Cause: such a replica can't be probed, so that its opened connection passed the check, and a service of two never had two unreachable replicas.

Change: a replica is checked only while this node may send it something, by its limits' shares and its backoff; otherwise it is no evidence, and the number of unreachable replicas that decides is that of those that can be checked.

--- a/crates/fleet/src/links/mod.rs
+++ b/crates/fleet/src/links/mod.rs
@@ -75,7 +75,7 @@
     }
 
     /// Records that an attempt or a check which began at `began_ms` could not reach a replica of
-    /// `service`, which has `replicas` replicas that accept work. Returns true if the links are lost from
+    /// `service`, of which `replicas` replicas can be checked. Returns true if the links are lost from
     /// now on.
     pub fn on_unreachable(
         &mut self,
--- a/crates/front/src/links/mod.rs
+++ b/crates/front/src/links/mod.rs
@@ -81,8 +81,11 @@
 pub fn on_unreachable(node: &Rc<Node>, replica: &Replica, began_ms: MonoMs) {
     let now_ms = node.now_ms();
     let service = &replica.service;
+    // A replica that may not be sent anything can't be evidence.
+    let mut replicas = checkable(node, service);
+    replicas.retain(|other| other.key() != replica.key());
+    let replicas = replicas.len() + 1;
     let is_lost = node.with(|state| {
-        let replicas = state.replicas.ready(service).len();
         state
             .links
             .on_unreachable(service, replica.key(), began_ms, replicas, now_ms)
@@ -123,7 +126,7 @@
 
 /// Draws up to `count` replicas of a service that aren't known to be unreachable.
 fn unchecked(node: &Node, service: &ServiceName, count: usize) -> Vec<Arc<Replica>> {
-    let mut replicas = ready(node, service);
+    let mut replicas = checkable(node, service);
     node.with(|state| {
         replicas.retain(|replica| !state.links.is_unreachable(service, replica.key()));
     });
@@ -140,16 +143,25 @@
     })
 }
 
+/// Returns the replicas of a service that accept work and that this node may send something to now.
+fn checkable(node: &Node, service: &ServiceName) -> Vec<Arc<Replica>> {
+    limits::update_shares(node);
+    let mut replicas = ready(node, service);
+    replicas.retain(|replica| probe_of(node, replica).is_some());
+    replicas
+}
+
 /// Checks if a replica can be reached, and records the result.
 async fn reach(node: &Rc<Node>, replica: &Replica) -> bool {
     let began_ms = node.now_ms();
-    let is_reached = match probe_request(node, replica) {
-        Some(request) => {
-            let answered = answers(node, replica.address, request);
+    let is_reached = match probe_of(node, replica) {
+        Some(Probe::Request(request)) => {
+            let answered = answers(node, replica.address, *request);
             let answered = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), answered);
             answered.await.unwrap_or(false)
         }
-        None => open(node, replica).await,
+        Some(Probe::Connection) => open(node, replica).await,
+        None => return false,
     };
     match is_reached {
         true => on_contact(node, &replica.service),
@@ -158,23 +170,37 @@
     is_reached
 }
 
-/// Returns the request that a replica answers without work: for an engine its report, for a plain replica
-/// its health. `None` if it has none, if it has a limit or if it is backing off.
-fn probe_request(node: &Node, replica: &Replica) -> Option<Request<Full<Buffer>>> {
+/// The way in which a replica is checked.
+enum Probe {
+    /// A request that the replica answers without work: for an engine its report, for a plain replica its
+    /// health.
+    Request(Box<Request<Full<Buffer>>>),
+    /// The replica answers no such request, so that a connection must do.
+    Connection,
+}
+
+/// Returns the way to check a replica, or `None` while this node may not send it anything.
+fn probe_of(node: &Node, replica: &Replica) -> Option<Probe> {
     let key = replica.key();
     let now_ms = node.now_ms();
     let dialect = &node.platform.dialect;
     let address = replica.address;
     node.with(|state| {
-        let is_limited = state.limits.is_limited(key) || state.cold_limits.is_limited(key);
+        let is_limited = [&state.limits, &state.cold_limits]
+            .iter()
+            .any(|limits| limits.admission(key, now_ms) != Admission::Now);
         if is_limited || state.replica_backoffs.is_backing_off(key, now_ms) {
             return None;
         }
-        let service = state.config.as_ref()?.service(&replica.service)?;
-        if service.engine.is_some() {
-            return Some(dialect.report_request(address));
-        }
-        dialect.health_request(address, service.health_path.as_ref()?)
+        let config = state.config.as_ref();
+        let service = config.and_then(|config| config.service(&replica.service));
+        let request = service.and_then(|service| match &service.engine {
+            Some(_) => Some(dialect.report_request(address)),
+            None => dialect.health_request(address, service.health_path.as_ref()?),
+        });
+        Some(request.map_or(Probe::Connection, |request| {
+            Probe::Request(Box::new(request))
+        }))
     })
 }
 
@@ -222,7 +248,7 @@
 
 /// Returns false if no other replica of the same service can be reached than this one, which can't either.
 pub async fn are_sound(node: &Rc<Node>, replica: &Replica) -> bool {
-    let mut others = ready(node, &replica.service);
+    let mut others = checkable(node, &replica.service);
     others.retain(|other| other.key() != replica.key());
     match others.choose(&mut rand::rng()) {
         Some(other) => reach(node, other).await,
@@ -284,7 +310,7 @@
 /// Checks one replica of each service. Returns true if one could be reached.
 async fn reach_any(node: &Rc<Node>, services: &[ServiceName]) -> bool {
     let replicas = services.iter().filter_map(|service| {
-        let replicas = ready(node, service);
+        let replicas = checkable(node, service);
         replicas.choose(&mut rand::rng()).cloned()
     });
     let replicas: Vec<Arc<Replica>> = replicas.collect();
