Links, admission: plainer code after reading the diff

Whether a replica may be sent something is asked apart from building the probe, so that no request is built for each replica of a fleet; the two admissions share the answer to a malformed head; a peer that lacks what a forwarded request needs says that it can't serve it, so that another is asked. cut_off, limits and path pass (14, 7, 24).

--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -4,7 +4,7 @@
 use super::{Call, ForwardedCall};
 use crate::forward::HopHead;
 use crate::node::Node;
-use crate::platform::CallHead;
+use crate::platform::{CallHead, CallHeadError};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bytes::Bytes as Buffer;
@@ -105,18 +105,18 @@
     }
 }
 
+/// Returns the answer to a request whose head can't be parsed.
+fn malformed_head(node: &Node, error: CallHeadError) -> Answer {
+    let status = StatusCode::BAD_REQUEST;
+    answers::rejected(node, &"".into(), status, &error.to_string())
+}
+
 /// Admits a request, or returns the answer that refuses or rejects it.
 pub async fn admit(node: Rc<Node>, request: Request<Incoming>) -> Result<Call, Answer> {
     let arrived_ms = node.now_ms();
     let (parts, body) = request.into_parts();
-    let head = match node.platform.dialect.call_head(&parts.headers) {
-        Ok(head) => head,
-        Err(error) => {
-            let status = StatusCode::BAD_REQUEST;
-            let why = error.to_string();
-            return Err(answers::rejected(&node, &"".into(), status, &why));
-        }
-    };
+    let head = node.platform.dialect.call_head(&parts.headers);
+    let head = head.map_err(|error| malformed_head(&node, error))?;
     wait_until_informed(&node, &head).await;
     let admitted = match look_up_current(&node, &head, &parts).await {
         Ok(admitted) => admitted,
@@ -151,14 +151,8 @@
 ) -> Result<Call, Answer> {
     let now_ms = node.now_ms();
     let (parts, body) = request.into_parts();
-    let head = match node.platform.dialect.call_head(&parts.headers) {
-        Ok(head) => head,
-        Err(error) => {
-            let status = StatusCode::BAD_REQUEST;
-            let why = error.to_string();
-            return Err(answers::rejected(&node, &"".into(), status, &why));
-        }
-    };
+    let head = node.platform.dialect.call_head(&parts.headers);
+    let head = head.map_err(|error| malformed_head(&node, error))?;
     let deadline_ms = now_ms + hop.left_ms;
     let unavailable = |why| answers::unavailable(&node, &head, why);
     if !node.is_initialized() || node.config_version() < Some(hop.version) {
@@ -176,6 +170,7 @@
     };
     let admitted = match look_up(&node, &head, &parts) {
         Ok(admitted) => admitted,
+        Err(LookupError::NotReady(why)) => return Err(unavailable(why)),
         Err(error) => return Err(error.answer(&node, &head)),
     };
     if node.with(|state| state.links.is_lost(&admitted.service.name)) {
--- a/crates/front/src/links/mod.rs
+++ b/crates/front/src/links/mod.rs
@@ -147,21 +147,20 @@
 fn checkable(node: &Node, service: &ServiceName) -> Vec<Arc<Replica>> {
     limits::update_shares(node);
     let mut replicas = ready(node, service);
-    replicas.retain(|replica| probe_of(node, replica).is_some());
+    replicas.retain(|replica| may_send(node, replica));
     replicas
 }
 
 /// Checks if a replica can be reached, and records the result.
 async fn reach(node: &Rc<Node>, replica: &Replica) -> bool {
     let began_ms = node.now_ms();
-    let is_reached = match probe_of(node, replica) {
-        Some(Probe::Request(request)) => {
-            let answered = answers(node, replica.address, *request);
+    let is_reached = match probe_request(node, replica) {
+        Some(request) => {
+            let answered = answers(node, replica.address, request);
             let answered = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), answered);
             answered.await.unwrap_or(false)
         }
-        Some(Probe::Connection) => open(node, replica).await,
-        None => return false,
+        None => open(node, replica).await,
     };
     match is_reached {
         true => on_contact(node, &replica.service),
@@ -170,40 +169,30 @@
     is_reached
 }
 
-/// The way in which a replica is checked.
-enum Probe {
-    /// A request that the replica answers without work: for an engine its report, for a plain replica its
-    /// health.
-    Request(Box<Request<Full<Buffer>>>),
-    /// The replica answers no such request, so that a connection must do.
-    Connection,
-}
-
-/// Returns the way to check a replica, or `None` while this node may not send it anything.
-fn probe_of(node: &Node, replica: &Replica) -> Option<Probe> {
+/// Returns true if this node may send a replica something now: it isn't backing off, and its limits leave room.
+fn may_send(node: &Node, replica: &Replica) -> bool {
     let key = replica.key();
     let now_ms = node.now_ms();
-    let dialect = &node.platform.dialect;
-    let address = replica.address;
     node.with(|state| {
-        let is_limited = [&state.limits, &state.cold_limits]
-            .iter()
-            .any(|limits| limits.admission(key, now_ms) != Admission::Now);
-        if is_limited || state.replica_backoffs.is_backing_off(key, now_ms) {
-            return None;
-        }
-        let config = state.config.as_ref();
-        let service = config.and_then(|config| config.service(&replica.service));
-        let request = service.and_then(|service| match &service.engine {
-            Some(_) => Some(dialect.report_request(address)),
-            None => dialect.health_request(address, service.health_path.as_ref()?),
-        });
-        Some(request.map_or(Probe::Connection, |request| {
-            Probe::Request(Box::new(request))
-        }))
+        let admits = |limits: &Limits| limits.admission(key, now_ms) == Admission::Now;
+        admits(&state.limits)
+            && admits(&state.cold_limits)
+            && !state.replica_backoffs.is_backing_off(key, now_ms)
     })
 }
 
+/// Returns the request that a replica answers without work: for an engine its report, for a plain replica
+/// its health. `None` if it has none.
+fn probe_request(node: &Node, replica: &Replica) -> Option<Request<Full<Buffer>>> {
+    let dialect = &node.platform.dialect;
+    let config = node.with(|state| state.config.clone())?;
+    let service = config.service(&replica.service)?;
+    match &service.engine {
+        Some(_) => Some(dialect.report_request(replica.address)),
+        None => dialect.health_request(replica.address, service.health_path.as_ref()?),
+    }
+}
+
 /// Sends a probe on a new connection. Returns true if it is answered, whatever the answer.
 async fn answers(node: &Rc<Node>, address: SocketAddr, request: Request<Full<Buffer>>) -> bool {
     let Ok(mut link) = node.pool.lease(address, Freshness::New).await else {
