Crashes under a request are logged with the parts of its prompt

The logs could not tell engines that crash by themselves from engines that crash under what their requests have in common, and nothing named what that is.

--- a/crates/front/src/call/fatal.rs
+++ b/crates/front/src/call/fatal.rs
@@ -26,6 +26,8 @@
     pub evidence: Evidence,
     /// True if the replica is known to have crashed.
     pub crashed: bool,
+    /// The time from the first to the last event of the answer, or `None` if no event arrived.
+    pub writing_ms: Option<SpanMs>,
 }
 
 impl Disconnect {
@@ -34,6 +36,7 @@
         Self {
             evidence,
             crashed: false,
+            writing_ms: None,
         }
     }
 
@@ -42,6 +45,7 @@
         Self {
             evidence,
             crashed: true,
+            writing_ms: None,
         }
     }
 }
@@ -69,8 +73,10 @@
     let crash = ObservedCrash {
         request: call.head.request.clone(),
         digest: call.digest(),
+        parts: call.head.parts.clone(),
         replica: chosen.replica.clone(),
         evidence: disconnect.evidence,
+        writing_ms: disconnect.writing_ms,
         at_ms: node.now_ms(),
     };
     if disconnect.crashed {
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -77,6 +77,8 @@
     last_id: Option<Arc<str>>,
     /// The time from the request's arrival to its first event.
     first_ms: SpanMs,
+    /// The time of the first event from the current server.
+    began_ms: MonoMs,
     last_event_ms: MonoMs,
     longest_pause_ms: SpanMs,
 }
@@ -93,6 +95,7 @@
         let (out, pieces) = mpsc::channel(MAX_QUEUED_BATCHES);
         let pump = Self {
             first_ms: call.age_ms(),
+            began_ms: call.node.now_ms(),
             last_event_ms: call.node.now_ms(),
             longest_pause_ms: SpanMs::ZERO,
             call,
@@ -126,6 +129,7 @@
                 SourceEnd::CallerGone => return self.record_cancelled(),
                 SourceEnd::Broken(error) => {
                     drop(source);
+                    let error = error.after_writing(self.last_event_ms.since(self.began_ms));
                     self.server.on_failed(&self.call, self.tries, &error).await;
                     match self.resume(error).await {
                         Some(next) => source = next,
@@ -264,6 +268,7 @@
             match started {
                 Resumed::Started(started) => {
                     let StartedStream { source, first, .. } = *started;
+                    self.began_ms = self.call.node.now_ms();
                     return self.forward(first).await.then_some(source);
                 }
                 Resumed::Failed(failed) => error = failed,
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -88,6 +88,14 @@
             ..self
         }
     }
+
+    /// Returns the error of an answer whose events arrived during `writing_ms`.
+    pub fn after_writing(mut self, writing_ms: SpanMs) -> Self {
+        if let Some(disconnect) = &mut self.disconnect {
+            disconnect.writing_ms = Some(writing_ms);
+        }
+        self
+    }
 }
 
 /// Waits until the replica of an attempt has restarted, and returns the resulting failure.
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -253,6 +253,11 @@
         digest: RequestDigest,
         /// The state of the request on the replica.
         evidence: Evidence,
+        /// The parts of the prompt that other requests may share.
+        parts: Vec<PartId>,
+        /// The time from the first to the last event of the answer on this replica, or `None` if no event
+        /// arrived.
+        writing_ms: Option<SpanMs>,
     },
     /// A request was put into quarantine and is no longer run, since the replicas that ran it crashed.
     RequestQuarantined {
--- a/crates/front/src/platform/mod.rs
+++ b/crates/front/src/platform/mod.rs
@@ -115,6 +115,8 @@
     pub prompt_tokens: Option<Tokens>,
     /// The largest number of tokens in the answer; 0 if the request has no prompt.
     pub answer_tokens: Tokens,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Vec<PartId>,
 }
 
 /// The error of a caller's head that can't be parsed.
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -66,10 +66,15 @@
     pub request: Arc<str>,
     /// The digest of the request.
     pub digest: RequestDigest,
+    /// The parts of the prompt that other requests may share.
+    pub parts: Vec<PartId>,
     /// The replica that crashed.
     pub replica: Arc<Replica>,
     /// The evidence of what the request did on the replica.
     pub evidence: Evidence,
+    /// The time from the first to the last event of the answer on this replica, or `None` if no event
+    /// arrived.
+    pub writing_ms: Option<SpanMs>,
     /// The time at which the connection broke, which may be seconds before that is known to be a
     /// crash.
     pub at_ms: MonoMs,
@@ -80,8 +85,10 @@
     let ObservedCrash {
         request,
         digest,
+        parts,
         replica,
         evidence,
+        writing_ms,
         at_ms,
     } = crash;
     let run = ServerRun(replica.key().0);
@@ -97,6 +104,8 @@
         request,
         digest,
         evidence,
+        parts,
+        writing_ms,
     });
     on_change(node, digest, change, QuarantineCause::Judged);
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod digest;
 pub mod evidence;
 pub mod notice;
+pub mod part;
 mod record;
 pub mod review;
 pub mod table;
@@ -35,5 +36,6 @@
     pub use crate::digest::{RequestDigest, RequestParts};
     pub use crate::evidence::{Evidence, ServerRun};
     pub use crate::notice::QuarantineNotice;
+    pub use crate::part::PartId;
     pub use crate::table::{Quarantine, QuarantineChange, QuarantineStatus, Term};
 }
