A prompt part that crashes replicas is quarantined

What callers saw: requests of one kind crashed one engine after the other, 69 to 100 in each of two waves, and each crash cost up to sixteen other callers their answer or seconds of it.

Cause: crashes were counted by whole request (account, path, body). The fault lies in one part of the prompt, which no two of its requests shared more than, so each request had only the crashes of its own attempts.

Change: crashes are counted by shared part as well, of requests that had been written for less than 300 ms. A part is refused after three crashes (five, if it was ever served) that only several requests explain, that no answer on the part followed, and beside which other prompts were served. Crashes that a part explains don't count against whole requests, and the other way round. The records of both kinds share one table.

Why it works: sound parts are cleared within a second by answers that begin after a crash; the fatal part never is.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -88,15 +88,15 @@
     pub files: Vec<String>,
 }
 
-/// Show the requests that are run no more, since each replica that ran them ended, on a node of the
-/// users' platform; or let one out, at all nodes.
+/// Show the requests and the parts of prompts that are run no more, since each replica that ran them
+/// ended, on a node of the users' platform; or let one out, at all nodes.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "quarantine")]
 pub struct Quarantine {
     /// where a node serves metrics, ip:port
     #[argh(option)]
     pub at: String,
-    /// the digest of the request to let out
+    /// the digest of the request, or the part (part-ID), to let out
     #[argh(option)]
     pub lift: Option<String>,
 }
--- a/crates/ctl/src/commands/quarantine.rs
+++ b/crates/ctl/src/commands/quarantine.rs
@@ -12,7 +12,7 @@
 /// The timeout of a call. A node answers from memory.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Lists the requests in quarantine, or lets one out.
+/// Lists the requests and parts of prompts in quarantine, or lets one out.
 pub fn run(args: &Quarantine, json: bool) -> Result<(), CommandError> {
     let address = args.at.parse::<SocketAddr>();
     let address = address.map_err(|_| {
@@ -21,7 +21,7 @@
     match &args.lift {
         None => list(address, json),
         Some(digest) => {
-            let digest = digest.parse::<RequestDigest>();
+            let digest = digest.parse::<QuarantineSubject>();
             lift(
                 address,
                 digest.map_err(|error| CommandError::usage(format!("--lift: {error}")))?,
@@ -48,7 +48,7 @@
     Ok(())
 }
 
-fn lift(address: SocketAddr, digest: RequestDigest) -> Result<(), CommandError> {
+fn lift(address: SocketAddr, digest: QuarantineSubject) -> Result<(), CommandError> {
     let path = format!("/{digest}");
     call(agent(CALL_TIMEOUT).delete(url(address, &path)).call())?;
     print_line("let out: all nodes run it again")
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -186,6 +186,14 @@
         /// The time after which the request may be tried again.
         retry_after_ms: SpanMs,
     },
+    /// Each replica that began to answer a prompt with one of its parts has crashed.
+    #[error("each replica that began to answer a prompt with its part {part:x} has ended")]
+    PartQuarantined {
+        /// The id of the part.
+        part: u128,
+        /// The time after which the part may be tried again.
+        retry_after_ms: SpanMs,
+    },
     /// Serving the request would cost others more than it gains.
     #[error("the engines are full: the best place costs {cost_pct} % of what it gains")]
     Overloaded {
--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -223,6 +223,7 @@
             arrived_ms: self.arrived_ms,
             deadline_ms: self.deadline_ms,
             is_trial: Cell::new(false),
+            is_part_trial: Cell::new(false),
             digest: OnceCell::new(),
         }
     }
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -115,7 +115,8 @@
         | Refusal::Unreachable { .. }
         | Refusal::Evacuated { .. }
         | Refusal::TooLong
-        | Refusal::Quarantined { .. } => false,
+        | Refusal::Quarantined { .. }
+        | Refusal::PartQuarantined { .. } => false,
     }
 }
 
--- a/crates/front/src/call/fatal.rs
+++ b/crates/front/src/call/fatal.rs
@@ -69,6 +69,8 @@
     let Some(disconnect) = error.disconnect else {
         return;
     };
+    // A part in quarantine is sent once in a trial, whatever is known of the replica by now.
+    call.is_part_trial.set(false);
     let node = call.node.clone();
     let crash = ObservedCrash {
         request: call.head.request.clone(),
@@ -106,8 +108,18 @@
     }
 }
 
-/// Records that a request was served completely.
-pub(super) fn on_served(call: &Call) {
+/// Records that an answer that began at `began_ms` has been written for long enough that its parts don't
+/// crash replicas.
+pub(super) fn on_established(call: &Call, began_ms: MonoMs) {
+    let streams = matches!(call.route.kind, RouteKind::Stream { .. });
+    if streams || !call.head.parts.is_empty() {
+        quarantine::on_parts_served(&call.node, &call.head.parts, began_ms);
+    }
+}
+
+/// Records that a request was served completely by an answer that began at `began_ms`.
+pub(super) fn on_served(call: &Call, began_ms: MonoMs) {
+    on_established(call, began_ms);
     if may_be_recorded(call) {
         quarantine::on_served(&call.node, call.digest());
     }
@@ -119,8 +131,38 @@
         .with(|state| state.quarantine.may_contain(&call.body))
 }
 
-/// Returns the refusal of a quarantined request, or `None` if the request may run.
+/// Returns the refusal of a request that is in quarantine, or whose prompt has a part that is, or `None` if
+/// the request may run.
 pub(super) fn refusal(call: &Call) -> Option<Refusal> {
+    part_refusal(call).or_else(|| request_refusal(call))
+}
+
+/// Returns the refusal of a request whose prompt has a part in quarantine.
+fn part_refusal(call: &Call) -> Option<Refusal> {
+    if call.is_part_trial.get() {
+        return None;
+    }
+    let node = &call.node;
+    let now_ms = node.now_ms();
+    let parts = &call.head.parts;
+    let quarantined = node.with(|state| state.parts.quarantined_of(parts, now_ms));
+    let (part, review_in_ms) = quarantined.iter().max_by_key(|(_, review_ms)| *review_ms)?;
+    if *review_in_ms == SpanMs::ZERO {
+        let mut parts = quarantined.iter().map(|(part, _)| *part);
+        let is_trial = parts.all(|part| quarantine::begin_part_trial(node, part));
+        call.is_part_trial.set(is_trial);
+        if is_trial {
+            return None;
+        }
+    }
+    Some(Refusal::PartQuarantined {
+        part: part.id(),
+        retry_after_ms: (*review_in_ms).max(MIN_QUARANTINE_RETRY_MS),
+    })
+}
+
+/// Returns the refusal of a request that is in quarantine.
+fn request_refusal(call: &Call) -> Option<Refusal> {
     if !may_be_recorded(call) {
         return None;
     }
@@ -147,7 +189,7 @@
         return true;
     }
     let node = &call.node;
-    if !quarantine::is_reviewer(node, digest) {
+    if !quarantine::is_reviewer(node, &(*digest).into()) {
         return false;
     }
     let now_ms = node.now_ms();
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -69,6 +69,8 @@
     pub deadline_ms: MonoMs,
     /// True if a quarantined request runs as a trial, to find out if it still crashes its replica.
     is_trial: Cell<bool>,
+    /// True if the next attempt is the trial of the quarantined parts of its prompt.
+    is_part_trial: Cell<bool>,
     /// The request's digest, computed on first use.
     digest: OnceCell<RequestDigest>,
 }
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -163,7 +163,7 @@
         record_symptom(call, chosen.key, symptom, status.as_str(), chosen.began_ms);
     }
     if whole.reply.status().is_success() {
-        fatal::on_served(call);
+        fatal::on_served(call, chosen.began_ms);
     }
     record_answered(call, whole.reply.status(), attempts);
     whole.into_answer(call, attempts)
@@ -191,7 +191,8 @@
         | Refusal::Limited { retry_after_ms, .. }
         | Refusal::Unreachable { retry_after_ms }
         | Refusal::Evacuated { retry_after_ms }
-        | Refusal::Quarantined { retry_after_ms } => *retry_after_ms,
+        | Refusal::Quarantined { retry_after_ms }
+        | Refusal::PartQuarantined { retry_after_ms, .. } => *retry_after_ms,
         Refusal::NoReplica | Refusal::TooLong => NO_REPLICA_RETRY_MS,
     };
     let why = refusal.to_string();
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -17,6 +17,7 @@
 use crate::http::Link;
 use crate::journal::Event;
 use crate::links;
+use crate::quarantine::ESTABLISHED_MS;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::silence;
@@ -79,6 +80,8 @@
     first_ms: SpanMs,
     /// The time of the first event from the current server.
     began_ms: MonoMs,
+    /// True once the current server has written for [`ESTABLISHED_MS`].
+    is_established: bool,
     last_event_ms: MonoMs,
     longest_pause_ms: SpanMs,
 }
@@ -96,6 +99,7 @@
         let pump = Self {
             first_ms: call.age_ms(),
             began_ms: call.node.now_ms(),
+            is_established: false,
             last_event_ms: call.node.now_ms(),
             longest_pause_ms: SpanMs::ZERO,
             call,
@@ -117,7 +121,7 @@
             match self.forward_until_end(&mut source).await {
                 SourceEnd::Complete => {
                     self.record_answered(200);
-                    fatal::on_served(&self.call);
+                    fatal::on_served(&self.call, self.began_ms);
                     let EventSource {
                         link,
                         keep_alive_ms,
@@ -230,6 +234,10 @@
         let pause_ms = now_ms.since(self.last_event_ms);
         self.last_event_ms = now_ms;
         self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        if !self.is_established && now_ms.since(self.began_ms) >= ESTABLISHED_MS {
+            self.is_established = true;
+            fatal::on_established(&self.call, self.began_ms);
+        }
         let stage = self.stage();
         self.server.set_stage(stage);
         if events.last_id.is_some() {
@@ -269,6 +277,8 @@
                 Resumed::Started(started) => {
                     let StartedStream { source, first, .. } = *started;
                     self.began_ms = self.call.node.now_ms();
+                    self.is_established = false;
+                    self.last_event_ms = self.began_ms;
                     return self.forward(first).await.then_some(source);
                 }
                 Resumed::Failed(failed) => error = failed,
--- a/crates/front/src/copies/state.rs
+++ b/crates/front/src/copies/state.rs
@@ -35,6 +35,9 @@
     peers: Vec<Origin>,
     quarantine: Vec<QuarantineNotice>,
     evacuations: Vec<EvacuationEntry>,
+    /// Encoded after all other fields, as states of earlier releases end there.
+    #[serde(skip)]
+    parts: Vec<PartNotice>,
 }
 
 impl NodeState {
@@ -56,17 +59,21 @@
             peers,
             quarantine: state.quarantine.quarantine_notices(now_ms, || true),
             evacuations: state.replicas.evacuations.entries(),
+            parts: state.parts.quarantine_notices(now_ms, || true),
         })
     }
 
     /// Encodes the state.
     pub(super) fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("postcard can encode a state")
+        postcard::to_allocvec(&(self, &self.parts)).expect("postcard can encode a state")
     }
 
     /// Decodes a state. Returns `None` if it is malformed or has another format version.
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        let state: Self = postcard::from_bytes(bytes).ok()?;
+        let (mut state, rest): (Self, _) = postcard::take_from_bytes(bytes).ok()?;
+        if !rest.is_empty() {
+            state.parts = postcard::from_bytes(rest).ok()?;
+        }
         (state.format == FORMAT).then_some(state)
     }
 
@@ -81,6 +88,9 @@
         for notice in self.quarantine {
             quarantine::on_notified(node, notice);
         }
+        for notice in self.parts {
+            quarantine::on_part_notified(node, notice);
+        }
         for entry in &self.evacuations {
             watch::on_notified_evacuation(node, entry);
         }
--- a/crates/front/src/gossip/outbox.rs
+++ b/crates/front/src/gossip/outbox.rs
@@ -112,6 +112,11 @@
         self.push(Gossip::Request(notice));
     }
 
+    /// Queues a notice about a part of prompts that may be fatal to replicas.
+    pub fn part(&self, notice: PartNotice) {
+        self.push(Gossip::Part(notice));
+    }
+
     /// Queues a notice of the request rate limit that a replica set, or of its end.
     pub fn limit(&self, notice: LimitNotice) {
         self.push(Gossip::Limit(notice.into()));
--- a/crates/front/src/gossip/receive.rs
+++ b/crates/front/src/gossip/receive.rs
@@ -83,6 +83,7 @@
         }
         Gossip::Replicas(notice) => node.directory_watch.on_peer_replicas(node, notice.into()),
         Gossip::Request(notice) => quarantine::on_notified(node, notice),
+        Gossip::Part(notice) => quarantine::on_part_notified(node, notice),
         Gossip::Era(era) => watch::on_notified_era(node, era),
         Gossip::Limit(notice) => limits::on_notified(node, &notice.into()),
         Gossip::DirectoryBack => node.directory_watch.on_peer_directory_back(),
@@ -120,6 +121,7 @@
         Gossip::Config { .. }
         | Gossip::Replicas(_)
         | Gossip::Request(_)
+        | Gossip::Part(_)
         | Gossip::Era(_)
         | Gossip::Limit(_)
         | Gossip::Leaving { .. }
--- a/crates/front/src/gossip/send.rs
+++ b/crates/front/src/gossip/send.rs
@@ -64,12 +64,16 @@
         let again = state.quarantine.repeated_notices(now_ms);
         let draw = || rand::random_bool(chance);
         let quarantined = state.quarantine.quarantine_notices(now_ms, draw);
-        let requests = again.into_iter().chain(quarantined);
+        let requests = again.into_iter().chain(quarantined).map(Gossip::Request);
+        let parts = state.parts.repeated_notices(now_ms).into_iter();
+        let draw = || rand::random_bool(chance);
+        let quarantined = state.parts.quarantine_notices(now_ms, draw);
+        let parts = parts.chain(quarantined).map(Gossip::Part);
         let limits = state.limits.repeated_notices(now_ms);
         (
             works.collect(),
             version,
-            requests.map(Gossip::Request),
+            requests.chain(parts),
             limits,
             repeated_of_replicas(&state.replicas, chance, now_ms),
         )
@@ -116,7 +120,10 @@
     if destinations.is_empty() {
         return;
     }
-    for datagram in pack(&origin, gossip) {
+    let (widely_known, recent) = gossip.into_iter().partition(Gossip::is_widely_known);
+    let kinds: [Vec<Gossip>; 2] = [widely_known, recent];
+    let kinds = kinds.into_iter().filter(|gossip| !gossip.is_empty());
+    for datagram in kinds.flat_map(|gossip| pack(&origin, gossip)) {
         let direct = datagram.encode(false);
         let relayed = datagram.encode(true);
         for (address, pass_on) in &destinations {
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -259,16 +259,17 @@
         /// arrived.
         writing_ms: Option<SpanMs>,
     },
-    /// A request was put into quarantine and is no longer run, since the replicas that ran it crashed.
+    /// A request or a part of prompts was put into quarantine and is no longer run, since the replicas that
+    /// ran it crashed.
     RequestQuarantined {
-        digest: RequestDigest,
+        digest: QuarantineSubject,
         term: Term,
         /// The cause, or the way in which this node learned of it, as in `QuarantineCause`.
         how: &'static str,
     },
-    /// The quarantine of a request ended.
+    /// The quarantine of a request or a part ended.
     QuarantineEnded {
-        digest: RequestDigest,
+        digest: QuarantineSubject,
         /// The cause, or the way in which this node learned of it, as in `QuarantineCause`.
         how: &'static str,
     },
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -125,7 +125,7 @@
             ),
             quarantines: c(
                 "bluebell_quarantines",
-                "Requests put into quarantine and let out, by how that became known.",
+                "Requests and parts put into quarantine and let out, by how that became known.",
             ),
             config_version: g(
                 "bluebell_config_version",
@@ -246,8 +246,11 @@
                 let evidence = label("evidence", evidence.as_str());
                 self.ended_replicas.add(1, &evidence);
             }
-            Event::RequestQuarantined { how, .. } | Event::QuarantineEnded { how, .. } => {
-                self.quarantines.add(1, &label("how", how));
+            Event::RequestQuarantined { digest, how, .. }
+            | Event::QuarantineEnded { digest, how } => {
+                let [how] = label("how", how);
+                let [kind] = label("kind", digest.kind());
+                self.quarantines.add(1, &[how, kind]);
             }
             Event::LimitNamed { limited, how, .. } | Event::LimitEnded { limited, how, .. } => {
                 self.limited_replicas.record(*limited as u64, &[]);
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -207,9 +207,9 @@
     }
 }
 
-/// Lifts the quarantine of the request with this digest.
+/// Lifts the quarantine of the request or the part that `digest` names.
 fn lift(node: &Rc<Node>, digest: &str) -> (StatusCode, String) {
-    let digest: RequestDigest = match digest.parse() {
+    let digest: QuarantineSubject = match digest.parse() {
         Ok(digest) => digest,
         Err(error) => return (StatusCode::BAD_REQUEST, error.to_string()),
     };
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -45,6 +45,10 @@
     pub budget: RetryBudget,
     /// The requests that are suspected of being fatal or are in quarantine.
     pub quarantine: Quarantine,
+    /// The parts of prompts that are suspected of being fatal or are in quarantine.
+    pub parts: PartQuarantine,
+    /// True while a task judges the suspected parts.
+    pub judges_parts: bool,
 }
 
 impl State {
@@ -104,6 +108,8 @@
             calls: FxHashMap::default(),
             budget: RetryBudget::new(settings.retry_limits),
             quarantine: Quarantine::default(),
+            parts: PartQuarantine::default(),
+            judges_parts: false,
         };
         Rc::new(Self {
             owner: OwnerId(rand::random()),
--- a/crates/front/src/platform/mod.rs
+++ b/crates/front/src/platform/mod.rs
@@ -93,10 +93,14 @@
     fn read_replicas(&self, cursor: Option<Cursor>) -> PendingRead<'_, ReplicaUpdate>;
     /// Reads the entries of all nodes whose announcement is in the directory.
     fn read_nodes(&self) -> PendingRead<'_, Vec<NodeEntry>>;
-    /// Reads the requests that are in quarantine, with their terms.
-    fn read_quarantine(&self) -> PendingRead<'_, Vec<(RequestDigest, Term)>>;
-    /// Stores a request's quarantine, or deletes it if `term` is `None`.
-    fn write_quarantine(&self, digest: RequestDigest, term: Option<Term>) -> PendingRead<'_, ()>;
+    /// Reads the requests and parts that are in quarantine, with their terms.
+    fn read_quarantine(&self) -> PendingRead<'_, Vec<(QuarantineSubject, Term)>>;
+    /// Stores a quarantine, or deletes it if `term` is `None`.
+    fn write_quarantine(
+        &self,
+        subject: QuarantineSubject,
+        term: Option<Term>,
+    ) -> PendingRead<'_, ()>;
     /// Announces this node in the directory.
     fn announce(&self, node: NodeEntry) -> PendingRead<'_, ()>;
 }
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -1,9 +1,14 @@
-//! The node's side of the quarantine, which keeps fatal requests away from replicas. It records crashes
-//! under the node's own requests, notifies peers, and stores the result in the directory.
+//! The node's side of the quarantine, which keeps fatal requests and fatal parts of prompts away from
+//! replicas. It records crashes under the node's own requests, notifies peers, and stores the result in the
+//! directory.
 //!
-//! Invariants: each change that puts a request into quarantine or lets it out is logged; what is stored
+//! Invariants: each change that puts a request or a part into quarantine or lets it out is logged; what is stored
 //! in the directory is the state at the time of the write.
 
+mod parts;
+
+pub use parts::{ESTABLISHED_MS, begin_part_trial, on_part_notified, on_parts_served};
+
 use crate::journal::Event;
 use crate::node::Node;
 use crate::watch::store_quarantine;
@@ -82,6 +87,7 @@
 
 /// Records that a replica crashed under a request of this node.
 pub fn on_crash(node: &Rc<Node>, crash: ObservedCrash) {
+    parts::on_crash(node, &crash);
     let ObservedCrash {
         request,
         digest,
@@ -107,24 +113,27 @@
         parts,
         writing_ms,
     });
-    on_change(node, digest, change, QuarantineCause::Judged);
+    on_change(node, digest.into(), change, QuarantineCause::Judged);
 }
 
 /// Records that a request was served completely, so that it isn't fatal to every replica that runs it.
 pub fn on_served(node: &Rc<Node>, digest: RequestDigest) {
-    clear(node, digest, QuarantineCause::Served);
+    clear(node, digest.into(), QuarantineCause::Served);
 }
 
-/// Lifts a request's quarantine on an operator's order. Returns true if there was one.
-pub fn lift(node: &Rc<Node>, digest: RequestDigest) -> bool {
-    clear(node, digest, QuarantineCause::Lifted)
+/// Lifts a quarantine on an operator's order. Returns true if there was one.
+pub fn lift(node: &Rc<Node>, subject: QuarantineSubject) -> bool {
+    clear(node, subject, QuarantineCause::Lifted)
 }
 
-/// Clears a request's crashes and its quarantine. Returns true if it was in quarantine.
-fn clear(node: &Rc<Node>, digest: RequestDigest, cause: QuarantineCause) -> bool {
+/// Clears the crashes and the quarantine of a request or a part. Returns true if it was in quarantine.
+fn clear(node: &Rc<Node>, subject: QuarantineSubject, cause: QuarantineCause) -> bool {
     let now_ms = node.now_ms();
-    let change = node.with(|state| state.quarantine.clear(digest, now_ms));
-    on_change(node, digest, change, cause);
+    let change = node.with(|state| match subject {
+        QuarantineSubject::Request(digest) => state.quarantine.clear(digest, now_ms),
+        QuarantineSubject::Part(part) => state.parts.lift(part, now_ms),
+    });
+    on_change(node, subject, change, cause);
     change == QuarantineChange::Cleared { quarantined: true }
 }
 
@@ -138,22 +147,32 @@
             QuarantineCause::Peer
         }
     };
-    on_change(node, digest, change, cause);
+    on_change(node, digest.into(), change, cause);
 }
 
-/// Records a request's quarantine that was read from the directory.
-pub fn on_stored(node: &Rc<Node>, digest: RequestDigest, term: Term) {
+/// Records a quarantine that was read from the directory.
+pub fn on_stored(node: &Rc<Node>, subject: QuarantineSubject, term: Term) {
     let now_ms = node.now_ms();
-    let change = node.with(|state| state.quarantine.on_stored(digest, term, now_ms));
-    on_change(node, digest, change, QuarantineCause::Stored);
+    let change = node.with(|state| match subject {
+        QuarantineSubject::Request(digest) => state.quarantine.on_stored(digest, term, now_ms),
+        QuarantineSubject::Part(part) => state.parts.on_stored(part, term, now_ms),
+    });
+    on_change(node, subject, change, QuarantineCause::Stored);
 }
 
-/// Drops records that no longer count, and ends quarantines of requests that never came again.
+/// Drops records that no longer count, and ends quarantines of what never came again.
 pub fn expire(node: &Rc<Node>) {
     let now_ms = node.now_ms();
-    for digest in node.with(|state| state.quarantine.expire(now_ms)) {
+    let forgotten = node.with(|state| {
+        let requests = state.quarantine.expire(now_ms).into_iter();
+        let parts = state.parts.expire(now_ms).into_iter();
+        let requests = requests.map(QuarantineSubject::Request);
+        let forgotten = requests.chain(parts.map(QuarantineSubject::Part));
+        forgotten.collect::<Vec<_>>()
+    });
+    for subject in forgotten {
         let change = QuarantineChange::Cleared { quarantined: true };
-        on_change(node, digest, change, QuarantineCause::Forgotten);
+        on_change(node, subject, change, QuarantineCause::Forgotten);
     }
 }
 
@@ -163,8 +182,12 @@
     spawn_local(async move {
         tokio::time::sleep(Duration::from(DETECTION_DELAY_MS)).await;
         let now_ms = node.now_ms();
-        for (digest, change) in node.with(|state| state.quarantine.judge(now_ms)) {
-            on_change(&node, digest, change, QuarantineCause::Judged);
+        let judged = node.with(|state| {
+            let explained = state.parts.explained_runs();
+            state.quarantine.judge_unexplained(now_ms, &explained)
+        });
+        for (digest, change) in judged {
+            on_change(&node, digest.into(), change, QuarantineCause::Judged);
         }
     });
 }
@@ -172,17 +195,21 @@
 /// Logs a change, notifies peers of it and stores it in the directory, as far as each applies.
 fn on_change(
     node: &Rc<Node>,
-    digest: RequestDigest,
+    subject: QuarantineSubject,
     change: QuarantineChange,
     cause: QuarantineCause,
 ) {
-    let now_ms = node.now_ms();
     let quarantined = match change {
         QuarantineChange::None | QuarantineChange::Ended { judged: false } => return,
-        QuarantineChange::Ended { judged: true } => return schedule_judgement(node),
+        QuarantineChange::Ended { judged: true } => {
+            return match subject {
+                QuarantineSubject::Request(_) => schedule_judgement(node),
+                QuarantineSubject::Part(_) => parts::schedule_judgement(node),
+            };
+        }
         QuarantineChange::Quarantined { term, .. } => {
             node.journal.record(&Event::RequestQuarantined {
-                digest,
+                digest: subject,
                 term,
                 how: cause.as_str(),
             });
@@ -191,7 +218,7 @@
         QuarantineChange::Cleared { quarantined } => {
             if quarantined {
                 node.journal.record(&Event::QuarantineEnded {
-                    digest,
+                    digest: subject,
                     how: cause.as_str(),
                 });
             }
@@ -199,39 +226,70 @@
         }
     };
     let notifies = cause.notifies_peers(change);
-    if notifies && let Some(notice) = node.with(|state| state.quarantine.notice(&digest, now_ms)) {
-        node.outbox.request(notice);
+    if notifies {
+        notify_peers(node, &subject);
     }
     // The nodes that saw the crashes may be gone by now, so the node that will review the request also
     // stores it.
-    let stores = cause != QuarantineCause::Stored && (notifies || is_reviewer(node, &digest));
+    let stores = cause != QuarantineCause::Stored && (notifies || is_reviewer(node, &subject));
     if quarantined && stores {
-        store_quarantine(node.clone(), digest);
+        store_quarantine(node.clone(), subject);
+    }
+}
+
+/// Notifies the peers of a quarantine or a clearing.
+fn notify_peers(node: &Node, subject: &QuarantineSubject) {
+    let now_ms = node.now_ms();
+    match subject {
+        QuarantineSubject::Request(digest) => {
+            let notice = node.with(|state| state.quarantine.notice(digest, now_ms));
+            if let Some(notice) = notice {
+                node.outbox.request(notice);
+            }
+        }
+        QuarantineSubject::Part(part) => {
+            let notice = node.with(|state| state.parts.notice(part, now_ms));
+            if let Some(notice) = notice {
+                node.outbox.part(notice);
+            }
+        }
     }
 }
 
-/// Returns true if this node tries the request again once its term is over.
-pub fn is_reviewer(node: &Node, digest: &RequestDigest) -> bool {
+/// Returns the term of a quarantine, or `None` if there is none.
+pub fn term(node: &Node, subject: &QuarantineSubject) -> Option<Term> {
+    node.with(|state| match subject {
+        QuarantineSubject::Request(digest) => state.quarantine.term(digest),
+        QuarantineSubject::Part(part) => state.parts.term(part),
+    })
+}
+
+/// Returns true if this node tries the request or the part again once its term is over.
+pub fn is_reviewer(node: &Node, subject: &QuarantineSubject) -> bool {
     let peers = node.outbox.live_peers();
-    reviews(digest, node.owner.0, peers.iter().map(|owner| owner.0))
+    reviews(subject, node.owner.0, peers.iter().map(|owner| owner.0))
 }
 
-/// A request in quarantine, as the operators' page lists it.
+/// A request or a part in quarantine, as the operators' page lists it.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
 pub struct QuarantinedRequest {
-    /// The digest of the request.
-    pub digest: RequestDigest,
+    /// The digest of the request, or the part.
+    pub digest: QuarantineSubject,
     /// The term, which grows each time that a review confirms the quarantine.
     pub term: Term,
     /// The time until its review; 0 if the review is due.
     pub review_in_ms: SpanMs,
 }
 
-/// Returns all requests in quarantine, in the order of their digests.
+/// Returns all requests and parts in quarantine, in the order of their digests and ids.
 pub fn list(node: &Node) -> Vec<QuarantinedRequest> {
     let now_ms = node.now_ms();
     let mut listed: Vec<QuarantinedRequest> = node.with(|state| {
-        let all = state.quarantine.quarantined(now_ms);
+        let requests = state.quarantine.quarantined(now_ms);
+        let requests = requests.map(|(digest, term, ms)| (digest.into(), term, ms));
+        let parts = state.parts.quarantined(now_ms);
+        let parts = parts.map(|(part, term, ms)| (part.into(), term, ms));
+        let all = requests.chain(parts);
         let all = all.map(|(digest, term, review_in_ms)| QuarantinedRequest {
             digest,
             term,
--- a/crates/front/src/watch/quarantine.rs
+++ b/crates/front/src/watch/quarantine.rs
@@ -1,4 +1,4 @@
-//! Stores the requests in quarantine in the directory and reads them from there. That serves nodes
+//! Stores the requests and parts in quarantine in the directory and reads them from there. That serves nodes
 //! that can't get them from peers: after a loss of power at all nodes, and while most peers are cut
 //! off.
 
@@ -30,8 +30,8 @@
         match node.platform.directory.read_quarantine().await {
             Ok(stored) => {
                 backoff.succeeded(&node);
-                for (digest, term) in stored {
-                    quarantine::on_stored(&node, digest, term);
+                for (subject, term) in stored {
+                    quarantine::on_stored(&node, subject, term);
                 }
             }
             Err(error) => {
@@ -73,13 +73,14 @@
     node.outbox.live_peer_count() * 2 >= node.outbox.peer_count()
 }
 
-/// Stores the quarantine of a request, or its end, in the directory. Retries until that succeeds.
-pub fn store_quarantine(node: Rc<Node>, digest: RequestDigest) {
+/// Stores a quarantine, or its end, in the directory. Retries until that succeeds.
+pub fn store_quarantine(node: Rc<Node>, subject: QuarantineSubject) {
     spawn_local(async move {
         let mut backoff = Backoff::new("quarantine");
         loop {
-            let term = node.with(|state| state.quarantine.term(&digest));
-            let written = node.platform.directory.write_quarantine(digest, term).await;
+            let term = quarantine::term(&node, &subject);
+            let directory = &node.platform.directory;
+            let written = directory.write_quarantine(subject, term).await;
             match written {
                 Ok(()) => return backoff.succeeded(&node),
                 Err(error) => backoff.failed(&node, &error).await,
--- a/crates/quarantine/src/detection/mod.rs
+++ b/crates/quarantine/src/detection/mod.rs
@@ -25,7 +25,7 @@
 
 /// The time within which crashes of servers may have one cause. Replicas of a rack that lost power broke
 /// their connections within 50 ms of each other.
-const ONE_CAUSE_MS: SpanMs = SpanMs(100);
+pub(crate) const ONE_CAUSE_MS: SpanMs = SpanMs(100);
 
 /// The minimum time between the first and the last counted crash. A request that comes all the time is on
 /// every replica that a power failure takes down, and none serves it until they are back.
@@ -66,6 +66,18 @@
         }
     }
 
+    /// Returns true if at least half of the servers that crashed together with `run` are in `own`, those of
+    /// one request or part.
+    ///
+    /// A power failure takes down many servers with many requests, each of which was on one or two of them.
+    /// Without this rule, waves of such failures had up to 36 of some 3,000 requests of a day refused for
+    /// good. A request that several callers send at once is on all servers that it crashes.
+    pub fn is_specific(&self, run: ServerRun, own: &FxHashSet<ServerRun>) -> bool {
+        let together: Vec<ServerRun> = self.with(run).collect();
+        let ours = together.iter().filter(|run| own.contains(run)).count();
+        ours * 2 >= together.len()
+    }
+
     /// Returns the runs that crashed together with this one, including itself.
     fn with(&self, run: ServerRun) -> impl Iterator<Item = ServerRun> {
         let at_ms = self.at_ms.get(&run).copied().unwrap_or_default();
@@ -93,7 +105,7 @@
         let own: FxHashSet<ServerRun> = record.crashes().iter().map(|crash| crash.run).collect();
         let counted = |crash: &&Crash| {
             let old = self.now_ms.since(crash.at_ms) >= DETECTION_DELAY_MS;
-            old && !explained.contains(&crash.run) && self.is_specific(crash.run, &own)
+            old && !explained.contains(&crash.run) && self.runs.is_specific(crash.run, &own)
         };
         let counted: Vec<&Crash> = record.crashes().iter().filter(counted).collect();
         let points: u32 = counted.iter().map(|crash| crash.evidence.points()).sum();
@@ -102,15 +114,4 @@
         let last = times.max().unwrap_or_default();
         counted.len() >= MIN_CRASHES && points >= MIN_POINTS && last.since(first) >= MIN_SPREAD_MS
     }
-
-    /// Returns true if the request was on at least half of the servers that crashed together with `run`.
-    ///
-    /// A power failure takes down many servers with many requests, each of which was on one or two of them.
-    /// Without this rule, waves of such failures had up to 36 of some 3,000 requests of a day refused for
-    /// good. A request that several callers send at once is on all servers that it crashes.
-    fn is_specific(&self, run: ServerRun, own: &FxHashSet<ServerRun>) -> bool {
-        let together: Vec<ServerRun> = self.runs.with(run).collect();
-        let ours = together.iter().filter(|run| own.contains(run)).count();
-        ours * 2 >= together.len()
-    }
 }
--- a/crates/quarantine/src/part/mod.rs
+++ b/crates/quarantine/src/part/mod.rs
@@ -32,6 +32,11 @@
         u128::from_str_radix(text, 16).ok().map(Self)
     }
 
+    /// Returns the id as a number.
+    pub fn id(&self) -> u128 {
+        self.0
+    }
+
     /// Returns a number that differs between most parts.
     pub fn number(&self) -> u64 {
         (self.0 ^ (self.0 >> 64)) as u64
--- a/crates/quarantine/src/record/mod.rs
+++ b/crates/quarantine/src/record/mod.rs
@@ -1,8 +1,8 @@
-//! The record of one request: its crashes, its quarantine and its last clearing, by a success or by an
+//! The record of one request or of one part of prompts: its crashes, its quarantine and its last clearing, by a success or by an
 //! operator.
 
 use crate::evidence::{Evidence, ServerRun};
-use crate::table::Term;
+use crate::term::Term;
 use bluebell_base::prelude::*;
 
 /// The time for which a crash counts. Callers that repeat a request by hand do so within minutes.
@@ -12,11 +12,17 @@
 /// time that a request runs.
 const TRIAL_TIMEOUT_MS: SpanMs = SpanMs(60_000);
 
-/// A crash of a server that had the request.
+/// The maximum number of crashes that a record keeps, far above what leads to quarantine. A part that all
+/// requests share is on all servers that crash.
+const MAX_CRASHES: usize = 128;
+
+/// A crash of a server that had the request, or a request with the part.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Crash {
     /// The run of the server that crashed.
     pub run: ServerRun,
+    /// The number of the request that was on it.
+    pub request: u64,
     /// The state of the request on that server.
     pub evidence: Evidence,
     /// The time of the crash, by this node's clock.
@@ -72,8 +78,12 @@
         if !self.counts(crash.at_ms) {
             return false;
         }
-        let known = self.crashes.iter_mut().find(|known| known.run == crash.run);
+        let is_same = |known: &&mut Crash| known.run == crash.run && known.request == crash.request;
+        let known = self.crashes.iter_mut().find(is_same);
         let Some(known) = known else {
+            if self.crashes.len() == MAX_CRASHES {
+                self.crashes.remove(0);
+            }
             self.crashes.push(crash);
             return true;
         };
--- a/crates/quarantine/src/review/mod.rs
+++ b/crates/quarantine/src/review/mod.rs
@@ -1,17 +1,21 @@
-//! The choice of the node that reviews a request's quarantine.
+//! The choice of the node that reviews a quarantine.
 
-use crate::digest::RequestDigest;
+use crate::subject::QuarantineSubject;
 use rustc_hash::FxHasher;
 use std::hash::Hasher;
 
-/// Returns true if the node `own` reviews a request, given the `others`, its live peers.
+/// Returns true if the node `own` reviews a subject, given the `others`, its live peers.
 ///
 /// Nodes with the same live peers agree (rendezvous hashing), so that one arrival runs as a trial in the
 /// whole fleet and not one at each node. Nodes that receive nothing from each other run one each.
-pub fn reviews(digest: &RequestDigest, own: u64, others: impl IntoIterator<Item = u64>) -> bool {
+pub fn reviews(
+    subject: &QuarantineSubject,
+    own: u64,
+    others: impl IntoIterator<Item = u64>,
+) -> bool {
     let weight = |node: u64| {
         let mut hasher = FxHasher::default();
-        hasher.write_u64(digest.number());
+        hasher.write_u64(subject.number());
         hasher.write_u64(node);
         (hasher.finish(), node)
     };
--- a/crates/quarantine/src/table/term.rs
+++ b/crates/quarantine/src/term/mod.rs
@@ -1,4 +1,7 @@
 //! The term of a quarantine, at the end of which comes its review.
+//!
+//! Terms grow with each trial that confirms a quarantine. The short term comes before the first one, for what
+//! was served until shortly before its crashes.
 
 use bluebell_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -14,6 +17,10 @@
 #[serde(into = "String", try_from = "String")]
 pub struct Term(u8);
 
+/// The short term. It lasts until replicas that crashed are back, and ends within the time for which callers of
+/// long prompts wait.
+const SHORT_TERM_MS: SpanMs = SpanMs(5_000);
+
 /// The first term.
 const FIRST_TERM_MS: SpanMs = SpanMs(600_000);
 
@@ -27,9 +34,18 @@
 /// The number of confirmations from which terms don't grow any more.
 const MAX_CONFIRMATIONS: u8 = 3;
 
+/// The text of the short term.
+const SHORT_TEXT: &str = "short";
+
 impl Term {
-    /// The term of a request that has had no trial.
-    pub const FIRST: Self = Self(0);
+    /// The term of a quarantine that is likely enough to be wrong to be reviewed at once.
+    pub const SHORT: Self = Self(0);
+
+    /// The term of a quarantine that has had no trial.
+    pub const FIRST: Self = Self(1);
+
+    /// The longest term.
+    const LAST: Self = Self(Self::FIRST.0 + MAX_CONFIRMATIONS);
 
     /// The time after its review became due at which a quarantine is forgotten if no trial cleared or
     /// confirmed it, as when the request didn't arrive again.
@@ -38,20 +54,30 @@
     /// Returns the term after a trial that crashed its server.
     #[must_use]
     pub fn next(self) -> Self {
-        Self(self.0.saturating_add(1).min(MAX_CONFIRMATIONS))
+        Self(self.0.saturating_add(1)).min(Self::LAST)
     }
 
     /// Returns the duration of the term.
     pub fn span_ms(self) -> SpanMs {
-        let span_ms =
-            FIRST_TERM_MS.0 * TERM_GROWTH_FACTOR.pow(u32::from(self.0.min(MAX_CONFIRMATIONS)));
+        let Some(confirmations) = self.confirmations() else {
+            return SHORT_TERM_MS;
+        };
+        let span_ms = FIRST_TERM_MS.0 * TERM_GROWTH_FACTOR.pow(u32::from(confirmations));
         SpanMs(span_ms).min(MAX_TERM_MS)
     }
+
+    /// Returns the number of trials that confirmed the quarantine, or `None` for the short term.
+    fn confirmations(self) -> Option<u8> {
+        self.0.checked_sub(Self::FIRST.0)
+    }
 }
 
 impl fmt::Display for Term {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "term{}", self.0)
+        match self.confirmations() {
+            Some(confirmations) => write!(f, "term{confirmations}"),
+            None => f.write_str(SHORT_TEXT),
+        }
     }
 }
 
@@ -71,17 +97,20 @@
 
 /// The error for a text that isn't a term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("a term is written term0 to term3")]
+#[error("a term is written short, or term0 to term3")]
 pub struct TermError;
 
 impl FromStr for Term {
     type Err = TermError;
 
     fn from_str(text: &str) -> Result<Self, TermError> {
+        if text == SHORT_TEXT {
+            return Ok(Self::SHORT);
+        }
         let number = text.strip_prefix("term").ok_or(TermError)?;
         let number: u8 = number.parse().map_err(|_| TermError)?;
         match number <= MAX_CONFIRMATIONS {
-            true => Ok(Self(number)),
+            true => Ok(Self(Self::FIRST.0 + number)),
             false => Err(TermError),
         }
     }
--- a/crates/quarantine/tests/review.rs
+++ b/crates/quarantine/tests/review.rs
@@ -20,12 +20,12 @@
         let others = |own: u64| nodes.iter().copied().filter(move |other| *other != own);
         let chosen = nodes
             .iter()
-            .filter(|own| reviews(&digest, **own, others(**own)));
+            .filter(|own| reviews(&digest.into(), **own, others(**own)));
         let chosen: Vec<&u64> = chosen.collect();
         assert_eq!(chosen.len(), 1);
         reviewers.push(*chosen[0]);
         assert!(
-            reviews(&digest, 5, []),
+            reviews(&digest.into(), 5, []),
             "a node without peers reviews all requests"
         );
     }
