An answer that ends with its connection isn't whole if its replica crashed

What callers saw: nothing was reported. An answer or a stream with neither a length nor chunks whose replica crashes and whose connection is closed in order looked complete: half of an answer with status 200, or a stream without its last events.

Cause: the orderly end of a connection counted as the end of the answer whatever became of the replica.

A crash is a break: the attempt is repeated or the stream resumed where that is allowed, and counts as a crash under the request.

--- a/crates/front/src/call/fatal.rs
+++ b/crates/front/src/call/fatal.rs
@@ -86,18 +86,29 @@
         return;
     }
     let state = node.crash_checks.check(&node, &chosen.replica);
-    let mut probed = state.clone();
     // The directory's report arrives later, and the caller may leave before it.
-    spawn_local(record_crash(node.clone(), crash.clone(), state));
-    let probed = probed.wait_for(CrashState::is_probed);
-    let probed = tokio::time::timeout(Duration::from(CRASH_CHECK_WAIT_MS), probed).await;
-    if matches!(probed, Ok(Ok(state)) if *state == CrashState::Crashed) {
+    spawn_local(record_crash(node.clone(), crash.clone(), state.clone()));
+    if is_crashed_once_probed(state).await {
         // The crash must be recorded before the request is sent again. If the task above records it
         // too, it counts once.
         quarantine::on_crash(&node, crash);
     }
 }
 
+/// Returns true if the replica of an attempt is known to have crashed. An answer that ends with its connection
+/// is cut by a crash without any other sign.
+pub(super) async fn has_crashed(call: &Call, chosen: &Chosen) -> bool {
+    let state = call.node.crash_checks.check(&call.node, &chosen.replica);
+    is_crashed_once_probed(state).await
+}
+
+/// Waits until the replica's address has been probed, and returns true if the replica has crashed.
+async fn is_crashed_once_probed(mut state: CrashWatch) -> bool {
+    let probed = state.wait_for(CrashState::is_probed);
+    let probed = tokio::time::timeout(Duration::from(CRASH_CHECK_WAIT_MS), probed).await;
+    matches!(probed, Ok(Ok(state)) if *state == CrashState::Crashed)
+}
+
 /// Records a crash once the check has found one.
 async fn record_crash(node: Rc<Node>, crash: ObservedCrash, mut state: CrashWatch) {
     // The check outlives the tasks that wait for it, so it always gives a result.
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -59,6 +59,8 @@
     /// The status and the headers of the answer.
     reply: Response<()>,
     body: Buffer,
+    /// True if only the end of its connection ended the answer.
+    ends_with_connection: bool,
 }
 
 impl WholeAnswer {
@@ -69,7 +71,7 @@
     }
 
     fn into_answer(self, call: &Call, attempts: u32) -> Answer {
-        let Self { reply, body } = self;
+        let Self { reply, body, .. } = self;
         let mut answer = Response::new(FrontBody::Whole(Some(body)));
         *answer.status_mut() = reply.status();
         *answer.headers_mut() = call
@@ -105,7 +107,11 @@
     }
     let exchange = async {
         let reply = tries::send(call, chosen, attempt, None).await?;
-        read_whole(call, reply).await
+        let whole = read_whole(call, reply).await?;
+        match whole.ends_with_connection && fatal::has_crashed(call, chosen).await {
+            true => Err(tries::cut_by_crash()),
+            false => Ok(whole),
+        }
     };
     let exchange = async {
         tokio::select! {
@@ -138,6 +144,7 @@
 pub(super) async fn read_whole(call: &Call, reply: Reply) -> Result<WholeAnswer, TryError> {
     let Reply { answer, head, link } = reply;
     let (parts, body) = answer.into_parts();
+    let ends_with_connection = tries::ends_with_connection(&parts.headers, &body);
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|error| {
         let why = format!("the answer broke off: {error}");
@@ -148,6 +155,7 @@
     Ok(WholeAnswer {
         reply: Response::from_parts(parts, ()),
         body: body.to_bytes(),
+        ends_with_connection,
     })
 }
 
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -12,7 +12,7 @@
 use super::hop::{self, HopError};
 use super::server::StreamServer;
 use super::stream::{StartedStream, first_event};
-use super::tries::{TryError, may_try_again};
+use super::tries::{TryError, cut_by_crash, may_try_again};
 use crate::forward::ResumePoint;
 use crate::http::Link;
 use crate::journal::Event;
@@ -43,6 +43,8 @@
     pub link: Link,
     /// The time for which the engine keeps the idle connection open, or `None` if it states none.
     pub keep_alive_ms: Option<SpanMs>,
+    /// True if only the end of the connection ends the stream.
+    pub ends_with_connection: bool,
 }
 
 /// The reason for which an event source ended.
@@ -170,6 +172,9 @@
                 None if source.splitter.is_mid_event() => {
                     return broken("the stream ended in the middle of an event");
                 }
+                None if source.ends_with_connection && self.has_crashed().await => {
+                    return SourceEnd::Broken(cut_by_crash());
+                }
                 None => return SourceEnd::Complete,
                 Some(Err(error)) => return broken(&error.to_string()),
                 Some(Ok(frame)) => frame.into_data(),
@@ -185,6 +190,14 @@
         }
     }
 
+    /// Returns true if the engine that writes the stream is known to have crashed.
+    async fn has_crashed(&self) -> bool {
+        match self.server.engine() {
+            Some(engine) => fatal::has_crashed(&self.call, engine).await,
+            None => false,
+        }
+    }
+
     /// Returns once the engine has been silent for too long: at the deadline if the stream can't be
     /// resumed elsewhere, and later than usual if the engine is known to be reading prompts.
     async fn silence(&self) {
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -195,6 +195,7 @@
         let why = format!("the engine failed with status {}", parts.status);
         return Err(TryError::new(&why, Verdict::Ran, Symptom::Failed));
     }
+    let ends_with_connection = tries::ends_with_connection(&parts.headers, &body);
     let mut splitter = EventSplitter::default();
     let broken = |why: &str| {
         TryError::new(why, Verdict::MayHaveRun, Symptom::Failed)
@@ -219,6 +220,7 @@
             splitter,
             link,
             keep_alive_ms: head.keep_alive_ms,
+            ends_with_connection,
         },
         first,
     })
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -13,7 +13,9 @@
 use bluebell_quarantine::prelude::*;
 use bytes::Bytes as Buffer;
 use http_body_util::Full;
-use hyper::{Request, StatusCode, Version};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, StatusCode, Version};
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -127,6 +129,19 @@
     pub link: Link,
 }
 
+/// Returns true if only the end of its connection ends an answer, given its headers and its unread body.
+pub(super) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    !is_framed && !body.is_end_stream()
+}
+
+/// Returns the failure of an attempt whose answer ended with its connection when the replica crashed.
+pub(super) fn cut_by_crash() -> TryError {
+    let why = "the replica crashed, and the answer has no other end";
+    TryError::new(why, Verdict::Ran, Symptom::Failed)
+        .with_disconnect(Disconnect::of_restart(Evidence::Running))
+}
+
 /// Sends the request to the chosen replica and returns its answer, which may be a failure that the
 /// replica itself reports.
 pub(super) async fn send(
