Requests beyond a node's share of the limits go to peers with a share

What callers saw: nothing was reported; the users' new rule on nodes that get most new connections names it. At such a node, beside replicas that name limits, two of three first attempts were refused.

Cause: a replica's limit is divided among the live nodes whatever each of them has to send, so the share of a node without callers is lost. The class: shares of a common allowance that don't follow demand.

Change: a request that is refused for want of a share is forwarded to a peer that holds one, in the one hop that a node without links uses. The peer answers from its share or says when it may send again, and isn't asked before. Engines' requests that no peer takes wait here as before.

Why it works: shares stay as they are, so the sum stays within the limits, which the tests check.

--- a/crates/fleet/src/forwarding/mod.rs
+++ b/crates/fleet/src/forwarding/mod.rs
@@ -1,13 +1,16 @@
-//! Chooses the peer to which a node that reaches no replica forwards a request.
+//! Chooses the peer to which a node forwards a request that it can't send to a replica itself: it reaches
+//! none, or may send no more to those that it reaches.
 //!
 //! Load pattern: the nodes of a failure domain are cut off from all replicas together, and each forwards
-//! all its requests at once. Some of the peers are cut off as well.
+//! all its requests at once. Some of the peers are cut off as well. Or one node gets most connections, and
+//! uses up its share of the replicas' limits while the peers have no use for theirs.
 //!
 //! Reason for the limits: a peer that can't serve says so within one exchange, so that trying a few is
 //! cheap, and it isn't asked again for as long as most cuts last to change. Without this memory a domain
 //! that is cut off as a whole would ask itself first for each request.
 //!
-//! Invariants: a peer that can't serve gets at most one request each [`UNUSABLE_MS`] from a node.
+//! Invariants: a peer that can't serve gets at most one request each [`UNUSABLE_MS`] from a node, or one each
+//! time that its share of the limits may have grown by one.
 
 use crate::ledger::OwnerId;
 use bluebell_base::prelude::*;
@@ -70,9 +73,24 @@
 
     /// Records that a peer couldn't serve a request to `service`.
     pub fn on_unusable(&mut self, owner: OwnerId, service: &ServiceName, now_ms: MonoMs) {
+        self.rest(owner, service, UNUSABLE_MS, now_ms);
+    }
+
+    /// Records that a peer may send no request to the replicas of `service` for `wait_ms`.
+    pub fn on_limited(
+        &mut self,
+        owner: OwnerId,
+        service: &ServiceName,
+        wait_ms: SpanMs,
+        now_ms: MonoMs,
+    ) {
+        self.rest(owner, service, wait_ms.min(UNUSABLE_MS), now_ms);
+    }
+
+    fn rest(&mut self, owner: OwnerId, service: &ServiceName, rest_ms: SpanMs, now_ms: MonoMs) {
         self.unusable.retain(|_, until_ms| *until_ms > now_ms);
         self.unusable
-            .insert((owner, service.clone()), now_ms + UNUSABLE_MS);
+            .insert((owner, service.clone()), now_ms + rest_ms);
     }
 
     /// Records that a request was sent to a peer.
--- a/crates/fleet/src/limit/mod.rs
+++ b/crates/fleet/src/limit/mod.rs
@@ -28,6 +28,7 @@
 use rustc_hash::FxHashMap;
 use share::Share;
 
+use crate::ledger::OwnerId;
 use crate::replicas::ReplicaKey;
 
 /// The time after which a node that doesn't hold a limit drops it if it received no report of it. The
@@ -286,6 +287,14 @@
         }
     }
 
+    /// Returns the peers that hold the limit of a replica; none if it has no limit.
+    pub fn holding_peers(&self, nodes: &Nodes<'_>, key: ReplicaKey) -> Vec<OwnerId> {
+        let limit = self.known.get(&key);
+        limit.map_or_else(Vec::new, |limit| {
+            share::holding_peers(nodes, key, limit.rate)
+        })
+    }
+
     /// Counts something that is sent to a replica.
     pub fn on_sent(&mut self, key: ReplicaKey, now_ms: MonoMs) {
         if let Some(limit) = self.known.get_mut(&key) {
--- a/crates/fleet/src/limit/share.rs
+++ b/crates/fleet/src/limit/share.rs
@@ -52,7 +52,7 @@
     pub fn of(nodes: &Nodes<'_>, replica: ReplicaKey, rate: PerSecond) -> Self {
         let rank = rendezvous::rank(nodes.own, nodes.heard, replica);
         let live = nodes.heard.len() + 1;
-        let holders = (rate.0 as usize).clamp(1, live);
+        let holders = holder_count(rate, live);
         let part = live as f64 / (nodes.known + 1).max(live) as f64;
         let held = rate.0.max(MIN_RATE.0) * part / holders as f64;
         Self {
@@ -61,3 +61,18 @@
         }
     }
 }
+
+/// Returns the number of nodes that hold a limit.
+fn holder_count(rate: PerSecond, live: usize) -> usize {
+    (rate.0 as usize).clamp(1, live)
+}
+
+/// Returns the peers that hold a limit of `rate` that `replica` set.
+pub(super) fn holding_peers(
+    nodes: &Nodes<'_>,
+    replica: ReplicaKey,
+    rate: PerSecond,
+) -> Vec<OwnerId> {
+    let count = holder_count(rate, nodes.heard.len() + 1);
+    rendezvous::first_peers(nodes.own, nodes.heard, replica, count)
+}
--- a/crates/fleet/src/rendezvous/mod.rs
+++ b/crates/fleet/src/rendezvous/mod.rs
@@ -16,12 +16,29 @@
 /// Returns the rank of `own` among the nodes for a replica. The node with rank 0 is responsible for
 /// it.
 pub fn rank(own: OwnerId, peers: &[OwnerId], replica: ReplicaKey) -> usize {
-    let hash_of = |node: OwnerId| {
-        let mut hasher = FxHasher::default();
-        hasher.write_u64(node.0);
-        hasher.write_u32(replica.0);
-        (hasher.finish(), node)
-    };
-    let own = hash_of(own);
-    peers.iter().filter(|peer| hash_of(**peer) > own).count()
+    let own = weight(own, replica);
+    let before = peers.iter().filter(|peer| weight(**peer, replica) > own);
+    before.count()
+}
+
+/// Returns the peers among the first `count` nodes for a replica, in the order of their ranks.
+pub fn first_peers(
+    own: OwnerId,
+    peers: &[OwnerId],
+    replica: ReplicaKey,
+    count: usize,
+) -> Vec<OwnerId> {
+    let mut nodes: Vec<OwnerId> = peers.iter().copied().chain([own]).collect();
+    nodes.sort_unstable_by_key(|node| std::cmp::Reverse(weight(*node, replica)));
+    nodes.truncate(count);
+    nodes.retain(|node| *node != own);
+    nodes
+}
+
+/// Returns the weight of a node for a replica; the node with the highest has rank 0.
+fn weight(node: OwnerId, replica: ReplicaKey) -> (u64, OwnerId) {
+    let mut hasher = FxHasher::default();
+    hasher.write_u64(node.0);
+    hasher.write_u32(replica.0);
+    (hasher.finish(), node)
 }
--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -154,7 +154,7 @@
     let head = node.platform.dialect.call_head(&parts.headers);
     let head = head.map_err(|error| malformed_head(&node, error))?;
     let deadline_ms = now_ms + hop.left_ms;
-    let unavailable = |why| answers::unavailable(&node, &head, why);
+    let unavailable = |why| answers::unavailable(&node, &head, why, SpanMs::ZERO);
     if !node.is_initialized() || node.config_version() < Some(hop.version) {
         return Err(unavailable(
             "the node has no configuration that is new enough",
--- a/crates/front/src/call/answers.rs
+++ b/crates/front/src/call/answers.rs
@@ -60,9 +60,10 @@
 }
 
 /// Returns the answer to a forwarded request that this node can't serve: the request has not run, and
-/// another node may serve it.
-pub fn unavailable(node: &Node, head: &CallHead, why: &str) -> Answer {
-    let mut answer = refused(node, head, why, SpanMs::ZERO, SpanMs::ZERO);
+/// another node may serve it. This node may serve requests again after `retry_after_ms`; zero if it doesn't
+/// know.
+pub fn unavailable(node: &Node, head: &CallHead, why: &str, retry_after_ms: SpanMs) -> Answer {
+    let mut answer = refused(node, head, why, SpanMs::ZERO, retry_after_ms);
     answer.extensions_mut().insert(Outcome::Unavailable);
     answer
 }
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -71,8 +71,13 @@
     choose_now(call, avoid, WaitState::Resuming)
 }
 
-/// Chooses a replica that isn't in `avoid`, and waits for one for as long as that may help.
-pub(super) async fn choose_waiting(call: &Call, avoid: &[ReplicaKey]) -> Result<Chosen, Refusal> {
+/// Chooses a replica that isn't in `avoid`, and waits for one for as long as that may help. If the replicas'
+/// limits are the reason to wait and `may_forward` is true, returns at once, since a peer may send more.
+pub(super) async fn choose_waiting(
+    call: &Call,
+    avoid: &[ReplicaKey],
+    may_forward: bool,
+) -> Result<Chosen, Refusal> {
     let timeouts = call.wait_timeouts();
     let poll_ms = MIN_POLL_INTERVAL_MS.max(SpanMs(call.route.target_ms.0 / POLLS_PER_TARGET));
     loop {
@@ -84,6 +89,7 @@
             WaitState::MayWait
         };
         let refusal = match choose_now(call, avoid, wait_state) {
+            Err(refusal @ Refusal::Limited { .. }) if may_forward => return Err(refusal),
             Err(refusal)
                 if !wait_expired
                     && may_clear_in_time(&refusal, timeouts.max_wait_ms, waited_ms) =>
--- a/crates/front/src/call/hop.rs
+++ b/crates/front/src/call/hop.rs
@@ -1,4 +1,5 @@
-//! Forwards a request to a peer, because this node reaches no replica of its service.
+//! Forwards a request to a peer, because this node reaches no replica of its service, or may send no more
+//! requests to those that it reaches.
 
 use super::Call;
 use super::answers::{self, Answer};
@@ -9,6 +10,7 @@
 use crate::forward::{HopHead, Outcome, ResumePoint};
 use crate::http::{Freshness, IncomingAnswer, Link, SendError};
 use crate::journal::Event;
+use crate::limits;
 use crate::links;
 use crate::node::Node;
 use bluebell_base::prelude::*;
@@ -122,6 +124,49 @@
     error: Arc<str>,
 }
 
+/// The reason for which a request is forwarded.
+pub(super) enum HopCause {
+    /// This node reaches no replica of the service.
+    LinksLost,
+    /// This node has used up its share of the replicas' limits.
+    Limited {
+        /// The refusal of the request if no peer serves it.
+        refusal: Refusal,
+        /// The peers that have a share of the limits.
+        holders: Vec<OwnerId>,
+    },
+}
+
+impl HopCause {
+    /// Returns the cause to forward a request that this node refuses, or `None` if no peer can do more. The
+    /// replicas in `avoid` have been tried.
+    pub fn of_refusal(call: &Call, avoid: &[ReplicaKey], refusal: Refusal) -> Option<Self> {
+        if call.forwarded.is_some() || !matches!(refusal, Refusal::Limited { .. }) {
+            return None;
+        }
+        let holders = limits::holding_peers(&call.node, &call.service.name, avoid);
+        (!holders.is_empty()).then_some(Self::Limited { refusal, holders })
+    }
+
+    /// Returns true if a peer may serve the request.
+    fn admits(&self, peer: OwnerId) -> bool {
+        match self {
+            Self::LinksLost => true,
+            Self::Limited { holders, .. } => holders.contains(&peer),
+        }
+    }
+
+    /// Returns the refusal of a request that no peer serves.
+    fn refusal(&self) -> Refusal {
+        match self {
+            Self::LinksLost => Refusal::Unreachable {
+                retry_after_ms: links::RETRY_INTERVAL_MS,
+            },
+            Self::Limited { refusal, .. } => *refusal,
+        }
+    }
+}
+
 /// Returns true if a request must be forwarded to be served.
 pub(super) fn is_needed(call: &Call) -> bool {
     call.node
@@ -129,14 +174,14 @@
 }
 
 /// Serves the remaining attempts of a request with one whole answer through peers.
-pub(super) async fn serve_plain(call: &Call, tries: &mut Tries) -> Answer {
+pub(super) async fn serve_plain(call: &Call, tries: &mut Tries, cause: &HopCause) -> Answer {
     loop {
         let whole = async {
             let PeerReply {
                 reply,
                 attempts,
                 peer,
-            } = send(call, tries.delivered, None).await?;
+            } = send(call, tries.delivered, None, cause).await?;
             let whole = tokio::select! {
                 whole = plain::read_whole(call, reply) => whole.map_err(HopError::Failed),
                 () = peer.wait_until_lost() => Err(HopError::Failed(peer_lost())),
@@ -164,13 +209,14 @@
     call: &Call,
     delivered: u32,
     resume: Option<ResumePoint>,
+    cause: &HopCause,
 ) -> Result<(StartedStream, PeerLease, u32), HopError> {
     let started = async {
         let PeerReply {
             reply,
             attempts,
             peer,
-        } = send(call, delivered, resume).await?;
+        } = send(call, delivered, resume, cause).await?;
         let started = tokio::select! {
             started = read_first_event(reply) => started.map_err(HopError::Failed),
             () = peer.wait_until_lost() => Err(HopError::Failed(peer_lost())),
@@ -188,7 +234,7 @@
 pub(super) fn final_answer(call: &Call, tries: &mut Tries, error: HopError) -> Option<Answer> {
     match error {
         HopError::NoPeer(refusal) if call.forwarded.is_some() && tries.ran.is_none() => Some(
-            answers::unavailable(&call.node, &call.head, &refusal.to_string()),
+            answers::unavailable(&call.node, &call.head, &refusal.to_string(), SpanMs::ZERO),
         ),
         HopError::NoPeer(refusal) => Some(plain::refuse(call, tries.verdict(), &refusal)),
         HopError::Answered(answer) => Some(answer.to_caller(call, tries.verdict())),
@@ -222,22 +268,19 @@
     call: &Call,
     delivered: u32,
     resume: Option<ResumePoint>,
+    cause: &HopCause,
 ) -> Result<PeerReply, HopError> {
     if let Some(refusal) = fatal::refusal(call) {
         return Err(HopError::NoPeer(refusal));
     }
-    let no_peer = || {
-        HopError::NoPeer(Refusal::Unreachable {
-            retry_after_ms: links::RETRY_INTERVAL_MS,
-        })
-    };
+    let mut refusal = cause.refusal();
     // A request is never forwarded onwards.
     if call.forwarded.is_some() {
-        return Err(no_peer());
+        return Err(HopError::NoPeer(refusal));
     }
     let mut asked = Vec::new();
     while asked.len() < MAX_PEERS {
-        let Some((owner, address)) = choose_peer(call, &asked) else {
+        let Some((owner, address)) = choose_peer(call, &asked, cause) else {
             break;
         };
         asked.push(owner);
@@ -248,6 +291,7 @@
             peer: owner.0,
             age_ms: call.age_ms(),
         });
+        let mut limited_ms = SpanMs::ZERO;
         let exchanged = tokio::select! {
             exchanged = exchange(call, address, &head) => exchanged,
             () = peer.wait_until_lost() => Err(peer_lost()),
@@ -262,17 +306,26 @@
                     });
                 }
                 Ok(Checked::Answer(answer)) => return Err(HopError::Answered(answer)),
-                Ok(Checked::Unavailable(why)) => not_run(&why),
+                Ok(Checked::Unavailable(why, retry_after_ms)) => {
+                    limited_ms = retry_after_ms;
+                    not_run(&why)
+                }
                 Err(error) => error,
             },
             Err(error) => error,
         };
-        record_failure(call, owner, &error);
+        if limited_ms > SpanMs::ZERO {
+            refusal = Refusal::Limited {
+                retry_after_ms: limited_ms,
+                here: false,
+            };
+        }
+        record_failure(call, owner, limited_ms, &error);
         if error.ran != Verdict::NotRun {
             return Err(HopError::Failed(error));
         }
     }
-    Err(no_peer())
+    Err(HopError::NoPeer(refusal))
 }
 
 /// Returns the failure of a request that its peer didn't take.
@@ -284,9 +337,10 @@
 }
 
 /// Chooses a live peer that wasn't asked yet.
-fn choose_peer(call: &Call, asked: &[OwnerId]) -> Option<(OwnerId, SocketAddr)> {
+fn choose_peer(call: &Call, asked: &[OwnerId], cause: &HopCause) -> Option<(OwnerId, SocketAddr)> {
     let node = &call.node;
-    let candidates = node.outbox.forward_candidates(&node.settings.domain);
+    let mut candidates = node.outbox.forward_candidates(&node.settings.domain);
+    candidates.retain(|peer| cause.admits(peer.owner));
     let now_ms = node.now_ms();
     let owner = node.with(|state| {
         let service = &call.service.name;
@@ -351,8 +405,9 @@
     Reply(Box<Reply>, u32),
     /// The peer's own answer.
     Answer(NodeAnswer),
-    /// The peer can't serve the request, for this reason.
-    Unavailable(Arc<str>),
+    /// The peer can't serve the request, for this reason, and may serve others after this time; zero if it
+    /// doesn't know.
+    Unavailable(Arc<str>, SpanMs),
 }
 
 /// Reads the outcome of a peer's answer. A replica's answer is one only if it names this request and is
@@ -374,9 +429,10 @@
             let reply = Box::new(Reply { answer, head, link });
             Ok(Checked::Reply(reply, attempts))
         }
-        Some(Outcome::Unavailable) => Ok(Checked::Unavailable(
-            read_node_answer(call, answer, link).await?.0,
-        )),
+        Some(Outcome::Unavailable) => {
+            let (why, retry_after_ms) = read_node_answer(call, answer, link).await?;
+            Ok(Checked::Unavailable(why, retry_after_ms))
+        }
         Some(Outcome::Node(ran)) => {
             let (why, retry_after_ms) = read_node_answer(call, answer, link).await?;
             Ok(Checked::Answer(NodeAnswer {
@@ -411,13 +467,18 @@
     Ok((why, retry_after_ms))
 }
 
-/// Records that a peer didn't serve a request.
-fn record_failure(call: &Call, owner: OwnerId, error: &TryError) {
+/// Records that a peer didn't serve a request. If its share of the replicas' limits is used up, `limited_ms` is
+/// the time until it has more.
+fn record_failure(call: &Call, owner: OwnerId, limited_ms: SpanMs, error: &TryError) {
     let node = &call.node;
     let now_ms = node.now_ms();
     node.with(|state| {
         let service = &call.service.name;
-        state.forward_peers.on_unusable(owner, service, now_ms);
+        let peers = &mut state.forward_peers;
+        match limited_ms {
+            SpanMs::ZERO => peers.on_unusable(owner, service, now_ms),
+            limited_ms => peers.on_limited(owner, service, limited_ms, now_ms),
+        }
     });
     node.journal.record(&Event::ForwardFailed {
         request: call.head.request.clone(),
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -5,7 +5,7 @@
 use super::body::FrontBody;
 use super::choose::{Chosen, choose};
 use super::fatal::{self, Disconnect};
-use super::hop;
+use super::hop::{self, HopCause};
 use super::tries::{self, Reply, SilentAttempt, Tries, TryError, record_symptom};
 use crate::forward::Outcome;
 use crate::journal::Event;
@@ -30,11 +30,14 @@
     let mut tries = Tries::default();
     loop {
         if hop::is_needed(call) {
-            return hop::serve_plain(call, &mut tries).await;
+            return hop::serve_plain(call, &mut tries, &HopCause::LinksLost).await;
         }
         let chosen = match choose(call, &tries.avoid) {
             Ok(chosen) => chosen,
-            Err(refusal) => return refuse(call, tries.verdict(), &refusal),
+            Err(refusal) => match HopCause::of_refusal(call, &tries.avoid, refusal) {
+                Some(cause) => return hop::serve_plain(call, &mut tries, &cause).await,
+                None => return refuse(call, tries.verdict(), &refusal),
+            },
         };
         let attempt = tries.begin(&chosen);
         let (error, whole) = match try_once(call, &chosen, attempt).await {
@@ -204,6 +207,9 @@
         Refusal::NoReplica | Refusal::TooLong => NO_REPLICA_RETRY_MS,
     };
     let why = refusal.to_string();
+    if let (Verdict::NotRun, Refusal::Limited { .. }, Some(_)) = (ran, refusal, &call.forwarded) {
+        return answers::unavailable(&call.node, &call.head, &why, retry_after_ms);
+    }
     let retry_after_ms = retry_after_ms.mul_f64(rand::random_range(1.0..MAX_RETRY_FACTOR));
     match ran {
         Verdict::NotRun => {
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -9,7 +9,7 @@
 use super::choose::choose_for_resume;
 use super::events::{EventSplitter, Events};
 use super::fatal::{self, Disconnect};
-use super::hop::{self, HopError};
+use super::hop::{self, HopCause, HopError};
 use super::server::StreamServer;
 use super::stream::{StartedStream, first_event};
 use super::tries::{TryError, cut_by_crash, may_try_again};
@@ -283,7 +283,7 @@
                 return None;
             }
             let started = match hop::is_needed(&self.call) {
-                true => self.resume_at_peer().await,
+                true => self.resume_at_peer(&HopCause::LinksLost).await,
                 false => self.resume_at_engine(&mut avoid).await,
             };
             match started {
@@ -311,7 +311,10 @@
     async fn resume_at_engine(&mut self, avoid: &mut Vec<ReplicaKey>) -> Resumed {
         let mut chosen = match choose_for_resume(&self.call, avoid) {
             Ok(chosen) => chosen,
-            Err(refusal) => return Resumed::Refused(refusal.to_string().into()),
+            Err(refusal) => match HopCause::of_refusal(&self.call, avoid, refusal) {
+                Some(cause) => return self.resume_at_peer(&cause).await,
+                None => return Resumed::Refused(refusal.to_string().into()),
+            },
         };
         avoid.push(chosen.key);
         self.record_resumed();
@@ -344,12 +347,12 @@
     }
 
     /// Resumes the stream at a peer.
-    async fn resume_at_peer(&mut self) -> Resumed {
+    async fn resume_at_peer(&mut self, cause: &HopCause) -> Resumed {
         self.record_resumed();
         let resume = ResumePoint {
             last_event: self.last_id.clone(),
         };
-        let begin = hop::first_event(&self.call, self.tries, Some(resume));
+        let begin = hop::first_event(&self.call, self.tries, Some(resume), cause);
         let started = tokio::select! {
             started = begin => started,
             () = self.out.closed() => return Resumed::CallerGone,
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -6,7 +6,7 @@
 use super::choose::{Chosen, choose_waiting, has_alternative};
 use super::events::EventSplitter;
 use super::fatal::Disconnect;
-use super::hop;
+use super::hop::{self, HopCause, HopError};
 use super::plain::{fail, refuse};
 use super::pump::{EventSource, Pump};
 use super::reserve::ReservedMemory;
@@ -15,6 +15,7 @@
 use crate::forward::Outcome;
 use crate::journal::ConnectionKind;
 use bluebell_base::prelude::*;
+use bluebell_fleet::placement::Refusal;
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::silence;
 use bluebell_quarantine::prelude::*;
@@ -51,20 +52,26 @@
     let last_event = call
         .resume()
         .and_then(|resume| resume.last_event.as_deref());
+    let mut may_forward = call.forwarded.is_none();
     loop {
         if hop::is_needed(call) {
-            match hop::first_event(call, tries.delivered, call.resume().cloned()).await {
-                Ok((started, peer, delivered)) => {
-                    return started.answer(call, StreamServer::Peer(peer), delivered);
-                }
-                Err(error) => match hop::final_answer(call, &mut tries, error) {
-                    Some(answer) => return answer,
-                    None => continue,
-                },
+            match serve_at_peer(call, &mut tries, &HopCause::LinksLost).await {
+                Some(answer) => return answer,
+                None => continue,
             }
         }
-        let mut chosen = match choose_waiting(call, &tries.avoid).await {
+        let mut chosen = match choose_waiting(call, &tries.avoid, may_forward).await {
             Ok(chosen) => chosen,
+            Err(refusal @ Refusal::Limited { .. }) if may_forward => {
+                // If no peer serves it either, the request waits here.
+                may_forward = false;
+                if let Some(cause) = HopCause::of_refusal(call, &tries.avoid, refusal)
+                    && let Some(answer) = serve_at_peer(call, &mut tries, &cause).await
+                {
+                    return answer;
+                }
+                continue;
+            }
             Err(refusal) => return refuse(call, tries.verdict(), &refusal),
         };
         let attempt = tries.begin(&chosen);
@@ -90,6 +97,18 @@
     }
 }
 
+/// Serves a request through a peer. Returns `None` if this node may still serve it.
+async fn serve_at_peer(call: &Rc<Call>, tries: &mut Tries, cause: &HopCause) -> Option<Answer> {
+    let resume = call.resume().cloned();
+    match hop::first_event(call, tries.delivered, resume, cause).await {
+        Ok((started, peer, delivered)) => {
+            Some(started.answer(call, StreamServer::Peer(peer), delivered))
+        }
+        Err(HopError::NoPeer(_)) if matches!(cause, HopCause::Limited { .. }) => None,
+        Err(error) => hop::final_answer(call, tries, error),
+    }
+}
+
 /// A stream whose first event has arrived.
 pub(super) struct StartedStream {
     /// The status and the headers of the replica's answer.
--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -59,6 +59,36 @@
     });
 }
 
+/// The maximum number of limited replicas of which the holders are looked up. Each has its own.
+const MAX_LOOKED_UP: usize = 8;
+
+/// Returns the peers that hold limits of the replicas of a service that aren't in `avoid`. A replica that asked
+/// this node to back off is left out.
+pub fn holding_peers(node: &Node, service: &ServiceName, avoid: &[ReplicaKey]) -> Vec<OwnerId> {
+    let now_ms = node.now_ms();
+    let live_peers = node.outbox.live_peers();
+    let nodes = Nodes {
+        own: node.owner,
+        heard: &live_peers,
+        known: node.outbox.peer_count(),
+    };
+    node.with(|state| {
+        let ready = state.replicas.ready(service).into_iter();
+        let keys = ready.map(|(key, _, _)| key).filter(|key| {
+            let backs_off = state.replica_backoffs.admission(*key, now_ms) != Admission::Now;
+            !avoid.contains(key) && !backs_off
+        });
+        let mut holders = Vec::new();
+        for key in keys.take(MAX_LOOKED_UP) {
+            holders.extend(state.limits.holding_peers(&nodes, key));
+            holders.extend(state.cold_limits.holding_peers(&nodes, key));
+        }
+        holders.sort_unstable();
+        holders.dedup();
+        holders
+    })
+}
+
 /// Limits the replicas that are cold, and no others.
 fn limit_cold_replicas(state: &mut State, now_ms: MonoMs) {
     let State {
