A peer that knows no replica passes a forwarded request on

Two thirds of a second's requests at nodes that were cut off were refused: no replica takes work.

Cause: a node that has just started before a renewed store knows no replica. It refused each forwarded request for good, within a ms, and as the peer with the fewest requests in flight got nearly all of them. The class: one node's ignorance counts as a fact for all.

--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -207,8 +207,14 @@
         Refusal::NoReplica | Refusal::TooLong => NO_REPLICA_RETRY_MS,
     };
     let why = refusal.to_string();
-    if let (Verdict::NotRun, Refusal::Limited { .. }, Some(_)) = (ran, refusal, &call.forwarded) {
-        return answers::unavailable(&call.node, &call.head, &why, retry_after_ms);
+    if ran == Verdict::NotRun && call.forwarded.is_some() {
+        // Other nodes may have a share of the limits, or know replicas that this node doesn't.
+        let unavailable = |ms| answers::unavailable(&call.node, &call.head, &why, ms);
+        match refusal {
+            Refusal::Limited { .. } => return unavailable(retry_after_ms),
+            Refusal::NoReplica => return unavailable(SpanMs::ZERO),
+            _ => {}
+        }
     }
     let retry_after_ms = retry_after_ms.mul_f64(rand::random_range(1.0..MAX_RETRY_FACTOR));
     match ran {
