--- a/crates/fleet/src/forwarding/mod.rs
+++ b/crates/fleet/src/forwarding/mod.rs
@@ -73,7 +73,7 @@
 
     /// Records that a peer couldn't serve a request to `service`.
     pub fn on_unusable(&mut self, owner: OwnerId, service: &ServiceName, now_ms: MonoMs) {
-        self.rest(owner, service, UNUSABLE_MS, now_ms);
+        self.exclude(owner, service, UNUSABLE_MS, now_ms);
     }
 
     /// Records that a peer may send no request to the replicas of `service` for `wait_ms`.
@@ -84,13 +84,14 @@
         wait_ms: SpanMs,
         now_ms: MonoMs,
     ) {
-        self.rest(owner, service, wait_ms.min(UNUSABLE_MS), now_ms);
+        self.exclude(owner, service, wait_ms.min(UNUSABLE_MS), now_ms);
     }
 
-    fn rest(&mut self, owner: OwnerId, service: &ServiceName, rest_ms: SpanMs, now_ms: MonoMs) {
+    /// Excludes a peer from being chosen for `span_ms`.
+    fn exclude(&mut self, owner: OwnerId, service: &ServiceName, span_ms: SpanMs, now_ms: MonoMs) {
         self.unusable.retain(|_, until_ms| *until_ms > now_ms);
         self.unusable
-            .insert((owner, service.clone()), now_ms + rest_ms);
+            .insert((owner, service.clone()), now_ms + span_ms);
     }
 
     /// Records that a request was sent to a peer.
--- a/crates/quarantine/src/subject/mod.rs
+++ b/crates/quarantine/src/subject/mod.rs
@@ -1,4 +1,4 @@
-//! What may be in quarantine.
+//! The subjects of quarantines: requests, and parts of prompts.
 
 use crate::digest::RequestDigest;
 use crate::part::PartId;
