Holders of limits are looked up once for as long as shares are used

Cause: each request that was refused by limits sorted all live nodes for up to eight replicas, and compared each live peer with each holder: N x N for one request where all nodes hold the limits. Found by reading the diff; not measured.

Change: the holders of a limit are selected without a sort, kept until shares are computed again (200 ms), and at most sixteen a replica are considered; peers are found among them by bisection.

--- a/crates/fleet/src/limit/mod.rs
+++ b/crates/fleet/src/limit/mod.rs
@@ -43,6 +43,9 @@
 /// The time for which computed shares are used before they are computed again from the current nodes.
 const SHARE_REFRESH_MS: SpanMs = SpanMs(200);
 
+/// The maximum number of peers that a look-up of a limit's holders returns. A request is forwarded to a few.
+const MAX_HOLDERS: usize = 16;
+
 /// The silence after which a replica with a limit is probed. Until then, requests sent there show more.
 const PROBE_AFTER_SILENCE_MS: SpanMs = SpanMs(4_000);
 
@@ -139,6 +142,8 @@
     ended: FxHashMap<ReplicaKey, End>,
     /// The time at which shares were last computed, or `None` if a share is missing.
     shares_computed_ms: Option<MonoMs>,
+    /// The peers that hold each limit, as far as they were looked up since then.
+    holders: FxHashMap<ReplicaKey, Vec<OwnerId>>,
 }
 
 impl Limits {
@@ -268,6 +273,7 @@
     /// Computes the share of this node in each limit.
     pub fn share(&mut self, nodes: &Nodes<'_>, now_ms: MonoMs) {
         self.shares_computed_ms = Some(now_ms);
+        self.holders.clear();
         for (key, limit) in &mut self.known {
             let share = Share::of(nodes, *key, limit.rate);
             limit.share = Some(share);
@@ -287,12 +293,20 @@
         }
     }
 
-    /// Returns the peers that hold the limit of a replica; none if it has no limit.
-    pub fn holding_peers(&self, nodes: &Nodes<'_>, key: ReplicaKey) -> Vec<OwnerId> {
-        let limit = self.known.get(&key);
-        limit.map_or_else(Vec::new, |limit| {
-            share::holding_peers(nodes, key, limit.rate)
-        })
+    /// Returns some of the peers that hold the limit of a replica, at most [`MAX_HOLDERS`], chosen by `draw`;
+    /// none if it has no limit. All are looked up once for as long as shares are used.
+    pub fn holding_peers(&mut self, nodes: &Nodes<'_>, key: ReplicaKey, draw: u64) -> Vec<OwnerId> {
+        let known = &self.known;
+        let holders = self.holders.entry(key).or_insert_with(|| {
+            let limit = known.get(&key);
+            limit.map_or_else(Vec::new, |limit| {
+                share::holding_peers(nodes, key, limit.rate)
+            })
+        });
+        let first = draw as usize % holders.len().max(1);
+        let from_first = holders.iter().cycle().skip(first);
+        let some = from_first.take(holders.len().min(MAX_HOLDERS));
+        some.copied().collect()
     }
 
     /// Counts something that is sent to a replica.
--- a/crates/fleet/src/rendezvous/mod.rs
+++ b/crates/fleet/src/rendezvous/mod.rs
@@ -21,7 +21,7 @@
     before.count()
 }
 
-/// Returns the peers among the first `count` nodes for a replica, in the order of their ranks.
+/// Returns the peers among the first `count` nodes for a replica, in no particular order.
 pub fn first_peers(
     own: OwnerId,
     peers: &[OwnerId],
@@ -29,8 +29,11 @@
     count: usize,
 ) -> Vec<OwnerId> {
     let mut nodes: Vec<OwnerId> = peers.iter().copied().chain([own]).collect();
-    nodes.sort_unstable_by_key(|node| std::cmp::Reverse(weight(*node, replica)));
-    nodes.truncate(count);
+    if count < nodes.len() {
+        let by_rank = |node: &OwnerId| std::cmp::Reverse(weight(*node, replica));
+        nodes.select_nth_unstable_by_key(count, by_rank);
+        nodes.truncate(count);
+    }
     nodes.retain(|node| *node != own);
     nodes
 }
--- a/crates/fleet/tests/limit.rs
+++ b/crates/fleet/tests/limit.rs
@@ -340,3 +340,51 @@
     assert!(limits.expire(|key| key != REPLICA, MonoMs(1)).is_empty());
     assert!(limits.is_empty());
 }
+
+/// Guards against requests that are forwarded to peers without a share of the limit: all nodes agree on who holds
+/// it, whatever the limit and the number of nodes.
+#[test]
+fn the_peers_that_hold_a_limit_are_those_with_a_share() {
+    for (nodes, rate) in [(6, 0.2), (6, 2.0), (6, 40.0), (12, 3.0), (24, 9.0)] {
+        let mut fleet = Fleet::of(nodes);
+        fleet.set_limit(rate, 1_000);
+        let now_ms = MonoMs(1_000);
+        let peers: Vec<Vec<OwnerId>> = (0..nodes).map(|node| fleet.live_peers_of(node)).collect();
+        let known = nodes - 1;
+        let of = |node: usize| Nodes {
+            own: owner(node),
+            heard: &peers[node],
+            known,
+        };
+        for (node, limits) in fleet.limits.iter_mut().enumerate() {
+            limits.share(&of(node), now_ms);
+        }
+        let holds = |limits: &Limits| limits.admission(REPLICA, now_ms) != Admission::OtherNodes;
+        let holding: Vec<bool> = fleet.limits.iter().map(holds).collect();
+        for node in 0..nodes {
+            let mut found = fleet.limits[node].holding_peers(&of(node), REPLICA, 5);
+            found.sort_unstable();
+            let held = (0..nodes).filter(|other| *other != node && holding[*other]);
+            let mut held: Vec<OwnerId> = held.map(owner).collect();
+            held.sort_unstable();
+            assert_eq!(found, held, "{nodes} nodes, {rate} a second");
+        }
+    }
+}
+
+/// Guards against a look-up whose cost and result grow with the number of nodes for each refused request.
+#[test]
+fn a_bounded_number_of_peers_that_hold_a_limit_is_returned() {
+    let peers: Vec<OwnerId> = (1..985).map(owner).collect();
+    let nodes = Nodes {
+        own: owner(0),
+        heard: &peers,
+        known: peers.len(),
+    };
+    let mut limits = Limits::default();
+    limits.on_answer(REPLICA, answered(set_to(2_000.0), 0), MonoMs(1_000));
+    limits.share(&nodes, MonoMs(1_000));
+    let found = limits.holding_peers(&nodes, REPLICA, 980);
+    assert_eq!(found.len(), 16);
+    assert!(found.iter().all(|peer| peers.contains(peer)));
+}
--- a/crates/front/src/call/hop.rs
+++ b/crates/front/src/call/hop.rs
@@ -132,7 +132,7 @@
     Limited {
         /// The refusal of the request if no peer serves it.
         refusal: Refusal,
-        /// The peers that have a share of the limits.
+        /// Peers that have a share of the limits, in the order of their ids.
         holders: Vec<OwnerId>,
     },
 }
@@ -152,7 +152,7 @@
     fn admits(&self, peer: OwnerId) -> bool {
         match self {
             Self::LinksLost => true,
-            Self::Limited { holders, .. } => holders.contains(&peer),
+            Self::Limited { holders, .. } => holders.binary_search(&peer).is_ok(),
         }
     }
 
--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -62,8 +62,8 @@
 /// The maximum number of limited replicas of which the holders are looked up. Each has its own.
 const MAX_LOOKED_UP: usize = 8;
 
-/// Returns the peers that hold limits of the replicas of a service that aren't in `avoid`. A replica that asked
-/// this node to back off is left out.
+/// Returns some of the peers that hold limits of the replicas of a service that aren't in `avoid`, in the order
+/// of their ids. A replica that asked this node to back off is left out.
 pub fn holding_peers(node: &Node, service: &ServiceName, avoid: &[ReplicaKey]) -> Vec<OwnerId> {
     let now_ms = node.now_ms();
     let live_peers = node.outbox.live_peers();
@@ -78,10 +78,12 @@
             let backs_off = state.replica_backoffs.admission(*key, now_ms) != Admission::Now;
             !avoid.contains(key) && !backs_off
         });
+        let keys: Vec<ReplicaKey> = keys.take(MAX_LOOKED_UP).collect();
         let mut holders = Vec::new();
-        for key in keys.take(MAX_LOOKED_UP) {
-            holders.extend(state.limits.holding_peers(&nodes, key));
-            holders.extend(state.cold_limits.holding_peers(&nodes, key));
+        for key in keys {
+            let draw = rand::random();
+            holders.extend(state.limits.holding_peers(&nodes, key, draw));
+            holders.extend(state.cold_limits.holding_peers(&nodes, key, draw));
         }
         holders.sort_unstable();
         holders.dedup();
