--- a/crates/fleet/src/forwarding/mod.rs
+++ b/crates/fleet/src/forwarding/mod.rs
@@ -28,7 +28,7 @@
     pub same_domain: bool,
 }
 
-/// What a node knows of its peers as servers of its requests.
+/// The peers that can't serve this node's requests for now, and its requests in flight at peers.
 #[derive(Debug, Default)]
 pub struct ForwardPeers {
     /// The end of the time for which a peer gets no requests for a service.
--- a/crates/front/src/limits/mod.rs
+++ b/crates/front/src/limits/mod.rs
@@ -48,11 +48,7 @@
         return;
     }
     let live_peers = node.outbox.live_peers();
-    let nodes = Nodes {
-        own: node.owner,
-        heard: &live_peers,
-        known: node.outbox.peer_count(),
-    };
+    let nodes = nodes_among(node, &live_peers);
     node.with(|state| {
         state.limits.share(&nodes, now_ms);
         state.cold_limits.share(&nodes, now_ms);
@@ -67,11 +63,7 @@
 pub fn holding_peers(node: &Node, service: &ServiceName, avoid: &[ReplicaKey]) -> Vec<OwnerId> {
     let now_ms = node.now_ms();
     let live_peers = node.outbox.live_peers();
-    let nodes = Nodes {
-        own: node.owner,
-        heard: &live_peers,
-        known: node.outbox.peer_count(),
-    };
+    let nodes = nodes_among(node, &live_peers);
     node.with(|state| {
         let ready = state.replicas.ready(service).into_iter();
         let keys = ready.map(|(key, _, _)| key).filter(|key| {
@@ -91,6 +83,15 @@
     })
 }
 
+/// Returns the nodes among which limits are divided.
+fn nodes_among<'a>(node: &Node, live_peers: &'a [OwnerId]) -> Nodes<'a> {
+    Nodes {
+        own: node.owner,
+        heard: live_peers,
+        known: node.outbox.peer_count(),
+    }
+}
+
 /// Limits the replicas that are cold, and no others.
 fn limit_cold_replicas(state: &mut State, now_ms: MonoMs) {
     let State {
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -287,7 +287,7 @@
         order in any::<prop::sample::Index>(),
     ) {
         let ids = [SHARED, FATAL, BESIDE, OTHER];
-        let notices: Vec<PartNotice> = events
+        let mut notices: Vec<PartNotice> = events
             .iter()
             .map(|(id, run, request, tenths)| {
                 let part = part(ids[*id as usize]);
@@ -299,8 +299,18 @@
                 }
             })
             .collect();
+        // One part has crashes of different requests, and prompts without it are served.
+        notices.extend((0..4).map(|run| PartNotice::Ended {
+            part: part(FATAL),
+            run: ServerRun(100 + run),
+            request: 100 + u64::from(run),
+            age_ms: 9_000 - run * 300,
+        }));
         let mut one = Tables::default();
         let mut two = Tables::default();
+        for tables in [&mut one, &mut two] {
+            tables.serve(&["c0"], 19_500);
+        }
         let turn = order.index(notices.len());
         for notice in &notices {
             one.parts.on_notified(*notice, at(20_000));
@@ -308,6 +318,10 @@
         for notice in notices[turn..].iter().chain(&notices[..turn]).chain(&notices[..turn]) {
             two.parts.on_notified(*notice, at(20_000));
         }
+        let never_served = !notices.iter().any(|notice| {
+            matches!(notice, PartNotice::Cleared { part: served, .. } if *served == part(FATAL))
+        });
+        prop_assert!(one.refuses(FATAL) || !never_served, "the test sees refusals");
         for id in ids {
             prop_assert_eq!(one.refuses(id), two.refuses(id));
         }
