Log how the check of a crash ends, and why a judged request stays free

Cause: the log couldn't tell a crash that was taken for a cut from one that was never checked, nor a crash that is explained by another request from crashes too close to each other. Change: crash_checked (evidence, time) and suspect_judged (crashes known, explained, unspecific, points, spread). The detector returns a finding; what it decides is unchanged.

--- a/crates/front/src/crash_checks/mod.rs
+++ b/crates/front/src/crash_checks/mod.rs
@@ -10,6 +10,7 @@
 //! Invariants: a replica that was leaving, or that the node didn't know, never counts as crashed.
 
 use crate::http::{Freshness, SendError};
+use crate::journal::Event;
 use crate::links;
 use crate::node::Node;
 use bluebell_base::prelude::*;
@@ -83,19 +84,71 @@
         checks.insert(replica.key(), (now_ms, state.clone()));
         let (node, replica) = (node.clone(), replica.clone());
         spawn_local(async move {
-            if !is_ready(&node, &replica) {
-                sender.send_replace(CrashState::Alive);
-                return;
-            }
-            sender.send_replace(probe_address(&node, &replica).await);
-            if *sender.borrow() == CrashState::Undecided {
-                sender.send_replace(wait_for_directory(&node, &replica).await);
-            }
+            let evidence = evidence(&node, &replica, &sender).await;
+            node.journal.record(&Event::CrashChecked {
+                instance: replica.instance.clone(),
+                crashed: evidence.state() == CrashState::Crashed,
+                how: evidence.as_str(),
+                took_ms: node.now_ms().since(now_ms),
+            });
+            sender.send_replace(evidence.state());
         });
         state
     }
 }
 
+/// The evidence that decides a check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashEvidence {
+    /// The replica was leaving, or this node doesn't know it.
+    NotReady,
+    /// Its address refuses connections while another replica of its service can be reached.
+    Refused,
+    /// The directory no longer lists it, or lists another one at its address.
+    Unlisted,
+    /// It left in a planned way since then.
+    Left,
+    /// The directory still lists it after the time within which it drops a crashed replica.
+    StillListed,
+}
+
+impl CrashEvidence {
+    /// Returns the final state of a check with this evidence.
+    fn state(self) -> CrashState {
+        match self {
+            Self::Refused | Self::Unlisted => CrashState::Crashed,
+            Self::NotReady | Self::Left | Self::StillListed => CrashState::Alive,
+        }
+    }
+
+    /// Returns the name used in the log.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::NotReady => "not_ready",
+            Self::Refused => "refused",
+            Self::Unlisted => "unlisted",
+            Self::Left => "left",
+            Self::StillListed => "still_listed",
+        }
+    }
+}
+
+/// Waits for the evidence that decides if a replica has crashed.
+async fn evidence(
+    node: &Rc<Node>,
+    replica: &Replica,
+    state: &watch::Sender<CrashState>,
+) -> CrashEvidence {
+    if !is_ready(node, replica) {
+        return CrashEvidence::NotReady;
+    }
+    if is_refused(node, replica).await {
+        return CrashEvidence::Refused;
+    }
+    state.send_replace(CrashState::Undecided);
+    wait_for_directory(node, replica).await
+}
+
 /// Returns true if the node knows this instance of the replica and it accepts work.
 fn is_ready(node: &Node, replica: &Replica) -> bool {
     node.with(|state| {
@@ -104,21 +157,19 @@
     })
 }
 
-/// Opens a connection to the replica's address: one that is refused shows a crash.
-async fn probe_address(node: &Rc<Node>, replica: &Replica) -> CrashState {
+/// Opens a connection to the replica's address. Returns true if it is refused while another replica of the
+/// service can be reached; otherwise this node's own links may be the cause.
+async fn is_refused(node: &Rc<Node>, replica: &Replica) -> bool {
     match node.pool.lease(replica.address, Freshness::New).await {
-        // If no other replica can be reached, this node's own links may be the cause.
-        Err(SendError::Refused(_)) if links::are_sound(node, replica).await => {
-            return CrashState::Crashed;
-        }
+        Err(SendError::Refused(_)) if links::are_sound(node, replica).await => return true,
         Err(error) => log::debug!("probe of replica {} failed: {error}", replica.instance),
         Ok(link) => node.pool.give_back(link, None),
     }
-    CrashState::Undecided
+    false
 }
 
 /// Waits for the directory to drop a replica that accepted work until its connections broke.
-async fn wait_for_directory(node: &Node, replica: &Replica) -> CrashState {
+async fn wait_for_directory(node: &Node, replica: &Replica) -> CrashEvidence {
     let until_ms = node.now_ms() + DIRECTORY_TIMEOUT_MS;
     while node.now_ms() < until_ms {
         tokio::time::sleep(Duration::from(DIRECTORY_POLL_MS)).await;
@@ -127,10 +178,10 @@
             known.map(|known| state.replicas.takes_work(known))
         });
         match takes_work {
-            None => return CrashState::Crashed,
-            Some(false) => return CrashState::Alive,
+            None => return CrashEvidence::Unlisted,
+            Some(false) => return CrashEvidence::Left,
             Some(true) => {}
         }
     }
-    CrashState::Alive
+    CrashEvidence::StillListed
 }
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -259,6 +259,29 @@
         /// arrived.
         writing_ms: Option<SpanMs>,
     },
+    /// The check of a replica whose connection broke ended.
+    CrashChecked {
+        instance: Arc<str>,
+        crashed: bool,
+        /// The evidence that decided, as in `CrashEvidence`.
+        how: &'static str,
+        /// The time since the connection broke.
+        took_ms: SpanMs,
+    },
+    /// A request with enough crashes to be judged stays free.
+    SuspectJudged {
+        digest: RequestDigest,
+        /// The crashes that are known of it.
+        crashes: usize,
+        /// Those of them under another request or a part that is in quarantine.
+        explained: usize,
+        /// Those of them together with which more replicas crashed than it was on.
+        unspecific: usize,
+        /// The points that the others count.
+        points: u32,
+        /// The time from the first to the last of the others.
+        spread_ms: SpanMs,
+    },
     /// A request or a part of prompts was put into quarantine and is no longer run, since the replicas that
     /// ran it crashed.
     RequestQuarantined {
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -182,13 +182,24 @@
     spawn_local(async move {
         tokio::time::sleep(Duration::from(DETECTION_DELAY_MS)).await;
         let now_ms = node.now_ms();
-        let judged = node.with(|state| {
+        let (judged, free) = node.with(|state| {
             let explained = state.parts.explained_runs();
-            state.quarantine.judge_unexplained(now_ms, &explained)
+            let judged = state.quarantine.judge_unexplained(now_ms, &explained);
+            (judged, state.quarantine.free_suspects(now_ms, &explained))
         });
         for (digest, change) in judged {
             on_change(&node, digest.into(), change, QuarantineCause::Judged);
         }
+        for (digest, finding) in free {
+            node.journal.record(&Event::SuspectJudged {
+                digest,
+                crashes: finding.crashes,
+                explained: finding.explained,
+                unspecific: finding.unspecific,
+                points: finding.points,
+                spread_ms: finding.spread_ms,
+            });
+        }
     });
 }
 
--- a/crates/quarantine/src/detection/mod.rs
+++ b/crates/quarantine/src/detection/mod.rs
@@ -11,7 +11,7 @@
 //! they were received.
 
 use crate::evidence::ServerRun;
-use crate::record::{Crash, Record};
+use crate::record::Record;
 use bluebell_base::prelude::*;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::BTreeSet;
@@ -87,6 +87,30 @@
     }
 }
 
+/// What the crashes of a request show.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Finding {
+    /// The number of crashes that are known.
+    pub crashes: usize,
+    /// The number of crashes that another request or a part in quarantine explains.
+    pub explained: usize,
+    /// The number of crashes together with which more servers crashed than the request was on.
+    pub unspecific: usize,
+    /// The number of crashes that count.
+    pub counted: usize,
+    /// The points of the evidence of these.
+    pub points: u32,
+    /// The time from the first to the last of these.
+    pub spread_ms: SpanMs,
+}
+
+impl Finding {
+    /// Returns true if the request is to be refused.
+    pub(crate) fn is_fatal(&self) -> bool {
+        self.counted >= MIN_CRASHES && self.points >= MIN_POINTS && self.spread_ms >= MIN_SPREAD_MS
+    }
+}
+
 /// Judges requests by the crashes that are known at one time.
 pub(crate) struct Detector<'a> {
     /// The crashes of all servers, whatever requests they had.
@@ -96,22 +120,34 @@
 }
 
 impl Detector<'_> {
-    /// Returns true if a request is to be refused. Crashes of the runs in `explained` don't count, since
-    /// other requests caused them.
-    pub fn is_fatal(&self, record: &Record, explained: &FxHashSet<ServerRun>) -> bool {
-        if record.crashes().len() < MIN_CRASHES {
-            return false;
-        }
+    /// Returns what the crashes of a request show. Those of the runs in `explained` don't count, since other
+    /// requests caused them, nor do those that are too recent to be judged.
+    pub fn finding(&self, record: &Record, explained: &FxHashSet<ServerRun>) -> Finding {
         let own: FxHashSet<ServerRun> = record.crashes().iter().map(|crash| crash.run).collect();
-        let counted = |crash: &&Crash| {
-            let old = self.now_ms.since(crash.at_ms) >= DETECTION_DELAY_MS;
-            old && !explained.contains(&crash.run) && self.runs.is_specific(crash.run, &own)
+        let mut finding = Finding {
+            crashes: record.crashes().len(),
+            ..Finding::default()
         };
-        let counted: Vec<&Crash> = record.crashes().iter().filter(counted).collect();
-        let points: u32 = counted.iter().map(|crash| crash.evidence.points()).sum();
-        let times = counted.iter().map(|crash| crash.at_ms);
-        let first = times.clone().min().unwrap_or_default();
-        let last = times.max().unwrap_or_default();
-        counted.len() >= MIN_CRASHES && points >= MIN_POINTS && last.since(first) >= MIN_SPREAD_MS
+        let mut times = Vec::new();
+        for crash in record.crashes() {
+            if explained.contains(&crash.run) {
+                finding.explained += 1;
+            } else if !self.runs.is_specific(crash.run, &own) {
+                finding.unspecific += 1;
+            } else if self.now_ms.since(crash.at_ms) >= DETECTION_DELAY_MS {
+                finding.points += crash.evidence.points();
+                times.push(crash.at_ms);
+            }
+        }
+        let first = times.iter().min().copied().unwrap_or_default();
+        let last = times.iter().max().copied().unwrap_or_default();
+        finding.counted = times.len();
+        finding.spread_ms = last.since(first);
+        finding
+    }
+
+    /// Returns true if a request is to be refused.
+    pub fn is_fatal(&self, record: &Record, explained: &FxHashSet<ServerRun>) -> bool {
+        record.crashes().len() >= MIN_CRASHES && self.finding(record, explained).is_fatal()
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -38,7 +38,7 @@
 
 /// The items that users of this package import.
 pub mod prelude {
-    pub use crate::detection::DETECTION_DELAY_MS;
+    pub use crate::detection::{DETECTION_DELAY_MS, Finding};
     pub use crate::digest::{RequestDigest, RequestParts};
     pub use crate::evidence::{Evidence, ServerRun};
     pub use crate::notice::{PartNotice, QuarantineNotice};
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -3,7 +3,7 @@
 //! Invariants: a request of which nothing is known has no record; the number of records is bounded; two
 //! nodes that received the same notices, in whatever order, refuse the same requests.
 
-use crate::detection::{CrashedRuns, Detector, MIN_CRASHES};
+use crate::detection::{CrashedRuns, Detector, Finding, MIN_CRASHES};
 use crate::digest::RequestDigest;
 use crate::evidence::{Evidence, ServerRun};
 use crate::notice::{QuarantineNotice, age};
@@ -154,6 +154,28 @@
         judged
     }
 
+    /// Returns what the crashes of each free suspect with enough of them show. Those of the runs in
+    /// `explained` don't count.
+    pub fn free_suspects(
+        &self,
+        now_ms: MonoMs,
+        explained: &FxHashSet<ServerRun>,
+    ) -> Vec<(RequestDigest, Finding)> {
+        let detector = Detector {
+            runs: &self.runs,
+            now_ms,
+        };
+        let suspects = self.records.iter();
+        let suspects =
+            suspects.filter(|(_, r)| r.quarantine.is_none() && r.crashes().len() >= MIN_CRASHES);
+        let findings = suspects.map(|(digest, record)| {
+            let mut explained = explained.clone();
+            explained.extend(explained_by_others(&self.records, digest));
+            (*digest, detector.finding(record, &explained))
+        });
+        findings.collect()
+    }
+
     /// Returns the runs that crashed under requests that are in quarantine, with these requests' numbers.
     pub fn explained_runs(&self) -> Vec<(ServerRun, u64)> {
         let fatal = self.records.iter().filter(|(_, r)| r.quarantine.is_some());
