A crash that looks like a cut counts once it is proved

What callers saw: with two fatal requests at a service of three replicas, all replicas down again and again; 5 to 14 sends more than allowed. Cause: a refused connection counts as a crash only if another replica, drawn at random, is reached. Change: the check of a broken connection goes on until there is evidence: the directory drops the entry, lists another start at its address or says that the replica leaves; or, once any replica of the service is reached again, the address still refuses. It ends after the time in which a crashed replica's entry must be gone (three heartbeats, from the settings, and two seconds to be read), which doesn't run while the directory is away. Up to three others are tried, not one drawn at random; a service without another replica gives no evidence by itself. A crash counts from when the connection broke, and its notice is repeated from when it became known.

--- a/crates/front/src/crash_checks/mod.rs
+++ b/crates/front/src/crash_checks/mod.rs
@@ -5,7 +5,10 @@
 //!
 //! Reason for the limits: a crash must be known before the next arrival of the request that caused
 //! it. Each node therefore probes the replica's address at once, with one connection for all
-//! attempts that wait.
+//! attempts that wait. If no replica of the service can be reached, its crash looks like a loss of this
+//! node's own links, and shows once the directory drops it, another start has its address, or any replica
+//! of the service is reached again. A crash that is known late counts from the time at which the
+//! connections broke.
 //!
 //! Invariants: a replica that was leaving, or that the node didn't know, never counts as crashed.
 
@@ -26,12 +29,11 @@
 /// about the same time.
 const RESULT_TTL_MS: SpanMs = SpanMs(1_000);
 
-/// The time within which the directory must drop a crashed replica whose address still accepts
-/// connections: a proxy or a restarted replica may be listening there.
-const DIRECTORY_TIMEOUT_MS: SpanMs = SpanMs(2_500);
+/// The time within which a node knows a change of the directory.
+const DIRECTORY_DELAY_MS: SpanMs = SpanMs(2_000);
 
-/// The interval at which the directory's table is checked during that time.
-const DIRECTORY_POLL_MS: SpanMs = SpanMs(250);
+/// The interval at which undecided checks look for further evidence.
+const POLL_MS: SpanMs = SpanMs(50);
 
 /// The state of the check for one replica's crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,8 +71,8 @@
 
 impl CrashChecks {
     /// Checks if this instance of a replica has crashed, or joins a check that is under way. The
-    /// result is known within a few ms if the address refuses connections, otherwise within
-    /// [`DIRECTORY_TIMEOUT_MS`].
+    /// result is known within a few ms if the address refuses connections and another replica of the service
+    /// can be reached, otherwise once the directory must have dropped a crashed replica.
     pub fn check(&self, node: &Rc<Node>, replica: &Arc<Replica>) -> CrashWatch {
         let now_ms = node.now_ms();
         let mut checks = self.checks.borrow_mut();
@@ -142,46 +144,67 @@
     if !is_ready(node, replica) {
         return CrashEvidence::NotReady;
     }
+    let mut probed_ms = node.now_ms();
     if is_refused(node, replica).await {
         return CrashEvidence::Refused;
     }
     state.send_replace(CrashState::Undecided);
-    wait_for_directory(node, replica).await
+    let mut left_ms = node.settings.replica_lapse_ms + DIRECTORY_DELAY_MS;
+    while left_ms > SpanMs::ZERO {
+        tokio::time::sleep(Duration::from(POLL_MS)).await;
+        if let Some(evidence) = listing_evidence(node, replica) {
+            return evidence;
+        }
+        if has_contact_since(node, replica, probed_ms) {
+            probed_ms = node.now_ms();
+            if is_refused(node, replica).await {
+                return CrashEvidence::Refused;
+            }
+        }
+        if !is_directory_outdated(node) {
+            left_ms = SpanMs(left_ms.0.saturating_sub(POLL_MS.0));
+        }
+    }
+    CrashEvidence::StillListed
 }
 
 /// Returns true if the node knows this instance of the replica and it accepts work.
 fn is_ready(node: &Node, replica: &Replica) -> bool {
-    node.with(|state| {
+    listing_evidence(node, replica).is_none()
+}
+
+/// Returns what the directory shows of a replica that accepted work until its connections broke, or `None` if it
+/// lists the replica as before.
+fn listing_evidence(node: &Node, replica: &Replica) -> Option<CrashEvidence> {
+    let takes_work = node.with(|state| {
         let known = state.replicas.get(replica.key());
-        known.is_some_and(|known| state.replicas.takes_work(known))
-    })
+        known.map(|known| state.replicas.takes_work(known))
+    });
+    match takes_work {
+        None => Some(CrashEvidence::Unlisted),
+        Some(false) => Some(CrashEvidence::Left),
+        Some(true) => None,
+    }
+}
+
+/// Returns true if a replica of the same service was reached at `since_ms` or later.
+fn has_contact_since(node: &Node, replica: &Replica, since_ms: MonoMs) -> bool {
+    node.with(|state| state.links.has_contact_since(&replica.service, since_ms))
+}
+
+/// Returns true while the directory is away or entries that lapsed meanwhile may return.
+fn is_directory_outdated(node: &Node) -> bool {
+    let now_ms = node.now_ms();
+    node.with(|state| state.replicas.awaits_relisting(now_ms))
 }
 
 /// Opens a connection to the replica's address. Returns true if it is refused while another replica of the
 /// service can be reached; otherwise this node's own links may be the cause.
 async fn is_refused(node: &Rc<Node>, replica: &Replica) -> bool {
     match node.pool.lease(replica.address, Freshness::New).await {
-        Err(SendError::Refused(_)) if links::are_sound(node, replica).await => return true,
+        Err(SendError::Refused(_)) => return links::reaches_another(node, replica).await,
         Err(error) => log::debug!("probe of replica {} failed: {error}", replica.instance),
         Ok(link) => node.pool.give_back(link, None),
     }
     false
 }
-
-/// Waits for the directory to drop a replica that accepted work until its connections broke.
-async fn wait_for_directory(node: &Node, replica: &Replica) -> CrashEvidence {
-    let until_ms = node.now_ms() + DIRECTORY_TIMEOUT_MS;
-    while node.now_ms() < until_ms {
-        tokio::time::sleep(Duration::from(DIRECTORY_POLL_MS)).await;
-        let takes_work = node.with(|state| {
-            let known = state.replicas.get(replica.key());
-            known.map(|known| state.replicas.takes_work(known))
-        });
-        match takes_work {
-            None => return CrashEvidence::Unlisted,
-            Some(false) => return CrashEvidence::Left,
-            Some(true) => {}
-        }
-    }
-    CrashEvidence::StillListed
-}
--- a/crates/front/src/links/mod.rs
+++ b/crates/front/src/links/mod.rs
@@ -235,14 +235,18 @@
     }
 }
 
-/// Returns false if no other replica of the same service can be reached than this one, which can't either.
-pub async fn are_sound(node: &Rc<Node>, replica: &Replica) -> bool {
+/// The number of other replicas that are tried at once to find out if this node reaches any.
+const TRIED_REPLICAS: usize = 3;
+
+/// Returns true if another replica of the same service can be reached than this one, which can't. Without another
+/// one that may be tried nothing shows that this node's links are whole.
+pub async fn reaches_another(node: &Rc<Node>, replica: &Replica) -> bool {
     let mut others = checkable(node, &replica.service);
     others.retain(|other| other.key() != replica.key());
-    match others.choose(&mut rand::rng()) {
-        Some(other) => reach(node, other).await,
-        None => true,
-    }
+    others.shuffle(&mut rand::rng());
+    others.truncate(TRIED_REPLICAS);
+    let reached = others.iter().map(|other| reach(node, other));
+    join_all(reached).await.contains(&true)
 }
 
 /// Lets requests for a service whose links are lost go to peers.
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -48,6 +48,8 @@
     pub retry_limits: RetryLimits,
     /// The maximum duration of a planned stop.
     pub grace_ms: SpanMs,
+    /// The time after which the directory drops the entry of a replica that has crashed.
+    pub replica_lapse_ms: SpanMs,
 }
 
 /// An error that keeps a node from starting or running.
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -98,11 +98,14 @@
         at_ms,
     } = crash;
     let run = ServerRun(replica.key().0);
-    let change = node.with(|state| state.quarantine.on_crash(digest, run, evidence, at_ms));
+    let times = CrashTimes {
+        at_ms,
+        known_ms: node.now_ms(),
+    };
+    let change = node.with(|state| state.quarantine.on_crash(digest, run, evidence, times));
     if change == QuarantineChange::None {
         return;
     }
-    let times = (at_ms, node.now_ms());
     node.outbox
         .request(Quarantine::crash_notice(digest, run, evidence, times));
     node.journal.record(&Event::ReplicaEnded {
--- a/crates/front/src/quarantine/parts.rs
+++ b/crates/front/src/quarantine/parts.rs
@@ -34,9 +34,12 @@
     }
     let run = ServerRun(crash.replica.key().0);
     let request = crash.digest.number();
-    let times = (crash.at_ms, node.now_ms());
+    let times = CrashTimes {
+        at_ms: crash.at_ms,
+        known_ms: node.now_ms(),
+    };
     for part in crash.parts.iter().copied() {
-        let change = node.with(|state| state.parts.on_crash(part, run, request, crash.at_ms));
+        let change = node.with(|state| state.parts.on_crash(part, run, request, times));
         if change == QuarantineChange::None {
             continue;
         }
--- a/crates/quarantine/src/evidence/mod.rs
+++ b/crates/quarantine/src/evidence/mod.rs
@@ -1,5 +1,6 @@
 //! The evidence that an attempt gives if its replica crashes.
 
+use bluebell_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -20,6 +21,24 @@
     }
 }
 
+/// When a server crashed, and when this node learned of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashTimes {
+    /// The time of the crash.
+    pub at_ms: MonoMs,
+    /// The time at which the crash became known, which may be seconds later.
+    pub known_ms: MonoMs,
+}
+
+impl From<MonoMs> for CrashTimes {
+    fn from(at_ms: MonoMs) -> Self {
+        Self {
+            at_ms,
+            known_ms: at_ms,
+        }
+    }
+}
+
 /// The state of a request on a replica that crashed, as far as it is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -40,7 +40,7 @@
 pub mod prelude {
     pub use crate::detection::{DETECTION_DELAY_MS, Finding};
     pub use crate::digest::{RequestDigest, RequestParts};
-    pub use crate::evidence::{Evidence, ServerRun};
+    pub use crate::evidence::{CrashTimes, Evidence, ServerRun};
     pub use crate::notice::{PartNotice, QuarantineNotice};
     pub use crate::part::PartId;
     pub use crate::part_table::{PART_DETECTION_DELAY_MS, PartQuarantine};
--- a/crates/quarantine/src/part_table/mod.rs
+++ b/crates/quarantine/src/part_table/mod.rs
@@ -11,7 +11,7 @@
 
 pub use detection::PART_DETECTION_DELAY_MS;
 
-use crate::evidence::{Evidence, ServerRun};
+use crate::evidence::{CrashTimes, Evidence, ServerRun};
 use crate::notice::{PartNotice, age};
 use crate::part::PartId;
 use crate::record::{Crash, QuarantineState, Record};
@@ -54,20 +54,22 @@
         self.records.begin_trial(part, now_ms)
     }
 
-    /// Records that this node saw a server crash at `at_ms` before an answer to a request with the part had
+    /// Records that this node saw a server crash before an answer to a request with the part had
     /// been written for long. `request` is the number of the request's digest.
     pub fn on_crash(
         &mut self,
         part: PartId,
         run: ServerRun,
         request: u64,
-        at_ms: MonoMs,
+        times: impl Into<CrashTimes>,
     ) -> QuarantineChange {
+        let CrashTimes { at_ms, known_ms } = times.into();
         let crash = Crash {
             run,
             request,
             evidence: Evidence::Present,
             at_ms,
+            known_ms,
             own: true,
         };
         self.records.add_crash(part, crash, is_judged)
@@ -218,6 +220,7 @@
                     request,
                     evidence: Evidence::Present,
                     at_ms: at(age_ms),
+                    known_ms: now_ms,
                     own: false,
                 };
                 (part, self.records.add_crash(part, crash, is_judged))
@@ -251,18 +254,18 @@
         Some(cleared_notice(*part, at_ms, now_ms))
     }
 
-    /// Returns the notice of a crash that was observed at `at_ms`.
+    /// Returns the notice of a crash that has just become known.
     pub fn crash_notice(
         part: PartId,
         run: ServerRun,
         request: u64,
-        (at_ms, now_ms): (MonoMs, MonoMs),
+        times: CrashTimes,
     ) -> PartNotice {
         PartNotice::Ended {
             part,
             run,
             request,
-            age_ms: age(at_ms, now_ms),
+            age_ms: age(times.at_ms, times.known_ms),
         }
     }
 
@@ -272,9 +275,12 @@
         let mut notices = Vec::new();
         for (part, record) in self.records.iter() {
             let crashes = record.crashes().iter();
-            let own = crashes.filter(|crash| crash.own && recent(crash.at_ms));
+            let own = crashes.filter(|crash| crash.own && recent(crash.known_ms));
             notices.extend(own.map(|crash| {
-                let times = (crash.at_ms, now_ms);
+                let times = CrashTimes {
+                    at_ms: crash.at_ms,
+                    known_ms: now_ms,
+                };
                 let notice = Self::crash_notice(*part, crash.run, crash.request, times);
                 (crash.at_ms, notice)
             }));
--- a/crates/quarantine/src/record/mod.rs
+++ b/crates/quarantine/src/record/mod.rs
@@ -27,6 +27,8 @@
     pub evidence: Evidence,
     /// The time of the crash, by this node's clock.
     pub at_ms: MonoMs,
+    /// The time at which this node learned of the crash, which may be seconds later.
+    pub known_ms: MonoMs,
     /// True if this node observed the crash itself.
     pub own: bool,
 }
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::detection::{CrashedRuns, Detector, Finding, MIN_CRASHES};
 use crate::digest::RequestDigest;
-use crate::evidence::{Evidence, ServerRun};
+use crate::evidence::{CrashTimes, Evidence, ServerRun};
 use crate::notice::{QuarantineNotice, age};
 use crate::record::{CRASH_EXPIRY_MS, Crash, QuarantineState, Record};
 use crate::records::Records;
@@ -89,19 +89,21 @@
         self.records.begin_trial(digest, now_ms)
     }
 
-    /// Records that this node saw a server crash under a request at `at_ms`.
+    /// Records that this node saw a server crash under a request.
     pub fn on_crash(
         &mut self,
         digest: RequestDigest,
         run: ServerRun,
         evidence: Evidence,
-        at_ms: MonoMs,
+        times: impl Into<CrashTimes>,
     ) -> QuarantineChange {
+        let CrashTimes { at_ms, known_ms } = times.into();
         let crash = Crash {
             run,
             request: digest.number(),
             evidence,
             at_ms,
+            known_ms,
             own: true,
         };
         self.add_crash(digest, crash)
@@ -242,6 +244,7 @@
                     request: digest.number(),
                     evidence,
                     at_ms: at(age_ms),
+                    known_ms: now_ms,
                     own: false,
                 };
                 (digest, self.add_crash(digest, crash))
@@ -276,18 +279,18 @@
         })
     }
 
-    /// Returns the notice of a crash that was observed at `at_ms`.
+    /// Returns the notice of a crash that has just become known.
     pub fn crash_notice(
         digest: RequestDigest,
         run: ServerRun,
         evidence: Evidence,
-        (at_ms, now_ms): (MonoMs, MonoMs),
+        times: CrashTimes,
     ) -> QuarantineNotice {
         QuarantineNotice::Ended {
             digest,
             run,
             evidence,
-            age_ms: age(at_ms, now_ms),
+            age_ms: age(times.at_ms, times.known_ms),
         }
     }
 
@@ -299,7 +302,7 @@
             let crashes = record.crashes().iter();
             notices.extend(
                 crashes
-                    .filter(|crash| crash.own && recent(crash.at_ms))
+                    .filter(|crash| crash.own && recent(crash.known_ms))
                     .map(|crash| QuarantineNotice::Ended {
                         digest: *digest,
                         run: crash.run,
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -308,8 +308,7 @@
 fn a_node_repeats_its_own_observations_for_some_seconds() {
     let mut table = Quarantine::default();
     table.on_crash(digest(1), ServerRun(1), Evidence::Running, at(0));
-    let notice =
-        Quarantine::crash_notice(digest(2), ServerRun(1), Evidence::Running, (at(0), at(0)));
+    let notice = Quarantine::crash_notice(digest(2), ServerRun(1), Evidence::Running, at(0).into());
     table.on_notified(notice, at(0));
     assert_eq!(table.repeated_notices(at(2_999)).len(), 1);
     assert_eq!(table.repeated_notices(at(3_000)), []);
@@ -323,6 +322,25 @@
     );
 }
 
+/// Guards against a crash that is proved seconds later and whose only notice is lost.
+#[test]
+fn a_crash_that_is_known_late_is_repeated() {
+    let mut table = Quarantine::default();
+    let times = CrashTimes {
+        at_ms: at(0),
+        known_ms: at(3_500),
+    };
+    table.on_crash(digest(1), ServerRun(1), Evidence::Running, times);
+    let repeated = [QuarantineNotice::Ended {
+        digest: digest(1),
+        run: ServerRun(1),
+        evidence: Evidence::Running,
+        age_ms: 4_000,
+    }];
+    assert_eq!(table.repeated_notices(at(4_000)), repeated);
+    assert_eq!(table.repeated_notices(at(7_000)), []);
+}
+
 /// Guards against notices of each success of a frequent request that was once on a replica that crashed.
 /// Only the first success has something to clear.
 #[test]
