Suspected requests are run once at a time, and the crash of a trial is proof

Cause: nothing stood between a free request and one in quarantine. Where two fatal requests share the replicas that they crash, the first that is refused explains crashes of the other; replicas that crash within 250 ms prove nothing; and until the evidence suffices each arrival is sent by every node, with all its attempts. All of that needs further crashes, each of a whole replica of three. Change: a request that one more crash would make fatal is suspected. It runs once at a time, at one node of the service (the others forward it by the hop that exists), on a replica without another suspect, and not while a crash is still to be judged. Its arrivals wait up to 500 ms for the trial, then they are refused as not run. The crash of a trial is proof together with two others, whatever explains those, unless a request in quarantine was there or many replicas crashed with it. An answer clears it for all. Connections that broke while nothing shows yet if the replica crashed count for the suspicion, are told to peers in datagrams of their own (earlier releases ignore these) and expire; a replica that answers a probe well isn't one of them.

--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -180,6 +180,12 @@
         /// True if this node may send a request then; otherwise only other nodes may.
         here: bool,
     },
+    /// Replicas that ran the request may have crashed under it, and it runs only once at a time.
+    #[error("replicas that ran it may have ended, and it is being tried")]
+    Suspected {
+        /// The time after which the request may be tried again.
+        retry_after_ms: SpanMs,
+    },
     /// Each replica that ran the request has crashed.
     #[error("each replica that ran it has ended")]
     Quarantined {
--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -223,6 +223,7 @@
             arrived_ms: self.arrived_ms,
             deadline_ms: self.deadline_ms,
             is_trial: Cell::new(false),
+            suspect_trial: RefCell::default(),
             is_part_trial: Cell::new(false),
             digest: OnceCell::new(),
         }
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -121,6 +121,7 @@
         | Refusal::Unreachable { .. }
         | Refusal::Evacuated { .. }
         | Refusal::TooLong
+        | Refusal::Suspected { .. }
         | Refusal::Quarantined { .. }
         | Refusal::PartQuarantined { .. } => false,
     }
@@ -131,10 +132,13 @@
     if let Some(refusal) = fatal::refusal(call) {
         return Err(refusal);
     }
-    match &call.service.engine {
-        Some(spec) => choose_engine(call, spec, avoid, wait_state),
-        None => choose_plain(call, avoid),
-    }
+    let avoid = [avoid, &fatal::replicas_of_other_trials(call)].concat();
+    let chosen = match &call.service.engine {
+        Some(spec) => choose_engine(call, spec, &avoid, wait_state),
+        None => choose_plain(call, &avoid),
+    }?;
+    fatal::on_chosen(call, &chosen);
+    Ok(chosen)
 }
 
 /// Returns true if a replica that isn't in `avoid` would accept the request now.
--- a/crates/front/src/call/guards.rs
+++ b/crates/front/src/call/guards.rs
@@ -5,6 +5,7 @@
 use crate::journal::Event;
 use crate::node::Node;
 use bluebell_fleet::prelude::*;
+use bluebell_quarantine::prelude::*;
 use std::rc::Rc;
 
 /// The load that an attempt puts on replicas.
@@ -111,6 +112,31 @@
     }
 }
 
+/// The trial of a suspected request. Dropping it lets another arrival be tried.
+pub(super) struct SuspectTrial {
+    node: Rc<Node>,
+    digest: RequestDigest,
+}
+
+impl SuspectTrial {
+    /// Begins the trial of a request. Returns `None` if one is under way.
+    pub fn begin(node: &Rc<Node>, digest: RequestDigest) -> Option<Self> {
+        let begun = node.with(|state| state.suspect_trials.begin(digest));
+        begun.then(|| Self {
+            node: node.clone(),
+            digest,
+        })
+    }
+}
+
+impl Drop for SuspectTrial {
+    fn drop(&mut self) {
+        let digest = self.digest;
+        self.node.with(|state| state.suspect_trials.end(&digest));
+        self.node.trial_ended.notify_waiters();
+    }
+}
+
 /// Records a cancellation if it is dropped before the request was answered.
 pub(super) struct CancelRecorder {
     call: Rc<Call>,
--- a/crates/front/src/call/hop.rs
+++ b/crates/front/src/call/hop.rs
@@ -135,17 +135,39 @@
         /// Peers that have a share of the limits, in the order of their ids.
         holders: Vec<OwnerId>,
     },
+    /// The request is suspected of crashing replicas, and a peer runs the trials of its service.
+    Suspected {
+        /// The refusal of the request if that peer doesn't serve it.
+        refusal: Refusal,
+        /// The peer.
+        peer: OwnerId,
+    },
 }
 
 impl HopCause {
     /// Returns the cause to forward a request that this node refuses, or `None` if no peer can do more. The
     /// replicas in `avoid` have been tried.
     pub fn of_refusal(call: &Call, avoid: &[ReplicaKey], refusal: Refusal) -> Option<Self> {
-        if call.forwarded.is_some() || !matches!(refusal, Refusal::Limited { .. }) {
+        if call.forwarded.is_some() {
+            return None;
+        }
+        match refusal {
+            Refusal::Limited { .. } => {
+                let holders = limits::holding_peers(&call.node, &call.service.name, avoid);
+                (!holders.is_empty()).then_some(Self::Limited { refusal, holders })
+            }
+            refusal => Self::of_suspect(call, refusal),
+        }
+    }
+
+    /// Returns the cause to forward a suspected request that this node refuses, or `None` if the request is
+    /// refused for another reason, or no peer runs its trials.
+    fn of_suspect(call: &Call, refusal: Refusal) -> Option<Self> {
+        if !matches!(refusal, Refusal::Suspected { .. }) {
             return None;
         }
-        let holders = limits::holding_peers(&call.node, &call.service.name, avoid);
-        (!holders.is_empty()).then_some(Self::Limited { refusal, holders })
+        let peer = fatal::trial_peer(call)?;
+        Some(Self::Suspected { refusal, peer })
     }
 
     /// Returns true if a peer may serve the request.
@@ -153,6 +175,7 @@
         match self {
             Self::LinksLost => true,
             Self::Limited { holders, .. } => holders.binary_search(&peer).is_ok(),
+            Self::Suspected { peer: trying, .. } => peer == *trying,
         }
     }
 
@@ -162,7 +185,7 @@
             Self::LinksLost => Refusal::Unreachable {
                 retry_after_ms: links::RETRY_INTERVAL_MS,
             },
-            Self::Limited { refusal, .. } => *refusal,
+            Self::Limited { refusal, .. } | Self::Suspected { refusal, .. } => *refusal,
         }
     }
 }
@@ -270,9 +293,13 @@
     resume: Option<ResumePoint>,
     cause: &HopCause,
 ) -> Result<PeerReply, HopError> {
-    if let Some(refusal) = fatal::refusal(call) {
-        return Err(HopError::NoPeer(refusal));
-    }
+    let suspected = match fatal::refusal(call) {
+        None => None,
+        Some(refusal) => {
+            Some(HopCause::of_suspect(call, refusal).ok_or(HopError::NoPeer(refusal))?)
+        }
+    };
+    let cause = suspected.as_ref().unwrap_or(cause);
     let mut refusal = cause.refusal();
     // A request is never forwarded onwards.
     if call.forwarded.is_some() {
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -35,11 +35,11 @@
 use bluebell_fleet::prelude::*;
 use bluebell_quarantine::prelude::*;
 use bytes::Bytes as Buffer;
-use guards::CancelRecorder;
+use guards::{CancelRecorder, SuspectTrial};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{HeaderMap, Method, Request, Uri};
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 
 /// An admitted request, with everything that its attempts need.
@@ -69,6 +69,8 @@
     pub deadline_ms: MonoMs,
     /// True if a quarantined request runs as a trial, to find out if it still crashes its replica.
     is_trial: Cell<bool>,
+    /// The request's trial while it runs as a suspect.
+    suspect_trial: RefCell<Option<Rc<SuspectTrial>>>,
     /// True if the next attempt is the trial of the quarantined parts of its prompt.
     is_part_trial: Cell<bool>,
     /// The request's digest, computed on first use.
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -29,6 +29,7 @@
 pub(super) async fn serve(call: &Rc<Call>) -> Answer {
     let mut tries = Tries::default();
     loop {
+        fatal::wait_for_trial(call).await;
         if hop::is_needed(call) {
             return hop::serve_plain(call, &mut tries, &HopCause::LinksLost).await;
         }
@@ -202,6 +203,7 @@
         | Refusal::Limited { retry_after_ms, .. }
         | Refusal::Unreachable { retry_after_ms }
         | Refusal::Evacuated { retry_after_ms }
+        | Refusal::Suspected { retry_after_ms }
         | Refusal::Quarantined { retry_after_ms }
         | Refusal::PartQuarantined { retry_after_ms, .. } => *retry_after_ms,
         Refusal::NoReplica | Refusal::TooLong => NO_REPLICA_RETRY_MS,
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -5,7 +5,7 @@
 use super::body::FrontBody;
 use super::choose::{Chosen, choose_waiting, has_alternative};
 use super::events::EventSplitter;
-use super::fatal::Disconnect;
+use super::fatal::{self, Disconnect};
 use super::hop::{self, HopCause, HopError};
 use super::plain::{fail, refuse};
 use super::pump::{EventSource, Pump};
@@ -54,6 +54,7 @@
         .and_then(|resume| resume.last_event.as_deref());
     let mut may_forward = call.forwarded.is_none();
     loop {
+        fatal::wait_for_trial(call).await;
         if hop::is_needed(call) {
             match serve_at_peer(call, &mut tries, &HopCause::LinksLost).await {
                 Some(answer) => return answer,
@@ -62,8 +63,8 @@
         }
         let mut chosen = match choose_waiting(call, &tries.avoid, may_forward).await {
             Ok(chosen) => chosen,
-            Err(refusal @ Refusal::Limited { .. }) if may_forward => {
-                // If no peer serves it either, the request waits here.
+            Err(refusal @ (Refusal::Limited { .. } | Refusal::Suspected { .. })) if may_forward => {
+                // If no peer serves it either, the request waits or is refused here.
                 may_forward = false;
                 if let Some(cause) = HopCause::of_refusal(call, &tries.avoid, refusal)
                     && let Some(answer) = serve_at_peer(call, &mut tries, &cause).await
--- a/crates/front/src/crash_checks/mod.rs
+++ b/crates/front/src/crash_checks/mod.rs
@@ -42,6 +42,8 @@
     Probing,
     /// The probe gave no result, or something accepts connections; the directory decides.
     Undecided,
+    /// The replica's address answers as before. Only the directory may still show that another start does.
+    Answering,
     /// The replica has crashed.
     Crashed,
     /// The replica is still running, or it left in a planned way.
@@ -54,6 +56,11 @@
         *self != Self::Probing
     }
 
+    /// Returns true if nothing speaks for a crash, or one has been proved.
+    pub fn is_settled(&self) -> bool {
+        self.is_final() || *self == Self::Answering
+    }
+
     /// Returns true if the state won't change any more.
     pub fn is_final(&self) -> bool {
         matches!(self, Self::Crashed | Self::Alive)
@@ -148,7 +155,11 @@
     if is_refused(node, replica).await {
         return CrashEvidence::Refused;
     }
-    state.send_replace(CrashState::Undecided);
+    let answers = links::answers_well(node, replica).await;
+    state.send_replace(match answers {
+        true => CrashState::Answering,
+        false => CrashState::Undecided,
+    });
     let mut left_ms = node.settings.replica_lapse_ms + DIRECTORY_DELAY_MS;
     while left_ms > SpanMs::ZERO {
         tokio::time::sleep(Duration::from(POLL_MS)).await;
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -85,15 +85,18 @@
     Replicas(ReplicasGossip),
     /// Operators evacuated a failure domain or took it back.
     Evacuation(EvacuationEntry),
-    /// A change of what is known about a part of prompts that may be fatal to replicas. Releases that don't
-    /// know it ignore the whole datagram, so it shares none with other kinds.
+    /// A change of what is known about a part of prompts that may be fatal to replicas.
     Part(PartNotice),
 }
 
 impl Gossip {
-    /// Returns true if the gossip may share a datagram with kinds that all releases know.
+    /// Returns true if the gossip may share a datagram with kinds that all releases know. Releases that don't know
+    /// a kind ignore the whole datagram.
     pub fn is_widely_known(&self) -> bool {
-        !matches!(self, Gossip::Part(_))
+        !matches!(
+            self,
+            Gossip::Part(_) | Gossip::Request(QuarantineNotice::Undecided { .. })
+        )
     }
 }
 
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -282,6 +282,12 @@
         /// The time from the first to the last of the others.
         spread_ms: SpanMs,
     },
+    /// A suspected request is tried.
+    SuspectTried {
+        request: Arc<str>,
+        digest: RequestDigest,
+        instance: Arc<str>,
+    },
     /// A request or a part of prompts was put into quarantine and is no longer run, since the replicas that
     /// ran it crashed.
     RequestQuarantined {
--- a/crates/front/src/links/mod.rs
+++ b/crates/front/src/links/mod.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes as Buffer;
 use futures_util::future::join_all;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use rand::seq::{IndexedRandom, SliceRandom};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -155,11 +155,7 @@
 async fn reach(node: &Rc<Node>, replica: &Replica) -> bool {
     let began_ms = node.now_ms();
     let is_reached = match probe_request(node, replica) {
-        Some(request) => {
-            let answered = answers(node, replica.address, request);
-            let answered = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), answered);
-            answered.await.unwrap_or(false)
-        }
+        Some(request) => probe(node, replica.address, request).await.is_some(),
         None => open(node, replica).await,
     };
     match is_reached {
@@ -193,16 +189,38 @@
     }
 }
 
-/// Sends a probe on a new connection. Returns true if it is answered, whatever the answer.
-async fn answers(node: &Rc<Node>, address: SocketAddr, request: Request<Full<Buffer>>) -> bool {
-    let Ok(mut link) = node.pool.lease(address, Freshness::New).await else {
-        return false;
-    };
+/// Returns true if a replica answers a probe well. What only accepts connections in its place doesn't.
+pub async fn answers_well(node: &Rc<Node>, replica: &Replica) -> bool {
+    let request = probe_request(node, replica).filter(|_| may_send(node, replica));
+    match request {
+        Some(request) => {
+            let status = probe(node, replica.address, request).await;
+            status.is_some_and(|status| status.is_success())
+        }
+        None => false,
+    }
+}
+
+/// Sends a probe on a new connection. Returns the status of its answer, or `None` if none comes in time.
+async fn probe(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    request: Request<Full<Buffer>>,
+) -> Option<StatusCode> {
+    let status = send_probe(node, address, request);
+    let status = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), status);
+    status.await.ok()?
+}
+
+async fn send_probe(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    request: Request<Full<Buffer>>,
+) -> Option<StatusCode> {
+    let mut link = node.pool.lease(address, Freshness::New).await.ok()?;
     limits::on_sent_to_address(node, address);
     let sent_ms = node.now_ms();
-    let Ok(answer) = link.send(request).await else {
-        return false;
-    };
+    let answer = link.send(request).await.ok()?;
     let status = answer.status();
     let dialect = &node.platform.dialect;
     let answered = dialect.signals(status.as_u16(), answer.headers());
@@ -214,7 +232,7 @@
     if body.collect().await.is_ok() {
         node.pool.give_back(link, None);
     }
-    true
+    Some(status)
 }
 
 /// Opens a connection to a replica that can't be probed, and keeps it if it isn't reset at once.
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -16,7 +16,7 @@
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// The state on which the node bases its decisions.
 #[derive(Debug)]
@@ -45,6 +45,8 @@
     pub budget: RetryBudget,
     /// The requests that are suspected of being fatal or are in quarantine.
     pub quarantine: Quarantine,
+    /// The trials of suspected requests that this node runs.
+    pub suspect_trials: SuspectTrials,
     /// The parts of prompts that are suspected of being fatal or are in quarantine.
     pub parts: PartQuarantine,
     /// True while a task judges the suspected parts.
@@ -75,6 +77,8 @@
     pub crash_checks: CrashChecks,
     /// The checks of this node's links to replicas.
     pub link_checks: LinkChecks,
+    /// Notified when a trial of a suspected request ends.
+    pub trial_ended: Notify,
     /// The requests that peers forwarded to this node.
     pub forwarded_calls: ForwardedCalls,
     /// The queue of gossip, and the peer table.
@@ -108,6 +112,7 @@
             calls: FxHashMap::default(),
             budget: RetryBudget::new(settings.retry_limits),
             quarantine: Quarantine::default(),
+            suspect_trials: SuspectTrials::default(),
             parts: PartQuarantine::default(),
             judges_parts: false,
         };
@@ -118,6 +123,7 @@
             pool: Pool::open(clock),
             crash_checks: CrashChecks::default(),
             link_checks: LinkChecks::default(),
+            trial_ended: Notify::new(),
             forwarded_calls: ForwardedCalls::default(),
             outbox: Outbox::default(),
             copies: Copies::default(),
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -83,11 +83,21 @@
     /// The time at which the connection broke, which may be seconds before that is known to be a
     /// crash.
     pub at_ms: MonoMs,
+    /// True if the request was there as the trial of a suspect.
+    pub in_trial: bool,
+}
+
+impl ObservedCrash {
+    /// Returns the run of the replica.
+    fn run(&self) -> ServerRun {
+        ServerRun(self.replica.key().0)
+    }
 }
 
 /// Records that a replica crashed under a request of this node.
 pub fn on_crash(node: &Rc<Node>, crash: ObservedCrash) {
     parts::on_crash(node, &crash);
+    let run = crash.run();
     let ObservedCrash {
         request,
         digest,
@@ -96,18 +106,19 @@
         evidence,
         writing_ms,
         at_ms,
+        in_trial,
     } = crash;
-    let run = ServerRun(replica.key().0);
-    let times = CrashTimes {
+    let sighting = CrashSighting {
         at_ms,
         known_ms: node.now_ms(),
+        in_trial,
     };
-    let change = node.with(|state| state.quarantine.on_crash(digest, run, evidence, times));
+    let change = node.with(|state| state.quarantine.on_crash(digest, run, evidence, sighting));
     if change == QuarantineChange::None {
         return;
     }
     node.outbox
-        .request(Quarantine::crash_notice(digest, run, evidence, times));
+        .request(Quarantine::crash_notice(digest, run, evidence, sighting));
     node.journal.record(&Event::ReplicaEnded {
         instance: replica.instance.clone(),
         request,
@@ -119,6 +130,26 @@
     on_change(node, digest.into(), change, QuarantineCause::Judged);
 }
 
+/// Records that the connection to a replica broke under a request of this node, and that nothing shows yet if
+/// the replica crashed.
+pub fn on_undecided(node: &Node, crash: &ObservedCrash) {
+    let ObservedCrash { digest, at_ms, .. } = *crash;
+    let run = crash.run();
+    if !node.with(|state| state.quarantine.on_undecided(digest, run, at_ms)) {
+        return;
+    }
+    node.outbox.request(QuarantineNotice::Undecided {
+        digest,
+        run,
+        age_ms: node.now_ms().since(at_ms).0 as u32,
+    });
+}
+
+/// Records that the replica of a broken connection didn't crash.
+pub fn on_alive(node: &Node, crash: &ObservedCrash) {
+    node.with(|state| state.quarantine.on_alive(&crash.digest, crash.run()));
+}
+
 /// Records that a request was served completely, so that it isn't fatal to every replica that runs it.
 pub fn on_served(node: &Rc<Node>, digest: RequestDigest) {
     clear(node, digest.into(), QuarantineCause::Served);
@@ -146,9 +177,9 @@
     let (digest, change) = node.with(|state| state.quarantine.on_notified(notice, now_ms));
     let cause = match notice {
         QuarantineNotice::Ended { .. } => QuarantineCause::Judged,
-        QuarantineNotice::Quarantined { .. } | QuarantineNotice::Cleared { .. } => {
-            QuarantineCause::Peer
-        }
+        QuarantineNotice::Quarantined { .. }
+        | QuarantineNotice::Cleared { .. }
+        | QuarantineNotice::Undecided { .. } => QuarantineCause::Peer,
     };
     on_change(node, digest.into(), change, cause);
 }
@@ -278,6 +309,13 @@
     })
 }
 
+/// Returns the node that tries the suspected requests of a service.
+pub fn trial_node(node: &Node, service: &ServiceName) -> OwnerId {
+    let peers = node.outbox.live_peers();
+    let nodes = peers.iter().map(|owner| owner.0).chain([node.owner.0]);
+    bluebell_quarantine::trial::trial_node(&service.0, nodes).map_or(node.owner, OwnerId)
+}
+
 /// Returns true if this node tries the request or the part again once its term is over.
 pub fn is_reviewer(node: &Node, subject: &QuarantineSubject) -> bool {
     let peers = node.outbox.live_peers();
--- a/crates/front/src/quarantine/parts.rs
+++ b/crates/front/src/quarantine/parts.rs
@@ -34,16 +34,17 @@
     }
     let run = ServerRun(crash.replica.key().0);
     let request = crash.digest.number();
-    let times = CrashTimes {
+    let sighting = CrashSighting {
         at_ms: crash.at_ms,
         known_ms: node.now_ms(),
+        in_trial: crash.in_trial,
     };
     for part in crash.parts.iter().copied() {
-        let change = node.with(|state| state.parts.on_crash(part, run, request, times));
+        let change = node.with(|state| state.parts.on_crash(part, run, request, sighting));
         if change == QuarantineChange::None {
             continue;
         }
-        let notice = PartQuarantine::crash_notice(part, run, request, times);
+        let notice = PartQuarantine::crash_notice(part, run, request, sighting);
         node.outbox.part(notice);
         report_success(node, part);
         on_change(node, part.into(), change, QuarantineCause::Judged);
--- a/crates/quarantine/src/detection/mod.rs
+++ b/crates/quarantine/src/detection/mod.rs
@@ -5,7 +5,9 @@
 //!
 //! Reason for the limits: a request that is refused because of another request or a power failure is lost
 //! for its caller. A crash therefore counts only if the request was on at least half of the servers that
-//! crashed together, and if no request in quarantine was on the same server.
+//! crashed together, and if no request in quarantine was on the same server. Where such crashes prove
+//! nothing, as those of few servers under several fatal requests, the crash of a server on which the request
+//! alone was tried does.
 //!
 //! Invariants: the decision is a pure function; the same crashes give the same result in whatever order
 //! they were received.
@@ -100,13 +102,29 @@
     pub counted: usize,
     /// The points of the evidence of these.
     pub points: u32,
+    /// The points of all crashes, whether they count or not.
+    pub all_points: u32,
+    /// True if one of those that count was in a trial.
+    pub in_trial: bool,
     /// The time from the first to the last of these.
     pub spread_ms: SpanMs,
 }
 
 impl Finding {
-    /// Returns true if the request is to be refused.
+    /// Returns true if the request is to be refused: enough crashes count, or one of enough crashes was that of
+    /// a server on which it was tried.
     pub(crate) fn is_fatal(&self) -> bool {
+        self.is_proved_in_trial() || self.is_proved_by_crashes()
+    }
+
+    /// Returns true if the request crashed the server on which it was tried, and has as many other crashes as a
+    /// fatal one, whatever explains those.
+    pub(crate) fn is_proved_in_trial(&self) -> bool {
+        self.in_trial && self.crashes >= MIN_CRASHES && self.all_points >= MIN_POINTS
+    }
+
+    /// Returns true if enough crashes count.
+    fn is_proved_by_crashes(&self) -> bool {
         self.counted >= MIN_CRASHES && self.points >= MIN_POINTS && self.spread_ms >= MIN_SPREAD_MS
     }
 }
@@ -130,12 +148,14 @@
         };
         let mut times = Vec::new();
         for crash in record.crashes() {
+            finding.all_points += crash.evidence.points();
             if explained.contains(&crash.run) {
                 finding.explained += 1;
             } else if !self.runs.is_specific(crash.run, &own) {
                 finding.unspecific += 1;
             } else if self.now_ms.since(crash.at_ms) >= DETECTION_DELAY_MS {
                 finding.points += crash.evidence.points();
+                finding.in_trial |= crash.in_trial;
                 times.push(crash.at_ms);
             }
         }
--- a/crates/quarantine/src/evidence/mod.rs
+++ b/crates/quarantine/src/evidence/mod.rs
@@ -21,20 +21,23 @@
     }
 }
 
-/// When a server crashed, and when this node learned of it.
+/// The circumstances in which a node saw a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CrashTimes {
+pub struct CrashSighting {
     /// The time of the crash.
     pub at_ms: MonoMs,
     /// The time at which the crash became known, which may be seconds later.
     pub known_ms: MonoMs,
+    /// True if the request was there as the trial of a suspect.
+    pub in_trial: bool,
 }
 
-impl From<MonoMs> for CrashTimes {
+impl From<MonoMs> for CrashSighting {
     fn from(at_ms: MonoMs) -> Self {
         Self {
             at_ms,
             known_ms: at_ms,
+            in_trial: false,
         }
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -8,6 +8,8 @@
 //!   the request;
 //! - a *suspect* is a request with crashes that isn't in quarantine; a *fatal* request is one whose crashes
 //!   suffice for quarantine;
+//! - a *suspected* request, which one more crash would make fatal, is run once at a time, in *trials*. Servers of
+//!   which it isn't known yet if they crashed count;
 //! - a request in *quarantine* is refused. At the end of its *term* comes a *review*: one node runs one
 //!   arrival as a *trial*.
 //!
@@ -35,16 +37,18 @@
 pub mod subject;
 pub mod table;
 pub mod term;
+pub mod trial;
 
 /// The items that users of this package import.
 pub mod prelude {
     pub use crate::detection::{DETECTION_DELAY_MS, Finding};
     pub use crate::digest::{RequestDigest, RequestParts};
-    pub use crate::evidence::{CrashTimes, Evidence, ServerRun};
+    pub use crate::evidence::{CrashSighting, Evidence, ServerRun};
     pub use crate::notice::{PartNotice, QuarantineNotice};
     pub use crate::part::PartId;
     pub use crate::part_table::{PART_DETECTION_DELAY_MS, PartQuarantine};
     pub use crate::subject::QuarantineSubject;
-    pub use crate::table::{Quarantine, QuarantineChange, QuarantineStatus};
+    pub use crate::table::{JUDGEMENT_MS, Quarantine, QuarantineChange, QuarantineStatus};
     pub use crate::term::Term;
+    pub use crate::trial::SuspectTrials;
 }
--- a/crates/quarantine/src/notice/mod.rs
+++ b/crates/quarantine/src/notice/mod.rs
@@ -40,6 +40,15 @@
         /// sent.
         age_ms: u32,
     },
+    /// A connection to a server broke under the request, and nothing shows yet if the server crashed.
+    Undecided {
+        /// The digest of the request.
+        digest: RequestDigest,
+        /// The run of the server.
+        run: ServerRun,
+        /// The time since the connection broke, in milliseconds, when the notice was sent.
+        age_ms: u32,
+    },
 }
 
 /// A crash, a quarantine or a clearing of one part of prompts, as a node reports it to its peers.
--- a/crates/quarantine/src/part_table/mod.rs
+++ b/crates/quarantine/src/part_table/mod.rs
@@ -11,7 +11,7 @@
 
 pub use detection::PART_DETECTION_DELAY_MS;
 
-use crate::evidence::{CrashTimes, Evidence, ServerRun};
+use crate::evidence::{CrashSighting, Evidence, ServerRun};
 use crate::notice::{PartNotice, age};
 use crate::part::PartId;
 use crate::record::{Crash, QuarantineState, Record};
@@ -61,9 +61,13 @@
         part: PartId,
         run: ServerRun,
         request: u64,
-        times: impl Into<CrashTimes>,
+        sighting: impl Into<CrashSighting>,
     ) -> QuarantineChange {
-        let CrashTimes { at_ms, known_ms } = times.into();
+        let CrashSighting {
+            at_ms,
+            known_ms,
+            in_trial,
+        } = sighting.into();
         let crash = Crash {
             run,
             request,
@@ -71,6 +75,7 @@
             at_ms,
             known_ms,
             own: true,
+            in_trial,
         };
         self.records.add_crash(part, crash, is_judged)
     }
@@ -222,6 +227,7 @@
                     at_ms: at(age_ms),
                     known_ms: now_ms,
                     own: false,
+                    in_trial: false,
                 };
                 (part, self.records.add_crash(part, crash, is_judged))
             }
@@ -259,13 +265,13 @@
         part: PartId,
         run: ServerRun,
         request: u64,
-        times: CrashTimes,
+        sighting: CrashSighting,
     ) -> PartNotice {
         PartNotice::Ended {
             part,
             run,
             request,
-            age_ms: age(times.at_ms, times.known_ms),
+            age_ms: age(sighting.at_ms, sighting.known_ms),
         }
     }
 
@@ -277,11 +283,12 @@
             let crashes = record.crashes().iter();
             let own = crashes.filter(|crash| crash.own && recent(crash.known_ms));
             notices.extend(own.map(|crash| {
-                let times = CrashTimes {
+                let sighting = CrashSighting {
                     at_ms: crash.at_ms,
                     known_ms: now_ms,
+                    in_trial: crash.in_trial,
                 };
-                let notice = Self::crash_notice(*part, crash.run, crash.request, times);
+                let notice = Self::crash_notice(*part, crash.run, crash.request, sighting);
                 (crash.at_ms, notice)
             }));
             let cleared = record.cleared.filter(|(at_ms, own)| *own && recent(*at_ms));
--- a/crates/quarantine/src/records/mod.rs
+++ b/crates/quarantine/src/records/mod.rs
@@ -3,7 +3,8 @@
 //! Invariants: a subject of which nothing is known has no record; the number of records is bounded, and a
 //! flood of suspects removes no quarantine.
 
-use crate::record::{Crash, QuarantineState, Record};
+use crate::evidence::ServerRun;
+use crate::record::{Crash, QuarantineState, Record, UndecidedCrash};
 use crate::table::{QuarantineChange, QuarantineStatus};
 use crate::term::Term;
 use bluebell_base::prelude::*;
@@ -48,6 +49,7 @@
     pub fn status(&self, key: &K, now_ms: MonoMs) -> QuarantineStatus {
         let record = self.records.get(key);
         match record.and_then(|record| record.quarantine) {
+            None if record.is_some_and(Record::is_suspected) => QuarantineStatus::Suspected,
             None => QuarantineStatus::Free,
             Some(quarantine) => QuarantineStatus::Quarantined {
                 review_in_ms: quarantine.review_ms().since(now_ms),
@@ -93,6 +95,24 @@
         QuarantineChange::Ended { judged }
     }
 
+    /// Records a server of which it isn't known if it crashed. Returns true if it was unknown.
+    pub fn add_undecided(&mut self, key: K, undecided: UndecidedCrash) -> bool {
+        let is_new = self
+            .records
+            .entry(key)
+            .or_default()
+            .add_undecided(undecided);
+        self.limit_suspects();
+        is_new
+    }
+
+    /// Removes a server that turned out not to have crashed.
+    pub fn remove_undecided(&mut self, key: &K, run: ServerRun) {
+        if let Some(record) = self.records.get_mut(key) {
+            record.remove_undecided(run);
+        }
+    }
+
     /// Puts a subject into quarantine from `since_ms` on, unless a newer one is known or it was cleared since.
     pub fn begin_quarantine(&mut self, key: K, since_ms: MonoMs, term: Term) -> QuarantineChange {
         let record = self.records.entry(key).or_default();
--- a/crates/quarantine/src/review/mod.rs
+++ b/crates/quarantine/src/review/mod.rs
@@ -13,12 +13,16 @@
     own: u64,
     others: impl IntoIterator<Item = u64>,
 ) -> bool {
-    let weight = |node: u64| {
+    first(subject.number(), others.into_iter().chain([own])) == Some(own)
+}
+
+/// Returns the node among `nodes` that is responsible for what `number` stands for.
+pub(crate) fn first(number: u64, nodes: impl IntoIterator<Item = u64>) -> Option<u64> {
+    let weight = |node: &u64| {
         let mut hasher = FxHasher::default();
-        hasher.write_u64(subject.number());
-        hasher.write_u64(node);
-        (hasher.finish(), node)
+        hasher.write_u64(number);
+        hasher.write_u64(*node);
+        (hasher.finish(), *node)
     };
-    let heaviest = others.into_iter().map(weight).max();
-    heaviest <= Some(weight(own))
+    nodes.into_iter().max_by_key(weight)
 }
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -3,11 +3,11 @@
 //! Invariants: a request of which nothing is known has no record; the number of records is bounded; two
 //! nodes that received the same notices, in whatever order, refuse the same requests.
 
-use crate::detection::{CrashedRuns, Detector, Finding, MIN_CRASHES};
+use crate::detection::{CrashedRuns, DETECTION_DELAY_MS, Detector, Finding, MIN_CRASHES};
 use crate::digest::RequestDigest;
-use crate::evidence::{CrashTimes, Evidence, ServerRun};
+use crate::evidence::{CrashSighting, Evidence, ServerRun};
 use crate::notice::{QuarantineNotice, age};
-use crate::record::{CRASH_EXPIRY_MS, Crash, QuarantineState, Record};
+use crate::record::{CRASH_EXPIRY_MS, Crash, QuarantineState, Record, UndecidedCrash};
 use crate::records::Records;
 use crate::term::Term;
 use bluebell_base::prelude::*;
@@ -21,11 +21,16 @@
 /// The maximum number of notices repeated at once, so that they fit into a datagram.
 const MAX_REPEATED_NOTICES: usize = 16;
 
+/// The time within which a crash that has become known is judged.
+pub const JUDGEMENT_MS: SpanMs = SpanMs(2 * DETECTION_DELAY_MS.0);
+
 /// The effect of the quarantine on a request or a part: its arrivals may run, or they are refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineStatus {
     /// It may be run.
     Free,
+    /// It may be run once at a time, by the node that tries the suspected requests of its service.
+    Suspected,
     /// It is refused.
     Quarantined {
         /// The time until its review; zero if the review is due.
@@ -78,6 +83,12 @@
         self.records.status(digest, now_ms)
     }
 
+    /// Returns true if a crash of the request may still be judged, so that its trial would show no more.
+    pub fn awaits_judgement(&self, digest: &RequestDigest, now_ms: MonoMs) -> bool {
+        let record = self.records.get(digest);
+        record.is_some_and(|record| record.awaits_judgement(now_ms - JUDGEMENT_MS))
+    }
+
     /// Returns the term of a request's quarantine, or `None` if it isn't in quarantine.
     pub fn term(&self, digest: &RequestDigest) -> Option<Term> {
         self.records.term(digest)
@@ -95,9 +106,13 @@
         digest: RequestDigest,
         run: ServerRun,
         evidence: Evidence,
-        times: impl Into<CrashTimes>,
+        sighting: impl Into<CrashSighting>,
     ) -> QuarantineChange {
-        let CrashTimes { at_ms, known_ms } = times.into();
+        let CrashSighting {
+            at_ms,
+            known_ms,
+            in_trial,
+        } = sighting.into();
         let crash = Crash {
             run,
             request: digest.number(),
@@ -105,10 +120,27 @@
             at_ms,
             known_ms,
             own: true,
+            in_trial,
         };
         self.add_crash(digest, crash)
     }
 
+    /// Records that the connection to a server broke under a request at `at_ms`, and that nothing shows yet if
+    /// the server crashed. Returns true if that was unknown.
+    pub fn on_undecided(&mut self, digest: RequestDigest, run: ServerRun, at_ms: MonoMs) -> bool {
+        let undecided = UndecidedCrash {
+            run,
+            at_ms,
+            own: true,
+        };
+        self.records.add_undecided(digest, undecided)
+    }
+
+    /// Records that a server whose connection broke under a request didn't crash.
+    pub fn on_alive(&mut self, digest: &RequestDigest, run: ServerRun) {
+        self.records.remove_undecided(digest, run);
+    }
+
     fn add_crash(&mut self, digest: RequestDigest, crash: Crash) -> QuarantineChange {
         self.runs.add(crash.run, crash.at_ms);
         let is_judged = |record: &Record| record.crashes().len() >= MIN_CRASHES;
@@ -246,6 +278,7 @@
                     at_ms: at(age_ms),
                     known_ms: now_ms,
                     own: false,
+                    in_trial: false,
                 };
                 (digest, self.add_crash(digest, crash))
             }
@@ -257,6 +290,19 @@
                 digest,
                 self.records.begin_quarantine(digest, at(age_ms), term),
             ),
+            QuarantineNotice::Undecided {
+                digest,
+                run,
+                age_ms,
+            } => {
+                let undecided = UndecidedCrash {
+                    run,
+                    at_ms: at(age_ms),
+                    own: false,
+                };
+                self.records.add_undecided(digest, undecided);
+                (digest, QuarantineChange::None)
+            }
             QuarantineNotice::Cleared { digest, age_ms } => {
                 let change = self.clear_at(digest, at(age_ms), false);
                 self.records.limit_suspects();
@@ -284,13 +330,13 @@
         digest: RequestDigest,
         run: ServerRun,
         evidence: Evidence,
-        times: CrashTimes,
+        sighting: CrashSighting,
     ) -> QuarantineNotice {
         QuarantineNotice::Ended {
             digest,
             run,
             evidence,
-            age_ms: age(times.at_ms, times.known_ms),
+            age_ms: age(sighting.at_ms, sighting.known_ms),
         }
     }
 
@@ -310,6 +356,13 @@
                         age_ms: age(crash.at_ms, now_ms),
                     }),
             );
+            let undecided = record.undecided().iter();
+            let undecided = undecided.filter(|known| known.own && recent(known.at_ms));
+            notices.extend(undecided.map(|known| QuarantineNotice::Undecided {
+                digest: *digest,
+                run: known.run,
+                age_ms: age(known.at_ms, now_ms),
+            }));
             let cleared = record.cleared.filter(|(at_ms, own)| *own && recent(*at_ms));
             notices.extend(cleared.map(|(at_ms, _)| QuarantineNotice::Cleared {
                 digest: *digest,
@@ -319,7 +372,8 @@
         notices.sort_unstable_by_key(|notice| match notice {
             QuarantineNotice::Ended { age_ms, .. }
             | QuarantineNotice::Cleared { age_ms, .. }
-            | QuarantineNotice::Quarantined { age_ms, .. } => *age_ms,
+            | QuarantineNotice::Quarantined { age_ms, .. }
+            | QuarantineNotice::Undecided { age_ms, .. } => *age_ms,
         });
         notices.truncate(MAX_REPEATED_NOTICES);
         notices
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -22,15 +22,20 @@
     table.status(&digest(number), at(ms)) == QuarantineStatus::Free
 }
 
+fn is_quarantined(table: &Quarantine, number: u32, ms: u64) -> bool {
+    let status = table.status(&digest(number), at(ms));
+    matches!(status, QuarantineStatus::Quarantined { .. })
+}
+
 /// Records crashes under request 1, each at a time in ms and with its evidence. Returns true if the
-/// request is free after them.
+/// request isn't in quarantine after them.
 fn free_after(crashes: &[(u64, Evidence)]) -> bool {
     let mut table = Quarantine::default();
     for (run, (ms, evidence)) in crashes.iter().enumerate() {
         table.on_crash(digest(1), ServerRun(run as u32), *evidence, at(*ms));
     }
     table.judge(at(60_000));
-    is_free(&table, 1, 60_000)
+    !is_quarantined(&table, 1, 60_000)
 }
 
 /// Covers the number of crashes that lead to quarantine: three if the request had begun to run, five if it
@@ -123,8 +128,8 @@
     }
     let judged = table.judge(at(2_000));
     assert_eq!(judged.len(), 1);
-    assert!(!is_free(&table, 1, 2_000));
-    assert!(is_free(&table, 2, 2_000));
+    assert!(is_quarantined(&table, 1, 2_000));
+    assert!(!is_quarantined(&table, 2, 2_000));
 }
 
 /// Guards against counting a replica's crash once for each node that saw it.
@@ -326,11 +331,12 @@
 #[test]
 fn a_crash_that_is_known_late_is_repeated() {
     let mut table = Quarantine::default();
-    let times = CrashTimes {
+    let sighting = CrashSighting {
         at_ms: at(0),
         known_ms: at(3_500),
+        in_trial: false,
     };
-    table.on_crash(digest(1), ServerRun(1), Evidence::Running, times);
+    table.on_crash(digest(1), ServerRun(1), Evidence::Running, sighting);
     let repeated = [QuarantineNotice::Ended {
         digest: digest(1),
         run: ServerRun(1),
@@ -369,12 +375,18 @@
         // All nodes see the crash of one run at the same time.
         age_ms: age_ms / 1_000 * 1_000 + run * 100 + number,
     });
+    let undecided = (number.clone(), 0_u32..6, 0_u32..5_000);
+    let undecided = undecided.prop_map(|(number, run, age_ms)| QuarantineNotice::Undecided {
+        digest: digest(number),
+        run: ServerRun(run),
+        age_ms,
+    });
     let cleared = (number, 0_u32..5_000);
     let cleared = cleared.prop_map(|(number, age_ms)| QuarantineNotice::Cleared {
         digest: digest(number),
         age_ms,
     });
-    prop_oneof![6 => crashed, 1 => cleared]
+    prop_oneof![6 => crashed, 2 => undecided, 1 => cleared]
 }
 
 /// Returns the notices with one time for each crash.
@@ -442,7 +454,11 @@
         one.judge(at(11_000));
         two.judge(at(11_000));
         for number in 1..4 {
-            prop_assert_eq!(is_free(&one, number, 10_000), is_free(&two, number, 10_000));
+            let status = |table: &Quarantine| table.status(&digest(number), at(10_000));
+            let is_refused = |table: &Quarantine| is_quarantined(table, number, 10_000);
+            prop_assert_eq!(is_refused(&one), is_refused(&two));
+            let suspected = QuarantineStatus::Suspected;
+            prop_assert_eq!(status(&one) == suspected, status(&two) == suspected);
         }
     }
 }
