Crashes that several suspects share prove nothing against either; trials tell them apart

A sound request that was on the same crashed replicas as a fatal one was refused in its place by chance, for ten minutes, and then explained the crashes of the fatal one, which stayed free. One on all replicas that two fatal requests crashed was judged first, as the one with most crashes. Cause: the order of judging, most crashes first, decides between requests that the evidence doesn't tell apart. Change: if each counted crash of a suspect was also one of another suspect with three crashes, it isn't judged by crashes; both stay suspected, and the crash of a trial or an answer decides. Evidence: requests_that_share_all_their_crashes_are_told_apart_by_trials and a_request_on_all_servers_that_two_fatal_ones_crash_is_not_refused_first failed before (one quarantined of none).

--- a/crates/quarantine/src/detection/mod.rs
+++ b/crates/quarantine/src/detection/mod.rs
@@ -7,7 +7,7 @@
 //! for its caller. A crash therefore counts only if the request was on at least half of the servers that
 //! crashed together, and if no request in quarantine was on the same server. Where such crashes prove
 //! nothing, as those of few servers under several fatal requests, the crash of a server on which the request
-//! alone was tried does.
+//! alone was tried does. So it does where several requests were on the same servers.
 //!
 //! Invariants: the decision is a pure function; the same crashes give the same result in whatever order
 //! they were received.
@@ -104,6 +104,8 @@
     pub points: u32,
     /// The points of all crashes, whether they count or not.
     pub all_points: u32,
+    /// The number of those that count under which another suspect with enough crashes was as well.
+    pub contested: usize,
     /// True if one of those that count was in a trial.
     pub in_trial: bool,
     /// The time from the first to the last of these.
@@ -112,9 +114,10 @@
 
 impl Finding {
     /// Returns true if the request is to be refused: enough crashes count, or one of enough crashes was that of
-    /// a server on which it was tried.
+    /// a server on which it was tried. Crashes that may all be those of other suspects are no proof.
     pub(crate) fn is_fatal(&self) -> bool {
-        self.is_proved_in_trial() || self.is_proved_by_crashes()
+        let is_contested = self.contested == self.counted;
+        self.is_proved_in_trial() || (self.is_proved_by_crashes() && !is_contested)
     }
 
     /// Returns true if the request crashed the server on which it was tried, and has as many other crashes as a
@@ -135,6 +138,8 @@
     pub runs: &'a CrashedRuns,
     /// The time from which the ages of crashes are counted back.
     pub now_ms: MonoMs,
+    /// The runs that crashed under several suspects, each of which has enough crashes to be judged.
+    pub contested: &'a FxHashSet<ServerRun>,
 }
 
 impl Detector<'_> {
@@ -155,6 +160,7 @@
                 finding.unspecific += 1;
             } else if self.now_ms.since(crash.at_ms) >= DETECTION_DELAY_MS {
                 finding.points += crash.evidence.points();
+                finding.contested += usize::from(self.contested.contains(&crash.run));
                 finding.in_trial |= crash.in_trial;
                 times.push(crash.at_ms);
             }
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -162,12 +162,11 @@
         now_ms: MonoMs,
         explained: &FxHashSet<ServerRun>,
     ) -> Vec<(RequestDigest, QuarantineChange)> {
-        let suspects = self.records.iter();
-        let suspects =
-            suspects.filter(|(_, r)| r.quarantine.is_none() && r.crashes().len() >= MIN_CRASHES);
+        let suspects = self.judged_suspects();
         let mut suspects: Vec<(usize, RequestDigest)> = suspects
             .map(|(digest, record)| (record.crashes().len(), *digest))
             .collect();
+        let contested = self.contested_runs();
         suspects.sort_unstable_by(|a, b| b.cmp(a));
         let mut judged = Vec::new();
         for (_, digest) in suspects {
@@ -176,6 +175,7 @@
             let detector = Detector {
                 runs: &self.runs,
                 now_ms,
+                contested: &contested,
             };
             let record = self.records.get(&digest);
             let Some(record) = record.filter(|record| detector.is_fatal(record, &explained)) else {
@@ -188,6 +188,20 @@
         judged
     }
 
+    /// Returns the suspects with enough crashes to be judged.
+    fn judged_suspects(&self) -> impl Iterator<Item = (&RequestDigest, &Record)> {
+        let records = self.records.iter();
+        records.filter(|(_, r)| r.quarantine.is_none() && r.crashes().len() >= MIN_CRASHES)
+    }
+
+    /// Returns the runs that crashed under several of them.
+    fn contested_runs(&self) -> FxHashSet<ServerRun> {
+        let mut seen = FxHashSet::default();
+        let crashes = self.judged_suspects().flat_map(|(_, r)| r.crashes());
+        let runs = crashes.map(|crash| crash.run);
+        runs.filter(|run| !seen.insert(*run)).collect()
+    }
+
     /// Returns what the crashes of each free suspect with enough of them show. Those of the runs in
     /// `explained` don't count.
     pub fn free_suspects(
@@ -195,14 +209,13 @@
         now_ms: MonoMs,
         explained: &FxHashSet<ServerRun>,
     ) -> Vec<(RequestDigest, Finding)> {
+        let contested = self.contested_runs();
         let detector = Detector {
             runs: &self.runs,
             now_ms,
+            contested: &contested,
         };
-        let suspects = self.records.iter();
-        let suspects =
-            suspects.filter(|(_, r)| r.quarantine.is_none() && r.crashes().len() >= MIN_CRASHES);
-        let findings = suspects.map(|(digest, record)| {
+        let findings = self.judged_suspects().map(|(digest, record)| {
             let mut explained = explained.clone();
             explained.extend(explained_by_others(&self.records, digest));
             (*digest, detector.finding(record, &explained))
@@ -248,6 +261,7 @@
         let detector = Detector {
             runs: &self.runs,
             now_ms: MonoMs(u64::MAX),
+            contested: &FxHashSet::default(),
         };
         let is_fatal = |records: &Records<RequestDigest>| {
             let explained = explained_by_others(records, &digest);
--- a/crates/quarantine/tests/trial.rs
+++ b/crates/quarantine/tests/trial.rs
@@ -137,6 +137,44 @@
     assert_eq!(status(&table, 3), QuarantineStatus::Suspected);
 }
 
+/// Guards against refusing one of two requests that were on the same crashed servers, by chance the sound one.
+#[test]
+fn requests_that_share_all_their_crashes_are_told_apart_by_trials() {
+    let mut table = Quarantine::default();
+    for (run, ms) in [(1, 0), (2, 400), (3, 800)] {
+        crash(&mut table, run, ms, &[1, 2]);
+    }
+    assert_eq!(table.judge(at(2_000)), []);
+    assert_eq!(status(&table, 1), QuarantineStatus::Suspected);
+    table.clear(digest(2), at(4_000));
+    table.judge(at(4_000));
+    assert!(is_quarantined(&table, 1));
+    assert_eq!(status(&table, 2), QuarantineStatus::Free);
+}
+
+/// Guards against refusing a sound request first because it was on the crashed servers of two fatal ones, and
+/// against its crashes hiding theirs.
+#[test]
+fn a_request_on_all_servers_that_two_fatal_ones_crash_is_not_refused_first() {
+    let mut table = Quarantine::default();
+    for (run, ms, number) in [
+        (1, 0, 1),
+        (2, 400, 1),
+        (3, 800, 1),
+        (4, 1_200, 2),
+        (5, 1_600, 2),
+    ] {
+        crash(&mut table, run, ms, &[number, 3]);
+    }
+    crash(&mut table, 6, 2_000, &[2, 3]);
+    assert_eq!(table.judge(at(3_000)), []);
+    trial_crash(&mut table, 7, 5_000, 1, Evidence::Running);
+    trial_crash(&mut table, 8, 6_000, 2, Evidence::Running);
+    assert_eq!(table.judge(at(7_000)).len(), 2);
+    assert!(is_quarantined(&table, 1) && is_quarantined(&table, 2));
+    assert_eq!(status(&table, 3), QuarantineStatus::Suspected);
+}
+
 /// Guards against a request that is refused because its trial ran on a server that lost power together with
 /// others.
 #[test]
