An answer that ends with its connection isn't whole if its replica, the last one, refuses connections

A plain answer without a length that ends with its connection is whole unless its replica crashed, which the same check decides. For the only replica, or the last of several, the check is undecided, and half an answer was passed on as whole with status 200. For the last of several that was so before; for the only replica late evidence had made it so. Change: the state of a check tells an address that refuses connections from one of which nothing is known; an answer counts as cut by both a crash and a refusal. Half of an answer does more harm than an attempt too many. A call looks for trials only while some run.

--- a/crates/front/src/call/fatal.rs
+++ b/crates/front/src/call/fatal.rs
@@ -107,11 +107,12 @@
     }
 }
 
-/// Returns true if the replica of an attempt is known to have crashed. An answer that ends with its connection
-/// is cut by a crash without any other sign.
+/// Returns true if the replica of an attempt has crashed or refuses connections. An answer that ends with its
+/// connection is cut by a crash without any other sign.
 pub(super) async fn has_crashed(call: &Call, chosen: &Chosen) -> bool {
     let state = call.node.crash_checks.check(&call.node, &chosen.replica);
-    once_probed(state).await == Some(CrashState::Crashed)
+    let probed = once_probed(state).await;
+    probed.is_some_and(|state| state.refuses())
 }
 
 /// Waits until the replica's address has been probed, and returns the state of the check, or `None` if that takes
@@ -267,7 +268,8 @@
 
 /// Returns true if this node tries another arrival of the request.
 fn is_tried_by_another(call: &Call) -> bool {
-    if call.suspect_trial.borrow().is_some() || !may_be_recorded(call) {
+    let has_trials = call.node.with(|state| !state.suspect_trials.is_empty());
+    if !has_trials || call.suspect_trial.borrow().is_some() || !may_be_recorded(call) {
         return false;
     }
     let digest = call.digest();
--- a/crates/front/src/crash_checks/mod.rs
+++ b/crates/front/src/crash_checks/mod.rs
@@ -42,6 +42,8 @@
     Probing,
     /// The probe gave no result, or something accepts connections; the directory decides.
     Undecided,
+    /// The address refuses connections, and no other replica of the service can be reached.
+    Refusing,
     /// The replica's address answers as before. Only the directory may still show that another start does.
     Answering,
     /// The replica has crashed.
@@ -56,6 +58,11 @@
         *self != Self::Probing
     }
 
+    /// Returns true if the replica has crashed, or the address refuses connections for another reason.
+    pub fn refuses(&self) -> bool {
+        matches!(self, Self::Crashed | Self::Refusing)
+    }
+
     /// Returns true if nothing speaks for a crash, or one has been proved.
     pub fn is_settled(&self) -> bool {
         self.is_final() || *self == Self::Answering
@@ -152,14 +159,10 @@
         return CrashEvidence::NotReady;
     }
     let mut probed_ms = node.now_ms();
-    if is_refused(node, replica).await {
-        return CrashEvidence::Refused;
-    }
-    let answers = links::answers_well(node, replica).await;
-    state.send_replace(match answers {
-        true => CrashState::Answering,
-        false => CrashState::Undecided,
-    });
+    match probe(node, replica).await {
+        CrashState::Crashed => return CrashEvidence::Refused,
+        probed => state.send_replace(probed),
+    };
     let mut left_ms = node.settings.replica_lapse_ms + DIRECTORY_DELAY_MS;
     while left_ms > SpanMs::ZERO {
         tokio::time::sleep(Duration::from(POLL_MS)).await;
@@ -168,7 +171,7 @@
         }
         if has_contact_since(node, replica, probed_ms) {
             probed_ms = node.now_ms();
-            if is_refused(node, replica).await {
+            if probe(node, replica).await == CrashState::Crashed {
                 return CrashEvidence::Refused;
             }
         }
@@ -209,13 +212,25 @@
     node.with(|state| state.replicas.awaits_relisting(now_ms))
 }
 
-/// Opens a connection to the replica's address. Returns true if it is refused while another replica of the
-/// service can be reached; otherwise this node's own links may be the cause.
-async fn is_refused(node: &Rc<Node>, replica: &Replica) -> bool {
+/// Opens a connection to the replica's address, and probes what accepts it. An address that refuses connections
+/// shows a crash only if another replica of the service can be reached; otherwise this node's own links may be
+/// the cause.
+async fn probe(node: &Rc<Node>, replica: &Replica) -> CrashState {
     match node.pool.lease(replica.address, Freshness::New).await {
-        Err(SendError::Refused(_)) => return links::reaches_another(node, replica).await,
-        Err(error) => log::debug!("probe of replica {} failed: {error}", replica.instance),
-        Ok(link) => node.pool.give_back(link, None),
+        Ok(link) => {
+            node.pool.give_back(link, None);
+            match links::answers_well(node, replica).await {
+                true => CrashState::Answering,
+                false => CrashState::Undecided,
+            }
+        }
+        Err(SendError::Refused(_)) => match links::reaches_another(node, replica).await {
+            true => CrashState::Crashed,
+            false => CrashState::Refusing,
+        },
+        Err(error) => {
+            log::debug!("probe of replica {} failed: {error}", replica.instance);
+            CrashState::Undecided
+        }
     }
-    false
 }
--- a/crates/quarantine/src/trial/mod.rs
+++ b/crates/quarantine/src/trial/mod.rs
@@ -23,6 +23,11 @@
 }
 
 impl SuspectTrials {
+    /// Returns true if no trial is under way.
+    pub fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
     /// Returns true if a trial of a request is under way.
     pub fn is_running(&self, digest: &RequestDigest) -> bool {
         self.running.contains_key(digest)
