--- a/crates/front/src/crash_checks/mod.rs
+++ b/crates/front/src/crash_checks/mod.rs
@@ -91,7 +91,7 @@
         let now_ms = node.now_ms();
         let mut checks = self.checks.borrow_mut();
         checks.retain(|_, (at_ms, state)| {
-            now_ms.since(*at_ms) < RESULT_TTL_MS || !state.borrow().is_final()
+            now_ms.since(*at_ms) < RESULT_TTL_MS || !state.borrow().is_settled()
         });
         if let Some((_, state)) = checks.get(&replica.key()) {
             return state.clone();
@@ -159,21 +159,24 @@
         return CrashEvidence::NotReady;
     }
     let mut probed_ms = node.now_ms();
-    match probe(node, replica).await {
-        CrashState::Crashed => return CrashEvidence::Refused,
-        probed => state.send_replace(probed),
-    };
+    let mut probed = probe(node, replica).await;
+    if probed == CrashState::Crashed {
+        return CrashEvidence::Refused;
+    }
+    state.send_replace(probed);
     let mut left_ms = node.settings.replica_lapse_ms + DIRECTORY_DELAY_MS;
     while left_ms > SpanMs::ZERO {
         tokio::time::sleep(Duration::from(POLL_MS)).await;
         if let Some(evidence) = listing_evidence(node, replica) {
             return evidence;
         }
-        if has_contact_since(node, replica, probed_ms) {
+        if probed == CrashState::Refusing && has_contact_since(node, replica, probed_ms) {
             probed_ms = node.now_ms();
-            if probe(node, replica).await == CrashState::Crashed {
+            probed = probe(node, replica).await;
+            if probed == CrashState::Crashed {
                 return CrashEvidence::Refused;
             }
+            state.send_replace(probed);
         }
         if !is_directory_outdated(node) {
             left_ms = SpanMs(left_ms.0.saturating_sub(POLL_MS.0));
