Quarantine: crashes of a subject in quarantine are told to peers

Every sound request with one body was in quarantine for ten minutes.

Cause, first of two: `Records::add_crash` returned `None` for a crash of a subject that is in quarantine already, and `None` also means "known", for which no notice is sent. So a node knew that a quarantined part explained a crash and its peers didn't: in one trace the same three crashes of the sound request are `explained: 3` at one node and `explained: 0` at the two others. One of these took the crash of its trial for proof.

Change: such a crash is `Ended { judged: false }`.

Two new tests failed before: `crashes_of_a_request_in_quarantine_explain_those_of_a_suspect_at_peers` and `crashes_of_a_part_in_quarantine_are_told_to_peers`.

--- a/crates/quarantine/src/records/mod.rs
+++ b/crates/quarantine/src/records/mod.rs
@@ -230,10 +230,10 @@
 
 impl QuarantineState {
     /// Records another crash. A crash in a trial begins a longer term. A crash before the review comes
-    /// from an attempt that was under way when the quarantine began, and changes nothing.
+    /// from an attempt that was under way when the quarantine began, and explains crashes of other requests.
     fn on_crash(&mut self, crash: &Crash) -> QuarantineChange {
         if crash.at_ms < self.review_ms() {
-            return QuarantineChange::None;
+            return QuarantineChange::Ended { judged: false };
         }
         self.since_ms = crash.at_ms;
         self.term = self.term.next();
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -213,6 +213,23 @@
     assert_eq!(tables.requests.term(&digest(77)), None);
 }
 
+/// Guards against blaming sound requests for a part that is in quarantine already: what else it crashed is told to
+/// peers as well.
+#[test]
+fn crashes_of_a_part_in_quarantine_are_told_to_peers() {
+    let mut tables = Tables::default();
+    for run in 0..3 {
+        tables.crash(run, run, &[FATAL], u64::from(run) * 400);
+    }
+    tables.serve(&[OTHER], 2_000);
+    assert!(tables.refuses(FATAL));
+    let (fatal, run) = (part(FATAL), ServerRun(9));
+    let change = tables.parts.on_crash(fatal, run, 9, at(2_100));
+    assert_eq!(change, QuarantineChange::Ended { judged: false });
+    let again = tables.parts.on_crash(fatal, run, 9, at(2_100));
+    assert_eq!(again, QuarantineChange::None);
+}
+
 /// Guards against a caller that lists ever new parts until a quarantine is forgotten.
 #[test]
 fn a_flood_of_parts_removes_no_quarantine() {
--- a/crates/quarantine/tests/trial.rs
+++ b/crates/quarantine/tests/trial.rs
@@ -189,6 +189,33 @@
     assert_eq!(table.judge(at(6_000)), []);
 }
 
+/// Guards against refusing a sound request because of what it was tried beside: peers don't know of the crashes
+/// of a request that is in quarantine already.
+#[test]
+fn crashes_of_a_request_in_quarantine_explain_those_of_a_suspect_at_peers() {
+    let mut table = Quarantine::default();
+    for (run, ms) in [(1, 0), (2, 400), (3, 800)] {
+        crash(&mut table, run, ms, &[1]);
+    }
+    assert_eq!(table.judge(at(2_000)).len(), 1);
+    let sighting = CrashSighting::from(at(2_100));
+    let (fatal, run) = (digest(1), ServerRun(4));
+    let change = table.on_crash(fatal, run, Evidence::Running, sighting);
+    assert_eq!(change, QuarantineChange::Ended { judged: false });
+    let mut peer = Quarantine::default();
+    crash(&mut peer, 1, 0, &[2]);
+    crash(&mut peer, 2, 400, &[2]);
+    trial_crash(&mut peer, 4, 2_100, 2, Evidence::Running);
+    peer.on_notified(
+        table.notice(&fatal, at(2_200)).expect("it is known"),
+        at(2_200),
+    );
+    let ended = Quarantine::crash_notice(fatal, run, Evidence::Running, sighting);
+    let (_, change) = peer.on_notified(ended, at(2_200));
+    assert_eq!(change, QuarantineChange::Ended { judged: false });
+    assert_eq!(peer.judge(at(3_000)), []);
+}
+
 /// Guards against a trial that counts for more than it shows: a request that may only have waited needs five
 /// crashes.
 #[test]
