Quarantine: a crash is judged once it has been known for some time, not by its age

What callers saw: none of this alone; found while the failure of `a_part_that_crashes_replicas_behind_proxies_is_no_longer_sent` was traced. A crash behind a proxy is known 0.7 to 1.8 s after it happened, so that its age passes the 150 ms (600 ms for parts) at once. All suspects of a node are judged at the same time, so the timer of another one judged it before peers had told what else was on the replica, and which answers began after it.

Change: the delay counts from the time at which the crash became known. Crashes count from their own time for all else, as before.

Tests: `a_crash_that_is_known_late_is_judged_once_peers_have_told_theirs` and `a_part_is_judged_once_the_answers_after_late_crashes_are_reported`, both failed before.

--- a/crates/quarantine/src/detection/mod.rs
+++ b/crates/quarantine/src/detection/mod.rs
@@ -33,8 +33,8 @@
 /// every replica that a power failure takes down, and none serves it until they are back.
 const MIN_SPREAD_MS: SpanMs = SpanMs(250);
 
-/// The age from which a crash is judged. By then nodes have reported what else crashed with it: they see a
-/// crash within some 10 ms of each other and report it within some 10 ms more.
+/// The time from when a crash is known until it is judged. By then nodes have reported what else crashed with it:
+/// they see a crash within some 10 ms of each other and report it within some 10 ms more.
 pub const DETECTION_DELAY_MS: SpanMs = SpanMs(150);
 
 /// All runs of servers that crashed lately, whatever requests they had.
@@ -136,7 +136,7 @@
 pub(crate) struct Detector<'a> {
     /// The crashes of all servers, whatever requests they had.
     pub runs: &'a CrashedRuns,
-    /// The time from which the ages of crashes are counted back.
+    /// The current time.
     pub now_ms: MonoMs,
     /// The runs that crashed under several suspects, each of which has enough crashes to be judged.
     pub contested: &'a FxHashSet<ServerRun>,
@@ -158,7 +158,7 @@
                 finding.explained += 1;
             } else if !self.runs.is_specific(crash.run, &own) {
                 finding.unspecific += 1;
-            } else if self.now_ms.since(crash.at_ms) >= DETECTION_DELAY_MS {
+            } else if self.now_ms.since(crash.known_ms) >= DETECTION_DELAY_MS {
                 finding.points += crash.evidence.points();
                 finding.contested += usize::from(self.contested.contains(&crash.run));
                 finding.in_trial |= crash.in_trial;
--- a/crates/quarantine/src/part_table/detection.rs
+++ b/crates/quarantine/src/part_table/detection.rs
@@ -28,8 +28,8 @@
 /// The smallest number of separate times at which servers crashed. Less is one failure of many servers.
 const MIN_MOMENTS: usize = 3;
 
-/// The age from which a crash is judged. By then nodes have reported answers that began after it: an answer
-/// counts 300 ms after its first event, and reports are delayed by up to 200 ms.
+/// The time from when a crash is known until it is judged. By then nodes have reported answers that began after it:
+/// an answer counts 300 ms after its first event, and reports are delayed by up to 200 ms.
 pub const PART_DETECTION_DELAY_MS: SpanMs = SpanMs(600);
 
 /// Judges parts by the crashes that are known at one time.
@@ -40,7 +40,7 @@
     pub fatal_requests: &'a [(ServerRun, u64)],
     /// The runs that crashed under other parts in quarantine.
     pub explained: FxHashSet<ServerRun>,
-    /// The time from which the ages of crashes are counted back.
+    /// The current time.
     pub now_ms: MonoMs,
 }
 
@@ -73,8 +73,8 @@
                 || fatal.any(|(crashed, request)| *crashed == run && !requests.contains(request))
         };
         let counted = crashes.iter().filter(|crash| {
-            let old = self.now_ms.since(crash.at_ms) >= PART_DETECTION_DELAY_MS;
-            old && !is_explained(crash.run) && self.runs.is_specific(crash.run, &own)
+            let due = self.now_ms.since(crash.known_ms) >= PART_DETECTION_DELAY_MS;
+            due && !is_explained(crash.run) && self.runs.is_specific(crash.run, &own)
         });
         counted.collect()
     }
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -230,6 +230,29 @@
     assert_eq!(again, QuarantineChange::None);
 }
 
+/// Guards against refusing a part because of crashes that are known late: reports of what was served follow them.
+#[test]
+fn a_part_is_judged_once_the_answers_after_late_crashes_are_reported() {
+    let mut tables = Tables::default();
+    let known_ms = 5_000;
+    for (run, ms) in [(0, 0), (1, 400), (2, 900)] {
+        let sighting = CrashSighting {
+            at_ms: at(ms),
+            known_ms: at(known_ms),
+            in_trial: false,
+        };
+        let request = digest(run).number();
+        tables
+            .parts
+            .on_crash(part(SHARED), ServerRun(run), request, sighting);
+    }
+    tables.serve(&[OTHER], 4_000);
+    let early_ms = known_ms + PART_DETECTION_DELAY_MS.0 - 1;
+    assert_eq!(tables.parts.judge(&tables.requests, at(early_ms)), []);
+    let due_ms = known_ms + PART_DETECTION_DELAY_MS.0;
+    assert_eq!(tables.parts.judge(&tables.requests, at(due_ms)).len(), 1);
+}
+
 /// Guards against a caller that lists ever new parts until a quarantine is forgotten.
 #[test]
 fn a_flood_of_parts_removes_no_quarantine() {
--- a/crates/quarantine/tests/trial.rs
+++ b/crates/quarantine/tests/trial.rs
@@ -216,6 +216,22 @@
     assert_eq!(peer.judge(at(3_000)), []);
 }
 
+/// Guards against judging a crash that is known late before peers have told what else was on its server.
+#[test]
+fn a_crash_that_is_known_late_is_judged_once_peers_have_told_theirs() {
+    let mut table = Quarantine::default();
+    crash(&mut table, 1, 0, &[1]);
+    crash(&mut table, 2, 400, &[1]);
+    let sighting = CrashSighting {
+        at_ms: at(800),
+        known_ms: at(3_000),
+        in_trial: true,
+    };
+    table.on_crash(digest(1), ServerRun(3), Evidence::Running, sighting);
+    assert_eq!(table.judge(at(3_000 + DETECTION_DELAY_MS.0 - 1)), []);
+    assert_eq!(table.judge(at(3_000 + DETECTION_DELAY_MS.0)).len(), 1);
+}
+
 /// Guards against a trial that counts for more than it shows: a request that may only have waited needs five
 /// crashes.
 #[test]
