Quarantine: a request is not judged while a part may explain all its crashes

Cause: a request is judged 150 ms after its last crash is known, a part after 600 ms and often later, since it needs crashes of three requests at three times.

Change: a request whose crashes, as far as nothing explains them, were all of servers that one part without a quarantine was on, and which it never had itself, is held: not judged and not tried, for at most two seconds from the last crash that became known. It is judged again each 200 ms in that time. If the part goes into quarantine, the crashes are explained; if an answer clears it, or the time is over, the request is judged as before. Nothing is sent of it meanwhile, so the hold costs no crash.

--- a/crates/front/src/call/fatal.rs
+++ b/crates/front/src/call/fatal.rs
@@ -234,9 +234,10 @@
 fn suspect_refusal(call: &Call, digest: RequestDigest) -> Option<Refusal> {
     let now_ms = call.node.now_ms();
     let mut trial = call.suspect_trial.borrow_mut();
-    let awaits_judgement = call
-        .node
-        .with(|state| state.quarantine.awaits_judgement(&digest, now_ms));
+    let awaits_judgement = call.node.with(|state| {
+        let requests = &state.quarantine;
+        requests.awaits_judgement(&digest, &state.parts, now_ms)
+    });
     if trial.is_none() && !awaits_judgement && trial_peer(call).is_none() {
         *trial = SuspectTrial::begin(&call.node, digest).map(Rc::new);
     }
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -210,33 +210,51 @@
     }
 }
 
-/// Judges the suspected requests once the last crash is old enough.
+/// The interval at which requests are judged again while a part may explain the crashes of some.
+const JUDGEMENT_INTERVAL_MS: SpanMs = SpanMs(200);
+
+/// Judges the suspected requests once the last crash has been known for long enough, and again while a part may
+/// explain the crashes of some.
 fn schedule_judgement(node: &Rc<Node>) {
     let node = node.clone();
     spawn_local(async move {
         tokio::time::sleep(Duration::from(DETECTION_DELAY_MS)).await;
-        let now_ms = node.now_ms();
-        let (judged, free) = node.with(|state| {
-            let explained = state.parts.explained_runs();
-            let judged = state.quarantine.judge_unexplained(now_ms, &explained);
-            (judged, state.quarantine.free_suspects(now_ms, &explained))
-        });
-        for (digest, change) in judged {
-            on_change(&node, digest.into(), change, QuarantineCause::Judged);
-        }
-        for (digest, finding) in free {
-            node.journal.record(&Event::SuspectJudged {
-                digest,
-                crashes: finding.crashes,
-                explained: finding.explained,
-                unspecific: finding.unspecific,
-                points: finding.points,
-                spread_ms: finding.spread_ms,
-            });
+        judge(&node);
+        while has_held_suspects(&node) {
+            tokio::time::sleep(Duration::from(JUDGEMENT_INTERVAL_MS)).await;
+            judge(&node);
         }
     });
 }
 
+/// Judges the suspected requests, and logs what the crashes of those show that stay free.
+fn judge(node: &Rc<Node>) {
+    let now_ms = node.now_ms();
+    let (judged, free) = node.with(|state| {
+        let judged = state.quarantine.judge_beside(&state.parts, now_ms);
+        (judged, state.quarantine.free_suspects(&state.parts, now_ms))
+    });
+    for (digest, change) in judged {
+        on_change(node, digest.into(), change, QuarantineCause::Judged);
+    }
+    for (digest, finding) in free {
+        node.journal.record(&Event::SuspectJudged {
+            digest,
+            crashes: finding.crashes,
+            explained: finding.explained,
+            unspecific: finding.unspecific,
+            points: finding.points,
+            spread_ms: finding.spread_ms,
+        });
+    }
+}
+
+/// Returns true if a part may explain the crashes of a suspected request, which is judged again later.
+fn has_held_suspects(node: &Node) -> bool {
+    let now_ms = node.now_ms();
+    node.with(|state| state.quarantine.has_held_suspects(&state.parts, now_ms))
+}
+
 /// Logs a change, notifies peers of it and stores it in the directory, as far as each applies.
 fn on_change(
     node: &Rc<Node>,
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -48,7 +48,9 @@
     pub use crate::part::PartId;
     pub use crate::part_table::{PART_DETECTION_DELAY_MS, PartQuarantine};
     pub use crate::subject::QuarantineSubject;
-    pub use crate::table::{JUDGEMENT_MS, Quarantine, QuarantineChange, QuarantineStatus};
+    pub use crate::table::{
+        JUDGEMENT_MS, PART_HOLD_MS, Quarantine, QuarantineChange, QuarantineStatus,
+    };
     pub use crate::term::Term;
     pub use crate::trial::SuspectTrials;
 }
--- a/crates/quarantine/src/part_table/mod.rs
+++ b/crates/quarantine/src/part_table/mod.rs
@@ -201,6 +201,21 @@
         crashes.map(|crash| crash.run).collect()
     }
 
+    /// Returns true if a part that isn't in quarantine and has enough crashes to be judged was on all of these
+    /// servers, and never on one with the request with this number.
+    pub fn may_explain(&self, request: u64, runs: &[ServerRun]) -> bool {
+        let mut records = self.records.iter();
+        !runs.is_empty()
+            && records.any(|(_, record)| {
+                let crashes = record.crashes();
+                let was_on = |run: &ServerRun| crashes.iter().any(|crash| crash.run == *run);
+                record.quarantine.is_none()
+                    && is_judged(record)
+                    && !crashes.iter().any(|crash| crash.request == request)
+                    && runs.iter().all(was_on)
+            })
+    }
+
     /// Records a quarantine that the platform stored some time ago. Its term starts now.
     pub fn on_stored(&mut self, part: PartId, term: Term, now_ms: MonoMs) -> QuarantineChange {
         self.records.on_stored(part, term, now_ms)
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -7,6 +7,7 @@
 use crate::digest::RequestDigest;
 use crate::evidence::{CrashSighting, Evidence, ServerRun};
 use crate::notice::{QuarantineNotice, age};
+use crate::part_table::PartQuarantine;
 use crate::record::{CRASH_EXPIRY_MS, Crash, QuarantineState, Record, UndecidedCrash};
 use crate::records::Records;
 use crate::term::Term;
@@ -24,6 +25,10 @@
 /// The time within which a crash that has become known is judged.
 pub const JUDGEMENT_MS: SpanMs = SpanMs(2 * DETECTION_DELAY_MS.0);
 
+/// The time from when a crash is known for which a request isn't judged if a part that it doesn't have may have
+/// crashed all its servers: parts are judged later than requests, and may need further crashes.
+pub const PART_HOLD_MS: SpanMs = SpanMs(2_000);
+
 /// The effect of the quarantine on a request or a part: its arrivals may run, or they are refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineStatus {
@@ -84,9 +89,52 @@
     }
 
     /// Returns true if a crash of the request may still be judged, so that its trial would show no more.
-    pub fn awaits_judgement(&self, digest: &RequestDigest, now_ms: MonoMs) -> bool {
+    pub fn awaits_judgement(
+        &self,
+        digest: &RequestDigest,
+        parts: &PartQuarantine,
+        now_ms: MonoMs,
+    ) -> bool {
         let record = self.records.get(digest);
-        record.is_some_and(|record| record.awaits_judgement(now_ms - JUDGEMENT_MS))
+        record.is_some_and(|record| {
+            record.awaits_judgement(now_ms - JUDGEMENT_MS)
+                || self.is_held(digest, record, parts, now_ms)
+        })
+    }
+
+    /// Returns true if a part that may be refused soon would explain all crashes of the request that nothing
+    /// explains yet.
+    fn is_held(
+        &self,
+        digest: &RequestDigest,
+        record: &Record,
+        parts: &PartQuarantine,
+        now_ms: MonoMs,
+    ) -> bool {
+        if !record.awaits_judgement(now_ms - PART_HOLD_MS) {
+            return false;
+        }
+        let explained = self.explained_for(digest, parts);
+        let runs = record.crashes().iter().map(|crash| crash.run);
+        let unexplained: Vec<ServerRun> = runs.filter(|run| !explained.contains(run)).collect();
+        parts.may_explain(digest.number(), &unexplained)
+    }
+
+    /// Returns the runs that crashed under other requests or parts that are in quarantine.
+    fn explained_for(
+        &self,
+        digest: &RequestDigest,
+        parts: &PartQuarantine,
+    ) -> FxHashSet<ServerRun> {
+        let mut explained = parts.explained_runs();
+        explained.extend(explained_by_others(&self.records, digest));
+        explained
+    }
+
+    /// Returns true if a suspect has to be judged again, when a part may be in quarantine.
+    pub fn has_held_suspects(&self, parts: &PartQuarantine, now_ms: MonoMs) -> bool {
+        let mut suspects = self.judged_suspects();
+        suspects.any(|(digest, record)| self.is_held(digest, record, parts, now_ms))
     }
 
     /// Returns the term of a request's quarantine, or `None` if it isn't in quarantine.
@@ -152,15 +200,15 @@
     /// Suspects with the most crashes are judged first. The crashes that they explain don't count against
     /// the requests that were on the same servers.
     pub fn judge(&mut self, now_ms: MonoMs) -> Vec<(RequestDigest, QuarantineChange)> {
-        self.judge_unexplained(now_ms, &FxHashSet::default())
+        self.judge_beside(&PartQuarantine::default(), now_ms)
     }
 
-    /// Judges all suspects like [`Self::judge`]. Crashes of the runs in `explained` don't count, since
-    /// something else than a whole request caused them.
-    pub fn judge_unexplained(
+    /// Judges all suspects like [`Self::judge`]. Crashes that parts in quarantine explain don't count, and suspects
+    /// whose crashes a part may soon explain aren't judged yet.
+    pub fn judge_beside(
         &mut self,
+        parts: &PartQuarantine,
         now_ms: MonoMs,
-        explained: &FxHashSet<ServerRun>,
     ) -> Vec<(RequestDigest, QuarantineChange)> {
         let suspects = self.judged_suspects();
         let mut suspects: Vec<(usize, RequestDigest)> = suspects
@@ -170,15 +218,18 @@
         suspects.sort_unstable_by(|a, b| b.cmp(a));
         let mut judged = Vec::new();
         for (_, digest) in suspects {
-            let mut explained = explained.clone();
-            explained.extend(explained_by_others(&self.records, &digest));
+            let explained = self.explained_for(&digest, parts);
             let detector = Detector {
                 runs: &self.runs,
                 now_ms,
                 contested: &contested,
             };
             let record = self.records.get(&digest);
-            let Some(record) = record.filter(|record| detector.is_fatal(record, &explained)) else {
+            let fatal = record.filter(|record| {
+                detector.is_fatal(record, &explained)
+                    && !self.is_held(&digest, record, parts, now_ms)
+            });
+            let Some(record) = fatal else {
                 continue;
             };
             let since_ms = record.newest_ms();
@@ -202,12 +253,12 @@
         runs.filter(|run| !seen.insert(*run)).collect()
     }
 
-    /// Returns what the crashes of each free suspect with enough of them show. Those of the runs in
-    /// `explained` don't count.
+    /// Returns what the crashes of each free suspect with enough of them show. Those that parts in quarantine
+    /// explain don't count.
     pub fn free_suspects(
         &self,
+        parts: &PartQuarantine,
         now_ms: MonoMs,
-        explained: &FxHashSet<ServerRun>,
     ) -> Vec<(RequestDigest, Finding)> {
         let contested = self.contested_runs();
         let detector = Detector {
@@ -216,8 +267,7 @@
             contested: &contested,
         };
         let findings = self.judged_suspects().map(|(digest, record)| {
-            let mut explained = explained.clone();
-            explained.extend(explained_by_others(&self.records, digest));
+            let explained = self.explained_for(digest, parts);
             (*digest, detector.finding(record, &explained))
         });
         findings.collect()
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -54,8 +54,7 @@
     }
 
     fn judge(&mut self, ms: u64) {
-        let explained = self.parts.explained_runs();
-        self.requests.judge_unexplained(at(ms), &explained);
+        self.requests.judge_beside(&self.parts, at(ms));
         self.parts.judge(&self.requests, at(ms));
     }
 
@@ -213,6 +212,65 @@
     assert_eq!(tables.requests.term(&digest(77)), None);
 }
 
+/// The parts and requests of three replicas that crash under different requests with the fatal part, the last of them
+/// in a trial of request 77, which was on all of them.
+fn crashes_beside_a_fatal_part() -> Tables {
+    let mut tables = Tables::default();
+    for (run, ms) in [(0, 0), (1, 400), (2, 900)] {
+        tables.crash(run, run, &[FATAL], ms);
+        let sighting = CrashSighting {
+            at_ms: at(ms),
+            known_ms: at(ms),
+            in_trial: run == 2,
+        };
+        let requests = &mut tables.requests;
+        requests.on_crash(digest(77), ServerRun(run), Evidence::Running, sighting);
+        let (shared, number) = (part(SHARED), digest(77).number());
+        tables
+            .parts
+            .on_crash(shared, ServerRun(run), number, sighting);
+    }
+    tables
+}
+
+/// Guards against refusing a sound request that was tried beside a fatal part, since requests are judged before parts
+/// are.
+#[test]
+fn a_request_beside_a_part_that_is_to_be_judged_is_not_refused() {
+    let mut tables = crashes_beside_a_fatal_part();
+    let judged_ms = 900 + DETECTION_DELAY_MS.0;
+    tables.judge(judged_ms);
+    assert_eq!(tables.requests.term(&digest(77)), None);
+    let Tables { parts, requests } = &tables;
+    assert!(requests.has_held_suspects(parts, at(judged_ms)));
+    assert!(requests.awaits_judgement(&digest(77), parts, at(judged_ms + JUDGEMENT_MS.0)));
+    tables.serve(&[OTHER], 1_000);
+    tables.judge(900 + PART_DETECTION_DELAY_MS.0);
+    assert!(tables.parts.term(&part(FATAL)).is_some());
+    tables.judge(900 + PART_HOLD_MS.0);
+    assert_eq!(tables.requests.term(&digest(77)), None);
+}
+
+/// Guards against a fatal request that stays free because sound requests with a part of their own were on all the
+/// replicas that it crashed.
+#[test]
+fn a_request_beside_a_part_that_is_not_refused_in_time_is() {
+    let mut tables = crashes_beside_a_fatal_part();
+    tables.judge(900 + PART_HOLD_MS.0 - 1);
+    assert_eq!(tables.requests.term(&digest(77)), None);
+    tables.judge(900 + PART_HOLD_MS.0);
+    assert_eq!(tables.requests.term(&digest(77)), Some(Term::FIRST));
+}
+
+/// Guards against a fatal request that is judged late without need: an answer on the part clears it.
+#[test]
+fn a_request_beside_a_part_that_is_served_is_refused_at_once() {
+    let mut tables = crashes_beside_a_fatal_part();
+    tables.serve(&[FATAL], 950);
+    tables.judge(900 + DETECTION_DELAY_MS.0);
+    assert_eq!(tables.requests.term(&digest(77)), Some(Term::FIRST));
+}
+
 /// Guards against blaming sound requests for a part that is in quarantine already: what else it crashed is told to
 /// peers as well.
 #[test]
--- a/crates/quarantine/tests/trial.rs
+++ b/crates/quarantine/tests/trial.rs
@@ -254,7 +254,8 @@
     for (run, ms) in [(1, 0), (2, 400), (3, 800)] {
         crash(&mut table, run, ms, &[1]);
     }
-    let awaits = |ms| table.awaits_judgement(&digest(1), at(ms));
+    let parts = PartQuarantine::default();
+    let awaits = |ms| table.awaits_judgement(&digest(1), &parts, at(ms));
     assert!(awaits(800 + JUDGEMENT_MS.0 - 1));
     assert!(!awaits(800 + JUDGEMENT_MS.0));
 }
