Quarantine: crashes that a part explains do not add to that of a trial

A fatal request that was sent to the last start reaches the new one and crashes it, and its node records the crash of the last start, so that nothing explains the crash of the new one. A sound request that was tried there had two or three crashes before, all explained by the part in quarantine. "The crash of a trial is proof together with two others, whatever explains those" put it into quarantine.

Change: the others must not be explained by a part in quarantine. Those that another request explains still count: a verdict on one request may hide another fatal one, for which the rule was made, while a part goes into quarantine only for crashes of three different requests.

Test: `a_request_whose_other_crashes_a_part_explains_is_not_refused_after_one_trial` failed before. It also shows that a fatal request beside a fatal part is refused after three trials.

That the crash is recorded for the wrong start remains.

--- a/crates/quarantine/src/detection/mod.rs
+++ b/crates/quarantine/src/detection/mod.rs
@@ -89,6 +89,22 @@
     }
 }
 
+/// The runs whose crashes don't count against a request, since something else caused them.
+#[derive(Debug, Default)]
+pub(crate) struct Explained {
+    /// Those that crashed under parts in quarantine.
+    pub by_parts: FxHashSet<ServerRun>,
+    /// Those that crashed under other requests in quarantine. Their verdict may hide another fatal request.
+    pub by_requests: FxHashSet<ServerRun>,
+}
+
+impl Explained {
+    /// Returns true if the crash of a run doesn't count.
+    pub fn contains(&self, run: ServerRun) -> bool {
+        self.by_parts.contains(&run) || self.by_requests.contains(&run)
+    }
+}
+
 /// What the crashes of a request show.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Finding {
@@ -102,8 +118,10 @@
     pub counted: usize,
     /// The points of the evidence of these.
     pub points: u32,
-    /// The points of all crashes, whether they count or not.
-    pub all_points: u32,
+    /// The number of crashes that no part in quarantine explains.
+    pub possible: usize,
+    /// The points of these.
+    pub possible_points: u32,
     /// The number of those that count under which another suspect with enough crashes was as well.
     pub contested: usize,
     /// True if one of those that count was in a trial.
@@ -121,9 +139,9 @@
     }
 
     /// Returns true if the request crashed the server on which it was tried, and has as many other crashes as a
-    /// fatal one, whatever explains those.
+    /// fatal one, even if other requests explain those.
     pub(crate) fn is_proved_in_trial(&self) -> bool {
-        self.in_trial && self.crashes >= MIN_CRASHES && self.all_points >= MIN_POINTS
+        self.in_trial && self.possible >= MIN_CRASHES && self.possible_points >= MIN_POINTS
     }
 
     /// Returns true if enough crashes count.
@@ -143,9 +161,9 @@
 }
 
 impl Detector<'_> {
-    /// Returns what the crashes of a request show. Those of the runs in `explained` don't count, since other
-    /// requests caused them, nor do those that are too recent to be judged.
-    pub fn finding(&self, record: &Record, explained: &FxHashSet<ServerRun>) -> Finding {
+    /// Returns what the crashes of a request show. Those that are explained don't count, nor do those that are too
+    /// recent to be judged.
+    pub fn finding(&self, record: &Record, explained: &Explained) -> Finding {
         let own: FxHashSet<ServerRun> = record.crashes().iter().map(|crash| crash.run).collect();
         let mut finding = Finding {
             crashes: record.crashes().len(),
@@ -153,8 +171,11 @@
         };
         let mut times = Vec::new();
         for crash in record.crashes() {
-            finding.all_points += crash.evidence.points();
-            if explained.contains(&crash.run) {
+            if !explained.by_parts.contains(&crash.run) {
+                finding.possible += 1;
+                finding.possible_points += crash.evidence.points();
+            }
+            if explained.contains(crash.run) {
                 finding.explained += 1;
             } else if !self.runs.is_specific(crash.run, &own) {
                 finding.unspecific += 1;
@@ -173,7 +194,7 @@
     }
 
     /// Returns true if a request is to be refused.
-    pub fn is_fatal(&self, record: &Record, explained: &FxHashSet<ServerRun>) -> bool {
+    pub fn is_fatal(&self, record: &Record, explained: &Explained) -> bool {
         record.crashes().len() >= MIN_CRASHES && self.finding(record, explained).is_fatal()
     }
 }
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -3,7 +3,9 @@
 //! Invariants: a request of which nothing is known has no record; the number of records is bounded; two
 //! nodes that received the same notices, in whatever order, refuse the same requests.
 
-use crate::detection::{CrashedRuns, DETECTION_DELAY_MS, Detector, Finding, MIN_CRASHES};
+use crate::detection::{
+    CrashedRuns, DETECTION_DELAY_MS, Detector, Explained, Finding, MIN_CRASHES,
+};
 use crate::digest::RequestDigest;
 use crate::evidence::{CrashSighting, Evidence, ServerRun};
 use crate::notice::{QuarantineNotice, age};
@@ -116,19 +118,16 @@
         }
         let explained = self.explained_for(digest, parts);
         let runs = record.crashes().iter().map(|crash| crash.run);
-        let unexplained: Vec<ServerRun> = runs.filter(|run| !explained.contains(run)).collect();
+        let unexplained: Vec<ServerRun> = runs.filter(|run| !explained.contains(*run)).collect();
         parts.may_explain(digest.number(), &unexplained)
     }
 
     /// Returns the runs that crashed under other requests or parts that are in quarantine.
-    fn explained_for(
-        &self,
-        digest: &RequestDigest,
-        parts: &PartQuarantine,
-    ) -> FxHashSet<ServerRun> {
-        let mut explained = parts.explained_runs();
-        explained.extend(explained_by_others(&self.records, digest));
-        explained
+    fn explained_for(&self, digest: &RequestDigest, parts: &PartQuarantine) -> Explained {
+        Explained {
+            by_parts: parts.explained_runs(),
+            by_requests: explained_by_others(&self.records, digest),
+        }
     }
 
     /// Returns true if a suspect has to be judged again, when a part may be in quarantine.
@@ -314,7 +313,10 @@
             contested: &FxHashSet::default(),
         };
         let is_fatal = |records: &Records<RequestDigest>| {
-            let explained = explained_by_others(records, &digest);
+            let explained = Explained {
+                by_requests: explained_by_others(records, &digest),
+                ..Explained::default()
+            };
             let record = records.get(&digest);
             record.is_some_and(|record| detector.is_fatal(record, &explained))
         };
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -262,6 +262,28 @@
     assert_eq!(tables.requests.term(&digest(77)), Some(Term::FIRST));
 }
 
+/// Guards against refusing a sound request whose earlier crashes a part explains, because of one more in its trial: a
+/// request that was sent to the replica's last start at the same address crashed it.
+#[test]
+fn a_request_whose_other_crashes_a_part_explains_is_not_refused_after_one_trial() {
+    let mut tables = crashes_beside_a_fatal_part();
+    tables.serve(&[OTHER], 1_000);
+    tables.judge(900 + PART_DETECTION_DELAY_MS.0);
+    assert!(tables.parts.term(&part(FATAL)).is_some());
+    for (run, ms) in [(3, 4_000), (4, 8_000), (5, 12_000)] {
+        assert_eq!(tables.requests.term(&digest(77)), None);
+        let sighting = CrashSighting {
+            at_ms: at(ms),
+            known_ms: at(ms),
+            in_trial: true,
+        };
+        let requests = &mut tables.requests;
+        requests.on_crash(digest(77), ServerRun(run), Evidence::Running, sighting);
+        tables.judge(ms + DETECTION_DELAY_MS.0);
+    }
+    assert_eq!(tables.requests.term(&digest(77)), Some(Term::FIRST));
+}
+
 /// Guards against a fatal request that is judged late without need: an answer on the part clears it.
 #[test]
 fn a_request_beside_a_part_that_is_served_is_refused_at_once() {
