Crash checks: the instance that answers at a replica's address decides

Change: a health answer names its instance, so the adapter decodes it and the check compares: the same instance is alive, another one is the successor of a crashed replica, and both are final at once. An answer without a name (an engine's report) counts as before. The first probe profits as well: a replica that is back before it is probed is known to have crashed without the directory.

Test: `the_crash_of_a_replica_whose_successor_answers_counts` failed before (0 requests in quarantine two seconds after the replicas were back).

--- a/crates/front/src/crash_checks/mod.rs
+++ b/crates/front/src/crash_checks/mod.rs
@@ -6,7 +6,7 @@
 //! Reason for the limits: a crash must be known before the next arrival of the request that caused
 //! it. Each node therefore probes the replica's address at once, with one connection for all
 //! attempts that wait. If no replica of the service can be reached, its crash looks like a loss of this
-//! node's own links, and shows once the directory drops it, another start has its address, or any replica
+//! node's own links, and shows once the directory drops it, another instance has its address, or any replica
 //! of the service is reached again. A crash that is known late counts from the time at which the
 //! connections broke.
 //!
@@ -14,12 +14,13 @@
 
 use crate::http::{Freshness, SendError};
 use crate::journal::Event;
-use crate::links;
+use crate::links::{self, Occupant};
 use crate::node::Node;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -44,7 +45,8 @@
     Undecided,
     /// The address refuses connections, and no other replica of the service can be reached.
     Refusing,
-    /// The replica's address answers as before. Only the directory may still show that another start does.
+    /// Something answers at the replica's address and doesn't name itself. Only the directory may still show that it is
+    /// another instance.
     Answering,
     /// The replica has crashed.
     Crashed,
@@ -118,8 +120,12 @@
 enum CrashEvidence {
     /// The replica was leaving, or this node doesn't know it.
     NotReady,
+    /// It answers.
+    Answered,
     /// Its address refuses connections while another replica of its service can be reached.
     Refused,
+    /// Another instance answers at its address.
+    Replaced,
     /// The directory no longer lists it, or lists another one at its address.
     Unlisted,
     /// It left in a planned way since then.
@@ -132,8 +138,8 @@
     /// Returns the final state of a check with this evidence.
     fn state(self) -> CrashState {
         match self {
-            Self::Refused | Self::Unlisted => CrashState::Crashed,
-            Self::NotReady | Self::Left | Self::StillListed => CrashState::Alive,
+            Self::Refused | Self::Replaced | Self::Unlisted => CrashState::Crashed,
+            Self::NotReady | Self::Answered | Self::Left | Self::StillListed => CrashState::Alive,
         }
     }
 
@@ -141,7 +147,9 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::NotReady => "not_ready",
+            Self::Answered => "answered",
             Self::Refused => "refused",
+            Self::Replaced => "replaced",
             Self::Unlisted => "unlisted",
             Self::Left => "left",
             Self::StillListed => "still_listed",
@@ -159,10 +167,10 @@
         return CrashEvidence::NotReady;
     }
     let mut probed_ms = node.now_ms();
-    let mut probed = probe(node, replica).await;
-    if probed == CrashState::Crashed {
-        return CrashEvidence::Refused;
-    }
+    let mut probed = match probe(node, replica).await {
+        ControlFlow::Break(evidence) => return evidence,
+        ControlFlow::Continue(probed) => probed,
+    };
     state.send_replace(probed);
     let mut left_ms = node.settings.replica_lapse_ms + DIRECTORY_DELAY_MS;
     while left_ms > SpanMs::ZERO {
@@ -172,10 +180,10 @@
         }
         if probed == CrashState::Refusing && has_contact_since(node, replica, probed_ms) {
             probed_ms = node.now_ms();
-            probed = probe(node, replica).await;
-            if probed == CrashState::Crashed {
-                return CrashEvidence::Refused;
-            }
+            probed = match probe(node, replica).await {
+                ControlFlow::Break(evidence) => return evidence,
+                ControlFlow::Continue(probed) => probed,
+            };
             state.send_replace(probed);
         }
         if !is_directory_outdated(node) {
@@ -215,25 +223,27 @@
     node.with(|state| state.replicas.awaits_relisting(now_ms))
 }
 
-/// Opens a connection to the replica's address, and probes what accepts it. An address that refuses connections
-/// shows a crash only if another replica of the service can be reached; otherwise this node's own links may be
-/// the cause.
-async fn probe(node: &Rc<Node>, replica: &Replica) -> CrashState {
+/// Opens a connection to the replica's address, and probes what accepts it. Returns what that shows for good, or the
+/// state of the check until then. An address that refuses connections shows a crash only if another replica of
+/// the service can be reached; otherwise this node's own links may be the cause.
+async fn probe(node: &Rc<Node>, replica: &Replica) -> ControlFlow<CrashEvidence, CrashState> {
     match node.pool.lease(replica.address, Freshness::New).await {
         Ok(link) => {
             node.pool.give_back(link, None);
-            match links::answers_well(node, replica).await {
-                true => CrashState::Answering,
-                false => CrashState::Undecided,
+            match links::occupant(node, replica).await {
+                Occupant::Same => ControlFlow::Break(CrashEvidence::Answered),
+                Occupant::Other => ControlFlow::Break(CrashEvidence::Replaced),
+                Occupant::Unnamed => ControlFlow::Continue(CrashState::Answering),
+                Occupant::None => ControlFlow::Continue(CrashState::Undecided),
             }
         }
         Err(SendError::Refused(_)) => match links::reaches_another(node, replica).await {
-            true => CrashState::Crashed,
-            false => CrashState::Refusing,
+            true => ControlFlow::Break(CrashEvidence::Refused),
+            false => ControlFlow::Continue(CrashState::Refusing),
         },
         Err(error) => {
             log::debug!("probe of replica {} failed: {error}", replica.instance);
-            CrashState::Undecided
+            ControlFlow::Continue(CrashState::Undecided)
         }
     }
 }
--- a/crates/front/src/links/mod.rs
+++ b/crates/front/src/links/mod.rs
@@ -189,40 +189,67 @@
     }
 }
 
-/// Returns true if a replica answers a probe well. What only accepts connections in its place doesn't.
-pub async fn answers_well(node: &Rc<Node>, replica: &Replica) -> bool {
+/// What serves at a replica's address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Occupant {
+    /// Nothing that answers a probe well. Something may accept connections in the replica's place.
+    None,
+    /// A replica that doesn't name itself.
+    Unnamed,
+    /// This instance of the replica.
+    Same,
+    /// Another instance.
+    Other,
+}
+
+/// Returns what serves at a replica's address.
+pub async fn occupant(node: &Rc<Node>, replica: &Replica) -> Occupant {
     let request = probe_request(node, replica).filter(|_| may_send(node, replica));
-    match request {
-        Some(request) => {
-            let status = probe(node, replica.address, request).await;
-            status.is_some_and(|status| status.is_success())
-        }
-        None => false,
+    let Some(request) = request else {
+        return Occupant::None;
+    };
+    let answer = probe(node, replica.address, request).await;
+    let Some(answer) = answer.filter(|answer| answer.status.is_success()) else {
+        return Occupant::None;
+    };
+    match answer.instance {
+        None => Occupant::Unnamed,
+        Some(instance) if instance == replica.instance => Occupant::Same,
+        Some(_) => Occupant::Other,
     }
 }
 
-/// Sends a probe on a new connection. Returns the status of its answer, or `None` if none comes in time.
+/// An answer to a probe.
+#[derive(Debug)]
+struct ProbeAnswer {
+    status: StatusCode,
+    /// The instance that answered, or `None` if it doesn't name itself.
+    instance: Option<Arc<str>>,
+}
+
+/// Sends a probe on a new connection. Returns `None` if no answer comes in time.
 async fn probe(
     node: &Rc<Node>,
     address: SocketAddr,
     request: Request<Full<Buffer>>,
-) -> Option<StatusCode> {
-    let status = send_probe(node, address, request);
-    let status = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), status);
-    status.await.ok()?
+) -> Option<ProbeAnswer> {
+    let answer = send_probe(node, address, request);
+    let answer = tokio::time::timeout(Duration::from(PROBE_TIMEOUT_MS), answer);
+    answer.await.ok()?
 }
 
 async fn send_probe(
     node: &Rc<Node>,
     address: SocketAddr,
     request: Request<Full<Buffer>>,
-) -> Option<StatusCode> {
+) -> Option<ProbeAnswer> {
     let mut link = node.pool.lease(address, Freshness::New).await.ok()?;
     limits::on_sent_to_address(node, address);
     let sent_ms = node.now_ms();
     let answer = link.send(request).await.ok()?;
     let status = answer.status();
     let dialect = &node.platform.dialect;
+    let instance = dialect.healthy_instance(answer.headers());
     let answered = dialect.signals(status.as_u16(), answer.headers());
     // A refusal without a limit doesn't end one: another replica may have the address now.
     if status.is_success() || answered.limit != LimitSignal::Absent {
@@ -232,7 +259,7 @@
     if body.collect().await.is_ok() {
         node.pool.give_back(link, None);
     }
-    Some(status)
+    Some(ProbeAnswer { status, instance })
 }
 
 /// Opens a connection to a replica that can't be probed, and keeps it if it isn't reset at once.
--- a/crates/front/src/platform/mod.rs
+++ b/crates/front/src/platform/mod.rs
@@ -283,6 +283,8 @@
     fn memory_answer(&self, status: u16) -> MemoryAnswer;
     /// Builds the HTTP request for an engine's report about itself.
     fn report_request(&self, address: SocketAddr) -> Request<Full<Buffer>>;
+    /// Returns the instance that a replica's answer to a request for its health names, if it names one.
+    fn healthy_instance(&self, headers: &HeaderMap) -> Option<Arc<str>>;
     /// Builds the HTTP request for a replica's health at `path`, or `None` if the path isn't valid.
     fn health_request(&self, address: SocketAddr, path: &str) -> Option<Request<Full<Buffer>>>;
     /// Parses an engine's report about itself. Returns `None` if it can't be parsed.
