--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -1,8 +1,10 @@
 //! Tests of when prompts with a part are refused, and when they are run again.
 
-use bluebell_base::prelude::*;
+mod subjects;
+
 use bluebell_quarantine::prelude::*;
 use proptest::prelude::*;
+use subjects::{at, digest, late_sighting, sighting};
 
 /// The part that most prompts share.
 const SHARED: &str = "5c1e";
@@ -23,10 +25,6 @@
     PartId::from_hex(id).expect("an id")
 }
 
-fn at(ms: u64) -> MonoMs {
-    MonoMs(1_000_000 + ms)
-}
-
 /// The parts and the requests that one node knows.
 #[derive(Default)]
 struct Tables {
@@ -65,16 +63,6 @@
     }
 }
 
-fn digest(number: u32) -> RequestDigest {
-    RequestDigest::of(&RequestParts {
-        account: "a",
-        method: "POST",
-        host: "h",
-        target: "/",
-        body: &number.to_be_bytes(),
-    })
-}
-
 /// Guards against a fatal part that stays free because no two requests with it are alike, and against refusing
 /// the parts that sound prompts share with it.
 #[test]
@@ -218,11 +206,7 @@
     let mut tables = Tables::default();
     for (run, ms) in [(0, 0), (1, 400), (2, 900)] {
         tables.crash(run, run, &[FATAL], ms);
-        let sighting = CrashSighting {
-            at_ms: at(ms),
-            known_ms: at(ms),
-            in_trial: run == 2,
-        };
+        let sighting = sighting(ms, run == 2);
         let requests = &mut tables.requests;
         requests.on_crash(digest(77), ServerRun(run), Evidence::Running, sighting);
         let (shared, number) = (part(SHARED), digest(77).number());
@@ -272,11 +256,7 @@
     assert!(tables.parts.term(&part(FATAL)).is_some());
     for (run, ms) in [(3, 4_000), (4, 8_000), (5, 12_000)] {
         assert_eq!(tables.requests.term(&digest(77)), None);
-        let sighting = CrashSighting {
-            at_ms: at(ms),
-            known_ms: at(ms),
-            in_trial: true,
-        };
+        let sighting = sighting(ms, true);
         let requests = &mut tables.requests;
         requests.on_crash(digest(77), ServerRun(run), Evidence::Running, sighting);
         tables.judge(ms + DETECTION_DELAY_MS.0);
@@ -316,11 +296,7 @@
     let mut tables = Tables::default();
     let known_ms = 5_000;
     for (run, ms) in [(0, 0), (1, 400), (2, 900)] {
-        let sighting = CrashSighting {
-            at_ms: at(ms),
-            known_ms: at(known_ms),
-            in_trial: false,
-        };
+        let sighting = late_sighting(ms, known_ms, false);
         let request = digest(run).number();
         tables
             .parts
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -1,22 +1,10 @@
 //! Tests of when a request is refused, and when it is run again.
 
-use bluebell_base::prelude::*;
+mod subjects;
+
 use bluebell_quarantine::prelude::*;
 use proptest::prelude::*;
-
-fn digest(number: u32) -> RequestDigest {
-    RequestDigest::of(&RequestParts {
-        account: "a",
-        method: "POST",
-        host: "h",
-        target: "/",
-        body: &number.to_be_bytes(),
-    })
-}
-
-fn at(ms: u64) -> MonoMs {
-    MonoMs(1_000_000 + ms)
-}
+use subjects::{at, digest, late_sighting};
 
 fn is_free(table: &Quarantine, number: u32, ms: u64) -> bool {
     table.status(&digest(number), at(ms)) == QuarantineStatus::Free
@@ -331,11 +319,7 @@
 #[test]
 fn a_crash_that_is_known_late_is_repeated() {
     let mut table = Quarantine::default();
-    let sighting = CrashSighting {
-        at_ms: at(0),
-        known_ms: at(3_500),
-        in_trial: false,
-    };
+    let sighting = late_sighting(0, 3_500, false);
     table.on_crash(digest(1), ServerRun(1), Evidence::Running, sighting);
     let repeated = [QuarantineNotice::Ended {
         digest: digest(1),
--- a/crates/quarantine/tests/trial.rs
+++ b/crates/quarantine/tests/trial.rs
@@ -1,22 +1,10 @@
 //! Tests of suspected requests: when they are run once at a time, and what their trials show.
 
-use bluebell_base::prelude::*;
+mod subjects;
+
 use bluebell_quarantine::prelude::*;
 use bluebell_quarantine::trial::trial_node;
-
-fn digest(number: u32) -> RequestDigest {
-    RequestDigest::of(&RequestParts {
-        account: "a",
-        method: "POST",
-        host: "h",
-        target: "/",
-        body: &number.to_be_bytes(),
-    })
-}
-
-fn at(ms: u64) -> MonoMs {
-    MonoMs(1_000_000 + ms)
-}
+use subjects::{at, digest, late_sighting, sighting};
 
 fn status(table: &Quarantine, number: u32) -> QuarantineStatus {
     table.status(&digest(number), at(0))
@@ -35,11 +23,7 @@
 
 /// Records that a server crashed in the trial of a request, with `evidence`.
 fn trial_crash(table: &mut Quarantine, run: u32, ms: u64, number: u32, evidence: Evidence) {
-    let sighting = CrashSighting {
-        at_ms: at(ms),
-        known_ms: at(ms),
-        in_trial: true,
-    };
+    let sighting = sighting(ms, true);
     table.on_crash(digest(number), ServerRun(run), evidence, sighting);
 }
 
@@ -222,11 +206,7 @@
     let mut table = Quarantine::default();
     crash(&mut table, 1, 0, &[1]);
     crash(&mut table, 2, 400, &[1]);
-    let sighting = CrashSighting {
-        at_ms: at(800),
-        known_ms: at(3_000),
-        in_trial: true,
-    };
+    let sighting = late_sighting(800, 3_000, true);
     table.on_crash(digest(1), ServerRun(3), Evidence::Running, sighting);
     assert_eq!(table.judge(at(3_000 + DETECTION_DELAY_MS.0 - 1)), []);
     assert_eq!(table.judge(at(3_000 + DETECTION_DELAY_MS.0)).len(), 1);
