Quarantine: one task judges held requests again, and findings are logged once

Found by reading: each crash that became known began a task of its own, and since requests are held while a part may explain their crashes, each of these judged all suspects every 200 ms for up to two seconds and logged what it found each time. A replica that crashes with sixteen requests begins that many.

Change: one task at a time judges again, as for parts; what the crashes of free suspects show is logged once, when no more are held. No decision changes. No test of its own: quarantine and fatal_part cover what is decided.

--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -51,6 +51,8 @@
     pub parts: PartQuarantine,
     /// True while a task judges the suspected parts.
     pub judges_parts: bool,
+    /// True while a task judges requests again whose crashes a part may explain.
+    pub judges_held_requests: bool,
 }
 
 impl State {
@@ -115,6 +117,7 @@
             suspect_trials: SuspectTrials::default(),
             parts: PartQuarantine::default(),
             judges_parts: false,
+            judges_held_requests: false,
         };
         Rc::new(Self {
             owner: OwnerId(rand::random()),
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -214,29 +214,43 @@
 const JUDGEMENT_INTERVAL_MS: SpanMs = SpanMs(200);
 
 /// Judges the suspected requests once the last crash has been known for long enough, and again while a part may
-/// explain the crashes of some.
+/// explain the crashes of some. Logs what the crashes of those show that stay free.
 fn schedule_judgement(node: &Rc<Node>) {
     let node = node.clone();
     spawn_local(async move {
         tokio::time::sleep(Duration::from(DETECTION_DELAY_MS)).await;
         judge(&node);
-        while has_held_suspects(&node) {
-            tokio::time::sleep(Duration::from(JUDGEMENT_INTERVAL_MS)).await;
-            judge(&node);
+        if !has_held_suspects(&node) {
+            record_free_suspects(&node);
+        } else if !node.with(|state| std::mem::replace(&mut state.judges_held_requests, true)) {
+            judge_held_suspects(&node).await;
+            node.with(|state| state.judges_held_requests = false);
+            record_free_suspects(&node);
         }
     });
 }
 
-/// Judges the suspected requests, and logs what the crashes of those show that stay free.
+/// Judges the suspected requests again until no part may explain the crashes of some.
+async fn judge_held_suspects(node: &Rc<Node>) {
+    while has_held_suspects(node) {
+        tokio::time::sleep(Duration::from(JUDGEMENT_INTERVAL_MS)).await;
+        judge(node);
+    }
+}
+
+/// Judges the suspected requests.
 fn judge(node: &Rc<Node>) {
     let now_ms = node.now_ms();
-    let (judged, free) = node.with(|state| {
-        let judged = state.quarantine.judge_beside(&state.parts, now_ms);
-        (judged, state.quarantine.free_suspects(&state.parts, now_ms))
-    });
+    let judged = node.with(|state| state.quarantine.judge_beside(&state.parts, now_ms));
     for (digest, change) in judged {
         on_change(node, digest.into(), change, QuarantineCause::Judged);
     }
+}
+
+/// Logs what the crashes of the suspected requests show that stay free.
+fn record_free_suspects(node: &Node) {
+    let now_ms = node.now_ms();
+    let free = node.with(|state| state.quarantine.free_suspects(&state.parts, now_ms));
     for (digest, finding) in free {
         node.journal.record(&Event::SuspectJudged {
             digest,
