--- a/crates/front/src/crash_checks/mod.rs
+++ b/crates/front/src/crash_checks/mod.rs
@@ -120,7 +120,7 @@
 enum CrashEvidence {
     /// The replica was leaving, or this node doesn't know it.
     NotReady,
-    /// It answers.
+    /// This instance answers at its address.
     Answered,
     /// Its address refuses connections while another replica of its service can be reached.
     Refused,
--- a/crates/front/src/quarantine/mod.rs
+++ b/crates/front/src/quarantine/mod.rs
@@ -210,7 +210,8 @@
     }
 }
 
-/// The interval at which requests are judged again while a part may explain the crashes of some.
+/// The interval at which parts are judged again while some have enough crashes, and requests while a part may explain
+/// the crashes of some.
 const JUDGEMENT_INTERVAL_MS: SpanMs = SpanMs(200);
 
 /// Judges the suspected requests once the last crash has been known for long enough, and again while a part may
--- a/crates/front/src/quarantine/parts.rs
+++ b/crates/front/src/quarantine/parts.rs
@@ -8,7 +8,7 @@
 //! replica. The parts that are sound are told apart by answers that begin after the crash, so judging waits
 //! for reports of these.
 
-use super::{ObservedCrash, QuarantineCause, is_reviewer, on_change};
+use super::{JUDGEMENT_INTERVAL_MS, ObservedCrash, QuarantineCause, is_reviewer, on_change};
 use crate::node::Node;
 use bluebell_base::prelude::*;
 use bluebell_quarantine::prelude::*;
@@ -24,9 +24,6 @@
 /// have, and the first report spares the others theirs.
 const MAX_REPORT_DELAY_MS: u64 = 200;
 
-/// The interval at which parts are judged again while some have enough crashes.
-const JUDGEMENT_INTERVAL_MS: SpanMs = SpanMs(200);
-
 /// Records that a replica crashed under a request of this node, if an answer had hardly begun.
 pub(super) fn on_crash(node: &Rc<Node>, crash: &ObservedCrash) {
     if crash.writing_ms.is_some_and(|ms| ms >= ESTABLISHED_MS) {
--- a/crates/quarantine/src/table/mod.rs
+++ b/crates/quarantine/src/table/mod.rs
@@ -113,7 +113,7 @@
         parts: &PartQuarantine,
         now_ms: MonoMs,
     ) -> bool {
-        if !record.awaits_judgement(now_ms - PART_HOLD_MS) {
+        if !parts.has_candidates() || !record.awaits_judgement(now_ms - PART_HOLD_MS) {
             return false;
         }
         let explained = self.explained_for(digest, parts);
