--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -117,6 +117,7 @@
     /// Forwards events until the stream is complete, can't be resumed, or the caller leaves.
     async fn run(mut self, mut source: EventSource, first: Events) {
         if !self.forward(first).await {
+            self.record_cancelled();
             return;
         }
         loop {
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -354,6 +354,21 @@
     },
     /// The caller closed its connection before the answer ended, `age_ms` after the request arrived.
     Cancelled { request: Arc<str>, age_ms: SpanMs },
+    /// A caller's connection ended before the whole answer to a request that had begun to arrive on it. A caller
+    /// that leaves shows here as well.
+    ExchangeCut {
+        /// The stage of the exchange, as in `ExchangeStage`.
+        stage: &'static str,
+        why: Arc<str>,
+        /// The bytes that had arrived of the request, and of any that followed it.
+        bytes_read: Bytes,
+        /// The number of whole answers on the same connection before.
+        answers_before: u64,
+        /// The configuration in force at the end.
+        version: Option<ConfigVersion>,
+        /// The time since the first byte of the request.
+        age_ms: SpanMs,
+    },
     /// This number of log lines was dropped because they didn't fit the buffer.
     LinesDropped { count: u64 },
 }
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -39,6 +39,7 @@
     placements: Counter<u64>,
     dependency_losses: Counter<u64>,
     lines_dropped: Counter<u64>,
+    exchanges_cut: Counter<u64>,
     ended_replicas: Counter<u64>,
     quarantines: Counter<u64>,
     config_version: Gauge<u64>,
@@ -115,6 +116,10 @@
                 "bluebell_dependency_losses",
                 "Losses by kind of dependency.",
             ),
+            exchanges_cut: c(
+                "bluebell_exchanges_cut",
+                "Connections that ended before a whole answer, by the stage of the request.",
+            ),
             lines_dropped: c(
                 "bluebell_log_lines_dropped",
                 "Log lines that nobody read in time.",
@@ -271,6 +276,9 @@
             Event::ReplicaAsksForRest { .. } => {
                 self.replica_signals.add(1, &label("signal", "rest"));
             }
+            Event::ExchangeCut { stage, .. } => {
+                self.exchanges_cut.add(1, &label("stage", stage));
+            }
             Event::LinesDropped { count } => self.lines_dropped.add(*count, &[]),
             _ => {}
         }
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -4,7 +4,9 @@
 //! accepting never ends the listener.
 
 use super::Node;
-use crate::call::{self, Answer};
+use super::connections::{self, ConnectionState, Connections, ObservedBody};
+use super::stream::MeteredStream;
+use crate::call;
 use crate::quarantine;
 use bluebell_base::prelude::*;
 use bluebell_quarantine::prelude::*;
@@ -14,7 +16,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,31 +46,24 @@
 /// a slash and the request's digest.
 const QUARANTINE_PATH: &str = "/quarantine";
 
-/// A guard that counts a connection for as long as it is open.
-struct ConnectionGuard(Rc<Cell<usize>>);
-
-impl ConnectionGuard {
-    fn new(connections: Rc<Cell<usize>>) -> Self {
-        connections.set(connections.get() + 1);
-        Self(connections)
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Serves callers until the process ends.
-pub async fn serve_callers(node: Rc<Node>, listener: TcpListener, connections: Rc<Cell<usize>>) {
+pub(super) async fn serve_callers(
+    node: Rc<Node>,
+    listener: TcpListener,
+    connections: Rc<Connections>,
+) {
     loop {
         let stream = accept(&listener).await;
-        let guard = ConnectionGuard::new(connections.clone());
+        let guard = connections.add();
         let node = node.clone();
         spawn_local(async move {
-            serve_connection(node, stream).await;
-            drop(guard);
+            let stream = MeteredStream::new(stream, guard.state.clone(), node.clock);
+            let result = serve_connection(&node, stream.clone(), guard.state.clone()).await;
+            if stream.has_unread() {
+                guard.state.on_closed_unread(node.now_ms());
+            }
+            connections::record_end(&node, &guard.state, connections::end_reason(&result));
+            log_connection_end(result);
         });
     }
 }
@@ -94,14 +88,23 @@
 }
 
 /// Serves one caller's connection until it closes. Shuts it down gracefully during a planned stop.
-async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+async fn serve_connection(
+    node: &Rc<Node>,
+    stream: MeteredStream,
+    state: Rc<ConnectionState>,
+) -> Result<(), hyper::Error> {
     let limits = node.with(|state| state.config.as_ref().map(|c| c.limits()));
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes.0 as usize);
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |l| l.idle_timeout_ms) + IDLE_MARGIN_MS;
     let stop = wait_for_noticed_stop(node.clone());
+    let node = node.clone();
     let service = service_fn(move |request| {
-        let node = node.clone();
-        async move { Ok::<Answer, Infallible>(call::serve(node, request).await) }
+        let (node, state) = (node.clone(), state.clone());
+        state.on_request();
+        async move {
+            let answer = call::serve(node, request).await;
+            Ok::<_, Infallible>(ObservedBody::observe(answer, state))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -113,10 +116,10 @@
     tokio::pin!(connection);
     tokio::pin!(stop);
     tokio::select! {
-        result = connection.as_mut() => return log_connection_end(result),
+        result = connection.as_mut() => return result,
         () = &mut stop => connection.as_mut().graceful_shutdown(),
     }
-    log_connection_end(connection.await);
+    connection.await
 }
 
 /// Waits for a planned stop, and then until the balancer has noticed it.
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -1,5 +1,6 @@
 //! Starts a node and runs it until its planned stop.
 
+use super::connections::Connections;
 use super::{Node, listen};
 use crate::journal::{Event, Journal, JournalWriter};
 use crate::metrics::{Metrics, MetricsError};
@@ -7,7 +8,6 @@
 use crate::{gossip, limits, peers, quarantine, watch};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -74,7 +74,7 @@
 /// A running node.
 pub struct FrontHandle {
     node: Rc<Node>,
-    connections: Rc<Cell<usize>>,
+    connections: Rc<Connections>,
     writer: JournalWriter,
     stop: Rc<Notify>,
 }
@@ -109,7 +109,7 @@
             callers: node.settings.callers,
             incarnation: node.owner.0,
         });
-        let connections = Rc::new(Cell::new(0));
+        let connections = Rc::<Connections>::default();
         spawn_local(listen::serve_callers(
             node.clone(),
             callers,
@@ -176,19 +176,20 @@
     /// Performs the planned stop: waits for connections to close, up to the plan's end.
     async fn stop(self) {
         let node = &self.node;
-        let open = self.connections.get();
+        let open = self.connections.count();
         node.journal.record(&Event::Stopping { connections: open });
         let plan = node.begin_stop();
         loop {
             let now_ms = node.now_ms();
-            let open = self.connections.get() + node.forwarded_calls.count();
+            let open = self.connections.count() + node.forwarded_calls.count();
             let idle = open == 0 && now_ms >= plan.notice_end_ms();
             if idle || now_ms >= plan.end_ms() {
                 break;
             }
             tokio::time::sleep(Duration::from(STOP_POLL_MS)).await;
         }
-        let open = self.connections.get();
+        let open = self.connections.count();
+        self.connections.record_cut(node);
         node.journal.record(&Event::Stopped { connections: open });
         node.journal.flush();
         self.writer.close();
