Planned stop: answers announce the close from its start, and a connection closes once it has been idle

What callers saw: neither an answer nor a refusal to a request that followed, on the same connection, an answer which had begun before the node was told to stop, or whose head arrived in pieces.

Cause: the close of idle connections was left to the HTTP library, which closes a connection at the end of an answer that didn't announce it, and takes one for idle on which a part of a head has arrived. The class: something in use is released because its end was not announced to whoever uses it.

Change: from the start of a planned stop, answers announce the close; once the balancer has noticed the stop, a connection is closed when it has been idle for 250 ms and nothing on it is unread. What has arrived is read first.

--- a/crates/front/src/node/connections.rs
+++ b/crates/front/src/node/connections.rs
@@ -5,12 +5,13 @@
 //!
 //! Invariants: an exchange that ends without its whole answer is recorded once.
 
-use super::Node;
+use super::{Clock, Node};
 use crate::call::{Answer, FrontBody};
 use crate::journal::Event;
 use bluebell_base::prelude::*;
 use bytes::Bytes as Buffer;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
@@ -50,9 +51,14 @@
 }
 
 /// The state of one caller's connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ConnectionState {
+    clock: Clock,
     stage: Cell<ExchangeStage>,
+    /// The time of the connection's start or of the last whole answer's end.
+    idle_since_ms: Cell<MonoMs>,
+    /// True if answers announce that the connection closes after them.
+    announces_close: Cell<bool>,
     /// The time of the exchange's first byte.
     began_ms: Cell<MonoMs>,
     /// The bytes that arrived since the end of the exchange before.
@@ -62,24 +68,47 @@
 }
 
 impl ConnectionState {
+    fn open(clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            stage: Cell::default(),
+            idle_since_ms: Cell::new(clock.now_ms()),
+            announces_close: Cell::default(),
+            began_ms: Cell::default(),
+            bytes_read: Cell::default(),
+            answers: Cell::default(),
+        })
+    }
+
     pub fn stage(&self) -> ExchangeStage {
         self.stage.get()
     }
 
+    /// Lets answers announce that the connection closes after them.
+    pub fn announce_close(&self) {
+        self.announces_close.set(true);
+    }
+
+    /// Returns the time since the last exchange, or `None` during one.
+    pub fn idle_ms(&self) -> Option<SpanMs> {
+        let is_idle = self.stage.get() == ExchangeStage::Idle;
+        is_idle.then(|| self.clock.now_ms().since(self.idle_since_ms.get()))
+    }
+
     /// Records bytes that arrived.
-    pub fn on_read(&self, bytes: usize, now_ms: MonoMs) {
+    pub fn on_read(&self, bytes: usize) {
         self.bytes_read.set(self.bytes_read.get() + bytes as u64);
         if bytes > 0 && self.stage.get() == ExchangeStage::Idle {
             self.stage.set(ExchangeStage::Head);
-            self.began_ms.set(now_ms);
+            self.began_ms.set(self.clock.now_ms());
         }
     }
 
     /// Records that the connection was closed with bytes that weren't read.
-    pub fn on_closed_unread(&self, now_ms: MonoMs) {
+    pub fn on_closed_unread(&self) {
         if self.stage.get() == ExchangeStage::Idle {
             self.stage.set(ExchangeStage::Unread);
-            self.began_ms.set(now_ms);
+            self.began_ms.set(self.clock.now_ms());
         }
     }
 
@@ -94,6 +123,7 @@
             return;
         }
         self.stage.set(ExchangeStage::Idle);
+        self.idle_since_ms.set(self.clock.now_ms());
         self.bytes_read.set(0);
         self.answers.set(self.answers.get() + 1);
     }
@@ -113,10 +143,10 @@
     }
 
     /// Adds a connection, until the guard is dropped.
-    pub fn add(self: &Rc<Self>) -> ConnectionGuard {
+    pub fn add(self: &Rc<Self>, clock: Clock) -> ConnectionGuard {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
-        let state = Rc::<ConnectionState>::default();
+        let state = ConnectionState::open(clock);
         self.open.borrow_mut().insert(id, state.clone());
         ConnectionGuard {
             connections: self.clone(),
@@ -185,8 +215,12 @@
 
 impl ObservedBody {
     /// Observes the body of an answer that is about to be sent.
-    pub fn observe(answer: Answer, state: Rc<ConnectionState>) -> hyper::Response<Self> {
+    pub fn observe(mut answer: Answer, state: Rc<ConnectionState>) -> hyper::Response<Self> {
         state.stage.set(ExchangeStage::Answering);
+        if state.announces_close.get() {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(CONNECTION, close);
+        }
         answer.map(|body| Self {
             // A body that isn't streamed is handed over together with its head.
             is_whole: matches!(body, FrontBody::Whole(_)),
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -39,6 +39,12 @@
 /// reuses it at the last moment doesn't find it closed.
 const IDLE_MARGIN_MS: SpanMs = SpanMs(3_000);
 
+/// The time within which a caller that sends one request after the other sends the next: some hops to it.
+const NEXT_REQUEST_MS: SpanMs = SpanMs(250);
+
+/// The interval at which a stopping node checks if a connection is idle.
+const CLOSE_POLL_MS: SpanMs = SpanMs(50);
+
 /// The path of the metrics on the operators' listener.
 const METRICS_PATH: &str = "/metrics";
 
@@ -54,13 +60,13 @@
 ) {
     loop {
         let stream = accept(&listener).await;
-        let guard = connections.add();
+        let guard = connections.add(node.clock);
         let node = node.clone();
         spawn_local(async move {
-            let stream = MeteredStream::new(stream, guard.state.clone(), node.clock);
+            let stream = MeteredStream::new(stream, guard.state.clone());
             let result = serve_connection(&node, stream.clone(), guard.state.clone()).await;
             if stream.has_unread() {
-                guard.state.on_closed_unread(node.now_ms());
+                guard.state.on_closed_unread();
             }
             connections::record_end(&node, &guard.state, connections::end_reason(&result));
             log_connection_end(result);
@@ -87,7 +93,8 @@
     }
 }
 
-/// Serves one caller's connection until it closes. Shuts it down gracefully during a planned stop.
+/// Serves one caller's connection until it closes. During a planned stop, answers announce the close, and an idle
+/// connection is closed.
 async fn serve_connection(
     node: &Rc<Node>,
     stream: MeteredStream,
@@ -96,10 +103,12 @@
     let limits = node.with(|state| state.config.as_ref().map(|c| c.limits()));
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes.0 as usize);
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |l| l.idle_timeout_ms) + IDLE_MARGIN_MS;
-    let stop = wait_for_noticed_stop(node.clone());
+    let stop = wait_for_stop(node.clone(), state.clone());
+    let closable = wait_until_closable(stream.clone(), state.clone());
     let node = node.clone();
+    let served = state.clone();
     let service = service_fn(move |request| {
-        let (node, state) = (node.clone(), state.clone());
+        let (node, state) = (node.clone(), served.clone());
         state.on_request();
         async move {
             let answer = call::serve(node, request).await;
@@ -114,22 +123,41 @@
         .header_read_timeout(Some(Duration::from(idle_ms)));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    tokio::pin!(stop);
+    // What has arrived is read before the connection may be closed.
+    tokio::select! {
+        biased;
+        result = connection.as_mut() => return result,
+        () = stop => {}
+    }
     tokio::select! {
+        biased;
         result = connection.as_mut() => return result,
-        () = &mut stop => connection.as_mut().graceful_shutdown(),
+        () = closable => connection.as_mut().graceful_shutdown(),
     }
     connection.await
 }
 
-/// Waits for a planned stop, and then until the balancer has noticed it.
-async fn wait_for_noticed_stop(node: Rc<Node>) {
+/// Waits until a connection is idle and has been so for long enough that its caller isn't about to follow an answer
+/// with another request. An answer that began before a planned stop didn't announce the close.
+async fn wait_until_closable(stream: MeteredStream, state: Rc<ConnectionState>) {
+    let is_closable = || {
+        let idle_ms = state.idle_ms();
+        idle_ms.is_some_and(|idle_ms| idle_ms >= NEXT_REQUEST_MS) && !stream.has_unread()
+    };
+    while !is_closable() {
+        tokio::time::sleep(Duration::from(CLOSE_POLL_MS)).await;
+    }
+}
+
+/// Waits for a planned stop, from which on answers announce the close, and then until the balancer has noticed it.
+async fn wait_for_stop(node: Rc<Node>, state: Rc<ConnectionState>) {
     let mut signal = node.stop_signal();
     let plan = match signal.wait_for(Option::is_some).await {
         Ok(plan) => *plan,
         // The node was dropped, which also ends its connections.
         Err(_) => None,
     };
+    state.announce_close();
     if let Some(plan) = plan {
         let wait_ms = plan.notice_end_ms().since(node.now_ms());
         tokio::time::sleep(Duration::from(wait_ms)).await;
--- a/crates/front/src/node/stream.rs
+++ b/crates/front/src/node/stream.rs
@@ -1,6 +1,5 @@
 //! A caller's TCP stream that reports what arrives to the state of its connection.
 
-use super::Clock;
 use super::connections::ConnectionState;
 use socket2::SockRef;
 use std::io::{self, ErrorKind};
@@ -17,15 +16,13 @@
 pub(super) struct MeteredStream {
     stream: Rc<TcpStream>,
     state: Rc<ConnectionState>,
-    clock: Clock,
 }
 
 impl MeteredStream {
-    pub fn new(stream: TcpStream, state: Rc<ConnectionState>, clock: Clock) -> Self {
+    pub fn new(stream: TcpStream, state: Rc<ConnectionState>) -> Self {
         Self {
             stream: Rc::new(stream),
             state,
-            clock,
         }
     }
 
@@ -48,7 +45,7 @@
             match self.stream.try_read(buffer.initialize_unfilled()) {
                 Ok(length) => {
                     buffer.advance(length);
-                    self.state.on_read(length, self.clock.now_ms());
+                    self.state.on_read(length);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
