Admission: the body of a request that is turned away is read before the answer

What callers saw: a connection that was reset, with neither an answer nor a refusal, for requests that were turned away by their head (no route, key unknown, configuration not there yet, node leaving) while their body was still arriving: beside a change of the configuration, a burst of connections or a stop.

Cause: the answer was given and the connection closed with the rest of the body unread. TCP resets such a connection, and the caller's system may drop the answer. The class: a connection is released before its caller has got what it carries.

Change: admission by the head is a step of its own; if it turns a request away, the rest of the body is read and dropped for at most 200 ms.

--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -114,20 +114,19 @@
 /// Admits a request, or returns the answer that refuses or rejects it.
 pub async fn admit(node: Rc<Node>, request: Request<Incoming>) -> Result<Call, Answer> {
     let arrived_ms = node.now_ms();
-    let (parts, body) = request.into_parts();
-    let head = node.platform.dialect.call_head(&parts.headers);
-    let head = head.map_err(|error| malformed_head(&node, error))?;
-    wait_until_informed(&node, &head).await;
-    let admitted = match look_up_current(&node, &head, &parts).await {
+    let (parts, mut body) = request.into_parts();
+    let AdmittedHead {
+        head,
+        admitted,
+        timeout_ms,
+    } = match admit_head(&node, &parts, arrived_ms).await {
         Ok(admitted) => admitted,
-        Err(error) => return Err(error.answer(&node, &head)),
+        Err(answer) => {
+            discard(&mut body).await;
+            return Err(answer);
+        }
     };
-    let allowed_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let timeout_ms = admitted.route.timeout_ms.min(allowed_ms);
     let deadline_ms = arrived_ms + timeout_ms;
-    if !node.accepts(deadline_ms) {
-        return Err(answers::leaving(&node, &head));
-    }
     let body = read_body(&node, &head, body, admitted.body_bytes, timeout_ms).await?;
     let now_ms = node.now_ms();
     node.with(|state| state.budget.on_request(&admitted.service.name, now_ms));
@@ -142,6 +141,58 @@
     .admitted(admitted, None))
 }
 
+/// A request of which the head was admitted.
+struct AdmittedHead {
+    head: CallHead,
+    admitted: Admitted,
+    /// The time from its arrival within which the request must be answered.
+    timeout_ms: SpanMs,
+}
+
+/// Admits a request by its head, or returns the answer that refuses or rejects it.
+async fn admit_head(
+    node: &Node,
+    parts: &Parts,
+    arrived_ms: MonoMs,
+) -> Result<AdmittedHead, Answer> {
+    let head = node.platform.dialect.call_head(&parts.headers);
+    let head = head.map_err(|error| malformed_head(node, error))?;
+    wait_until_informed(node, &head).await;
+    let admitted = match look_up_current(node, &head, parts).await {
+        Ok(admitted) => admitted,
+        Err(error) => return Err(error.answer(node, &head)),
+    };
+    let allowed_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let timeout_ms = admitted.route.timeout_ms.min(allowed_ms);
+    if !node.accepts(arrived_ms + timeout_ms) {
+        return Err(answers::leaving(node, &head));
+    }
+    Ok(AdmittedHead {
+        head,
+        admitted,
+        timeout_ms,
+    })
+}
+
+/// The time for which the body of a request that is turned away may still arrive before it is answered.
+const DISCARD_TIMEOUT_MS: SpanMs = SpanMs(200);
+
+/// Reads and drops the rest of a body. A connection that is closed with unread bytes is reset, and its caller may
+/// lose the answer.
+async fn discard(body: &mut Incoming) {
+    let rest = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            drop(frame);
+        }
+    };
+    if tokio::time::timeout(Duration::from(DISCARD_TIMEOUT_MS), rest)
+        .await
+        .is_err()
+    {
+        log::debug!("a request was turned away before its body had arrived");
+    }
+}
+
 /// Admits a request that a peer forwarded, or returns the answer that rejects it or says that another node
 /// may serve it.
 pub async fn admit_forwarded(
