Streams: a silent source stays open while another engine is looked for

What callers saw: begun answers that were cut off while sound engines were silent for about a second.

Cause: a node that found an engine silent, or its links lost, closed the connection to the engine first and looked for another engine or a peer afterwards. If none took the stream, it cut the answer off, although the engine went on half a second later. The class: something that works is released before what replaces it is held.

Change: resumption.rs looks for an engine or a peer while the source stays open; whichever sends the next event goes on, and the other is closed. Nothing ends a stream with an open source before its deadline. An attempt that is given up counts towards the route's attempts if its replica may have received it, and the retry budget is taken once an engine has room. Restarted engines and broken connections end a source at once, as before. A peer that is no longer heard counts as silent.

--- a/crates/front/src/call/hop.rs
+++ b/crates/front/src/call/hop.rs
@@ -50,8 +50,14 @@
         }
     }
 
+    /// Waits until the peer is no longer heard, and returns the resulting failure.
+    pub async fn lost(&self) -> TryError {
+        self.wait_until_lost().await;
+        peer_lost()
+    }
+
     /// Waits until the peer is no longer heard.
-    pub async fn wait_until_lost(&self) {
+    async fn wait_until_lost(&self) {
         while self.node.outbox.is_live(self.owner) {
             tokio::time::sleep(Duration::from(LIVENESS_POLL_MS)).await;
         }
@@ -100,6 +106,11 @@
         &self.why
     }
 
+    /// Returns true if the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.ran != Verdict::NotRun
+    }
+
     /// Builds the same answer to the caller. `before` is the verdict of this node's own attempts.
     fn to_caller(&self, call: &Call, before: Verdict) -> Answer {
         let node = &call.node;
@@ -277,7 +288,7 @@
 }
 
 /// Returns the failure of an exchange whose peer is no longer heard.
-pub(super) fn peer_lost() -> TryError {
+fn peer_lost() -> TryError {
     TryError::new(
         "the peer is gone",
         Verdict::MayHaveRun,
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -19,6 +19,7 @@
 mod plain;
 mod pump;
 mod reserve;
+mod resumption;
 mod server;
 mod stream;
 mod tries;
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -1,19 +1,22 @@
 //! Forwards a stream's events to the caller as they arrive, and resumes the stream at another
 //! engine if one breaks off.
 //!
+//! A source that is merely silent stays open while another engine is looked for. Whichever sends the
+//! next event goes on with the stream.
+//!
 //! Invariants: only complete events are forwarded. Each event is forwarded once. A stream that
-//! can't be resumed ends as broken off.
+//! broke off and can't be resumed ends as broken off; one whose source is silent ends so at its
+//! deadline only.
 
 use super::Call;
 use super::body::BrokenOff;
-use super::choose::choose_for_resume;
+use super::choose::Chosen;
 use super::events::{EventSplitter, Events};
 use super::fatal::{self, Disconnect};
-use super::hop::{self, HopCause, HopError};
+use super::resumption::{Resumption, Successor};
 use super::server::StreamServer;
-use super::stream::{StartedStream, first_event};
-use super::tries::{TryError, cut_by_crash, may_try_again};
-use crate::forward::ResumePoint;
+use super::stream::StartedStream;
+use super::tries::{TryError, cut_by_crash};
 use crate::http::Link;
 use crate::journal::Event;
 use crate::links;
@@ -25,6 +28,8 @@
 use bytes::Bytes as Buffer;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::cell::Cell;
+use std::future::pending;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -47,22 +52,69 @@
     pub ends_with_connection: bool,
 }
 
-/// The reason for which an event source ended.
+impl EventSource {
+    /// Waits for the next events. Returns `None` at the regular end. `engine` writes the stream, unless a
+    /// peer forwards it.
+    async fn next(
+        &mut self,
+        call: &Call,
+        engine: Option<&Chosen>,
+    ) -> Result<Option<Events>, TryError> {
+        loop {
+            let frame = match self.body.frame().await {
+                None => return self.end(call, engine).await.map(|()| None),
+                Some(Err(error)) => return Err(broken(&error.to_string())),
+                Some(Ok(frame)) => frame,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if let Some(events) = self.splitter.push(&data) {
+                return Ok(Some(events));
+            }
+        }
+    }
+
+    /// Checks that a stream that has no more events is complete.
+    async fn end(&self, call: &Call, engine: Option<&Chosen>) -> Result<(), TryError> {
+        if self.splitter.is_mid_event() {
+            return Err(broken("the stream ended in the middle of an event"));
+        }
+        match engine {
+            Some(engine) if self.ends_with_connection && fatal::has_crashed(call, engine).await => {
+                Err(cut_by_crash())
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Returns the failure of a stream that broke off.
+fn broken(why: &str) -> TryError {
+    let error = TryError::new(why, Verdict::Ran, Symptom::Failed);
+    error.with_disconnect(Disconnect::of_connection(Evidence::Running))
+}
+
+/// The reason for which events are no longer forwarded from a source alone.
 enum SourceEnd {
     /// The stream is complete.
     Complete,
+    /// The source is silent and may still go on.
+    Silent(TryError),
     /// The stream broke off.
     Broken(TryError),
     /// The caller closed its connection.
     CallerGone,
 }
 
-/// The result of resuming a stream.
+/// The result of looking for another engine.
 enum Resumed {
-    /// The rest of the stream has begun.
-    Started(Box<StartedStream>),
-    /// The attempt failed; another may follow.
-    Failed(TryError),
+    /// The silent source goes on with these events.
+    WentOn(Events),
+    /// The silent source ended the stream regularly.
+    Complete,
+    /// Another engine or a peer goes on.
+    Replaced(Box<Successor>),
     /// Nothing can resume the stream, for this reason.
     Refused(Arc<str>),
     /// The caller closed its connection.
@@ -73,8 +125,7 @@
 pub(super) struct Pump {
     call: Rc<Call>,
     server: StreamServer,
-    /// The number of attempts whose replica received the request.
-    tries: u32,
+    resumption: Resumption,
     out: mpsc::Sender<Result<Buffer, BrokenOff>>,
     /// The id of the last event that was passed on, or `None` if no event had one.
     last_id: Option<Arc<str>>,
@@ -104,9 +155,9 @@
             is_established: false,
             last_event_ms: call.node.now_ms(),
             longest_pause_ms: SpanMs::ZERO,
+            resumption: Resumption::new(call.clone(), tries),
             call,
             server,
-            tries,
             out,
             last_id: None,
         };
@@ -117,97 +168,90 @@
     /// Forwards events until the stream is complete, can't be resumed, or the caller leaves.
     async fn run(mut self, mut source: EventSource, first: Events) {
         if !self.forward(first).await {
-            self.record_cancelled();
-            return;
+            return self.record_cancelled();
         }
         loop {
-            match self.forward_until_end(&mut source).await {
-                SourceEnd::Complete => {
-                    self.record_answered(200);
-                    fatal::on_served(&self.call, self.began_ms);
-                    let EventSource {
-                        link,
-                        keep_alive_ms,
-                        ..
-                    } = source;
-                    self.call.node.pool.give_back(link, keep_alive_ms);
-                    return;
-                }
+            let resumed = match self.forward_until_end(&mut source).await {
+                SourceEnd::Complete => return self.complete(source),
                 SourceEnd::CallerGone => return self.record_cancelled(),
+                SourceEnd::Silent(error) => {
+                    self.server.on_silent(&self.call, &error);
+                    self.resume(Some(source), error).await
+                }
                 SourceEnd::Broken(error) => {
                     drop(source);
                     let error = error.after_writing(self.last_event_ms.since(self.began_ms));
-                    self.server.on_failed(&self.call, self.tries, &error).await;
-                    match self.resume(error).await {
-                        Some(next) => source = next,
-                        None => return,
-                    }
+                    let attempt = self.resumption.delivered();
+                    self.server.on_failed(&self.call, attempt, &error).await;
+                    self.resume(None, error).await
                 }
+            };
+            match resumed {
+                Some(next) => source = next,
+                None => return,
             }
         }
     }
 
-    /// Forwards events until the source ends.
+    /// Records that the stream is complete, and keeps its connection.
+    fn complete(&self, source: EventSource) {
+        self.record_answered(200);
+        fatal::on_served(&self.call, self.began_ms);
+        let EventSource {
+            link,
+            keep_alive_ms,
+            ..
+        } = source;
+        self.call.node.pool.give_back(link, keep_alive_ms);
+    }
+
+    /// Forwards events until the source ends or is silent for too long.
     async fn forward_until_end(&mut self, source: &mut EventSource) -> SourceEnd {
         loop {
-            let frame = tokio::select! {
-                frame = source.body.frame() => frame,
+            let next = tokio::select! {
+                next = source.next(&self.call, self.server.engine()) => next,
                 () = self.out.closed() => return SourceEnd::CallerGone,
-                error = self.server.lost(&self.call) => return SourceEnd::Broken(error),
-                () = self.silence() => {
-                    let error = TryError::new(
-                        "the engine sent no event for too long",
-                        Verdict::Ran,
-                        Symptom::Silent,
-                    );
-                    return SourceEnd::Broken(error);
-                }
-            };
-            let broken = |why: &str| {
-                let error = TryError::new(why, Verdict::Ran, Symptom::Failed);
-                SourceEnd::Broken(
-                    error.with_disconnect(Disconnect::of_connection(Evidence::Running)),
-                )
-            };
-            let data = match frame {
-                None if source.splitter.is_mid_event() => {
-                    return broken("the stream ended in the middle of an event");
-                }
-                None if source.ends_with_connection && self.has_crashed().await => {
-                    return SourceEnd::Broken(cut_by_crash());
-                }
-                None => return SourceEnd::Complete,
-                Some(Err(error)) => return broken(&error.to_string()),
-                Some(Ok(frame)) => frame.into_data(),
+                error = self.server.restarted(&self.call) => return SourceEnd::Broken(error),
+                error = self.silence() => return SourceEnd::Silent(error),
             };
-            let Ok(data) = data else {
-                continue;
+            let events = match next {
+                Ok(Some(events)) => events,
+                Ok(None) => return SourceEnd::Complete,
+                Err(error) => return SourceEnd::Broken(error),
             };
-            if let Some(events) = source.splitter.push(&data)
-                && !self.forward(events).await
-            {
+            if !self.forward(events).await {
                 return SourceEnd::CallerGone;
             }
         }
     }
 
-    /// Returns true if the engine that writes the stream is known to have crashed.
-    async fn has_crashed(&self) -> bool {
-        match self.server.engine() {
-            Some(engine) => fatal::has_crashed(&self.call, engine).await,
-            None => false,
+    /// Waits until the other side has been silent for too long, and returns what that shows.
+    async fn silence(&self) -> TryError {
+        if let StreamServer::Peer(peer) = &self.server
+            && self.may_resume()
+        {
+            return peer.lost().await;
         }
+        self.engine_silence().await;
+        TryError::new(
+            "the engine sent no event for too long",
+            Verdict::Ran,
+            Symptom::Silent,
+        )
+    }
+
+    /// Returns true if another engine may go on with the stream.
+    fn may_resume(&self) -> bool {
+        self.call.route.kind.repeatable() && self.resumption.delivered() < self.call.max_attempts()
     }
 
     /// Returns once the engine has been silent for too long: at the deadline if the stream can't be
     /// resumed elsewhere, and later than usual if the engine is known to be reading prompts.
-    async fn silence(&self) {
-        let RouteKind::Stream { resumable, gap_ms } = self.call.route.kind else {
+    async fn engine_silence(&self) {
+        let RouteKind::Stream { gap_ms, .. } = self.call.route.kind else {
             return tokio::time::sleep(self.call.left_ms().into()).await;
         };
-        let is_last = self.tries >= self.call.max_attempts();
-        // A peer watches its engine by itself.
-        if !resumable || is_last || self.server.engine().is_none() {
+        if !self.may_resume() {
             return tokio::time::sleep(self.call.left_ms().into()).await;
         }
         let mut limit_ms = silence::pause_timeout(gap_ms).min(self.call.left_ms());
@@ -272,113 +316,94 @@
         }
     }
 
-    /// Resumes the stream at another engine, or at a peer if this node reaches no engine. Returns `None` if
-    /// the stream has ended.
-    async fn resume(&mut self, error: TryError) -> Option<EventSource> {
-        let mut error = error;
-        let mut avoid: Vec<ReplicaKey> = self.server.engine().map(|e| e.key).into_iter().collect();
-        loop {
-            if self.call.left_ms() == SpanMs::ZERO || !may_try_again(&self.call, self.tries, &error)
-            {
-                self.abort(&error.why).await;
-                return None;
+    /// Goes on with a stream that broke off, or whose `source` is silent, with whichever sends the next event: the source,
+    /// another engine or a peer. Returns `None` if the stream has ended.
+    async fn resume(
+        &mut self,
+        mut source: Option<EventSource>,
+        error: TryError,
+    ) -> Option<EventSource> {
+        match self.await_next(&mut source, &error).await {
+            Resumed::WentOn(events) => {
+                self.resumption.on_given_up();
+                self.server.on_recovered(&self.call, self.last_event_ms);
+                self.forward_first(events, source?).await
             }
-            let started = match hop::is_needed(&self.call) {
-                true => self.resume_at_peer(&HopCause::LinksLost).await,
-                false => self.resume_at_engine(&mut avoid).await,
-            };
-            match started {
-                Resumed::Started(started) => {
-                    let StartedStream { source, first, .. } = *started;
-                    self.began_ms = self.call.node.now_ms();
-                    self.is_established = false;
-                    self.last_event_ms = self.began_ms;
-                    return self.forward(first).await.then_some(source);
-                }
-                Resumed::Failed(failed) => error = failed,
-                Resumed::Refused(why) => {
-                    self.abort(&why).await;
-                    return None;
-                }
-                Resumed::CallerGone => {
-                    self.record_cancelled();
-                    return None;
+            Resumed::Complete => {
+                self.complete(source?);
+                None
+            }
+            Resumed::Replaced(successor) => {
+                if source.take().is_some() {
+                    let attempt = self.resumption.delivered();
+                    let error = error.of_replaced();
+                    self.server.on_failed(&self.call, attempt, &error).await;
                 }
+                let Successor { server, started } = *successor;
+                let StartedStream { source, first, .. } = started;
+                self.server = server;
+                self.began_ms = self.call.node.now_ms();
+                self.is_established = false;
+                self.last_event_ms = self.began_ms;
+                self.forward_first(first, source).await
             }
-        }
-    }
-
-    /// Resumes the stream at an engine that isn't in `avoid`.
-    async fn resume_at_engine(&mut self, avoid: &mut Vec<ReplicaKey>) -> Resumed {
-        let mut chosen = match choose_for_resume(&self.call, avoid) {
-            Ok(chosen) => chosen,
-            Err(refusal) => match HopCause::of_refusal(&self.call, avoid, refusal) {
-                Some(cause) => return self.resume_at_peer(&cause).await,
-                None => return Resumed::Refused(refusal.to_string().into()),
-            },
-        };
-        avoid.push(chosen.key);
-        self.record_resumed();
-        let begin = first_event(
-            &self.call,
-            &mut chosen,
-            avoid,
-            self.tries + 1,
-            self.tries,
-            self.last_id.as_deref(),
-        );
-        let started = tokio::select! {
-            started = begin => started,
-            () = self.out.closed() => return Resumed::CallerGone,
-        };
-        self.server = StreamServer::Engine(Box::new(chosen));
-        match started {
-            Ok(started) => {
-                self.tries += 1;
-                Resumed::Started(Box::new(started))
+            Resumed::Refused(why) => {
+                self.abort(&why).await;
+                None
             }
-            Err(failed) => {
-                self.server
-                    .on_failed(&self.call, self.tries + 1, &failed)
-                    .await;
-                self.tries += u32::from(failed.delivered);
-                Resumed::Failed(failed)
+            Resumed::CallerGone => {
+                self.record_cancelled();
+                None
             }
         }
     }
 
-    /// Resumes the stream at a peer.
-    async fn resume_at_peer(&mut self, cause: &HopCause) -> Resumed {
-        self.record_resumed();
-        let resume = ResumePoint {
-            last_event: self.last_id.clone(),
-        };
-        let begin = hop::first_event(&self.call, self.tries, Some(resume), cause);
-        let started = tokio::select! {
-            started = begin => started,
-            () = self.out.closed() => return Resumed::CallerGone,
-        };
-        match started {
-            Ok((started, peer, tries)) => {
-                self.server = StreamServer::Peer(peer);
-                self.tries = tries;
-                Resumed::Started(Box::new(started))
-            }
-            Err(HopError::NoPeer(refusal)) => Resumed::Refused(refusal.to_string().into()),
-            Err(HopError::Answered(answer)) => Resumed::Refused(answer.why().into()),
-            Err(HopError::Failed(failed)) => {
-                // The peer may have used all attempts that were left.
-                self.tries = self.call.max_attempts();
-                Resumed::Failed(failed)
-            }
+    /// Forwards the first events after a pause, and returns their source unless the caller has left.
+    async fn forward_first(&mut self, events: Events, source: EventSource) -> Option<EventSource> {
+        let is_forwarded = self.forward(events).await;
+        if !is_forwarded {
+            self.record_cancelled();
         }
+        is_forwarded.then_some(source)
     }
 
-    fn record_resumed(&self) {
-        self.call.node.journal.record(&Event::Resumed {
-            request: self.call.head.request.clone(),
-            last_event: self.last_id.clone(),
-        });
+    /// Waits for the next event from the silent source, if there is one, or from another engine or a peer. A source that breaks
+    /// off meanwhile is dropped.
+    async fn await_next(&mut self, source: &mut Option<EventSource>, error: &TryError) -> Resumed {
+        let writing_ms = self.last_event_ms.since(self.began_ms);
+        let Self {
+            call,
+            server,
+            out,
+            resumption,
+            last_id,
+            ..
+        } = self;
+        let attempt = resumption.delivered();
+        let is_open = Cell::new(source.is_some());
+        let avoid = server.engine().map(|engine| engine.key);
+        let successor = resumption.run(avoid, last_id.clone(), &is_open, error.why.clone());
+        tokio::pin!(successor);
+        loop {
+            let broken = tokio::select! {
+                biased;
+                () = out.closed() => return Resumed::CallerGone,
+                next = next_events(source, call, server) => match next {
+                    Ok(Some(events)) => return Resumed::WentOn(events),
+                    Ok(None) => return Resumed::Complete,
+                    Err(error) => error,
+                },
+                error = server.restarted(call), if is_open.get() => error,
+                successor = &mut successor => return match successor {
+                    Ok(successor) => Resumed::Replaced(Box::new(successor)),
+                    Err(why) => Resumed::Refused(why),
+                },
+            };
+            drop(source.take());
+            is_open.set(false);
+            let broken = broken.after_writing(writing_ms);
+            server.on_failed(call, attempt, &broken).await;
+        }
     }
 
     /// Records a failure and ends the caller's stream as broken off.
@@ -398,7 +423,7 @@
         self.call.node.journal.record(&Event::Answered {
             request: self.call.head.request.clone(),
             status,
-            attempts: self.tries,
+            attempts: self.resumption.delivered(),
             prompt_tokens: self.call.head.prompt_tokens.unwrap_or_default(),
             first_ms: self.first_ms,
             end_ms: self.call.age_ms(),
@@ -414,3 +439,15 @@
         });
     }
 }
+
+/// Waits for the next events of a source, forever if there is none.
+async fn next_events(
+    source: &mut Option<EventSource>,
+    call: &Call,
+    server: &StreamServer,
+) -> Result<Option<Events>, TryError> {
+    match source {
+        Some(source) => source.next(call, server.engine()).await,
+        None => pending().await,
+    }
+}
--- a/crates/front/src/call/server.rs
+++ b/crates/front/src/call/server.rs
@@ -3,12 +3,13 @@
 use super::Call;
 use super::choose::Chosen;
 use super::fatal;
-use super::hop::{self, PeerLease};
-use super::tries::{TryError, record_failure, restarted};
+use super::hop::PeerLease;
+use super::tries::{TryError, record_failure, record_silence, record_symptom, restarted};
 use crate::journal::Event;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bluebell_quarantine::prelude::*;
+use std::future::pending;
 
 /// The side from which a stream's events arrive.
 pub(super) enum StreamServer {
@@ -26,16 +27,14 @@
         }
     }
 
-    /// Waits until the other side is known to have lost the request, and returns the resulting failure.
-    pub async fn lost(&self, call: &Call) -> TryError {
+    /// Waits until the engine is known to have lost the request, and returns the resulting failure. A peer watches its
+    /// engine by itself.
+    pub async fn restarted(&self, call: &Call) -> TryError {
         match self {
             Self::Engine(chosen) => {
                 restarted(call, &chosen.replica, Verdict::Ran, Evidence::Running).await
             }
-            Self::Peer(peer) => {
-                peer.wait_until_lost().await;
-                hop::peer_lost()
-            }
+            Self::Peer(_) => pending().await,
         }
     }
 
@@ -47,6 +46,30 @@
         }
     }
 
+    /// Records that the other side is silent, and what that shows of it. It may still go on.
+    pub fn on_silent(&self, call: &Call, error: &TryError) {
+        match self {
+            Self::Engine(chosen) => record_silence(call, chosen, error),
+            Self::Peer(peer) => call.node.journal.record(&Event::PeerSilent {
+                request: call.head.request.clone(),
+                peer: peer.owner.0,
+                why: error.why.clone(),
+                age_ms: call.age_ms(),
+            }),
+        }
+    }
+
+    /// Records that the other side goes on after a silence that began at `silent_since_ms`.
+    pub fn on_recovered(&self, call: &Call, silent_since_ms: MonoMs) {
+        if let Self::Engine(chosen) = self {
+            record_symptom(call, chosen.key, Symptom::Good, "", silent_since_ms);
+        }
+        call.node.journal.record(&Event::WentOn {
+            request: call.head.request.clone(),
+            silent_ms: call.node.now_ms().since(silent_since_ms),
+        });
+    }
+
     /// Records the failure of an attempt, and what it shows of the other side.
     pub async fn on_failed(&self, call: &Call, attempt: u32, error: &TryError) {
         match self {
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -11,7 +11,7 @@
 use super::pump::{EventSource, Pump};
 use super::reserve::ReservedMemory;
 use super::server::StreamServer;
-use super::tries::{self, Reply, SilentAttempt, Tries, TryError, record_symptom};
+use super::tries::{self, Reply, SilentAttempt, Tries, TryError, has_retry_left, record_symptom};
 use crate::forward::Outcome;
 use crate::journal::ConnectionKind;
 use bluebell_base::prelude::*;
@@ -38,11 +38,7 @@
 /// has read, and the caller receives a failure: on a day with 69 engines, some of them slow, that
 /// ended 47 of 336 long prompts after three seconds or more.
 fn has_no_alternative(call: &Call, avoid: &[ReplicaKey]) -> bool {
-    let node = &call.node;
-    let now_ms = node.now_ms();
-    let nodes = node.node_count();
-    let budget = node.with(|s| s.budget.has_left(&call.service.name, nodes, now_ms));
-    !budget || !has_alternative(call, avoid)
+    !has_retry_left(call) || !has_alternative(call, avoid)
 }
 
 /// Serves a request whose answer is a stream, with further attempts while the first event is
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Returns the failure of an attempt that was silent until another one replaced it. The silence has been recorded
+    /// as a symptom.
+    pub fn of_replaced(mut self) -> Self {
+        self.symptom = Symptom::Inconclusive;
+        self
+    }
+
     /// Returns the error of an answer whose events arrived during `writing_ms`.
     pub fn after_writing(mut self, writing_ms: SpanMs) -> Self {
         if let Some(disconnect) = &mut self.disconnect {
@@ -464,6 +471,22 @@
     }
 }
 
+/// Records that an attempt's replica is silent, and its symptom. The attempt stays open.
+pub(super) fn record_silence(call: &Call, chosen: &Chosen, error: &TryError) {
+    let now_ms = call.node.now_ms();
+    let answer_age_ms = call
+        .node
+        .with(|state| state.links.answer_age_ms(&call.service.name, now_ms));
+    call.node.journal.record(&Event::TrySilent {
+        request: call.head.request.clone(),
+        instance: chosen.replica.instance.clone(),
+        why: error.why.clone(),
+        answer_age_ms,
+        age_ms: call.age_ms(),
+    });
+    record_symptom(call, chosen.key, error.symptom, &error.why, chosen.began_ms);
+}
+
 /// Returns the replica that another one names by its instance or its address.
 fn find_named(call: &Call, faulty_replica: &str) -> Option<ReplicaKey> {
     call.node.with(|state| {
@@ -540,6 +563,19 @@
     if !error.delivered {
         return true;
     }
+    take_retry(call)
+}
+
+/// Returns true if the service's retry budget has an attempt left.
+pub(super) fn has_retry_left(call: &Call) -> bool {
+    let node = &call.node;
+    let nodes = node.node_count();
+    let now_ms = node.now_ms();
+    node.with(|state| state.budget.has_left(&call.service.name, nodes, now_ms))
+}
+
+/// Takes an attempt from the service's retry budget. Returns false if none is left.
+pub(super) fn take_retry(call: &Call) -> bool {
     let node = &call.node;
     let nodes = node.node_count();
     let now_ms = node.now_ms();
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -246,6 +246,30 @@
         /// The time since the request arrived.
         age_ms: SpanMs,
     },
+    /// An attempt's replica is silent. The attempt stays open while another replica is looked for.
+    TrySilent {
+        request: Arc<str>,
+        instance: Arc<str>,
+        why: Arc<str>,
+        /// The time since a replica of the service last answered this node, or `None` if none has.
+        answer_age_ms: Option<SpanMs>,
+        /// The time since the request arrived.
+        age_ms: SpanMs,
+    },
+    /// The peer that serves a request is silent. The exchange stays open.
+    PeerSilent {
+        request: Arc<str>,
+        /// The id of the peer's run.
+        peer: u64,
+        why: Arc<str>,
+        /// The time since the request arrived.
+        age_ms: SpanMs,
+    },
+    /// The silent side of a request goes on.
+    WentOn {
+        request: Arc<str>,
+        silent_ms: SpanMs,
+    },
     /// A replica crashed while a request was in flight on it.
     ReplicaEnded {
         instance: Arc<str>,
