Forwarding: a peer places the rest of a begun stream wherever it fits

What callers saw: begun answers that were cut off because a peer refused to go on with them: "the engines are full: the best place costs 102 % of what it gains".

Cause: a node that resumes a stream itself places it wherever it fits, since its caller has a part of the answer. A peer that the rest was forwarded to weighed it like a new request.

Change: a forwarded request with a resume point is placed as one that is being resumed.

--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -83,7 +83,9 @@
     loop {
         let waited_ms = call.age_ms();
         let wait_expired = waited_ms >= timeouts.max_wait_ms;
-        let wait_state = if wait_expired {
+        let wait_state = if call.resume().is_some() {
+            WaitState::Resuming
+        } else if wait_expired {
             WaitState::Expired
         } else {
             WaitState::MayWait
