Attempts: one that is silent stays open while another is made

What callers saw: 502 and 504 with time left, while sound replicas were silent for about a second: plain calls ("the replica is silent"), streams before their first event ("no replica of the service can be reached"), and answers of a first replica that came after the request had been sent to a second one and were thrown away.

An attempt that was silent, or whose links were found lost, was closed before the retry budget, a place or a peer for the next one was known. If one of them was missing, the request failed, although its replica was about to answer.

Change: race.rs holds the open attempts of a request. Silence of the newest allows a further one, within the route's attempts and the retry budget, which is taken once a place is known; the first good answer is used, and the rest is closed. A request fails only when no attempt is open.

--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -40,6 +40,27 @@
     pub guard: TryGuard,
 }
 
+/// The replica of an attempt and its connection, for records of the attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub replica: Arc<Replica>,
+    /// The connection that the attempt uses.
+    pub connection: Rc<Cell<ConnectionKind>>,
+    /// The time at which the attempt began.
+    pub began_ms: MonoMs,
+}
+
+impl Chosen {
+    /// Returns the replica and the connection of the attempt.
+    pub fn target(&self) -> Target {
+        Target {
+            replica: self.replica.clone(),
+            connection: self.connection.clone(),
+            began_ms: self.began_ms,
+        }
+    }
+}
+
 /// The shortest interval at which a request that waits at the node retries its placement. In a busy
 /// fleet, work ends on some engine about as often.
 const MIN_POLL_INTERVAL_MS: SpanMs = SpanMs(40);
--- a/crates/front/src/call/fatal.rs
+++ b/crates/front/src/call/fatal.rs
@@ -67,7 +67,7 @@
 /// loses all its other work. One such request was sent 49 times within nine seconds by eight nodes;
 /// 31 of these attempts broke off, and none was answered. Crashes are therefore counted by request
 /// and reported to the peers before the request is sent again.
-pub(super) async fn on_failed(call: &Call, chosen: &Chosen, error: &TryError) {
+pub(super) async fn on_failed(call: &Call, replica: &Arc<Replica>, error: &TryError) {
     let Some(disconnect) = error.disconnect else {
         return;
     };
@@ -79,7 +79,7 @@
         request: call.head.request.clone(),
         digest: call.digest(),
         parts: call.head.parts.clone(),
-        replica: chosen.replica.clone(),
+        replica: replica.clone(),
         evidence: disconnect.evidence,
         writing_ms: disconnect.writing_ms,
         at_ms: node.now_ms(),
@@ -90,7 +90,7 @@
         spawn_local(end_judged_trial(trial));
         return;
     }
-    let state = node.crash_checks.check(&node, &chosen.replica);
+    let state = node.crash_checks.check(&node, replica);
     // The directory's report arrives later, and the caller may leave before it.
     spawn_local(record_crash(
         node.clone(),
--- a/crates/front/src/call/hop.rs
+++ b/crates/front/src/call/hop.rs
@@ -207,33 +207,28 @@
         .with(|state| state.links.is_lost(&call.service.name))
 }
 
-/// Serves the remaining attempts of a request with one whole answer through peers.
-pub(super) async fn serve_plain(call: &Call, tries: &mut Tries, cause: &HopCause) -> Answer {
-    loop {
-        let whole = async {
-            let PeerReply {
-                reply,
-                attempts,
-                peer,
-            } = send(call, tries.delivered, None, cause).await?;
-            let whole = tokio::select! {
-                whole = plain::read_whole(call, reply) => whole.map_err(HopError::Failed),
-                () = peer.wait_until_lost() => Err(HopError::Failed(peer_lost())),
-            };
-            Ok((whole?, attempts))
-        };
-        let left_ms = Duration::from(call.left_ms());
-        let error = match tokio::time::timeout(left_ms, whole).await {
-            Ok(Ok((whole, attempts))) => {
-                let attempts = tries.delivered + attempts;
-                return WholeAnswer::pass_on(whole, call, attempts);
-            }
-            Ok(Err(error)) => error,
-            Err(_) => HopError::Failed(peer_silent()),
+/// Forwards a request with one whole answer to a peer. Returns the answer with the number of attempts so far.
+pub(super) async fn whole_answer(
+    call: &Call,
+    delivered: u32,
+    cause: &HopCause,
+) -> Result<(WholeAnswer, u32), HopError> {
+    let whole = async {
+        let PeerReply {
+            reply,
+            attempts,
+            peer,
+        } = send(call, delivered, None, cause).await?;
+        let whole = tokio::select! {
+            whole = plain::read_whole(call, reply) => whole.map_err(HopError::Failed),
+            () = peer.wait_until_lost() => Err(HopError::Failed(peer_lost())),
         };
-        if let Some(answer) = final_answer(call, tries, error) {
-            return answer;
-        }
+        Ok((whole?, delivered + attempts))
+    };
+    let left_ms = Duration::from(call.left_ms());
+    match tokio::time::timeout(left_ms, whole).await {
+        Ok(result) => result,
+        Err(_) => Err(HopError::Failed(peer_silent())),
     }
 }
 
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -18,6 +18,7 @@
 mod hop;
 mod plain;
 mod pump;
+mod race;
 mod reserve;
 mod resumption;
 mod server;
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -3,10 +3,11 @@
 use super::Call;
 use super::answers::{self, Answer};
 use super::body::FrontBody;
-use super::choose::{Chosen, choose};
+use super::choose::{Chosen, Target, choose};
 use super::fatal::{self, Disconnect};
-use super::hop::{self, HopCause};
-use super::tries::{self, Reply, SilentAttempt, Tries, TryError, record_symptom};
+use super::hop::{self, HopCause, HopError};
+use super::race::{NextAttempt, Race, RaceStep};
+use super::tries::{self, Reply, RetryPass, Tries, TryError, record_symptom};
 use crate::forward::Outcome;
 use crate::journal::Event;
 use bluebell_base::prelude::*;
@@ -16,6 +17,8 @@
 use bytes::Bytes as Buffer;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Response, StatusCode};
+use std::future::pending;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,39 +28,224 @@
 /// The multiple of the route's target after which a repeatable request is sent to another replica.
 const MAX_SILENCE_TARGETS: u64 = 2;
 
+/// The end of an attempt to get a whole answer.
+enum AttemptEnd {
+    /// At a replica; the attempt has this number.
+    Replica(Box<Chosen>, u32, Result<WholeAnswer, TryError>),
+    /// At a peer, with the number of attempts there.
+    Peer(Result<(WholeAnswer, u32), HopError>),
+}
+
 /// Serves a request with one whole answer.
 pub(super) async fn serve(call: &Rc<Call>) -> Answer {
-    let mut tries = Tries::default();
+    let mut attempts = Attempts::new(call);
+    let mut next = NextAttempt::Now;
     loop {
-        fatal::wait_for_trial(call).await;
-        if hop::is_needed(call) {
-            return hop::serve_plain(call, &mut tries, &HopCause::LinksLost).await;
-        }
-        let chosen = match choose(call, &tries.avoid) {
-            Ok(chosen) => chosen,
-            Err(refusal) => match HopCause::of_refusal(call, &tries.avoid, refusal) {
-                Some(cause) => return hop::serve_plain(call, &mut tries, &cause).await,
-                None => return refuse(call, tries.verdict(), &refusal),
-            },
+        let result = match next {
+            NextAttempt::Now => attempts.begin().await,
+            NextAttempt::Later | NextAttempt::NotDue => {
+                let step = attempts.race.next(next).await;
+                attempts.on_step(step, next).await
+            }
+        };
+        next = match result {
+            ControlFlow::Continue(next) => next,
+            ControlFlow::Break(answer) => return answer,
         };
-        let attempt = tries.begin(&chosen);
-        let (error, whole) = match try_once(call, &chosen, attempt).await {
+    }
+}
+
+/// The attempts to get one whole answer.
+struct Attempts {
+    call: Rc<Call>,
+    tries: Tries,
+    retry: RetryPass,
+    race: Race<AttemptEnd>,
+    /// The newest attempt at a replica.
+    newest: Option<Target>,
+    /// A failure that a replica itself reported while another attempt was open.
+    failure: Option<WholeAnswer>,
+}
+
+impl Attempts {
+    fn new(call: &Rc<Call>) -> Self {
+        Self {
+            call: call.clone(),
+            tries: Tries::default(),
+            retry: RetryPass::of_first_attempt(),
+            race: Race::new(),
+            newest: None,
+            failure: None,
+        }
+    }
+
+    /// Begins an attempt, unless an open one makes a step first.
+    async fn begin(&mut self) -> ControlFlow<Answer, NextAttempt> {
+        tokio::select! {
+            biased;
+            step = self.race.next(NextAttempt::NotDue) => {
+                return self.on_step(step, NextAttempt::Now).await;
+            }
+            () = fatal::wait_for_trial(&self.call) => {}
+        }
+        if hop::is_needed(&self.call) {
+            return ControlFlow::Continue(self.begin_at_peer(HopCause::LinksLost));
+        }
+        let refusal = match choose(&self.call, &self.tries.avoid) {
+            Ok(chosen) => return ControlFlow::Continue(self.begin_at(chosen)),
+            Err(refusal) => refusal,
+        };
+        match HopCause::of_refusal(&self.call, &self.tries.avoid, refusal) {
+            Some(cause) => ControlFlow::Continue(self.begin_at_peer(cause)),
+            None if self.race.is_empty() => {
+                ControlFlow::Break(refuse(&self.call, self.tries.verdict(), &refusal))
+            }
+            None => ControlFlow::Continue(NextAttempt::Later),
+        }
+    }
+
+    fn begin_at(&mut self, chosen: Chosen) -> NextAttempt {
+        if !self.retry.pay(&self.call) {
+            return NextAttempt::Later;
+        }
+        self.retry.use_up();
+        let call = self.call.clone();
+        let delivered = self.tries.delivered + self.race.open();
+        let number = self.tries.begin(&chosen);
+        let target = chosen.target();
+        self.newest = Some(target.clone());
+        let may_try_others = call.route.kind.repeatable() && delivered + 1 < call.max_attempts();
+        let silence = silence(call.clone(), target, may_try_others);
+        let end = async move {
+            let result = try_once(&call, &chosen, number).await;
+            AttemptEnd::Replica(Box::new(chosen), number, result)
+        };
+        self.race.add(end, silence);
+        NextAttempt::NotDue
+    }
+
+    fn begin_at_peer(&mut self, cause: HopCause) -> NextAttempt {
+        if !self.retry.pay(&self.call) {
+            return NextAttempt::Later;
+        }
+        self.retry.use_up();
+        let call = self.call.clone();
+        let delivered = self.tries.delivered + self.race.open();
+        let end =
+            async move { AttemptEnd::Peer(hop::whole_answer(&call, delivered, &cause).await) };
+        self.race.add(end, pending());
+        NextAttempt::NotDue
+    }
+
+    /// Returns the time of the next attempt after a step of the open ones, or the answer. Before the step it was
+    /// `next`.
+    async fn on_step(
+        &mut self,
+        step: RaceStep<AttemptEnd>,
+        next: NextAttempt,
+    ) -> ControlFlow<Answer, NextAttempt> {
+        match step {
+            RaceStep::Ended(AttemptEnd::Replica(chosen, number, result)) => {
+                self.on_replica_ended(&chosen, number, result, next).await
+            }
+            RaceStep::Ended(AttemptEnd::Peer(result)) => self.on_peer_ended(result, next),
+            RaceStep::Silent(error) => ControlFlow::Continue(self.on_silent(&error, next)),
+            RaceStep::Due => ControlFlow::Continue(NextAttempt::Now),
+        }
+    }
+
+    async fn on_replica_ended(
+        &mut self,
+        chosen: &Chosen,
+        number: u32,
+        result: Result<WholeAnswer, TryError>,
+        next: NextAttempt,
+    ) -> ControlFlow<Answer, NextAttempt> {
+        let (call, open) = (&self.call, self.race.open());
+        let (error, whole) = match result {
             Ok(whole) => match whole.failure(call) {
                 Some(error) => (error, Some(whole)),
-                None => return forward(call, &chosen, attempt, whole),
+                None => return ControlFlow::Break(forward(call, chosen, number, whole)),
             },
             Err(error) => (error, None),
         };
-        if tries.failed(call, &chosen, &error).await {
-            continue;
+        let target = chosen.target();
+        let failed = self.tries.failed(call, &target, number, open, &error);
+        if failed.await {
+            self.retry.grant();
+            return ControlFlow::Continue(NextAttempt::Now);
+        }
+        self.failure = whole.or(self.failure.take());
+        if !self.race.is_empty() {
+            return ControlFlow::Continue(next);
+        }
+        match self.failure.take() {
+            Some(failure) => ControlFlow::Break(failure.pass_on(&self.call, self.tries.delivered)),
+            None => ControlFlow::Break(fail(&self.call, self.tries.verdict(), &error.why)),
         }
-        return match whole {
-            Some(whole) => forward(call, &chosen, attempt, whole),
-            None => fail(call, tries.verdict(), &error.why),
+    }
+
+    fn on_peer_ended(
+        &mut self,
+        result: Result<(WholeAnswer, u32), HopError>,
+        next: NextAttempt,
+    ) -> ControlFlow<Answer, NextAttempt> {
+        let error = match result {
+            Ok((whole, attempts)) => {
+                return ControlFlow::Break(whole.pass_on(&self.call, attempts));
+            }
+            Err(error) => error,
+        };
+        let next = match self.race.is_empty() {
+            true => match hop::final_answer(&self.call, &mut self.tries, error) {
+                Some(answer) => return ControlFlow::Break(answer),
+                None => NextAttempt::Now,
+            },
+            false => match self.tries.hop_ended(&self.call, &error) {
+                true => NextAttempt::Later,
+                false => return ControlFlow::Continue(next),
+            },
+        };
+        self.retry.grant();
+        ControlFlow::Continue(next)
+    }
+
+    fn on_silent(&mut self, error: &TryError, next: NextAttempt) -> NextAttempt {
+        let Some(target) = &self.newest else {
+            return next;
         };
+        if !error.delivered {
+            self.retry.grant();
+        }
+        match self
+            .tries
+            .silent(&self.call, target, self.race.open(), error)
+        {
+            true => NextAttempt::Now,
+            false => next,
+        }
+    }
+}
+
+/// Waits until an attempt has been silent for so long that the request is sent to another replica as well, if it
+/// `may_try_others`. The attempt may still go on.
+async fn silence(call: Rc<Call>, target: Target, may_try_others: bool) -> TryError {
+    if !may_try_others {
+        return pending().await;
+    }
+    let target_ms = call.route.target_ms;
+    let limit_ms = SpanMs(target_ms.0 * MAX_SILENCE_TARGETS).min(SpanMs(call.left_ms().0 / 2));
+    tokio::select! {
+        () = tokio::time::sleep(Duration::from(limit_ms)) => {}
+        error = tries::links_lost(&call, &target) => return error,
     }
+    let symptom = Symptom::of_silence(limit_ms, target_ms);
+    tries::silent(&call, &target, symptom, SILENT)
 }
 
+/// The reason of an attempt that ends without an answer.
+const SILENT: &str = "the replica is silent";
+
 /// A replica's answer with its complete body.
 pub(super) struct WholeAnswer {
     /// The status and the headers of the answer.
@@ -68,7 +256,7 @@
 }
 
 impl WholeAnswer {
-    /// Passes on an answer that a peer returned.
+    /// Passes on an answer that a peer returned, or a failure that has been recorded for its replica.
     pub fn pass_on(self, call: &Call, attempts: u32) -> Answer {
         record_answered(call, self.reply.status(), attempts);
         self.into_answer(call, attempts)
@@ -101,16 +289,10 @@
     }
 }
 
-/// Runs one attempt and reads the whole answer.
-async fn try_once(call: &Call, chosen: &Chosen, attempt: u32) -> Result<WholeAnswer, TryError> {
-    let left_ms = call.left_ms();
-    let mut limit_ms = left_ms;
-    if call.route.kind.repeatable() && attempt < call.max_attempts() {
-        let silent_ms = SpanMs(call.route.target_ms.0 * MAX_SILENCE_TARGETS);
-        limit_ms = silent_ms.min(SpanMs(left_ms.0 / 2));
-    }
+/// Runs one attempt until the deadline, and reads the whole answer.
+async fn try_once(call: &Call, chosen: &Chosen, number: u32) -> Result<WholeAnswer, TryError> {
     let exchange = async {
-        let reply = tries::send(call, chosen, attempt, None).await?;
+        let reply = tries::send(call, chosen, number, None).await?;
         let whole = read_whole(call, reply).await?;
         match whole.ends_with_connection && fatal::has_crashed(call, chosen).await {
             true => Err(tries::cut_by_crash()),
@@ -123,23 +305,19 @@
             error = tries::restarted(call, &chosen.replica, Verdict::MayHaveRun, Evidence::Running) => Err(error),
         }
     };
-    let is_last = limit_ms == left_ms;
+    let target = chosen.target();
     let exchange = async {
         tokio::select! {
             result = exchange => result,
-            error = tries::links_lost(call, &chosen.connection), if !is_last => Err(error),
+            error = tries::links_lost_of_forwarded(call, &target) => Err(error),
         }
     };
-    match tokio::time::timeout(Duration::from(limit_ms), exchange).await {
+    let left_ms = call.left_ms();
+    match tokio::time::timeout(Duration::from(left_ms), exchange).await {
         Ok(result) => result,
         Err(_) => {
-            let silent = SilentAttempt {
-                replica: &chosen.replica,
-                connection: chosen.connection.get(),
-                began_ms: chosen.began_ms,
-                symptom: Symptom::of_silence(limit_ms, call.route.target_ms),
-            };
-            Err(silent.error(call, "the replica is silent"))
+            let symptom = Symptom::of_silence(left_ms, call.route.target_ms);
+            Err(tries::silent(call, &target, symptom, SILENT))
         }
     }
 }
--- a/crates/front/src/call/resumption.rs
+++ b/crates/front/src/call/resumption.rs
@@ -8,8 +8,8 @@
 use super::fatal;
 use super::hop::{self, HopCause, HopError};
 use super::server::StreamServer;
-use super::stream::{StartedStream, first_event};
-use super::tries::{TryError, has_retry_left, record_failure, take_retry};
+use super::stream::{self, StartedStream};
+use super::tries::{RetryPass, TryError, record_failure};
 use crate::forward::ResumePoint;
 use crate::journal::{ConnectionKind, Event};
 use bluebell_base::prelude::*;
@@ -52,10 +52,7 @@
     delivered: u32,
     /// The engines that aren't tried.
     avoid: Vec<ReplicaKey>,
-    /// True if the retry budget has paid for an attempt that no replica received yet.
-    is_paid: bool,
-    /// True if the budget was spent when an attempt was last due.
-    lacks_budget: bool,
+    retry: RetryPass,
     under_way: Option<UnderWay>,
 }
 
@@ -66,8 +63,7 @@
             call,
             delivered,
             avoid: Vec::new(),
-            is_paid: false,
-            lacks_budget: false,
+            retry: RetryPass::default(),
             under_way: None,
         }
     }
@@ -118,13 +114,13 @@
 
     fn on_delivered(&mut self) {
         self.delivered += 1;
-        self.is_paid = false;
+        self.retry.use_up();
     }
 
     /// Counts an attempt at a peer, which may have used all attempts that were left.
     fn on_peer_used_attempts(&mut self) {
         self.delivered = self.call.max_attempts();
-        self.is_paid = false;
+        self.retry.use_up();
     }
 
     /// Makes one attempt, at an engine or at a peer.
@@ -147,26 +143,30 @@
 
     async fn attempt_at_engine(
         &mut self,
-        mut chosen: Chosen,
+        chosen: Chosen,
         last_event: Option<&str>,
     ) -> Result<Successor, Failure> {
         self.pay()?;
         self.avoid.push(chosen.key);
         self.record_resumed(last_event);
-        self.under_way = Some(UnderWay::Engine(chosen.connection.clone()));
+        let target = chosen.target();
+        self.under_way = Some(UnderWay::Engine(target.connection.clone()));
         let attempt = self.delivered + 1;
-        let started = first_event(
+        let (first, silence) = stream::attempt(
             &self.call,
-            &mut chosen,
+            chosen,
             &self.avoid,
             attempt,
             self.delivered,
-            last_event,
+            last_event.map(Arc::from),
         );
-        let started = started.await;
+        let result = tokio::select! {
+            (chosen, started) = first => started.map(|started| (chosen, started)),
+            error = silence => Err(error),
+        };
         self.under_way = None;
-        match started {
-            Ok(started) => {
+        match result {
+            Ok((chosen, started)) => {
                 self.on_delivered();
                 Ok(Successor {
                     server: StreamServer::Engine(Box::new(chosen)),
@@ -174,8 +174,8 @@
                 })
             }
             Err(error) => {
-                record_failure(&self.call, &chosen, attempt, &error);
-                fatal::on_failed(&self.call, &chosen, &error).await;
+                record_failure(&self.call, &target, attempt, &error);
+                fatal::on_failed(&self.call, &target.replica, &error).await;
                 if error.delivered {
                     self.on_delivered();
                 }
@@ -200,7 +200,7 @@
         match started {
             Ok((started, peer, delivered)) => {
                 self.delivered = delivered;
-                self.is_paid = false;
+                self.retry.use_up();
                 Ok(Successor {
                     server: StreamServer::Peer(peer),
                     started,
@@ -222,12 +222,7 @@
 
     /// Takes an attempt from the retry budget, unless one is left over that no replica received.
     fn pay(&mut self) -> Result<(), Failure> {
-        let may_take = !self.lacks_budget || has_retry_left(&self.call);
-        if !self.is_paid && may_take {
-            self.is_paid = take_retry(&self.call);
-            self.lacks_budget = !self.is_paid;
-        }
-        match self.is_paid {
+        match self.retry.pay(&self.call) {
             true => Ok(()),
             false => Err(Failure::Exhausted),
         }
--- a/crates/front/src/call/server.rs
+++ b/crates/front/src/call/server.rs
@@ -49,7 +49,7 @@
     /// Records that the other side is silent, and what that shows of it. It may still go on.
     pub fn on_silent(&self, call: &Call, error: &TryError) {
         match self {
-            Self::Engine(chosen) => record_silence(call, chosen, error),
+            Self::Engine(chosen) => record_silence(call, &chosen.target(), error),
             Self::Peer(peer) => call.node.journal.record(&Event::PeerSilent {
                 request: call.head.request.clone(),
                 peer: peer.owner.0,
@@ -74,8 +74,8 @@
     pub async fn on_failed(&self, call: &Call, attempt: u32, error: &TryError) {
         match self {
             Self::Engine(chosen) => {
-                record_failure(call, chosen, attempt, error);
-                fatal::on_failed(call, chosen, error).await;
+                record_failure(call, &chosen.target(), attempt, error);
+                fatal::on_failed(call, &chosen.replica, error).await;
             }
             Self::Peer(peer) => call.node.journal.record(&Event::ForwardFailed {
                 request: call.head.request.clone(),
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -3,15 +3,16 @@
 use super::Call;
 use super::answers::Answer;
 use super::body::FrontBody;
-use super::choose::{Chosen, choose_waiting, has_alternative};
+use super::choose::{Chosen, Target, choose_waiting, has_alternative};
 use super::events::EventSplitter;
 use super::fatal::{self, Disconnect};
-use super::hop::{self, HopCause, HopError};
+use super::hop::{self, HopCause, HopError, PeerLease};
 use super::plain::{fail, refuse};
 use super::pump::{EventSource, Pump};
+use super::race::{NextAttempt, Race, RaceStep};
 use super::reserve::ReservedMemory;
 use super::server::StreamServer;
-use super::tries::{self, Reply, SilentAttempt, Tries, TryError, has_retry_left, record_symptom};
+use super::tries::{self, Reply, RetryPass, Tries, TryError, has_retry_left, record_symptom};
 use crate::forward::Outcome;
 use crate::journal::ConnectionKind;
 use bluebell_base::prelude::*;
@@ -21,6 +22,8 @@
 use bluebell_quarantine::prelude::*;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
+use std::future::pending;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,68 +44,239 @@
     !has_retry_left(call) || !has_alternative(call, avoid)
 }
 
+/// The end of an attempt to begin a stream.
+enum AttemptEnd {
+    /// At an engine; the attempt has this number.
+    Engine(Box<Chosen>, u32, Result<StartedStream, TryError>),
+    /// At a peer.
+    Peer(HopCause, Result<(StartedStream, PeerLease, u32), HopError>),
+}
+
+/// The place of the next attempt.
+enum Place {
+    Engine(Box<Chosen>),
+    Peer(HopCause),
+}
+
 /// Serves a request whose answer is a stream, with further attempts while the first event is
 /// missing.
 pub(super) async fn serve(call: &Rc<Call>) -> Answer {
-    let mut tries = Tries::default();
-    let last_event = call
-        .resume()
-        .and_then(|resume| resume.last_event.as_deref());
-    let mut may_forward = call.forwarded.is_none();
+    let mut attempts = Attempts::new(call);
+    let mut next = NextAttempt::Now;
     loop {
-        fatal::wait_for_trial(call).await;
-        if hop::is_needed(call) {
-            match serve_at_peer(call, &mut tries, &HopCause::LinksLost).await {
-                Some(answer) => return answer,
-                None => continue,
+        let result = match next {
+            NextAttempt::Now => attempts.begin().await,
+            NextAttempt::Later | NextAttempt::NotDue => {
+                let step = attempts.race.next(next).await;
+                attempts.on_step(step, next).await
             }
+        };
+        next = match result {
+            ControlFlow::Continue(next) => next,
+            ControlFlow::Break(answer) => return answer,
+        };
+    }
+}
+
+/// The attempts to begin one stream.
+struct Attempts {
+    call: Rc<Call>,
+    tries: Tries,
+    retry: RetryPass,
+    race: Race<AttemptEnd>,
+    /// The newest attempt at an engine.
+    newest: Option<Target>,
+    may_forward: bool,
+}
+
+impl Attempts {
+    fn new(call: &Rc<Call>) -> Self {
+        Self {
+            call: call.clone(),
+            tries: Tries::default(),
+            retry: RetryPass::of_first_attempt(),
+            race: Race::new(),
+            newest: None,
+            may_forward: call.forwarded.is_none(),
         }
-        let mut chosen = match choose_waiting(call, &tries.avoid, may_forward).await {
-            Ok(chosen) => chosen,
-            Err(refusal @ (Refusal::Limited { .. } | Refusal::Suspected { .. })) if may_forward => {
-                // If no peer serves it either, the request waits or is refused here.
-                may_forward = false;
-                if let Some(cause) = HopCause::of_refusal(call, &tries.avoid, refusal)
-                    && let Some(answer) = serve_at_peer(call, &mut tries, &cause).await
-                {
-                    return answer;
-                }
-                continue;
+    }
+
+    /// Looks for a place and begins an attempt there, unless an open attempt makes a step first.
+    async fn begin(&mut self) -> ControlFlow<Answer, NextAttempt> {
+        let place = tokio::select! {
+            biased;
+            step = self.race.next(NextAttempt::NotDue) => {
+                return self.on_step(step, NextAttempt::Now).await;
             }
-            Err(refusal) => return refuse(call, tries.verdict(), &refusal),
+            place = find_place(&self.call, &self.tries, &mut self.may_forward) => place,
         };
-        let attempt = tries.begin(&chosen);
-        let first = first_event(
-            call,
-            &mut chosen,
-            &tries.avoid,
-            attempt,
-            tries.delivered,
-            last_event,
-        );
-        let error = match first.await {
+        match place {
+            Ok(place) if self.retry.pay(&self.call) => {
+                self.begin_at(place);
+                ControlFlow::Continue(NextAttempt::NotDue)
+            }
+            Err(refusal) if self.race.is_empty() => {
+                ControlFlow::Break(refuse(&self.call, self.tries.verdict(), &refusal))
+            }
+            Ok(_) | Err(_) => ControlFlow::Continue(NextAttempt::Later),
+        }
+    }
+
+    fn begin_at(&mut self, place: Place) {
+        self.retry.use_up();
+        let delivered = self.tries.delivered + self.race.open();
+        match place {
+            Place::Engine(chosen) => {
+                let number = self.tries.begin(&chosen);
+                self.newest = Some(chosen.target());
+                let resume = self.call.resume();
+                let last_event = resume.and_then(|resume| resume.last_event.clone());
+                let avoid = &self.tries.avoid;
+                let (first, silence) =
+                    attempt(&self.call, *chosen, avoid, number, delivered, last_event);
+                let end = async move {
+                    let (chosen, result) = first.await;
+                    AttemptEnd::Engine(Box::new(chosen), number, result)
+                };
+                self.race.add(end, silence);
+            }
+            Place::Peer(cause) => {
+                let call = self.call.clone();
+                let end = async move {
+                    let resume = call.resume().cloned();
+                    let result = hop::first_event(&call, delivered, resume, &cause).await;
+                    AttemptEnd::Peer(cause, result)
+                };
+                self.race.add(end, pending());
+            }
+        }
+    }
+
+    /// Returns the time of the next attempt after a step of the open ones, or the answer. Before the step it was
+    /// `next`.
+    async fn on_step(
+        &mut self,
+        step: RaceStep<AttemptEnd>,
+        next: NextAttempt,
+    ) -> ControlFlow<Answer, NextAttempt> {
+        match step {
+            RaceStep::Ended(AttemptEnd::Engine(chosen, number, result)) => {
+                self.on_engine_ended(chosen, number, result, next).await
+            }
+            RaceStep::Ended(AttemptEnd::Peer(cause, result)) => {
+                self.on_peer_ended(&cause, result, next)
+            }
+            RaceStep::Silent(error) => ControlFlow::Continue(self.on_silent(&error, next)),
+            RaceStep::Due => ControlFlow::Continue(NextAttempt::Now),
+        }
+    }
+
+    async fn on_engine_ended(
+        &mut self,
+        chosen: Box<Chosen>,
+        number: u32,
+        result: Result<StartedStream, TryError>,
+        next: NextAttempt,
+    ) -> ControlFlow<Answer, NextAttempt> {
+        let (call, open) = (&self.call, self.race.open());
+        let error = match result {
             Ok(started) => {
                 record_symptom(call, chosen.key, Symptom::Good, "", chosen.began_ms);
-                let server = StreamServer::Engine(Box::new(chosen));
-                return started.answer(call, server, tries.delivered + 1);
+                let server = StreamServer::Engine(chosen);
+                return ControlFlow::Break(started.answer(
+                    call,
+                    server,
+                    self.tries.delivered + open + 1,
+                ));
             }
             Err(error) => error,
         };
-        if !tries.failed(call, &chosen, &error).await {
-            return fail(call, tries.verdict(), &error.why);
+        let target = chosen.target();
+        let failed = self.tries.failed(call, &target, number, open, &error);
+        if failed.await {
+            self.retry.grant();
+            return ControlFlow::Continue(NextAttempt::Now);
+        }
+        match self.race.is_empty() {
+            true => ControlFlow::Break(fail(&self.call, self.tries.verdict(), &error.why)),
+            false => ControlFlow::Continue(next),
+        }
+    }
+
+    fn on_peer_ended(
+        &mut self,
+        cause: &HopCause,
+        result: Result<(StartedStream, PeerLease, u32), HopError>,
+        next: NextAttempt,
+    ) -> ControlFlow<Answer, NextAttempt> {
+        let error = match result {
+            Ok((started, peer, delivered)) => {
+                return ControlFlow::Break(started.answer(
+                    &self.call,
+                    StreamServer::Peer(peer),
+                    delivered,
+                ));
+            }
+            Err(error) => error,
+        };
+        let is_limited = matches!(cause, HopCause::Limited { .. });
+        let next = match (&error, self.race.is_empty()) {
+            // This node may still serve it.
+            (HopError::NoPeer(_), true) if is_limited => NextAttempt::Now,
+            (_, true) => match hop::final_answer(&self.call, &mut self.tries, error) {
+                Some(answer) => return ControlFlow::Break(answer),
+                None => NextAttempt::Now,
+            },
+            (_, false) => match self.tries.hop_ended(&self.call, &error) {
+                true => NextAttempt::Later,
+                false => return ControlFlow::Continue(next),
+            },
+        };
+        self.retry.grant();
+        ControlFlow::Continue(next)
+    }
+
+    fn on_silent(&mut self, error: &TryError, next: NextAttempt) -> NextAttempt {
+        let Some(target) = &self.newest else {
+            return next;
+        };
+        if !error.delivered {
+            self.retry.grant();
+        }
+        match self
+            .tries
+            .silent(&self.call, target, self.race.open(), error)
+        {
+            true => NextAttempt::Now,
+            false => next,
         }
     }
 }
 
-/// Serves a request through a peer. Returns `None` if this node may still serve it.
-async fn serve_at_peer(call: &Rc<Call>, tries: &mut Tries, cause: &HopCause) -> Option<Answer> {
-    let resume = call.resume().cloned();
-    match hop::first_event(call, tries.delivered, resume, cause).await {
-        Ok((started, peer, delivered)) => {
-            Some(started.answer(call, StreamServer::Peer(peer), delivered))
+/// Finds a place for the next attempt, and waits for one for as long as that may help.
+async fn find_place(
+    call: &Rc<Call>,
+    tries: &Tries,
+    may_forward: &mut bool,
+) -> Result<Place, Refusal> {
+    loop {
+        fatal::wait_for_trial(call).await;
+        if hop::is_needed(call) {
+            return Ok(Place::Peer(HopCause::LinksLost));
+        }
+        match choose_waiting(call, &tries.avoid, *may_forward).await {
+            Ok(chosen) => return Ok(Place::Engine(Box::new(chosen))),
+            Err(refusal @ (Refusal::Limited { .. } | Refusal::Suspected { .. }))
+                if *may_forward =>
+            {
+                // If no peer serves it either, the request waits or is refused here.
+                *may_forward = false;
+                if let Some(cause) = HopCause::of_refusal(call, &tries.avoid, refusal) {
+                    return Ok(Place::Peer(cause));
+                }
+            }
+            Err(refusal) => return Err(refusal),
         }
-        Err(HopError::NoPeer(_)) if matches!(cause, HopCause::Limited { .. }) => None,
-        Err(error) => hop::final_answer(call, tries, error),
     }
 }
 
@@ -116,91 +290,148 @@
     pub first: super::events::Events,
 }
 
-/// Runs one attempt up to its first event.
+/// Prepares an attempt. Returns the future of its first event, which is missing at the deadline at the latest, and the future of
+/// its silence, after which the request may be sent to another engine as well.
 ///
-/// The head of the answer is held back until then, so that a replica that fails between the head
-/// and the first event can still be replaced.
-pub(super) async fn first_event(
-    call: &Call,
-    chosen: &mut Chosen,
+/// The head of the answer is held back until the first event, so that a replica that fails between the two can still be
+/// replaced.
+pub(super) fn attempt(
+    call: &Rc<Call>,
+    chosen: Chosen,
     avoid: &[ReplicaKey],
-    attempt: u32,
-    delivered_tries: u32,
-    last_event: Option<&str>,
-) -> Result<StartedStream, TryError> {
-    let left_ms = call.left_ms();
-    let may_try_others = call.route.kind.repeatable() && delivered_tries + 1 < call.max_attempts();
-    let limit_ms = match may_try_others {
-        true => silence::first_event_timeout(chosen.expected_ms).min(left_ms),
-        false => left_ms,
+    number: u32,
+    delivered: u32,
+    last_event: Option<Arc<str>>,
+) -> (
+    impl Future<Output = (Chosen, Result<StartedStream, TryError>)> + use<>,
+    impl Future<Output = TryError> + use<>,
+) {
+    let may_try_others = call.route.kind.repeatable() && delivered + 1 < call.max_attempts();
+    let watch = AttemptWatch {
+        call: call.clone(),
+        target: chosen.target(),
+        work: chosen.guard.work_id(),
+        expected_ms: chosen.expected_ms,
+        reserves_memory: !chosen.memory.is_empty(),
+    };
+    let avoid = avoid.to_vec();
+    let silence = {
+        let watch = watch.clone();
+        async move {
+            match may_try_others {
+                true => watch.silence(&avoid).await,
+                false => pending().await,
+            }
+        }
     };
-    let sent_ms = call.node.now_ms();
-    let mut until_ms = sent_ms + limit_ms;
-    let expected_ms = chosen.expected_ms;
-    let work = chosen.guard.work_id();
-    let reserves_memory = !chosen.memory.is_empty();
-    let replica = chosen.replica.clone();
-    let connection = chosen.connection.clone();
-    let reading_left_ms = || {
-        let now_ms = call.node.now_ms();
-        work.and_then(|id| call.node.with(|s| s.ledger.reading_left_ms(id, now_ms)))
+    let first = async move {
+        let mut chosen = chosen;
+        let result = first_event(&watch, &mut chosen, number, last_event).await;
+        (chosen, result)
     };
+    (first, silence)
+}
+
+/// Waits for the first event of an attempt until its deadline.
+async fn first_event(
+    watch: &AttemptWatch,
+    chosen: &mut Chosen,
+    number: u32,
+    last_event: Option<Arc<str>>,
+) -> Result<StartedStream, TryError> {
+    let call = &watch.call;
     let begin = async {
         chosen.reserved = Some(ReservedMemory::open(call, chosen).await?);
-        let reply = tries::send(call, chosen, attempt, last_event).await?;
+        let reply = tries::send(call, chosen, number, last_event.as_deref()).await?;
         read_first_event(reply).await
     };
-    let begin = async {
-        tokio::select! {
-            result = begin => result,
-            error = tries::restarted(call, &replica, Verdict::MayHaveRun, Evidence::Present) => Err(error),
-            error = tries::links_lost(call, &connection), if may_try_others => Err(error),
-        }
-    };
-    // An attempt without reserved memory waits for as long as its engine may be silent.
-    let memory_left_ms = |silent_ms| match reserves_memory {
-        true => silence::memory_extension(reading_left_ms(), call.node.now_ms().since(sent_ms)),
-        false => Some(silent_ms),
-    };
-    tokio::pin!(begin);
-    loop {
-        let silent_ms = until_ms.since(call.node.now_ms());
-        let Some(memory_ms) = memory_left_ms(silent_ms) else {
-            break;
-        };
-        let wait_ms = silent_ms.min(memory_ms);
-        if let Ok(result) = tokio::time::timeout(Duration::from(wait_ms), &mut begin).await {
-            return result;
-        }
-        if memory_ms < silent_ms {
-            continue;
+    let replica = &watch.target.replica;
+    tokio::select! {
+        result = begin => result,
+        error = tries::restarted(call, replica, Verdict::MayHaveRun, Evidence::Present) => Err(error),
+        error = watch.expiry() => Err(error),
+        error = tries::links_lost_of_forwarded(call, &watch.target) => Err(error),
+    }
+}
+
+/// The data by which the silence of an attempt without a first event is judged.
+#[derive(Clone)]
+struct AttemptWatch {
+    call: Rc<Call>,
+    target: Target,
+    work: Option<WorkId>,
+    /// The expected time until the first event, in milliseconds.
+    expected_ms: f64,
+    reserves_memory: bool,
+}
+
+impl AttemptWatch {
+    /// Waits until the attempt has been silent for so long that another engine should be tried: one would take the
+    /// request, and there is time left. The attempt may still go on.
+    async fn silence(&self, avoid: &[ReplicaKey]) -> TryError {
+        let call = &self.call;
+        let mut wait_ms = silence::first_event_timeout(self.expected_ms).min(call.left_ms());
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from(wait_ms)) => {}
+                error = tries::links_lost(call, &self.target) => return error,
+            }
+            let left_ms = call.left_ms().min(call.caller_timeout_left_ms());
+            let reading_ms = self.reading_left_ms();
+            match silence::timeout_extension(reading_ms, left_ms, self.expected_ms) {
+                Some(more_ms) => wait_ms = more_ms,
+                None if left_ms > SpanMs::ZERO && has_no_alternative(call, avoid) => {
+                    wait_ms = ALTERNATIVE_POLL_MS.min(left_ms);
+                }
+                None => return self.silent(),
+            }
         }
-        let left_ms = call.left_ms().min(call.caller_timeout_left_ms());
-        match silence::timeout_extension(reading_left_ms(), left_ms, expected_ms) {
-            Some(more_ms) if may_try_others => until_ms = call.node.now_ms() + more_ms,
-            _ if may_try_others && left_ms > SpanMs::ZERO && has_no_alternative(call, avoid) => {
-                until_ms = call.node.now_ms() + ALTERNATIVE_POLL_MS.min(left_ms);
+    }
+
+    /// Waits until the attempt must end: at its deadline, or once memory that was reserved for it may no longer stay
+    /// unused.
+    async fn expiry(&self) -> TryError {
+        loop {
+            let left_ms = self.call.left_ms();
+            let memory_ms = match self.reserves_memory {
+                true => silence::memory_extension(self.reading_left_ms(), self.waited_ms()),
+                false => Some(left_ms),
+            };
+            match memory_ms {
+                Some(memory_ms) if left_ms > SpanMs::ZERO => {
+                    tokio::time::sleep(Duration::from(left_ms.min(memory_ms))).await;
+                }
+                _ => return self.silent(),
             }
-            _ => break,
         }
     }
-    let why = "the engine is silent";
-    let expected_ms = SpanMs(expected_ms as u64).max(SpanMs(MIN_SILENCE_SYMPTOM_MS));
-    let symptom = Symptom::of_silence(call.node.now_ms().since(sent_ms), expected_ms);
-    if reserves_memory && connection.get() == ConnectionKind::None {
-        // The order to reserve memory may have been silent, so this shows nothing of the engine.
-        return Err(TryError {
-            delivered: false,
-            ..TryError::new(why, Verdict::NotRun, Symptom::Inconclusive)
-        });
+
+    /// Returns what the silence shows so far.
+    fn silent(&self) -> TryError {
+        let why = "the engine is silent";
+        if self.reserves_memory && self.target.connection.get() == ConnectionKind::None {
+            // The order to reserve memory may have been silent, so this shows nothing of the engine.
+            return TryError {
+                delivered: false,
+                ..TryError::new(why, Verdict::NotRun, Symptom::Inconclusive)
+            };
+        }
+        let expected_ms = SpanMs(self.expected_ms as u64).max(SpanMs(MIN_SILENCE_SYMPTOM_MS));
+        let symptom = Symptom::of_silence(self.waited_ms(), expected_ms);
+        tries::silent(&self.call, &self.target, symptom, why)
+    }
+
+    fn waited_ms(&self) -> SpanMs {
+        self.call.node.now_ms().since(self.target.began_ms)
+    }
+
+    /// Returns the time that the engines still need to read the prompt, in milliseconds, as far as it is known.
+    fn reading_left_ms(&self) -> Option<f64> {
+        let node = &self.call.node;
+        let now_ms = node.now_ms();
+        let work = self.work?;
+        node.with(|state| state.ledger.reading_left_ms(work, now_ms))
     }
-    let silent = SilentAttempt {
-        replica: &replica,
-        connection: connection.get(),
-        began_ms: sent_ms,
-        symptom,
-    };
-    Err(silent.error(call, why))
 }
 
 /// Reads an answer's body up to the first complete event.
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -1,8 +1,9 @@
 //! One attempt: sends a request to a replica and checks the head of its answer.
 
 use super::Call;
-use super::choose::Chosen;
+use super::choose::{Chosen, Target};
 use super::fatal::{self, Disconnect};
+use super::hop::HopError;
 use crate::http::{Freshness, IncomingAnswer, Link, SendError};
 use crate::journal::{ConnectionKind, Event};
 use crate::links;
@@ -16,7 +17,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, StatusCode, Version};
-use std::cell::Cell;
+use std::future::pending;
 use std::time::Duration;
 
 /// The time after an answer to the wrong request during which work that may run only once is sent
@@ -213,41 +214,30 @@
     answer.await
 }
 
-/// An attempt that is given up after a silence.
-pub(super) struct SilentAttempt<'a> {
-    pub replica: &'a Replica,
-    pub connection: ConnectionKind,
-    pub began_ms: MonoMs,
-    /// The symptom that the silence shows.
-    pub symptom: Symptom,
-}
-
-impl SilentAttempt<'_> {
-    /// Returns the failure of the attempt. One whose connection didn't open has not run, and counts as
-    /// evidence against the links.
-    pub fn error(&self, call: &Call, why: &str) -> TryError {
-        match self.connection {
-            ConnectionKind::None => {
-                links::on_unreachable(&call.node, self.replica, self.began_ms);
-                TryError {
-                    delivered: false,
-                    ..TryError::new("the connection didn't open", Verdict::NotRun, self.symptom)
-                }
-            }
-            ConnectionKind::New | ConnectionKind::Kept => {
-                links::suspect(&call.node, &call.service.name, self.began_ms);
-                TryError::new(why, Verdict::MayHaveRun, self.symptom)
+/// Returns what the silence of an attempt shows, which is not known to have ended. One whose connection didn't open has not run,
+/// and counts as evidence against the links.
+pub(super) fn silent(call: &Call, target: &Target, symptom: Symptom, why: &str) -> TryError {
+    match target.connection.get() {
+        ConnectionKind::None => {
+            links::on_unreachable(&call.node, &target.replica, target.began_ms);
+            TryError {
+                delivered: false,
+                ..TryError::new("the connection didn't open", Verdict::NotRun, symptom)
             }
         }
+        ConnectionKind::New | ConnectionKind::Kept => {
+            links::suspect(&call.node, &call.service.name, target.began_ms);
+            TryError::new(why, Verdict::MayHaveRun, symptom)
+        }
     }
 }
 
-/// Waits until this node has lost its links to the replicas of the service, and returns the resulting
-/// failure of an attempt that has no answer yet.
-pub(super) async fn links_lost(call: &Call, connection: &Cell<ConnectionKind>) -> TryError {
+/// Waits until this node has lost its links to the replicas of the service, and returns what that shows of an attempt
+/// without an answer.
+pub(super) async fn links_lost(call: &Call, target: &Target) -> TryError {
     links::wait_until_lost(&call.node, &call.service.name).await;
     let why = "the links to the replicas are lost";
-    match connection.get() {
+    match target.connection.get() {
         ConnectionKind::None => TryError {
             delivered: false,
             ..TryError::new(why, Verdict::NotRun, Symptom::Inconclusive)
@@ -258,6 +248,15 @@
     }
 }
 
+/// Like [`links_lost`] for a repeatable request that a peer forwarded, forever for any other. The peer can forward it to
+/// another node, which this one can't.
+pub(super) async fn links_lost_of_forwarded(call: &Call, target: &Target) -> TryError {
+    match call.forwarded {
+        Some(_) if call.route.kind.repeatable() => links_lost(call, target).await,
+        _ => pending().await,
+    }
+}
+
 /// Records the placement of an attempt.
 fn record_placed(call: &Call, chosen: &Chosen, attempt: u32) {
     let placement = chosen.placement.as_ref();
@@ -445,7 +444,7 @@
 const PEER_DOUBT_MS: SpanMs = SpanMs(1_000);
 
 /// Records a failed attempt and its symptom.
-pub(super) fn record_failure(call: &Call, chosen: &Chosen, attempt: u32, error: &TryError) {
+pub(super) fn record_failure(call: &Call, target: &Target, attempt: u32, error: &TryError) {
     let now_ms = call.node.now_ms();
     let answer_age_ms = call
         .node
@@ -453,9 +452,9 @@
     call.node.journal.record(&Event::TryFailed {
         request: call.head.request.clone(),
         attempt,
-        instance: chosen.replica.instance.clone(),
+        instance: target.replica.instance.clone(),
         why: error.why.clone(),
-        connection: chosen.connection.get(),
+        connection: target.connection.get(),
         answer_age_ms,
         ran: error.ran,
         digest: (error.ran != Verdict::NotRun).then(|| call.digest()),
@@ -464,27 +463,34 @@
     match &error.fault {
         Some(fault) => {
             if let Some(key) = find_named(call, &fault.at) {
-                record_symptom(call, key, fault.symptom, &error.why, chosen.began_ms);
+                record_symptom(call, key, fault.symptom, &error.why, target.began_ms);
             }
         }
-        None => record_symptom(call, chosen.key, error.symptom, &error.why, chosen.began_ms),
+        None => record_symptom(
+            call,
+            target.replica.key(),
+            error.symptom,
+            &error.why,
+            target.began_ms,
+        ),
     }
 }
 
 /// Records that an attempt's replica is silent, and its symptom. The attempt stays open.
-pub(super) fn record_silence(call: &Call, chosen: &Chosen, error: &TryError) {
+pub(super) fn record_silence(call: &Call, target: &Target, error: &TryError) {
     let now_ms = call.node.now_ms();
     let answer_age_ms = call
         .node
         .with(|state| state.links.answer_age_ms(&call.service.name, now_ms));
     call.node.journal.record(&Event::TrySilent {
         request: call.head.request.clone(),
-        instance: chosen.replica.instance.clone(),
+        instance: target.replica.instance.clone(),
         why: error.why.clone(),
         answer_age_ms,
         age_ms: call.age_ms(),
     });
-    record_symptom(call, chosen.key, error.symptom, &error.why, chosen.began_ms);
+    let key = target.replica.key();
+    record_symptom(call, key, error.symptom, &error.why, target.began_ms);
 }
 
 /// Returns the replica that another one names by its instance or its address.
@@ -521,16 +527,33 @@
         self.avoid.len() as u32
     }
 
-    /// Records the failure of the last attempt. Returns true if another attempt may follow.
-    pub async fn failed(&mut self, call: &Call, chosen: &Chosen, error: &TryError) -> bool {
-        let attempt = self.avoid.len() as u32;
-        record_failure(call, chosen, attempt, error);
-        fatal::on_failed(call, chosen, error).await;
+    /// Records the failure of an attempt, beside which `open` attempts are open. Returns true if another one may follow.
+    pub async fn failed(
+        &mut self,
+        call: &Call,
+        target: &Target,
+        attempt: u32,
+        open: u32,
+        error: &TryError,
+    ) -> bool {
+        record_failure(call, target, attempt, error);
+        fatal::on_failed(call, &target.replica, error).await;
         self.delivered += u32::from(error.delivered);
         if error.ran != Verdict::NotRun {
             self.ran = Some(error.ran);
         }
-        attempt <= MAX_RETRIES && may_try_again(call, self.delivered, error)
+        let tried = self.avoid.len() as u32;
+        tried <= MAX_RETRIES && may_try_again(call, self.delivered + open, error)
+    }
+
+    /// Records that the newest of `open` attempts is silent. Returns true if another one may follow once the retry budget
+    /// allows it.
+    pub fn silent(&self, call: &Call, target: &Target, open: u32, error: &TryError) -> bool {
+        record_silence(call, target, error);
+        let tried = self.avoid.len() as u32;
+        tried <= MAX_RETRIES
+            && call.route.kind.repeatable()
+            && self.delivered + open < call.max_attempts()
     }
 
     /// Records the failure of an exchange with a peer, which may have used all attempts that were left.
@@ -545,6 +568,21 @@
         may_try_again(call, self.delivered, error)
     }
 
+    /// Records the end of an exchange with a peer, beside which attempts at replicas are open. Returns true if another
+    /// one may follow.
+    pub fn hop_ended(&mut self, call: &Call, error: &HopError) -> bool {
+        match error {
+            HopError::NoPeer(_) => true,
+            HopError::Answered(answer) if answer.may_have_run() => {
+                self.ran = Some(Verdict::MayHaveRun);
+                self.delivered = call.max_attempts();
+                false
+            }
+            HopError::Answered(_) => true,
+            HopError::Failed(error) => self.hop_failed(call, error),
+        }
+    }
+
     /// Returns the verdict for the request as a whole.
     pub fn verdict(&self) -> Verdict {
         self.ran.unwrap_or(Verdict::NotRun)
@@ -566,6 +604,44 @@
     take_retry(call)
 }
 
+/// The permission to make one more attempt, which the retry budget gives once for each that a replica received.
+#[derive(Debug, Default)]
+pub(super) struct RetryPass {
+    is_paid: bool,
+    /// True if the budget was spent when an attempt was last due.
+    lacks_budget: bool,
+}
+
+impl RetryPass {
+    /// Returns the permission of a first attempt, which the budget doesn't count.
+    pub fn of_first_attempt() -> Self {
+        Self {
+            is_paid: true,
+            lacks_budget: false,
+        }
+    }
+
+    /// Takes an attempt from the budget unless one is left over. Returns false if the budget is spent.
+    pub fn pay(&mut self, call: &Call) -> bool {
+        let may_take = !self.lacks_budget || has_retry_left(call);
+        if !self.is_paid && may_take {
+            self.is_paid = take_retry(call);
+            self.lacks_budget = !self.is_paid;
+        }
+        self.is_paid
+    }
+
+    /// Allows the next attempt without the budget: it was paid for already, or follows one that no replica received.
+    pub fn grant(&mut self) {
+        self.is_paid = true;
+    }
+
+    /// Records that a replica received the attempt.
+    pub fn use_up(&mut self) {
+        self.is_paid = false;
+    }
+}
+
 /// Returns true if the service's retry budget has an attempt left.
 pub(super) fn has_retry_left(call: &Call) -> bool {
     let node = &call.node;
@@ -575,7 +651,7 @@
 }
 
 /// Takes an attempt from the service's retry budget. Returns false if none is left.
-pub(super) fn take_retry(call: &Call) -> bool {
+fn take_retry(call: &Call) -> bool {
     let node = &call.node;
     let nodes = node.node_count();
     let now_ms = node.now_ms();
