Forwarding: a peer that turns a request away reads its body first

The same cause as with callers' requests that are turned away: a peer that answered by the head alone closed a connection on which the body was arriving, so that the node that forwarded it could read a reset, which may have run, in place of "unavailable".

--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -2,7 +2,7 @@
 
 use super::answers::{self, Answer};
 use super::{Call, ForwardedCall};
-use crate::forward::HopHead;
+use crate::forward::{ForwardedGuard, HopHead};
 use crate::node::Node;
 use crate::platform::{CallHead, CallHeadError};
 use bluebell_base::prelude::*;
@@ -201,17 +201,61 @@
     hop: HopHead,
 ) -> Result<Call, Answer> {
     let now_ms = node.now_ms();
-    let (parts, body) = request.into_parts();
-    let head = node.platform.dialect.call_head(&parts.headers);
-    let head = head.map_err(|error| malformed_head(&node, error))?;
+    let (parts, mut body) = request.into_parts();
+    let ForwardedHead {
+        head,
+        admitted,
+        guard,
+    } = match admit_forwarded_head(&node, &parts, &hop) {
+        Ok(admitted) => admitted,
+        Err(answer) => {
+            discard(&mut body).await;
+            return Err(*answer);
+        }
+    };
     let deadline_ms = now_ms + hop.left_ms;
-    let unavailable = |why| answers::unavailable(&node, &head, why, SpanMs::ZERO);
+    let body = read_body(&node, &head, body, admitted.body_bytes, hop.left_ms).await?;
+    let arrived_ms = now_ms - hop.age_ms;
+    Ok(Arrival {
+        node,
+        head,
+        parts,
+        body,
+        arrived_ms,
+        deadline_ms,
+    }
+    .admitted(
+        admitted,
+        Some(ForwardedCall {
+            head: hop,
+            _guard: guard,
+        }),
+    ))
+}
+
+/// A forwarded request of which the head was admitted.
+struct ForwardedHead {
+    head: CallHead,
+    admitted: Admitted,
+    guard: ForwardedGuard,
+}
+
+/// Admits a forwarded request by its head, or returns the answer that rejects it or says that another node may
+/// serve it.
+fn admit_forwarded_head(
+    node: &Node,
+    parts: &Parts,
+    hop: &HopHead,
+) -> Result<ForwardedHead, Box<Answer>> {
+    let head = node.platform.dialect.call_head(&parts.headers);
+    let head = head.map_err(|error| Box::new(malformed_head(node, error)))?;
+    let unavailable = |why| Box::new(answers::unavailable(node, &head, why, SpanMs::ZERO));
     if !node.is_initialized() || node.config_version() < Some(hop.version) {
         return Err(unavailable(
             "the node has no configuration that is new enough",
         ));
     }
-    if !node.accepts(deadline_ms) {
+    if !node.accepts(node.now_ms() + hop.left_ms) {
         return Err(unavailable("the node is leaving"));
     }
     let Some(guard) = node.forwarded_calls.begin() else {
@@ -219,31 +263,19 @@
             "the node serves as many forwarded requests as it can",
         ));
     };
-    let admitted = match look_up(&node, &head, &parts) {
+    let admitted = match look_up(node, &head, parts) {
         Ok(admitted) => admitted,
         Err(LookupError::NotReady(why)) => return Err(unavailable(why)),
-        Err(error) => return Err(error.answer(&node, &head)),
+        Err(error) => return Err(Box::new(error.answer(node, &head))),
     };
     if node.with(|state| state.links.is_lost(&admitted.service.name)) {
         return Err(unavailable("no replica of the service can be reached"));
     }
-    let body = read_body(&node, &head, body, admitted.body_bytes, hop.left_ms).await?;
-    let arrived_ms = now_ms - hop.age_ms;
-    Ok(Arrival {
-        node,
+    Ok(ForwardedHead {
         head,
-        parts,
-        body,
-        arrived_ms,
-        deadline_ms,
-    }
-    .admitted(
         admitted,
-        Some(ForwardedCall {
-            head: hop,
-            _guard: guard,
-        }),
-    ))
+        guard,
+    })
 }
 
 /// A request that was read completely.
