Streams: a peer that isn't heard or a deadline is no silence of the other side while events arrive

Found by review, by reading: a stream from a peer whose gossip is lost was sent elsewhere after each event, though its events arrived; a stream that reached its deadline while its engine wrote counted as a silence of that engine, which was doubted for a second, at peers as well. And an engine that ended its stream after a silence stayed marked by it.

Change: a peer that isn't heard counts as silent once the next event is late as well; the symptom of a silence needs one; the end after a silence is a good sign.

--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -230,14 +230,30 @@
         if let StreamServer::Peer(peer) = &self.server
             && self.may_resume()
         {
-            return peer.lost().await;
+            let error = peer.lost().await;
+            self.wait_until_late().await;
+            return error;
         }
         self.engine_silence().await;
-        TryError::new(
-            "the engine sent no event for too long",
-            Verdict::Ran,
-            Symptom::Silent,
-        )
+        let silent_ms = self.call.node.now_ms().since(self.last_event_ms);
+        let symptom = Symptom::of_silence(silent_ms, self.gap_ms());
+        let why = "the engine sent no event for too long";
+        TryError::new(why, Verdict::Ran, symptom)
+    }
+
+    /// Returns the longest pause between two events that is on time.
+    fn gap_ms(&self) -> SpanMs {
+        match self.call.route.kind {
+            RouteKind::Stream { gap_ms, .. } => gap_ms,
+            RouteKind::Idempotent | RouteKind::AtMostOnce => SpanMs::ZERO,
+        }
+    }
+
+    /// Waits until the next event is late.
+    async fn wait_until_late(&self) {
+        let late_ms = self.last_event_ms + self.gap_ms();
+        let wait_ms = late_ms.since(self.call.node.now_ms());
+        tokio::time::sleep(wait_ms.into()).await;
     }
 
     /// Returns true if another engine may go on with the stream.
@@ -248,17 +264,14 @@
     /// Returns once the engine has been silent for too long: at the deadline if the stream can't be
     /// resumed elsewhere, and later than usual if the engine is known to be reading prompts.
     async fn engine_silence(&self) {
-        let RouteKind::Stream { gap_ms, .. } = self.call.route.kind else {
-            return tokio::time::sleep(self.call.left_ms().into()).await;
-        };
         if !self.may_resume() {
             return tokio::time::sleep(self.call.left_ms().into()).await;
         }
-        let mut limit_ms = silence::pause_timeout(gap_ms).min(self.call.left_ms());
+        let mut limit_ms = silence::pause_timeout(self.gap_ms()).min(self.call.left_ms());
         loop {
             tokio::select! {
                 () = tokio::time::sleep(limit_ms.into()) => {}
-                () = self.links_lost(gap_ms) => return,
+                () = self.links_lost() => return,
             }
             match self.extra_silence_ms() {
                 Some(more_ms) => limit_ms = more_ms,
@@ -267,12 +280,10 @@
         }
     }
 
-    /// Returns once the links to the engines are lost and no event has arrived for longer than `gap_ms`.
-    async fn links_lost(&self, gap_ms: SpanMs) {
-        let node = &self.call.node;
-        links::wait_until_lost(node, &self.call.service.name).await;
-        let late_ms = self.last_event_ms + gap_ms;
-        tokio::time::sleep(late_ms.since(node.now_ms()).into()).await;
+    /// Returns once the links to the engines are lost and the next event is late.
+    async fn links_lost(&self) {
+        links::wait_until_lost(&self.call.node, &self.call.service.name).await;
+        self.wait_until_late().await;
     }
 
     /// Returns the further time for which the engine may stay silent, or `None` if it is given up.
@@ -306,11 +317,8 @@
 
     /// Returns the stage of the work: late once a pause or the first event was late.
     fn stage(&self) -> Stage {
-        let RouteKind::Stream { gap_ms, .. } = self.call.route.kind else {
-            return Stage::Writing;
-        };
-        let late = self.longest_pause_ms > gap_ms || self.first_ms > self.call.route.target_ms;
-        match late {
+        let is_first_late = self.first_ms > self.call.route.target_ms;
+        match is_first_late || self.longest_pause_ms > self.gap_ms() {
             true => Stage::Late,
             false => Stage::Writing,
         }
@@ -330,6 +338,7 @@
                 self.forward_first(events, source?).await
             }
             Resumed::Complete => {
+                self.server.on_recovered(&self.call, self.last_event_ms);
                 self.complete(source?);
                 None
             }
