Attempts: a silent one keeps its permission, and no other begins while one is in time

A request was sent to two peers at the same time, neither paid from the retry budget.

Cause: an attempt whose connection hadn't opened counted as silent and gave its permission to the next one, and gave it again when it failed. Besides, a place was taken at a replica before the budget was asked, at each poll, which used up permits of limited replicas; a watch outlived its attempt; an attempt that broke while a silent source went on wasn't counted.

Change: an attempt without a connection isn't silent, as opening one is limited to 300 ms; a permission is taken once and given back only by an attempt that no replica received; the budget is asked before a place is chosen; a failed attempt is followed by another only if none is in time.

--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -81,6 +81,9 @@
 
     /// Begins an attempt, unless an open one makes a step first.
     async fn begin(&mut self) -> ControlFlow<Answer, NextAttempt> {
+        if !self.retry.is_available(&self.call) {
+            return ControlFlow::Continue(NextAttempt::Later);
+        }
         tokio::select! {
             biased;
             step = self.race.next(NextAttempt::NotDue) => {
@@ -105,10 +108,9 @@
     }
 
     fn begin_at(&mut self, chosen: Chosen) -> NextAttempt {
-        if !self.retry.pay(&self.call) {
+        if !self.retry.take(&self.call) {
             return NextAttempt::Later;
         }
-        self.retry.use_up();
         let call = self.call.clone();
         let delivered = self.tries.delivered + self.race.open();
         let number = self.tries.begin(&chosen);
@@ -117,7 +119,8 @@
         let may_try_others = call.route.kind.repeatable() && delivered + 1 < call.max_attempts();
         let silence = silence(call.clone(), target, may_try_others);
         let end = async move {
-            let result = try_once(&call, &chosen, number).await;
+            let gives_up_lost_links = may_try_others && call.forwarded.is_some();
+            let result = try_once(&call, &chosen, number, gives_up_lost_links).await;
             AttemptEnd::Replica(Box::new(chosen), number, result)
         };
         self.race.add(end, silence);
@@ -125,10 +128,9 @@
     }
 
     fn begin_at_peer(&mut self, cause: HopCause) -> NextAttempt {
-        if !self.retry.pay(&self.call) {
+        if !self.retry.take(&self.call) {
             return NextAttempt::Later;
         }
-        self.retry.use_up();
         let call = self.call.clone();
         let delivered = self.tries.delivered + self.race.open();
         let end =
@@ -170,9 +172,12 @@
             Err(error) => (error, None),
         };
         let target = chosen.target();
-        let failed = self.tries.failed(call, &target, number, open, &error);
-        if failed.await {
-            self.retry.grant();
+        self.tries.failed(call, &target, number, &error).await;
+        if self.race.is_in_time() {
+            return ControlFlow::Continue(NextAttempt::NotDue);
+        }
+        if self.tries.may_follow(call, open, &error) {
+            self.retry.give_back();
             return ControlFlow::Continue(NextAttempt::Now);
         }
         self.failure = whole.or(self.failure.take());
@@ -206,7 +211,7 @@
                 false => return ControlFlow::Continue(next),
             },
         };
-        self.retry.grant();
+        self.retry.give_back();
         ControlFlow::Continue(next)
     }
 
@@ -214,9 +219,6 @@
         let Some(target) = &self.newest else {
             return next;
         };
-        if !error.delivered {
-            self.retry.grant();
-        }
         match self
             .tries
             .silent(&self.call, target, self.race.open(), error)
@@ -239,6 +241,7 @@
         () = tokio::time::sleep(Duration::from(limit_ms)) => {}
         error = tries::links_lost(&call, &target) => return error,
     }
+    tries::wait_until_connected(&target).await;
     let symptom = Symptom::of_silence(limit_ms, target_ms);
     tries::silent(&call, &target, symptom, SILENT)
 }
@@ -289,8 +292,14 @@
     }
 }
 
-/// Runs one attempt until the deadline, and reads the whole answer.
-async fn try_once(call: &Call, chosen: &Chosen, number: u32) -> Result<WholeAnswer, TryError> {
+/// Runs one attempt until the deadline, and reads the whole answer. If it `gives_up_lost_links`, it ends once the links to the
+/// replicas are lost: a peer forwarded the request, and has other peers.
+async fn try_once(
+    call: &Call,
+    chosen: &Chosen,
+    number: u32,
+    gives_up_lost_links: bool,
+) -> Result<WholeAnswer, TryError> {
     let exchange = async {
         let reply = tries::send(call, chosen, number, None).await?;
         let whole = read_whole(call, reply).await?;
@@ -309,7 +318,7 @@
     let exchange = async {
         tokio::select! {
             result = exchange => result,
-            error = tries::links_lost_of_forwarded(call, &target) => Err(error),
+            error = tries::links_lost(call, &target), if gives_up_lost_links => Err(error),
         }
     };
     let left_ms = call.left_ms();
--- a/crates/front/src/call/race.rs
+++ b/crates/front/src/call/race.rs
@@ -3,7 +3,7 @@
 //! A silent attempt stays open while another one is made. The first good answer is used, and the attempts that are still open
 //! are closed with it.
 //!
-//! Invariants: only the newest attempt is watched for silence, so a request has one more attempt at a time only.
+//! Invariants: only the newest attempt is watched for silence. While it is in time, no other one begins.
 
 use super::tries::TryError;
 use bluebell_base::prelude::*;
@@ -39,8 +39,11 @@
 
 /// The open attempts of one request. Dropping it closes them.
 pub(super) struct Race<T> {
-    open: FuturesUnordered<LocalBoxFuture<'static, T>>,
-    /// Ends once the newest attempt has been silent for too long.
+    /// The attempts, each with its number in the race.
+    open: FuturesUnordered<LocalBoxFuture<'static, (u64, T)>>,
+    /// The number of the newest attempt.
+    newest: u64,
+    /// Ends once the newest attempt has been silent for too long; `None` if it was, or has ended.
     silence: Option<LocalBoxFuture<'static, TryError>>,
 }
 
@@ -49,6 +52,7 @@
     pub fn new() -> Self {
         Self {
             open: FuturesUnordered::new(),
+            newest: 0,
             silence: None,
         }
     }
@@ -63,27 +67,45 @@
         self.open.is_empty()
     }
 
+    /// Returns true if the newest attempt is open and not silent, so that no other one is due.
+    pub fn is_in_time(&self) -> bool {
+        self.silence.is_some()
+    }
+
     /// Adds an attempt. `silence` ends once it has been silent for too long.
     pub fn add(
         &mut self,
         attempt: impl Future<Output = T> + 'static,
         silence: impl Future<Output = TryError> + 'static,
     ) {
-        self.open.push(Box::pin(attempt));
+        self.newest += 1;
+        let number = self.newest;
+        self.open
+            .push(Box::pin(async move { (number, attempt.await) }));
         self.silence = Some(Box::pin(silence));
     }
 
     /// Waits for the next step. Steps aren't lost if the returned future is dropped.
     pub async fn next(&mut self, next: NextAttempt) -> RaceStep<T> {
-        let Self { open, silence } = self;
-        let silent = tokio::select! {
+        let Self {
+            open,
+            newest,
+            silence,
+        } = self;
+        tokio::select! {
             biased;
-            Some(ended) = open.next(), if !open.is_empty() => return RaceStep::Ended(ended),
-            silent = until(silence) => silent,
-            () = due(next) => return RaceStep::Due,
-        };
-        self.silence = None;
-        RaceStep::Silent(silent)
+            Some((number, ended)) = open.next(), if !open.is_empty() => {
+                if number == *newest {
+                    *silence = None;
+                }
+                RaceStep::Ended(ended)
+            }
+            silent = until(silence) => {
+                *silence = None;
+                RaceStep::Silent(silent)
+            }
+            () = due(next) => RaceStep::Due,
+        }
     }
 }
 
--- a/crates/front/src/call/resumption.rs
+++ b/crates/front/src/call/resumption.rs
@@ -108,19 +108,18 @@
                 self.on_delivered();
             }
             Some(UnderWay::Peer) => self.on_peer_used_attempts(),
-            Some(UnderWay::Engine(_)) | None => {}
+            Some(UnderWay::Engine(_)) => self.retry.give_back(),
+            None => {}
         }
     }
 
     fn on_delivered(&mut self) {
         self.delivered += 1;
-        self.retry.use_up();
     }
 
     /// Counts an attempt at a peer, which may have used all attempts that were left.
     fn on_peer_used_attempts(&mut self) {
         self.delivered = self.call.max_attempts();
-        self.retry.use_up();
     }
 
     /// Makes one attempt, at an engine or at a peer.
@@ -129,6 +128,9 @@
         if !may_repeat || self.delivered >= self.call.max_attempts() {
             return Err(Failure::Exhausted);
         }
+        if !self.retry.is_available(&self.call) {
+            return Err(Failure::Exhausted);
+        }
         if hop::is_needed(&self.call) {
             return self.attempt_at_peer(last_event, &HopCause::LinksLost).await;
         }
@@ -146,7 +148,9 @@
         chosen: Chosen,
         last_event: Option<&str>,
     ) -> Result<Successor, Failure> {
-        self.pay()?;
+        if !self.retry.take(&self.call) {
+            return Err(Failure::Exhausted);
+        }
         self.avoid.push(chosen.key);
         self.record_resumed(last_event);
         let target = chosen.target();
@@ -175,10 +179,11 @@
             }
             Err(error) => {
                 record_failure(&self.call, &target, attempt, &error);
-                fatal::on_failed(&self.call, &target.replica, &error).await;
-                if error.delivered {
-                    self.on_delivered();
+                match error.delivered {
+                    true => self.on_delivered(),
+                    false => self.retry.give_back(),
                 }
+                fatal::on_failed(&self.call, &target.replica, &error).await;
                 Err(Failure::Failed(error))
             }
         }
@@ -189,8 +194,9 @@
         last_event: Option<&str>,
         cause: &HopCause,
     ) -> Result<Successor, Failure> {
-        self.pay()?;
-        self.record_resumed(last_event);
+        if !self.retry.take(&self.call) {
+            return Err(Failure::Exhausted);
+        }
         let resume = ResumePoint {
             last_event: last_event.map(Arc::from),
         };
@@ -199,17 +205,21 @@
         self.under_way = None;
         match started {
             Ok((started, peer, delivered)) => {
+                self.record_resumed(last_event);
                 self.delivered = delivered;
-                self.retry.use_up();
                 Ok(Successor {
                     server: StreamServer::Peer(peer),
                     started,
                 })
             }
-            Err(HopError::NoPeer(refusal)) => Err(Failure::Refused(refusal.to_string().into())),
+            Err(HopError::NoPeer(refusal)) => {
+                self.retry.give_back();
+                Err(Failure::Refused(refusal.to_string().into()))
+            }
             Err(HopError::Answered(answer)) => {
-                if answer.may_have_run() {
-                    self.on_peer_used_attempts();
+                match answer.may_have_run() {
+                    true => self.on_peer_used_attempts(),
+                    false => self.retry.give_back(),
                 }
                 Err(Failure::Refused(answer.why().into()))
             }
@@ -220,14 +230,6 @@
         }
     }
 
-    /// Takes an attempt from the retry budget, unless one is left over that no replica received.
-    fn pay(&mut self) -> Result<(), Failure> {
-        match self.retry.pay(&self.call) {
-            true => Ok(()),
-            false => Err(Failure::Exhausted),
-        }
-    }
-
     fn record_resumed(&self, last_event: Option<&str>) {
         self.call.node.journal.record(&Event::Resumed {
             request: self.call.head.request.clone(),
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -103,6 +103,9 @@
 
     /// Looks for a place and begins an attempt there, unless an open attempt makes a step first.
     async fn begin(&mut self) -> ControlFlow<Answer, NextAttempt> {
+        if !self.retry.is_available(&self.call) {
+            return ControlFlow::Continue(NextAttempt::Later);
+        }
         let place = tokio::select! {
             biased;
             step = self.race.next(NextAttempt::NotDue) => {
@@ -111,7 +114,7 @@
             place = find_place(&self.call, &self.tries, &mut self.may_forward) => place,
         };
         match place {
-            Ok(place) if self.retry.pay(&self.call) => {
+            Ok(place) if self.retry.take(&self.call) => {
                 self.begin_at(place);
                 ControlFlow::Continue(NextAttempt::NotDue)
             }
@@ -123,7 +126,6 @@
     }
 
     fn begin_at(&mut self, place: Place) {
-        self.retry.use_up();
         let delivered = self.tries.delivered + self.race.open();
         match place {
             Place::Engine(chosen) => {
@@ -192,9 +194,12 @@
             Err(error) => error,
         };
         let target = chosen.target();
-        let failed = self.tries.failed(call, &target, number, open, &error);
-        if failed.await {
-            self.retry.grant();
+        self.tries.failed(call, &target, number, &error).await;
+        if self.race.is_in_time() {
+            return ControlFlow::Continue(NextAttempt::NotDue);
+        }
+        if self.tries.may_follow(call, open, &error) {
+            self.retry.give_back();
             return ControlFlow::Continue(NextAttempt::Now);
         }
         match self.race.is_empty() {
@@ -232,7 +237,7 @@
                 false => return ControlFlow::Continue(next),
             },
         };
-        self.retry.grant();
+        self.retry.give_back();
         ControlFlow::Continue(next)
     }
 
@@ -240,9 +245,6 @@
         let Some(target) = &self.newest else {
             return next;
         };
-        if !error.delivered {
-            self.retry.grant();
-        }
         match self
             .tries
             .silent(&self.call, target, self.race.open(), error)
@@ -313,6 +315,7 @@
         work: chosen.guard.work_id(),
         expected_ms: chosen.expected_ms,
         reserves_memory: !chosen.memory.is_empty(),
+        gives_up_lost_links: may_try_others && call.forwarded.is_some(),
     };
     let avoid = avoid.to_vec();
     let silence = {
@@ -350,7 +353,7 @@
         result = begin => result,
         error = tries::restarted(call, replica, Verdict::MayHaveRun, Evidence::Present) => Err(error),
         error = watch.expiry() => Err(error),
-        error = tries::links_lost_of_forwarded(call, &watch.target) => Err(error),
+        error = tries::links_lost(call, &watch.target), if watch.gives_up_lost_links => Err(error),
     }
 }
 
@@ -363,6 +366,8 @@
     /// The expected time until the first event, in milliseconds.
     expected_ms: f64,
     reserves_memory: bool,
+    /// True if the attempt ends once the links to the engines are lost: a peer forwarded the request, and has other peers.
+    gives_up_lost_links: bool,
 }
 
 impl AttemptWatch {
@@ -383,6 +388,9 @@
                 None if left_ms > SpanMs::ZERO && has_no_alternative(call, avoid) => {
                     wait_ms = ALTERNATIVE_POLL_MS.min(left_ms);
                 }
+                None if self.target.connection.get() == ConnectionKind::None => {
+                    wait_ms = ALTERNATIVE_POLL_MS.min(call.left_ms());
+                }
                 None => return self.silent(),
             }
         }
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -17,7 +17,6 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, StatusCode, Version};
-use std::future::pending;
 use std::time::Duration;
 
 /// The time after an answer to the wrong request during which work that may run only once is sent
@@ -232,28 +231,22 @@
     }
 }
 
-/// Waits until this node has lost its links to the replicas of the service, and returns what that shows of an attempt
-/// without an answer.
+/// Waits until this node has lost its links to the replicas of the service, and returns what that shows of an attempt that
+/// was sent without an answer so far. One whose connection isn't open ends by itself soon.
 pub(super) async fn links_lost(call: &Call, target: &Target) -> TryError {
     links::wait_until_lost(&call.node, &call.service.name).await;
+    wait_until_connected(target).await;
     let why = "the links to the replicas are lost";
-    match target.connection.get() {
-        ConnectionKind::None => TryError {
-            delivered: false,
-            ..TryError::new(why, Verdict::NotRun, Symptom::Inconclusive)
-        },
-        ConnectionKind::New | ConnectionKind::Kept => {
-            TryError::new(why, Verdict::MayHaveRun, Symptom::Inconclusive)
-        }
-    }
+    TryError::new(why, Verdict::MayHaveRun, Symptom::Inconclusive)
 }
 
-/// Like [`links_lost`] for a repeatable request that a peer forwarded, forever for any other. The peer can forward it to
-/// another node, which this one can't.
-pub(super) async fn links_lost_of_forwarded(call: &Call, target: &Target) -> TryError {
-    match call.forwarded {
-        Some(_) if call.route.kind.repeatable() => links_lost(call, target).await,
-        _ => pending().await,
+/// The interval at which an attempt whose silence is watched is checked for its connection. Opening one takes 300 ms at most.
+const CONNECTED_POLL_MS: SpanMs = SpanMs(50);
+
+/// Waits until the connection of an attempt is open.
+pub(super) async fn wait_until_connected(target: &Target) {
+    while target.connection.get() == ConnectionKind::None {
+        tokio::time::sleep(Duration::from(CONNECTED_POLL_MS)).await;
     }
 }
 
@@ -527,21 +520,18 @@
         self.avoid.len() as u32
     }
 
-    /// Records the failure of an attempt, beside which `open` attempts are open. Returns true if another one may follow.
-    pub async fn failed(
-        &mut self,
-        call: &Call,
-        target: &Target,
-        attempt: u32,
-        open: u32,
-        error: &TryError,
-    ) -> bool {
+    /// Records the failure of an attempt.
+    pub async fn failed(&mut self, call: &Call, target: &Target, attempt: u32, error: &TryError) {
         record_failure(call, target, attempt, error);
-        fatal::on_failed(call, &target.replica, error).await;
         self.delivered += u32::from(error.delivered);
         if error.ran != Verdict::NotRun {
             self.ran = Some(error.ran);
         }
+        fatal::on_failed(call, &target.replica, error).await;
+    }
+
+    /// Returns true if another attempt may follow one that failed, beside which `open` attempts are open.
+    pub fn may_follow(&self, call: &Call, open: u32, error: &TryError) -> bool {
         let tried = self.avoid.len() as u32;
         tried <= MAX_RETRIES && may_try_again(call, self.delivered + open, error)
     }
@@ -604,10 +594,11 @@
     take_retry(call)
 }
 
-/// The permission to make one more attempt, which the retry budget gives once for each that a replica received.
+/// The permission to make one more attempt. It is taken from the retry budget once for each attempt that a replica received:
+/// an attempt that ended before that leaves its permission for the next.
 #[derive(Debug, Default)]
 pub(super) struct RetryPass {
-    is_paid: bool,
+    is_held: bool,
     /// True if the budget was spent when an attempt was last due.
     lacks_budget: bool,
 }
@@ -616,29 +607,31 @@
     /// Returns the permission of a first attempt, which the budget doesn't count.
     pub fn of_first_attempt() -> Self {
         Self {
-            is_paid: true,
+            is_held: true,
             lacks_budget: false,
         }
     }
 
-    /// Takes an attempt from the budget unless one is left over. Returns false if the budget is spent.
-    pub fn pay(&mut self, call: &Call) -> bool {
-        let may_take = !self.lacks_budget || has_retry_left(call);
-        if !self.is_paid && may_take {
-            self.is_paid = take_retry(call);
-            self.lacks_budget = !self.is_paid;
+    /// Returns true if an attempt may be made now, without taking anything from the budget.
+    pub fn is_available(&mut self, call: &Call) -> bool {
+        let is_available = self.is_held || has_retry_left(call);
+        if !is_available && !self.lacks_budget {
+            record_budget_spent(call);
         }
-        self.is_paid
+        self.lacks_budget = !is_available;
+        is_available
     }
 
-    /// Allows the next attempt without the budget: it was paid for already, or follows one that no replica received.
-    pub fn grant(&mut self) {
-        self.is_paid = true;
+    /// Takes the permission, from the budget unless it is held. Returns false if the budget is spent.
+    pub fn take(&mut self, call: &Call) -> bool {
+        let is_taken = self.is_held || take_retry(call);
+        self.is_held = false;
+        is_taken
     }
 
-    /// Records that a replica received the attempt.
-    pub fn use_up(&mut self) {
-        self.is_paid = false;
+    /// Returns the permission of an attempt that no replica received, or that the budget has paid for already.
+    pub fn give_back(&mut self) {
+        self.is_held = true;
     }
 }
 
@@ -657,9 +650,13 @@
     let now_ms = node.now_ms();
     let taken = node.with(|state| state.budget.take(&call.service.name, nodes, now_ms));
     if !taken {
-        node.journal.record(&Event::BudgetSpent {
-            request: call.head.request.clone(),
-        });
+        record_budget_spent(call);
     }
     taken
 }
+
+fn record_budget_spent(call: &Call) {
+    call.node.journal.record(&Event::BudgetSpent {
+        request: call.head.request.clone(),
+    });
+}
