Forwarding: a peer that is no longer heard keeps its request while another is asked

What callers saw: 502 "the peer is gone" with time left, and begun answers cut off for the same reason, while the exchange with the peer was sound.

Gossip that isn't heard was taken for the end of an exchange on its own connection.

Change: it counts as silence, as with begun streams: another attempt is made if the route and the budget allow it, and the exchange stays open until it ends or the deadline comes.

--- a/crates/front/src/call/hop.rs
+++ b/crates/front/src/call/hop.rs
@@ -21,6 +21,7 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Request, StatusCode, Version};
 use serde::Deserialize;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -71,6 +72,26 @@
     }
 }
 
+/// The peer that a request is being forwarded to, which others may watch.
+#[derive(Clone, Default)]
+pub(super) struct PeerWatch(Rc<Cell<Option<OwnerId>>>);
+
+impl PeerWatch {
+    /// Waits until the peer is no longer heard, and returns what that shows. The exchange with it may still go on.
+    pub async fn lost(&self, node: &Node) -> TryError {
+        loop {
+            if self
+                .0
+                .get()
+                .is_some_and(|owner| !node.outbox.is_live(owner))
+            {
+                return peer_lost();
+            }
+            tokio::time::sleep(Duration::from(LIVENESS_POLL_MS)).await;
+        }
+    }
+}
+
 /// A replica's answer that a peer passed back.
 pub(super) struct PeerReply {
     /// The replica's answer.
@@ -207,23 +228,31 @@
         .with(|state| state.links.is_lost(&call.service.name))
 }
 
+/// Waits until the peer that a request is forwarded to is no longer heard, and records that.
+pub(super) async fn silence(call: Rc<Call>, watch: PeerWatch) -> TryError {
+    let error = watch.lost(&call.node).await;
+    if let Some(owner) = watch.0.get() {
+        call.node.journal.record(&Event::PeerSilent {
+            request: call.head.request.clone(),
+            peer: owner.0,
+            why: error.why.clone(),
+            age_ms: call.age_ms(),
+        });
+    }
+    error
+}
+
 /// Forwards a request with one whole answer to a peer. Returns the answer with the number of attempts so far.
 pub(super) async fn whole_answer(
     call: &Call,
     delivered: u32,
     cause: &HopCause,
+    watch: &PeerWatch,
 ) -> Result<(WholeAnswer, u32), HopError> {
     let whole = async {
-        let PeerReply {
-            reply,
-            attempts,
-            peer,
-        } = send(call, delivered, None, cause).await?;
-        let whole = tokio::select! {
-            whole = plain::read_whole(call, reply) => whole.map_err(HopError::Failed),
-            () = peer.wait_until_lost() => Err(HopError::Failed(peer_lost())),
-        };
-        Ok((whole?, delivered + attempts))
+        let reply = send(call, delivered, None, cause, watch).await?;
+        let whole = plain::read_whole(call, reply.reply).await;
+        Ok((whole.map_err(HopError::Failed)?, delivered + reply.attempts))
     };
     let left_ms = Duration::from(call.left_ms());
     match tokio::time::timeout(left_ms, whole).await {
@@ -239,18 +268,16 @@
     delivered: u32,
     resume: Option<ResumePoint>,
     cause: &HopCause,
+    watch: &PeerWatch,
 ) -> Result<(StartedStream, PeerLease, u32), HopError> {
     let started = async {
         let PeerReply {
             reply,
             attempts,
             peer,
-        } = send(call, delivered, resume, cause).await?;
-        let started = tokio::select! {
-            started = read_first_event(reply) => started.map_err(HopError::Failed),
-            () = peer.wait_until_lost() => Err(HopError::Failed(peer_lost())),
-        };
-        Ok((started?, peer, delivered + attempts))
+        } = send(call, delivered, resume, cause, watch).await?;
+        let started = read_first_event(reply).await.map_err(HopError::Failed)?;
+        Ok((started, peer, delivered + attempts))
     };
     let left_ms = Duration::from(call.left_ms());
     match tokio::time::timeout(left_ms, started).await {
@@ -298,6 +325,7 @@
     delivered: u32,
     resume: Option<ResumePoint>,
     cause: &HopCause,
+    watch: &PeerWatch,
 ) -> Result<PeerReply, HopError> {
     let suspected = match fatal::refusal(call) {
         None => None,
@@ -325,11 +353,8 @@
             age_ms: call.age_ms(),
         });
         let mut limited_ms = SpanMs::ZERO;
-        let exchanged = tokio::select! {
-            exchanged = exchange(call, address, &head) => exchanged,
-            () = peer.wait_until_lost() => Err(peer_lost()),
-        };
-        let error = match exchanged {
+        watch.0.set(Some(owner));
+        let error = match exchange(call, address, &head).await {
             Ok((answer, link)) => match check_answer(call, answer, link).await {
                 Ok(Checked::Reply(reply, attempts)) => {
                     return Ok(PeerReply {
@@ -353,6 +378,7 @@
                 here: false,
             };
         }
+        watch.0.set(None);
         record_failure(call, owner, limited_ms, &error);
         if error.ran != Verdict::NotRun {
             return Err(HopError::Failed(error));
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -5,9 +5,9 @@
 use super::body::FrontBody;
 use super::choose::{Chosen, Target, choose};
 use super::fatal::{self, Disconnect};
-use super::hop::{self, HopCause, HopError};
+use super::hop::{self, HopCause, HopError, PeerWatch};
 use super::race::{NextAttempt, Race, RaceStep};
-use super::tries::{self, Reply, RetryPass, Tries, TryError, record_symptom};
+use super::tries::{self, Reply, RetryPass, Tries, TryError, record_silence, record_symptom};
 use crate::forward::Outcome;
 use crate::journal::Event;
 use bluebell_base::prelude::*;
@@ -133,9 +133,13 @@
         }
         let call = self.call.clone();
         let delivered = self.tries.delivered + self.race.open();
-        let end =
-            async move { AttemptEnd::Peer(hop::whole_answer(&call, delivered, &cause).await) };
-        self.race.add(end, pending());
+        let watch = PeerWatch::default();
+        let silence = hop::silence(self.call.clone(), watch.clone());
+        let end = async move {
+            AttemptEnd::Peer(hop::whole_answer(&call, delivered, &cause, &watch).await)
+        };
+        self.newest = None;
+        self.race.add(end, silence);
         NextAttempt::NotDue
     }
 
@@ -216,13 +220,10 @@
     }
 
     fn on_silent(&mut self, error: &TryError, next: NextAttempt) -> NextAttempt {
-        let Some(target) = &self.newest else {
-            return next;
-        };
-        match self
-            .tries
-            .silent(&self.call, target, self.race.open(), error)
-        {
+        if let Some(target) = &self.newest {
+            record_silence(&self.call, target, error);
+        }
+        match self.tries.may_try_beside(&self.call, self.race.open()) {
             true => NextAttempt::Now,
             false => next,
         }
--- a/crates/front/src/call/resumption.rs
+++ b/crates/front/src/call/resumption.rs
@@ -6,7 +6,7 @@
 use super::Call;
 use super::choose::{Chosen, choose_for_resume};
 use super::fatal;
-use super::hop::{self, HopCause, HopError};
+use super::hop::{self, HopCause, HopError, PeerWatch};
 use super::server::StreamServer;
 use super::stream::{self, StartedStream};
 use super::tries::{RetryPass, TryError, record_failure};
@@ -201,7 +201,12 @@
             last_event: last_event.map(Arc::from),
         };
         self.under_way = Some(UnderWay::Peer);
-        let started = hop::first_event(&self.call, self.delivered, Some(resume), cause).await;
+        let watch = PeerWatch::default();
+        let started = hop::first_event(&self.call, self.delivered, Some(resume), cause, &watch);
+        let started = tokio::select! {
+            started = started => started,
+            error = watch.lost(&self.call.node) => Err(HopError::Failed(error)),
+        };
         self.under_way = None;
         match started {
             Ok((started, peer, delivered)) => {
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -6,13 +6,15 @@
 use super::choose::{Chosen, Target, choose_waiting, has_alternative};
 use super::events::EventSplitter;
 use super::fatal::{self, Disconnect};
-use super::hop::{self, HopCause, HopError, PeerLease};
+use super::hop::{self, HopCause, HopError, PeerLease, PeerWatch};
 use super::plain::{fail, refuse};
 use super::pump::{EventSource, Pump};
 use super::race::{NextAttempt, Race, RaceStep};
 use super::reserve::ReservedMemory;
 use super::server::StreamServer;
-use super::tries::{self, Reply, RetryPass, Tries, TryError, has_retry_left, record_symptom};
+use super::tries::{
+    self, Reply, RetryPass, Tries, TryError, has_retry_left, record_silence, record_symptom,
+};
 use crate::forward::Outcome;
 use crate::journal::ConnectionKind;
 use bluebell_base::prelude::*;
@@ -144,12 +146,15 @@
             }
             Place::Peer(cause) => {
                 let call = self.call.clone();
+                let watch = PeerWatch::default();
+                let silence = hop::silence(self.call.clone(), watch.clone());
                 let end = async move {
                     let resume = call.resume().cloned();
-                    let result = hop::first_event(&call, delivered, resume, &cause).await;
+                    let result = hop::first_event(&call, delivered, resume, &cause, &watch).await;
                     AttemptEnd::Peer(cause, result)
                 };
-                self.race.add(end, pending());
+                self.newest = None;
+                self.race.add(end, silence);
             }
         }
     }
@@ -242,13 +247,10 @@
     }
 
     fn on_silent(&mut self, error: &TryError, next: NextAttempt) -> NextAttempt {
-        let Some(target) = &self.newest else {
-            return next;
-        };
-        match self
-            .tries
-            .silent(&self.call, target, self.race.open(), error)
-        {
+        if let Some(target) = &self.newest {
+            record_silence(&self.call, target, error);
+        }
+        match self.tries.may_try_beside(&self.call, self.race.open()) {
             true => NextAttempt::Now,
             false => next,
         }
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -536,10 +536,8 @@
         tried <= MAX_RETRIES && may_try_again(call, self.delivered + open, error)
     }
 
-    /// Records that the newest of `open` attempts is silent. Returns true if another one may follow once the retry budget
-    /// allows it.
-    pub fn silent(&self, call: &Call, target: &Target, open: u32, error: &TryError) -> bool {
-        record_silence(call, target, error);
+    /// Returns true if another attempt may follow beside `open` silent ones, once the retry budget allows it.
+    pub fn may_try_beside(&self, call: &Call, open: u32) -> bool {
         let tried = self.avoid.len() as u32;
         tried <= MAX_RETRIES
             && call.route.kind.repeatable()
