Directory: a reader that was turned away copies versions from its peers

While the directory doesn't answer it, it stays behind a version that its peers have and name, for as long as that lasts; its reads then end after 1.25 s each. Followers ask peers in that case.

Change: from a failed call until the next successful one a reader also copies what peers name, beside its own calls. It waits for the grace that an open read has anyway, so that a directory that is back mostly provides the version itself, and asks again after half a second. Calls to the directory and the pauses between them stay as they are, and a reader whose calls succeed asks nobody. The cost follows the number of readers, so the failure domains and not the nodes: up to three requests each half second while it is behind.

Ruled out: a lost wake-up.

Conclusion: the role of a node no longer decides whether it learns a version in an outage of its directory.

--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -6,7 +6,8 @@
 //!
 //! Reason for the limits: a node that pauses briefly before its next read gets several versions in one
 //! read, and a node that lets its own poll finish first needs no second read. In each failure domain a
-//! few nodes read the directory and the others copy from them.
+//! few nodes read the directory and the others copy from them. Peers may get a version while the directory
+//! doesn't answer a reader, which then copies it as well.
 
 use super::era;
 use super::evacuations;
@@ -23,11 +24,12 @@
 use bytes::Bytes as Buffer;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The time that a node's own long poll gets to return after a peer announced a newer version. A poll
-/// that is still open then is on a silent connection.
+/// The time that a node's own read of the directory gets to return after a peer announced a newer version.
+/// A long poll that is still open then is on a silent connection.
 const POLL_GRACE_MS: SpanMs = SpanMs(250);
 
 /// The pause after a version was read, in which further versions gather: a quarter of the two seconds
@@ -49,7 +51,7 @@
 /// The version may not exist.
 const NOT_FOUND_PAUSE_MS: SpanMs = SpanMs(2_000);
 
-/// The pause after which a follower that may not call the directory asks its peers again.
+/// The pause after which a node that the directory turned away asks its peers again.
 const PEER_RETRY_MS: SpanMs = SpanMs(500);
 
 /// The interval at which a node that waits for a version checks that enough peers are still live.
@@ -76,8 +78,8 @@
 /// The state of the configuration watcher.
 struct ConfigWatch {
     node: Rc<Node>,
-    /// The position up to which the directory was read. `None` if nothing was read yet, or if later
-    /// versions were copied from peers.
+    /// The position up to which the directory was read. `None` if nothing was read yet, or if this node was
+    /// a follower since.
     cursor: Option<Cursor>,
     /// The time since which a configuration older than the peers' is held back.
     held_back_since_ms: Option<MonoMs>,
@@ -115,10 +117,31 @@
         }
     }
 
-    /// Reads the next version from the directory and pauses.
+    /// Reads the next version from the directory. If the call fails, this node goes on reading, and copies
+    /// versions from peers meanwhile.
     async fn read(&mut self) {
-        if let Err(pause_ms) = self.try_read().await {
+        let Err(pause_ms) = self.try_read().await else {
+            return;
+        };
+        let node = self.node.clone();
+        tokio::select! {
+            () = self.read_again(pause_ms) => {}
+            never = copy_meanwhile(&node) => match never {},
+        }
+    }
+
+    /// Calls the directory after the pause, and again after each failure, until it answers or this node is no
+    /// longer a reader.
+    async fn read_again(&mut self, mut pause_ms: SpanMs) {
+        loop {
             tokio::time::sleep(Duration::from(pause_ms)).await;
+            if follow::parent(&self.node).is_some() {
+                return;
+            }
+            match self.try_read().await {
+                Ok(()) => return,
+                Err(next_pause_ms) => pause_ms = next_pause_ms,
+            }
         }
     }
 
@@ -169,6 +192,25 @@
     }
 }
 
+/// Copies the versions that peers announce and that this node doesn't get in time, without end.
+async fn copy_meanwhile(node: &Node) -> Infallible {
+    loop {
+        node.directory_watch.wait_until_behind().await;
+        tokio::time::sleep(Duration::from(POLL_GRACE_MS)).await;
+        if !node.directory_watch.is_behind() {
+            continue;
+        }
+        let pause_ms = match follow::copy_from_holders(node).await {
+            Some((config, copy)) => {
+                put_copy_in_force(node, config, copy);
+                COPY_PAUSE_MS
+            }
+            None => PEER_RETRY_MS,
+        };
+        tokio::time::sleep(Duration::from(pause_ms)).await;
+    }
+}
+
 /// Returns true if a node's first configuration must be held back because peers have a newer one. The
 /// directory then came back from an older copy, and the operators' later writes are about to be repeated
 /// there. `since_ms` keeps the time at which holding back began.
--- a/crates/front/src/watch/follow.rs
+++ b/crates/front/src/watch/follow.rs
@@ -11,7 +11,7 @@
 use rand::seq::SliceRandom;
 use std::time::Duration;
 
-/// The maximum number of peers with the version that are asked if the parent doesn't provide it.
+/// The maximum number of peers with the version that are asked besides the parent.
 const MAX_OTHER_SOURCES: usize = 3;
 
 /// The result of waiting for a newer configuration from peers.
@@ -61,28 +61,45 @@
     let Some(held) = node.config_version() else {
         return FollowResult::Reader;
     };
-    for peer in sources(node, parent, held) {
+    match copy_from_first(node, held, sources(node, Some(parent), held)).await {
+        Some((config, copy)) => FollowResult::Copied(config, copy),
+        None => FollowResult::NotFound,
+    }
+}
+
+/// Requests a newer configuration from peers that have one.
+pub(super) async fn copy_from_holders(node: &Node) -> Option<(ServingConfig, ConfigCopy)> {
+    let held = node.config_version()?;
+    copy_from_first(node, held, sources(node, None, held)).await
+}
+
+/// Requests a configuration newer than `held` from `sources` in turn, until one provides it.
+async fn copy_from_first(
+    node: &Node,
+    held: ConfigVersion,
+    sources: Vec<OwnerId>,
+) -> Option<(ServingConfig, ConfigCopy)> {
+    for peer in sources {
         let Some(address) = node.outbox.address_of(peer) else {
             continue;
         };
         match copies::fetch(node, address, held).await {
-            Ok((config, copy)) => return FollowResult::Copied(config, copy),
+            Ok(copied) => return Some(copied),
             Err(error) => node.journal.record(&Event::ConfigCopyFailed {
                 peer: peer.0,
                 reason: error.to_string().into(),
             }),
         }
     }
-    FollowResult::NotFound
+    None
 }
 
-/// Returns the peers to ask, in this order: the parent, which may be about to get the version, and up
-/// to [`MAX_OTHER_SOURCES`] peers that have it.
-fn sources(node: &Node, parent: OwnerId, held: ConfigVersion) -> Vec<OwnerId> {
+/// Returns the peers to ask, in this order: the parent if there is one, which may be about to get the version,
+/// and up to [`MAX_OTHER_SOURCES`] peers that have it.
+fn sources(node: &Node, parent: Option<OwnerId>, held: ConfigVersion) -> Vec<OwnerId> {
     let mut holders = node.outbox.config_holders(held);
-    holders.retain(|holder| *holder != parent);
+    holders.retain(|holder| Some(*holder) != parent);
     holders.shuffle(&mut rand::rng());
     holders.truncate(MAX_OTHER_SOURCES);
-    holders.insert(0, parent);
-    holders
+    parent.into_iter().chain(holders).collect()
 }
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -33,6 +33,8 @@
     pub(super) join_phase: watch::Sender<JoinPhase>,
     /// Notified when a peer knows a newer configuration.
     pub(super) newer_config: Notify,
+    /// Wakes [`Self::wait_until_behind`] when a peer knows a newer configuration.
+    behind: Notify,
     /// Notified when a peer has read more of the replica list and its table differs.
     pub(super) replicas_differ: Notify,
     /// Notified when a replica has restarted.
@@ -131,6 +133,7 @@
             });
         }
         self.newer_config.notify_one();
+        self.behind.notify_waiters();
     }
 
     /// Records that a version is in force. Returns the time for which the node had been behind.
@@ -201,6 +204,17 @@
         self.freshness.borrow().is_behind()
     }
 
+    /// Waits until a newer configuration than the one in force is known.
+    pub(super) async fn wait_until_behind(&self) {
+        loop {
+            let behind = self.behind.notified();
+            if self.is_behind() {
+                return;
+            }
+            behind.await;
+        }
+    }
+
     /// Waits until no newer configuration than the one in force is known.
     pub async fn wait_until_current(&self) {
         loop {
