Directory: a follower copies versions from its peers while its own call is open

Cause (a_follower_copies_the_next_version_during_a_long_call; same class as the reader's): a follower that finds a version at no peer calls the directory, and asks no peer until that call ends. The timeout of such a call doubles from two to eight seconds while the directory is silent, so that the next version, which peers do have, is copied up to eight seconds late.

Change: the copies that a reader makes beside its calls are made beside a follower's call as well. The call itself goes on, and a call that ends within the grace of 250 ms is accompanied by none.

Conclusion: no call to the directory that isn't answered keeps a node that has a configuration from copying the next, except a reader's first call that fails (up to 1.25 s with a cursor, 2 s without).

--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -103,11 +103,16 @@
     }
 
     /// Reads a version that no peer provided, unless the directory turned this node away shortly before. Peers
-    /// may have the version by the time at which it may call again.
+    /// may have the version by the time at which it may call again, or before the directory answers.
     async fn read_as_follower(&mut self) {
         let mut pause_ms = PEER_RETRY_MS;
         if self.node.now_ms() >= self.next_call_ms {
-            match self.try_read().await {
+            let node = self.node.clone();
+            let read = tokio::select! {
+                read = self.try_read() => read,
+                never = copy_meanwhile(&node) => match never {},
+            };
+            match read {
                 Ok(()) => pause_ms = NOT_FOUND_PAUSE_MS,
                 Err(call_pause_ms) => self.next_call_ms = self.node.now_ms() + call_pause_ms,
             }
