Directory: a renewal whose delay is broken off is announced after the next one

Cause (a_node_announces_itself_after_each_renewal): the wait for a renewal marked it as seen before the delay that spreads the calls. A wait that was dropped during the delay, since the next look for other nodes was due, had lost the notice.

Change: a renewal is marked as seen after the delay. A wait that is broken off returns the next time, after another delay. Renewals during the delay count as one.

--- a/crates/front/src/watch/era.rs
+++ b/crates/front/src/watch/era.rs
@@ -90,11 +90,13 @@
         Self(node.directory_watch.era.0.subscribe())
     }
 
-    /// Waits for the next renewal and the delay.
+    /// Waits for the next renewal and the delay. A renewal whose delay is broken off isn't lost: the next wait
+    /// returns after another delay.
     pub async fn next(&mut self, node: &Node) {
         // The sender lives as long as the node.
-        let _ = self.0.changed().await;
+        let _ = self.0.clone().changed().await;
         spread_delay(node).await;
+        self.0.mark_unchanged();
     }
 }
 
