Forwarding: streams of nodes that are cut off wait at peers for the replicas' limits

The node that is cut off forwards a request; its peer says in how long it may send more, and for that time no other request is forwarded. Three of four of its requests for that service are plain calls, which don't wait, so it is mostly one of them that is forwarded after that time, and finds the share used up by a stream which waited. Ruled out: shares of the node that is cut off. They are lost to both.

Change: a peer that said how long its share is used up for still serves requests that wait there. ForwardPeers is told how long a request may wait: a stream of a node whose links are lost for as long as it might wait at its own node, all others not at all. Peers that can serve at once come first.

--- a/crates/fleet/tests/links.rs
+++ b/crates/fleet/tests/links.rs
@@ -121,7 +121,7 @@
         for request in 0..1_000_u64 {
             let now_ms = MonoMs(1_000 + request);
             let draw = request.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-            let chosen = peers.choose(&service(), &candidates, &[], draw, now_ms);
+            let chosen = peers.choose(&service(), &candidates, &[], SpanMs::ZERO, draw, now_ms);
             let chosen = chosen.expect("others are usable");
             if chosen.0 < own_domain {
                 peers.on_unusable(chosen, &service(), now_ms);
@@ -145,7 +145,7 @@
     let mut peers = ForwardPeers::default();
     let mut counts = [0; 8];
     for _ in 0..800 {
-        let chosen = peers.choose(&service(), &candidates, &[], 0, MonoMs(1_000));
+        let chosen = peers.choose(&service(), &candidates, &[], SpanMs::ZERO, 0, MonoMs(1_000));
         let chosen = chosen.expect("all are usable");
         peers.begin(chosen);
         counts[chosen.0 as usize] += 1;
@@ -161,7 +161,30 @@
     for candidate in &candidates {
         peers.on_unusable(candidate.owner, &service(), MonoMs(1_000));
     }
-    let choose = |at_ms| peers.choose(&service(), &candidates, &[], 0, MonoMs(at_ms));
+    let patient_ms = SpanMs(5_000);
+    let choose = |at_ms| peers.choose(&service(), &candidates, &[], patient_ms, 0, MonoMs(at_ms));
     assert_eq!(choose(1_500), None);
     assert!(choose(2_100).is_some());
 }
+
+/// Guards against refusing requests that may wait at a peer until its share of the limits grows, and against sending
+/// others there, or sending them to such a peer while another can serve at once.
+#[test]
+fn only_requests_that_may_wait_go_to_a_peer_whose_share_is_used_up() {
+    let candidates = peers(0, 2);
+    let mut peers = ForwardPeers::default();
+    let (limited, other) = (candidates[0].owner, candidates[1].owner);
+    peers.on_limited(limited, &service(), SpanMs(200), MonoMs(1_000));
+    let choose = |peers: &ForwardPeers, patience_ms, draw| {
+        let patience_ms = SpanMs(patience_ms);
+        let now_ms = MonoMs(1_050);
+        peers.choose(&service(), &candidates, &[], patience_ms, draw, now_ms)
+    };
+    for draw in 0..4 {
+        assert_eq!(choose(&peers, 300, draw), Some(other), "it serves at once");
+    }
+    peers.on_unusable(other, &service(), MonoMs(1_000));
+    assert_eq!(choose(&peers, 300, 0), Some(limited));
+    assert_eq!(choose(&peers, 100, 0), None, "it waits for too short");
+    assert_eq!(choose(&peers, 0, 0), None, "it may not wait");
+}
--- a/crates/front/src/call/hop.rs
+++ b/crates/front/src/call/hop.rs
@@ -179,6 +179,18 @@
         }
     }
 
+    /// Returns the time for which a request may wait at a peer for its share of the replicas' limits. A node that
+    /// reaches replicas lets requests wait itself.
+    fn patience_ms(&self, call: &Call) -> SpanMs {
+        match (self, &call.route.kind) {
+            (Self::LinksLost, RouteKind::Stream { .. }) => {
+                let max_wait_ms = call.wait_timeouts().max_wait_ms;
+                SpanMs(max_wait_ms.0.saturating_sub(call.age_ms().0))
+            }
+            _ => SpanMs::ZERO,
+        }
+    }
+
     /// Returns the refusal of a request that no peer serves.
     fn refusal(&self) -> Refusal {
         match self {
@@ -369,11 +381,12 @@
     let mut candidates = node.outbox.forward_candidates(&node.settings.domain);
     candidates.retain(|peer| cause.admits(peer.owner));
     let now_ms = node.now_ms();
+    let patience_ms = cause.patience_ms(call);
     let owner = node.with(|state| {
         let service = &call.service.name;
-        state
-            .forward_peers
-            .choose(service, &candidates, asked, rand::random(), now_ms)
+        let peers = &state.forward_peers;
+        let draw = rand::random();
+        peers.choose(service, &candidates, asked, patience_ms, draw, now_ms)
     })?;
     Some((owner, node.outbox.address_of(owner)?))
 }
