Streams: an engine that was listed as started again keeps a stream while its events arrive

What callers saw: begun answers cut off with "the replica has started again", and sound requests counted as crashes of their replicas.

Cause: a replica is listed some time after it serves again at its address. A request that was sent there meanwhile ran on the new start under the key of the old one; once the entry was read, its stream counted as lost with the old start. The class: a fact that is known late is applied to work that doesn't depend on it.

Change: the new start ends a stream only if its next event is late. The connection of a start that is gone carries none.

Attempts without an event end as before.

--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -211,7 +211,7 @@
             let next = tokio::select! {
                 next = source.next(&self.call, self.server.engine()) => next,
                 () = self.out.closed() => return SourceEnd::CallerGone,
-                error = self.server.restarted(&self.call) => return SourceEnd::Broken(error),
+                error = self.restarted() => return SourceEnd::Broken(error),
                 error = self.silence() => return SourceEnd::Silent(error),
             };
             let events = match next {
@@ -256,6 +256,14 @@
         tokio::time::sleep(wait_ms.into()).await;
     }
 
+    /// Waits until the engine is known to have started again and the next event is late. While events arrive in time, their
+    /// connection leads to the new start.
+    async fn restarted(&self) -> TryError {
+        let error = self.server.restarted(&self.call).await;
+        self.wait_until_late().await;
+        error
+    }
+
     /// Returns true if another engine may go on with the stream.
     fn may_resume(&self) -> bool {
         self.call.route.kind.repeatable() && self.resumption.delivered() < self.call.max_attempts()
