Streams: the pause before another engine goes on counts, as the attempt that it ended; calls: a replica's own failure is delivered

Change: the time of the last event isn't reset when the engine changes; the number of the silent attempt is taken before the search; a replica's own failure is kept and is the answer if no attempt has a better one.

Evidence: the_pause_before_another_engine_goes_on_is_counted and a_failure_that_a_replica_reported_is_delivered_if_no_other_answers failed before (0 ms; 502) and pass now.

--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -63,7 +63,7 @@
     race: Race<AttemptEnd>,
     /// The newest attempt at a replica.
     newest: Option<Target>,
-    /// A failure that a replica itself reported while another attempt was open.
+    /// The last failure that a replica itself reported. It is the answer if no other attempt has one.
     failure: Option<WholeAnswer>,
 }
 
@@ -100,9 +100,10 @@
         };
         match HopCause::of_refusal(&self.call, &self.tries.avoid, refusal) {
             Some(cause) => ControlFlow::Continue(self.begin_at_peer(cause)),
-            None if self.race.is_empty() => {
-                ControlFlow::Break(refuse(&self.call, self.tries.verdict(), &refusal))
-            }
+            None if self.race.is_empty() => ControlFlow::Break(match self.failure.take() {
+                Some(failure) => failure.pass_on(&self.call, self.tries.delivered),
+                None => refuse(&self.call, self.tries.verdict(), &refusal),
+            }),
             None => ControlFlow::Continue(NextAttempt::Later),
         }
     }
@@ -177,6 +178,7 @@
         };
         let target = chosen.target();
         self.tries.failed(call, &target, number, &error).await;
+        self.failure = whole.or(self.failure.take());
         if self.race.is_in_time() {
             return ControlFlow::Continue(NextAttempt::NotDue);
         }
@@ -184,7 +186,6 @@
             self.retry.give_back();
             return ControlFlow::Continue(NextAttempt::Now);
         }
-        self.failure = whole.or(self.failure.take());
         if !self.race.is_empty() {
             return ControlFlow::Continue(next);
         }
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -339,6 +339,7 @@
         mut source: Option<EventSource>,
         error: TryError,
     ) -> Option<EventSource> {
+        let attempt = self.resumption.delivered();
         match self.await_next(&mut source, &error).await {
             Resumed::WentOn(events) => {
                 self.resumption.on_given_up();
@@ -352,7 +353,6 @@
             }
             Resumed::Replaced(successor) => {
                 if source.take().is_some() {
-                    let attempt = self.resumption.delivered();
                     let error = error.of_replaced();
                     self.server.on_failed(&self.call, attempt, &error).await;
                 }
@@ -361,7 +361,6 @@
                 self.server = server;
                 self.began_ms = self.call.node.now_ms();
                 self.is_established = false;
-                self.last_event_ms = self.began_ms;
                 self.forward_first(first, source).await
             }
             Resumed::Refused(why) => {
