--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -101,6 +101,11 @@
             .and_then(|why| why.as_str())
             .unwrap_or("");
         match &*last.event {
+            "answered" if self.has_gone_on() => {
+                format!(
+                    "Answered whole, after a silence in which its engine stayed; {tries} tries."
+                )
+            }
             "answered" if self.count("resumed") > 0 => {
                 format!("Answered whole, going on at another engine midway; {tries} tries.")
             }
@@ -115,6 +120,12 @@
         }
     }
 
+    /// Returns true if each silence of the request ended with its engine going on.
+    fn has_gone_on(&self) -> bool {
+        let silences = self.count("try_silent") + self.count("peer_silent");
+        silences > 0 && silences == self.count("went_on")
+    }
+
     fn count(&self, event: &str) -> usize {
         self.lines.iter().filter(|l| &*l.event == event).count()
     }
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -339,6 +339,30 @@
     assert_eq!(missing.status.code(), Some(1));
 }
 
+/// Guards against a stream that its silent engine went on with being explained as one that another engine went on with.
+#[test]
+fn a_silence_that_ends_is_explained_from_logs() {
+    let path = std::env::temp_dir().join(format!("bluebell-silence-{}", std::process::id()));
+    let log = concat!(
+        r#"{"time_ms":100,"node":"b","event":"placed","request":"r1","attempt":1,"instance":"i-1"}"#,
+        "\n",
+        r#"{"time_ms":900,"node":"b","event":"try_silent","request":"r1","instance":"i-1"}"#,
+        "\n",
+        r#"{"time_ms":901,"node":"b","event":"resumed","request":"r1","last_event":"4"}"#,
+        "\n",
+        r#"{"time_ms":950,"node":"b","event":"went_on","request":"r1","silent_ms":800}"#,
+        "\n",
+        r#"{"time_ms":990,"node":"b","event":"answered","request":"r1","status":200}"#,
+        "\n",
+    );
+    std::fs::write(&path, log).expect("a file");
+    let output = ctl(&["explain", "r1", path.to_str().expect("a path")]);
+    std::fs::remove_file(&path).expect("it is there");
+    let output = text(&output.stdout);
+    let expected = "Answered whole, after a silence in which its engine stayed; 1 tries.";
+    assert!(output.contains(expected), "{output}");
+}
+
 /// Serves one call as a node's page for operators does; returns the address and what was asked.
 fn operators_page(status: u16, answer: &'static str) -> (String, JoinHandle<String>) {
     let server = Server::http("127.0.0.1:0").expect("a free port");
