Callers' connections: answers say for how long a connection may stay idle

Cause: a node closes a connection that has been idle for the operators' limit and three seconds; a request on its way then finds it closed. Nothing told callers when that would be, so the three seconds served nobody who didn't know the limit. The class: the end of something in use isn't announced to whoever uses it.

--- a/crates/front/src/node/connections.rs
+++ b/crates/front/src/node/connections.rs
@@ -10,14 +10,18 @@
 use crate::journal::Event;
 use bluebell_base::prelude::*;
 use bytes::Bytes as Buffer;
+use hyper::HeaderMap;
 use hyper::body::{Body, Frame, SizeHint};
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+/// The header with the time for which a connection may stay idle, in whole seconds.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// The stage of a connection's exchange.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum ExchangeStage {
@@ -57,6 +61,8 @@
     stage: Cell<ExchangeStage>,
     /// The time of the connection's start or of the last whole answer's end.
     idle_since_ms: Cell<MonoMs>,
+    /// The time for which answers say that the connection may stay idle.
+    announced_idle_ms: Cell<SpanMs>,
     /// True if answers announce that the connection closes after them.
     announces_close: Cell<bool>,
     /// The time of the exchange's first byte.
@@ -73,6 +79,7 @@
             clock,
             stage: Cell::default(),
             idle_since_ms: Cell::new(clock.now_ms()),
+            announced_idle_ms: Cell::default(),
             announces_close: Cell::default(),
             began_ms: Cell::default(),
             bytes_read: Cell::default(),
@@ -84,6 +91,11 @@
         self.stage.get()
     }
 
+    /// Lets answers say for how long the connection may stay idle.
+    pub fn announce_idle(&self, idle_ms: SpanMs) {
+        self.announced_idle_ms.set(idle_ms);
+    }
+
     /// Lets answers announce that the connection closes after them.
     pub fn announce_close(&self) {
         self.announces_close.set(true);
@@ -95,6 +107,18 @@
         is_idle.then(|| self.clock.now_ms().since(self.idle_since_ms.get()))
     }
 
+    /// Adds what an answer says of its connection.
+    fn put_headers(&self, headers: &mut HeaderMap) {
+        let idle_s = self.announced_idle_ms.get().0 / 1_000;
+        if self.announces_close.get() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        } else if idle_s > 0
+            && let Ok(value) = HeaderValue::from_str(&format!("timeout={idle_s}"))
+        {
+            headers.insert(KEEP_ALIVE, value);
+        }
+    }
+
     /// Records bytes that arrived.
     pub fn on_read(&self, bytes: usize) {
         self.bytes_read.set(self.bytes_read.get() + bytes as u64);
@@ -217,10 +241,7 @@
     /// Observes the body of an answer that is about to be sent.
     pub fn observe(mut answer: Answer, state: Rc<ConnectionState>) -> hyper::Response<Self> {
         state.stage.set(ExchangeStage::Answering);
-        if state.announces_close.get() {
-            let close = HeaderValue::from_static("close");
-            answer.headers_mut().insert(CONNECTION, close);
-        }
+        state.put_headers(answer.headers_mut());
         answer.map(|body| Self {
             // A body that isn't streamed is handed over together with its head.
             is_whole: matches!(body, FrontBody::Whole(_)),
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -35,11 +35,12 @@
 /// The time for which an idle connection is kept before a configuration is in force.
 const DEFAULT_IDLE_MS: SpanMs = SpanMs(15_000);
 
-/// The time for which an idle connection is kept beyond the operators' limit, so that a caller that
+/// The time for which an idle connection is kept beyond the operators' limit, which answers announce, so that a caller that
 /// reuses it at the last moment doesn't find it closed.
 const IDLE_MARGIN_MS: SpanMs = SpanMs(3_000);
 
-/// The time within which a caller that sends one request after the other sends the next: some hops to it.
+/// The idle time after which a caller isn't expected to follow an answer with another request: some network round
+/// trips.
 const NEXT_REQUEST_MS: SpanMs = SpanMs(250);
 
 /// The interval at which a stopping node checks if a connection is idle.
@@ -102,7 +103,9 @@
 ) -> Result<(), hyper::Error> {
     let limits = node.with(|state| state.config.as_ref().map(|c| c.limits()));
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes.0 as usize);
-    let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |l| l.idle_timeout_ms) + IDLE_MARGIN_MS;
+    let announced_idle_ms = limits.map_or(DEFAULT_IDLE_MS, |l| l.idle_timeout_ms);
+    state.announce_idle(announced_idle_ms);
+    let idle_ms = announced_idle_ms + IDLE_MARGIN_MS;
     let stop = wait_for_stop(node.clone(), state.clone());
     let closable = wait_until_closable(stream.clone(), state.clone());
     let node = node.clone();
