--- a/crates/front/src/call/hop.rs
+++ b/crates/front/src/call/hop.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// The peer that a request is being forwarded to, which others may watch.
+/// Names the peer that a request is being forwarded to, so that its silence can be watched beside the exchange.
 #[derive(Clone, Default)]
 pub(super) struct PeerWatch(Rc<Cell<Option<OwnerId>>>);
 
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -10,6 +10,7 @@
 
 mod admit;
 mod answers;
+mod attempts;
 mod body;
 mod choose;
 mod events;
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -2,12 +2,13 @@
 
 use super::Call;
 use super::answers::{self, Answer};
+use super::attempts::{self, AttemptSteps, Attempts, Progress, on_step};
 use super::body::FrontBody;
 use super::choose::{Chosen, Target, choose};
 use super::fatal::{self, Disconnect};
 use super::hop::{self, HopCause, HopError, PeerWatch};
-use super::race::{NextAttempt, Race, RaceStep};
-use super::tries::{self, Reply, RetryPass, Tries, TryError, record_silence, record_symptom};
+use super::race::NextAttempt;
+use super::tries::{self, Reply, TryError, record_symptom};
 use crate::forward::Outcome;
 use crate::journal::Event;
 use bluebell_base::prelude::*;
@@ -38,137 +39,111 @@
 
 /// Serves a request with one whole answer.
 pub(super) async fn serve(call: &Rc<Call>) -> Answer {
-    let mut attempts = Attempts::new(call);
-    let mut next = NextAttempt::Now;
-    loop {
-        let result = match next {
-            NextAttempt::Now => attempts.begin().await,
-            NextAttempt::Later | NextAttempt::NotDue => {
-                let step = attempts.race.next(next).await;
-                attempts.on_step(step, next).await
-            }
-        };
-        next = match result {
-            ControlFlow::Continue(next) => next,
-            ControlFlow::Break(answer) => return answer,
-        };
-    }
+    let mut request = PlainRequest {
+        attempts: Attempts::new(call),
+        failure: None,
+    };
+    attempts::serve(&mut request).await
 }
 
-/// The attempts to get one whole answer.
-struct Attempts {
-    call: Rc<Call>,
-    tries: Tries,
-    retry: RetryPass,
-    race: Race<AttemptEnd>,
-    /// The newest attempt at a replica.
-    newest: Option<Target>,
+/// A request with one whole answer.
+struct PlainRequest {
+    attempts: Attempts<AttemptEnd>,
     /// The last failure that a replica itself reported. It is the answer if no other attempt has one.
     failure: Option<WholeAnswer>,
 }
 
-impl Attempts {
-    fn new(call: &Rc<Call>) -> Self {
-        Self {
-            call: call.clone(),
-            tries: Tries::default(),
-            retry: RetryPass::of_first_attempt(),
-            race: Race::new(),
-            newest: None,
-            failure: None,
-        }
+impl AttemptSteps for PlainRequest {
+    type End = AttemptEnd;
+
+    fn attempts(&mut self) -> &mut Attempts<AttemptEnd> {
+        &mut self.attempts
     }
 
-    /// Begins an attempt, unless an open one makes a step first.
-    async fn begin(&mut self) -> ControlFlow<Answer, NextAttempt> {
-        if !self.retry.is_available(&self.call) {
+    async fn begin(&mut self) -> Progress {
+        let attempts = &mut self.attempts;
+        if !attempts.retry.is_available(&attempts.call) {
             return ControlFlow::Continue(NextAttempt::Later);
         }
         tokio::select! {
             biased;
-            step = self.race.next(NextAttempt::NotDue) => {
-                return self.on_step(step, NextAttempt::Now).await;
+            step = attempts.race.next(NextAttempt::NotDue) => {
+                return on_step(self, step, NextAttempt::Now).await;
             }
-            () = fatal::wait_for_trial(&self.call) => {}
+            () = fatal::wait_for_trial(&attempts.call) => {}
         }
-        if hop::is_needed(&self.call) {
+        if hop::is_needed(&attempts.call) {
             return ControlFlow::Continue(self.begin_at_peer(HopCause::LinksLost));
         }
-        let refusal = match choose(&self.call, &self.tries.avoid) {
+        let refusal = match choose(&attempts.call, &attempts.tries.avoid) {
             Ok(chosen) => return ControlFlow::Continue(self.begin_at(chosen)),
             Err(refusal) => refusal,
         };
-        match HopCause::of_refusal(&self.call, &self.tries.avoid, refusal) {
+        match HopCause::of_refusal(&attempts.call, &attempts.tries.avoid, refusal) {
             Some(cause) => ControlFlow::Continue(self.begin_at_peer(cause)),
-            None if self.race.is_empty() => ControlFlow::Break(match self.failure.take() {
-                Some(failure) => failure.pass_on(&self.call, self.tries.delivered),
-                None => refuse(&self.call, self.tries.verdict(), &refusal),
-            }),
+            None if attempts.race.is_empty() => ControlFlow::Break(self.refuse(&refusal)),
             None => ControlFlow::Continue(NextAttempt::Later),
         }
     }
 
+    async fn on_ended(&mut self, end: AttemptEnd, next: NextAttempt) -> Progress {
+        match end {
+            AttemptEnd::Replica(chosen, number, result) => {
+                self.on_replica_ended(&chosen, number, result, next).await
+            }
+            AttemptEnd::Peer(Ok((whole, attempts))) => {
+                ControlFlow::Break(whole.pass_on(&self.attempts.call, attempts))
+            }
+            AttemptEnd::Peer(Err(error)) => self.attempts.on_peer_failed(error, next),
+        }
+    }
+}
+
+impl PlainRequest {
     fn begin_at(&mut self, chosen: Chosen) -> NextAttempt {
-        if !self.retry.take(&self.call) {
+        let attempts = &mut self.attempts;
+        if !attempts.retry.take(&attempts.call) {
             return NextAttempt::Later;
         }
-        let call = self.call.clone();
-        let delivered = self.tries.delivered + self.race.open();
-        let number = self.tries.begin(&chosen);
+        let call = attempts.call.clone();
+        let delivered = attempts.delivered();
+        let number = attempts.tries.begin(&chosen);
         let target = chosen.target();
-        self.newest = Some(target.clone());
         let may_try_others = call.route.kind.repeatable() && delivered + 1 < call.max_attempts();
-        let silence = silence(call.clone(), target, may_try_others);
+        let silence = silence(call.clone(), target.clone(), may_try_others);
         let end = async move {
             let gives_up_lost_links = may_try_others && call.forwarded.is_some();
             let result = try_once(&call, &chosen, number, gives_up_lost_links).await;
             AttemptEnd::Replica(Box::new(chosen), number, result)
         };
-        self.race.add(end, silence);
+        attempts.add(Some(target), end, silence);
         NextAttempt::NotDue
     }
 
     fn begin_at_peer(&mut self, cause: HopCause) -> NextAttempt {
-        if !self.retry.take(&self.call) {
+        let attempts = &mut self.attempts;
+        if !attempts.retry.take(&attempts.call) {
             return NextAttempt::Later;
         }
-        let call = self.call.clone();
-        let delivered = self.tries.delivered + self.race.open();
+        let call = attempts.call.clone();
+        let delivered = attempts.delivered();
         let watch = PeerWatch::default();
-        let silence = hop::silence(self.call.clone(), watch.clone());
+        let silence = hop::silence(call.clone(), watch.clone());
         let end = async move {
             AttemptEnd::Peer(hop::whole_answer(&call, delivered, &cause, &watch).await)
         };
-        self.newest = None;
-        self.race.add(end, silence);
+        attempts.add(None, end, silence);
         NextAttempt::NotDue
     }
 
-    /// Returns the time of the next attempt after a step of the open ones, or the answer. Before the step it was
-    /// `next`.
-    async fn on_step(
-        &mut self,
-        step: RaceStep<AttemptEnd>,
-        next: NextAttempt,
-    ) -> ControlFlow<Answer, NextAttempt> {
-        match step {
-            RaceStep::Ended(AttemptEnd::Replica(chosen, number, result)) => {
-                self.on_replica_ended(&chosen, number, result, next).await
-            }
-            RaceStep::Ended(AttemptEnd::Peer(result)) => self.on_peer_ended(result, next),
-            RaceStep::Silent(error) => ControlFlow::Continue(self.on_silent(&error, next)),
-            RaceStep::Due => ControlFlow::Continue(NextAttempt::Now),
-        }
-    }
-
     async fn on_replica_ended(
         &mut self,
         chosen: &Chosen,
         number: u32,
         result: Result<WholeAnswer, TryError>,
         next: NextAttempt,
-    ) -> ControlFlow<Answer, NextAttempt> {
-        let (call, open) = (&self.call, self.race.open());
+    ) -> Progress {
+        let call = &self.attempts.call;
         let (error, whole) = match result {
             Ok(whole) => match whole.failure(call) {
                 Some(error) => (error, Some(whole)),
@@ -176,57 +151,30 @@
             },
             Err(error) => (error, None),
         };
-        let target = chosen.target();
-        self.tries.failed(call, &target, number, &error).await;
         self.failure = whole.or(self.failure.take());
-        if self.race.is_in_time() {
-            return ControlFlow::Continue(NextAttempt::NotDue);
-        }
-        if self.tries.may_follow(call, open, &error) {
-            self.retry.give_back();
-            return ControlFlow::Continue(NextAttempt::Now);
-        }
-        if !self.race.is_empty() {
-            return ControlFlow::Continue(next);
-        }
-        match self.failure.take() {
-            Some(failure) => ControlFlow::Break(failure.pass_on(&self.call, self.tries.delivered)),
-            None => ControlFlow::Break(fail(&self.call, self.tries.verdict(), &error.why)),
+        let target = chosen.target();
+        let failed = self.attempts.on_failed(&target, number, &error, next);
+        match failed.await {
+            Some(next) => ControlFlow::Continue(next),
+            None => ControlFlow::Break(self.fail(&error.why)),
         }
     }
 
-    fn on_peer_ended(
-        &mut self,
-        result: Result<(WholeAnswer, u32), HopError>,
-        next: NextAttempt,
-    ) -> ControlFlow<Answer, NextAttempt> {
-        let error = match result {
-            Ok((whole, attempts)) => {
-                return ControlFlow::Break(whole.pass_on(&self.call, attempts));
-            }
-            Err(error) => error,
-        };
-        let next = match self.race.is_empty() {
-            true => match hop::final_answer(&self.call, &mut self.tries, error) {
-                Some(answer) => return ControlFlow::Break(answer),
-                None => NextAttempt::Now,
-            },
-            false => match self.tries.hop_ended(&self.call, &error) {
-                true => NextAttempt::Later,
-                false => return ControlFlow::Continue(next),
-            },
-        };
-        self.retry.give_back();
-        ControlFlow::Continue(next)
+    /// Returns the answer to a request that no replica accepts.
+    fn refuse(&mut self, refusal: &Refusal) -> Answer {
+        let Attempts { call, tries, .. } = &self.attempts;
+        match self.failure.take() {
+            Some(failure) => failure.pass_on(call, tries.delivered),
+            None => refuse(call, tries.verdict(), refusal),
+        }
     }
 
-    fn on_silent(&mut self, error: &TryError, next: NextAttempt) -> NextAttempt {
-        if let Some(target) = &self.newest {
-            record_silence(&self.call, target, error);
-        }
-        match self.tries.may_try_beside(&self.call, self.race.open()) {
-            true => NextAttempt::Now,
-            false => next,
+    /// Returns the answer to a request whose last attempt failed.
+    fn fail(&mut self, why: &str) -> Answer {
+        let Attempts { call, tries, .. } = &self.attempts;
+        match self.failure.take() {
+            Some(failure) => failure.pass_on(call, tries.delivered),
+            None => fail(call, tries.verdict(), why),
         }
     }
 }
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -2,6 +2,7 @@
 
 use super::Call;
 use super::answers::Answer;
+use super::attempts::{self, AttemptSteps, Attempts, Progress, on_step};
 use super::body::FrontBody;
 use super::choose::{Chosen, Target, choose_waiting, has_alternative};
 use super::events::EventSplitter;
@@ -9,12 +10,10 @@
 use super::hop::{self, HopCause, HopError, PeerLease, PeerWatch};
 use super::plain::{fail, refuse};
 use super::pump::{EventSource, Pump};
-use super::race::{NextAttempt, Race, RaceStep};
+use super::race::NextAttempt;
 use super::reserve::ReservedMemory;
 use super::server::StreamServer;
-use super::tries::{
-    self, Reply, RetryPass, Tries, TryError, has_retry_left, record_silence, record_symptom,
-};
+use super::tries::{self, Reply, Tries, TryError, has_retry_left, record_symptom};
 use crate::forward::Outcome;
 use crate::journal::ConnectionKind;
 use bluebell_base::prelude::*;
@@ -63,118 +62,94 @@
 /// Serves a request whose answer is a stream, with further attempts while the first event is
 /// missing.
 pub(super) async fn serve(call: &Rc<Call>) -> Answer {
-    let mut attempts = Attempts::new(call);
-    let mut next = NextAttempt::Now;
-    loop {
-        let result = match next {
-            NextAttempt::Now => attempts.begin().await,
-            NextAttempt::Later | NextAttempt::NotDue => {
-                let step = attempts.race.next(next).await;
-                attempts.on_step(step, next).await
-            }
-        };
-        next = match result {
-            ControlFlow::Continue(next) => next,
-            ControlFlow::Break(answer) => return answer,
-        };
-    }
+    let mut request = StreamRequest {
+        attempts: Attempts::new(call),
+        may_forward: call.forwarded.is_none(),
+    };
+    attempts::serve(&mut request).await
 }
 
-/// The attempts to begin one stream.
-struct Attempts {
-    call: Rc<Call>,
-    tries: Tries,
-    retry: RetryPass,
-    race: Race<AttemptEnd>,
-    /// The newest attempt at an engine.
-    newest: Option<Target>,
+/// A request whose answer is a stream that hasn't begun.
+struct StreamRequest {
+    attempts: Attempts<AttemptEnd>,
+    /// True if the request may be forwarded because of the replicas' limits or a trial.
     may_forward: bool,
 }
 
-impl Attempts {
-    fn new(call: &Rc<Call>) -> Self {
-        Self {
-            call: call.clone(),
-            tries: Tries::default(),
-            retry: RetryPass::of_first_attempt(),
-            race: Race::new(),
-            newest: None,
-            may_forward: call.forwarded.is_none(),
-        }
+impl AttemptSteps for StreamRequest {
+    type End = AttemptEnd;
+
+    fn attempts(&mut self) -> &mut Attempts<AttemptEnd> {
+        &mut self.attempts
     }
 
-    /// Looks for a place and begins an attempt there, unless an open attempt makes a step first.
-    async fn begin(&mut self) -> ControlFlow<Answer, NextAttempt> {
-        if !self.retry.is_available(&self.call) {
+    async fn begin(&mut self) -> Progress {
+        let attempts = &mut self.attempts;
+        if !attempts.retry.is_available(&attempts.call) {
             return ControlFlow::Continue(NextAttempt::Later);
         }
         let place = tokio::select! {
             biased;
-            step = self.race.next(NextAttempt::NotDue) => {
-                return self.on_step(step, NextAttempt::Now).await;
+            step = attempts.race.next(NextAttempt::NotDue) => {
+                return on_step(self, step, NextAttempt::Now).await;
             }
-            place = find_place(&self.call, &self.tries, &mut self.may_forward) => place,
+            place = find_place(&attempts.call, &attempts.tries, &mut self.may_forward) => place,
         };
         match place {
-            Ok(place) if self.retry.take(&self.call) => {
+            Ok(place) if attempts.retry.take(&attempts.call) => {
                 self.begin_at(place);
                 ControlFlow::Continue(NextAttempt::NotDue)
             }
-            Err(refusal) if self.race.is_empty() => {
-                ControlFlow::Break(refuse(&self.call, self.tries.verdict(), &refusal))
+            Err(refusal) if attempts.race.is_empty() => {
+                ControlFlow::Break(refuse(&attempts.call, attempts.tries.verdict(), &refusal))
             }
             Ok(_) | Err(_) => ControlFlow::Continue(NextAttempt::Later),
         }
     }
 
+    async fn on_ended(&mut self, end: AttemptEnd, next: NextAttempt) -> Progress {
+        match end {
+            AttemptEnd::Engine(chosen, number, result) => {
+                self.on_engine_ended(chosen, number, result, next).await
+            }
+            AttemptEnd::Peer(_, Ok((started, peer, delivered))) => {
+                let server = StreamServer::Peer(peer);
+                ControlFlow::Break(started.answer(&self.attempts.call, server, delivered))
+            }
+            AttemptEnd::Peer(cause, Err(error)) => self.on_peer_failed(&cause, error, next),
+        }
+    }
+}
+
+impl StreamRequest {
     fn begin_at(&mut self, place: Place) {
-        let delivered = self.tries.delivered + self.race.open();
+        let attempts = &mut self.attempts;
+        let call = attempts.call.clone();
+        let delivered = attempts.delivered();
         match place {
             Place::Engine(chosen) => {
-                let number = self.tries.begin(&chosen);
-                self.newest = Some(chosen.target());
-                let resume = self.call.resume();
-                let last_event = resume.and_then(|resume| resume.last_event.clone());
-                let avoid = &self.tries.avoid;
+                let number = attempts.tries.begin(&chosen);
+                let target = chosen.target();
+                let last_event = call.resume().and_then(|resume| resume.last_event.clone());
+                let avoid = &attempts.tries.avoid;
                 let (first, silence) =
-                    attempt(&self.call, *chosen, avoid, number, delivered, last_event);
+                    attempt(&call, *chosen, avoid, number, delivered, last_event);
                 let end = async move {
                     let (chosen, result) = first.await;
                     AttemptEnd::Engine(Box::new(chosen), number, result)
                 };
-                self.race.add(end, silence);
+                attempts.add(Some(target), end, silence);
             }
             Place::Peer(cause) => {
-                let call = self.call.clone();
                 let watch = PeerWatch::default();
-                let silence = hop::silence(self.call.clone(), watch.clone());
+                let silence = hop::silence(call.clone(), watch.clone());
                 let end = async move {
                     let resume = call.resume().cloned();
                     let result = hop::first_event(&call, delivered, resume, &cause, &watch).await;
                     AttemptEnd::Peer(cause, result)
                 };
-                self.newest = None;
-                self.race.add(end, silence);
-            }
-        }
-    }
-
-    /// Returns the time of the next attempt after a step of the open ones, or the answer. Before the step it was
-    /// `next`.
-    async fn on_step(
-        &mut self,
-        step: RaceStep<AttemptEnd>,
-        next: NextAttempt,
-    ) -> ControlFlow<Answer, NextAttempt> {
-        match step {
-            RaceStep::Ended(AttemptEnd::Engine(chosen, number, result)) => {
-                self.on_engine_ended(chosen, number, result, next).await
-            }
-            RaceStep::Ended(AttemptEnd::Peer(cause, result)) => {
-                self.on_peer_ended(&cause, result, next)
+                attempts.add(None, end, silence);
             }
-            RaceStep::Silent(error) => ControlFlow::Continue(self.on_silent(&error, next)),
-            RaceStep::Due => ControlFlow::Continue(NextAttempt::Now),
         }
     }
 
@@ -184,76 +159,34 @@
         number: u32,
         result: Result<StartedStream, TryError>,
         next: NextAttempt,
-    ) -> ControlFlow<Answer, NextAttempt> {
-        let (call, open) = (&self.call, self.race.open());
+    ) -> Progress {
+        let attempts = &mut self.attempts;
         let error = match result {
             Ok(started) => {
+                let call = &attempts.call;
                 record_symptom(call, chosen.key, Symptom::Good, "", chosen.began_ms);
+                let delivered = attempts.delivered() + 1;
                 let server = StreamServer::Engine(chosen);
-                return ControlFlow::Break(started.answer(
-                    call,
-                    server,
-                    self.tries.delivered + open + 1,
-                ));
+                return ControlFlow::Break(started.answer(call, server, delivered));
             }
             Err(error) => error,
         };
         let target = chosen.target();
-        self.tries.failed(call, &target, number, &error).await;
-        if self.race.is_in_time() {
-            return ControlFlow::Continue(NextAttempt::NotDue);
-        }
-        if self.tries.may_follow(call, open, &error) {
-            self.retry.give_back();
-            return ControlFlow::Continue(NextAttempt::Now);
-        }
-        match self.race.is_empty() {
-            true => ControlFlow::Break(fail(&self.call, self.tries.verdict(), &error.why)),
-            false => ControlFlow::Continue(next),
+        match attempts.on_failed(&target, number, &error, next).await {
+            Some(next) => ControlFlow::Continue(next),
+            None => ControlFlow::Break(fail(&attempts.call, attempts.tries.verdict(), &error.why)),
         }
     }
 
-    fn on_peer_ended(
-        &mut self,
-        cause: &HopCause,
-        result: Result<(StartedStream, PeerLease, u32), HopError>,
-        next: NextAttempt,
-    ) -> ControlFlow<Answer, NextAttempt> {
-        let error = match result {
-            Ok((started, peer, delivered)) => {
-                return ControlFlow::Break(started.answer(
-                    &self.call,
-                    StreamServer::Peer(peer),
-                    delivered,
-                ));
-            }
-            Err(error) => error,
-        };
+    fn on_peer_failed(&mut self, cause: &HopCause, error: HopError, next: NextAttempt) -> Progress {
         let is_limited = matches!(cause, HopCause::Limited { .. });
-        let next = match (&error, self.race.is_empty()) {
+        let is_refused = matches!(error, HopError::NoPeer(_));
+        if is_limited && is_refused && self.attempts.race.is_empty() {
             // This node may still serve it.
-            (HopError::NoPeer(_), true) if is_limited => NextAttempt::Now,
-            (_, true) => match hop::final_answer(&self.call, &mut self.tries, error) {
-                Some(answer) => return ControlFlow::Break(answer),
-                None => NextAttempt::Now,
-            },
-            (_, false) => match self.tries.hop_ended(&self.call, &error) {
-                true => NextAttempt::Later,
-                false => return ControlFlow::Continue(next),
-            },
-        };
-        self.retry.give_back();
-        ControlFlow::Continue(next)
-    }
-
-    fn on_silent(&mut self, error: &TryError, next: NextAttempt) -> NextAttempt {
-        if let Some(target) = &self.newest {
-            record_silence(&self.call, target, error);
-        }
-        match self.tries.may_try_beside(&self.call, self.race.open()) {
-            true => NextAttempt::Now,
-            false => next,
+            self.attempts.retry.give_back();
+            return ControlFlow::Continue(NextAttempt::Now);
         }
+        self.attempts.on_peer_failed(error, next)
     }
 }
 
