Urgency: streams that can't begin within their target go last within their rank

Cause: in a peak over the slots engines queue requests in the order of arrival, so that those which have missed their target are served before those that can still meet it, and all become late. The time that the caller spent on earlier attempts counts as well.

--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -132,12 +132,31 @@
         WaitTimeouts::of(self.route.target_ms, gap_ms)
     }
 
-    /// Returns the urgency of the request. The account's priority takes precedence over the
-    /// route's.
-    pub fn urgency(&self) -> Urgency {
+    /// Returns the urgency of an attempt whose first event, or whole answer, is expected after
+    /// `expected_ms`. The account's priority takes precedence over the route's.
+    ///
+    /// Only streams count as late: replicas of plain calls are seldom full for long. The rest of a
+    /// stream that broke off never does, since its caller gives up after a short silence.
+    pub fn urgency(&self, expected_ms: SpanMs, is_resumed: bool) -> Urgency {
         let account = self.account.as_ref().and_then(|account| account.priority);
         let rank = account.unwrap_or(self.route.priority);
-        Urgency::of(rank, self.route.target_ms)
+        let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
+        let first_event_ms = self.spent_before_ms() + self.age_ms() + expected_ms;
+        match is_stream && !is_resumed && first_event_ms > self.route.target_ms {
+            true => Urgency::late(rank),
+            false => Urgency::of(rank, self.route.target_ms),
+        }
+    }
+
+    /// Returns the time that the caller spent on earlier attempts, or 0 for a first one. Callers
+    /// that return state the time that is left to them, which is less than the route's timeout.
+    fn spent_before_ms(&self) -> SpanMs {
+        let timeout_ms = self.route.timeout_ms;
+        let deadline_ms = match self.forwarded {
+            Some(_) => timeout_ms,
+            None => self.head.deadline_ms.unwrap_or(timeout_ms),
+        };
+        SpanMs(timeout_ms.0.saturating_sub(deadline_ms.0))
     }
 
     /// Returns the time left until the caller gives up waiting for a first event.
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -309,7 +309,7 @@
         deadline_ms: call.left_ms(),
         instance: &chosen.replica.instance,
         account: call.account.as_ref().map(|account| &account.name),
-        urgency: call.urgency(),
+        urgency: call.urgency(SpanMs(chosen.expected_ms as u64), last_event.is_some()),
         helpers: &chosen.helpers,
         last_event,
     };
