Answers: bytes without end are cut; memory held for readers is bounded

A replica that sent interim answers or an event without end was read until the request's deadline, and its bytes of an event were kept. Callers that stopped reading held up to 16 batches of events or 4 MB each, without a bound on the total, for as long as they stayed connected.

The connection counts the bytes of each answer since its last progress and fails beyond the bound. Whole answers and queued events are charged to a total, an eighth of the node's memory (limits.memoryMb, 160 MB if absent); sources wait for room, and the slowest readers are closed if the total stays at its bound. A stream ends when it has gone on for as long after its deadline as before it.

--- a/crates/front/src/call/body.rs
+++ b/crates/front/src/call/body.rs
@@ -1,11 +1,16 @@
 //! The body of an answer to a caller, complete or streamed.
 
+use crate::http::Holding;
 use bytes::Bytes as Buffer;
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use tokio::sync::mpsc;
 
+/// The bytes of a whole answer that are handed to the connection at once, so that the progress of its reader shows.
+const SLICE_BYTES: usize = 16 * 1024;
+
 /// The error of an answer that broke off. The connection must be closed so that the answer doesn't
 /// look complete.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
@@ -17,8 +22,32 @@
 pub enum FrontBody {
     /// A complete body; `None` once it has been handed to the connection.
     Whole(Option<Buffer>),
-    /// A streamed body, piece by piece as it arrives.
-    Pieces(mpsc::Receiver<Result<Buffer, BrokenOff>>),
+    /// The rest of a replica's complete body, and the memory that holds it.
+    Held(Buffer, Rc<Holding>),
+    /// A streamed body, piece by piece as it arrives, and the memory that holds the pieces.
+    Pieces(mpsc::Receiver<Result<Buffer, BrokenOff>>, Rc<Holding>),
+}
+
+impl FrontBody {
+    /// Returns the memory that holds the body. `None` for a short answer of the node itself.
+    pub fn holding(&self) -> Option<&Rc<Holding>> {
+        match self {
+            Self::Whole(_) => None,
+            Self::Held(_, holding) | Self::Pieces(_, holding) => Some(holding),
+        }
+    }
+
+    /// Returns true if the body is complete, whether or not all of it has been handed over.
+    pub fn is_complete(&self) -> bool {
+        matches!(self, Self::Whole(_) | Self::Held(..))
+    }
+}
+
+/// Returns the next slice of a whole answer, `None` at its end.
+fn next_slice(body: &mut Buffer, holding: &Holding) -> Option<Buffer> {
+    let length = body.len().min(SLICE_BYTES);
+    holding.on_progress();
+    (length > 0).then(|| body.split_to(length))
 }
 
 impl Body for FrontBody {
@@ -31,14 +60,26 @@
     ) -> Poll<Option<Result<Frame<Buffer>, BrokenOff>>> {
         match self.get_mut() {
             FrontBody::Whole(body) => Poll::Ready(body.take().map(|b| Ok(Frame::data(b)))),
-            FrontBody::Pieces(pieces) => pieces
-                .poll_recv(cx)
-                .map(|piece| piece.map(|result| result.map(Frame::data))),
+            FrontBody::Held(body, holding) => {
+                let slice = next_slice(body, holding);
+                Poll::Ready(slice.map(|slice| Ok(Frame::data(slice))))
+            }
+            FrontBody::Pieces(pieces, holding) => {
+                let piece = ready!(pieces.poll_recv(cx));
+                if let Some(Ok(piece)) = &piece {
+                    holding.take(piece.len());
+                }
+                Poll::Ready(piece.map(|result| result.map(Frame::data)))
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, FrontBody::Whole(None))
+        match self {
+            FrontBody::Whole(body) => body.is_none(),
+            FrontBody::Held(body, _) => body.is_empty(),
+            FrontBody::Pieces(..) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -46,7 +87,8 @@
             FrontBody::Whole(body) => {
                 SizeHint::with_exact(body.as_ref().map_or(0, |b| b.len() as u64))
             }
-            FrontBody::Pieces(_) => SizeHint::default(),
+            FrontBody::Held(body, _) => SizeHint::with_exact(body.len() as u64),
+            FrontBody::Pieces(..) => SizeHint::default(),
         }
     }
 }
--- a/crates/front/src/call/events.rs
+++ b/crates/front/src/call/events.rs
@@ -3,8 +3,11 @@
 //! Invariants: the output, concatenated, equals the input up to the end of the last complete event.
 //! An event is never split.
 
+use crate::http::bounds::check_event;
+use crate::http::{AnswerBody, Link};
 use bluebell_base::prelude::*;
 use bytes::{Bytes as Buffer, BytesMut};
+use http_body_util::BodyExt;
 
 /// Splits a stream of events at the empty lines between them.
 #[derive(Debug, Default)]
@@ -41,12 +44,40 @@
         })
     }
 
+    /// Returns the bytes of the incomplete event.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns true if an event has begun and isn't complete.
     pub fn is_mid_event(&self) -> bool {
         !self.partial.is_empty()
     }
 }
 
+/// Reads a stream's body up to its next complete events. Returns `None` at its end.
+///
+/// # Errors
+/// The reason for which the stream broke off or was cut.
+pub(super) async fn next_events(
+    body: &mut AnswerBody,
+    splitter: &mut EventSplitter,
+    link: &Link,
+) -> Result<Option<Events>, Arc<str>> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Arc::from(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if let Some(events) = splitter.push(&data) {
+            return Ok(Some(events));
+        }
+        check_event(splitter.partial_len())
+            .map_err(|part| Arc::from(link.cut(part).to_string()))?;
+    }
+    Ok(None)
+}
+
 /// Returns the offset behind the last event that ends in `bytes`.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let plain = rfind(bytes, b"\n\n").map(|at| at + 2);
--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -10,14 +10,17 @@
 use super::race::NextAttempt;
 use super::tries::{self, Reply, TryError, record_symptom};
 use crate::forward::Outcome;
+use crate::http::bounds::AnswerPart;
+use crate::http::{AnswerBody, Holding, Link};
 use crate::journal::Event;
 use bluebell_base::prelude::*;
 use bluebell_fleet::placement::Refusal;
 use bluebell_fleet::prelude::*;
 use bluebell_quarantine::prelude::*;
-use bytes::Bytes as Buffer;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes as Buffer, BytesMut};
+use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
+use std::fmt::Display;
 use std::future::pending;
 use std::ops::ControlFlow;
 use std::rc::Rc;
@@ -204,6 +207,8 @@
     /// The status and the headers of the answer.
     reply: Response<()>,
     body: Buffer,
+    /// The memory that holds the body.
+    holding: Rc<Holding>,
     /// True if only the end of its connection ended the answer.
     ends_with_connection: bool,
 }
@@ -216,8 +221,13 @@
     }
 
     fn into_answer(self, call: &Call, attempts: u32) -> Answer {
-        let Self { reply, body, .. } = self;
-        let mut answer = Response::new(FrontBody::Whole(Some(body)));
+        let Self {
+            reply,
+            body,
+            holding,
+            ..
+        } = self;
+        let mut answer = Response::new(FrontBody::Held(body, holding));
         *answer.status_mut() = reply.status();
         *answer.headers_mut() = call
             .node
@@ -286,20 +296,46 @@
     let Reply { answer, head, link } = reply;
     let (parts, body) = answer.into_parts();
     let ends_with_connection = tries::ends_with_connection(&parts.headers, &body);
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| {
-        let why = format!("the answer broke off: {error}");
-        TryError::new(&why, Verdict::Ran, Symptom::Failed)
-            .with_disconnect(Disconnect::of_connection(Evidence::Running))
-    })?;
+    let holding = call.node.held.open_whole();
+    let body = read_body(body, &link, &holding).await?;
     call.node.pool.give_back(link, head.keep_alive_ms);
     Ok(WholeAnswer {
         reply: Response::from_parts(parts, ()),
-        body: body.to_bytes(),
+        body,
+        holding,
         ends_with_connection,
     })
 }
 
+/// Reads a body as its memory becomes free.
+async fn read_body(
+    mut body: AnswerBody,
+    link: &Link,
+    holding: &Holding,
+) -> Result<Buffer, TryError> {
+    let broken = |error: &dyn Display| {
+        let why = format!("the answer broke off: {error}");
+        TryError::new(&why, Verdict::Ran, Symptom::Failed)
+            .with_disconnect(Disconnect::of_connection(Evidence::Running))
+    };
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| broken(&error))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > MAX_ANSWER_BYTES {
+            return Err(broken(&link.cut(AnswerPart::Body)));
+        }
+        let added = holding.add(data.len()).await;
+        added.map_err(|error| {
+            TryError::new(&error.to_string(), Verdict::Ran, Symptom::Inconclusive)
+        })?;
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
 /// Records an answer and passes it on to the caller.
 fn forward(call: &Call, chosen: &Chosen, attempts: u32, whole: WholeAnswer) -> Answer {
     // A failure that allowed another attempt has been recorded already.
--- a/crates/front/src/call/pump.rs
+++ b/crates/front/src/call/pump.rs
@@ -9,15 +9,16 @@
 //! deadline only.
 
 use super::Call;
-use super::body::BrokenOff;
+use super::body::{BrokenOff, FrontBody};
 use super::choose::Chosen;
-use super::events::{EventSplitter, Events};
+use super::events::{self, EventSplitter, Events};
 use super::fatal::{self, Disconnect};
 use super::resumption::{Resumption, Successor};
 use super::server::StreamServer;
 use super::stream::StartedStream;
 use super::tries::{TryError, cut_by_crash};
-use crate::http::Link;
+use crate::http::bounds::AnswerPart;
+use crate::http::{AnswerBody, Holding, Link};
 use crate::journal::Event;
 use crate::links;
 use crate::quarantine::ESTABLISHED_MS;
@@ -26,8 +27,6 @@
 use bluebell_fleet::silence;
 use bluebell_quarantine::prelude::*;
 use bytes::Bytes as Buffer;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
@@ -41,7 +40,7 @@
 /// The engine's answer that events are read from.
 pub(super) struct EventSource {
     /// The rest of the answer's body.
-    pub body: Incoming,
+    pub body: AnswerBody,
     /// The splitter, which holds the beginning of an incomplete event.
     pub splitter: EventSplitter,
     /// The connection that the answer arrives on.
@@ -60,18 +59,10 @@
         call: &Call,
         engine: Option<&Chosen>,
     ) -> Result<Option<Events>, TryError> {
-        loop {
-            let frame = match self.body.frame().await {
-                None => return self.end(call, engine).await.map(|()| None),
-                Some(Err(error)) => return Err(broken(&error.to_string())),
-                Some(Ok(frame)) => frame,
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if let Some(events) = self.splitter.push(&data) {
-                return Ok(Some(events));
-            }
+        match events::next_events(&mut self.body, &mut self.splitter, &self.link).await {
+            Ok(Some(events)) => Ok(Some(events)),
+            Ok(None) => self.end(call, engine).await.map(|()| None),
+            Err(why) => Err(broken(&why)),
         }
     }
 
@@ -105,8 +96,25 @@
     Broken(TryError),
     /// The caller closed its connection.
     CallerGone,
+    /// The stream went on for too long after the request's deadline.
+    Overdue,
+    /// The caller didn't take the events until too long after its deadline.
+    CallerOverdue,
+}
+
+/// The result of forwarding events.
+enum Forwarded {
+    /// They were sent.
+    Sent,
+    /// The caller closed its connection, or it was closed.
+    CallerGone,
+    /// The caller didn't take them until too long after its deadline.
+    Overdue,
 }
 
+/// The reason of a stream that ends because its caller doesn't read.
+const CALLER_OVERDUE: &str = "the caller didn't take the answer in time";
+
 /// The result of looking for another engine.
 enum Resumed {
     /// The silent source goes on with these events.
@@ -127,6 +135,8 @@
     server: StreamServer,
     resumption: Resumption,
     out: mpsc::Sender<Result<Buffer, BrokenOff>>,
+    /// The memory that holds the pieces in `out`.
+    holding: Rc<Holding>,
     /// The id of the last event that was passed on, or `None` if no event had one.
     last_id: Option<Arc<str>>,
     /// The time from the request's arrival to its first event.
@@ -140,15 +150,17 @@
 }
 
 impl Pump {
-    /// Starts a task that forwards events, and returns the receiver of the answer's body.
+    /// Starts a task that forwards events, and returns the answer's body.
     pub fn spawn(
         call: Rc<Call>,
         server: StreamServer,
         tries: u32,
         source: EventSource,
         first: Events,
-    ) -> mpsc::Receiver<Result<Buffer, BrokenOff>> {
+    ) -> FrontBody {
         let (out, pieces) = mpsc::channel(MAX_QUEUED_BATCHES);
+        let holding = call.node.held.open_stream();
+        let body = FrontBody::Pieces(pieces, holding.clone());
         let pump = Self {
             first_ms: call.age_ms(),
             began_ms: call.node.now_ms(),
@@ -159,21 +171,28 @@
             call,
             server,
             out,
+            holding,
             last_id: None,
         };
         spawn_local(pump.run(source, first));
-        pieces
+        body
     }
 
     /// Forwards events until the stream is complete, can't be resumed, or the caller leaves.
     async fn run(mut self, mut source: EventSource, first: Events) {
-        if !self.forward(first).await {
-            return self.record_cancelled();
-        }
+        source = match self.forward_first(first, source).await {
+            Some(source) => source,
+            None => return,
+        };
         loop {
             let resumed = match self.forward_until_end(&mut source).await {
                 SourceEnd::Complete => return self.complete(source),
                 SourceEnd::CallerGone => return self.record_cancelled(),
+                SourceEnd::Overdue => return self.end_overdue(source).await,
+                SourceEnd::CallerOverdue => {
+                    drop(source);
+                    return self.abort(CALLER_OVERDUE).await;
+                }
                 SourceEnd::Silent(error) => {
                     self.server.on_silent(&self.call, &error);
                     self.resume(Some(source), error).await
@@ -214,13 +233,18 @@
                 error = self.restarted() => return SourceEnd::Broken(error),
                 error = self.silence() => return SourceEnd::Silent(error),
             };
+            if self.is_overdue() {
+                return SourceEnd::Overdue;
+            }
             let events = match next {
                 Ok(Some(events)) => events,
                 Ok(None) => return SourceEnd::Complete,
                 Err(error) => return SourceEnd::Broken(error),
             };
-            if !self.forward(events).await {
-                return SourceEnd::CallerGone;
+            match self.forward(events).await {
+                Forwarded::Sent => {}
+                Forwarded::CallerGone => return SourceEnd::CallerGone,
+                Forwarded::Overdue => return SourceEnd::CallerOverdue,
             }
         }
     }
@@ -305,8 +329,8 @@
         silence::timeout_extension(Some(reading_ms), left_ms, engine.expected_ms)
     }
 
-    /// Forwards events; returns false if the caller has left.
-    async fn forward(&mut self, events: Events) -> bool {
+    /// Forwards events as the caller takes them.
+    async fn forward(&mut self, events: Events) -> Forwarded {
         let now_ms = self.call.node.now_ms();
         let pause_ms = now_ms.since(self.last_event_ms);
         self.last_event_ms = now_ms;
@@ -320,7 +344,41 @@
         if events.last_id.is_some() {
             self.last_id = events.last_id;
         }
-        self.out.send(Ok(events.bytes)).await.is_ok()
+        tokio::select! {
+            biased;
+            is_sent = self.send(events.bytes) => match is_sent {
+                true => Forwarded::Sent,
+                false => Forwarded::CallerGone,
+            },
+            () = self.out.closed() => Forwarded::CallerGone,
+            () = tokio::time::sleep(self.until_overdue_ms().into()) => Forwarded::Overdue,
+        }
+    }
+
+    /// Sends a piece once its memory is free; returns false if the caller has left or is closed.
+    async fn send(&self, bytes: Buffer) -> bool {
+        self.holding.add(bytes.len()).await.is_ok() && self.out.send(Ok(bytes)).await.is_ok()
+    }
+
+    /// Returns the time until the stream has gone on for as long after its request's deadline as before it.
+    fn until_overdue_ms(&self) -> SpanMs {
+        let call = &self.call;
+        let limit_ms = call.deadline_ms.since(call.arrived_ms);
+        (call.deadline_ms + limit_ms).since(call.node.now_ms())
+    }
+
+    fn is_overdue(&self) -> bool {
+        self.until_overdue_ms() == SpanMs::ZERO
+    }
+
+    /// Ends a stream that went on for too long after its request's deadline.
+    async fn end_overdue(&mut self, source: EventSource) {
+        let why = source.link.cut(AnswerPart::Stream).to_string();
+        drop(source);
+        let error = TryError::new(&why, Verdict::Ran, Symptom::Failed);
+        let attempt = self.resumption.delivered();
+        self.server.on_failed(&self.call, attempt, &error).await;
+        self.abort(&why).await;
     }
 
     /// Returns the stage of the work: late once a pause or the first event was late.
@@ -376,11 +434,15 @@
 
     /// Forwards the first events after a pause, and returns their source unless the caller has left.
     async fn forward_first(&mut self, events: Events, source: EventSource) -> Option<EventSource> {
-        let is_forwarded = self.forward(events).await;
-        if !is_forwarded {
-            self.record_cancelled();
+        match self.forward(events).await {
+            Forwarded::Sent => return Some(source),
+            Forwarded::CallerGone => self.record_cancelled(),
+            Forwarded::Overdue => {
+                drop(source);
+                self.abort(CALLER_OVERDUE).await;
+            }
         }
-        is_forwarded.then_some(source)
+        None
     }
 
     /// Waits for the next event from the silent source, if there is one, or from another engine or a peer. A source that breaks
--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -17,7 +17,7 @@
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use futures_util::future::join_all;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,6 +37,9 @@
 /// orders count against it. One renewal may still be lost.
 const LIMITED_RENEW_INTERVAL_MS: SpanMs = SpanMs(1_200);
 
+/// The bound on the body of an answer to an order. Engines send none.
+const MAX_ORDER_ANSWER_BYTES: usize = 64 * 1024;
+
 /// The timeout of an order. Engines answer at once or not at all.
 const ORDER_TIMEOUT_MS: SpanMs = SpanMs(500);
 
@@ -229,7 +232,8 @@
     let status = answer.status().as_u16();
     let answer_signals = node.platform.dialect.signals(status, answer.headers());
     signals::on_answer_at(node, address, &answer_signals, Source::Order, sent_ms);
-    answer.into_body().collect().await.ok()?;
+    let body = Limited::new(answer.into_body(), MAX_ORDER_ANSWER_BYTES);
+    body.collect().await.ok()?;
     node.pool.give_back(link, None);
     Some(node.platform.dialect.memory_answer(status))
 }
--- a/crates/front/src/call/stream.rs
+++ b/crates/front/src/call/stream.rs
@@ -3,9 +3,8 @@
 use super::Call;
 use super::answers::Answer;
 use super::attempts::{self, AttemptSteps, Attempts, Progress, on_step};
-use super::body::FrontBody;
 use super::choose::{Chosen, Target, choose_waiting, has_alternative};
-use super::events::EventSplitter;
+use super::events::{EventSplitter, next_events};
 use super::fatal::{self, Disconnect};
 use super::hop::{self, HopCause, HopError, PeerLease, PeerWatch};
 use super::plain::{fail, refuse};
@@ -21,7 +20,6 @@
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::silence;
 use bluebell_quarantine::prelude::*;
-use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use std::future::pending;
 use std::ops::ControlFlow;
@@ -391,17 +389,10 @@
         TryError::new(why, Verdict::MayHaveRun, Symptom::Failed)
             .with_disconnect(Disconnect::of_connection(Evidence::Running))
     };
-    let first = loop {
-        let Some(frame) = body.frame().await else {
-            return Err(broken("the stream ended before its first event"));
-        };
-        let frame = frame.map_err(|error| broken(&error.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if let Some(events) = splitter.push(&data) {
-            break events;
-        }
+    let first = match next_events(&mut body, &mut splitter, &link).await {
+        Ok(Some(events)) => events,
+        Ok(None) => return Err(broken("the stream ended before its first event")),
+        Err(why) => return Err(broken(&why)),
     };
     Ok(StartedStream {
         reply: Response::from_parts(parts, ()),
@@ -424,8 +415,8 @@
             .platform
             .dialect
             .end_to_end_headers(self.reply.headers());
-        let pieces = Pump::spawn(call.clone(), server, tries, self.source, self.first);
-        let mut answer = Response::new(FrontBody::Pieces(pieces));
+        let body = Pump::spawn(call.clone(), server, tries, self.source, self.first);
+        let mut answer = Response::new(body);
         *answer.status_mut() = self.reply.status();
         *answer.headers_mut() = headers;
         let outcome = Outcome::Replica { attempts: tries };
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -4,7 +4,7 @@
 use super::choose::{Chosen, Target};
 use super::fatal::{self, Disconnect};
 use super::hop::HopError;
-use crate::http::{Freshness, IncomingAnswer, Link, SendError};
+use crate::http::{AnswerBody, Freshness, IncomingAnswer, Link, SendError};
 use crate::journal::{ConnectionKind, Event};
 use crate::links;
 use crate::platform::{AnswerHead, ForwardHead};
@@ -14,7 +14,7 @@
 use bluebell_quarantine::prelude::*;
 use bytes::Bytes as Buffer;
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, StatusCode, Version};
 use std::time::Duration;
@@ -137,7 +137,7 @@
 }
 
 /// Returns true if only the end of its connection ends an answer, given its headers and its unread body.
-pub(super) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+pub(super) fn ends_with_connection(headers: &HeaderMap, body: &AnswerBody) -> bool {
     let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
     !is_framed && !body.is_end_stream()
 }
--- a/crates/front/src/copies/fetch.rs
+++ b/crates/front/src/copies/fetch.rs
@@ -2,22 +2,24 @@
 
 use super::serve::{PATH, STATE_PATH};
 use super::{HOLD_MS, MAX_TEXT_BYTES, NodeState};
-use crate::http::{Freshness, Link, SendError};
+use crate::http::{AnswerBody, Freshness, IncomingAnswer, Link, SendError};
 use crate::node::Node;
 use crate::platform::DirectoryError;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use bytes::{Bytes as Buffer, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper::header::HOST;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The time for which a peer may be silent, beyond the time for which it may hold an answer back.
 const SILENT_MS: SpanMs = SpanMs(400);
 
+/// The time within which a whole copy is read. A body that trickles would never be silent.
+const READ_TIMEOUT_MS: SpanMs = SpanMs(5_000);
+
 /// The compressed text of one version.
 #[derive(Clone, Debug)]
 pub struct ConfigCopy(pub(super) Buffer);
@@ -111,7 +113,7 @@
     node: &Node,
     address: SocketAddr,
     path: &str,
-) -> Result<(Response<Incoming>, Link), CopyError> {
+) -> Result<(IncomingAnswer, Link), CopyError> {
     let mut link = node.pool.lease(address, Freshness::New).await?;
     let sending = link.send(request(address, path));
     let answer = within(HOLD_MS + SILENT_MS, sending).await??;
@@ -135,8 +137,13 @@
         .expect("the parts of a request are valid")
 }
 
+/// Reads the body of a copy within [`READ_TIMEOUT_MS`].
+async fn read(body: AnswerBody) -> Result<Buffer, CopyError> {
+    within(READ_TIMEOUT_MS, read_pieces(body)).await?
+}
+
 /// Reads the body of a copy. Fails if no data arrives for [`SILENT_MS`].
-async fn read(body: Incoming) -> Result<Buffer, CopyError> {
+async fn read_pieces(body: AnswerBody) -> Result<Buffer, CopyError> {
     let mut body = Limited::new(body, MAX_TEXT_BYTES);
     let mut whole = BytesMut::new();
     while let Some(frame) = within(SILENT_MS, body.frame()).await? {
--- a/crates/front/src/http/link.rs
+++ b/crates/front/src/http/link.rs
@@ -1,14 +1,17 @@
 //! An HTTP/1.1 connection that is leased for one exchange.
 
+use super::answer_body::AnswerBody;
+use super::bounds::{AnswerPart, Cut};
+use super::guarded::{AnswerGuard, CutAnswers, GuardedStream};
 use bluebell_base::prelude::*;
 use bytes::Bytes as Buffer;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
@@ -38,6 +41,7 @@
 pub struct Link {
     sender: Option<SendRequest<Full<Buffer>>>,
     driver: AbortHandle,
+    guard: Rc<AnswerGuard>,
     /// The address of the other side.
     pub address: SocketAddr,
     /// True if the connection has carried an exchange before.
@@ -45,11 +49,15 @@
 }
 
 /// An answer whose head has arrived and whose body is still to be read.
-pub type IncomingAnswer = Response<Incoming>;
+pub type IncomingAnswer = Response<AnswerBody>;
 
 impl Link {
-    /// Opens a connection within `timeout_ms`.
-    pub async fn open(address: SocketAddr, timeout_ms: SpanMs) -> Result<Self, SendError> {
+    /// Opens a connection within `timeout_ms`. Answers that are cut are recorded in `cut_answers`.
+    pub async fn open(
+        address: SocketAddr,
+        timeout_ms: SpanMs,
+        cut_answers: Rc<CutAnswers>,
+    ) -> Result<Self, SendError> {
         let connect = TcpStream::connect(address);
         let stream = match tokio::time::timeout(Duration::from(timeout_ms), connect).await {
             Ok(Ok(stream)) => stream,
@@ -64,6 +72,11 @@
         if let Err(error) = stream.set_nodelay(true) {
             return Err(SendError::Connect(error.to_string().into()));
         }
+        let guard = AnswerGuard::open(address, cut_answers);
+        let stream = GuardedStream {
+            stream,
+            guard: guard.clone(),
+        };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_ANSWER_HEAD_BYTES);
         let (sender, connection) = builder
@@ -75,6 +88,7 @@
         Ok(Self {
             sender: Some(sender),
             driver,
+            guard,
             address,
             reused: false,
         })
@@ -93,15 +107,36 @@
         let Some(sender) = self.sender.as_mut() else {
             return Err(SendError::Unsent);
         };
+        self.guard.with(|meter| meter.begin());
         match sender.try_send_request(request).await {
-            Ok(answer) => Ok(answer),
+            Ok(answer) => {
+                self.guard.with(|meter| meter.on_head());
+                Ok(answer.map(|body| AnswerBody::new(body, self.guard.clone())))
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::Unsent),
-                None => Err(SendError::Broken(error.into_error().to_string().into())),
+                None => Err(self.broken(&error.into_error())),
             },
         }
     }
 
+    /// Returns the error of an exchange whose connection failed after something was sent.
+    fn broken(&self, error: &hyper::Error) -> SendError {
+        if error.is_parse_too_large() {
+            self.guard.cut(AnswerPart::Head);
+        }
+        let why = match self.guard.reason() {
+            Some(cut) => cut.to_string(),
+            None => error.to_string(),
+        };
+        SendError::Broken(why.into())
+    }
+
+    /// Records that the answer is cut because of `part`, and returns the reason. The link must be dropped.
+    pub fn cut(&self, part: AnswerPart) -> Cut {
+        self.guard.cut(part)
+    }
+
     /// Waits until the connection can carry another exchange. Returns false if it is closed.
     pub async fn wait_ready(&mut self) -> bool {
         match self.sender.as_mut() {
--- a/crates/front/src/http/pool.rs
+++ b/crates/front/src/http/pool.rs
@@ -1,5 +1,6 @@
 //! The pool of connections that are kept for reuse, by address.
 
+use super::guarded::{CutAnswer, CutAnswers};
 use super::link::{Link, SendError};
 use crate::node::Clock;
 use bluebell_base::prelude::*;
@@ -52,6 +53,7 @@
     clock: Clock,
     idle: RefCell<FxHashMap<SocketAddr, Vec<Idle>>>,
     opened: Cell<u64>,
+    cut_answers: Rc<CutAnswers>,
 }
 
 impl Pool {
@@ -61,6 +63,7 @@
             clock,
             idle: RefCell::default(),
             opened: Cell::new(0),
+            cut_answers: Rc::default(),
         })
     }
 
@@ -75,7 +78,12 @@
             return Ok(link);
         }
         self.opened.set(self.opened.get() + 1);
-        Link::open(address, CONNECT_TIMEOUT_MS).await
+        Link::open(address, CONNECT_TIMEOUT_MS, self.cut_answers.clone()).await
+    }
+
+    /// Returns the answers that were cut since the last call.
+    pub fn take_cut_answers(&self) -> Vec<CutAnswer> {
+        self.cut_answers.take()
     }
 
     fn take(&self, address: SocketAddr, fresh: Freshness) -> Option<Link> {
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -393,6 +393,23 @@
         /// The time since the first byte of the request.
         age_ms: SpanMs,
     },
+    /// The answer of a replica or a peer was cut because a part of it had no end.
+    AnswerCut {
+        /// The part, as in `AnswerPart`.
+        part: &'static str,
+        address: SocketAddr,
+        /// The bytes that had arrived of the part, or of the whole answer.
+        bytes: Bytes,
+    },
+    /// The connection of a slow reader was closed because the bytes held for all readers stayed at their bound.
+    ReaderClosed {
+        /// The bytes that were held for it.
+        held: Bytes,
+        /// The time since it last took any.
+        stalled_ms: SpanMs,
+        /// The bytes that were held for all readers.
+        total: Bytes,
+    },
     /// This number of log lines was dropped because they didn't fit the buffer.
     LinesDropped { count: u64 },
 }
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -40,6 +40,8 @@
     dependency_losses: Counter<u64>,
     lines_dropped: Counter<u64>,
     exchanges_cut: Counter<u64>,
+    answers_cut: Counter<u64>,
+    bytes_held: Gauge<u64>,
     ended_replicas: Counter<u64>,
     quarantines: Counter<u64>,
     config_version: Gauge<u64>,
@@ -120,6 +122,14 @@
                 "bluebell_exchanges_cut",
                 "Connections that ended before a whole answer, by the stage of the request.",
             ),
+            answers_cut: c(
+                "bluebell_answers_cut",
+                "Answers that were cut, by the part without an end, or whose reader was too slow.",
+            ),
+            bytes_held: g(
+                "bluebell_bytes_held",
+                "Bytes of answers that are held for their readers.",
+            ),
             lines_dropped: c(
                 "bluebell_log_lines_dropped",
                 "Log lines that nobody read in time.",
@@ -279,6 +289,8 @@
             Event::ExchangeCut { stage, .. } => {
                 self.exchanges_cut.add(1, &label("stage", stage));
             }
+            Event::AnswerCut { part, .. } => self.answers_cut.add(1, &label("part", part)),
+            Event::ReaderClosed { .. } => self.answers_cut.add(1, &label("part", "reader")),
             Event::LinesDropped { count } => self.lines_dropped.add(*count, &[]),
             _ => {}
         }
@@ -292,6 +304,11 @@
         self.config_behind_ms.record(ages.behind_ms.0, &[]);
     }
 
+    /// Records the bytes that are held for the readers of answers.
+    pub fn record_held(&self, held: Bytes) {
+        self.bytes_held.record(held.0, &[]);
+    }
+
     /// Counts the loss of a dependency.
     fn count_loss(&self, dependency: &'static str) {
         self.dependency_losses
--- a/crates/front/src/node/connections.rs
+++ b/crates/front/src/node/connections.rs
@@ -7,6 +7,7 @@
 
 use super::{Clock, Node};
 use crate::call::{Answer, FrontBody};
+use crate::http::{HeldMemory, Reader};
 use crate::journal::Event;
 use bluebell_base::prelude::*;
 use bytes::Bytes as Buffer;
@@ -71,10 +72,11 @@
     bytes_read: Cell<u64>,
     /// The number of whole answers.
     answers: Cell<u64>,
+    reader: Rc<Reader>,
 }
 
 impl ConnectionState {
-    fn open(clock: Clock) -> Rc<Self> {
+    fn open(clock: Clock, held: &Rc<HeldMemory>) -> Rc<Self> {
         Rc::new(Self {
             clock,
             stage: Cell::default(),
@@ -84,6 +86,7 @@
             began_ms: Cell::default(),
             bytes_read: Cell::default(),
             answers: Cell::default(),
+            reader: Reader::open(held.clone()),
         })
     }
 
@@ -101,6 +104,11 @@
         self.announces_close.set(true);
     }
 
+    /// Waits until the connection must be closed because its caller reads too slowly.
+    pub async fn too_slow(&self) {
+        self.reader.closed().await;
+    }
+
     /// Returns the time since the last exchange, or `None` during one.
     pub fn idle_ms(&self) -> Option<SpanMs> {
         let is_idle = self.stage.get() == ExchangeStage::Idle;
@@ -167,10 +175,10 @@
     }
 
     /// Adds a connection, until the guard is dropped.
-    pub fn add(self: &Rc<Self>, clock: Clock) -> ConnectionGuard {
+    pub fn add(self: &Rc<Self>, node: &Node) -> ConnectionGuard {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
-        let state = ConnectionState::open(clock);
+        let state = ConnectionState::open(node.clock, &node.held);
         self.open.borrow_mut().insert(id, state.clone());
         ConnectionGuard {
             connections: self.clone(),
@@ -242,9 +250,10 @@
     pub fn observe(mut answer: Answer, state: Rc<ConnectionState>) -> hyper::Response<Self> {
         state.stage.set(ExchangeStage::Answering);
         state.put_headers(answer.headers_mut());
+        state.reader.begin(answer.body().holding());
         answer.map(|body| Self {
             // A body that isn't streamed is handed over together with its head.
-            is_whole: matches!(body, FrontBody::Whole(_)),
+            is_whole: body.is_complete(),
             body,
             state,
         })
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -46,6 +46,9 @@
 /// The interval at which a stopping node checks if a connection is idle.
 const CLOSE_POLL_MS: SpanMs = SpanMs(50);
 
+/// The reason for which the connection of a slow reader ended.
+const TOO_SLOW: &str = "the caller reads too slowly";
+
 /// The path of the metrics on the operators' listener.
 const METRICS_PATH: &str = "/metrics";
 
@@ -61,11 +64,18 @@
 ) {
     loop {
         let stream = accept(&listener).await;
-        let guard = connections.add(node.clock);
+        let guard = connections.add(&node);
         let node = node.clone();
         spawn_local(async move {
             let stream = MeteredStream::new(stream, guard.state.clone());
-            let result = serve_connection(&node, stream.clone(), guard.state.clone()).await;
+            let served = serve_connection(&node, stream.clone(), guard.state.clone());
+            let result = tokio::select! {
+                result = served => result,
+                () = guard.state.too_slow() => {
+                    stream.reset_on_close();
+                    return connections::record_end(&node, &guard.state, TOO_SLOW);
+                }
+            };
             if stream.has_unread() {
                 guard.state.on_closed_unread();
             }
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -2,6 +2,8 @@
 
 use super::connections::Connections;
 use super::{Node, listen};
+use crate::http::CutAnswer;
+use crate::http::bounds::Cut;
 use crate::journal::{Event, Journal, JournalWriter};
 use crate::metrics::{Metrics, MetricsError};
 use crate::platform::Platform;
@@ -22,6 +24,9 @@
 /// The interval at which idle connections and old work are expired.
 const EXPIRE_INTERVAL_MS: SpanMs = SpanMs(500);
 
+/// The interval at which the memory that is held for slow readers is checked, and cut answers are logged.
+const BOUNDS_INTERVAL_MS: SpanMs = SpanMs(100);
+
 /// The age at which work in flight is dropped, because no end of it was reported. Callers never wait
 /// that long.
 const MAX_WORK_AGE_MS: SpanMs = SpanMs(60_000);
@@ -46,6 +51,8 @@
     pub metrics: SocketAddr,
     /// The retry limits, for all nodes together.
     pub retry_limits: RetryLimits,
+    /// The memory that the node may use.
+    pub memory: Bytes,
     /// The maximum duration of a planned stop.
     pub grace_ms: SpanMs,
     /// The time after which the directory drops the entry of a replica that has crashed.
@@ -134,6 +141,7 @@
         spawn_local(watch::watch_quarantine(node.clone()));
         spawn_local(watch::restore_quarantine(node.clone()));
         spawn_local(expire(node.clone()));
+        spawn_local(bound_bytes(node.clone()));
         Ok(Self {
             node,
             connections,
@@ -269,3 +277,27 @@
         }
     }
 }
+
+/// Closes the slowest readers while too much memory is held, and logs them and the answers that were cut.
+async fn bound_bytes(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(Duration::from(BOUNDS_INTERVAL_MS)).await;
+        for CutAnswer { address, cut } in node.pool.take_cut_answers() {
+            let Cut { part, bytes } = cut;
+            let part = part.as_str();
+            node.journal.record(&Event::AnswerCut {
+                part,
+                address,
+                bytes,
+            });
+        }
+        for reader in node.held.close_slowest() {
+            node.journal.record(&Event::ReaderClosed {
+                held: reader.held,
+                stalled_ms: reader.stalled_ms,
+                total: node.held.total(),
+            });
+        }
+        node.journal.metrics().record_held(node.held.total());
+    }
+}
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -5,7 +5,7 @@
 use crate::crash_checks::CrashChecks;
 use crate::forward::ForwardedCalls;
 use crate::gossip::Outbox;
-use crate::http::Pool;
+use crate::http::{HeldMemory, Pool};
 use crate::journal::Journal;
 use crate::links::LinkChecks;
 use crate::platform::Platform;
@@ -75,6 +75,8 @@
     pub platform: Platform,
     /// The pool of connections to replicas and peers.
     pub pool: Rc<Pool>,
+    /// The memory that is held for the readers of answers.
+    pub held: Rc<HeldMemory>,
     /// The checks of replicas whose connections broke.
     pub crash_checks: CrashChecks,
     /// The checks of this node's links to replicas.
@@ -124,6 +126,7 @@
             clock,
             platform,
             pool: Pool::open(clock),
+            held: HeldMemory::open(clock, settings.memory),
             crash_checks: CrashChecks::default(),
             link_checks: LinkChecks::default(),
             trial_ended: Notify::new(),
--- a/crates/front/src/node/stream.rs
+++ b/crates/front/src/node/stream.rs
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -26,6 +27,14 @@
         }
     }
 
+    /// Lets the system drop what it holds for the caller once the stream is dropped. It would otherwise hold it for
+    /// minutes.
+    pub fn reset_on_close(&self) {
+        if let Err(error) = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!("a connection can't be reset: {error}");
+        }
+    }
+
     /// Returns true if bytes have arrived that weren't read yet.
     pub fn has_unread(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
--- a/crates/front/src/peers/mod.rs
+++ b/crates/front/src/peers/mod.rs
@@ -3,6 +3,7 @@
 use crate::call::{Answer, FrontBody};
 use crate::copies;
 use crate::forward::{self, HopHead};
+use crate::http::Reader;
 use crate::node::{Node, accept, log_connection_end};
 use bluebell_base::prelude::*;
 use hyper::body::Incoming;
@@ -25,9 +26,15 @@
     loop {
         let stream = accept(&listener).await;
         let node = node.clone();
+        let reader = Reader::open(node.held.clone());
+        let reading = reader.clone();
         let service = service_fn(move |request| {
-            let node = node.clone();
-            async move { Ok::<_, Infallible>(answer(&node, request).await) }
+            let (node, reading) = (node.clone(), reading.clone());
+            async move {
+                let answer = answer(&node, request).await;
+                reading.begin(answer.body().holding());
+                Ok::<_, Infallible>(answer)
+            }
         });
         spawn_local(async move {
             let mut builder = http1::Builder::new();
@@ -36,7 +43,10 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(Some(Duration::from(HEADER_TIMEOUT_MS)));
             let connection = builder.serve_connection(TokioIo::new(stream), service);
-            log_connection_end(connection.await);
+            tokio::select! {
+                result = connection => log_connection_end(result),
+                () = reader.closed() => log::debug!("a peer reads too slowly"),
+            }
         });
     }
 }
