--- a/crates/front/src/call/events.rs
+++ b/crates/front/src/call/events.rs
@@ -6,7 +6,7 @@
 use crate::http::bounds::check_event;
 use crate::http::{AnswerBody, Link};
 use bluebell_base::prelude::*;
-use bytes::{Bytes as Buffer, BytesMut};
+use bytes::{Buf, Bytes as Buffer, BytesMut};
 use http_body_util::BodyExt;
 
 /// Splits a stream of events at the empty lines between them.
@@ -36,7 +36,9 @@
             self.searched = self.partial.len();
             return None;
         };
-        let whole = self.partial.split_to(end).freeze();
+        // A copy takes as much memory as the events. A slice would keep the whole buffer, which is larger.
+        let whole = Buffer::copy_from_slice(&self.partial[..end]);
+        self.partial.advance(end);
         self.searched = self.partial.len();
         Some(Events {
             last_id: last_id(&whole),
--- a/crates/front/src/http/bounds/held.rs
+++ b/crates/front/src/http/bounds/held.rs
@@ -10,9 +10,9 @@
 /// The bytes that one stream may hold. Events of a second are below 50 KB.
 const MAX_STREAM_BYTES: u64 = 256 * 1024;
 
-/// The bytes that one answer may hold although the total is at its bound: two reads of a connection. A reader that
+/// The bytes that one answer may hold although the total is at its bound: one read of a connection. A reader that
 /// takes what it gets holds less.
-const FLOOR_BYTES: u64 = 32 * 1024;
+const FLOOR_BYTES: u64 = 16 * 1024;
 
 /// The time for which the total stays at its bound before the slowest readers are closed. Bursts that a sound reader
 /// takes in pass sooner.
--- a/crates/front/src/node/listen.rs
+++ b/crates/front/src/node/listen.rs
@@ -16,7 +16,9 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,6 +28,10 @@
 /// close, and retrying at once would spin.
 const ACCEPT_PAUSE_MS: SpanMs = SpanMs(20);
 
+/// The bytes that the system holds for a caller before it sends them. Its default is several MB, which 500 callers that
+/// don't read would fill. What is under way to a caller that reads isn't bounded by this.
+const MAX_UNSENT_BYTES: u32 = 32 * 1024;
+
 /// The maximum size of a request head before a configuration is in force, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
 
@@ -90,7 +96,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Err(error) = stream.set_nodelay(true) {
+                if let Err(error) = prepare(&stream) {
                     log::debug!("a new connection was closed before it was served: {error}");
                     continue;
                 }
@@ -104,6 +110,12 @@
     }
 }
 
+/// Sets the options of an accepted connection.
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+}
+
 /// Serves one caller's connection until it closes. During a planned stop, answers announce the close, and an idle
 /// connection is closed.
 async fn serve_connection(
