Returns: schedule of promised return times, forecast of free slots

A refusal names one target times a random factor, whatever the load, and nothing records it. Callers that retry once meet the same peak again, or one slot for many of them.

crates/fleet/src/returns decides the moment: the first step of 100 ms at which the slots that end by then, less new arrivals at the rate of the last second, exceed the returns that this node and its peers promised; otherwise the end of the third of its time that a caller honours, marked as a load that lasts. A table of 256 promises by 64 bits of the digest tells requests that return in time, early or without a promise.

--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -127,7 +127,8 @@
         }
     }
 
-    fn get(&self, id: WorkId) -> Option<&Work> {
+    /// Returns a piece of work, or `None` if it is unknown.
+    pub fn get(&self, id: WorkId) -> Option<&Work> {
         self.works.get(&id.owner)?.get(&id.sequence)
     }
 
@@ -212,6 +213,11 @@
         own.map(|(sequence, work)| (*sequence, work))
     }
 
+    /// Returns all work in flight.
+    pub fn works(&self) -> impl Iterator<Item = &Work> {
+        self.works.values().flat_map(FxHashMap::values)
+    }
+
     /// Returns the number of requests in flight.
     pub fn len(&self) -> usize {
         self.works.values().map(FxHashMap::len).sum()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod placement;
 pub mod rendezvous;
 pub mod replicas;
+pub mod returns;
 pub mod serving;
 pub mod silence;
 pub mod stopping;
@@ -63,6 +64,7 @@
         Fingerprint, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState, ReplicaTable,
         Symptom,
     };
+    pub use crate::returns::{ExpectedLoad, RefusedRequest, ReturnTime, Returning, Returns};
     pub use crate::serving::{
         Account, ClientLimits, ColdSpec, Route, RouteKind, RouteLookup, Service, ServingConfig,
         Split,
