Shares of client accounts: decisions

An account that asks for ten times its share makes the requests of all others late, since nodes know no shares. A module keeps decaying sums of each account's engine time, merges what peers report, and computes the max-min level of each priority from the work that was placed. Requests beyond the level are held: they cost at most a quarter of their weight and aren't placed late.

The sums show a surge only after some seconds, so accounts at twice the level or more get less than the level until the backlog is gone.

Tests that build a `Demand` name its new field; nothing else in them changes.

--- a/crates/fleet/examples/decision_cost.rs
+++ b/crates/fleet/examples/decision_cost.rs
@@ -86,6 +86,7 @@
         cost_limit: 1.0,
         partly_answered: false,
         wait_expired: true,
+        held: false,
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod rendezvous;
 pub mod replicas;
 pub mod serving;
+pub mod shares;
 pub mod silence;
 pub mod stopping;
 pub mod urgency;
@@ -67,6 +68,7 @@
         Account, ClientLimits, ColdSpec, Route, RouteKind, RouteLookup, Service, ServingConfig,
         Split,
     };
+    pub use crate::shares::{AccountKey, ServiceKey, ShareRequest, Shares, WorkReport};
     pub use crate::stopping::StopPlan;
     pub use crate::urgency::Urgency;
     pub use crate::waiting::WaitTimeouts;
--- a/crates/fleet/src/placement/estimate.rs
+++ b/crates/fleet/src/placement/estimate.rs
@@ -48,7 +48,7 @@
 
 /// Share of its longest answer that a request is assumed to write: callers ask for more than they
 /// mostly get.
-const WRITTEN_SHARE: f64 = 0.6;
+pub(crate) const WRITTEN_SHARE: f64 = 0.6;
 
 /// Number of targets up to which an engine's reading time and backlog make it more expensive than
 /// others.
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! Invariants: a decision depends only on its arguments.
 
+mod contention;
 mod cost;
 mod estimate;
 mod memory;
@@ -21,6 +22,8 @@
 mod search;
 mod spread;
 
+pub use contention::is_contended;
+pub(crate) use estimate::WRITTEN_SHARE;
 pub use memory::needs_helper_memory;
 pub use plain::{PlainCandidate, place_plain};
 pub use price::Prices;
@@ -59,6 +62,9 @@
     /// True if the request has waited for as long as it may. It is then placed at a reduced price
     /// and may overtake prompts that are being read.
     pub wait_expired: bool,
+    /// True if the request is of the part of its account's demand beyond the account's share. It is
+    /// then placed only where it costs little and is in time.
+    pub held: bool,
 }
 
 /// An engine that may be given work.
--- a/crates/fleet/src/placement/price.rs
+++ b/crates/fleet/src/placement/price.rs
@@ -10,11 +10,12 @@
 //! Invariants: prices are never negative, and 0 while engines are idle.
 
 use super::Fleet;
+use super::contention::Occupancy;
 use crate::engine::EngineSpec;
 
 /// Mean backlog of the engines from which reading has a price: about what one prompt of medium
 /// length leaves.
-const BACKLOG_FREE_MS: f64 = 250.0;
+pub(super) const BACKLOG_FREE_MS: f64 = 250.0;
 
 /// Mean backlog at which the price of reading is highest: half of the longest time that the longest
 /// prompts may wait.
@@ -29,7 +30,7 @@
 const BUSY_FREE: f64 = 0.0;
 
 /// Share of the engines' time at which that price is highest.
-const BUSY_FULL: f64 = 0.9;
+pub(super) const BUSY_FULL: f64 = 0.9;
 
 /// Highest price that recent demand sets for a ms of reading, in units of weight. The price grows
 /// with the square of the share; at three quarters of it prompts of some 200,000 tokens wait.
@@ -68,26 +69,16 @@
 impl Prices {
     /// Computes the prices from the load of the fleet.
     pub fn of(spec: &EngineSpec, fleet: &Fleet) -> Self {
-        let candidates = &fleet.candidates;
-        let count = candidates.len().max(1) as f64;
-        let configured_engines: f64 = candidates
-            .iter()
-            .map(|c| 1.0 / c.load.pace.slowdown())
-            .sum();
-        let backlog_ms: f64 = candidates.iter().map(|c| c.load.backlog_ms).sum();
-        let writers: u32 = candidates.iter().map(|c| c.load.writers).sum();
-        let taken = f64::from(writers) / (count * f64::from(spec.slots.max(1)));
-        let waiting = READ_PRICE * ramp(backlog_ms / count, BACKLOG_FREE_MS, BACKLOG_FULL_MS);
-        let busy = BUSY_PRICE
-            * ramp(
-                fleet.recent_reading.reading_engines() / configured_engines.max(1.0),
-                BUSY_FREE,
-                BUSY_FULL,
-            )
-            .powi(2);
+        let Occupancy {
+            slots_taken,
+            backlog_ms,
+            reading,
+        } = Occupancy::of(spec, fleet);
+        let waiting = READ_PRICE * ramp(backlog_ms, BACKLOG_FREE_MS, BACKLOG_FULL_MS);
+        let busy = BUSY_PRICE * ramp(reading, BUSY_FREE, BUSY_FULL).powi(2);
         Self {
             read_ms: waiting.max(busy),
-            slot: SLOT_PRICE * ramp(taken, SLOTS_FREE, SLOTS_FULL),
+            slot: SLOT_PRICE * ramp(slots_taken, SLOTS_FREE, SLOTS_FULL),
         }
     }
 
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -38,6 +38,10 @@
 /// than none, where it doesn't make others late.
 const EXPIRED_PRICE_FACTOR: f64 = 0.3;
 
+/// Share of its weight that the placement of a held request may cost, however long it has waited:
+/// what a request may cost that has just arrived.
+const HELD_COST_LIMIT: f64 = 0.25;
+
 /// Time after which a refused caller is asked to retry, in targets. The reading or writing that it
 /// waits for takes about as long as the target of its length.
 const RETRY_AFTER_TARGETS: f64 = 1.0;
@@ -90,7 +94,9 @@
         let retry_after_ms = retry_after_ms(demand);
         return Err(Refusal::NoRoom { retry_after_ms });
     };
-    if !demand.partly_answered && cost + price > max_cost(&request, placement.first_event_ms) {
+    let is_too_dear = cost + price > max_cost(&request, placement.first_event_ms);
+    let is_held_and_late = demand.held && placement.first_event_ms > demand.target_left_ms;
+    if !demand.partly_answered && (is_too_dear || is_held_and_late) {
         return Err(overloaded(&request, cost + price));
     }
     Ok(placement)
@@ -100,7 +106,7 @@
 fn price(request: &RequestProfile<'_>, fleet: &Fleet<'_>) -> f64 {
     let prices = Prices::of(request.spec, fleet);
     let price = prices.paid(request.read_ms, request.weight);
-    match request.demand.wait_expired {
+    match request.demand.wait_expired && !request.demand.held {
         true => price * EXPIRED_PRICE_FACTOR,
         false => price,
     }
@@ -109,6 +115,9 @@
 /// Returns the highest cost of a placement whose first event comes after `first_event_ms`. A
 /// request without time to spare gains nothing by waiting.
 fn max_cost(request: &RequestProfile<'_>, first_event_ms: f64) -> f64 {
+    if request.demand.held {
+        return request.weight * HELD_COST_LIMIT;
+    }
     let first_event_ms = SpanMs(first_event_ms as u64);
     let target_ms = SpanMs(request.demand.target_ms as u64);
     let expected = WaitTimeouts::cost_limit_gained(first_event_ms, target_ms);
--- a/crates/fleet/src/serving/mod.rs
+++ b/crates/fleet/src/serving/mod.rs
@@ -217,6 +217,11 @@
         self.accounts.get(key)
     }
 
+    /// Returns the accounts of all keys. An account with several keys is returned for each.
+    pub fn accounts(&self) -> impl Iterator<Item = &Arc<Account>> {
+        self.accounts.values()
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
         self.services.values()
--- a/crates/fleet/src/urgency/mod.rs
+++ b/crates/fleet/src/urgency/mod.rs
@@ -18,7 +18,7 @@
 /// Number of urgencies within a rank.
 const BANDS_PER_RANK: u8 = 3;
 /// Last rank that is distinguished; lower ones count as this one.
-const LAST_RANK: u8 = 2;
+pub(crate) const LAST_RANK: u8 = 2;
 
 /// The urgency of a request, from 0, the most urgent, to 8.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/fleet/tests/overtaken.rs
+++ b/crates/fleet/tests/overtaken.rs
@@ -204,6 +204,7 @@
             cost_limit: WaitTimeouts::cost_limit(waited_ms, TARGET_MS),
             partly_answered: false,
             wait_expired,
+            held: false,
         };
         let keys = (0..self.pattern.engines).map(ReplicaKey);
         let fleet = Fleet::of(keys, self.ledger.loads(self.now_ms), 1, 0);
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -57,6 +57,7 @@
         cost_limit: 1.0,
         partly_answered: false,
         wait_expired: false,
+        held: false,
     }
 }
 
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -436,6 +436,7 @@
         cost_limit: WaitTimeouts::cost_limit(call.age_ms(), call.route.target_ms),
         partly_answered: wait_state == WaitState::Resuming,
         wait_expired: wait_state != WaitState::MayWait,
+        held: false,
     }
 }
 
