--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -48,6 +48,8 @@
     Explain(Explain),
     /// Requests that end replicas.
     Quarantine(Quarantine),
+    /// Shares of client accounts.
+    Shares(Shares),
     /// The fault soak.
     Soak(Soak),
     /// Stand-ins.
@@ -101,6 +103,16 @@
     pub lift: Option<String>,
 }
 
+/// Show the client accounts that ask for the most engine time, and the level that they are held to, as
+/// a node of the users' platform knows them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "shares")]
+pub struct Shares {
+    /// where a node serves metrics, ip:port
+    #[argh(option)]
+    pub at: String,
+}
+
 /// Check, publish and show the operators' configuration.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "config")]
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -7,7 +7,9 @@
 mod explain;
 mod load;
 mod node;
+mod page;
 mod quarantine;
+mod shares;
 mod soak;
 mod stand_in;
 
@@ -27,6 +29,7 @@
         Command::Demo(args) => demo::run(args, ctl.json),
         Command::Explain(args) => explain::run(args),
         Command::Quarantine(args) => quarantine::run(args, ctl.json),
+        Command::Shares(args) => shares::run(args, ctl.json),
         Command::Soak(args) => soak::run(args),
         Command::StandIn(stand_in) => stand_in::run(&stand_in.kind, ctl.json),
     }
--- a/crates/ctl/src/commands/quarantine.rs
+++ b/crates/ctl/src/commands/quarantine.rs
@@ -1,5 +1,6 @@
 //! The requests that are run no more, asked of one node of the users' platform.
 
+use super::page::{CALL_TIMEOUT, call, metrics_address};
 use crate::admin::agent;
 use crate::args::Quarantine;
 use crate::outcome::CommandError;
@@ -7,17 +8,10 @@
 use bluebell_front::quarantine::QuarantinedRequest;
 use bluebell_quarantine::prelude::*;
 use std::net::SocketAddr;
-use std::time::Duration;
-
-/// The timeout of a call. A node answers from memory.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Lists the requests and parts of prompts in quarantine, or lets one out.
 pub fn run(args: &Quarantine, json: bool) -> Result<(), CommandError> {
-    let address = args.at.parse::<SocketAddr>();
-    let address = address.map_err(|_| {
-        CommandError::usage(format!("--at: {:?} is not of the form ip:port", args.at))
-    })?;
+    let address = metrics_address(&args.at)?;
     match &args.lift {
         None => list(address, json),
         Some(digest) => {
@@ -57,20 +51,3 @@
 fn url(address: SocketAddr, path: &str) -> String {
     format!("http://{address}/quarantine{path}")
 }
-
-fn call(
-    answer: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
-) -> Result<String, CommandError> {
-    let mut answer = answer.map_err(CommandError::failed)?;
-    let text = answer.body_mut().read_to_string();
-    let text = text.map_err(CommandError::failed)?;
-    match answer.status().is_success() {
-        true => Ok(text),
-        false => {
-            let status = answer.status().as_u16();
-            Err(CommandError::failed(format!(
-                "the node answered {status}: {text}"
-            )))
-        }
-    }
-}
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -95,7 +95,7 @@
 }
 
 /// Every command, in the order of the page.
-const COMMANDS: [&[&str]; 21] = [
+const COMMANDS: [&[&str]; 22] = [
     &[],
     &["config"],
     &["config", "check"],
@@ -110,6 +110,7 @@
     &["demo"],
     &["explain"],
     &["quarantine"],
+    &["shares"],
     &["soak"],
     &["stand-in"],
     &["stand-in", "engine"],
@@ -431,3 +432,22 @@
         assert_eq!(ctl(wrong).status.code(), Some(2), "{wrong:?}");
     }
 }
+
+/// Guards against an operator who can't see which accounts are held, or to what.
+#[test]
+fn shares_are_listed() {
+    const LISTED: &str = r#"[{"account":"acme","priority":1,"service":"chat","demand_ms":9000,
+        "placed_ms":4000,"level_ms":3000},{"account":"beta","priority":1,"service":"chat",
+        "demand_ms":100,"placed_ms":100,"level_ms":null}]"#;
+    let rows = "acme  chat  priority 1  asked for 9000 ms  placed 4000 ms  level 3000 ms\n\
+                beta  chat  priority 1  asked for 100 ms  placed 100 ms  level none\n";
+    let none = "no account has asked for engine time recently\n";
+    for (status, answer, code, said) in [(200, LISTED, 0, rows), (200, "[]", 0, none)] {
+        let (address, page) = operators_page(status, answer);
+        let output = ctl(&["shares", "--at", &address]);
+        assert_eq!(page.join().expect("it was asked"), "GET /shares");
+        assert_eq!(output.status.code(), Some(code));
+        assert_eq!(text(&output.stdout), said);
+    }
+    assert_eq!(ctl(&["shares", "--at", "here"]).status.code(), Some(2));
+}
--- a/crates/front/src/gossip/account_work.rs
+++ b/crates/front/src/gossip/account_work.rs
@@ -1,4 +1,4 @@
-//! The format of gossip of accounts' work. It takes at most 260 bytes, whatever the number of accounts.
+//! The format of gossip of accounts' work. It takes at most 200 bytes, whatever the number of accounts.
 
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::shares::{AccountWork, PRIORITIES};
