--- a/crates/fleet/examples/decision_cost.rs
+++ b/crates/fleet/examples/decision_cost.rs
@@ -87,6 +87,7 @@
         partly_answered: false,
         wait_expired: true,
         returned: false,
+        held: false,
     }
 }
 
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! Invariants: a decision depends only on its arguments.
 
+mod contention;
 mod cost;
 mod estimate;
 mod memory;
@@ -21,6 +22,8 @@
 mod search;
 mod spread;
 
+pub use contention::is_contended;
+pub(crate) use estimate::WRITTEN_SHARE;
 pub use memory::needs_helper_memory;
 pub use plain::{PlainCandidate, place_plain};
 pub use price::Prices;
@@ -61,6 +64,9 @@
     pub wait_expired: bool,
     /// True if the request was refused before and returns at the moment that it was promised.
     pub returned: bool,
+    /// True if the request is of the part of its account's demand beyond the account's share. It is
+    /// then placed only where it costs little and is in time.
+    pub held: bool,
 }
 
 /// An engine that may be given work.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -58,6 +58,7 @@
         partly_answered: false,
         wait_expired: false,
         returned: false,
+        held: false,
     }
 }
 
--- a/crates/fleet/tests/sizes.rs
+++ b/crates/fleet/tests/sizes.rs
@@ -146,6 +146,7 @@
             partly_answered: false,
             wait_expired,
             returned: false,
+            held: false,
         };
         let keys = (0..self.pattern.engines).map(ReplicaKey);
         let fleet = Fleet::of(keys, self.ledger.loads(now_ms), 1, 0);
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -1,6 +1,7 @@
 //! The format of gossip datagrams, encoded with `postcard`.
 
 use super::DATAGRAM_BYTES;
+use super::account_work::AccountWorkGossip;
 use super::replicas::ReplicasGossip;
 use crate::node::Node;
 use crate::platform::Era;
@@ -89,21 +90,35 @@
     Part(PartNotice),
     /// Return times that the sender promised to requests which it refused.
     Promises(PromisesGossip),
+    /// The engine time that the sender's largest accounts asked for and that it placed.
+    AccountWork(AccountWorkGossip),
 }
 
 impl Gossip {
-    /// Returns true if the gossip may share a datagram with kinds that all releases know. Releases that don't know
-    /// a kind ignore the whole datagram.
-    pub fn is_widely_known(&self) -> bool {
-        !matches!(
-            self,
-            Gossip::Part(_)
-                | Gossip::Promises(_)
-                | Gossip::Request(QuarantineNotice::Undecided { .. })
-        )
+    /// Returns the kinds with which the gossip may share a datagram. Releases that don't know one kind of a
+    /// datagram ignore all of it.
+    pub fn generation(&self) -> Generation {
+        match self {
+            Gossip::Promises(_) | Gossip::AccountWork(_) => Generation::Contention,
+            Gossip::Part(_) | Gossip::Request(QuarantineNotice::Undecided { .. }) => {
+                Generation::Parts
+            }
+            _ => Generation::Base,
+        }
     }
 }
 
+/// Kinds of gossip that came with the same release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Generation {
+    /// The kinds that all releases know.
+    Base,
+    /// The kinds about parts of prompts in quarantine.
+    Parts,
+    /// The kinds about engines under contention.
+    Contention,
+}
+
 /// A piece of work in flight, with what peers need for their own placements.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct WorkGossip {
--- a/crates/front/src/gossip/receive.rs
+++ b/crates/front/src/gossip/receive.rs
@@ -5,7 +5,7 @@
 use super::send::send_one;
 use crate::journal::Event;
 use crate::node::Node;
-use crate::{limits, quarantine, returns, signals, watch};
+use crate::{limits, quarantine, returns, shares, signals, watch};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::rc::Rc;
@@ -90,6 +90,10 @@
         Gossip::Evacuation(entry) => watch::on_notified_evacuation(node, &entry),
         Gossip::Leaving { replica } => signals::on_notified(node, ReplicaKey(replica)),
         Gossip::Promises(promises) => returns::on_notified(node, &promises),
+        Gossip::AccountWork(gossip) => {
+            let (service, report) = gossip.into_report();
+            node.with(|state| shares::on_reported(state, owner, service, report, now_ms));
+        }
         gossip => apply_work(node, owner, gossip, now_ms),
     }
 }
@@ -128,6 +132,7 @@
         | Gossip::Leaving { .. }
         | Gossip::Evacuation(_)
         | Gossip::Promises(_)
+        | Gossip::AccountWork(_)
         | Gossip::DirectoryBack => {}
     });
 }
--- a/crates/front/src/gossip/send.rs
+++ b/crates/front/src/gossip/send.rs
@@ -1,7 +1,7 @@
 //! Sends queued gossip and periodic digests.
 
 use super::GATHER_MS;
-use super::message::{Gossip, Origin, WorkGossip, digest, pack};
+use super::message::{Generation, Gossip, Origin, WorkGossip, digest, pack};
 use crate::journal::Event;
 use crate::limits;
 use crate::node::Node;
@@ -9,6 +9,7 @@
 use bluebell_base::prelude::*;
 use bluebell_fleet::fanout::{GossipKind, batch_delay, digest_interval};
 use bluebell_fleet::prelude::*;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -126,10 +127,13 @@
     if destinations.is_empty() {
         return;
     }
-    let (widely_known, recent) = gossip.into_iter().partition(Gossip::is_widely_known);
-    let kinds: [Vec<Gossip>; 2] = [widely_known, recent];
-    let kinds = kinds.into_iter().filter(|gossip| !gossip.is_empty());
-    for datagram in kinds.flat_map(|gossip| pack(&origin, gossip)) {
+    let mut generations: BTreeMap<Generation, Vec<Gossip>> = BTreeMap::new();
+    for gossip in gossip {
+        let same = generations.entry(gossip.generation()).or_default();
+        same.push(gossip);
+    }
+    let datagrams = generations.into_values();
+    for datagram in datagrams.flat_map(|gossip| pack(&origin, gossip)) {
         let direct = datagram.encode(false);
         let relayed = datagram.encode(true);
         for (address, pass_on) in &destinations {
@@ -151,7 +155,10 @@
 fn drop_silent(node: &Node) {
     let lost = node.outbox.expire(node.now_ms());
     for (owner, silent_ms) in lost {
-        node.with(|state| state.ledger.remove_owner(owner));
+        node.with(|state| {
+            state.ledger.remove_owner(owner);
+            state.share_state.shares.remove_owner(owner);
+        });
         node.journal.record(&Event::PeerLost {
             incarnation: owner.0,
             silent_ms,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod platform;
 pub mod quarantine;
 mod returns;
+pub mod shares;
 pub mod signals;
 pub mod watch;
 
