--- a/crates/fleet/src/returns/forecast.rs
+++ b/crates/fleet/src/returns/forecast.rs
@@ -79,11 +79,12 @@
         })
     }
 
-    /// Returns true if a slot is free now beyond those of all requests that were promised one of
-    /// the steps up to `last`.
-    pub fn has_idle(&self, promised: &[u32; HORIZON_STEPS + 1], last: usize) -> bool {
-        let due: u32 = promised[..=last.min(HORIZON_STEPS)].iter().sum();
-        self.free[0] - f64::from(due) >= 1.0
+    /// Returns true if a slot is free now for a request that was promised the step `own`, beyond those
+    /// of all others that were promised a step up to that one.
+    pub fn has_idle(&self, promised: &[u32; HORIZON_STEPS + 1], own: usize) -> bool {
+        let due: u32 = promised[..=own.min(HORIZON_STEPS)].iter().sum();
+        let others = due.saturating_sub(1);
+        self.free[0] - f64::from(others) >= 1.0
     }
 
     /// Returns the free slots at each step that aren't promised.
--- a/crates/fleet/src/returns/mod.rs
+++ b/crates/fleet/src/returns/mod.rs
@@ -146,10 +146,13 @@
     }
 
     /// Returns the class of an arriving request. A promise to which it returns in time is used up.
-    pub fn classify(&mut self, digest: u64, now_ms: MonoMs) -> Returning {
+    /// `has_full_time` is true if its caller states that it has all of the request's time left: before
+    /// the promised moment this is another request with the same body, which counts as new.
+    pub fn classify(&mut self, digest: u64, has_full_time: bool, now_ms: MonoMs) -> Returning {
         self.promises.expire(now_ms);
         match self.promises.get(digest, now_ms) {
             None => Returning::Unknown,
+            Some(promise) if promise.is_early(now_ms) && has_full_time => Returning::Unknown,
             Some(promise) if promise.is_early(now_ms) => Returning::Early {
                 left_ms: promise.at_ms.since(now_ms),
             },
@@ -185,7 +188,7 @@
     }
 
     /// Returns true if a request that returns early by `left_ms` may be served: a slot is idle even
-    /// if all that were promised a moment up to its own return now.
+    /// if all others that were promised a moment up to its own return now.
     pub fn may_serve_early(
         &self,
         service: &ServiceName,
@@ -194,8 +197,8 @@
         now_ms: MonoMs,
     ) -> bool {
         let promised = self.promised(service, now_ms);
-        let last = step_of(now_ms + left_ms) - step_of(now_ms);
-        forecast.has_idle(&promised, last as usize)
+        let own = step_of(now_ms + left_ms) - step_of(now_ms);
+        forecast.has_idle(&promised, own as usize)
     }
 
     /// Returns the time that the refusal of a request names, and records it as a promise. A request
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -53,6 +53,8 @@
     evacuated_domains: Gauge<u64>,
     unreachable_services: Gauge<u64>,
     forwarded: Counter<u64>,
+    promises: Counter<u64>,
+    returns: Counter<u64>,
     limit_changes: Counter<u64>,
     replica_signals: Counter<u64>,
     waited_ms: Histogram<f64>,
@@ -177,6 +179,14 @@
                 "bluebell_forwarded",
                 "Requests forwarded between nodes: sent, failed at the peer, or accepted from one.",
             ),
+            promises: c(
+                "bluebell_promises",
+                "Refusals that promised a return time, by what they said of it.",
+            ),
+            returns: c(
+                "bluebell_returns",
+                "Requests that came back after a promise: in time or early, kept (served) or broken.",
+            ),
             limit_changes: c(
                 "bluebell_limit_changes",
                 "Limits that replicas named, changed or ended, by how that became known.",
@@ -223,7 +233,18 @@
     pub fn observe(&self, event: &Event) {
         match event {
             Event::Answered { .. } => self.observe_answer(event),
-            Event::Refused { .. } => self.requests.add(1, &label("outcome", "refused")),
+            Event::Refused { promised, .. } => {
+                self.requests.add(1, &label("outcome", "refused"));
+                if let Some(kind) = promised {
+                    self.promises.add(1, &label("kind", kind.as_str()));
+                }
+            }
+            Event::Returned { how, served, .. } => {
+                let promise = if *served { "kept" } else { "broken" };
+                let [how] = label("how", how);
+                let [promise] = label("promise", promise);
+                self.returns.add(1, &[how, promise]);
+            }
             Event::Failed { .. } => self.requests.add(1, &label("outcome", "failed")),
             Event::Cancelled { .. } => self.requests.add(1, &label("outcome", "cancelled")),
             Event::Placed { .. } => self.observe_try(event),
--- a/crates/front/src/returns/mod.rs
+++ b/crates/front/src/returns/mod.rs
@@ -32,8 +32,10 @@
         return Returning::Unknown;
     }
     let digest = call.digest().number();
+    let deadline_ms = call.head.deadline_ms;
+    let has_full_time = deadline_ms.is_some_and(|ms| ms >= call.route.timeout_ms);
     let now_ms = node.now_ms();
-    node.with(|state| state.returns.classify(digest, now_ms))
+    node.with(|state| state.returns.classify(digest, has_full_time, now_ms))
 }
 
 /// Returns the promise that is left to a request that returned early, or `None` if the request may
