--- a/crates/fleet/tests/returns.rs
+++ b/crates/fleet/tests/returns.rs
@@ -507,6 +507,27 @@
     );
 }
 
+/// Guards against callers that were told the same step and return at the same instant, whether a slot is free or not.
+#[test]
+fn returns_are_spread_within_a_step() {
+    for taken in [0, 40] {
+        let at = |draw| {
+            let request = RefusedRequest {
+                service: &service(),
+                digest: 1,
+                soonest_ms: SOONEST_MS,
+                left_ms: SpanMs(9_000),
+                draw,
+            };
+            let forecast = forecast(12, taken);
+            Returns::default().promise(&request, &forecast, MonoMs(0))
+        };
+        let (one, other) = (at(0.0).after_ms, at(0.99).after_ms);
+        let spread_ms = one.0.abs_diff(other.0);
+        assert!((90..100).contains(&spread_ms), "{one}, {other}");
+    }
+}
+
 /// Guards against a time that the caller doesn't honour, whatever time it has left.
 #[test]
 fn no_time_beyond_a_third_is_named() {
