--- a/crates/fleet/src/returns/mod.rs
+++ b/crates/fleet/src/returns/mod.rs
@@ -146,13 +146,14 @@
     }
 
     /// Returns the class of an arriving request. A promise to which it returns in time is used up.
-    /// `has_full_time` is true if its caller states that it has all of the request's time left: before
-    /// the promised moment this is another request with the same body, which counts as new.
-    pub fn classify(&mut self, digest: u64, has_full_time: bool, now_ms: MonoMs) -> Returning {
+    /// `may_be_early` is false if the request counts as new before its promised moment: its caller
+    /// states all of the request's time, so it is another one with the same body, or a peer has
+    /// admitted it already.
+    pub fn classify(&mut self, digest: u64, may_be_early: bool, now_ms: MonoMs) -> Returning {
         self.promises.expire(now_ms);
         match self.promises.get(digest, now_ms) {
             None => Returning::Unknown,
-            Some(promise) if promise.is_early(now_ms) && has_full_time => Returning::Unknown,
+            Some(promise) if promise.is_early(now_ms) && !may_be_early => Returning::Unknown,
             Some(promise) if promise.is_early(now_ms) => Returning::Early {
                 left_ms: promise.at_ms.since(now_ms),
             },
--- a/crates/fleet/tests/returns.rs
+++ b/crates/fleet/tests/returns.rs
@@ -165,9 +165,9 @@
         request.node = (self.draw() * self.nodes.len() as f64) as usize;
         request.arrived_ms = self.now_ms;
         let now_ms = MonoMs(self.now_ms);
-        let has_full_time = request.deadline_ms - self.now_ms >= DEADLINE_MS;
+        let may_be_early = request.deadline_ms - self.now_ms < DEADLINE_MS;
         let returns = &mut self.nodes[request.node];
-        request.returning = returns.classify(request.digest, has_full_time, now_ms);
+        request.returning = returns.classify(request.digest, may_be_early, now_ms);
         match request.returning {
             Returning::InTime => self.report.in_time.1 += 1,
             Returning::Early { left_ms } => {
@@ -552,18 +552,15 @@
     let (mut first, mut second) = (Returns::default(), Returns::default());
     let time = promise(&mut first, refused(1, 9_000), &forecast(12, 12), MonoMs(0));
     assert_eq!(
-        second.classify(1, false, MonoMs(time.after_ms.0)),
+        second.classify(1, true, MonoMs(time.after_ms.0)),
         Returning::Unknown
     );
     let over_ms = MonoMs(0) + time.after_ms + GRACE_MS + SpanMs(1);
-    assert_eq!(
-        first.clone().classify(1, false, over_ms),
-        Returning::Unknown
-    );
+    assert_eq!(first.clone().classify(1, true, over_ms), Returning::Unknown);
     let last_ms = MonoMs(0) + time.after_ms + GRACE_MS;
-    assert_eq!(first.classify(1, false, last_ms), Returning::InTime);
+    assert_eq!(first.classify(1, true, last_ms), Returning::InTime);
     assert_eq!(
-        first.classify(1, false, last_ms),
+        first.classify(1, true, last_ms),
         Returning::Unknown,
         "it was used up"
     );
@@ -580,11 +577,11 @@
     let after_ms = sent.at_ms.since(here_ms);
     let there_ms = MonoMs(90_000_000);
     second.on_peer_promise(&sent.service, sent.digest, after_ms, there_ms);
-    let early = second.classify(1, false, there_ms + SpanMs(100));
+    let early = second.classify(1, true, there_ms + SpanMs(100));
     let left_ms = time.after_ms.saturating_sub(SpanMs(100));
     assert_eq!(early, Returning::Early { left_ms });
     assert_eq!(
-        second.classify(1, false, there_ms + time.after_ms),
+        second.classify(1, true, there_ms + time.after_ms),
         Returning::InTime
     );
 }
@@ -598,7 +595,7 @@
     returns.on_peer_promise(&service(), 1, SpanMs(300), now_ms);
     let left_ms = time.after_ms;
     assert_eq!(
-        returns.classify(1, false, now_ms),
+        returns.classify(1, true, now_ms),
         Returning::Early { left_ms }
     );
     let kept = promise(&mut returns, refused(1, 9_000), &forecast(12, 0), now_ms);
@@ -607,7 +604,7 @@
     let later = Returning::Early {
         left_ms: SpanMs(4_000),
     };
-    assert_eq!(returns.classify(1, false, now_ms), later);
+    assert_eq!(returns.classify(1, true, now_ms), later);
 }
 
 /// Guards against one caller's promise that keeps others out whose requests have the same body.
@@ -616,10 +613,10 @@
     let mut returns = Returns::default();
     let full = forecast(12, 12);
     let time = promise(&mut returns, refused(1, 9_000), &full, MonoMs(0));
-    assert_eq!(returns.classify(1, true, MonoMs(10)), Returning::Unknown);
+    assert_eq!(returns.classify(1, false, MonoMs(10)), Returning::Unknown);
     let left_ms = time.after_ms.saturating_sub(SpanMs(10));
     let early = Returning::Early { left_ms };
-    assert_eq!(returns.classify(1, false, MonoMs(10)), early);
+    assert_eq!(returns.classify(1, true, MonoMs(10)), early);
 }
 
 /// Guards against state that grows with callers, repeats or absurd gossip.
@@ -636,9 +633,9 @@
     assert!(returns.take_unsent().len() <= MAX_PROMISES);
     // The newest ones are kept, none for longer than the horizon.
     assert!(
-        matches!(returns.classify(19_999, false, MonoMs(999)), Returning::Early { left_ms } if left_ms.0 <= 5_000)
+        matches!(returns.classify(19_999, true, MonoMs(999)), Returning::Early { left_ms } if left_ms.0 <= 5_000)
     );
-    assert_eq!(returns.classify(0, false, MonoMs(999)), Returning::Unknown);
+    assert_eq!(returns.classify(0, true, MonoMs(999)), Returning::Unknown);
 }
 
 /// Guards against idle slots that are kept from a caller because it comes early, and against callers that come early and
@@ -655,7 +652,7 @@
             now_ms,
         );
     }
-    let Returning::Early { left_ms } = returns.classify(2, false, now_ms) else {
+    let Returning::Early { left_ms } = returns.classify(2, true, now_ms) else {
         panic!("it is early");
     };
     let may = |free| returns.may_serve_early(&service(), &forecast(free, 0), left_ms, now_ms);
--- a/crates/front/src/returns/mod.rs
+++ b/crates/front/src/returns/mod.rs
@@ -34,8 +34,10 @@
     let digest = call.digest().number();
     let deadline_ms = call.head.deadline_ms;
     let has_full_time = deadline_ms.is_some_and(|ms| ms >= call.route.timeout_ms);
+    // The node that forwards a request has judged it, and may have served a part of its stream.
+    let may_be_early = !has_full_time && call.forwarded.is_none();
     let now_ms = node.now_ms();
-    node.with(|state| state.returns.classify(digest, has_full_time, now_ms))
+    node.with(|state| state.returns.classify(digest, may_be_early, now_ms))
 }
 
 /// Returns the promise that is left to a request that returned early, or `None` if the request may
