--- a/crates/fleet/src/returns/mod.rs
+++ b/crates/fleet/src/returns/mod.rs
@@ -146,10 +146,14 @@
     }
 
     /// Returns the class of an arriving request. A promise to which it returns in time is used up.
-    pub fn classify(&mut self, digest: u64, now_ms: MonoMs) -> Returning {
+    /// `may_be_early` is false if the request counts as new before its promised moment: its caller
+    /// states all of the request's time, so it is another one with the same body, or a peer has
+    /// admitted it already.
+    pub fn classify(&mut self, digest: u64, may_be_early: bool, now_ms: MonoMs) -> Returning {
         self.promises.expire(now_ms);
         match self.promises.get(digest, now_ms) {
             None => Returning::Unknown,
+            Some(promise) if promise.is_early(now_ms) && !may_be_early => Returning::Unknown,
             Some(promise) if promise.is_early(now_ms) => Returning::Early {
                 left_ms: promise.at_ms.since(now_ms),
             },
@@ -185,7 +189,7 @@
     }
 
     /// Returns true if a request that returns early by `left_ms` may be served: a slot is idle even
-    /// if all that were promised a moment up to its own return now.
+    /// if all others that were promised a moment up to its own return now.
     pub fn may_serve_early(
         &self,
         service: &ServiceName,
@@ -194,8 +198,8 @@
         now_ms: MonoMs,
     ) -> bool {
         let promised = self.promised(service, now_ms);
-        let last = step_of(now_ms + left_ms) - step_of(now_ms);
-        forecast.has_idle(&promised, last as usize)
+        let own = step_of(now_ms + left_ms) - step_of(now_ms);
+        forecast.has_idle(&promised, own as usize)
     }
 
     /// Returns the time that the refusal of a request names, and records it as a promise. A request
