--- a/crates/fleet/src/shares/service.rs
+++ b/crates/fleet/src/shares/service.rs
@@ -29,6 +29,12 @@
     at_ms: MonoMs,
 }
 
+impl OwnWork {
+    fn decayed(&self, now_ms: MonoMs) -> AccountWork {
+        self.work.decayed(now_ms.since(self.at_ms))
+    }
+}
+
 /// A peer's report and the time at which it was received.
 #[derive(Clone, Debug)]
 struct PeerReport {
@@ -101,7 +107,7 @@
             work: AccountWork::default(),
             at_ms: now_ms,
         });
-        own.work = own.work.decayed(now_ms.since(own.at_ms));
+        own.work = own.decayed(now_ms);
         own.work.add(work);
         own.at_ms = now_ms;
     }
@@ -138,17 +144,16 @@
     }
 
     fn own_accounts(&self, now_ms: MonoMs) -> Vec<(AccountKey, AccountWork)> {
-        let decayed = |own: &OwnWork| own.work.decayed(now_ms.since(own.at_ms));
-        let own = self.own.iter().map(|(key, own)| (*key, decayed(own)));
-        own.filter(|(_, work)| work.demand_ms.max(work.placed_ms) >= MIN_WORK_MS)
-            .collect()
+        let own = self.own.iter();
+        own.map(|(key, own)| (*key, own.decayed(now_ms))).collect()
     }
 
     /// Drops sums that have decayed.
     pub fn expire(&mut self, now_ms: MonoMs) {
-        let kept = self.own_accounts(now_ms);
-        self.own
-            .retain(|key, _| kept.iter().any(|(kept, _)| kept == key));
+        self.own.retain(|_, own| {
+            let work = own.decayed(now_ms);
+            work.demand_ms.max(work.placed_ms) >= MIN_WORK_MS
+        });
         self.peers
             .retain(|_, peer| now_ms.since(peer.received_ms) < MAX_REPORT_AGE_MS);
     }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Tests of placements under difficult loads.
 
 use bluebell_base::prelude::*;
-use bluebell_fleet::placement::{Fleet, Prices};
+use bluebell_fleet::placement::{Fleet, Prices, is_contended};
 use bluebell_fleet::prelude::*;
 
 fn spec() -> EngineSpec {
@@ -554,3 +554,64 @@
         assert_eq!(slow, fast, "{tokens} tokens");
     }
 }
+
+/// Guards against a held request that is placed like others: late, or at a cost that rises while it
+/// waits. On idle engines it is placed like any other.
+#[test]
+fn a_held_request_is_placed_where_it_costs_little_and_is_in_time() {
+    let held = Demand {
+        held: true,
+        ..demand(5_000)
+    };
+    let mut world = World::new(4);
+    assert!(world.place(&held).is_ok());
+    let expired = Demand {
+        wait_expired: true,
+        ..held.clone()
+    };
+    let overdue = Demand {
+        target_left_ms: 5.0,
+        ..held.clone()
+    };
+    assert!(matches!(
+        world.place(&overdue),
+        Err(Refusal::Overloaded { .. })
+    ));
+    assert!(
+        world
+            .place(&Demand {
+                held: false,
+                ..overdue
+            })
+            .is_ok()
+    );
+    // 14 of 16 slots of each engine are in use, so a slot costs more than a quarter of the weight.
+    for number in 0..56 {
+        world.add_short_request(number % 4, number, Stage::Writing);
+    }
+    for demand in [&held, &expired] {
+        assert!(matches!(
+            world.place(demand),
+            Err(Refusal::Overloaded { .. })
+        ));
+    }
+    assert!(world.place(&demand(5_000)).is_ok());
+}
+
+/// Guards against shares that act while slots are idle, or not before all are taken.
+#[test]
+fn engines_are_contended_from_nine_in_ten_slots() {
+    let mut world = World::new(4);
+    let spec = world.spec.clone();
+    for number in 0..57 {
+        world.add_short_request(number % 4, number, Stage::Writing);
+    }
+    assert!(!is_contended(&spec, &world.fleet()));
+    world.add_short_request(1, 57, Stage::Writing);
+    assert!(is_contended(&spec, &world.fleet()));
+    let mut reading = World::new(4);
+    reading.add_finished_prompts(100_000, 1);
+    assert!(!is_contended(&spec, &reading.fleet()));
+    reading.add_finished_prompts(100_000, 4);
+    assert!(is_contended(&spec, &reading.fleet()));
+}
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -3,6 +3,7 @@
 
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
+use bluebell_fleet::shares::{AccountWork, DECAY_MS, Hold, HoldChange, Holds, max_min_level};
 use std::collections::BTreeMap;
 
 const ENGINES: usize = 45;
@@ -344,3 +345,257 @@
         assert_eq!(outcome.held, 0, "{nodes} nodes: {outcome:?}");
     }
 }
+
+const ALICE: usize = 0;
+const BOB: usize = 1;
+
+fn request_of(account: AccountKey, draw: f64) -> ShareRequest {
+    ShareRequest {
+        account,
+        work_ms: 1.0,
+        draw,
+    }
+}
+
+/// Returns a report of accounts with their demand and their placed work.
+fn report(accounts: &[(AccountKey, f64, f64)]) -> WorkReport {
+    let accounts = accounts.iter().map(|(key, demand_ms, placed_ms)| {
+        let work = AccountWork {
+            demand_ms: *demand_ms,
+            placed_ms: *placed_ms,
+        };
+        (*key, work)
+    });
+    WorkReport {
+        accounts: accounts.collect(),
+        ..WorkReport::default()
+    }
+}
+
+/// Counts work of one account on a node.
+fn count(shares: &mut Shares, account: AccountKey, demand_ms: f64, placed_ms: f64) {
+    let work = |work_ms| ShareRequest {
+        account,
+        work_ms,
+        draw: 0.0,
+    };
+    shares.on_demand(service(), &work(demand_ms), NOW_MS);
+    shares.on_placed(service(), &work(placed_ms), NOW_MS);
+}
+
+/// Returns the part of an account's requests that is held.
+fn held_part(shares: &mut Shares, account: AccountKey, now_ms: MonoMs) -> f64 {
+    let draws = (0..1000).map(|n| (f64::from(n) + 0.5) / 1000.0);
+    let held = draws.filter(|draw| {
+        let request = request_of(account, *draw);
+        shares.is_held(service(), &request, now_ms)
+    });
+    held.count() as f64 / 1000.0
+}
+
+const NOW_MS: MonoMs = MonoMs(100_000);
+
+/// Returns a node at which Alice asks for three times what Bob asks for, and gets two thirds of it.
+fn node_alone() -> Shares {
+    let mut shares = Shares::default();
+    count(&mut shares, account(ALICE), 6_000.0, 4_000.0);
+    count(&mut shares, account(BOB), 2_000.0, 2_000.0);
+    shares
+}
+
+/// Guards against a node that holds nothing, or the wrong account, because it hears no peer.
+#[test]
+fn a_node_alone_holds_by_its_own_sums() {
+    let mut shares = node_alone();
+    let held = held_part(&mut shares, account(ALICE), NOW_MS);
+    assert!((0.3..0.7).contains(&held), "{held}");
+    assert_eq!(held_part(&mut shares, account(BOB), NOW_MS), 0.0);
+}
+
+/// Guards against other decisions because peers report nothing, as during an upgrade: the node
+/// assumes that they see what it sees.
+#[test]
+fn peers_that_report_nothing_see_the_same_mix() {
+    let mut alone = node_alone();
+    let mut among_silent = node_alone();
+    among_silent.expire(57, NOW_MS);
+    let held = held_part(&mut alone, account(ALICE), NOW_MS);
+    let held_there = held_part(&mut among_silent, account(ALICE), NOW_MS);
+    assert!((held - held_there).abs() < 0.02, "{held}, {held_there}");
+    let share = among_silent.account(service(), account(ALICE), NOW_MS);
+    assert!((share.work.demand_ms - 58.0 * 6_000.0).abs() < 1.0);
+}
+
+/// Guards against reports that keep an account held after the surge has passed, because their node
+/// has no reason to send another.
+#[test]
+fn old_reports_decay_and_end() {
+    let mut shares = Shares::default();
+    let owner = OwnerId(2);
+    let told = report(&[
+        (account(ALICE), 6_000.0, 4_000.0),
+        (account(BOB), 2_000.0, 2_000.0),
+    ]);
+    shares.on_report(owner, service(), told, ENGINES, NOW_MS);
+    let demand_ms = |shares: &mut Shares, at_ms| {
+        let share = shares.account(service(), account(ALICE), at_ms);
+        share.work.demand_ms
+    };
+    assert_eq!(demand_ms(&mut shares, NOW_MS), 6_000.0);
+    let later_ms = NOW_MS + SpanMs(DECAY_MS as u64);
+    let decayed_ms = demand_ms(&mut shares, later_ms);
+    assert!((decayed_ms - 6_000.0 / std::f64::consts::E).abs() < 1.0);
+    shares.expire(1, NOW_MS + SpanMs(20_000));
+    let largest = shares.largest(8, NOW_MS + SpanMs(20_000));
+    assert!(largest.is_empty(), "{largest:?}");
+}
+
+/// Guards against sums of a dead node that go on counting.
+#[test]
+fn a_silent_peer_is_dropped_with_its_sums() {
+    let mut shares = node_alone();
+    let told = report(&[(account(BOB), 50_000.0, 0.0)]);
+    shares.on_report(OwnerId(2), service(), told, ENGINES, NOW_MS);
+    assert!(held_part(&mut shares, account(BOB), NOW_MS) > 0.0);
+    shares.remove_owner(OwnerId(2));
+    let later_ms = NOW_MS + SpanMs(300);
+    assert_eq!(held_part(&mut shares, account(BOB), later_ms), 0.0);
+}
+
+/// Guards against a peer whose figures are absurd: they are bounded by the engines' time, and never
+/// make a sum that isn't a number.
+#[test]
+fn absurd_reports_are_bounded() {
+    let engines_ms = ENGINES as f64 * DECAY_MS;
+    for absurd in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, 1e300] {
+        let mut shares = node_alone();
+        let wrong_priority = AccountKey {
+            priority: 200,
+            ..account(BOB)
+        };
+        let told = report(&[
+            (account(ALICE), absurd, absurd),
+            (wrong_priority, absurd, absurd),
+        ]);
+        shares.on_report(OwnerId(2), service(), told, ENGINES, NOW_MS);
+        for share in shares
+            .largest(8, NOW_MS)
+            .into_iter()
+            .map(|(_, share)| share)
+        {
+            let bound_ms = engines_ms + 6_000.0;
+            assert!(
+                (0.0..=bound_ms).contains(&share.work.demand_ms),
+                "{share:?}"
+            );
+            assert!(
+                (0.0..=bound_ms).contains(&share.work.placed_ms),
+                "{share:?}"
+            );
+        }
+        let held = held_part(&mut shares, account(ALICE), NOW_MS);
+        assert!((0.0..=1.0).contains(&held), "{absurd}: {held}");
+    }
+}
+
+/// Guards against accounts that two versions of the configuration name differently: one that this
+/// node doesn't know counts, and a renamed account begins anew.
+#[test]
+fn accounts_of_another_configuration_count() {
+    let mut shares = node_alone();
+    let renamed = AccountKey::of(&"renamed".into(), 5);
+    let told = report(&[(renamed, 9_000.0, 3_000.0)]);
+    shares.on_report(OwnerId(2), service(), told, ENGINES, NOW_MS);
+    assert!(held_part(&mut shares, renamed, NOW_MS) > 0.0);
+    assert_eq!(held_part(&mut shares, account(BOB), NOW_MS), 0.0);
+}
+
+/// Guards against an account of a low priority that takes the engines from one of a high priority,
+/// and against a level that mixes the two.
+#[test]
+fn priority_takes_precedence() {
+    let (high, low) = (
+        AccountKey::of(&"high".into(), 0),
+        AccountKey::of(&"low".into(), 1),
+    );
+    let mut shares = Shares::default();
+    count(&mut shares, high, 6_000.0, 5_000.0);
+    count(&mut shares, low, 4_000.0, 3_000.0);
+    assert_eq!(held_part(&mut shares, high, NOW_MS), 0.0);
+    let held = held_part(&mut shares, low, NOW_MS);
+    assert!(held > 0.45, "low gets what high leaves: {held}");
+}
+
+/// Guards against holding the only account that asks for work, which would serve nobody.
+#[test]
+fn a_single_account_is_never_held() {
+    let mut shares = Shares::default();
+    count(&mut shares, account(ALICE), 6_000.0, 4_000.0);
+    assert_eq!(held_part(&mut shares, account(ALICE), NOW_MS), 0.0);
+}
+
+/// Guards against holding an account for one long prompt, whose reading exceeds the level.
+#[test]
+fn a_request_is_not_held_for_its_own_work() {
+    let mut shares = node_alone();
+    let long = ShareRequest {
+        account: account(7),
+        work_ms: 9_000.0,
+        draw: 0.0,
+    };
+    shares.on_demand(service(), &long, NOW_MS);
+    assert!(!shares.is_held(service(), &long, NOW_MS));
+    shares.on_demand(service(), &long, NOW_MS + SpanMs(300));
+    assert!(shares.is_held(service(), &long, NOW_MS + SpanMs(300)));
+}
+
+/// Guards against gossip that grows with the number of accounts, and against reports while nothing
+/// is contended.
+#[test]
+fn reports_are_bounded_and_sent_under_contention_only() {
+    let mut shares = Shares::default();
+    for number in 0..500 {
+        count(&mut shares, account(number), 100.0 + number as f64, 100.0);
+    }
+    assert!(shares.reports(NOW_MS).is_empty());
+    shares.is_held(service(), &request_of(account(0), 0.0), NOW_MS);
+    let reports = shares.reports(NOW_MS);
+    let [(_, told)] = &reports[..] else {
+        panic!("one report: {reports:?}");
+    };
+    assert_eq!(told.accounts.len(), 8);
+    assert_eq!(told.accounts[0].0, account(499));
+    let named_ms: f64 = told.accounts.iter().map(|(_, work)| work.demand_ms).sum();
+    let rest_ms: f64 = told.rest.iter().map(|work| work.demand_ms).sum();
+    assert!((named_ms + rest_ms - 174_750.0).abs() < 1.0);
+    assert!(shares.reports(NOW_MS + SpanMs(10_000)).is_empty());
+}
+
+/// Guards against a level that isn't max-min fair: what small accounts leave goes to the others.
+#[test]
+fn the_level_distributes_what_small_accounts_leave() {
+    assert_eq!(max_min_level(&mut [1.0, 4.0, 9.0], 9.0), 4.0);
+    assert_eq!(max_min_level(&mut [9.0, 1.0, 4.0], 7.0), 3.0);
+    assert_eq!(max_min_level(&mut [1.0, 2.0], 3.0), f64::INFINITY);
+    assert_eq!(max_min_level(&mut [5.0, 5.0], 0.0), 0.0);
+}
+
+/// Guards against lines of the log that follow each other while contention comes and goes.
+#[test]
+fn a_hold_has_one_begin_and_one_end() {
+    let mut holds = Holds::default();
+    let hold = Hold {
+        service: service(),
+        account: account(ALICE),
+        name: "alice".into(),
+    };
+    assert_eq!(holds.on_held(&hold, NOW_MS), HoldChange::Begun);
+    for n in 1..10 {
+        let at_ms = NOW_MS + SpanMs(n * 1_000);
+        assert!(holds.expire(at_ms).is_empty());
+        assert_eq!(holds.on_held(&hold, at_ms), HoldChange::Known);
+    }
+    let end_ms = NOW_MS + SpanMs(11_000);
+    assert_eq!(holds.expire(end_ms), [hold]);
+    assert!(holds.expire(end_ms + SpanMs(1)).is_empty());
+}
