--- a/crates/fleet/src/returns/forecast.rs
+++ b/crates/fleet/src/returns/forecast.rs
@@ -44,7 +44,10 @@
         for work in works {
             held += 1.0;
             usual_ms += durations.usual_ms(work.prompt_tokens);
-            let step = (durations.left_ms(work, now_ms) / STEP_MS as f64).ceil() as usize;
+            // No slot counts as free now before its end is known.
+            let step = (durations.left_ms(work, now_ms) / STEP_MS as f64)
+                .ceil()
+                .max(1.0) as usize;
             if let Some(ends) = ends.get_mut(step) {
                 *ends += 1.0;
             }
--- a/crates/fleet/tests/returns.rs
+++ b/crates/fleet/tests/returns.rs
@@ -660,6 +660,21 @@
     assert!(may(3), "one for each of the others and one for itself");
 }
 
+/// Guards against a slot that is taken for idle because requests usually end at once.
+#[test]
+fn a_slot_is_not_idle_before_its_end_is_known() {
+    let mut returns = Returns::default();
+    let ended = Work {
+        stage: Stage::Writing,
+        ..work(0)
+    };
+    returns.on_ended(&service(), &ended, MonoMs(0));
+    let now_ms = MonoMs(500);
+    let works = [work(0)];
+    let forecast = returns.forecast(&service(), 1, works.iter(), SpanMs::ZERO, now_ms);
+    assert!(!returns.may_serve_early(&service(), &forecast, SpanMs(900), now_ms));
+}
+
 /// Guards against returns that wait like new requests while engines would take them at a cost below their weight.
 #[test]
 fn a_request_that_returns_in_time_may_cost_its_whole_weight() {
