Plain answers: a declared length is charged at once; silence that this node causes shows nothing of replicas

With 500 readers of 1 MB that don't read, answers waited for each other's memory half-read, were closed as slow readers (534 of them), and replicas were doubted for silence that this node's lack of memory caused (7 times). Answers without a reader are now closed only if nothing is held for one.

--- a/crates/front/src/call/plain.rs
+++ b/crates/front/src/call/plain.rs
@@ -11,7 +11,7 @@
 use super::tries::{self, Reply, TryError, record_symptom};
 use crate::forward::Outcome;
 use crate::http::bounds::AnswerPart;
-use crate::http::{AnswerBody, Holding, Link};
+use crate::http::{AnswerBody, Closed, Holding, Link};
 use crate::journal::Event;
 use bluebell_base::prelude::*;
 use bluebell_fleet::placement::Refusal;
@@ -19,6 +19,7 @@
 use bluebell_quarantine::prelude::*;
 use bytes::{Bytes as Buffer, BytesMut};
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::{Response, StatusCode};
 use std::fmt::Display;
 use std::future::pending;
@@ -32,6 +33,12 @@
 /// The multiple of the route's target after which a repeatable request is sent to another replica.
 const MAX_SILENCE_TARGETS: u64 = 2;
 
+/// The most that is allocated for an answer before it arrives. Most answers are smaller.
+const FIRST_CAPACITY_BYTES: usize = 16 * 1024;
+
+/// The interval at which a silent attempt checks if this node has memory for answers again.
+const FULL_POLL_MS: SpanMs = SpanMs(100);
+
 /// The end of an attempt to get a whole answer.
 enum AttemptEnd {
     /// At a replica; the attempt has this number.
@@ -195,6 +202,10 @@
         error = tries::links_lost(&call, &target) => return error,
     }
     tries::wait_until_connected(&target).await;
+    while call.node.held.is_full() {
+        // The answer may wait for memory of this node.
+        tokio::time::sleep(Duration::from(FULL_POLL_MS)).await;
+    }
     let symptom = Symptom::of_silence(limit_ms, target_ms);
     tries::silent(&call, &target, symptom, SILENT)
 }
@@ -285,7 +296,10 @@
     match tokio::time::timeout(Duration::from(left_ms), exchange).await {
         Ok(result) => result,
         Err(_) => {
-            let symptom = Symptom::of_silence(left_ms, call.route.target_ms);
+            let symptom = match call.node.held.is_full() {
+                true => Symptom::Inconclusive,
+                false => Symptom::of_silence(left_ms, call.route.target_ms),
+            };
             Err(tries::silent(call, &target, symptom, SILENT))
         }
     }
@@ -318,24 +332,36 @@
         TryError::new(&why, Verdict::Ran, Symptom::Failed)
             .with_disconnect(Disconnect::of_connection(Evidence::Running))
     };
-    let mut whole = BytesMut::new();
+    let too_large = || broken(&link.cut(AnswerPart::Body));
+    // Memory for a declared length is taken at once, so that answers don't wait for each other's memory half-read.
+    let mut reserved = body.size_hint().exact().unwrap_or(0) as usize;
+    if reserved > MAX_ANSWER_BYTES {
+        return Err(too_large());
+    }
+    holding.add(reserved).await.map_err(not_held)?;
+    let mut whole = BytesMut::with_capacity(reserved.min(FIRST_CAPACITY_BYTES));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| broken(&error))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if whole.len() + data.len() > MAX_ANSWER_BYTES {
-            return Err(broken(&link.cut(AnswerPart::Body)));
+        let length = whole.len() + data.len();
+        if length > MAX_ANSWER_BYTES {
+            return Err(too_large());
         }
-        let added = holding.add(data.len()).await;
-        added.map_err(|error| {
-            TryError::new(&error.to_string(), Verdict::Ran, Symptom::Inconclusive)
-        })?;
+        let more = length.saturating_sub(reserved);
+        holding.add(more).await.map_err(not_held)?;
+        reserved += more;
         whole.extend_from_slice(&data);
     }
     Ok(whole.freeze())
 }
 
+/// Returns the failure of an attempt whose answer the node has no memory for.
+fn not_held(error: Closed) -> TryError {
+    TryError::new(&error.to_string(), Verdict::Ran, Symptom::Inconclusive)
+}
+
 /// Records an answer and passes it on to the caller.
 fn forward(call: &Call, chosen: &Chosen, attempts: u32, whole: WholeAnswer) -> Answer {
     // A failure that allowed another attempt has been recorded already.
--- a/crates/front/src/http/bounds/held.rs
+++ b/crates/front/src/http/bounds/held.rs
@@ -75,8 +75,11 @@
 struct Holding {
     bytes: u64,
     max_bytes: u64,
-    /// The time at which bytes were last added to an empty holding or taken from it.
+    /// The time at which the reader last took bytes, or got some after it had none. Before there is a reader, the time
+    /// at which bytes were last added.
     progress_ms: MonoMs,
+    /// True once the answer is being sent. A whole answer is read from its replica before.
+    has_reader: bool,
     is_closed: bool,
 }
 
@@ -110,21 +113,22 @@
 
     /// Adds an empty holding of a stream, which is bounded on its own.
     pub fn open_stream(&mut self, now_ms: MonoMs) -> HoldingId {
-        self.open(MAX_STREAM_BYTES, now_ms)
+        self.open(MAX_STREAM_BYTES, true, now_ms)
     }
 
     /// Adds an empty holding of a whole answer, whose size is bounded elsewhere: all of it must fit.
     pub fn open_whole(&mut self, now_ms: MonoMs) -> HoldingId {
-        self.open(u64::MAX, now_ms)
+        self.open(u64::MAX, false, now_ms)
     }
 
-    fn open(&mut self, max_bytes: u64, now_ms: MonoMs) -> HoldingId {
+    fn open(&mut self, max_bytes: u64, has_reader: bool, now_ms: MonoMs) -> HoldingId {
         let id = HoldingId(self.next_id);
         self.next_id += 1;
         let holding = Holding {
             bytes: 0,
             max_bytes,
             progress_ms: now_ms,
+            has_reader,
             is_closed: false,
         };
         self.holdings.insert(id, holding);
@@ -150,7 +154,7 @@
         if !fits_total {
             return Room::AwaitTotal;
         }
-        if holding.bytes == 0 {
+        if holding.bytes == 0 || !holding.has_reader {
             holding.progress_ms = now_ms;
         }
         holding.bytes = next;
@@ -170,10 +174,16 @@
         }
     }
 
-    /// Records that the reader took a part of a whole answer, whose memory is kept until its end.
+    /// Returns true while the total is at its bound.
+    pub fn is_full(&self) -> bool {
+        self.full_since_ms.is_some()
+    }
+
+    /// Records that the reader of a whole answer took a part of it, or begins to. Its memory is kept until its end.
     pub fn on_progress(&mut self, id: HoldingId, now_ms: MonoMs) {
         if let Some(holding) = self.holdings.get_mut(&id) {
             holding.progress_ms = now_ms;
+            holding.has_reader = true;
         }
     }
 
@@ -192,7 +202,8 @@
     }
 
     /// Marks the slowest readers as closed if the total has stayed at its bound: those that have taken nothing for the
-    /// longest time, and of these the ones that hold most, until the rest is below the bound.
+    /// longest time, and of these the ones that hold most, until the rest is below the bound. If nothing is held for
+    /// readers, answers that wait for memory hold all of it, and some of them are closed so that the rest goes on.
     pub fn close_slowest(&mut self, now_ms: MonoMs) -> Vec<SlowReader> {
         let is_due = |since_ms| now_ms.since(since_ms) >= MAX_FULL_MS;
         if !self.full_since_ms.is_some_and(is_due) {
@@ -215,16 +226,20 @@
         closed
     }
 
-    /// Returns the open holdings whose readers made no progress for a while.
+    /// Returns the open holdings that made no progress for a while: those with a reader, or all if none has one.
     fn stalled(&self, now_ms: MonoMs) -> Vec<SlowReader> {
-        let readers = self.holdings.iter().map(|(id, holding)| SlowReader {
-            id: *id,
-            held: Bytes(if holding.is_closed { 0 } else { holding.bytes }),
-            stalled_ms: now_ms.since(holding.progress_ms),
-        });
-        let is_stalled =
-            |reader: &SlowReader| reader.held > Bytes(0) && reader.stalled_ms >= MIN_STALL_MS;
-        readers.filter(is_stalled).collect()
+        let holds = |holding: &Holding| holding.bytes > 0 && !holding.is_closed;
+        let all = || self.holdings.iter().filter(|(_, holding)| holds(holding));
+        let has_readers = all().any(|(_, holding)| holding.has_reader);
+        all()
+            .filter(|(_, holding)| holding.has_reader == has_readers)
+            .map(|(id, holding)| SlowReader {
+                id: *id,
+                held: Bytes(holding.bytes),
+                stalled_ms: now_ms.since(holding.progress_ms),
+            })
+            .filter(|reader| reader.stalled_ms >= MIN_STALL_MS)
+            .collect()
     }
 
     fn on_total(&mut self, now_ms: MonoMs) {
--- a/crates/front/src/http/held.rs
+++ b/crates/front/src/http/held.rs
@@ -39,6 +39,11 @@
         self.held.borrow().total()
     }
 
+    /// Returns true while the total is at its bound, so that answers wait for memory.
+    pub fn is_full(&self) -> bool {
+        self.held.borrow().is_full()
+    }
+
     /// Opens the holding of a stream.
     pub fn open_stream(self: &Rc<Self>) -> Rc<Holding> {
         let id = self.held.borrow_mut().open_stream(self.clock.now_ms());
@@ -125,7 +130,7 @@
         self.memory.freed.notify_one();
     }
 
-    /// Records that the reader took a part whose memory isn't freed yet.
+    /// Records that the reader takes a part, or begins to, whose memory isn't freed yet.
     pub fn on_progress(&self) {
         let now_ms = self.memory.clock.now_ms();
         self.memory.held.borrow_mut().on_progress(self.id, now_ms);
@@ -163,6 +168,9 @@
 
     /// Records that an answer begins, whose bytes are held by `holding`.
     pub fn begin(&self, holding: Option<&Rc<Holding>>) {
+        if let Some(holding) = holding {
+            holding.on_progress();
+        }
         let holding = holding.map(Rc::downgrade);
         self.current.replace(holding.unwrap_or_default());
     }
--- a/crates/front/src/http/mod.rs
+++ b/crates/front/src/http/mod.rs
@@ -17,6 +17,6 @@
 
 pub use answer_body::{AnswerBody, BodyError};
 pub use guarded::CutAnswer;
-pub use held::{HeldMemory, Holding, Reader};
+pub use held::{Closed, HeldMemory, Holding, Reader};
 pub use link::{IncomingAnswer, Link, SendError};
 pub use pool::{Freshness, Pool};
