--- a/crates/front/src/call/admit.rs
+++ b/crates/front/src/call/admit.rs
@@ -3,11 +3,12 @@
 use super::answers::{self, Answer};
 use super::{Call, ForwardedCall};
 use crate::forward::{ForwardedGuard, HopHead};
+use crate::http::Holding;
 use crate::node::Node;
 use crate::platform::{CallHead, CallHeadError};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
-use bytes::Bytes as Buffer;
+use bytes::{Bytes as Buffer, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
@@ -283,7 +284,7 @@
     node: Rc<Node>,
     head: CallHead,
     parts: Parts,
-    body: Buffer,
+    body: HeldBody,
     arrived_ms: MonoMs,
     deadline_ms: MonoMs,
 }
@@ -297,7 +298,8 @@
             method: self.parts.method,
             uri: self.parts.uri,
             headers: self.parts.headers,
-            body: self.body,
+            body: self.body.body,
+            _holding: self.body.holding,
             version: admitted.version,
             forwarded,
             route: admitted.route,
@@ -381,18 +383,30 @@
     account.cloned().map(Some).ok_or(unknown)
 }
 
-/// Reads the request's body, up to `limit`, or returns the answer that rejects it.
+/// A request's body, and the memory that holds it.
+struct HeldBody {
+    body: Buffer,
+    holding: Rc<Holding>,
+}
+
+/// Reads the request's body as memory for it becomes free, up to `limit`, or returns the answer that rejects it.
 async fn read_body(
     node: &Node,
     head: &CallHead,
     body: Incoming,
     limit: Bytes,
     timeout_ms: SpanMs,
-) -> Result<Buffer, Answer> {
-    let limited = Limited::new(body, limit.0 as usize);
-    match tokio::time::timeout(Duration::from(timeout_ms), limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => {
+) -> Result<HeldBody, Answer> {
+    let holding = node.held.open_whole();
+    let collected = collect(body, limit, &holding);
+    match tokio::time::timeout(Duration::from(timeout_ms), collected).await {
+        Ok(Ok(body)) => {
+            holding.pin();
+            Ok(HeldBody { body, holding })
+        }
+        Ok(Err(BodyFailure::NoMemory)) => Err(no_memory(node, head)),
+        Err(_) if node.held.is_full() => Err(no_memory(node, head)),
+        Ok(Err(BodyFailure::Unusable)) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             let why = "the body is too large or broke off";
             Err(answers::rejected(node, &head.request, status, why))
@@ -404,3 +418,35 @@
         }
     }
 }
+
+/// The reason for which a body couldn't be read.
+enum BodyFailure {
+    /// It is too large or broke off.
+    Unusable,
+    /// The node needs the memory for others.
+    NoMemory,
+}
+
+/// Collects a body as memory for it becomes free.
+async fn collect(body: Incoming, limit: Bytes, holding: &Holding) -> Result<Buffer, BodyFailure> {
+    let mut limited = Limited::new(body, limit.0 as usize);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = limited.frame().await {
+        let frame = frame.map_err(|_| BodyFailure::Unusable)?;
+        if let Ok(data) = frame.into_data() {
+            let added = holding.add(data.len()).await;
+            added.map_err(|_| BodyFailure::NoMemory)?;
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(whole.freeze())
+}
+
+/// The retry time if the node has no memory for a body. Slow readers are closed sooner.
+const NO_MEMORY_RETRY_MS: SpanMs = SpanMs(1_000);
+
+/// Returns the answer to a request whose body the node has no memory for.
+fn no_memory(node: &Node, head: &CallHead) -> Answer {
+    let why = "the node has no memory for the body";
+    answers::refused(node, head, why, SpanMs::ZERO, NO_MEMORY_RETRY_MS)
+}
--- a/crates/front/src/call/mod.rs
+++ b/crates/front/src/call/mod.rs
@@ -31,6 +31,7 @@
 pub use events::EventSplitter;
 
 use crate::forward::{ForwardedGuard, HopHead, ResumePoint};
+use crate::http::Holding;
 use crate::journal::Event;
 use crate::node::Node;
 use crate::platform::CallHead;
@@ -56,6 +57,8 @@
     pub headers: HeaderMap,
     /// The whole body of the caller's request.
     pub body: Buffer,
+    /// The memory that holds the body.
+    _holding: Rc<Holding>,
     pub route: Arc<Route>,
     /// The service that was chosen among those of the route.
     pub service: Arc<Service>,
--- a/crates/front/src/copies/fetch.rs
+++ b/crates/front/src/copies/fetch.rs
@@ -18,7 +18,7 @@
 const SILENT_MS: SpanMs = SpanMs(400);
 
 /// The time within which a whole copy is read. A body that trickles would never be silent.
-const READ_TIMEOUT_MS: SpanMs = SpanMs(5_000);
+const READ_TIMEOUT_MS: SpanMs = SpanMs(3_000);
 
 /// The compressed text of one version.
 #[derive(Clone, Debug)]
--- a/crates/front/src/http/bounds/held.rs
+++ b/crates/front/src/http/bounds/held.rs
@@ -80,6 +80,7 @@
     progress_ms: MonoMs,
     /// True once the answer is being sent. A whole answer is read from its replica before.
     has_reader: bool,
+    is_pinned: bool,
     is_closed: bool,
 }
 
@@ -129,6 +130,7 @@
             max_bytes,
             progress_ms: now_ms,
             has_reader,
+            is_pinned: false,
             is_closed: false,
         };
         self.holdings.insert(id, holding);
@@ -179,6 +181,13 @@
         self.full_since_ms.is_some()
     }
 
+    /// Keeps a holding from being closed.
+    pub fn pin(&mut self, id: HoldingId) {
+        if let Some(holding) = self.holdings.get_mut(&id) {
+            holding.is_pinned = true;
+        }
+    }
+
     /// Records that the reader of a whole answer took a part of it, or begins to. Its memory is kept until its end.
     pub fn on_progress(&mut self, id: HoldingId, now_ms: MonoMs) {
         if let Some(holding) = self.holdings.get_mut(&id) {
@@ -228,7 +237,8 @@
 
     /// Returns the open holdings that made no progress for a while: those with a reader, or all if none has one.
     fn stalled(&self, now_ms: MonoMs) -> Vec<SlowReader> {
-        let holds = |holding: &Holding| holding.bytes > 0 && !holding.is_closed;
+        let holds =
+            |holding: &Holding| holding.bytes > 0 && !holding.is_closed && !holding.is_pinned;
         let all = || self.holdings.iter().filter(|(_, holding)| holds(holding));
         let has_readers = all().any(|(_, holding)| holding.has_reader);
         all()
--- a/crates/front/src/http/bounds/mod.rs
+++ b/crates/front/src/http/bounds/mod.rs
@@ -4,7 +4,7 @@
 //! Terms: a *part* of an answer is its head, the interim (1xx) answers before it, its body with the framing of its
 //! chunks, an event, or the trailers. An answer is *cut* when a part exceeds its bound: its connection is closed, and
 //! its attempt fails as one whose answer can't be parsed. A *holding* is the bytes of one answer that the node holds
-//! for its reader.
+//! for its reader, or the body of one request.
 //!
 //! Load pattern: a replica with a fault writes bytes that are no answer for as long as the connection is open, on all
 //! its connections at once. Callers with a fault stop reading, hundreds of them at one node. Answers of sound replicas
--- a/crates/front/src/http/held.rs
+++ b/crates/front/src/http/held.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Keeps the holding from being closed. What it holds is in use, whoever reads.
+    pub fn pin(&self) {
+        self.memory.held.borrow_mut().pin(self.id);
+    }
+
     /// Records that the reader took bytes.
     pub fn take(&self, bytes: usize) {
         let now_ms = self.memory.clock.now_ms();
