Startup: nodes that start together spread over all engines

After a loss of power all nodes start in a peak, have heard no peer, and choose the same engines. Up to 32 announced peers get gossip directly.

--- a/crates/fleet/src/fanout/mod.rs
+++ b/crates/fleet/src/fanout/mod.rs
@@ -13,6 +13,8 @@
 //! one makes up for what a relay lost while its failure was unnoticed. Peers that weren't heard yet are
 //! reached through relays as well: when each of 985 nodes that started together sent copies to all others
 //! until it heard them, most of a day's bytes between failure domains crossed before the first request.
+//! A relay knows few of the peers in the first half second of a start of all nodes, so a bounded number of
+//! peers that only announced themselves get copies of their own as well.
 //!
 //! Invariants: every peer is reached directly or is in the domain of a relay; a relay is a live peer, one
 //! whose gossip was received recently, if the domain has any; gossip passes through one relay at most.
@@ -35,6 +37,11 @@
 /// The number of relays in a failure domain of which no peer has been heard.
 const UNHEARD_RELAYS: usize = 2;
 
+/// The maximum number of peers of all other failure domains together that each get a copy of their own
+/// because they only announced themselves, including the relays among them. The number of copies that
+/// cross failure domains is constant in the number of nodes.
+const MAX_ANNOUNCED_COPIES: usize = 32;
+
 /// A peer as a target of gossip.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GossipPeer {
@@ -102,19 +109,21 @@
         GossipKind::Change => 0,
         GossipKind::Digest { draw } => draw,
     };
+    let announced_copies = MAX_ANNOUNCED_COPIES / by_domain.len().max(1);
     for mut peers in by_domain.into_values() {
         if peers.len() <= MAX_DIRECT_PEERS {
             routes.extend(peers.into_iter().map(|peer| Route::Direct(peer.owner)));
             continue;
         }
         peers.sort_unstable_by_key(|peer| std::cmp::Reverse(rank(own, peer.owner, draw)));
-        add_relayed(&peers, &mut routes);
+        add_relayed(&peers, announced_copies, &mut routes);
     }
     routes
 }
 
-/// Adds the routes to the peers of one large failure domain, which are in the order of their ranks.
-fn add_relayed(peers: &[&GossipPeer], routes: &mut Vec<Route>) {
+/// Adds the routes to the peers of one large failure domain, which are in the order of their ranks. Up to
+/// `announced_copies` go to peers that only announced themselves.
+fn add_relayed(peers: &[&GossipPeer], announced_copies: usize, routes: &mut Vec<Route>) {
     let with = |presence| peers.iter().filter(move |peer| peer.presence == presence);
     let direct = |peer: &&GossipPeer| Route::Direct(peer.owner);
     if let Some(relay) = with(Presence::Live).next() {
@@ -122,12 +131,16 @@
         // A relay may not know a peer that is silent here. A few at a time get a copy of their own.
         let silent = with(Presence::Silent).take(MAX_DIRECT_PEERS);
         routes.extend(silent.map(direct));
+        let announced = with(Presence::Announced).take(announced_copies);
+        routes.extend(announced.map(direct));
         return;
     }
     // Some of the nodes that announced themselves may not run any more.
     let announced = with(Presence::Announced).chain(with(Presence::Silent));
     let relays = announced.take(UNHEARD_RELAYS);
     routes.extend(relays.map(|peer| Route::Relay(peer.owner)));
+    let others = with(Presence::Announced).take(announced_copies);
+    routes.extend(others.skip(UNHEARD_RELAYS).map(direct));
 }
 
 /// Returns the rank of a peer as a relay of `own` (rendezvous hashing): a peer that comes or goes changes
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod replicas;
 pub mod serving;
 pub mod silence;
+pub mod startup;
 pub mod stopping;
 pub mod urgency;
 pub mod waiting;
@@ -67,6 +68,7 @@
         Account, ClientLimits, ColdSpec, Route, RouteKind, RouteLookup, Service, ServingConfig,
         Split,
     };
+    pub use crate::startup::{Baseline, Baselines, EngineWork, PeerKnowledge, Startup};
     pub use crate::stopping::StopPlan;
     pub use crate::urgency::Urgency;
     pub use crate::waiting::WaitTimeouts;
--- a/crates/fleet/src/placement/estimate.rs
+++ b/crates/fleet/src/placement/estimate.rs
@@ -16,6 +16,11 @@
 /// only has to decide between engines that serve about equally well.
 const ORDER_COST: f64 = 0.08;
 
+/// Cost of each own request at an engine beyond the order and the random choice, for a node that
+/// doesn't know its peers' work, as a share of the request's weight. Their sum stays below the cost
+/// of two spare slots, so that a short prompt doesn't go to a full engine for it.
+const OWN_PLACEMENT_COST: f64 = 0.02;
+
 /// Cost of the time until an engine has read its part, as a share of the request's weight, at the
 /// whole target.
 const WAITING_COST: f64 = 0.05;
@@ -40,7 +45,7 @@
 const REMOTE_MEMORY_COST: f64 = 0.2;
 
 /// Number of requests beyond its slots that an engine is given, since it keeps a queue of its own.
-const MAX_QUEUED: u32 = 2;
+pub(crate) const MAX_QUEUED: u32 = 2;
 
 /// Share of an engine's backlog that counts towards the request's own pauses: the backlog is read
 /// before most of its events.
@@ -107,6 +112,13 @@
         self.read_ms > self.demand.gap_ms.0 as f64
     }
 
+    /// Returns the cost of each request that the deciding node has at an engine, as a share of the
+    /// request's weight. It exceeds what the order and the random choice cost together, so that a
+    /// node moves on to engines where it has fewer.
+    fn own_placement_cost(&self) -> f64 {
+        OWN_PLACEMENT_COST + ORDER_COST + self.spread
+    }
+
     /// Returns the number of passes that writing the answer takes, with the length that callers
     /// mostly use.
     fn written_passes(&self) -> f64 {
@@ -207,7 +219,8 @@
             writing_cost_share: order_distance(request, order_position) * ORDER_COST
                 + spare_slots_taken(spec, load) * SPARE_SLOT_COST
                 + remote_memory_share(huge, free, needed) * REMOTE_MEMORY_COST,
-            spread: request.spread * spread::share(draw, candidate.key),
+            spread: request.spread * spread::share(draw, candidate.key)
+                + f64::from(candidate.own_placements) * request.own_placement_cost(),
             helping_cost_share: f64::from(load.writers) * WRITER_COST
                 + used_memory_share(huge, spec, load) * REMOTE_MEMORY_COST,
             candidate,
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -21,6 +21,7 @@
 mod search;
 mod spread;
 
+pub(crate) use estimate::MAX_QUEUED;
 pub use memory::needs_helper_memory;
 pub use plain::{PlainCandidate, place_plain};
 pub use price::Prices;
@@ -68,6 +69,9 @@
     pub key: ReplicaKey,
     /// The engine's work.
     pub load: &'a Load,
+    /// The number of requests that the deciding node has there, which moves it on to other engines; 0 for
+    /// a node that knows its peers' work.
+    pub own_placements: u32,
 }
 
 /// Input of a decision: the engines and the work on them.
@@ -84,6 +88,19 @@
     /// A random number for each decision, so that nodes that decide at the same time choose
     /// differently.
     pub draw: u64,
+    /// The number of the candidate at which the deciding node's rotation of the shared order begins.
+    pub order_start: usize,
+    /// How far the random choice between equal engines counts.
+    pub spread: Spread,
+}
+
+/// How far the random choice between equal engines counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spread {
+    /// By the number of placements that are probably unknown to the deciding node.
+    Estimated,
+    /// Fully: the node doesn't know what the others place.
+    Full,
 }
 
 impl<'a> Fleet<'a> {
@@ -98,6 +115,7 @@
         let candidates = sample(engines.collect(), draw).map(|key| Candidate {
             key,
             load: loads.of(key),
+            own_placements: 0,
         });
         Self {
             candidates: candidates.collect(),
@@ -105,7 +123,34 @@
             recent_reading: loads.recent_reading,
             nodes,
             draw,
+            order_start: 0,
+            spread: Spread::Estimated,
+        }
+    }
+
+    /// Replaces the loads of the engines that `loads` contains.
+    pub fn with_loads(mut self, loads: &'a FxHashMap<ReplicaKey, Load>) -> Self {
+        for candidate in &mut self.candidates {
+            candidate.load = loads.get(&candidate.key).unwrap_or(candidate.load);
         }
+        self
+    }
+
+    /// Makes the random choice between equal engines count fully, and the shared order begin at the point
+    /// `order_start`, from 0 to 1.
+    pub fn with_full_spread(mut self, order_start: f64) -> Self {
+        let count = self.candidates.len();
+        self.order_start = ((order_start * count as f64) as usize).min(count.saturating_sub(1));
+        self.spread = Spread::Full;
+        self
+    }
+
+    /// Returns the position of a candidate in the deciding node's rotation of the shared order, from 0 for
+    /// the front to 1 for the end.
+    fn order_position(&self, at: usize) -> f64 {
+        let count = self.candidates.len();
+        let rotated = (at + count - self.order_start) % count.max(1);
+        rotated as f64 / (count.max(2) - 1) as f64
     }
 }
 
--- a/crates/fleet/src/placement/search.rs
+++ b/crates/fleet/src/placement/search.rs
@@ -133,10 +133,11 @@
 impl<'a> Search<'a> {
     /// Estimates all engines for the request.
     fn new(request: RequestProfile<'a>, fleet: &'a Fleet<'a>) -> Self {
-        let last = (fleet.candidates.len().max(2) - 1) as f64;
         let engines = fleet.candidates.iter().enumerate();
-        let estimates =
-            engines.map(|(at, c)| EngineEstimate::of(&request, fleet.draw, *c, at as f64 / last));
+        let estimates = engines.map(|(at, candidate)| {
+            let order_position = fleet.order_position(at);
+            EngineEstimate::of(&request, fleet.draw, *candidate, order_position)
+        });
         let mut search = Self {
             engines: estimates.collect(),
             request,
--- a/crates/fleet/src/placement/spread.rs
+++ b/crates/fleet/src/placement/spread.rs
@@ -12,7 +12,7 @@
 //!
 //! Invariants: the same random number gives the same choice.
 
-use super::Fleet;
+use super::{Fleet, Spread};
 use crate::engine::EngineSpec;
 use crate::replicas::ReplicaKey;
 
@@ -36,6 +36,9 @@
         true => (spec.long_read_ms(), LONG_SPREAD_COST),
         false => (0.0, SHORT_SPREAD_COST),
     };
+    if fleet.spread == Spread::Full {
+        return cost;
+    }
     let others = fleet.nodes.saturating_sub(1) as f64 / fleet.nodes.max(1) as f64;
     let unknown = fleet.recent_reading.per_ms(min_read_ms) * others * GOSSIP_DELAY_MS;
     cost * unknown / (unknown + 1.0)
