Startup: baselines from peers that start as well; a test for each failure

A node that starts when no peer lives gets an engine's report only from the node that read it. Peers that are warming up themselves now pass on what engines reported, without replacing what is known. The tests cover the failures of the plan: no live peer, reports that don't arrive, a wrong or old baseline, work that is heard twice, full engines.

--- a/crates/fleet/src/startup/baseline.rs
+++ b/crates/fleet/src/startup/baseline.rs
@@ -116,6 +116,19 @@
         self.from_peer = true;
     }
 
+    /// Records what a peer knows of engines' reports that itself has just started. What is known isn't
+    /// replaced.
+    pub fn on_relayed(&mut self, engines: impl Iterator<Item = (ReplicaKey, Baseline)>) {
+        for (key, baseline) in engines {
+            self.engines.entry(key).or_insert(baseline);
+        }
+    }
+
+    /// Returns the baselines, for a node that starts at the same time.
+    pub fn iter(&self) -> impl Iterator<Item = (ReplicaKey, Baseline)> {
+        self.engines.iter().map(|(key, baseline)| (*key, *baseline))
+    }
+
     /// Records an engine's report.
     pub fn on_report(&mut self, key: ReplicaKey, work: EngineWork) {
         match self.engines.get_mut(&key) {
--- a/crates/fleet/src/startup/mod.rs
+++ b/crates/fleet/src/startup/mod.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// Records the baselines of a peer that has just started as well.
+    pub fn on_relayed(&mut self, engines: impl Iterator<Item = (ReplicaKey, Baseline)>) {
+        if !self.is_complete() {
+            self.baselines.on_relayed(engines);
+        }
+    }
+
     /// Returns true during the warm-up.
     pub fn is_warming_up(&self) -> bool {
         matches!(self.phase, Phase::WarmingUp { .. })
--- a/crates/fleet/tests/startup.rs
+++ b/crates/fleet/tests/startup.rs
@@ -4,6 +4,7 @@
 use bluebell_fleet::fanout::digest_interval;
 use bluebell_fleet::placement::Fleet;
 use bluebell_fleet::prelude::*;
+use bluebell_fleet::startup::{MAX_WARM_UP_MS, WarmUpEnd, join_pause};
 
 const ENGINES: u32 = 45;
 const QUEUE: usize = 24;
@@ -453,3 +454,227 @@
         );
     }
 }
+
+/// Returns a node that is warming up, without a replay.
+fn starting_node(seed: u64) -> Node {
+    let mut node = Node::new(0, 0, &mut Draws(seed));
+    node.startup.begin(MonoMs(0));
+    node
+}
+
+/// Places a short prompt and returns its engine.
+fn placed_at(node: &mut Node, nodes: usize, draw: u64) -> Option<u32> {
+    let placed = node.place(&short_demand(0), nodes, draw, MonoMs(1));
+    placed.ok().map(|(_, work)| work.first.0)
+}
+
+fn baseline(writers: u32) -> Baseline {
+    Baseline {
+        writers,
+        ..Baseline::default()
+    }
+}
+
+/// Guards against a node that places a second request at an engine while another has none of its own. It needs
+/// neither the store nor its peers for that.
+#[test]
+fn a_node_without_knowledge_goes_on_to_the_next_engine() {
+    let mut node = starting_node(1);
+    let mut engines: Vec<u32> = (0..u64::from(ENGINES))
+        .filter_map(|draw| placed_at(&mut node, 1, draw))
+        .collect();
+    engines.sort_unstable();
+    assert_eq!(engines, (0..ENGINES).collect::<Vec<_>>());
+}
+
+/// Guards against nodes that all begin at the front of the shared order.
+#[test]
+fn nodes_begin_at_different_engines() {
+    let first = |seed| placed_at(&mut starting_node(seed), 58, Draws(seed).next());
+    let mut engines: Vec<_> = (0..58).filter_map(first).collect();
+    engines.sort_unstable();
+    engines.dedup();
+    assert!(engines.len() >= 25, "{engines:?}");
+}
+
+/// Guards against a node whose callers all connect to it before the others serve, and which then fills the
+/// engines alone.
+#[test]
+fn a_node_keeps_to_its_share_of_the_slots() {
+    let place_all = |nodes| {
+        let mut node = starting_node(3);
+        (0..400)
+            .filter_map(|draw| placed_at(&mut node, nodes, draw))
+            .count()
+    };
+    // 45 engines have 540 slots: 1.5 times the even share of 58 nodes is 13.97.
+    assert_eq!(place_all(58), 14);
+    assert_eq!(place_all(985), 2);
+}
+
+/// Guards against a warm-up that never ends, because reports and digests don't arrive, or that ends before the
+/// peers of which a node was told are heard.
+#[test]
+fn the_warm_up_ends_when_peers_are_heard_or_after_its_limit() {
+    let mut startup = Startup::default();
+    startup.begin(MonoMs(1_000));
+    let mut update = |known, with_digest, now_ms| {
+        let peers = PeerKnowledge { known, with_digest };
+        startup.update(peers, SpanMs(500), MonoMs(now_ms))
+    };
+    assert_eq!(
+        update(20, 20, 1_100),
+        None,
+        "peers are known for too short a time"
+    );
+    assert_eq!(update(20, 17, 1_700), None);
+    assert_eq!(update(20, 18, 1_800), Some(WarmUpEnd::Complete));
+    assert!(startup.covers(MonoMs(1_799)) && !startup.covers(MonoMs(1_800)));
+
+    let mut alone = Startup::default();
+    alone.begin(MonoMs(0));
+    let mut update = |now_ms| alone.update(PeerKnowledge::default(), SpanMs(500), MonoMs(now_ms));
+    assert_eq!(update(MAX_WARM_UP_MS.0 - 1), None);
+    assert_eq!(update(MAX_WARM_UP_MS.0), Some(WarmUpEnd::Timeout));
+}
+
+/// Guards against a start without a live peer at which nodes take busy engines for idle: the engines' own reports
+/// count.
+#[test]
+fn engines_that_report_work_are_avoided() {
+    let mut node = starting_node(5);
+    for engine in 0..ENGINES / 2 {
+        let work = EngineWork {
+            running: spec().slots,
+            waiting: 9,
+            memory_tokens: Tokens(60_000),
+        };
+        node.startup.on_report(ReplicaKey(engine), work);
+    }
+    for draw in 0..10 {
+        let engine = placed_at(&mut node, 58, draw);
+        assert!(engine >= Some(ENGINES / 2), "{engine:?}");
+    }
+}
+
+/// Guards against a node that starts while others run, and takes engines for idle that its peers have filled. What
+/// it then hears by gossip is the same work and must not count twice.
+#[test]
+fn work_that_a_peer_hands_over_counts_once() {
+    let mut peer = starting_node(6);
+    for draw in 0..90 {
+        placed_at(&mut peer, 1, draw);
+    }
+    let now_ms = MonoMs(1);
+    let keys = || (0..ENGINES).map(ReplicaKey);
+    let handed_over = Baselines::of_loads(keys(), peer.ledger.loads(now_ms));
+    let mut node = starting_node(7);
+    node.startup.on_handed_over(handed_over.into_iter());
+    let writers = |node: &mut Node| -> Vec<u32> {
+        let loads = node.ledger.loads(now_ms);
+        let corrected = node.startup.loads(keys(), loads, &spec(), now_ms);
+        keys().map(|key| corrected[&key].writers).collect()
+    };
+    assert_eq!(writers(&mut node), vec![2; ENGINES as usize]);
+    for (sequence, work) in peer.ledger.of_owner(peer.owner) {
+        let id = WorkId {
+            owner: peer.owner,
+            sequence,
+        };
+        node.ledger.put(id, work.clone(), now_ms);
+    }
+    assert_eq!(writers(&mut node), vec![2; ENGINES as usize]);
+}
+
+/// Guards against a peer that hands over an old or absurd baseline, which keeps a node away from idle engines. It
+/// is bounded by what an engine holds, a report lowers it, and it ends with the warm-up.
+#[test]
+fn a_wrong_baseline_is_bounded_and_ends() {
+    let mut node = starting_node(8);
+    let absurd = Baseline {
+        writers: u32::MAX,
+        context_tokens: u64::MAX,
+        backlog_ms: u32::MAX,
+        helping: u32::MAX,
+        memory_tokens: u64::MAX,
+    };
+    let all = (0..ENGINES).map(|engine| (ReplicaKey(engine), absurd));
+    node.startup.on_handed_over(all);
+    let key = ReplicaKey(0);
+    let load_of = |node: &mut Node| {
+        let loads = node.ledger.loads(MonoMs(1));
+        let corrected = node
+            .startup
+            .loads([key].into_iter(), loads, &spec(), MonoMs(1));
+        corrected.get(&key).cloned()
+    };
+    let load = load_of(&mut node).expect("it is raised");
+    assert!(load.writers <= spec().slots + 2 && load.memory_tokens <= spec().memory_tokens);
+    assert!(load.backlog_ms <= spec().read_ms(spec().memory_tokens));
+    let work = EngineWork {
+        running: 1,
+        waiting: 0,
+        memory_tokens: Tokens(5_000),
+    };
+    node.startup.on_report(key, work);
+    assert_eq!(load_of(&mut node).map(|load| load.writers), Some(1));
+    node.startup.update(
+        PeerKnowledge::default(),
+        SpanMs(500),
+        MonoMs(MAX_WARM_UP_MS.0),
+    );
+    assert_eq!(load_of(&mut node), None);
+    node.startup
+        .on_handed_over([(key, baseline(12))].into_iter());
+    assert_eq!(load_of(&mut node), None);
+}
+
+/// Guards against a node that sends the next request to an engine that has just rejected one.
+#[test]
+fn an_engine_that_was_full_is_avoided_for_a_moment() {
+    let mut node = starting_node(9);
+    let full = placed_at(&mut node, 58, 17).expect("all are idle");
+    node.ledger.remove_owner(node.owner);
+    node.startup.full_engines.note(ReplicaKey(full), MonoMs(1));
+    assert_ne!(placed_at(&mut node, 58, 17), Some(full));
+    assert!(
+        node.startup
+            .full_engines
+            .is_full(ReplicaKey(full), MonoMs(300))
+    );
+    assert!(
+        !node
+            .startup
+            .full_engines
+            .is_full(ReplicaKey(full), MonoMs(301))
+    );
+}
+
+/// Guards against decisions that change outside the warm-up.
+#[test]
+fn nothing_changes_outside_the_warm_up() {
+    let mut node = Node::new(0, 0, &mut Draws(10));
+    let all = (0..ENGINES).map(|engine| (ReplicaKey(engine), baseline(9)));
+    node.startup.on_handed_over(all);
+    let mut usual = Node::new(0, 0, &mut Draws(10));
+    for draw in 0..200 {
+        let keys = (0..ENGINES).map(ReplicaKey);
+        let fleet = Fleet::of(keys, usual.ledger.loads(MonoMs(1)), 58, draw);
+        let expected =
+            place_engine(&spec(), &fleet, &short_demand(0)).map(|placement| placement.first);
+        let expected = expected.ok().map(|key| key.0);
+        assert_eq!(placed_at(&mut node, 58, draw), expected);
+        placed_at(&mut usual, 58, draw);
+    }
+}
+
+/// Guards against seeds that nodes ask so often at a start of all that they answer none in time.
+#[test]
+fn pauses_between_rounds_of_joining_grow_to_a_bound() {
+    let pauses = (0..8).map(|round| join_pause(round, 0.0).0);
+    assert_eq!(
+        pauses.collect::<Vec<_>>(),
+        [25, 50, 100, 200, 200, 200, 200, 200]
+    );
+    assert_eq!(join_pause(u32::MAX, 1.0), SpanMs(300));
+}
