Startup: nodes meet sooner, hand over engines' work, and warm up

After a start of all nodes peers take 0.4 to 0.9 s to find each other, and engines reject what they place meanwhile. A node introduces itself in the query of its request for a peer's state; the peer lists it in its own state and sends a digest within 25 ms. Pauses between rounds of joining begin at 25 ms. The state contains the engines' baselines, and the engines' reports are read once where no peer handed any over (Gossip::EngineWork). During the warm-up placements use the rotation, the full spread, the own share and the baselines, and a request that full engines rejected waits at the node in place of being refused. The log has warm_up_began and warm_up_ended, the metrics bluebell_warming_up.

--- a/crates/front/src/call/attempts.rs
+++ b/crates/front/src/call/attempts.rs
@@ -9,8 +9,14 @@
 use super::hop::{self, HopError};
 use super::race::{NextAttempt, Race, RaceStep};
 use super::tries::{RetryPass, Tries, TryError, record_silence};
+use bluebell_base::prelude::*;
 use std::ops::ControlFlow;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// The pause after a rejection by a full engine that leaves a request without another attempt. It bounds the
+/// attempts of a request that waits for room.
+const REJECTED_PAUSE_MS: SpanMs = SpanMs(40);
 
 /// The time of the next attempt, or the answer that ends the request.
 pub(super) type Progress = ControlFlow<Answer, NextAttempt>;
@@ -129,6 +135,11 @@
             self.retry.give_back();
             return Some(NextAttempt::Now);
         }
+        if self.race.is_empty() && self.tries.wait_for_room(&self.call, target, error) {
+            tokio::time::sleep(Duration::from(REJECTED_PAUSE_MS)).await;
+            self.retry.give_back();
+            return Some(NextAttempt::Now);
+        }
         (!self.race.is_empty()).then_some(next)
     }
 
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -338,6 +338,7 @@
     limits::update_shares(node);
     node.with(|state| {
         state.ledger.set_paces(&state.paces, now_ms);
+        let own = state.startup.own_placements(&state.ledger, node.owner);
         let loads = state.ledger.loads(now_ms);
         let throttles = Throttles {
             limits: &state.limits,
@@ -346,7 +347,20 @@
         };
         let candidates = Candidates::of(&state.replicas, &throttles, call, avoid, limit_policy);
         let engines = candidates.ready.iter().map(|(key, _, _)| *key);
-        let fleet = Fleet::of(engines, loads, node.node_count(), rand::random());
+        let corrected = state.startup.loads(engines.clone(), loads, spec, now_ms);
+        let mut fleet = Fleet::of(engines, loads, node.node_count(), rand::random());
+        fleet = fleet.with_loads(&corrected);
+        if let Some(own) = own {
+            let ready = state.replicas.ready(&call.service.name);
+            let ready: Vec<ReplicaKey> = ready.iter().map(|(key, _, _)| *key).collect();
+            let has_share = own.has_own_share(&ready, spec, node.node_count());
+            if has_share && !demand.partly_answered {
+                return Err(Refusal::NoRoom {
+                    retry_after_ms: call.route.target_ms.max(OTHER_NODE_RETRY_MS),
+                });
+            }
+            fleet = own.spread(fleet);
+        }
         let placement =
             place_engine(spec, &fleet, &demand).map_err(|refusal| candidates.refusal(refusal))?;
         let find = |key| state.replicas.get(key).ok_or(Refusal::NoReplica).cloned();
--- a/crates/front/src/copies/fetch.rs
+++ b/crates/front/src/copies/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches copies from a peer.
 
 use super::serve::{PATH, STATE_PATH};
-use super::{HOLD_MS, MAX_TEXT_BYTES, NodeState};
+use super::{HOLD_MS, MAX_TEXT_BYTES, NodeState, introduction};
 use crate::http::{Freshness, Link, SendError};
 use crate::node::Node;
 use crate::platform::DirectoryError;
@@ -64,13 +64,15 @@
     Busy(Vec<SocketAddr>),
 }
 
-/// Requests the state of the peer at `address`.
+/// Requests the state of the peer at `address`, and introduces this node to it.
 pub async fn fetch_state(node: &Node, address: SocketAddr) -> Result<StateReply, CopyError> {
     let known = node.directory_watch.cursor();
     let path = match known {
         Some(cursor) => format!("{STATE_PATH}{}/{}", cursor.era.0, cursor.offset),
         None => STATE_PATH.to_owned(),
     };
+    // Older releases ignore the query.
+    let path = format!("{path}?{}", introduction::query(node));
     let (answer, _link) = exchange(node, address, &path).await?;
     let status = answer.status();
     if status != StatusCode::OK && status != StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/front/src/copies/mod.rs
+++ b/crates/front/src/copies/mod.rs
@@ -14,7 +14,9 @@
 //! Invariants: a copy is verified by its checksum and by parsing it. Its version is read from the text
 //! itself, so that a wrong copy can't pass for a newer version than it is.
 
+mod engines;
 mod fetch;
+mod introduction;
 mod serve;
 mod state;
 
--- a/crates/front/src/copies/serve.rs
+++ b/crates/front/src/copies/serve.rs
@@ -2,6 +2,7 @@
 
 use super::{
     COMPRESSION_LEVEL, EncodedState, HOLD_MS, MAX_STATE_COPIES, NodeState, STATE_REUSE_MS,
+    introduction,
 };
 use crate::node::Node;
 use crate::platform::{Cursor, Era};
@@ -10,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The path prefix of copies. The version that the requesting node holds follows it.
@@ -23,9 +25,13 @@
 const NAMED_SOURCES: usize = 6;
 
 /// Answers a request for a copy: 200 with the copy, or 204 if there is nothing to copy in time.
-pub async fn answer<B>(node: &Node, request: &Request<B>) -> Response<Buffer> {
+pub async fn answer<B>(node: &Rc<Node>, request: &Request<B>) -> Response<Buffer> {
     let path = request.uri().path();
     if let Some(known) = path.strip_prefix(STATE_PATH) {
+        let requester = request.uri().query().and_then(introduction::read);
+        if let Some(requester) = requester {
+            crate::gossip::on_introduced(node, &requester);
+        }
         return state_answer(node, parse_cursor(known)).await;
     }
     let held = path.strip_prefix(PATH);
--- a/crates/front/src/copies/state.rs
+++ b/crates/front/src/copies/state.rs
@@ -1,5 +1,6 @@
 //! The state of a running node that a starting one copies.
 
+use super::engines::EngineBaselines;
 use crate::gossip::Origin;
 use crate::gossip::replicas::{ChangeGossip, change_gossip};
 use crate::node::Node;
@@ -38,6 +39,9 @@
     /// Encoded after all other fields, as states of earlier releases end there.
     #[serde(skip)]
     parts: Vec<PartNotice>,
+    /// The work on engines, encoded after the parts. `None` in states of earlier releases.
+    #[serde(skip)]
+    engines: Option<EngineBaselines>,
 }
 
 impl NodeState {
@@ -46,9 +50,10 @@
         let now_ms = node.now_ms();
         let cursor = node.directory_watch.cursor();
         let age_ms = node.directory_watch.age_ms(now_ms).unwrap_or_default();
-        let mut peers = node.outbox.live_origins();
+        let mut peers = node.outbox.listed_origins(now_ms);
         peers.push(Origin::of(node));
         node.with(|state| Self {
+            engines: Some(EngineBaselines::of(state, now_ms)),
             format: FORMAT,
             replicas: cursor.filter(|_| with_replicas).map(|cursor| ReplicaList {
                 cursor,
@@ -65,14 +70,19 @@
 
     /// Encodes the state.
     pub(super) fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(&(self, &self.parts)).expect("postcard can encode a state")
+        postcard::to_allocvec(&(self, &self.parts, &self.engines))
+            .expect("postcard can encode a state")
     }
 
     /// Decodes a state. Returns `None` if it is malformed or has another format version.
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        let (mut state, rest): (Self, _) = postcard::take_from_bytes(bytes).ok()?;
-        if !rest.is_empty() {
-            state.parts = postcard::from_bytes(rest).ok()?;
+        let (mut state, rest_of_state): (Self, _) = postcard::take_from_bytes(bytes).ok()?;
+        if !rest_of_state.is_empty() {
+            let rest;
+            (state.parts, rest) = postcard::take_from_bytes(rest_of_state).ok()?;
+            if !rest.is_empty() {
+                state.engines = postcard::from_bytes(rest).ok()?;
+            }
         }
         (state.format == FORMAT).then_some(state)
     }
@@ -94,6 +104,9 @@
         for entry in &self.evacuations {
             watch::on_notified_evacuation(node, entry);
         }
+        if let Some(engines) = self.engines {
+            engines.apply(node);
+        }
         if let Some(list) = self.replicas {
             let listed = list.listed.into_iter().map(ReplicaChange::from);
             node.directory_watch.on_copied_replicas(
@@ -118,3 +131,38 @@
     });
     changes.filter_map(change_gossip).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn empty() -> NodeState {
+        NodeState {
+            format: FORMAT,
+            replicas: None,
+            peers: Vec::new(),
+            quarantine: Vec::new(),
+            evacuations: Vec::new(),
+            parts: Vec::new(),
+            engines: None,
+        }
+    }
+
+    /// Guards against nodes of two releases that can't join each other. States of earlier releases end after the
+    /// other fields or after the parts, and those releases ignore what follows.
+    #[test]
+    fn states_of_other_releases_can_be_read() {
+        let state = empty();
+        let first_release = postcard::to_allocvec(&state).expect("it can be encoded");
+        let with_parts = postcard::to_allocvec(&(&state, &state.parts)).expect("it can be encoded");
+        for bytes in [&first_release, &with_parts] {
+            let decoded = NodeState::decode(bytes).expect("it is a state");
+            assert!(decoded.engines.is_none());
+        }
+        let own = state.encode();
+        let (_, rest): (NodeState, _) = postcard::take_from_bytes(&own).expect("it is a state");
+        let parts: Vec<PartNotice> =
+            postcard::from_bytes(rest).expect("the rest begins with parts");
+        assert!(parts.is_empty());
+    }
+}
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -87,6 +87,13 @@
     Evacuation(EvacuationEntry),
     /// A change of what is known about a part of prompts that may be fatal to replicas.
     Part(PartNotice),
+    /// The work that an engine reported of itself, for nodes that haven't heard of it.
+    EngineWork {
+        replica: u32,
+        running: u32,
+        waiting: u32,
+        memory_tokens: u64,
+    },
 }
 
 impl Gossip {
@@ -95,7 +102,9 @@
     pub fn is_widely_known(&self) -> bool {
         !matches!(
             self,
-            Gossip::Part(_) | Gossip::Request(QuarantineNotice::Undecided { .. })
+            Gossip::Part(_)
+                | Gossip::EngineWork { .. }
+                | Gossip::Request(QuarantineNotice::Undecided { .. })
         )
     }
 }
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -11,12 +11,14 @@
 //! others have just placed sends its own work to the same engines. Gossip is therefore sent at once,
 //! gathered only for [`GATHER_MS`].
 
+mod introduction;
 mod message;
 mod outbox;
 mod receive;
 pub(crate) mod replicas;
 mod send;
 
+pub(crate) use introduction::on_introduced;
 pub(crate) use message::Origin;
 pub use outbox::Outbox;
 pub use receive::receive;
--- a/crates/front/src/gossip/outbox.rs
+++ b/crates/front/src/gossip/outbox.rs
@@ -9,7 +9,7 @@
 use bluebell_fleet::prelude::*;
 use bluebell_quarantine::prelude::*;
 use rustc_hash::FxHashMap;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use tokio::sync::Notify;
 
@@ -23,6 +23,10 @@
     presence: Presence,
     /// The newest version of the configuration that the peer has announced.
     config: Option<ConfigVersion>,
+    /// The time at which the peer last introduced itself to this node by a request.
+    introduced_ms: Option<MonoMs>,
+    /// True if a digest of the peer was received.
+    has_digest: bool,
 }
 
 impl Peer {
@@ -52,6 +56,8 @@
     pub(super) deferred: Notify,
     /// Notified when peers became known that haven't received gossip of this node.
     pub(super) introduction: Notify,
+    /// True while a digest for peers that introduced themselves is due.
+    pub(super) introduction_due: Cell<bool>,
 }
 
 impl Outbox {
@@ -99,6 +105,24 @@
         });
     }
 
+    /// Queues gossip of the work that an engine reported.
+    pub fn engine_work(&self, key: ReplicaKey, work: &EngineWork) {
+        self.push(Gossip::EngineWork {
+            replica: key.0,
+            running: work.running,
+            waiting: work.waiting,
+            memory_tokens: work.memory_tokens.0,
+        });
+    }
+
+    /// Returns the peers that haven't fallen silent, whether they were heard or only announced themselves.
+    pub fn expected_peers(&self) -> Vec<OwnerId> {
+        let peers = self.peers.borrow();
+        let expected = peers.iter();
+        let expected = expected.filter(|(_, peer)| peer.presence != Presence::Silent);
+        expected.map(|(owner, _)| *owner).collect()
+    }
+
     /// Queues gossip of an engine's pace.
     pub fn pace(&self, key: ReplicaKey, pace: Pace) {
         self.push(Gossip::Pace {
@@ -278,6 +302,8 @@
             received_ms: now_ms,
             presence: Presence::Live,
             config: peers.get(&owner).and_then(|peer| peer.config),
+            introduced_ms: peers.get(&owner).and_then(|peer| peer.introduced_ms),
+            has_digest: peers.get(&owner).is_some_and(|peer| peer.has_digest),
         };
         peers.insert(owner, peer);
         match known {
@@ -293,16 +319,22 @@
 
     /// Returns the identities of the live peers whose failure domain is known.
     pub(crate) fn live_origins(&self) -> Vec<Origin> {
+        self.origins(Peer::is_live)
+    }
+
+    /// Returns the identities of the peers for which `is_listed` returns true and whose failure domain is known.
+    fn origins(&self, is_listed: impl Fn(&Peer) -> bool) -> Vec<Origin> {
         let peers = self.peers.borrow();
-        let live = peers.iter().filter(|(_, peer)| peer.is_live());
-        live.filter_map(|(owner, peer)| {
-            Some(Origin {
-                owner: owner.0,
-                address: peer.address,
-                domain: peer.domain.as_ref()?.0.clone(),
+        let listed = peers.iter().filter(|(_, peer)| is_listed(peer));
+        listed
+            .filter_map(|(owner, peer)| {
+                Some(Origin {
+                    owner: owner.0,
+                    address: peer.address,
+                    domain: peer.domain.as_ref()?.0.clone(),
+                })
             })
-        })
-        .collect()
+            .collect()
     }
 
     /// Records a node that announced itself in the directory, or of which a peer told. It counts as live
@@ -321,9 +353,55 @@
             received_ms: now_ms,
             presence: Presence::Announced,
             config: None,
+            introduced_ms: None,
+            has_digest: false,
         });
     }
 
+    /// Records a node that introduced itself by a request. Returns true if it is to get a digest soon: it
+    /// hadn't introduced itself before, and wasn't heard.
+    pub(super) fn on_introduced(&self, peer: &Origin, now_ms: MonoMs) -> bool {
+        let owner = OwnerId(peer.owner);
+        let domain = Some(DomainName(peer.domain.clone()));
+        self.on_announced(owner, peer.address, domain, now_ms);
+        let mut peers = self.peers.borrow_mut();
+        peers.get_mut(&owner).is_some_and(|known| {
+            let before = known.introduced_ms.replace(now_ms);
+            before.is_none() && !known.is_live()
+        })
+    }
+
+    /// Returns the identities that this node's state lists: of the live peers, and of those that recently
+    /// introduced themselves to this node. Nodes that others announced aren't passed on: two nodes would
+    /// keep telling each other of a third that is gone.
+    pub(crate) fn listed_origins(&self, now_ms: MonoMs) -> Vec<Origin> {
+        let is_listed = |peer: &Peer| {
+            let introduced = peer.introduced_ms;
+            peer.is_live() || introduced.is_some_and(|at_ms| now_ms.since(at_ms) < PEER_SILENT_MS)
+        };
+        self.origins(is_listed)
+    }
+
+    /// Returns what this node knows of its peers: how many haven't fallen silent, and of how many of these a
+    /// digest was received.
+    pub fn knowledge(&self) -> PeerKnowledge {
+        let peers = self.peers.borrow();
+        let known = peers
+            .values()
+            .filter(|peer| peer.presence != Presence::Silent);
+        PeerKnowledge {
+            known: known.clone().count(),
+            with_digest: known.filter(|peer| peer.has_digest).count(),
+        }
+    }
+
+    /// Records that a whole digest of a peer was received.
+    pub(super) fn on_digest(&self, owner: OwnerId) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&owner) {
+            peer.has_digest = true;
+        }
+    }
+
     /// Marks peers as silent after [`PEER_SILENT_MS`] and forgets them after [`PEER_FORGOTTEN_MS`].
     /// Returns the newly silent peers with the duration of their silence.
     pub(super) fn expire(&self, now_ms: MonoMs) -> Vec<(OwnerId, SpanMs)> {
--- a/crates/front/src/gossip/receive.rs
+++ b/crates/front/src/gossip/receive.rs
@@ -69,6 +69,9 @@
         });
     }
     for gossip in datagram.gossip {
+        if matches!(gossip, Gossip::Digest { to: u32::MAX, .. }) {
+            node.outbox.on_digest(owner);
+        }
         apply(node, owner, gossip, now_ms);
     }
 }
@@ -118,6 +121,19 @@
             let pace = Pace::new(f64::from(pace_pct) / 100.0);
             state.paces.note(ReplicaKey(replica), pace, now_ms);
         }
+        Gossip::EngineWork {
+            replica,
+            running,
+            waiting,
+            memory_tokens,
+        } => {
+            let work = EngineWork {
+                running,
+                waiting,
+                memory_tokens: Tokens(memory_tokens),
+            };
+            state.startup.on_report(ReplicaKey(replica), work);
+        }
         Gossip::Config { .. }
         | Gossip::Replicas(_)
         | Gossip::Request(_)
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -43,6 +43,27 @@
         /// The random id of this run of the node.
         incarnation: u64,
     },
+    /// The node is able to serve, and hasn't heard all of its peers.
+    WarmUpBegan {
+        /// The number of known peers.
+        peers: usize,
+        /// The number of engines with work that the node was told of.
+        baselines: usize,
+        /// True if a peer told of that work.
+        from_peer: bool,
+    },
+    /// The node places work as in normal operation from now on.
+    WarmUpEnded {
+        /// The reason: `complete`, or `timeout` if it knew too little for too long.
+        how: &'static str,
+        took_ms: SpanMs,
+        /// The number of known peers.
+        peers: usize,
+        /// The number of those whose digests the node had received.
+        digests: usize,
+        /// The number of engines with work that the node was told of.
+        baselines: usize,
+    },
     /// The process received a hangup signal.
     Reloaded,
     /// A planned stop began, with this number of open connections.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod platform;
 pub mod quarantine;
 pub mod signals;
+mod startup;
 pub mod watch;
 
 /// The public items that users of this package import.
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -52,6 +52,7 @@
     limited_replicas: Gauge<u64>,
     evacuated_domains: Gauge<u64>,
     unreachable_services: Gauge<u64>,
+    warming_up: Gauge<u64>,
     forwarded: Counter<u64>,
     limit_changes: Counter<u64>,
     replica_signals: Counter<u64>,
@@ -169,6 +170,10 @@
                 "bluebell_evacuated_domains",
                 "Failure domains whose replicas get no new work.",
             ),
+            warming_up: g(
+                "bluebell_warming_up",
+                "1 while the node serves without knowing its peers' work, and 0 after that.",
+            ),
             unreachable_services: g(
                 "bluebell_unreachable_services",
                 "Services of which this node reaches no replica.",
@@ -267,6 +272,8 @@
             Event::LinksLost { lost, .. } | Event::LinksRestored { lost, .. } => {
                 self.unreachable_services.record(*lost as u64, &[]);
             }
+            Event::WarmUpBegan { .. } => self.warming_up.record(1, &[]),
+            Event::WarmUpEnded { .. } => self.warming_up.record(0, &[]),
             Event::Forwarded { .. } => self.forwarded.add(1, &label("step", "sent")),
             Event::ForwardFailed { .. } => self.forwarded.add(1, &label("step", "failed")),
             Event::ForwardAccepted { .. } => self.forwarded.add(1, &label("step", "accepted")),
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -5,7 +5,7 @@
 use crate::journal::{Event, Journal, JournalWriter};
 use crate::metrics::{Metrics, MetricsError};
 use crate::platform::Platform;
-use crate::{gossip, limits, peers, quarantine, watch};
+use crate::{gossip, limits, peers, quarantine, startup, watch};
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use std::net::SocketAddr;
@@ -125,6 +125,7 @@
         spawn_local(gossip::receive(node.clone(), gossip.clone()));
         spawn_local(gossip::send(node.clone(), gossip));
         spawn_local(peers::serve_peers(node.clone(), peer_listener));
+        spawn_local(startup::warm_up(node.clone()));
         watch::begin_join(&node);
         spawn_local(watch::join(node.clone()));
         spawn_local(watch::watch_config(node.clone()));
--- a/crates/front/src/node/state.rs
+++ b/crates/front/src/node/state.rs
@@ -27,6 +27,8 @@
     pub replicas: ReplicaTable,
     /// All work in flight on engines, of this node and of its peers.
     pub ledger: Ledger,
+    /// This node's warm-up, with what it was told of work that it hasn't heard of.
+    pub startup: Startup,
     /// The paces of slow engines, from this node's probes and its peers' reports.
     pub paces: Paces,
     /// The request rate limits that replicas set.
@@ -105,6 +107,7 @@
             config: None,
             replicas: ReplicaTable::default(),
             ledger: Ledger::default(),
+            startup: Startup::default(),
             paces: Paces::default(),
             limits: Limits::default(),
             cold_limits: Limits::default(),
--- a/crates/front/src/platform/mod.rs
+++ b/crates/front/src/platform/mod.rs
@@ -206,6 +206,8 @@
 pub struct EngineReport {
     /// The factor by which the engine's work takes longer than configured.
     pub pace: Pace,
+    /// The work that the engine has, if the report contains it.
+    pub work: Option<EngineWork>,
 }
 
 /// The data that the node adds to the head of a request that it forwards.
--- a/crates/front/src/watch/join.rs
+++ b/crates/front/src/watch/join.rs
@@ -16,14 +16,12 @@
 use crate::copies::{self, NodeState, StateReply};
 use crate::node::Node;
 use bluebell_base::prelude::*;
+use bluebell_fleet::startup;
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The pause between two rounds of requests to the seeds.
-const RETRY_MS: SpanMs = SpanMs(150);
-
 /// The time after which a node that reaches no seed reads the directory. Nodes that start together may
 /// listen a few hundred ms after each other.
 const UNREACHABLE_TIMEOUT_MS: SpanMs = SpanMs(500);
@@ -91,7 +89,10 @@
     }
     let started_ms = node.now_ms();
     let spread = 1.0 + TIMEOUT_SPREAD * rand::random::<f64>();
-    while !node.is_initialized() {
+    for round in 0.. {
+        if node.is_initialized() {
+            return;
+        }
         let timeout_ms = match ask_seeds(&node).await {
             Round::Joined => {
                 node.outbox.introduce();
@@ -105,7 +106,7 @@
         if node.now_ms().since(started_ms) >= timeout_ms.mul_f64(spread) {
             set_phase(&node, JoinPhase::Reading);
         }
-        let pause_ms = RETRY_MS.mul_f64(rand::random_range(1.0..2.0));
+        let pause_ms = startup::join_pause(round, rand::random());
         tokio::time::sleep(Duration::from(pause_ms)).await;
     }
 }
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -27,7 +27,7 @@
 pub use evacuations::{expire_evacuations, on_notified_evacuation};
 pub use join::{begin_join, join};
 pub use nodes::watch_nodes;
-pub use paces::{is_responding, watch_paces};
+pub use paces::{is_responding, read_engine_work, watch_paces};
 pub use quarantine::{restore_quarantine, store_quarantine, watch_quarantine};
 pub use replicas::watch_replicas;
 pub use shared::{CopiedReplicas, DirectoryWatch, PositionedChange, ReplicasNotice};
--- a/crates/front/src/watch/paces.rs
+++ b/crates/front/src/watch/paces.rs
@@ -44,10 +44,32 @@
     }
 }
 
+/// Reads one report of each engine of this node's part, and notifies the peers of its work: all nodes have
+/// just started, and none knows what the engines have. The peers that only announced themselves count as
+/// nodes that read their parts as well.
+pub async fn read_engine_work(node: Rc<Node>) {
+    for (key, address) in engines_of(&node, &node.outbox.expected_peers()) {
+        spawn_local(read_work_of(node.clone(), key, address));
+    }
+}
+
+/// Reads the work of one engine.
+async fn read_work_of(node: Rc<Node>, key: ReplicaKey, address: SocketAddr) {
+    let work = report(&node, address).await.and_then(|report| report.work);
+    if let Some(work) = work {
+        node.with(|state| state.startup.on_report(key, work));
+        node.outbox.engine_work(key, &work);
+    }
+}
+
 /// Returns the engines that this node probes.
 fn engines_to_probe(node: &Node) -> Vec<(ReplicaKey, SocketAddr)> {
-    let peers = node.outbox.live_peers();
-    let range = ProbeRange::of(node.owner, &peers);
+    engines_of(node, &node.outbox.live_peers())
+}
+
+/// Returns the engines that this node probes if `peers` probe the others.
+fn engines_of(node: &Node, peers: &[OwnerId]) -> Vec<(ReplicaKey, SocketAddr)> {
+    let range = ProbeRange::of(node.owner, peers);
     let now_ms = node.now_ms();
     limits::update_shares(node);
     node.with(|state| {
@@ -58,7 +80,7 @@
         let ready = engines.flat_map(|service| state.replicas.ready(&service.name));
         // Only the nodes that hold a replica's limit may send to it, and the first of them probes it.
         let is_prober = |key| match state.limits.is_limited(key) {
-            true => rendezvous::rank(node.owner, &peers, key) == 0,
+            true => rendezvous::rank(node.owner, peers, key) == 0,
             false => range.contains(key),
         };
         let own = ready.filter(|(key, _, _)| {
@@ -88,7 +110,12 @@
         return;
     };
     let now_ms = node.now_ms();
-    let is_new = node.with(|state| state.paces.note(key, report.pace, now_ms));
+    let is_new = node.with(|state| {
+        if let Some(work) = report.work {
+            state.startup.on_report(key, work);
+        }
+        state.paces.note(key, report.pace, now_ms)
+    });
     if is_new || report.pace.is_slow() {
         node.outbox.pace(key, report.pace);
     }
