Startup: a request that full engines rejected tries all of them again

A request whose attempts were spent waited for room, but avoided the engines that had rejected it before the last one.

--- a/crates/front/src/call/attempts.rs
+++ b/crates/front/src/call/attempts.rs
@@ -135,7 +135,7 @@
             self.retry.give_back();
             return Some(NextAttempt::Now);
         }
-        if self.race.is_empty() && self.tries.wait_for_room(&self.call, target, error) {
+        if self.race.is_empty() && self.tries.wait_for_room(&self.call, error) {
             tokio::time::sleep(Duration::from(REJECTED_PAUSE_MS)).await;
             self.retry.give_back();
             return Some(NextAttempt::Now);
--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -514,20 +514,21 @@
     pub delivered: u32,
     /// The verdict of the last attempt that may have run the request, if any.
     pub ran: Option<Verdict>,
-    /// The number of attempts at full engines after which the request waited for room.
-    waits: u32,
+    /// The number of attempts that were made before the request waited for room.
+    before_wait: u32,
 }
 
 impl Tries {
     /// Records the start of an attempt and returns its number, from 1.
     pub fn begin(&mut self, chosen: &Chosen) -> u32 {
         self.avoid.push(chosen.key);
-        self.avoid.len() as u32 + self.waits
+        self.avoid.len() as u32 + self.before_wait
     }
 
     /// Returns true if a request that has no other attempt left waits for room in place of being refused: it
-    /// arrived during this node's warm-up, and full engines rejected it. The last attempt then doesn't count.
-    pub fn wait_for_room(&mut self, call: &Call, target: &Target, error: &TryError) -> bool {
+    /// arrived during this node's warm-up, and a full engine rejected it. The last attempt then doesn't count, and
+    /// the engines that were tried may have room again.
+    pub fn wait_for_room(&mut self, call: &Call, error: &TryError) -> bool {
         let is_rejected = error.symptom == Symptom::Full && self.verdict() == Verdict::NotRun;
         let waits = is_rejected
             && call.service.engine.is_some()
@@ -537,9 +538,8 @@
             && call.age_ms() < call.wait_timeouts().max_wait_ms
             && call.left_ms() > SpanMs::ZERO;
         if waits {
-            let rejected = target.replica.key();
-            self.avoid.retain(|key| *key != rejected);
-            self.waits += 1;
+            self.before_wait += self.avoid.len() as u32;
+            self.avoid.clear();
             self.delivered = self.delivered.saturating_sub(1);
         }
         waits
