Tests: the replay of a start fails where engines reject

Without the warm-up the replay meets the other assertions as well, since its engines accept no more than their slots and queue hold.

--- a/crates/fleet/tests/startup.rs
+++ b/crates/fleet/tests/startup.rs
@@ -443,6 +443,7 @@
             "without: {:?}",
             Replay::new(nodes, false, 300).run(5_000, 0.8)
         );
+        assert_eq!(outcome.rejected, 0, "{nodes} nodes: {outcome:?}");
         let capacity = spec().slots as usize + QUEUE;
         assert!(
             outcome.most_beside_idle <= capacity,
