--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod serving;
 pub mod shares;
 pub mod silence;
+pub mod startup;
 pub mod stopping;
 pub mod urgency;
 pub mod waiting;
@@ -71,6 +72,7 @@
         Split,
     };
     pub use crate::shares::{AccountKey, ServiceKey, ShareRequest, Shares, WorkReport};
+    pub use crate::startup::{Baseline, Baselines, EngineWork, PeerKnowledge, Startup};
     pub use crate::stopping::StopPlan;
     pub use crate::urgency::Urgency;
     pub use crate::waiting::WaitTimeouts;
--- a/crates/front/src/gossip/message.rs
+++ b/crates/front/src/gossip/message.rs
@@ -92,6 +92,13 @@
     Promises(PromisesGossip),
     /// The engine time that the sender's largest accounts asked for and that it placed.
     AccountWork(AccountWorkGossip),
+    /// The work that an engine reported of itself, for nodes that haven't heard of it.
+    EngineWork {
+        replica: u32,
+        running: u32,
+        waiting: u32,
+        memory_tokens: u64,
+    },
 }
 
 impl Gossip {
@@ -99,7 +106,9 @@
     /// datagram ignore all of it.
     pub fn generation(&self) -> Generation {
         match self {
-            Gossip::Promises(_) | Gossip::AccountWork(_) => Generation::Contention,
+            Gossip::Promises(_) | Gossip::AccountWork(_) | Gossip::EngineWork { .. } => {
+                Generation::Load
+            }
             Gossip::Part(_) | Gossip::Request(QuarantineNotice::Undecided { .. }) => {
                 Generation::Parts
             }
@@ -115,8 +124,8 @@
     Base,
     /// The kinds about parts of prompts in quarantine.
     Parts,
-    /// The kinds about engines under contention.
-    Contention,
+    /// The kinds about returning requests, accounts and the engines' own reports of their work.
+    Load,
 }
 
 /// A piece of work in flight, with what peers need for their own placements.
--- a/crates/front/src/gossip/mod.rs
+++ b/crates/front/src/gossip/mod.rs
@@ -12,12 +12,14 @@
 //! gathered only for [`GATHER_MS`].
 
 mod account_work;
+mod introduction;
 mod message;
 mod outbox;
 mod receive;
 pub(crate) mod replicas;
 mod send;
 
+pub(crate) use introduction::on_introduced;
 pub(crate) use message::{Origin, PromisesGossip};
 pub use outbox::Outbox;
 pub use receive::receive;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -28,6 +28,7 @@
 mod returns;
 pub mod shares;
 pub mod signals;
+mod startup;
 pub mod watch;
 
 /// The public items that users of this package import.
--- a/crates/front/src/metrics/mod.rs
+++ b/crates/front/src/metrics/mod.rs
@@ -58,6 +58,7 @@
     evacuated_domains: Gauge<u64>,
     unreachable_services: Gauge<u64>,
     account_work: Gauge<u64>,
+    warming_up: Gauge<u64>,
     forwarded: Counter<u64>,
     promises: Counter<u64>,
     returns: Counter<u64>,
@@ -185,6 +186,10 @@
                 "bluebell_evacuated_domains",
                 "Failure domains whose replicas get no new work.",
             ),
+            warming_up: g(
+                "bluebell_warming_up",
+                "1 while the node serves without knowing its peers' work, and 0 after that.",
+            ),
             unreachable_services: g(
                 "bluebell_unreachable_services",
                 "Services of which this node reaches no replica.",
@@ -306,6 +311,8 @@
             Event::LinksLost { lost, .. } | Event::LinksRestored { lost, .. } => {
                 self.unreachable_services.record(*lost as u64, &[]);
             }
+            Event::WarmUpBegan { .. } => self.warming_up.record(1, &[]),
+            Event::WarmUpEnded { .. } => self.warming_up.record(0, &[]),
             Event::Forwarded { .. } => self.forwarded.add(1, &label("step", "sent")),
             Event::ForwardFailed { .. } => self.forwarded.add(1, &label("step", "failed")),
             Event::ForwardAccepted { .. } => self.forwarded.add(1, &label("step", "accepted")),
