--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -23,8 +23,8 @@
 mod spread;
 
 pub use contention::is_contended;
-pub(crate) use estimate::WRITTEN_SHARE;
 pub(crate) use estimate::MAX_QUEUED;
+pub(crate) use estimate::WRITTEN_SHARE;
 pub use memory::needs_helper_memory;
 pub use plain::{PlainCandidate, place_plain};
 pub use price::Prices;
--- a/crates/fleet/tests/returns.rs
+++ b/crates/fleet/tests/returns.rs
@@ -701,6 +701,7 @@
         cost_limit: WaitTimeouts::cost_limit(SpanMs::ZERO, SpanMs(300)),
         partly_answered: false,
         wait_expired: false,
+        held: false,
         returned,
     };
     let mut costs = Vec::new();
--- a/crates/fleet/tests/startup.rs
+++ b/crates/fleet/tests/startup.rs
@@ -64,6 +64,8 @@
         cost_limit: WaitTimeouts::cost_limit(SpanMs(waited_ms), SpanMs(TARGET_MS)),
         partly_answered: false,
         wait_expired: waited_ms >= timeouts.max_wait_ms.0,
+        held: false,
+        returned: false,
     }
 }
 
--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -364,7 +364,9 @@
         fleet = fleet.with_loads(&corrected);
         if let Some(share) = &call.share {
             let is_contended = !demand.partly_answered && is_contended(spec, &fleet);
-            demand.held = shares::is_held(&mut state.share_state, share, is_contended, now_ms);
+            let is_above = shares::is_above(&mut state.share_state, share, is_contended, now_ms);
+            demand.held = is_above && node.settings.holds_accounts;
+            share.set_held(demand.held);
         }
         if let Some(own) = own {
             let ready = state.replicas.ready(&call.service.name);
--- a/crates/front/src/node/run.rs
+++ b/crates/front/src/node/run.rs
@@ -53,6 +53,9 @@
     pub retry_limits: RetryLimits,
     /// The memory that the node may use.
     pub memory: Bytes,
+    /// True if requests beyond their account's share are held under contention. Otherwise the shares are
+    /// only reported: holding serves small accounts at the expense of large ones, which is the operators' choice.
+    pub holds_accounts: bool,
     /// The maximum duration of a planned stop.
     pub grace_ms: SpanMs,
     /// The time after which the directory drops the entry of a replica that has crashed.
--- a/crates/front/src/shares/mod.rs
+++ b/crates/front/src/shares/mod.rs
@@ -54,18 +54,16 @@
     });
 }
 
-/// Decides if a request is held on engines that are contended or not.
-pub(crate) fn is_held(
+/// Decides if a request on engines that are contended or not belongs to the part of its account's demand
+/// that is above the level. Peers are told of this node's accounts while their engines are contended.
+pub(crate) fn is_above(
     share_state: &mut ShareState,
     share: &RequestShare,
     is_contended: bool,
     now_ms: MonoMs,
 ) -> bool {
     let shares = &mut share_state.shares;
-    let is_held = is_contended
-        && share.decide(|request| shares.is_held(share.service_key(), request, now_ms));
-    share.set_held(is_held);
-    is_held
+    is_contended && share.decide(|request| shares.is_held(share.service_key(), request, now_ms))
 }
 
 /// Logs that a request is held, if it is the first of its account.
--- a/crates/front/src/shares/request.rs
+++ b/crates/front/src/shares/request.rs
@@ -73,7 +73,8 @@
         decided
     }
 
-    pub(super) fn set_held(&self, held: bool) {
+    /// Records if the placement decision holds the request.
+    pub fn set_held(&self, held: bool) {
         self.held.set(held);
     }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -18,6 +18,9 @@
     /// the platform's settings file (default: the one that the environment names)
     #[argh(option)]
     settings: Option<PathBuf>,
+    /// under contention, hold client accounts to their shares of the engines
+    #[argh(switch)]
+    hold_accounts: bool,
     /// check the settings, print them and end
     #[argh(switch)]
     check: bool,
@@ -40,7 +43,7 @@
             "no settings file: give --settings or set {SETTINGS_PATH_VARIABLE}"
         ));
     };
-    let settings = match PlatformSettings::read(&path) {
+    let mut settings = match PlatformSettings::read(&path) {
         Ok(settings) => settings,
         Err(errors) => {
             for error in &errors {
@@ -49,6 +52,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
+    settings.front.holds_accounts = flags.hold_accounts;
     if flags.check {
         println!("{settings:#?}");
         return ExitCode::SUCCESS;
