Startup: a request that waits after a full engine takes its next attempt from the retry budget

Cause: replicas count arrivals that they reject as repeats, and the attempts after such a wait weren't taken from the budget, which bounds repeats of all nodes together. Without budget the request is refused as before.

--- a/crates/front/src/call/tries.rs
+++ b/crates/front/src/call/tries.rs
@@ -526,8 +526,8 @@
     }
 
     /// Returns true if a request that has no other attempt left waits for room in place of being refused: it
-    /// arrived during this node's warm-up, and a full engine rejected it. The last attempt then doesn't count, and
-    /// the engines that were tried may have room again.
+    /// arrived during this node's warm-up, a full engine rejected it, and the retry budget allows another attempt, which
+    /// is taken from it. The last attempt then doesn't count, and the engines that were tried may have room again.
     pub fn wait_for_room(&mut self, call: &Call, error: &TryError) -> bool {
         let is_rejected = error.symptom == Symptom::Full && self.verdict() == Verdict::NotRun;
         let waits = is_rejected
@@ -536,7 +536,9 @@
                 .node
                 .with(|state| state.startup.covers(call.arrived_ms))
             && call.age_ms() < call.wait_timeouts().max_wait_ms
-            && call.left_ms() > SpanMs::ZERO;
+            && call.left_ms() > SpanMs::ZERO
+            // Replicas count what they reject as well.
+            && take_retry(call);
         if waits {
             self.before_wait += self.avoid.len() as u32;
             self.avoid.clear();
