Returns: several refused requests with one body make none of them early

Cause: a promise is recognized by the digest of account, host, path and body. A promise for which another request with its digest is refused at the same node no longer makes requests early there.

--- a/crates/fleet/src/returns/mod.rs
+++ b/crates/fleet/src/returns/mod.rs
@@ -153,7 +153,11 @@
         self.promises.expire(now_ms);
         match self.promises.get(digest, now_ms) {
             None => Returning::Unknown,
-            Some(promise) if promise.is_early(now_ms) && !may_be_early => Returning::Unknown,
+            Some(promise)
+                if promise.is_early(now_ms) && (!may_be_early || promise.is_ambiguous) =>
+            {
+                Returning::Unknown
+            }
             Some(promise) if promise.is_early(now_ms) => Returning::Early {
                 left_ms: promise.at_ms.since(now_ms),
             },
@@ -214,10 +218,13 @@
         if let Some(kept) = self.promises.get(request.digest, now_ms)
             && kept.at_ms > now_ms
         {
-            return ReturnTime {
+            let time = ReturnTime {
                 after_ms: kept.at_ms.since(now_ms).min(latest_ms),
                 load: kept.load,
             };
+            // A request that returns early doesn't come here, so this is another one with the same body.
+            self.promises.mark_ambiguous(request.digest);
+            return time;
         }
         let time = self.return_time(request, forecast, latest_ms, now_ms);
         let promise = Promise {
@@ -226,6 +233,7 @@
             at_ms: now_ms + time.after_ms,
             load: time.load,
             source: Source::Own,
+            is_ambiguous: false,
         };
         if self.unsent.len() < MAX_PROMISES {
             self.unsent.push(promise.clone());
@@ -253,6 +261,7 @@
             at_ms,
             load: ExpectedLoad::Passes,
             source: Source::Peer,
+            is_ambiguous: false,
         };
         self.record(promise, now_ms);
     }
--- a/crates/fleet/src/returns/promises.rs
+++ b/crates/fleet/src/returns/promises.rs
@@ -46,6 +46,9 @@
     pub load: ExpectedLoad,
     /// The node that made the promise.
     pub source: Source,
+    /// True if this node refused several requests with the digest. One of them can't be told from another, so
+    /// that none counts as early.
+    pub is_ambiguous: bool,
 }
 
 impl Promise {
@@ -121,6 +124,13 @@
             .retain(|_, entry| !entry.promise.is_over(now_ms));
     }
 
+    /// Records that another request with the digest of a promise was refused.
+    pub fn mark_ambiguous(&mut self, digest: u64) {
+        if let Some(entry) = self.by_digest.get_mut(&digest) {
+            entry.promise.is_ambiguous = true;
+        }
+    }
+
     /// Returns the number of promises.
     pub fn len(&self) -> usize {
         self.by_digest.len()
--- a/crates/fleet/tests/returns.rs
+++ b/crates/fleet/tests/returns.rs
@@ -733,3 +733,17 @@
         "{costs:?}"
     );
 }
+
+/// Guards against identical requests of several callers that are turned away as early, because others
+/// with the same body were promised a moment.
+#[test]
+fn several_requests_with_the_same_body_are_not_early() {
+    let mut returns = Returns::default();
+    let full = forecast(12, 12);
+    let first = promise(&mut returns, refused(1, 9_000), &full, MonoMs(0));
+    let second = promise(&mut returns, refused(1, 9_000), &full, MonoMs(0));
+    assert_eq!(first.after_ms, second.after_ms);
+    assert_eq!(returns.classify(1, true, MonoMs(10)), Returning::Unknown);
+    let due_ms = MonoMs(first.after_ms.0);
+    assert_eq!(returns.classify(1, true, due_ms), Returning::InTime);
+}
