--- a/crates/node/tests/front.rs
+++ b/crates/node/tests/front.rs
@@ -30,6 +30,23 @@
     );
 }
 
+/// Guards against accounts that are held to their shares without the operators' switch.
+#[test]
+fn accounts_are_held_on_request_only() {
+    let path = std::env::temp_dir().join(format!("bluebell-hold-{}", std::process::id()));
+    let text = r#"{"nodeName":"n","ip":"127.0.0.1","zone":"a",
+        "listen":{"frontend":"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPortRange":[3,9],
+        "bounds":{"graceS":8,"retryWindowS":10},"platform":{"address":"127.0.0.1:9"}}"#;
+    std::fs::write(&path, text).expect("a file");
+    let settings = path.to_str().expect("a path");
+    let usual = front(&["--settings", settings, "--check"]);
+    let held = front(&["--settings", settings, "--check", "--hold-accounts"]);
+    std::fs::remove_file(&path).expect("it is there");
+    let printed = |output: Output| String::from_utf8(output.stdout).expect("text");
+    assert!(printed(usual).contains("holds_accounts: false"));
+    assert!(printed(held).contains("holds_accounts: true"));
+}
+
 /// A missing settings file and unknown arguments end the program with the code for invalid settings.
 #[test]
 fn missing_settings_and_unknown_arguments_are_reported() {
