Replicas: the entry that was written last has the address

Cause: the table kept one replica for each address, the one learned of last, and forgot the other. Pages of the store are in the order of keys, copies of peers in none, so a dead replica's entry could be applied after that of the live one and remove it. Its own removal then brought nothing back.

Ruled out: that nodes read before the live entries were written (they were 0.2 s before the kill), and that the removals of the dead ones were not applied (they were, and removed the rows that had taken the addresses).

Change: all listed entries are kept. Of several at one address the one written last, by its offset in the store's log, is used, and the others are displaced until it is removed. Offsets come with history, pages, notices and copies (appended to the copied state, so that earlier releases read it as before). Changes of one instance are ordered by position too and not by the starts that replicas' clocks state, and a list that was read earlier no longer removes or reverts what a later notice brought. Displacements are logged.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -63,8 +63,8 @@
     pub use crate::pace::{Pace, Paces};
     pub use crate::placement::{Demand, Placement, Refusal, place_engine, place_plain};
     pub use crate::replicas::{
-        Fingerprint, Replica, ReplicaChange, ReplicaKey, ReplicaStart, ReplicaState, ReplicaTable,
-        Symptom,
+        ChangePosition, Fingerprint, PositionedChange, Replica, ReplicaChange, ReplicaKey,
+        ReplicaStart, ReplicaState, ReplicaTable, Symptom,
     };
     pub use crate::returns::{ExpectedLoad, RefusedRequest, ReturnTime, Returning, Returns};
     pub use crate::serving::{
--- a/crates/fleet/src/replicas/replica.rs
+++ b/crates/fleet/src/replicas/replica.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariants: a key stands for one start of one instance; a later start has another key.
 
+use crate::directory::Cursor;
 use bluebell_base::prelude::*;
 use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
@@ -9,8 +10,9 @@
 use std::hash::Hasher;
 use std::net::SocketAddr;
 
-/// The start of a run of a replica, in Unix ms by the replica's own clock. It only orders the starts
-/// of one instance and is never compared with a node's clock, which may jump.
+/// The start of a run of a replica, in Unix ms by the replica's own clock. It tells the starts of one
+/// instance apart, and orders them only where the directory's history doesn't. It is never compared with a
+/// node's clock, which may jump.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ReplicaStart(pub u64);
 
@@ -98,6 +100,61 @@
     },
 }
 
+/// The position of a change in the directory's history.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangePosition {
+    /// The position of the entry itself, which orders the replicas that have had one address.
+    pub written_at: Cursor,
+    /// The position up to which the change is known to be the newest of its instance.
+    pub known_at: Cursor,
+}
+
+impl ChangePosition {
+    /// The position of a change of which nothing is known. Any other position is later.
+    pub const UNKNOWN: Self = Self {
+        written_at: Cursor::at(0),
+        known_at: Cursor::at(0),
+    };
+
+    /// Returns the position of a change that was read from the history at `written_at`.
+    pub fn in_history(written_at: Cursor) -> Self {
+        let offset = written_at.offset + 1;
+        Self {
+            written_at,
+            known_at: Cursor {
+                offset,
+                ..written_at
+            },
+        }
+    }
+
+    /// Returns this position, or if nothing is known of it one that is as late as `known_at`.
+    pub(super) fn or_known_at(self, known_at: Cursor) -> Self {
+        match self == Self::UNKNOWN {
+            true => Self { known_at, ..self },
+            false => self,
+        }
+    }
+
+    /// Returns the position of an entry that was written at `written_at`, in a list of the newest entries up
+    /// to `end`.
+    pub fn in_list(written_at: Cursor, end: Cursor) -> Self {
+        Self {
+            written_at,
+            known_at: end,
+        }
+    }
+}
+
+/// A change of an entry, with its position.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PositionedChange {
+    /// The offset of the entry, in the era of what it was read with; 0 if it isn't known.
+    pub offset: u64,
+    /// The change.
+    pub change: ReplicaChange,
+}
+
 impl Replica {
     /// Returns the replica's key.
     pub fn key(&self) -> ReplicaKey {
--- a/crates/front/src/copies/state.rs
+++ b/crates/front/src/copies/state.rs
@@ -25,6 +25,10 @@
     /// The time for which entries that are missing after an outage may still return, in milliseconds.
     relist_left_ms: u32,
     listed: Vec<ChangeGossip>,
+    /// The positions at which the entries of `listed` were written, in the same order. Encoded after the
+    /// work on engines. Empty in states of earlier releases.
+    #[serde(skip)]
+    written_at: Vec<Cursor>,
 }
 
 /// The state of a running node, without its configuration.
@@ -55,11 +59,15 @@
         node.with(|state| Self {
             engines: Some(EngineBaselines::of(state, now_ms)),
             format: FORMAT,
-            replicas: cursor.filter(|_| with_replicas).map(|cursor| ReplicaList {
-                cursor,
-                age_ms: age_ms.0 as u32,
-                relist_left_ms: state.replicas.relist_left_ms(now_ms).0 as u32,
-                listed: listed(&state.replicas, now_ms),
+            replicas: cursor.filter(|_| with_replicas).map(|cursor| {
+                let (written_at, listed) = listed(&state.replicas, now_ms).unzip();
+                ReplicaList {
+                    cursor,
+                    age_ms: age_ms.0 as u32,
+                    relist_left_ms: state.replicas.relist_left_ms(now_ms).0 as u32,
+                    listed,
+                    written_at,
+                }
             }),
             peers,
             quarantine: state.quarantine.quarantine_notices(now_ms, || true),
@@ -70,19 +78,27 @@
 
     /// Encodes the state.
     pub(super) fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(&(self, &self.parts, &self.engines))
+        let list = self.replicas.as_ref();
+        let written_at = list.map_or(&[][..], |list| &list.written_at);
+        postcard::to_allocvec(&(self, &self.parts, &self.engines, written_at))
             .expect("postcard can encode a state")
     }
 
     /// Decodes a state. Returns `None` if it is malformed or has another format version.
     pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
         let (mut state, rest_of_state): (Self, _) = postcard::take_from_bytes(bytes).ok()?;
-        if !rest_of_state.is_empty() {
-            let rest;
-            (state.parts, rest) = postcard::take_from_bytes(rest_of_state).ok()?;
-            if !rest.is_empty() {
-                state.engines = postcard::from_bytes(rest).ok()?;
-            }
+        // States of earlier releases end after any of these fields.
+        let mut rest = rest_of_state;
+        if !rest.is_empty() {
+            (state.parts, rest) = postcard::take_from_bytes(rest).ok()?;
+        }
+        if !rest.is_empty() {
+            (state.engines, rest) = postcard::take_from_bytes(rest).ok()?;
+        }
+        if !rest.is_empty()
+            && let Some(list) = &mut state.replicas
+        {
+            list.written_at = postcard::from_bytes(rest).ok()?;
         }
         (state.format == FORMAT).then_some(state)
     }
@@ -109,27 +125,29 @@
         }
         if let Some(list) = self.replicas {
             let listed = list.listed.into_iter().map(ReplicaChange::from);
+            let unknown = std::iter::repeat(ChangePosition::UNKNOWN.written_at);
+            let written_at = list.written_at.into_iter().chain(unknown);
             node.directory_watch.on_copied_replicas(
                 node,
                 watch::CopiedReplicas {
                     cursor: list.cursor,
                     confirmed_ms: now_ms - SpanMs(u64::from(list.age_ms)),
                     relist_left_ms: SpanMs(u64::from(list.relist_left_ms)),
-                    listed: listed.collect(),
+                    listed: written_at.zip(listed).collect(),
                 },
             );
         }
     }
 }
 
-/// Returns the entries of all listed replicas.
-fn listed(replicas: &ReplicaTable, now_ms: MonoMs) -> Vec<ChangeGossip> {
-    let changes = replicas.listed().map(|replica| {
+/// Returns the entries of all listed replicas, with the positions at which they were written.
+fn listed(replicas: &ReplicaTable, now_ms: MonoMs) -> impl Iterator<Item = (Cursor, ChangeGossip)> {
+    replicas.listed().filter_map(move |replica| {
+        let written_at = replicas.written_at(replica);
         let mut replica = Replica::clone(replica);
         replica.cold_ms = replicas.cold_replicas.left_ms(replica.key(), now_ms);
-        ReplicaChange::Listed(replica)
-    });
-    changes.filter_map(change_gossip).collect()
+        Some((written_at, change_gossip(ReplicaChange::Listed(replica))?))
+    })
 }
 
 #[cfg(test)]
@@ -159,10 +177,37 @@
             let decoded = NodeState::decode(bytes).expect("it is a state");
             assert!(decoded.engines.is_none());
         }
+        let with_engines = postcard::to_allocvec(&(&state, &state.parts, &state.engines));
+        let with_engines = with_engines.expect("it can be encoded");
+        assert!(NodeState::decode(&with_engines).is_some());
         let own = state.encode();
         let (_, rest): (NodeState, _) = postcard::take_from_bytes(&own).expect("it is a state");
         let parts: Vec<PartNotice> =
             postcard::from_bytes(rest).expect("the rest begins with parts");
         assert!(parts.is_empty());
     }
+
+    /// Guards against a dead replica that gets the address of a live one in a copied list: the copy has the
+    /// positions of the entries, and a copy of an earlier release has none.
+    #[test]
+    fn a_copied_list_has_the_positions_of_its_entries() {
+        let replicas = ReplicaList {
+            cursor: Cursor::at(9),
+            age_ms: 0,
+            relist_left_ms: 0,
+            listed: vec![ChangeGossip::Removed("i-1".into())],
+            written_at: vec![Cursor::at(7)],
+        };
+        let state = NodeState {
+            replicas: Some(replicas),
+            ..empty()
+        };
+        let written_at = |bytes: &[u8]| {
+            let state = NodeState::decode(bytes).expect("it is a state");
+            state.replicas.expect("it has replicas").written_at
+        };
+        assert_eq!(written_at(&state.encode()), [Cursor::at(7)]);
+        let earlier = postcard::to_allocvec(&(&state, &state.parts, &state.engines));
+        assert!(written_at(&earlier.expect("it can be encoded")).is_empty());
+    }
 }
--- a/crates/front/src/gossip/replicas.rs
+++ b/crates/front/src/gossip/replicas.rs
@@ -1,7 +1,7 @@
 //! The encoding of notices about the directory's replica list.
 
 use crate::platform::Cursor;
-use crate::watch::{PositionedChange, ReplicasNotice};
+use crate::watch::ReplicasNotice;
 use bluebell_base::prelude::*;
 use bluebell_fleet::prelude::*;
 use serde::{Deserialize, Serialize};
--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -157,6 +157,11 @@
         key: ReplicaKey,
         started: ReplicaStart,
     },
+    /// A later entry of another replica states the address of this one, which gets no more work there.
+    ReplicaDisplaced {
+        instance: Arc<str>,
+        address: SocketAddr,
+    },
     /// A directory entry doesn't name a usable replica.
     EntryUnusable { instance: Arc<str>, why: Arc<str> },
     /// A replica's entry says that it accepts no new work.
--- a/crates/front/src/platform/mod.rs
+++ b/crates/front/src/platform/mod.rs
@@ -66,8 +66,8 @@
 pub struct ReplicaUpdate {
     /// The position at which the next read continues.
     pub cursor: Cursor,
-    /// The changes, in the order in which they happened.
-    pub changes: Vec<ReplicaChange>,
+    /// The changes, in the order in which they were written.
+    pub changes: Vec<PositionedChange>,
     /// True if `changes` lists every replica, so that a replica that is missing is gone.
     pub is_snapshot: bool,
 }
--- a/crates/front/src/watch/mod.rs
+++ b/crates/front/src/watch/mod.rs
@@ -30,4 +30,4 @@
 pub use paces::{is_responding, read_engine_work, watch_paces};
 pub use quarantine::{restore_quarantine, store_quarantine, watch_quarantine};
 pub use replicas::watch_replicas;
-pub use shared::{CopiedReplicas, DirectoryWatch, PositionedChange, ReplicasNotice};
+pub use shared::{CopiedReplicas, DirectoryWatch, ReplicasNotice};
--- a/crates/front/src/watch/notices.rs
+++ b/crates/front/src/watch/notices.rs
@@ -8,7 +8,7 @@
 //!
 //! Invariants: a notice's cursor is never after a change that the notice and those before it lack.
 
-use super::shared::{PositionedChange, ReplicasNotice};
+use super::shared::ReplicasNotice;
 use crate::node::Node;
 use crate::platform::Cursor;
 use bluebell_base::prelude::*;
@@ -60,12 +60,11 @@
         }
     }
 
-    /// Adds the changes by the entry at `offset`, which were just applied to the node's table.
-    pub fn add(&mut self, node: &Node, offset: u64, changes: Vec<ReplicaChange>) {
-        self.count += changes.len();
-        let positioned = changes.into_iter();
-        self.changes
-            .extend(positioned.map(|change| PositionedChange { offset, change }));
+    /// Adds a change that was just applied to the node's table.
+    pub fn add(&mut self, node: &Node, change: PositionedChange) {
+        let PositionedChange { offset, .. } = change;
+        self.count += 1;
+        self.changes.push(change);
         if self.changes.len() >= NOTICE_CHANGES {
             self.close_notice(node, offset + 1);
         }
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -132,33 +132,45 @@
     let mut notices = NoticeBuilder::open(node, ReadSpan { from, end });
     node.with(|state| state.replicas.on_directory_read(now_ms));
     if update.is_snapshot {
-        let listed: Vec<Arc<str>> = update.changes.iter().filter_map(listed_instance).collect();
+        let changes = update.changes.iter().map(|positioned| &positioned.change);
+        let listed: Vec<Arc<str>> = changes.filter_map(listed_instance).collect();
         match renewed {
-            false => node.with(|state| state.replicas.retain_listed(&listed, now_ms)),
+            false => node.with(|state| state.replicas.retain_listed(&listed, end, now_ms)),
             true => {
-                for instance in node.with(|state| state.replicas.missing_from(&listed)) {
-                    let missing = vec![ReplicaChange::Missing(instance)];
-                    notices.add(node, 0, apply_changes(node, missing));
+                for instance in node.with(|state| state.replicas.missing_from(&listed, end)) {
+                    let change = ReplicaChange::Missing(instance);
+                    apply_change(node, change.clone(), ChangePosition::UNKNOWN);
+                    notices.add(node, PositionedChange { offset: 0, change });
                 }
             }
         }
     }
-    let first_offset = end.offset.saturating_sub(update.changes.len() as u64);
     // Peers' notices may have arrived during the read. What they brought is not applied again, but it belongs
     // to the notices of this read, which claim to be complete.
     let known = node.directory_watch.cursor();
     let applied_to = known.filter(|known| from.is_some() && known.era == end.era);
     let applied_to = applied_to.map_or(0, |known| known.offset);
-    for (offset, change) in (first_offset..).zip(update.changes) {
-        if offset < applied_to {
-            notices.add(node, offset, vec![change]);
+    for positioned in update.changes {
+        let PositionedChange { offset, change } = &positioned;
+        if *offset < applied_to {
+            notices.add(node, positioned);
             continue;
         }
         // A replica that the older copy lists may have left since.
-        if renewed && node.with(|state| state.replicas.is_outdated(&change)) {
+        if renewed && node.with(|state| state.replicas.is_outdated(change)) {
             continue;
         }
-        notices.add(node, offset, apply_changes(node, vec![change]));
+        let written_at = Cursor {
+            offset: *offset,
+            ..end
+        };
+        let position = match update.is_snapshot {
+            true => ChangePosition::in_list(written_at, end),
+            false => ChangePosition::in_history(written_at),
+        };
+        if apply_change(node, change.clone(), position) {
+            notices.add(node, positioned);
+        }
     }
     let awaits_rewrites = node.with(|state| state.replicas.awaits_rewrites(now_ms));
     // A list of all replicas doesn't tell what changed. After a renewal all nodes have observed the same.
@@ -168,26 +180,38 @@
     }
 }
 
-/// Applies changes to the table. Returns those that may change another node's table: all but repeated and
-/// unusable entries. An entry may be gone from this table for a reason that other nodes don't know.
-pub(super) fn apply_changes(node: &Node, changes: Vec<ReplicaChange>) -> Vec<ReplicaChange> {
+/// Applies a change to the table. Returns true if it may change another node's table, as all do but repeated
+/// and unusable entries. An entry may be gone from this table for a reason that other nodes don't know.
+pub(super) fn apply_change(node: &Node, change: ReplicaChange, position: ChangePosition) -> bool {
     let now_ms = node.now_ms();
-    let mut relevant = Vec::new();
-    for change in changes {
-        let result = node.with(|state| state.replicas.apply(change.clone(), now_ms));
-        if let Some(event) = event_of(result, &change) {
-            node.journal.record(&event);
-        }
-        let is_repeated =
-            result == TableEvent::Unchanged && matches!(change, ReplicaChange::Listed(_));
-        if result != TableEvent::Unusable && !is_repeated {
-            relevant.push(change);
-        }
-        if result == TableEvent::Restarted {
-            node.directory_watch.replica_restarted.notify_waiters();
-        }
+    let result = node.with(|state| state.replicas.apply_at(change.clone(), position, now_ms));
+    if let Some(event) = event_of(result, &change) {
+        node.journal.record(&event);
+    }
+    if let ReplicaChange::Listed(replica) = &change
+        && matches!(result, TableEvent::Found | TableEvent::Restarted)
+    {
+        log_displaced(node, replica);
+    }
+    if result == TableEvent::Restarted {
+        node.directory_watch.replica_restarted.notify_waiters();
+    }
+    let is_repeated = result == TableEvent::Unchanged && matches!(change, ReplicaChange::Listed(_));
+    result != TableEvent::Unusable && !is_repeated
+}
+
+/// Logs the replicas that have lost their address to another one, now that `replica` was listed there.
+fn log_displaced(node: &Node, replica: &Replica) {
+    let displaced: Vec<Arc<str>> = node.with(|state| {
+        let displaced = state.replicas.displaced_from(replica.address);
+        displaced.map(|replica| replica.instance.clone()).collect()
+    });
+    for instance in displaced {
+        node.journal.record(&Event::ReplicaDisplaced {
+            instance,
+            address: replica.address,
+        });
     }
-    relevant
 }
 
 /// Returns the log event for a change, or `None` if the change doesn't affect which replicas can be
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -15,7 +15,7 @@
 
 use super::era::{KnownEra, on_era, on_notified_era};
 use super::join::JoinPhase;
-use super::replicas::{apply_changes, listed_instance};
+use super::replicas::{apply_change, listed_instance};
 use crate::journal::Event;
 use crate::node::Node;
 use crate::platform::Cursor;
@@ -58,15 +58,6 @@
     peer_cursor: Cell<Option<Cursor>>,
 }
 
-/// A change of the replica list, with its position.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PositionedChange {
-    /// The offset of the entry in the era of its notice.
-    pub offset: u64,
-    /// The change.
-    pub change: ReplicaChange,
-}
-
 /// A notice that a peer has read the replica list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReplicasNotice {
@@ -95,8 +86,8 @@
     pub confirmed_ms: MonoMs,
     /// The time for which entries that are missing after an outage may still return; 0 if none may.
     pub relist_left_ms: SpanMs,
-    /// All listed replicas.
-    pub listed: Vec<ReplicaChange>,
+    /// All listed replicas, with the positions at which their entries were written.
+    pub listed: Vec<(Cursor, ReplicaChange)>,
 }
 
 impl ReplicasNotice {
@@ -107,15 +98,16 @@
     }
 
     /// Takes the changes that apply to a table with this fingerprint that is known up to `known`.
-    fn take_changes(&mut self, known: Cursor, table: Fingerprint) -> Vec<ReplicaChange> {
+    fn take_changes(&mut self, known: Cursor, table: Fingerprint) -> Vec<PositionedChange> {
         let changes = std::mem::take(&mut self.changes).into_iter();
         let first_offset = match self.covers(known) {
             true => known.offset,
             false if table == self.before => 0,
             false => return Vec::new(),
         };
-        let missing = changes.filter(|change| change.offset >= first_offset);
-        missing.map(|change| change.change).collect()
+        changes
+            .filter(|change| change.offset >= first_offset)
+            .collect()
     }
 }
 
@@ -253,7 +245,11 @@
         let covered = notice.covers(known);
         let own = fingerprint();
         if own != notice.after {
-            apply_changes(node, notice.take_changes(known, own));
+            let Cursor { era, .. } = notice.cursor;
+            for PositionedChange { offset, change } in notice.take_changes(known, own) {
+                let position = ChangePosition::in_history(Cursor { era, offset });
+                apply_change(node, change, position);
+            }
         }
         if !covered && fingerprint() != notice.after {
             self.peer_cursor
@@ -275,13 +271,17 @@
         }
         on_era(node, copied.cursor.era);
         let now_ms = node.now_ms();
-        let instances: Vec<Arc<str>> = copied.listed.iter().filter_map(listed_instance).collect();
+        let listed = copied.listed.iter().map(|(_, change)| change);
+        let instances: Vec<Arc<str>> = listed.filter_map(listed_instance).collect();
         node.with(|state| {
             let replicas = &mut state.replicas;
             replicas.await_relisting(copied.relist_left_ms, now_ms);
-            replicas.retain_listed(&instances, now_ms);
+            replicas.retain_listed(&instances, copied.cursor, now_ms);
         });
-        apply_changes(node, copied.listed);
+        for (written_at, change) in copied.listed {
+            let position = ChangePosition::in_list(written_at, copied.cursor);
+            apply_change(node, change, position);
+        }
         self.confirmed
             .set(Some((copied.cursor, copied.confirmed_ms)));
         node.on_replicas_read();
