Configuration: a check beside each read of the replica list bounds silent open reads

Cause: nothing but the timeout ended such a read, and the timeout was set for many nodes whose reads begin at random moments. After a version all nodes begin at once, so with three nodes the first read ended 5 s later at the earliest.

Ruled out: that a node knew the version and didn't tell (no config_known before the first read ended), and that a failing call was ignored (none failed).

Change: after each of its own reads of the replica list, which the readers make in turn every 0.7 to 1.2 s in a fleet of any size, a node reads the configuration once more without waiting. What that finds is taken, the open read begins anew, and open_read_silent is logged.

--- a/crates/front/src/journal/event.rs
+++ b/crates/front/src/journal/event.rs
@@ -118,6 +118,9 @@
     ConfigCopyFailed { peer: u64, reason: Arc<str> },
     /// A read of the configuration failed `waited_ms` after it began.
     ConfigReadFailed { reason: Arc<str>, waited_ms: SpanMs },
+    /// A read of the configuration that had been open for `open_ms` hadn't returned what a later read found. Its
+    /// connection is silent, unless the entry was written during the later read.
+    OpenReadSilent { open_ms: SpanMs },
     /// A watcher's call to the directory failed, and its previous one hadn't. `what` names the watcher.
     DirectoryLost { what: Arc<str>, reason: Arc<str> },
     /// The directory answers the watcher `what` again, `away_ms` after its first failed call.
--- a/crates/front/src/watch/config.rs
+++ b/crates/front/src/watch/config.rs
@@ -263,39 +263,66 @@
 /// Waits for a configuration that is newer than the one at `cursor`.
 async fn next_read(node: &Node, cursor: Cursor) -> Result<ConfigUpdate, DirectoryError> {
     let directory = &node.platform.directory;
-    let other_readers = follow::reader_count(node) - 1;
-    let wait_ms = long_poll::long_poll_timeout(other_readers, rand::random());
+    let wait_ms = long_poll::long_poll_timeout(rand::random());
     tokio::select! {
         read = directory.read_config(Some(cursor), wait_ms) => read,
         // A read from before the outage is on a connection that may never answer.
         () = node.directory_watch.wait_for_directory_return() => {
             directory.read_config(Some(cursor), SpanMs::ZERO).await
         }
-        () = wait_until_stale(node) => directory.read_config(Some(cursor), SpanMs::ZERO).await,
+        // The connections that are kept for the next read may be silent as well.
+        () = wait_until_stale(node) => tokio::select! {
+            read = directory.read_config(Some(cursor), SpanMs::ZERO) => read,
+            never = copy_meanwhile(node) => match never {},
+        },
+        update = check_beside_lists(node, cursor) => Ok(update),
         // An open read may be on a connection to the directory of the earlier era.
         () = era::wait_for_later(node, cursor.era) => directory.read_config(None, SpanMs::ZERO).await,
     }
 }
 
 /// Waits until the open long poll can no longer be relied on: a peer has known a newer version for
-/// [`POLL_GRACE_MS`], or the peers on which the poll's length relied are no longer live.
+/// [`POLL_GRACE_MS`].
 async fn wait_until_stale(node: &Node) {
-    let relied_on_peers = long_poll::can_rely_on_peers(node.outbox.live_peer_count());
     loop {
-        let peer_check = tokio::time::sleep(Duration::from(PEER_CHECK_MS));
-        tokio::select! {
-            () = node.directory_watch.newer_config.notified() => {
-                tokio::time::sleep(Duration::from(POLL_GRACE_MS)).await;
-            }
-            () = peer_check => {}
-        }
-        let alone = relied_on_peers && !long_poll::can_rely_on_peers(node.outbox.live_peer_count());
-        if alone || node.directory_watch.is_behind() {
+        node.directory_watch.wait_until_behind().await;
+        tokio::time::sleep(Duration::from(POLL_GRACE_MS)).await;
+        if node.directory_watch.is_behind() {
             return;
         }
     }
 }
 
+/// Reads the operators' entries after each of this node's own reads of the replica list, until there is
+/// something after `cursor`. The open long poll then is on a silent connection.
+///
+/// Nothing shows that a connection is silent but a read on another one. The readers read the list in turn
+/// and notify their peers, so in a fleet of any size some node makes this read about once a second.
+async fn check_beside_lists(node: &Node, cursor: Cursor) -> ConfigUpdate {
+    let directory = &node.platform.directory;
+    let mut list_reads = node.directory_watch.list_reads();
+    let opened_ms = node.now_ms();
+    loop {
+        // The sender lives as long as the node.
+        let _ = list_reads.changed().await;
+        let checked_ms = node.now_ms();
+        match directory.read_config(Some(cursor), SpanMs::ZERO).await {
+            Ok(update) if update.cursor == cursor => {}
+            Ok(update) => {
+                node.journal.record(&Event::OpenReadSilent {
+                    open_ms: node.now_ms().since(opened_ms),
+                });
+                return update;
+            }
+            // The next read of the list is followed by another check.
+            Err(error) => node.journal.record(&Event::ConfigReadFailed {
+                reason: error.to_string().into(),
+                waited_ms: node.now_ms().since(checked_ms),
+            }),
+        }
+    }
+}
+
 /// The source of a configuration, with its text.
 enum TextSource {
     /// Read from the directory. The text is `None` if it can't be copied.
--- a/crates/front/src/watch/follow.rs
+++ b/crates/front/src/watch/follow.rs
@@ -6,7 +6,6 @@
 use crate::journal::Event;
 use crate::node::Node;
 use bluebell_base::prelude::*;
-use bluebell_fleet::distribution;
 use bluebell_fleet::prelude::*;
 use rand::seq::SliceRandom;
 use std::time::Duration;
@@ -31,13 +30,6 @@
     roles::parent(node)
 }
 
-/// Returns the number of nodes that read the directory, including this one.
-pub(super) fn reader_count(node: &Node) -> usize {
-    let mut sizes = node.outbox.domain_sizes();
-    *sizes.entry(node.settings.domain.clone()).or_insert(0) += 1;
-    distribution::readers(sizes.into_values())
-}
-
 /// Waits for a newer configuration and copies it.
 pub(super) async fn follow(node: &Node) -> FollowResult {
     loop {
--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -59,6 +59,7 @@
                 let renewed = era::on_era(&node, cursor.era);
                 let notices = apply_update(&node, cursor_before, update, renewed);
                 node.directory_watch.on_own_read(cursor, node.now_ms());
+                node.directory_watch.on_list_read();
                 for notice in notices {
                     node.outbox.replicas(notice);
                 }
--- a/crates/front/src/watch/shared.rs
+++ b/crates/front/src/watch/shared.rs
@@ -50,6 +50,8 @@
     directory_failed: Cell<bool>,
     /// The number of times that the directory came back after a failed call.
     return_count: watch::Sender<u64>,
+    /// The number of this node's own reads of the replica list that succeeded.
+    list_reads: watch::Sender<u64>,
     /// The configuration version in force and the newest known one.
     freshness: RefCell<ConfigFreshness>,
     /// The position up to which the replica list is known, and when that was last confirmed.
@@ -181,6 +183,16 @@
         let _ = self.return_count.subscribe().changed().await;
     }
 
+    /// Records that this node has read the replica list from the directory.
+    pub(super) fn on_list_read(&self) {
+        self.list_reads.send_modify(|reads| *reads += 1);
+    }
+
+    /// Subscribes to this node's own reads of the replica list from now on.
+    pub(super) fn list_reads(&self) -> watch::Receiver<u64> {
+        self.list_reads.subscribe()
+    }
+
     /// Returns true if this node has read nothing yet and the directory doesn't answer it.
     pub fn is_directory_unreachable(&self) -> bool {
         self.first_read_unanswered.get()
