--- a/crates/front/src/call/choose.rs
+++ b/crates/front/src/call/choose.rs
@@ -13,7 +13,6 @@
 use bluebell_fleet::prelude::*;
 use bluebell_fleet::replicas::Health;
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,8 +24,8 @@
     pub replica: Arc<Replica>,
     /// The engines that read parts of the prompt with it.
     pub helpers: Vec<Helper>,
-    /// The memory to reserve at helpers, by address.
-    pub memory: Vec<(SocketAddr, Tokens)>,
+    /// The memory to reserve at helpers.
+    pub memory: Vec<(Arc<Replica>, Tokens)>,
     /// The memory that has been reserved; `None` until the attempt starts to reserve.
     pub reserved: Option<ReservedMemory>,
     /// The expected time until the first event, or until a plain answer, in milliseconds.
@@ -328,7 +327,7 @@
     placement: Placement,
     replica: Arc<Replica>,
     helpers: Vec<Helper>,
-    memory: Vec<(SocketAddr, Tokens)>,
+    memory: Vec<(Arc<Replica>, Tokens)>,
 }
 
 /// Places a request on one engine and its helpers, without recording it as work.
@@ -396,7 +395,7 @@
             .collect();
         let memory = placement.memory.iter();
         let memory: Result<Vec<_>, Refusal> = memory
-            .map(|(key, tokens)| Ok((address(*key)?, *tokens)))
+            .map(|(key, tokens)| Ok((find(*key)?, *tokens)))
             .collect();
         Ok(EnginePlacement {
             placement,
--- a/crates/front/src/call/reserve.rs
+++ b/crates/front/src/call/reserve.rs
@@ -46,7 +46,7 @@
 /// The memory reserved at one engine.
 #[derive(Clone, Debug)]
 struct Reservation {
-    address: SocketAddr,
+    holder: Arc<Replica>,
     name: Arc<str>,
     tokens: Tokens,
 }
@@ -67,9 +67,10 @@
             reservations: Vec::new(),
             renewal: None,
         };
-        for (address, tokens) in chosen.memory.clone() {
+        for (holder, tokens) in chosen.memory.clone() {
+            let address = holder.address;
             let reservation = Reservation {
-                address,
+                holder,
                 name: format!("{:016x}", rand::random::<u64>()).into(),
                 tokens,
             };
@@ -109,8 +110,16 @@
 }
 
 impl Reservation {
-    /// Renews the reservation; a failure is only logged.
+    /// Returns true if the holder's address was given to another replica, which would carry out its orders.
+    fn is_orphaned(&self, node: &Node) -> bool {
+        node.with(|state| state.replicas.is_address_reused(&self.holder))
+    }
+
+    /// Renews the reservation, unless another replica has the holder's address; a failure is only logged.
     async fn renew(&self, node: &Rc<Node>) {
+        if self.is_orphaned(node) {
+            return;
+        }
         if let Err(error) = self.reserve(node).await {
             log::warn!(
                 "memory reservation {} was not renewed: {}",
@@ -127,7 +136,7 @@
             tokens: self.tokens,
             hold_ms: HOLD_MS,
         };
-        let why = match send(node, self.address, &order).await {
+        let why = match send(node, self.holder.address, &order).await {
             Some(MemoryAnswer::Done) => return Ok(()),
             Some(MemoryAnswer::Full) => "the memory at a helper isn't free",
             Some(MemoryAnswer::Refused) => "a helper refused to set memory aside",
@@ -176,10 +185,9 @@
 /// Returns true if the writing engine or a helper has stated a request limit.
 fn is_any_limited(node: &Node, writer: &Replica, reservations: &[Reservation]) -> bool {
     node.with(|state| {
-        let replicas = &state.replicas;
         let holders = reservations
             .iter()
-            .filter_map(|reservation| replicas.at(reservation.address));
+            .map(|reservation| reservation.holder.key());
         let mut engines = holders.chain([writer.key()]);
         engines.any(|key| state.limits.is_limited(key))
     })
@@ -192,11 +200,14 @@
     !is_replaced && watch::is_responding(node, engine.address).await
 }
 
-/// Orders an engine to release a reservation.
+/// Orders an engine to release a reservation, unless another replica has its address.
 async fn release(node: Rc<Node>, reservation: Reservation) {
+    if reservation.is_orphaned(&node) {
+        return;
+    }
     let name = reservation.name.clone();
     let order = MemoryOrder::Release { name };
-    if send(&node, reservation.address, &order).await != Some(MemoryAnswer::Done) {
+    if send(&node, reservation.holder.address, &order).await != Some(MemoryAnswer::Done) {
         log::info!(
             "memory reservation {} was not released and will expire",
             reservation.name
