Replicas: a newly listed replica ends the idle connections to its address

What callers see: a request that may run again is sent on the kept connection of a replica that has ended without closing it. The replica that has the address resets it, or nothing answers, and the request is repeated elsewhere.

Idle connections are kept by address, for up to the time that the earlier replica stated.

Change: they are closed when a replica or a new start is first listed there.

--- a/crates/front/src/watch/replicas.rs
+++ b/crates/front/src/watch/replicas.rs
@@ -192,6 +192,8 @@
     if let ReplicaChange::Listed(replica) = &change
         && matches!(result, TableEvent::Found | TableEvent::Restarted)
     {
+        // Connections that are kept to this address are those of an earlier replica.
+        node.pool.forget(replica.address);
         log_displaced(node, replica);
     }
     if result == TableEvent::Restarted {
